--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,34 @@
+import neostandard from 'neostandard'
+
+const adapterImports = ['node:http', 'node:net', 'undici', 'pino', 'hot-shots', 'cac']
+
+export default [
+  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**', 'experiments/results/**'] }),
+  {
+    files: ['src/**/*.ts', 'standins/**/*.ts', 'playground/**/*.ts', 'experiments/**/*.ts'],
+    rules: {
+      '@stylistic/max-len': ['error', { code: 120, ignoreUrls: true, ignoreStrings: true, ignoreTemplateLiterals: true, ignoreComments: true }],
+      // A constant object and the type of its values share one name.
+      '@typescript-eslint/no-redeclare': 'off',
+      'max-lines': ['error', { max: 400, skipBlankLines: true, skipComments: true }],
+      'no-throw-literal': 'error',
+      '@typescript-eslint/consistent-type-imports': 'error'
+    }
+  },
+  {
+    // Decision modules stay free of sockets, logs and adapters so that tests and experiments can drive them directly.
+    files: ['src/{quota,fairness,prefix,rollout,customer,membership}/*.ts', 'src/request/*.ts', 'src/upstream/registry.ts'],
+    rules: {
+      'no-restricted-imports': ['error', {
+        paths: adapterImports,
+        patterns: ['**/platform/http*', '**/upstream/engineClient*', '**/gateway/*', '**/peer/connection*']
+      }],
+      'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'fetch'],
+      'no-restricted-properties': ['error',
+        { object: 'Date', property: 'now', message: 'Pass the present time as an argument.' },
+        { object: 'performance', property: 'now', message: 'Pass the present time as an argument.' },
+        { object: 'Math', property: 'random', message: 'Pass a RandomSource as an argument.' }
+      ]
+    }
+  }
+]
--- /dev/null
+++ b/src/errors.ts
@@ -0,0 +1,198 @@
+/** Error classes. Every failure that crosses a module boundary is one of these. */
+import type { ExecutionStatus } from './types'
+
+export interface RouterErrorOptions {
+  /** What is known about the execution of the request. @default undefined */
+  execution?: ExecutionStatus
+  /** Seconds after which a repeat is worthwhile. @default undefined */
+  retryAfterSeconds?: number
+  cause?: unknown
+}
+
+/** Base class: a stable code for machines, an HTTP status, and a message for people. */
+export abstract class RouterError extends Error {
+  abstract readonly code: string
+  abstract readonly httpStatus: number
+  readonly execution: ExecutionStatus | undefined
+  readonly retryAfterSeconds: number | undefined
+
+  constructor (message: string, options: RouterErrorOptions = {}) {
+    super(message, options.cause === undefined ? undefined : { cause: options.cause })
+    this.name = new.target.name
+    this.execution = options.execution
+    this.retryAfterSeconds = options.retryAfterSeconds
+  }
+}
+
+/** The request is malformed: bad JSON, missing field, value out of bounds. */
+export class InvalidRequestError extends RouterError {
+  readonly code: string = 'invalid_request'
+  readonly httpStatus: number = 400
+}
+
+/** The body or header exceeds its limit. */
+export class RequestTooLargeError extends RouterError {
+  readonly code = 'request_too_large'
+  readonly httpStatus = 413
+}
+
+/** No key, an unknown key or a withdrawn key. */
+export class AuthenticationError extends RouterError {
+  readonly code = 'invalid_key'
+  readonly httpStatus = 401
+}
+
+/** The key was withdrawn while its stream was running. */
+export class KeyWithdrawnError extends RouterError {
+  readonly code = 'key_withdrawn'
+  readonly httpStatus = 401
+}
+
+export class NotFoundError extends RouterError {
+  readonly code: string = 'not_found'
+  readonly httpStatus = 404
+}
+
+export class UnknownModelError extends NotFoundError {
+  override readonly code = 'model_not_found'
+}
+
+export class MethodNotAllowedError extends RouterError {
+  readonly code = 'method_not_allowed'
+  readonly httpStatus = 405
+}
+
+/** The customer's rate or burst does not admit the request now. */
+export class RateLimitError extends RouterError {
+  readonly code = 'rate_limited'
+  readonly httpStatus = 429
+}
+
+/** The request costs more tokens than the customer's whole burst and can never be admitted. */
+export class BurstExceededError extends RouterError {
+  readonly code = 'burst_exceeded'
+  readonly httpStatus = 400
+}
+
+/** Queues are full or the expected wait exceeds the deadline. */
+export class OverloadedError extends RouterError {
+  readonly code = 'overloaded'
+  readonly httpStatus = 503
+}
+
+/** The instance has no configuration yet, or is stopping. */
+export class NotReadyError extends RouterError {
+  readonly code = 'not_ready'
+  readonly httpStatus = 503
+}
+
+/** No live upstream serves the model version or route. */
+export class NoUpstreamError extends RouterError {
+  readonly code = 'no_upstream'
+  readonly httpStatus = 503
+}
+
+/** Every permitted attempt failed. */
+export class UpstreamFailedError extends RouterError {
+  readonly code = 'upstream_failed'
+  readonly httpStatus = 502
+}
+
+/** A time limit passed: connect, first byte, between chunks or whole. */
+export class UpstreamTimeoutError extends RouterError {
+  readonly code = 'upstream_timeout'
+  readonly httpStatus = 504
+}
+
+/** An answer does not belong to its request, or chunks are missing or out of order. */
+export class StreamIntegrityError extends RouterError {
+  readonly code = 'stream_integrity'
+  readonly httpStatus = 502
+}
+
+/** The request brought down several upstreams and is not run again. */
+export class CrashingRequestError extends RouterError {
+  readonly code = 'crashing_request'
+  readonly httpStatus = 422
+}
+
+/** Another request with this idempotency key is running, or its outcome is not known. */
+export class IdempotencyConflictError extends RouterError {
+  readonly code = 'idempotency_conflict'
+  readonly httpStatus = 409
+}
+
+/** The platform did not answer; a write has certainly not taken effect. */
+export class PlatformUnavailableError extends RouterError {
+  readonly code = 'platform_unavailable'
+  readonly httpStatus = 503
+}
+
+/** A write was sent and its answer lost: it may have taken effect. Read before writing again. */
+export class OutcomeUnknownError extends RouterError {
+  readonly code = 'outcome_unknown'
+  readonly httpStatus = 503
+}
+
+/** A condition of a transaction did not hold: another writer was first. */
+export class TransactionConflictError extends RouterError {
+  readonly code: string = 'transaction_conflict'
+  readonly httpStatus = 409
+}
+
+/** `apply` was planned against a revision that is no longer current. */
+export class RevisionConflictError extends TransactionConflictError {
+  override readonly code = 'revision_conflict'
+}
+
+/** An order carried a fencing token lower than one already seen. */
+export class StaleFencingTokenError extends RouterError {
+  readonly code = 'stale_fencing_token'
+  readonly httpStatus = 409
+}
+
+/** A peer sent a frame that cannot be decoded or exceeds the limit. */
+export class PeerProtocolError extends RouterError {
+  readonly code = 'peer_protocol'
+  readonly httpStatus = 500
+}
+
+/** One finding in a settings or configuration file. */
+export interface FileFinding {
+  file: string
+  /** Counted from 1; 0 when the finding concerns the whole file. */
+  line: number
+  key: string
+  message: string
+  /** Nearest known name when the key or section is unknown. */
+  suggestion?: string
+}
+
+/** A settings or configuration file has errors; all of them are listed. */
+export class ConfigurationError extends RouterError {
+  readonly code = 'invalid_configuration'
+  readonly httpStatus = 400
+  readonly findings: readonly FileFinding[]
+
+  constructor (findings: readonly FileFinding[], options: RouterErrorOptions = {}) {
+    super(findings.map(formatFinding).join('\n'), options)
+    this.findings = findings
+  }
+}
+
+function formatFinding (finding: FileFinding): string {
+  const suggestion = finding.suggestion === undefined ? '' : ` (did you mean '${finding.suggestion}'?)`
+  return `${finding.file}:${finding.line}: ${finding.key}: ${finding.message}${suggestion}`
+}
+
+/** The command line is wrong: unknown command or flag, missing argument. */
+export class UsageError extends RouterError {
+  readonly code = 'usage'
+  readonly httpStatus = 400
+}
+
+/** A state that the code's own rules exclude; a fault in the program. */
+export class InternalError extends RouterError {
+  readonly code = 'internal'
+  readonly httpStatus = 500
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,2 @@
+/** Entry point of the single executable. */
+export {}
--- /dev/null
+++ b/src/observability/events.ts
@@ -0,0 +1,69 @@
+/** Catalogue of log events. Every log line carries one of these names in its `event` field. */
+export const LogEvent = {
+  daemonStarted: 'daemon.started',
+  daemonReady: 'daemon.ready',
+  daemonStopping: 'daemon.stopping',
+  daemonStopped: 'daemon.stopped',
+  requestReceived: 'request.received',
+  requestQueued: 'request.queued',
+  requestRefused: 'request.refused',
+  requestRouted: 'request.routed',
+  requestFinished: 'request.finished',
+  requestFailed: 'request.failed',
+  requestCancelled: 'request.cancelled',
+  attemptStarted: 'attempt.started',
+  attemptFailed: 'attempt.failed',
+  attemptResumed: 'attempt.resumed',
+  upstreamFound: 'upstream.found',
+  upstreamLost: 'upstream.lost',
+  upstreamLeaving: 'upstream.leaving',
+  upstreamRestarted: 'upstream.restarted',
+  cacheEventsLost: 'upstream.cache_events_lost',
+  crashCounted: 'upstream.crash_counted',
+  peerConnected: 'peer.connected',
+  peerDisconnected: 'peer.disconnected',
+  peerProtocolError: 'peer.protocol_error',
+  platformUnavailable: 'platform.unavailable',
+  platformAvailable: 'platform.available',
+  configurationAccepted: 'configuration.accepted',
+  configurationIgnored: 'configuration.ignored',
+  keyChanged: 'key.changed',
+  keyWithdrawn: 'key.withdrawn',
+  quotaGranted: 'quota.granted',
+  quotaLapsed: 'quota.lapsed',
+  quotaReclaimed: 'quota.reclaimed',
+  loanGiven: 'quota.loan_given',
+  loanTaken: 'quota.loan_taken',
+  rolloutStep: 'rollout.step',
+  rolloutLeader: 'rollout.leader',
+  rolloutLocalBrake: 'rollout.local_brake',
+  rolloutRolledBack: 'rollout.rolled_back',
+  rolloutFinished: 'rollout.finished'
+} as const
+export type LogEvent = typeof LogEvent[keyof typeof LogEvent]
+
+/** Fields that tie a log line to what it concerns. None of them may hold a key. */
+export interface LogFields {
+  requestIdentifier?: string
+  attempt?: number
+  customer?: string
+  upstream?: string
+  peer?: string
+  model?: string
+  version?: string
+  rollout?: string
+  revision?: number
+  errorCode?: string
+  [field: string]: unknown
+}
+
+/** Writes one event. Passed to the parts so that they do not depend on the logging library. */
+export type EventLog = (event: LogEvent, fields?: LogFields, level?: 'debug' | 'info' | 'warn' | 'error') => void
+
+/** Counters, gauges and timings. Passed to the parts so that they do not depend on the metrics library. */
+export interface Metrics {
+  increment: (name: string, tags?: Readonly<Record<string, string>>, value?: number) => void
+  gauge: (name: string, value: number, tags?: Readonly<Record<string, string>>) => void
+  /** Duration in milliseconds. */
+  timing: (name: string, milliseconds: number, tags?: Readonly<Record<string, string>>) => void
+}
