Add token accounts of one instance and the fair queue

Cause: the gateway needs admission by rate and burst, and an order between customers that wait. Change: createQuotaAccounts (bucket advanced piece by piece through expiry times, refundable pool, loans in both directions), createFairQueue (start-time fair queueing, bounds per customer and in total, deadlines, retry-after from the observed drain rate) and createConcurrencyLimit. The refundable pool is kept for each open charge: with one shared pool a refund of an old charge could be paid from the part of a newer one, so that a window that begins between the two admits up to twice the burst. Refill is slowed by the drift bound, because a clock that runs fast by that much would refill faster than the rate.

--- /dev/null
+++ b/src/fairness/concurrencyLimit.ts
@@ -0,0 +1,75 @@
+/**
+ * Limit on the work in flight at one upstream: additive increase while the time to first token stays near the lowest
+ * recent value, multiplicative decrease when it does not.
+ */
+import type { MonotonicMilliseconds } from '../types'
+import type { ConcurrencyLimit } from './types'
+
+/** Factor of one decrease. */
+const DECREASE = 0.9
+
+/** Milliseconds after a decrease in which no other one follows; the work in flight then still reflects the old limit. */
+const DECREASE_PAUSE_MS = 250
+
+export interface ConcurrencyLimitOptions {
+  /** @default 16 */
+  initial?: number
+  /** @default 2 */
+  minimum?: number
+  /** @default 256 */
+  maximum?: number
+  /** A latency up to the lowest recent one times this factor counts as normal. @default 2 */
+  tolerance?: number
+  /** Milliseconds added to the normal latency, because short latencies vary by more than a factor. @default 20 */
+  slack?: number
+  /** Milliseconds for which a lowest latency is remembered, at least; at most twice as long. @default 30_000 */
+  memory?: number
+}
+
+export function createConcurrencyLimit (options: ConcurrencyLimitOptions = {}): ConcurrencyLimit {
+  const { initial = 16, minimum = 2, maximum = 256, tolerance = 2, slack = 20, memory = 30_000 } = options
+  let limit = Math.min(maximum, Math.max(minimum, initial))
+  let inFlight = 0
+  let lowest = Infinity
+  let previousLowest = Infinity
+  let periodStart: MonotonicMilliseconds | undefined
+  let lastDecrease = -Infinity
+
+  function observe (latency: number, now: MonotonicMilliseconds): void {
+    periodStart ??= now
+    if (now - periodStart >= memory) {
+      previousLowest = now - periodStart >= 2 * memory ? Infinity : lowest
+      lowest = Infinity
+      periodStart = now
+    }
+    lowest = Math.min(lowest, latency)
+  }
+
+  function decrease (now: MonotonicMilliseconds): void {
+    if (now - lastDecrease < DECREASE_PAUSE_MS) return
+    limit = Math.max(minimum, limit * DECREASE)
+    lastDecrease = now
+  }
+
+  return {
+    tryAcquire () {
+      if (inFlight >= Math.floor(limit)) return false
+      inFlight += 1
+      return true
+    },
+    release (latency, now) {
+      // A limit that is not used has not been tested by this latency.
+      const used = inFlight >= Math.floor(limit) / 2
+      inFlight = Math.max(0, inFlight - 1)
+      if (latency === undefined || !(latency >= 0)) {
+        decrease(now)
+        return
+      }
+      observe(latency, now)
+      if (latency > Math.min(lowest, previousLowest) * tolerance + slack) decrease(now)
+      else if (used) limit = Math.min(maximum, limit + 1 / limit)
+    },
+    inFlight: () => inFlight,
+    limit: () => Math.floor(limit)
+  }
+}
--- /dev/null
+++ b/src/quota/__tests__/accounts.test.ts
@@ -0,0 +1,78 @@
+import { describe, expect, it } from 'vitest'
+import { QUOTA_UNITS } from '../../constants'
+import { createQuotaAccounts } from '../accounts'
+import { LOAN_SETTLED_MS } from '../loans'
+import { GrantTier } from '../types'
+
+const limit = { customer: 'acme', rate: 1000, burst: 2000 }
+
+/** Accounts that hold a part of the units until `expiresAt`. */
+function accountsWith (part: number, expiresAt = 1e6) {
+  const accounts = createQuotaAccounts({ driftBound: 0 })
+  accounts.setLimits([limit], 0)
+  accounts.setGrant(GrantTier.floor, part * QUOTA_UNITS, expiresAt, 0)
+  return accounts
+}
+
+describe('quota accounts', () => {
+  it('starts a fresh grant at level 0 and keeps the level at a renewal', () => {
+    const accounts = accountsWith(0.5)
+    expect(accounts.inspect('acme', 0)).toEqual({ rate: 500, capacity: 1000, level: 0 })
+    accounts.setGrant(GrantTier.floor, 0.5 * QUOTA_UNITS, 2e6, 1000)
+    expect(accounts.inspect('acme', 1000).level).toBeCloseTo(500)
+  })
+
+  it('admits nothing on a lease that lapsed while the process was paused', () => {
+    const accounts = accountsWith(0.5, 10_000)
+    expect(accounts.admit('a', 'acme', 100, 10_000_000)).toMatchObject({ admitted: false, reason: 'rate' })
+  })
+
+  it.each([
+    ['unknown', 1, { admitted: false, reason: 'unknownCustomer' }],
+    ['acme', 2001, { admitted: false, reason: 'burst' }],
+    ['acme', 700, { admitted: false, reason: 'rate', missingTokens: 200, waitMilliseconds: 400 }]
+  ])('refuses %s with %d tokens for the right reason', (customer, tokens, expected) => {
+    expect(accountsWith(0.5).admit('a', customer, tokens, 1000)).toEqual(expected)
+  })
+
+  it('returns unused tokens once, and none that the refill has replaced', () => {
+    const accounts = accountsWith(0.5)
+    const result = accounts.admit('a', 'acme', 400, 10_000)
+    if (!result.admitted) throw new Error('expected an admission')
+    accounts.settle(result.charge, 100, 10_000)
+    accounts.settle(result.charge, 0, 10_000)
+    expect(accounts.inspect('acme', 10_000).level).toBeCloseTo(900)
+    expect(accounts.inspect('acme', 20_000).level).toBeCloseTo(1000)
+  })
+
+  it('does not refund an old charge out of the refundable part of a newer one', () => {
+    const accounts = accountsWith(1)
+    const first = accounts.admit('a', 'acme', 2000, 10_000)
+    const second = accounts.admit('b', 'acme', 2000, 20_000)
+    if (!first.admitted || !second.admitted) throw new Error('expected admissions')
+    accounts.settle(first.charge, 0, 20_000)
+    expect(accounts.inspect('acme', 20_000).level).toBeCloseTo(0)
+  })
+
+  it('admits a prompt above its own capacity after a loan, and both sides return to their own parts when it ends', () => {
+    const lender = accountsWith(0.5)
+    const borrower = accountsWith(0.5)
+    expect(borrower.admit('a', 'acme', 1800, 10_000).admitted).toBe(false)
+    const request = borrower.requestLoan('loan', 'acme', 1800, 10_000)
+    const reply = lender.lend(request, 'borrower', 10_001)
+    expect(lender.lend(request, 'borrower', 10_002)).toBe(reply)
+    borrower.acceptLoan(reply, 10_003)
+    borrower.acceptLoan(reply, 10_003)
+    expect(borrower.admit('a', 'acme', 1800, 10_003).admitted).toBe(true)
+    expect(lender.inspect('acme', 10_003).level).toBeLessThan(203)
+    expect(borrower.inspect('acme', 10_000 + request.duration).capacity).toBeCloseTo(1000)
+    expect(lender.inspect('acme', 10_001 + LOAN_SETTLED_MS).capacity).toBeCloseTo(1000)
+  })
+
+  it('lends nothing for longer than the lease that it comes from', () => {
+    const lender = accountsWith(0.5, 12_000)
+    const request = { identifier: 'l', customer: 'acme', rate: 100, capacity: 100, tokens: 100, duration: 5000 }
+    expect(lender.lend(request, 'borrower', 10_000).duration).toBe(2000)
+    expect(lender.lend({ ...request, identifier: 'm' }, 'borrower', 13_000)).toMatchObject({ rate: 0, capacity: 0, tokens: 0 })
+  })
+})
--- /dev/null
+++ b/src/quota/loans.ts
@@ -0,0 +1,81 @@
+/** Loans of one customer at one instance: parts lent to peers, parts borrowed from them, and requests under way. */
+import { CLOCK_DRIFT_BOUND } from '../constants'
+import type { MonotonicMilliseconds } from '../types'
+import type { LoanReply, LoanRequest } from './types'
+
+/** Milliseconds that a lender waits beyond the drift-corrected duration before it uses the part again. */
+export const LOAN_MARGIN_MS = 250
+
+/**
+ * Longest loan in milliseconds. Nobody but the lender knows its loans, so that the grants of a lender that ended are
+ * safe to reuse only after this time.
+ */
+export const LOAN_MAXIMUM_MS = 5000
+
+/** Milliseconds on any clock within the drift bound after which a loan of the longest duration has ended. */
+export const LOAN_SETTLED_MS = LOAN_MAXIMUM_MS * (1 + CLOCK_DRIFT_BOUND) + LOAN_MARGIN_MS
+
+/** A part of this instance's grants that a peer may be using. */
+export interface LentPart {
+  borrower: string
+  reply: LoanReply
+  rate: number
+  capacity: number
+  /** Parts of the customer's limits, so that a raised limit does not shrink what is set aside. */
+  rateShare: number
+  capacityShare: number
+  /** When the lender may use the part again. */
+  returnsAt: MonotonicMilliseconds
+}
+
+/** A part of a peer's grants that this instance may use. */
+export interface BorrowedPart {
+  rate: number
+  capacity: number
+  /** Parts of the customer's limits, so that a lowered limit lowers the borrowed part as well. */
+  rateShare: number
+  capacityShare: number
+  expiresAt: MonotonicMilliseconds
+}
+
+export interface PendingLoan {
+  request: LoanRequest
+  sentAt: MonotonicMilliseconds
+}
+
+export interface LoanBook {
+  /** By loan identifier. Replies of zero are kept as well, so that a repeated request gets the same reply. */
+  lent: Map<string, LentPart>
+  borrowed: Map<string, BorrowedPart>
+  pending: Map<string, PendingLoan>
+}
+
+export function createLoanBook (): LoanBook {
+  return { lent: new Map(), borrowed: new Map(), pending: new Map() }
+}
+
+/** Instant on the lender's clock at which a loan with this duration, given now, has certainly ended. */
+export function loanReturnsAt (
+  duration: number, now: MonotonicMilliseconds, driftBound = CLOCK_DRIFT_BOUND
+): MonotonicMilliseconds {
+  return now + duration * (1 + driftBound) + LOAN_MARGIN_MS
+}
+
+/** Drops entries that have ended. Call only after the bucket has been advanced to `now`. */
+export function forgetEnded (book: LoanBook, now: MonotonicMilliseconds): void {
+  for (const [identifier, part] of book.lent) if (part.returnsAt <= now) book.lent.delete(identifier)
+  for (const [identifier, part] of book.borrowed) if (part.expiresAt <= now) book.borrowed.delete(identifier)
+  for (const [identifier, { request, sentAt }] of book.pending) {
+    if (sentAt + request.duration <= now) book.pending.delete(identifier)
+  }
+}
+
+/** A loan request from the network is usable when all its numbers are finite and not negative. */
+export function isUsableRequest (request: LoanRequest): boolean {
+  return [request.rate, request.capacity, request.tokens, request.duration]
+    .every((value) => Number.isFinite(value) && value >= 0)
+}
+
+export function emptyReply (request: LoanRequest): LoanReply {
+  return { identifier: request.identifier, customer: request.customer, rate: 0, capacity: 0, tokens: 0, duration: 0 }
+}
