--- /dev/null
+++ b/src/prefix/__tests__/coldPrefix.test.ts
@@ -0,0 +1,70 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { createColdPrefixGate } from '../coldPrefix'
+
+describe('cold prefix gate', () => {
+  it('lets the second request wait for the first token of the first', () => {
+    const gate = createColdPrefixGate()
+    expect(gate.arrive('first', ['a', 'b', 'c'], 0, 0)).toEqual({ wait: false })
+    expect(gate.arrive('second', ['a', 'b', 'd'], 0, 1)).toMatchObject({ wait: true, computing: 'first' })
+    expect(gate.settle('first')).toEqual(['second'])
+    expect(gate.arrive('second', ['a', 'b', 'd'], 2, 2)).toEqual({ wait: false })
+  })
+
+  it('does not wait for blocks that are cached already', () => {
+    const gate = createColdPrefixGate()
+    gate.arrive('first', ['a', 'b', 'c'], 2, 0)
+    expect(gate.arrive('second', ['a', 'b', 'd'], 2, 1)).toEqual({ wait: false })
+  })
+
+  it('lets the next one compute when the first fails', () => {
+    const gate = createColdPrefixGate()
+    gate.arrive('first', ['a'], 0, 0)
+    gate.arrive('second', ['a'], 0, 1)
+    gate.arrive('third', ['a'], 0, 1)
+    const released = gate.settle('first')
+    expect(released).toEqual(['second', 'third'])
+    expect(released.map(identifier => gate.arrive(identifier, ['a'], 0, 2).wait)).toEqual([false, true])
+  })
+
+  it('bounds the number of waiting requests and the wait over several computations', () => {
+    const gate = createColdPrefixGate({ maximumWaiters: 1, maximumWaitMilliseconds: 100 })
+    gate.arrive('first', ['a'], 0, 0)
+    expect(gate.arrive('second', ['a'], 0, 0).wait).toBe(true)
+    expect(gate.arrive('third', ['a'], 0, 0).wait).toBe(false)
+    gate.settle('first')
+    gate.arrive('fourth', ['a'], 0, 50)
+    expect(gate.arrive('second', ['a'], 0, 60)).toMatchObject({ wait: true, until: 100 })
+    expect(gate.expire(100)).toEqual(['second'])
+    expect(gate.arrive('second', ['a'], 0, 100).wait).toBe(false)
+  })
+
+  it('never loses a waiting request: each one is released by settle or expire', () => {
+    const step = fc.record({
+      identifier: fc.integer({ min: 0, max: 9 }),
+      keys: fc.array(fc.constantFrom('a', 'b', 'c'), { maxLength: 3 }),
+      kind: fc.constantFrom('arrive', 'settle', 'expire')
+    })
+    fc.assert(fc.property(fc.array(step, { maxLength: 50 }), steps => {
+      const gate = createColdPrefixGate({ maximumWaitMilliseconds: 20, maximumWaiters: 2 })
+      const waiting = new Set<string>()
+      const release = (identifiers: readonly string[]) => {
+        for (const identifier of identifiers) expect(waiting.delete(identifier)).toBe(true)
+      }
+      steps.forEach(({ identifier, keys, kind }, now) => {
+        const name = String(identifier)
+        if (kind === 'expire') release(gate.expire(now))
+        else if (kind === 'settle') {
+          release(gate.settle(name))
+          waiting.delete(name)
+        } else if (!waiting.has(name)) {
+          release(gate.settle(name))
+          if (gate.arrive(name, keys, 0, now).wait) waiting.add(name)
+        }
+        expect(gate.waiting()).toBe(waiting.size)
+      })
+      release(gate.expire(steps.length + 20))
+      expect(waiting.size).toBe(0)
+    }))
+  })
+})
--- /dev/null
+++ b/src/prefix/routing.ts
@@ -0,0 +1,109 @@
+/**
+ * Choice of the upstream for a request: the lowest expected time to first token, made from the queue and from the part
+ * of the prompt that the upstream would have to recompute.
+ */
+import { BLOCK_BYTES, BYTES_PER_TOKEN } from '../constants'
+import type { MonotonicMilliseconds, RandomSource } from '../types'
+import { rendezvousWeight } from './rendezvous'
+import type { BlockIndex, RoutingCandidate, RoutingDecision, RoutingPolicy, RoutingRequest } from './types'
+
+/** Prompt tokens of one full block. */
+export const BLOCK_TOKENS = BLOCK_BYTES / BYTES_PER_TOKEN
+
+/** Used when a candidate comes without a learned prefill speed, in tokens per second. */
+const FALLBACK_PREFILL_RATE = 8000
+/** Expected times closer than this count as equal: reports and heartbeats are older than that. */
+const TIE_MILLISECONDS = 10
+
+/** A candidate with its expected time for one request. */
+interface Estimate {
+  candidate: RoutingCandidate
+  /** Leading blocks believed cached, uncertain ones by their weight. */
+  blocks: number
+  /** Milliseconds of prefill for the tokens that are not cached. */
+  recompute: number
+  /** Milliseconds to the first token: queue, recomputation and distance. */
+  expected: number
+  /** Rendezvous weight for the request's first block. */
+  weight: number
+}
+
+/**
+ * Chooses by expected time to first token. Requests without a cached prefix choose between the two first upstreams in
+ * rendezvous order, and requests with one between the best holder and one non-holder, so that instances that see the
+ * same idle upstream do not all choose it.
+ */
+export const chooseUpstream: RoutingPolicy = (request, candidates, index, now, random) => {
+  const estimates = estimate(request, candidates, index, now, random)
+  if (estimates.length === 0) return undefined
+  const holders = estimates.filter(({ blocks }) => blocks > 0).sort(byExpected)
+  const others = estimates.filter(({ blocks }) => blocks === 0).sort(byWeight)
+  const chosen = holders.length === 0 ? chooseCold(others) : chooseWarm(holders[0]!, others)
+  return decisionFor(chosen, estimates)
+}
+
+/** The largest number of leading blocks that one of the candidates is believed to have cached. */
+export function mostCachedBlocks (
+  request: RoutingRequest, candidates: readonly RoutingCandidate[], index: BlockIndex, now: MonotonicMilliseconds
+): number {
+  let most = 0
+  for (const { upstream, incarnation } of candidates) {
+    most = Math.max(most, index.cachedBlocks(upstream, incarnation, request.blockKeys, now))
+  }
+  return most
+}
+
+function estimate (
+  request: RoutingRequest, candidates: readonly RoutingCandidate[], index: BlockIndex, now: MonotonicMilliseconds,
+  random: RandomSource
+): Estimate[] {
+  // A prompt without a full block has no affinity; a random key spreads such prompts evenly.
+  const key = request.blockKeys[0] ?? random().toString(16)
+  const estimates: Estimate[] = []
+  for (const candidate of candidates) {
+    if (!candidate.hasRoom) continue
+    const blocks = index.cachedBlocks(candidate.upstream, candidate.incarnation, request.blockKeys, now)
+    const perToken = 1000 / (candidate.prefillTokensPerSecond || FALLBACK_PREFILL_RATE)
+    const recompute = Math.max(0, request.promptTokens - blocks * BLOCK_TOKENS) * perToken
+    const expected = candidate.queuedTokens * perToken + recompute + candidate.distanceMilliseconds
+    estimates.push({ candidate, blocks, recompute, expected, weight: rendezvousWeight(key, candidate.upstream) })
+  }
+  return estimates
+}
+
+/** The better of the two first in rendezvous order. */
+function chooseCold (ranked: readonly Estimate[]): Estimate {
+  const first = ranked[0]!
+  const second = ranked[1]
+  return second !== undefined && second.expected + TIE_MILLISECONDS < first.expected ? second : first
+}
+
+/** The best holder, unless waiting for it costs more than recomputing at the first non-holder in rendezvous order. */
+function chooseWarm (holder: Estimate, ranked: readonly Estimate[]): Estimate {
+  const other = ranked[0]
+  return other !== undefined && other.expected + TIE_MILLISECONDS < holder.expected ? other : holder
+}
+
+function decisionFor (chosen: Estimate, estimates: readonly Estimate[]): RoutingDecision {
+  return {
+    upstream: chosen.candidate.upstream,
+    incarnation: chosen.candidate.incarnation,
+    expectedBlocks: chosen.blocks,
+    expectedMilliseconds: chosen.expected,
+    alternatives: estimates
+      .filter(other => other !== chosen)
+      .sort(byExpected)
+      .map(({ candidate }) => candidate.upstream)
+  }
+}
+
+/** Near ties go to the higher rendezvous weight, so that all instances agree without communicating. */
+function byExpected (left: Estimate, right: Estimate): number {
+  const leftStep = Math.floor(left.expected / TIE_MILLISECONDS)
+  const rightStep = Math.floor(right.expected / TIE_MILLISECONDS)
+  return leftStep - rightStep || byWeight(left, right)
+}
+
+function byWeight (left: Estimate, right: Estimate): number {
+  return right.weight - left.weight || (left.candidate.upstream < right.candidate.upstream ? -1 : 1)
+}
--- /dev/null
+++ b/src/upstream/registry.ts
@@ -0,0 +1,231 @@
+/**
+ * Registry of upstreams: merges the platform's list, the engines' own reports, this instance's work in flight and the
+ * work that peers announce. The list adds upstreams and marks them as leaving; it never removes one that answers.
+ */
+import type { RoutingCandidate } from '../prefix/types'
+import type { Incarnation, ListedInstance, MonotonicMilliseconds, WallClockMilliseconds } from '../types'
+import type {
+  UpstreamEventKind, UpstreamRegistry, UpstreamRegistryOptions, UpstreamView
+} from './registryTypes'
+import {
+  adoptIncarnation, adoptReport, createUpstreamState, endPrefill, noteFailure, noteSuccess, ownQueuedTokens,
+  prefillRate, queuedTokens
+} from './upstreamState'
+import type { UpstreamState } from './upstreamState'
+
+/**
+ * Score penalty for an upstream of another data centre: the round trip of up to 1.5 ms and a fixed part for the shared
+ * link, so that the own data centre goes first until its queue costs more than this.
+ */
+export const REMOTE_DISTANCE_MS = 50
+
+const FAILURE_LIMIT = 3
+const KEEP_UNLISTED_MS = 10_000
+/** Unlisted and leaving upstreams are probed when they have not answered for this long. */
+const QUIET_PROBE_MS = 2000
+/** Forgotten upstreams whose leaving mark is remembered; the oldest is dropped first. */
+const DEPARTED_LIMIT = 4096
+/** Peers announce every second; three missed announcements mean that the peer's work is unknown. */
+const PEER_WORK_LIFETIME_MS = 3000
+
+interface PeerWork {
+  work: Readonly<Record<string, number>>
+  receivedAt: MonotonicMilliseconds
+}
+
+export function createUpstreamRegistry (options: UpstreamRegistryOptions): UpstreamRegistry {
+  const failureLimit = options.failureLimit ?? FAILURE_LIMIT
+  const keepUnlisted = options.keepUnlistedMilliseconds ?? KEEP_UNLISTED_MS
+  const remoteDistance = options.remoteDistanceMilliseconds ?? REMOTE_DISTANCE_MS
+  const hasRoom = options.hasRoom ?? (() => true)
+  const states = new Map<string, UpstreamState>()
+  const peers = new Map<string, PeerWork>()
+  /** Incarnations that were leaving when they were forgotten, so that a lagging list cannot bring them back. */
+  const departed = new Map<string, Incarnation>()
+  let newestList = -Infinity
+
+  function emit (kind: UpstreamEventKind, state: UpstreamState): void {
+    options.onEvent?.({ kind, upstream: state.listing.name, incarnation: state.incarnation })
+  }
+
+  function leave (state: UpstreamState, asOf?: WallClockMilliseconds): void {
+    state.leavingAsOf = asOf
+    if (state.leaving) return
+    state.leaving = true
+    emit('leaving', state)
+  }
+
+  function adopt (state: UpstreamState, incarnation: Incarnation): void {
+    if (adoptIncarnation(state, incarnation)) emit('restarted', state)
+    if (state.incarnation !== 0 && departed.get(state.listing.name) === state.incarnation) leave(state)
+  }
+
+  function forget (state: UpstreamState): void {
+    const { name } = state.listing
+    states.delete(name)
+    departed.delete(name)
+    if (state.leaving) departed.set(name, state.incarnation)
+    if (departed.size > DEPARTED_LIMIT) departed.delete(departed.keys().next().value!)
+    emit('lost', state)
+  }
+
+  function applyListing (listing: ListedInstance, asOf: WallClockMilliseconds, now: MonotonicMilliseconds): void {
+    let state = states.get(listing.name)
+    if (state === undefined) {
+      state = createUpstreamState(listing, now)
+      states.set(listing.name, state)
+      emit('found', state)
+    }
+    state.listing = listing
+    state.listed = true
+    // Incarnations are start times: a list taken before the start tells about the previous process.
+    if (listing.state === 'leaving' && asOf >= state.incarnation) leave(state, asOf)
+    // Without a known incarnation a newer list is the only sign that a service was started again.
+    if (listing.state === 'live' && state.incarnation === 0 && asOf > (state.leavingAsOf ?? Infinity)) {
+      state.leaving = false
+      state.leavingAsOf = undefined
+    }
+  }
+
+  function peerTokens (upstream: string, now: MonotonicMilliseconds): number {
+    let tokens = 0
+    for (const { work, receivedAt } of peers.values()) {
+      if (now - receivedAt <= PEER_WORK_LIFETIME_MS) tokens += work[upstream] ?? 0
+    }
+    return tokens
+  }
+
+  const isSuspected = (state: UpstreamState): boolean => state.failures >= failureLimit
+  const isUsable = (state: UpstreamState): boolean => !state.leaving && !isSuspected(state)
+  const distanceTo = (state: UpstreamState): number =>
+    state.listing.dataCentre === options.dataCentre ? 0 : remoteDistance
+
+  function viewOf (state: UpstreamState, now: MonotonicMilliseconds): UpstreamView {
+    const { name, kind, dataCentre, endpoint, service } = state.listing
+    return {
+      name,
+      kind: kind === 'service' ? 'service' : 'engine',
+      dataCentre,
+      endpoint,
+      service,
+      incarnation: state.incarnation,
+      leaving: state.leaving,
+      suspected: isSuspected(state),
+      listed: state.listed,
+      loaded: state.report?.loaded ?? [],
+      inFlight: state.work.size,
+      queuedTokens: queuedTokens(state, peerTokens(name, now), now),
+      prefillTokensPerSecond: prefillRate(state)
+    }
+  }
+
+  const views = (selected: Iterable<UpstreamState>, now: MonotonicMilliseconds): UpstreamView[] =>
+    [...selected].map(state => viewOf(state, now))
+
+  return {
+    applyList (instances, asOf, now) {
+      if (asOf < newestList) return
+      newestList = asOf
+      const listed = new Set<string>()
+      for (const listing of instances) {
+        if (listing.kind === 'router') continue
+        listed.add(listing.name)
+        applyListing(listing, asOf, now)
+      }
+      for (const state of states.values()) state.listed = listed.has(state.listing.name)
+    },
+    applyReport (upstream, report, now) {
+      const state = states.get(upstream)
+      if (state === undefined || report.incarnation < state.incarnation) return
+      adopt(state, report.incarnation)
+      adoptReport(state, report, now)
+      state.lastAnswer = now
+      // A report ends a suspicion only after the backoff: work may fail on an upstream whose report endpoint answers.
+      if (!isSuspected(state) || now >= state.probeAt) noteSuccess(state, now)
+      if (report.leaving) leave(state)
+    },
+    applyPeerWork (peer, work, now) {
+      peers.set(peer, { work, receivedAt: now })
+    },
+    markLeaving (upstream, incarnation) {
+      const state = states.get(upstream)
+      if (state === undefined || (incarnation !== 0 && incarnation < state.incarnation)) return
+      adopt(state, incarnation)
+      leave(state)
+    },
+    startWork (upstream, identifier, tokens, now) {
+      const state = states.get(upstream)
+      state?.work.set(identifier, { tokens, startedAt: now, alone: state.work.size === 0, prefilled: false })
+    },
+    finishPrefill (upstream, identifier, outcome) {
+      const state = states.get(upstream)
+      if (state !== undefined) endPrefill(state, identifier, outcome)
+    },
+    finishWork (upstream, identifier) {
+      states.get(upstream)?.work.delete(identifier)
+    },
+    recordFailure (upstream, now) {
+      const state = states.get(upstream)
+      if (state !== undefined) noteFailure(state, failureLimit, now)
+    },
+    recordSuccess (upstream, now, incarnation = 0) {
+      const state = states.get(upstream)
+      if (state === undefined || (incarnation !== 0 && incarnation < state.incarnation)) return
+      adopt(state, incarnation)
+      noteSuccess(state, now)
+    },
+    candidates (model, version, adapter, now) {
+      const required = adapter === '' ? `${model}@${version}` : `${model}@${version}+${adapter}`
+      const found: RoutingCandidate[] = []
+      for (const state of states.values()) {
+        const { name, dataCentre } = state.listing
+        if (!isUsable(state) || state.report === undefined || !state.report.loaded.includes(required)) continue
+        found.push({
+          upstream: name,
+          dataCentre,
+          incarnation: state.incarnation,
+          queuedTokens: queuedTokens(state, peerTokens(name, now), now),
+          prefillTokensPerSecond: prefillRate(state),
+          distanceMilliseconds: distanceTo(state),
+          hasRoom: hasRoom(name)
+        })
+      }
+      return found
+    },
+    services (name, now) {
+      const selected = [...states.values()].filter(state =>
+        state.listing.kind === 'service' && state.listing.service === name && isUsable(state))
+      selected.sort((left, right) => distanceTo(left) - distanceTo(right) || left.work.size - right.work.size)
+      return views(selected, now)
+    },
+    probesDue (now) {
+      return views([...states.values()].filter(state => {
+        if (isSuspected(state)) return now >= state.probeAt
+        if (state.incarnation === 0) return true
+        return (!state.listed || state.leaving) && now - state.lastAnswer >= QUIET_PROBE_MS
+      }), now)
+    },
+    expire (now) {
+      for (const state of states.values()) {
+        if (state.listed || now - state.lastAnswer <= keepUnlisted) continue
+        forget(state)
+      }
+      for (const [peer, { receivedAt }] of peers) {
+        if (now - receivedAt > PEER_WORK_LIFETIME_MS) peers.delete(peer)
+      }
+    },
+    ownWork () {
+      const work: Record<string, number> = {}
+      for (const [name, state] of states) {
+        const tokens = ownQueuedTokens(state)
+        if (tokens > 0) work[name] = tokens
+      }
+      return work
+    },
+    upstreams: now => views(states.values(), now),
+    upstream (name, now) {
+      const state = states.get(name)
+      return state === undefined ? undefined : viewOf(state, now)
+    }
+  }
+}
