Test the upstream registry; drop leaving marks from lists older than the first answer

Cause: a router that starts while the list lags saw the mark of the previous process and kept it for the new one. Change: adoptIncarnation clears a list's mark that is older than the incarnation, also for the first one seen. Cases and a property over any order of lists, reports, refusals, failures and waits. Conclusion: a leaving incarnation stays out, an upstream that answers stays in.

--- a/src/upstream/upstreamState.ts
+++ b/src/upstream/upstreamState.ts
@@ -65,9 +65,12 @@
   if (incarnation <= state.incarnation) return false
   const restarted = state.incarnation !== 0
   state.incarnation = incarnation
-  if (restarted) {
+  // A list taken before the start tells about the previous process, also when that one was never seen here.
+  if (restarted || (state.leavingAsOf !== undefined && state.leavingAsOf < incarnation)) {
     state.leaving = false
     state.leavingAsOf = undefined
+  }
+  if (restarted) {
     state.report = undefined
     state.work.clear()
   }
