--- /dev/null
+++ b/src/observability/__tests__/log.test.ts
@@ -0,0 +1,43 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { LogEvent } from '../events'
+import { createHybridClock } from '../hybridClock'
+import { createEventLog } from '../log'
+
+function recordingLog (): { lines: string[], handle: ReturnType<typeof createEventLog> } {
+  const lines: string[] = []
+  const handle = createEventLog({
+    instance: 'a', incarnation: 7, clock: createHybridClock(), destination: { write: (text) => { lines.push(text) } }
+  })
+  return { lines, handle }
+}
+
+describe('createEventLog', () => {
+  it('writes event, instance, incarnation, clock and wall clock', () => {
+    const { lines, handle } = recordingLog()
+    handle.log(LogEvent.requestRouted, { requestIdentifier: 'r' })
+    expect(JSON.parse(lines[0] as string)).toMatchObject({
+      event: 'request.routed',
+      instance: 'a',
+      incarnation: 7,
+      requestIdentifier: 'r',
+      level: 'info',
+      clock: expect.stringMatching(/^\d{14}\.\d{6}$/),
+      time: expect.any(Number)
+    })
+  })
+
+  // Guards against a caller's key reaching the log in a header, an error message or a path.
+  it('never writes a registered key or a credential field', () => {
+    const keyText = fc.string({ unit: fc.constantFrom(...'abcXYZ019_-'), minLength: 20, maxLength: 40 })
+    fc.assert(fc.property(keyText, fc.constantFrom('', '?a=1&token=', 'bad header "Bearer ', '/v1/'), (key, before) => {
+      const { lines, handle } = recordingLog()
+      handle.registerKey(key)
+      handle.log(LogEvent.requestFailed, { message: `${before}${key}"`, nested: { list: [`${before}${key}`] } })
+      expect(lines[0]).not.toContain(key)
+    }))
+    const { lines, handle } = recordingLog()
+    handle.log(LogEvent.requestFailed, { authorization: 'Bearer one', headers: { cookie: 'two', 'x-api-key': 'three' } })
+    expect(lines[0]).not.toMatch(/one|two|three/)
+  })
+})
--- /dev/null
+++ b/src/observability/metrics.ts
@@ -0,0 +1,68 @@
+/** Metrics over StatsD. */
+import { StatsD } from 'hot-shots'
+import type { Endpoint } from '../types'
+import type { Metrics } from './events'
+
+/** Names of all metrics. Timings are in milliseconds. */
+export const MetricName = {
+  requests: 'requests',
+  requestDuration: 'request.duration',
+  timeToFirstToken: 'request.time_to_first_token',
+  timeInQueue: 'request.time_in_queue',
+  refusals: 'requests.refused',
+  attempts: 'attempts',
+  attemptFailures: 'attempts.failed',
+  resumes: 'attempts.resumed',
+  promptTokens: 'tokens.prompt',
+  cachedTokens: 'tokens.cached',
+  outputTokens: 'tokens.output',
+  queueSize: 'queue.size',
+  quotaLevel: 'quota.level',
+  loansTaken: 'quota.loans_taken',
+  loansGiven: 'quota.loans_given',
+  indexEntries: 'prefix.index_entries',
+  upstreams: 'upstreams',
+  peers: 'peers',
+  platformFailures: 'platform.failures',
+  eventLoopDelay: 'process.event_loop_delay'
+} as const
+export type MetricName = typeof MetricName[keyof typeof MetricName]
+
+export interface MetricsOptions {
+  /** StatsD address; nothing is sent without one. @default undefined */
+  address?: Endpoint
+  instance: string
+  dataCentre: string
+}
+
+export interface MetricsHandle extends Metrics {
+  close: () => Promise<void>
+}
+
+/** Creates the metrics of one process. */
+export function createMetrics (options: MetricsOptions): MetricsHandle {
+  const client = new StatsD({
+    host: options.address?.host ?? '127.0.0.1',
+    port: options.address?.port ?? 8125,
+    mock: options.address === undefined,
+    prefix: 'waxwingspoke.',
+    globalTags: { instance: options.instance, data_centre: options.dataCentre },
+    cacheDns: true,
+    // A lost metric is not worth a log line of its own.
+    errorHandler: () => {}
+  })
+  // In mock mode the client would keep every metric in memory when asked to buffer; nothing is passed on at all.
+  const active = options.address !== undefined
+  return {
+    increment (name, tags, value = 1) {
+      if (active) client.increment(name, value, tags === undefined ? undefined : { ...tags })
+    },
+    gauge (name, value, tags) {
+      if (active) client.gauge(name, value, tags === undefined ? undefined : { ...tags })
+    },
+    timing (name, milliseconds, tags) {
+      if (active) client.timing(name, milliseconds, tags === undefined ? undefined : { ...tags })
+    },
+    close: async () => await new Promise<void>((resolve) => { client.close(() => { resolve() }) })
+  }
+}
