Add platform and upstream adapters with stand-in programs

Cause: the decision modules, the gateway and the command line need clients for the platform, engines and plain services, and programs to test them against.

A refusal carries `x-execution: not_run`; only then, or when the request never left, does an error say that nothing was run.

Conclusion: contract cases pass against the memory platform and the HTTP client; the engine client reports the agreed error and progress for each fault.

--- a/src/constants.ts
+++ b/src/constants.ts
@@ -40,3 +40,15 @@
   /** Rows: `<customer>/<hash of idempotency key>` -> reservation. */
   idempotency: 'idempotency'
 } as const
+
+/**
+ * Header with which an upstream or the platform tells what became of a refused request. The value `not_run` states
+ * that no part of the request was executed, so that it can be sent elsewhere.
+ */
+export const EXECUTION_HEADER = 'x-execution'
+
+/** Header of an upstream's answer that is set to `true` when it takes no new work. */
+export const LEAVING_HEADER = 'x-leaving'
+
+/** Header with the incarnation of the upstream that answered. */
+export const INCARNATION_HEADER = 'x-incarnation'
--- /dev/null
+++ b/src/upstream/exchange.ts
@@ -0,0 +1,113 @@
+/** One HTTP exchange with an upstream under the four time limits of an attempt. */
+import type { HttpConnections, ExchangeRequest, ExchangeResponse, ExchangeTrace } from '../http/connections'
+import type { RouterError } from '../errors'
+import type { AttemptProgress, AttemptTimeouts } from './types'
+import { abortedError, connectionError, timeoutError } from './attempt'
+
+export interface UpstreamExchange {
+  response: ExchangeResponse
+  /** Next bytes of the body, or undefined at its end. The time limit is `firstByte` until `markStarted`. */
+  read: () => Promise<Uint8Array | undefined>
+  /** The first chunk has come: from now on the limit between chunks applies. */
+  markStarted: () => void
+  /**
+   * Ends the exchange: lets a fully read connection be used again and closes any other. With `drain`, the end of the
+   * body is awaited in the background for a short time, and the connection is closed when more content comes.
+   */
+  finish: (drain?: boolean) => void
+}
+
+/** Milliseconds for which the end of a complete body is awaited before its connection is closed. */
+const DRAIN_MS = 250
+
+export type UpstreamExchangeRequest = Omit<ExchangeRequest, 'signal' | 'trace'>
+
+/**
+ * Sends a request and waits for the head of the response. Rejects with `UpstreamTimeoutError`, `UpstreamFailedError` or
+ * the caller's own reason when `signal` is aborted. After a time limit the pool of the endpoint is abandoned, because
+ * its other idle connections may have gone silent as well.
+ */
+export async function startExchange (
+  connections: HttpConnections, request: UpstreamExchangeRequest, timeouts: AttemptTimeouts, signal: AbortSignal
+): Promise<UpstreamExchange> {
+  const aborter = new AbortController()
+  const trace: ExchangeTrace = { sent: false }
+  let limitPassed: string | undefined
+  let started = false
+  let ended = false
+  let stepTimer: NodeJS.Timeout | undefined
+
+  const progress = (): AttemptProgress => !trace.sent ? 'notSent' : started ? 'started' : 'maybeStarted'
+  function expire (limit: string): void {
+    limitPassed ??= limit
+    aborter.abort()
+  }
+  function startStep (limit: string, milliseconds: number): void {
+    clearTimeout(stepTimer)
+    stepTimer = setTimeout(() => expire(limit), milliseconds)
+  }
+  const onAbort = (): void => aborter.abort()
+  function release (): void {
+    clearTimeout(stepTimer)
+    clearTimeout(wholeTimer)
+    signal.removeEventListener('abort', onAbort)
+  }
+  function failure (detail: string, cause: unknown): RouterError {
+    release()
+    if (limitPassed !== undefined) {
+      connections.abandon(request.endpoint)
+      return timeoutError(limitPassed, progress())
+    }
+    return signal.aborted ? abortedError(signal, progress()) : connectionError(detail, progress(), cause)
+  }
+
+  if (signal.aborted) throw abortedError(signal, 'notSent')
+  const wholeTimer = setTimeout(() => expire('whole'), timeouts.whole)
+  signal.addEventListener('abort', onAbort, { once: true })
+  startStep('connect', timeouts.connect)
+  trace.onSent = () => startStep('first byte', timeouts.firstByte)
+
+  let response: ExchangeResponse
+  try {
+    response = await connections.exchange({ ...request, signal: aborter.signal, trace })
+  } catch (error) {
+    throw failure(trace.sent ? 'connection lost' : 'connection failed', error)
+  }
+  // An abort while nobody reads would otherwise be an uncaught error event.
+  response.body.on('error', () => undefined)
+  const iterator = (response.body as AsyncIterable<Uint8Array>)[Symbol.asyncIterator]()
+
+  return {
+    response,
+    markStarted () {
+      if (started) return
+      started = true
+      clearTimeout(stepTimer)
+    },
+    async read () {
+      // Only the time spent waiting for the upstream counts, not the time that a slow consumer takes.
+      if (started) startStep('between chunks', timeouts.betweenChunks)
+      try {
+        const { value, done } = await iterator.next()
+        if (started) clearTimeout(stepTimer)
+        if (done !== true) return value
+        ended = true
+        return undefined
+      } catch (error) {
+        throw failure('connection lost', error)
+      }
+    },
+    finish (drain = false) {
+      release()
+      if (ended) return
+      if (!drain) {
+        response.body.destroy()
+        return
+      }
+      const timer = setTimeout(() => response.body.destroy(), DRAIN_MS)
+      iterator.next()
+        .then(({ done }) => { if (done !== true) response.body.destroy() }, () => undefined)
+        .finally(() => clearTimeout(timer))
+    }
+  }
+}
--- /dev/null
+++ b/standins/__tests__/programs.test.ts
@@ -0,0 +1,101 @@
+/** The stand-in programs as processes of their own, over real sockets. */
+import { afterEach, expect, it } from 'vitest'
+import { createHttpPlatformClient } from '../../src/platform/httpPlatformClient'
+import { createHttpUpstreamClient, progressOf } from '../../src/upstream/engineClient'
+import type { CompletionOrder } from '../../src/upstream/types'
+import { controlStandin, standinProgram, startProcess } from '../process'
+import type { StandinProcess } from '../process'
+
+const closers: Array<() => Promise<unknown>> = []
+afterEach(async () => {
+  await Promise.all(closers.splice(0).map(async (close) => await close()))
+})
+
+async function start (name: Parameters<typeof standinProgram>[0], ...flags: string[]): Promise<StandinProcess> {
+  const standin = await startProcess(standinProgram(name), flags)
+  closers.push(standin.stop)
+  return standin
+}
+
+function createClient () {
+  const client = createHttpUpstreamClient({ controlTimeout: 1000 })
+  closers.push(client.close)
+  return client
+}
+
+const timeouts = { connect: 1000, firstByte: 1000, betweenChunks: 500, whole: 10_000 }
+const never = new AbortController().signal
+const order: CompletionOrder = {
+  requestIdentifier: 'r', attempt: 1, model: 'model', version: 'v2', adapter: '', prompt: 'p', maximumOutputTokens: 100, priority: 0, blockKeys: ['0123456789abcdef'], cacheSalt: 's', resumeFrom: 0, resumeText: ''
+}
+
+it('engine and platform: load from the weight store, complete, export and import by another engine', async () => {
+  const platform = await start('platform', '--load-ms', '50')
+  const flags = ['--platform', platform.url, '--loaded', 'model@v1', '--decode', '1000']
+  const [first, second] = await Promise.all([start('engine', ...flags), start('engine', ...flags)])
+  const client = createClient()
+  for (const engine of [first, second]) {
+    await client.order(engine.endpoint, { kind: 'load', model: 'model', version: 'v2', adapter: '', fencingToken: 1 })
+  }
+  let text = ''
+  for await (const chunk of client.complete(first.endpoint, order, timeouts, never)) text += chunk.text
+  expect(text).toHaveLength(400)
+  await client.exportBlocks(first.endpoint, order.blockKeys)
+  const incarnation = await client.probe(second.endpoint)
+  expect(await client.importBlocks(second.endpoint, incarnation - 1, order.blockKeys)).toBe(0)
+  expect(await client.importBlocks(second.endpoint, incarnation, order.blockKeys)).toBe(1)
+  expect((await client.cacheEvents(second.endpoint, 0)).events).toMatchObject([{ sequence: 1, kind: 'stored' }])
+})
+
+it('an engine that is killed or frozen in a stream ends the attempt within its time limit', async () => {
+  const client = createClient()
+  for (const signal of ['SIGKILL', 'SIGSTOP'] as const) {
+    const engine = await start('engine', '--loaded', 'model@v2')
+    const stream = client.complete(engine.endpoint, order, timeouts, never)
+    const consume = async (): Promise<void> => {
+      for await (const chunk of stream) if (chunk.index === 2) engine.signal(signal)
+    }
+    const error: unknown = await consume().catch((failure: unknown) => failure)
+    expect(error).toMatchObject({ code: signal === 'SIGKILL' ? 'upstream_failed' : 'upstream_timeout' })
+    expect(progressOf(error)).toBe('started')
+    await engine.stop()
+  }
+})
+
+it('service: one call runs once, and a crash before or after it shows in the journal only', async () => {
+  const client = createClient()
+  const service = await start('service')
+  const call = {
+    requestIdentifier: 'c', attempt: 1, method: 'POST', path: '/orders?x=1', headers: { 'content-type': 'text/plain' }, body: Buffer.from('two buns')
+  }
+  const answer = await client.call(service.endpoint, call, timeouts, never)
+  expect(answer.status).toBe(200)
+  await controlStandin(service.url, 'PUT', 'faults', { failures: 1 })
+  expect((await client.call(service.endpoint, call, timeouts, never)).status).toBe(500)
+  await controlStandin(service.url, 'PUT', 'faults', { refusals: 1 })
+  const refused: unknown = await client.call(service.endpoint, call, timeouts, never).catch((error: unknown) => error)
+  expect(progressOf(refused)).toBe('notSent')
+  const { entries } = await controlStandin<{ entries: unknown[] }>(service.url, 'GET', 'journal')
+  expect(entries).toHaveLength(2)
+  await controlStandin(service.url, 'PUT', 'faults', { crash: 'after' })
+  const crashed: unknown = await client.call(service.endpoint, call, timeouts, never).catch((error: unknown) => error)
+  expect(progressOf(crashed)).toBe('maybeStarted')
+  expect(await service.exited).toBe('SIGKILL')
+})
+
+it('relay: cut, silence on open connections only, and delay', async () => {
+  const platform = await start('platform')
+  const relay = await start('relay', '--target', `127.0.0.1:${platform.endpoint.port}`)
+  const client = createHttpPlatformClient({ endpoint: relay.endpoint, wholeTimeout: 500 })
+  closers.push(client.close)
+  const read = async (): Promise<string> => await client.readRow('t', 'k').then(() => 'answered', () => 'failed')
+  expect(await read()).toBe('answered')
+  await controlStandin(relay.controlUrl, 'PUT', 'faults', { silence: 'existing' })
+  expect([await read(), await read()]).toEqual(['failed', 'answered'])
+  await controlStandin(relay.controlUrl, 'PUT', 'faults', { silence: 'off', cut: true })
+  expect(await read()).toBe('failed')
+  await controlStandin(relay.controlUrl, 'PUT', 'faults', { cut: false, delay: 100 })
+  const began = performance.now()
+  expect(await read()).toBe('answered')
+  expect(performance.now() - began).toBeGreaterThan(180)
+})
