--- a/src/rollout/types.ts
+++ b/src/rollout/types.ts
@@ -1,5 +1,6 @@
 /** Types of rollouts: moving the traffic of a model from one version to another. */
-import type { WallClockMilliseconds } from '../types'
+import type { Endpoint, MonotonicMilliseconds, WallClockMilliseconds } from '../types'
+import type { EngineOrder } from '../upstream/types'
 
 export const RolloutPhase = {
   pending: 'pending',
@@ -55,6 +56,10 @@
   route: string
   requests: number
   failures: number
+  /** Requests whose time to first token could be compared with the reference of the old version. */
+  firstTokens: number
+  /** Requests whose mean time between tokens could be compared with the reference of the old version. */
+  betweenTokens: number
   /** Requests whose time to first token was above the reference of the old version. */
   slowFirstTokens: number
   /** Requests whose mean time between tokens was above the reference of the old version. */
@@ -62,4 +67,33 @@
   /** Sums for the reference, in milliseconds. */
   firstTokenMilliseconds: number
   betweenTokensMilliseconds: number
+  /** True while the instance keeps its own traffic away from the version because of a clear failure. */
+  braked: boolean
 }
+
+/** One engine as the leader knows it. */
+export interface EngineState {
+  name: string
+  endpoint: Endpoint
+  leaving: boolean
+  /** `model@version` names that the engine reported. */
+  loaded: readonly string[]
+}
+
+/** An order of the leader to an engine. */
+export interface EngineOrderEffect {
+  kind: 'engineOrder'
+  engine: string
+  endpoint: Endpoint
+  order: EngineOrder
+  /** The order must not be sent after this time, because the leader's lease has lapsed then. */
+  validUntil: MonotonicMilliseconds
+}
+
+/** The record changed; peers are notified. */
+export interface RecordEffect {
+  kind: 'record'
+  record: RolloutRecord
+}
+
+export type RolloutEffect = EngineOrderEffect | RecordEffect
