Prove at-most-once reservation against lost, late and missing platform answers

Cause: the reservation of idempotency keys had no test. Change: cases and a stateful property with seed 4 over three instances, with outages, lost answers, inserts applied late, crashes and releases. The oracle counts executions for each key. Without the row condition two instances both run the request, so the check can fail. Conclusion: at most once holds in the model; rows are never deleted yet.

--- /dev/null
+++ b/src/request/__tests__/idempotency.test.ts
@@ -0,0 +1,143 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { OutcomeUnknownError } from '../../errors'
+import { createMemoryPlatform } from '../../platform/memoryPlatform'
+import type { PlatformClient } from '../../platform/types'
+import { createIdempotencyGuard } from '../idempotency'
+import type { IdempotencyGuard, ReservationOutcome } from '../idempotency'
+
+const WALL_CLOCK = 1_700_000_000_000
+const answer = { status: 201, contentType: 'application/json', body: Buffer.from('{"order":1}') }
+
+function createGuard (platform: PlatformClient, instance: string): IdempotencyGuard {
+  let count = 0
+  return createIdempotencyGuard({
+    platform, instance, incarnation: 1, createIdentifier: () => `${instance}-${count++}`
+  })
+}
+
+/** Passes calls on, and applies inserts that were reported lost only when `applyDelayed` is called. */
+function delayLostInserts (platform: PlatformClient): {
+  client: PlatformClient, delayNext: () => void, applyDelayed: () => Promise<void>
+} {
+  const delayed: Array<Parameters<PlatformClient['commit']>[0]> = []
+  let delay = false
+  return {
+    client: {
+      ...platform,
+      async commit (transaction) {
+        if (!delay) return await platform.commit(transaction)
+        delay = false
+        delayed.push(transaction)
+        throw new OutcomeUnknownError('timed out')
+      }
+    },
+    delayNext: () => { delay = true },
+    async applyDelayed () {
+      for (const transaction of delayed.splice(0)) await platform.commit(transaction).catch(() => undefined)
+    }
+  }
+}
+
+describe('idempotency guard', () => {
+  it.each([
+    ['small', Buffer.from('{"order":1}')],
+    ['larger than a row may hold', Buffer.alloc(40_000, 'x')]
+  ])('gives a repeat the stored answer when it is %s', async (_, body) => {
+    const platform = createMemoryPlatform()
+    const [first, second] = [createGuard(platform.client, 'a'), createGuard(platform.client, 'b')]
+    const outcome = await first.reserve('c', 'k', 'f', WALL_CLOCK)
+    expect(outcome.kind).toBe('run')
+    expect((await second.reserve('c', 'k', 'f', WALL_CLOCK)).kind).toBe('inDoubt')
+    await first.complete((outcome as Extract<ReservationOutcome, { kind: 'run' }>).reservation, { ...answer, body })
+    const repeat = await second.reserve('c', 'k', 'f', WALL_CLOCK)
+    expect(repeat.kind === 'stored' && Buffer.from(repeat.answer.body).equals(body)).toBe(true)
+  })
+
+  it.each([
+    ['another body under the same key is refused', 'c', 'other', 'mismatch'],
+    ['another customer may use the same key', 'd', 'f', 'run']
+  ])('%s', async (_, customer, fingerprint, expected) => {
+    const guard = createGuard(createMemoryPlatform().client, 'a')
+    await guard.reserve('c', 'k', 'f', WALL_CLOCK)
+    expect((await guard.reserve(customer, 'k', fingerprint, WALL_CLOCK)).kind).toBe(expected)
+  })
+
+  it('runs when the answer to the insert was lost but a read shows it, and not when the platform is away', async () => {
+    const platform = createMemoryPlatform()
+    const guard = createGuard(platform.client, 'a')
+    platform.faults.loseAnswers = 1
+    expect((await guard.reserve('c', 'k', 'f', WALL_CLOCK)).kind).toBe('run')
+    platform.faults.outage = true
+    expect((await guard.reserve('c', 'k2', 'f', WALL_CLOCK)).kind).toBe('unavailable')
+  })
+
+  it('can be used again after a release, and after an insert that the store applies late', async () => {
+    const platform = createMemoryPlatform()
+    const slow = delayLostInserts(platform.client)
+    const guard = createGuard(slow.client, 'a')
+    slow.delayNext()
+    const outcome = await guard.reserve('c', 'k', 'f', WALL_CLOCK)
+    expect(outcome.kind).toBe('run')
+    await slow.applyDelayed()
+    await guard.release((outcome as Extract<ReservationOutcome, { kind: 'run' }>).reservation)
+    expect((await guard.reserve('c', 'k', 'f', WALL_CLOCK)).kind).toBe('run')
+  })
+
+  it('lets each key run at most once over all instances, under outages, lost answers and late writes', async () => {
+    const step = fc.record({
+      guard: fc.nat(2),
+      key: fc.nat(1),
+      lose: fc.nat(2),
+      delay: fc.boolean(),
+      outage: fc.nat(5).map((n) => n === 0),
+      end: fc.constantFrom('complete', 'release', 'crash'),
+      applyDelayed: fc.boolean()
+    })
+    await fc.assert(fc.asyncProperty(fc.array(step, { maxLength: 25 }), async (steps) => {
+      const platform = createMemoryPlatform()
+      const slow = delayLostInserts(platform.client)
+      const guards = ['a', 'b', 'c'].map((name) => createGuard(slow.client, name))
+      const executions = new Map<string, number>()
+      for (const { guard, key, lose, delay, outage, end, applyDelayed } of steps) {
+        Object.assign(platform.faults, { loseAnswers: lose, outage })
+        if (delay) slow.delayNext()
+        const outcome = await guards[guard]!.reserve('c', `k${key}`, 'f', WALL_CLOCK)
+        if (applyDelayed) await slow.applyDelayed()
+        if (outcome.kind === 'run') {
+          // A release stands for an attempt that never reached an upstream; everything else counts as an execution.
+          if (end === 'release') await guards[guard]!.release(outcome.reservation)
+          else executions.set(`k${key}`, (executions.get(`k${key}`) ?? 0) + 1)
+          if (end === 'complete') await guards[guard]!.complete(outcome.reservation, answer)
+        }
+        if (outcome.kind === 'stored') expect(executions.get(`k${key}`)).toBe(1)
+        await guards[guard]!.tick()
+      }
+      for (const count of executions.values()) expect(count).toBe(1)
+    }), { seed: 4, numRuns: 300 })
+  })
+
+  it('finishes the writes that an outage held up', async () => {
+    const platform = createMemoryPlatform()
+    const guard = createGuard(platform.client, 'a')
+    const outcome = await guard.reserve('c', 'k', 'f', WALL_CLOCK)
+    platform.faults.outage = true
+    await guard.complete((outcome as Extract<ReservationOutcome, { kind: 'run' }>).reservation, answer)
+    expect(guard.pendingWrites()).toBe(1)
+    platform.faults.outage = false
+    await guard.tick()
+    expect([guard.pendingWrites(), (await guard.reserve('c', 'k', 'f', WALL_CLOCK)).kind]).toEqual([0, 'stored'])
+  })
+
+  it('would run twice without the condition on the row: the check above can fail', async () => {
+    const { client } = createMemoryPlatform()
+    const unconditional: PlatformClient = {
+      ...client, commit: async (transaction) => await client.commit({ ...transaction, conditions: [] })
+    }
+    const kinds = []
+    for (const name of ['a', 'b']) {
+      kinds.push((await createGuard(unconditional, name).reserve('c', 'k', 'f', WALL_CLOCK)).kind)
+    }
+    expect(kinds).toEqual(['run', 'run'])
+  })
+})
