--- /dev/null
+++ b/src/peer/schemas.ts
@@ -0,0 +1,123 @@
+/** Schemas of all peer messages. Unknown fields are dropped, so that a later version may add some. */
+import { z } from 'zod'
+import { RolloutPhase, RollbackReason } from '../rollout/types'
+import type { PeerMessage } from './messages'
+
+/** Characters of a name, identifier or hash. */
+const NAME_LIMIT = 512
+
+const name = z.string().max(NAME_LIMIT)
+const amount = z.number().nonnegative()
+const count = z.int().nonnegative()
+
+const endpoint = z.object({ host: name, port: z.int().min(0).max(65_535) })
+
+const customer = z.object({ name, rate: amount, burst: amount, weight: amount })
+
+const model = z.object({
+  name, version: name, finishBy: z.number().optional(), maximumOutputTokens: count, parallelLoads: count
+})
+
+const route = z.object({
+  name,
+  path: z.string(),
+  service: name,
+  methods: z.array(name),
+  idempotentMethods: z.array(name),
+  open: z.boolean(),
+  cost: amount
+})
+
+const configuration = z.object({
+  revision: count,
+  configuration: z.object({
+    dataCentres: z.array(z.object({ name, weight: amount })),
+    customers: z.array(customer),
+    models: z.array(model),
+    routes: z.array(route)
+  })
+})
+
+const key = z.object({ hash: name, customer: name, state: z.enum(['granted', 'withdrawn']), version: count })
+
+const crashNotice = z.object({
+  kind: z.literal('crashNotice'), fingerprint: name, upstream: name, incarnation: z.number(), age: amount
+})
+
+const rolloutRecord = z.object({
+  model: name,
+  revision: count,
+  fromVersion: name.optional(),
+  toVersion: name,
+  phase: z.enum(RolloutPhase),
+  share: z.number().min(0).max(1),
+  fencingToken: count,
+  step: count,
+  leader: name,
+  finishBy: z.number().optional(),
+  startedAt: z.number(),
+  phaseSince: z.number(),
+  reason: z.enum(RollbackReason).optional(),
+  reasonRoute: name.optional(),
+  deadlineMissed: z.boolean()
+})
+
+const rolloutSample = z.object({
+  model: name,
+  version: name,
+  route: name,
+  requests: count,
+  failures: count,
+  slowFirstTokens: count,
+  slowTokens: count,
+  firstTokenMilliseconds: amount,
+  betweenTokensMilliseconds: amount
+})
+
+const loanTerms = { identifier: name, customer: name, rate: amount, capacity: amount, tokens: amount, duration: amount }
+
+/** Schema of each message kind. */
+export const messageSchemas = {
+  greeting: z.object({
+    kind: z.literal('greeting'), protocol: count, instance: name.min(1), incarnation: z.number(), dataCentre: name, endpoint
+  }),
+  heartbeat: z.object({
+    kind: z.literal('heartbeat'),
+    state: z.enum(['live', 'leaving']),
+    revision: count,
+    keyVersion: count,
+    work: z.record(name, amount),
+    clock: name
+  }),
+  snapshotRequest: z.object({ kind: z.literal('snapshotRequest'), identifier: count }),
+  snapshotReply: z.object({
+    kind: z.literal('snapshotReply'),
+    identifier: count,
+    configuration: configuration.optional(),
+    keys: z.array(key),
+    crashes: z.array(crashNotice),
+    rollouts: z.array(rolloutRecord)
+  }),
+  configurationNotice: z.object({ kind: z.literal('configurationNotice'), configuration }),
+  keyNotice: z.object({ kind: z.literal('keyNotice'), keys: z.array(key) }),
+  crashNotice,
+  loanRequest: z.object({ kind: z.literal('loanRequest'), ...loanTerms }),
+  loanReply: z.object({ kind: z.literal('loanReply'), ...loanTerms }),
+  rolloutSample: z.object({ kind: z.literal('rolloutSample'), samples: z.array(rolloutSample) }),
+  rolloutNotice: z.object({ kind: z.literal('rolloutNotice'), record: rolloutRecord })
+} satisfies Record<PeerMessage['kind'], z.ZodType>
+
+/** Schema of any message, selected by its kind. */
+export const peerMessageSchema = z.discriminatedUnion('kind', [
+  messageSchemas.greeting,
+  messageSchemas.heartbeat,
+  messageSchemas.snapshotRequest,
+  messageSchemas.snapshotReply,
+  messageSchemas.configurationNotice,
+  messageSchemas.keyNotice,
+  messageSchemas.crashNotice,
+  messageSchemas.loanRequest,
+  messageSchemas.loanReply,
+  messageSchemas.rolloutSample,
+  messageSchemas.rolloutNotice
+])
