--- a/src/quota/accounts.ts
+++ b/src/quota/accounts.ts
@@ -9,11 +9,11 @@
 import type { MonotonicMilliseconds } from '../types'
 import { advanceBucket, chargeBucket, createBucket, refreshAllowance, settleBucket } from './bucket'
 import type { Bucket } from './bucket'
-import { allowanceOf, isAmount, lendableGrants, shareOf, spareOf, sumLent } from './allowance'
+import { allowanceOf, isAmount, lendableGrants, loanFrom, shareOf, sumLent } from './allowance'
 import type { Account, HeldGrants } from './allowance'
 import { DEMAND_HEADROOM, createDemand, demandRate, largestOffer, recordOffer } from './demand'
 import {
-  LOAN_MAXIMUM_MS, createLoanBook, emptyReply, forgetEnded, isUsableRequest, loanReturnsAt
+  LOAN_MAXIMUM_MS, createLoanBook, emptyReply, forgetEnded, isUsableRequest, loanReturnsAt, seriesOf
 } from './loans'
 import { GrantTier } from './types'
 import type { AdmissionResult, CustomerLimit, LoanReply, LoanRequest, QuotaAccounts } from './types'
@@ -24,9 +24,6 @@
 /** Loan requests under way and loans given that one customer may have; a bound on memory, not reached in normal work. */
 const MAXIMUM_LOANS_PER_CUSTOMER = 1024
 
-/** Smallest loan as a part of the customer's limits; less is not worth a message. */
-const SMALLEST_LOAN_SHARE = 1e-6
-
 export interface QuotaAccountsOptions {
   /** Largest relative difference between the clocks of two instances. @default CLOCK_DRIFT_BOUND */
   driftBound?: number
@@ -54,17 +51,25 @@
 export interface InstanceQuotaAccounts extends QuotaAccounts {
   /** Units that peers may be using at this instant; the instance must not give these back to the platform. */
   lentUnits: (now: MonotonicMilliseconds) => number
+  /**
+   * Remembers when a request was sent, so that its reply can be accepted. `requestLoan` does this for the requests that
+   * it builds. False when the customer is unknown or too many requests are under way.
+   */
+  expectLoan: (request: LoanRequest, now: MonotonicMilliseconds) => boolean
   /** Demand of one customer; undefined for an unknown one. */
   demand: (customer: string, now: MonotonicMilliseconds) => CustomerDemand | undefined
   /** Largest recent demand of any customer as a part of its whole rate; 0 when idle. */
   demandShare: (now: MonotonicMilliseconds) => number
   customers: () => readonly string[]
+  /** Refuses all further loans, so that the grants can be given back once the present loans have ended. */
+  stopLending: () => void
 }
 
 export function createQuotaAccounts (options: QuotaAccountsOptions = {}): InstanceQuotaAccounts {
   const driftBound = options.driftBound ?? CLOCK_DRIFT_BOUND
   const loanDuration = Math.min(options.loanDuration ?? LOAN_MAXIMUM_MS, LOAN_MAXIMUM_MS)
   const accounts = new Map<string, Account>()
+  let lending = true
   const grants: HeldGrants = {
     [GrantTier.floor]: { units: 0, expiresAt: 0 },
     [GrantTier.pool]: { units: 0, expiresAt: 0 }
@@ -163,30 +168,32 @@
     const { bucket, limit, loans } = account
     const time = bucket.time
     forgetEnded(loans, time)
-    const known = loans.lent.get(request.identifier)
+    const known = loans.answered.get(request.identifier)
     if (known !== undefined) return known.borrower === borrower ? known.reply : emptyReply(request)
-    if (loans.lent.size >= MAXIMUM_LOANS_PER_CUSTOMER) return emptyReply(request)
+    if (loans.answered.size >= MAXIMUM_LOANS_PER_CUSTOMER) return emptyReply(request)
 
+    const series = seriesOf(request)
+    const earlier = loans.lent.get(series)
+    if (earlier !== undefined && earlier.borrower !== borrower) return emptyReply(request)
     const wanted = Math.min(request.duration, LOAN_MAXIMUM_MS)
     const { units, duration } = lendableGrants(grants, wanted, time)
-    const spare = spareOf(account, units, time)
-    const capacity = Math.min(request.capacity, spare.capacity)
-    const rate = Math.min(request.rate, spare.rate)
-    const tokens = Math.min(request.tokens, spare.tokens, capacity)
-    const share = Math.max(shareOf(rate, limit.rate), shareOf(capacity, limit.burst))
-    const given = duration > 0 && share >= SMALLEST_LOAN_SHARE
-    const reply = given ? { ...emptyReply(request), rate, capacity, tokens, duration } : emptyReply(request)
-    loans.lent.set(request.identifier, {
-      borrower,
-      reply,
-      rate: reply.rate,
-      capacity: reply.capacity,
-      rateShare: shareOf(reply.rate, limit.rate),
-      capacityShare: shareOf(reply.capacity, limit.burst),
-      returnsAt: loanReturnsAt(given ? duration : wanted, time, driftBound)
-    })
-    bucket.level -= reply.tokens
-    refreshAllowance(bucket, account.allowanceAt)
+    const reply = lending && duration > 0
+      ? loanFrom(account, request, earlier, units, duration, time)
+      : emptyReply(request)
+    const returnsAt = loanReturnsAt(reply.duration, time, driftBound)
+    loans.answered.set(request.identifier, { borrower, reply, forgetAt: loanReturnsAt(wanted, time, driftBound) })
+    if (reply.duration > 0) {
+      loans.lent.set(series, {
+        borrower,
+        rate: reply.rate,
+        capacity: reply.capacity,
+        rateShare: Math.max(earlier?.rateShare ?? 0, shareOf(reply.rate, limit.rate)),
+        capacityShare: Math.max(earlier?.capacityShare ?? 0, shareOf(reply.capacity, limit.burst)),
+        returnsAt: Math.max(earlier?.returnsAt ?? 0, returnsAt)
+      })
+      bucket.level -= reply.tokens
+      refreshAllowance(bucket, account.allowanceAt)
+    }
     return reply
   }
 
@@ -194,17 +201,24 @@
     const account = present(customer, now)
     const request: LoanRequest = { identifier, customer, rate: 0, capacity: 0, tokens: 0, duration: loanDuration }
     if (account === undefined) return request
-    const { bucket, limit, loans, demand } = account
-    forgetEnded(loans, now)
-    if (loans.pending.size >= MAXIMUM_LOANS_PER_CUSTOMER) return request
+    const { bucket, limit, demand } = account
     request.tokens = Math.max(0, Math.min(tokens, limit.burst) - bucket.level)
     request.rate = Math.max(0, Math.min(limit.rate, DEMAND_HEADROOM * demandRate(demand, now)) - bucket.allowance.rate)
     // Capacity for the tokens themselves and for as much burst as belongs to the borrowed rate.
     request.capacity = Math.max(request.tokens, shareOf(request.rate, limit.rate) * limit.burst)
-    loans.pending.set(identifier, { request, sentAt: now })
+    expectLoan(request, now)
     return request
   }
 
+  function expectLoan (request: LoanRequest, now: MonotonicMilliseconds): boolean {
+    const account = present(request.customer, now)
+    if (account === undefined) return false
+    forgetEnded(account.loans, account.bucket.time)
+    if (account.loans.pending.size >= MAXIMUM_LOANS_PER_CUSTOMER) return false
+    account.loans.pending.set(request.identifier, { request, sentAt: now })
+    return true
+  }
+
   function acceptLoan (reply: LoanReply, now: MonotonicMilliseconds): void {
     const account = present(reply.customer, now)
     if (account === undefined) return
@@ -215,15 +229,22 @@
     loans.pending.delete(reply.identifier)
     if (![reply.rate, reply.capacity, reply.tokens, reply.duration].every(isAmount)) return
     const expiresAt = pending.sentAt + Math.min(reply.duration, pending.request.duration)
-    if (expiresAt <= now) return
-    loans.borrowed.set(reply.identifier, {
+    const series = seriesOf(pending.request)
+    const earlier = loans.borrowed.get(series)
+    if (expiresAt <= bucket.time) return
+    // Replies of one series are taken in the order of their requests only; an older one would bring its tokens on top of
+    // a level that the newer one has filled.
+    for (const [identifier, other] of loans.pending) {
+      if (seriesOf(other.request) === series && other.sentAt <= pending.sentAt) loans.pending.delete(identifier)
+    }
+    loans.borrowed.set(series, {
       rate: reply.rate,
       capacity: reply.capacity,
       rateShare: shareOf(reply.rate, limit.rate),
       capacityShare: shareOf(reply.capacity, limit.burst),
       expiresAt
     })
-    bucket.level += Math.min(reply.tokens, reply.capacity)
+    bucket.level += Math.max(0, Math.min(reply.tokens, reply.capacity - (earlier?.capacity ?? 0)))
     refreshAllowance(bucket, account.allowanceAt)
   }
 
@@ -233,6 +254,7 @@
     admit,
     lend,
     requestLoan,
+    expectLoan,
     acceptLoan,
     settle (charge, usedTokens, now) {
       const account = accounts.get(charge.customer)
@@ -274,6 +296,9 @@
       }
       return share
     },
+    stopLending () {
+      lending = false
+    },
     customers: () => [...accounts.values()].filter(({ removed }) => !removed).map(({ limit }) => limit.customer)
   }
 }
--- a/src/quota/allowance.ts
+++ b/src/quota/allowance.ts
@@ -4,8 +4,15 @@
 import type { Allowance, AllowanceAt, Bucket } from './bucket'
 import { DEMAND_HEADROOM, demandRate, largestOffer } from './demand'
 import type { Demand } from './demand'
-import type { LoanBook } from './loans'
-import type { CustomerLimit, GrantTier } from './types'
+import { emptyReply } from './loans'
+import type { LentPart, LoanBook } from './loans'
+import type { CustomerLimit, GrantTier, LoanReply, LoanRequest } from './types'
+
+/** Smallest loan as a part of the customer's limits; less is not worth a message. */
+const SMALLEST_LOAN_SHARE = 1e-6
+
+/** Factor that allows for rounding when a renewal is compared with the loan that it renews. */
+const ROUNDING = 1 - 1e-9
 
 export interface HeldGrant {
   units: number
@@ -65,7 +72,29 @@
   return { units, duration }
 }
 
-/** What an instance can lend of `units` without missing it, after what it has lent already. */
+/**
+ * Reply to a request, from `units` that outlast `duration`. A renewal gives at least what the borrower has, or nothing;
+ * tokens move only into capacity that the borrower does not have yet. Otherwise tokens on their way would come on top of
+ * a borrower and a lender that are both full, and the burst would be exceeded.
+ */
+export function loanFrom (
+  account: Account, request: LoanRequest, earlier: LentPart | undefined, units: number, duration: number,
+  now: MonotonicMilliseconds
+): LoanReply {
+  const { limit } = account
+  const spare = spareOf(account, units, now)
+  const earlierRate = (earlier?.rateShare ?? 0) * limit.rate
+  const earlierCapacity = (earlier?.capacityShare ?? 0) * limit.burst
+  const rate = Math.max(0, Math.min(request.rate, earlierRate + spare.rate))
+  const capacity = Math.max(0, Math.min(request.capacity, earlierCapacity + spare.capacity))
+  if (rate < earlierRate * ROUNDING || capacity < earlierCapacity * ROUNDING) return emptyReply(request)
+  const share = Math.max(shareOf(rate, limit.rate), shareOf(capacity, limit.burst))
+  if (share < SMALLEST_LOAN_SHARE) return emptyReply(request)
+  const tokens = Math.max(0, Math.min(request.tokens, spare.tokens, capacity - earlierCapacity))
+  return { ...emptyReply(request), rate, capacity, tokens, duration }
+}
+
+/** What an instance can lend of `units` after what it has lent already; negative when it should have some back. */
 export function spareOf (
   account: Account, units: number, now: MonotonicMilliseconds
 ): { rate: number, capacity: number, tokens: number } {
@@ -77,9 +106,9 @@
   // The burst that belongs to the kept rate, and room for the largest recent request.
   const keptCapacity = Math.max(shareOf(keptRate, limit.rate) * limit.burst, largestOffer(demand, now))
   return {
-    rate: Math.max(0, ownRate - lent.rateShare * limit.rate - keptRate),
-    capacity: Math.max(0, ownCapacity - lent.capacityShare * limit.burst - keptCapacity),
-    tokens: Math.max(0, bucket.level - keptCapacity)
+    rate: ownRate - lent.rateShare * limit.rate - keptRate,
+    capacity: ownCapacity - lent.capacityShare * limit.burst - keptCapacity,
+    tokens: bucket.level - keptCapacity
   }
 }
 
--- a/src/quota/loans.ts
+++ b/src/quota/loans.ts
@@ -10,7 +10,7 @@
  * Longest loan in milliseconds. Nobody but the lender knows its loans, so that the grants of a lender that ended are
  * safe to reuse only after this time.
  */
-export const LOAN_MAXIMUM_MS = 5000
+export const LOAN_MAXIMUM_MS = 2000
 
 /** Milliseconds on any clock within the drift bound after which a loan of the longest duration has ended. */
 export const LOAN_SETTLED_MS = LOAN_MAXIMUM_MS * (1 + CLOCK_DRIFT_BOUND) + LOAN_MARGIN_MS
@@ -18,7 +18,6 @@
 /** A part of this instance's grants that a peer may be using. */
 export interface LentPart {
   borrower: string
-  reply: LoanReply
   rate: number
   capacity: number
   /** Parts of the customer's limits, so that a raised limit does not shrink what is set aside. */
@@ -38,20 +37,36 @@
   expiresAt: MonotonicMilliseconds
 }
 
+/** Request that this instance has sent and that may still be answered. */
 export interface PendingLoan {
   request: LoanRequest
   sentAt: MonotonicMilliseconds
 }
 
+/** Reply that was given, kept so that a repeated request gets the same one. */
+export interface AnsweredLoan {
+  borrower: string
+  reply: LoanReply
+  forgetAt: MonotonicMilliseconds
+}
+
+/**
+ * A series is a loan and the loans that renew it; its identifier is that of the first loan. The borrower uses at most one
+ * loan of a series at a time, so that the lender sets aside the largest of them and not their sum.
+ */
 export interface LoanBook {
-  /** By loan identifier. Replies of zero are kept as well, so that a repeated request gets the same reply. */
+  /** By series. */
   lent: Map<string, LentPart>
+  /** By series. */
   borrowed: Map<string, BorrowedPart>
+  /** By loan identifier. */
   pending: Map<string, PendingLoan>
+  /** By loan identifier. */
+  answered: Map<string, AnsweredLoan>
 }
 
 export function createLoanBook (): LoanBook {
-  return { lent: new Map(), borrowed: new Map(), pending: new Map() }
+  return { lent: new Map(), borrowed: new Map(), pending: new Map(), answered: new Map() }
 }
 
 /** Instant on the lender's clock at which a loan with this duration, given now, has certainly ended. */
@@ -63,13 +78,19 @@
 
 /** Drops entries that have ended. Call only after the bucket has been advanced to `now`. */
 export function forgetEnded (book: LoanBook, now: MonotonicMilliseconds): void {
-  for (const [identifier, part] of book.lent) if (part.returnsAt <= now) book.lent.delete(identifier)
-  for (const [identifier, part] of book.borrowed) if (part.expiresAt <= now) book.borrowed.delete(identifier)
+  for (const [series, part] of book.lent) if (part.returnsAt <= now) book.lent.delete(series)
+  for (const [series, part] of book.borrowed) if (part.expiresAt <= now) book.borrowed.delete(series)
+  for (const [identifier, { forgetAt }] of book.answered) if (forgetAt <= now) book.answered.delete(identifier)
   for (const [identifier, { request, sentAt }] of book.pending) {
     if (sentAt + request.duration <= now) book.pending.delete(identifier)
   }
 }
 
+/** Series that a loan belongs to. */
+export function seriesOf (request: LoanRequest): string {
+  return request.renews ?? request.identifier
+}
+
 /** A loan request from the network is usable when all its numbers are finite and not negative. */
 export function isUsableRequest (request: LoanRequest): boolean {
   return [request.rate, request.capacity, request.tokens, request.duration]
--- a/src/quota/types.ts
+++ b/src/quota/types.ts
@@ -15,6 +15,8 @@
   units: number
   /** Raised with every renewal. */
   sequence: number
+  /** Pool tier: the holder's recent demand as a part of the rate, by which the pool is divided. @default unknown */
+  demand?: number
 }
 
 /** Row of one data centre in the quota table. The sum of the grants' units never exceeds `units`. */
@@ -44,6 +46,11 @@
   tokens: number
   /** Milliseconds for which the loan is wanted. */
   duration: number
+  /**
+   * Identifier of the first loan of a series that this one continues. The lender sets the same part aside for longer and
+   * the borrower replaces the part by the new one, so that a lasting loan is not interrupted. @default undefined
+   */
+  renews?: string
 }
 
 /** What the lender gives; zeros when it has nothing to spare. */
