--- a/src/rollout/leader.ts
+++ b/src/rollout/leader.ts
@@ -139,21 +139,23 @@
     return await write(record, row?.version ?? 0, now) === undefined ? [] : [{ kind: 'record', record }]
   }
 
+  /** True when no other instance can hold the lease. */
+  function mayAcquire (record: RolloutRecord, now: MonotonicMilliseconds): boolean {
+    // A lease of this very process can be acquired anew at once, because nobody else can hold it.
+    return record.leader === name || lease.lapsed(record.model, now)
+  }
+
   /** Holds the lease after this call, or returns undefined. */
   async function hold (
     row: TableRow<RolloutRecord>, now: MonotonicMilliseconds
   ): Promise<TableRow<RolloutRecord> | undefined> {
     const record = row.value
-    const model = record.model
-    const mine = record.leader === name
-    if (mine && leads(model, now)) return row
-    lease.release(model)
-    judges.delete(model)
-    // A lease of this very process can be acquired anew at once, because nobody else can hold it.
-    if (!mine && !lease.lapsed(model, now)) return undefined
-    return await write(
-      { ...record, leader: name, fencingToken: record.fencingToken + 1, step: record.step + 1 }, row.version, now
-    )
+    if (record.leader === name && leads(record.model, now)) return row
+    lease.release(record.model)
+    judges.delete(record.model)
+    if (!mayAcquire(record, now)) return undefined
+    const acquired = { ...record, leader: name, fencingToken: record.fencingToken + 1, step: record.step + 1 }
+    return await write(acquired, row.version, now)
   }
 
   async function advance (
@@ -185,7 +187,10 @@
   ): Promise<RolloutEffect[]> {
     if (wanted !== undefined) {
       const request = requestedRollout(row?.value, wanted, revision, wallClock)
-      if (request !== undefined) return await begin(row, request, now)
+      if (request !== undefined) {
+        // The last leader may still be sending orders of the rollout that has ended.
+        return row === undefined || mayAcquire(row.value, now) ? await begin(row, request, now) : []
+      }
     }
     // An instance that lags behind the record's revision would take the running rollout for a superseded one.
     if (row === undefined || revision < row.value.revision) return []
