Add executors for completions and plain services

Cause: a parsed request has to pass the decision modules in order: key, crash check, version, quota, fair queue, routing, attempts, settlement. Figures: the refused-connection case reported crashing_request before, since a request that was never sent was counted for the crash of its upstream; now it is not counted.

--- /dev/null
+++ b/src/cli/timelineCommand.ts
@@ -0,0 +1,46 @@
+/** `timeline`: merges log files of many processes into one causal order. */
+import { writeFileSync } from 'node:fs'
+import type { CAC } from 'cac'
+import { UsageError } from '../errors'
+import { readTimeline, renderTimelineText } from '../observability/timeline'
+import type { TimelineFilter } from '../observability/timeline'
+import { renderTimelinePage } from '../observability/timelinePage'
+
+export interface TimelineCommandOptions extends TimelineFilter {
+  /** File for the HTML page; text goes to standard output without one. */
+  html?: string
+}
+
+/** @throws UsageError without files. */
+export async function runTimelineCommand (
+  files: readonly string[], options: TimelineCommandOptions, print: (text: string) => void
+): Promise<void> {
+  if (files.length === 0) throw new UsageError('timeline needs at least one log file')
+  const { html, ...filter } = options
+  const timeline = await readTimeline(files, filter)
+  if (html === undefined) {
+    print(renderTimelineText(timeline))
+    return
+  }
+  writeFileSync(html, renderTimelinePage(timeline))
+  print(`${timeline.entries.length} events, ${timeline.malformedLines} malformed lines skipped, written to ${html}\n`)
+}
+
+/** Adds the command to the program. */
+export function addTimelineCommand (program: CAC, print: (text: string) => void): void {
+  program.command('timeline [...files]', 'Merge log files of many processes into causal order')
+    .option('--request <identifier>', 'Only events of one request')
+    .option('--customer <name>', 'Only events of one customer')
+    .option('--upstream <name>', 'Only events of one upstream')
+    .option('--rollout <model>', 'Only events of the rollout of one model')
+    .option('--html <file>', 'Write one HTML page instead of text')
+    .action(async (files: string[], options: Record<string, unknown>) => {
+      const text = (name: string): string | undefined => options[name] === undefined ? undefined : String(options[name])
+      const chosen: TimelineCommandOptions = {}
+      for (const name of ['request', 'customer', 'upstream', 'rollout', 'html'] as const) {
+        const value = text(name)
+        if (value !== undefined) chosen[name] = value
+      }
+      await runTimelineCommand(files, chosen, print)
+    })
+}
--- /dev/null
+++ b/src/gateway/__tests__/admission.test.ts
@@ -0,0 +1,69 @@
+import { describe, expect, it } from 'vitest'
+import type { AdmissionResult } from '../../quota/types'
+import { createAdmission } from '../admission'
+
+const never = new AbortController().signal
+const lacking = (waitMilliseconds: number): AdmissionResult => {
+  return { admitted: false, reason: 'rate', missingTokens: 5, waitMilliseconds }
+}
+const admitted: AdmissionResult = { admitted: true, charge: { identifier: 'r', customer: 'c', tokens: 10 } }
+
+function create (results: AdmissionResult[], canBorrow = false) {
+  const borrowed: number[] = []
+  const admission = createAdmission({
+    accounts: { admit: () => results.length > 1 ? results.shift()! : results[0]! },
+    borrow (customer, tokens) {
+      borrowed.push(tokens)
+      return canBorrow ? 250 : undefined
+    },
+    now: () => performance.now()
+  })
+  return { admission, borrowed }
+}
+
+describe('createAdmission', () => {
+  it.each([
+    ['over the rate', lacking(5000), 'rate_limited', 5],
+    ['over the burst', { admitted: false, reason: 'burst' }, 'burst_exceeded', undefined],
+    ['an unknown customer', { admitted: false, reason: 'unknownCustomer' }, 'overloaded', 1]
+  ] as const)('refuses %s at once when nobody lends', async (_, result, code, retryAfterSeconds) => {
+    const { admission } = create([result as AdmissionResult])
+    const begun = performance.now()
+    await expect(admission.admit('r', 'c', 10, never)).rejects.toMatchObject({ code, execution: 'not_run', retryAfterSeconds })
+    expect(performance.now() - begun).toBeLessThan(100)
+  })
+
+  // Guards against refusing a request inside the rate because one instance's part is short for a moment.
+  it('admits after a loan has arrived', async () => {
+    const { admission, borrowed } = create([lacking(60_000), admitted], true)
+    const admission1 = admission.admit('r', 'c', 10, never)
+    await expect.poll(() => admission.waiting()).toBe(1)
+    admission.wake()
+    await expect(admission1).resolves.toMatchObject({ tokens: 10 })
+    expect(borrowed).toEqual([10])
+    expect(admission.waiting()).toBe(0)
+  })
+
+  it('admits after a short refill without a lender', async () => {
+    const { admission } = create([lacking(20), admitted])
+    await expect(admission.admit('r', 'c', 10, never)).resolves.toMatchObject({ tokens: 10 })
+  })
+
+  // Guards against holding a request that is over the rate until its caller gives up.
+  it('refuses within a second when no loan arrives', async () => {
+    const { admission } = create([lacking(60_000)], true)
+    const begun = performance.now()
+    await expect(admission.admit('r', 'c', 10, never)).rejects.toMatchObject({ code: 'rate_limited' })
+    expect(performance.now() - begun).toBeLessThan(1000)
+  })
+
+  it('ends when the caller leaves', async () => {
+    const { admission } = create([lacking(60_000)], true)
+    const abort = new AbortController()
+    const waiting = admission.admit('r', 'c', 10, abort.signal)
+    await expect.poll(() => admission.waiting()).toBe(1)
+    abort.abort(new Error('gone'))
+    await expect(waiting).rejects.toThrow('gone')
+    expect(admission.waiting()).toBe(0)
+  })
+})
--- /dev/null
+++ b/src/gateway/__tests__/dispatcher.test.ts
@@ -0,0 +1,183 @@
+import { beforeEach, describe, expect, it } from 'vitest'
+import { createConcurrencyLimit } from '../../fairness/concurrencyLimit'
+import { createFairQueue } from '../../fairness/fairQueue'
+import { createBlockIndex } from '../../prefix/blockIndex'
+import { createColdPrefixGate } from '../../prefix/coldPrefix'
+import { chooseUpstream } from '../../prefix/routing'
+import type { CrashVerdict } from '../../upstream/crashLedger'
+import { createUpstreamRegistry } from '../../upstream/registry'
+import type { UpstreamRegistry } from '../../upstream/registryTypes'
+import { createDispatcher } from '../dispatcher'
+import type { Dispatcher, DispatchWork, Placement } from '../dispatcher'
+
+const never = new AbortController().signal
+const LIMIT = 2
+let time = 0
+let registry: UpstreamRegistry
+let dispatcher: Dispatcher
+
+function addEngine (name: string, loaded = ['m@v1']): void {
+  const endpoint = { host: '127.0.0.1', port: 1 }
+  registry.applyList([
+    ...registry.upstreams(time).map((view) => ({ ...view, state: 'live' as const, service: undefined })),
+    { name, kind: 'engine' as const, dataCentre: 'a', endpoint, state: 'live' as const }
+  ] as never, time, time)
+  registry.applyReport(name, {
+    incarnation: 1, leaving: false, loaded, running: 0, waiting: 0, waitingTokens: 0, prefillTokensPerSecond: 8000
+  }, time)
+}
+
+function work (identifier: string, more: Partial<DispatchWork> = {}): DispatchWork {
+  return {
+    identifier,
+    customer: 'c',
+    model: 'm',
+    version: 'v1',
+    adapter: '',
+    routing: { blockKeys: [], promptTokens: 10 },
+    cost: 10,
+    deadline: time + 10_000,
+    exclude: [],
+    fingerprint: identifier,
+    verdict: () => ({ kind: 'clear' }),
+    begun: false,
+    ...more
+  }
+}
+
+beforeEach(() => {
+  time = 1000
+  const limits = new Map<string, ReturnType<typeof createConcurrencyLimit>>()
+  const limitOf = (name: string) => {
+    const limit = limits.get(name) ?? createConcurrencyLimit({ initial: LIMIT, maximum: LIMIT, minimum: LIMIT })
+    limits.set(name, limit)
+    return limit
+  }
+  registry = createUpstreamRegistry({
+    dataCentre: 'a', hasRoom: (name) => limitOf(name).inFlight() < limitOf(name).limit()
+  })
+  dispatcher = createDispatcher({
+    queue: createFairQueue(),
+    registry,
+    index: createBlockIndex({ maximumEntries: 1024 }),
+    gate: createColdPrefixGate(),
+    choose: chooseUpstream,
+    limitOf,
+    now: () => time,
+    random: () => 0.5
+  })
+})
+
+async function placeAll (...all: DispatchWork[]): Promise<Placement[]> {
+  return await Promise.all(all.map(async (one) => await dispatcher.place(one, never)))
+}
+
+describe('createDispatcher', () => {
+  it('refuses at once when no engine serves the version and none may appear', async () => {
+    addEngine('e1')
+    await expect(dispatcher.place(work('r', { version: 'v2' }), never)).rejects.toMatchObject({
+      code: 'no_upstream', execution: 'not_run', retryAfterSeconds: expect.any(Number)
+    })
+  })
+
+  // Guards against a restarted router that refuses requests until its first poll of the engines.
+  it('waits for a first engine to appear, for a bounded time', async () => {
+    const placed = dispatcher.place(work('r1'), never)
+    addEngine('e1')
+    dispatcher.pump()
+    expect((await placed).upstream).toBe('e1')
+    const refused = dispatcher.place(work('r2', { version: 'v9', deadline: time + 100 }), never)
+    const verdict = expect(refused).rejects.toMatchObject({ code: 'no_upstream' })
+    time += 5000
+    dispatcher.pump()
+    await verdict
+  })
+
+  it('holds work over the concurrency limit until a place is released', async () => {
+    addEngine('e1')
+    const [first] = await placeAll(work('r1'), work('r2'))
+    let third: Placement | undefined
+    const waiting = dispatcher.place(work('r3'), never).then((placement) => { third = placement })
+    await Promise.resolve()
+    expect(third).toBeUndefined()
+    expect(dispatcher.size()).toBe(1)
+    first!.firstToken(0)
+    first!.release()
+    await waiting
+    expect(third).toMatchObject({ upstream: 'e1' })
+  })
+
+  it('refuses work whose deadline has passed with a time to retry', async () => {
+    addEngine('e1')
+    await placeAll(work('r1'), work('r2'))
+    const waiting = expect(dispatcher.place(work('r3', { deadline: time + 50 }), never)).rejects.toMatchObject({
+      code: 'overloaded', execution: 'not_run', retryAfterSeconds: expect.any(Number)
+    })
+    time += 60
+    dispatcher.pump()
+    await waiting
+    expect(dispatcher.size()).toBe(0)
+  })
+
+  it('forgets work whose caller has left', async () => {
+    addEngine('e1')
+    await placeAll(work('r1'), work('r2'))
+    const abort = new AbortController()
+    const waiting = expect(dispatcher.place(work('r3'), abort.signal)).rejects.toThrow('gone')
+    abort.abort(new Error('gone'))
+    await waiting
+    expect(dispatcher.size()).toBe(0)
+  })
+
+  it('leaves failed upstreams out, and uses them again only when there is no other', async () => {
+    addEngine('e1')
+    expect((await placeAll(work('r1', { exclude: ['e1'] })))[0]).toMatchObject({ upstream: 'e1' })
+    addEngine('e2')
+    expect((await placeAll(work('r2', { exclude: ['e1'] })))[0]).toMatchObject({ upstream: 'e2' })
+  })
+
+  // Guards against two requests that compute the same cold prefix at the same time.
+  it('lets one request compute a cold prefix', async () => {
+    addEngine('e1')
+    addEngine('e2')
+    const routing = { blockKeys: ['00000000000000aa', '00000000000000ab'], promptTokens: 2048 }
+    const [first] = await placeAll(work('r1', { routing }))
+    let second: Placement | undefined
+    const waiting = dispatcher.place(work('r2', { routing }), never).then((placement) => { second = placement })
+    await Promise.resolve()
+    expect(second).toBeUndefined()
+    first!.firstToken(0)
+    await waiting
+    expect(second).toMatchObject({ upstream: first!.upstream, expectedBlocks: 2 })
+  })
+
+  // Guards against one request that brings down several upstreams at the same time.
+  it('runs a suspect at one upstream at a time and away from other suspects', async () => {
+    addEngine('e1')
+    addEngine('e2')
+    const verdict = (...avoid: string[]) => (): CrashVerdict => ({ kind: 'suspect', avoid })
+    const [first] = await placeAll(work('r1', { fingerprint: 'f', verdict: verdict() }))
+    const other = first!.upstream === 'e1' ? 'e2' : 'e1'
+    const [second] = await placeAll(work('r2', { fingerprint: 'g', verdict: verdict(first!.upstream) }))
+    expect(second!.upstream).toBe(other)
+    let third: Placement | undefined
+    const waiting = dispatcher.place(work('r3', { fingerprint: 'f', verdict: verdict() }), never)
+      .then((placement) => { third = placement })
+    await Promise.resolve()
+    expect(third).toBeUndefined()
+    first!.release()
+    await waiting
+  })
+
+  it('refuses waiting work once its content is known to crash upstreams', async () => {
+    addEngine('e1')
+    await placeAll(work('r1'), work('r2'))
+    let verdict: CrashVerdict = { kind: 'clear' }
+    const waiting = expect(dispatcher.place(work('r3', { verdict: () => verdict }), never)).rejects.toMatchObject({
+      code: 'crashing_request', execution: 'not_run', retryAfterSeconds: 60
+    })
+    verdict = { kind: 'refused', retryAfterMilliseconds: 60_000 }
+    dispatcher.pump()
+    await waiting
+  })
+})
--- /dev/null
+++ b/src/gateway/attemptOutcome.ts
@@ -0,0 +1,115 @@
+/** What the executors do after a failed attempt: tell the decision modules, and build the final error. */
+import {
+  CrashingRequestError, RouterError, UpstreamFailedError, UpstreamTimeoutError
+} from '../errors'
+import { LogEvent } from '../observability/events'
+import type { EventLog, Metrics } from '../observability/events'
+import { MetricName } from '../observability/metrics'
+import type { CrashNotice } from '../peer/messages'
+import type { AttemptFailure } from '../request/execution'
+import { GiveUpReason } from '../request/nextStep'
+import type { NextStep } from '../request/nextStep'
+import type { AttemptHandle, CrashLedger } from '../upstream/crashLedger'
+import type { UpstreamRegistry } from '../upstream/registryTypes'
+import type { UpstreamClient } from '../upstream/types'
+import { progressOf, reportsLeaving } from '../upstream/engineClient'
+import { ExecutionStatus } from '../types'
+import type { Endpoint, Incarnation, MonotonicMilliseconds } from '../types'
+
+/**
+ * Longest time for which a request waits for the answer to whether its upstream died. A refused connection tells within
+ * a few milliseconds; a silent upstream would cost the caller the whole probe limit.
+ */
+const DEATH_CHECK_MS = 150
+
+/** Seconds after which a caller may repeat a request whose attempts have all failed. */
+const FAILED_RETRY_SECONDS = 1
+
+export interface AttemptPlace {
+  upstream: string
+  endpoint: Endpoint
+  incarnation: Incarnation
+}
+
+export interface AttemptOutcomeOptions {
+  client: Pick<UpstreamClient, 'probe' | 'cancel'>
+  registry: UpstreamRegistry
+  crashes: CrashLedger
+  /** Sends crash notices to all peers. */
+  publishCrashes: (notices: readonly CrashNotice[]) => void
+  log: EventLog
+  metrics: Metrics
+  now: () => MonotonicMilliseconds
+}
+
+export interface AttemptOutcomes {
+  /**
+   * Takes in a failed attempt: updates the registry and, after a lost connection, finds out whether the upstream died and
+   * counts the crash. Ends the crash ledger's handle.
+   */
+  failed: (
+    requestIdentifier: string, attempt: number, place: AttemptPlace, handle: AttemptHandle, error: unknown
+  ) => Promise<AttemptFailure>
+}
+
+export function createAttemptOutcomes (options: AttemptOutcomeOptions): AttemptOutcomes {
+  const { client, registry, crashes, log, metrics, now } = options
+
+  /** Probes on a new connection. An upstream that refuses it, or answers as another process, has died. */
+  async function checkDeath (place: AttemptPlace): Promise<void> {
+    const { upstream, endpoint, incarnation } = place
+    let died = false
+    try {
+      const present = await client.probe(endpoint)
+      registry.recordSuccess(upstream, now(), present)
+      died = present !== incarnation && incarnation !== 0
+    } catch (error) {
+      registry.recordFailure(upstream, now())
+      died = progressOf(error) === 'notSent' && !(error instanceof UpstreamTimeoutError)
+    }
+    if (!died) return
+    const notices = crashes.upstreamDied(upstream, incarnation, now())
+    if (notices.length === 0) return
+    log(LogEvent.crashCounted, { upstream, incarnation, requests: notices.length }, 'warn')
+    options.publishCrashes(notices)
+  }
+
+  return {
+    async failed (requestIdentifier, attempt, place, handle, error) {
+      const { upstream, endpoint, incarnation } = place
+      const progress = progressOf(error)
+      const reportedFailure = error instanceof RouterError && error.execution === ExecutionStatus.failed
+      const code = error instanceof RouterError ? error.code : 'internal'
+      log(LogEvent.attemptFailed, {
+        requestIdentifier, attempt, upstream, errorCode: code, progress, message: String((error as Error).message)
+      }, 'warn')
+      metrics.increment(MetricName.attemptFailures, { upstream, code })
+      if (reportsLeaving(error)) registry.markLeaving(upstream, incarnation, now())
+      const refused = progress === 'notSent' && error instanceof UpstreamFailedError && error.retryAfterSeconds !== undefined
+      if (reportedFailure || refused || reportsLeaving(error)) {
+        handle.ended(false)
+      } else {
+        registry.recordFailure(upstream, now())
+        // A request that was never sent cannot have brought the upstream down.
+        if (progress === 'notSent') handle.ended(false)
+        if (error instanceof UpstreamTimeoutError) client.cancel(endpoint, requestIdentifier, attempt).catch(() => {})
+        const check = checkDeath(place).finally(() => { handle.ended(false) })
+        await Promise.race([check, new Promise((resolve) => { setTimeout(resolve, DEATH_CHECK_MS) })])
+      }
+      return { upstream, progress, reportedFailure }
+    }
+  }
+}
+
+/** Error for the caller after the last attempt. */
+export function finalError (step: NextStep & { kind: 'giveUp' }, last: unknown): RouterError {
+  const options = { execution: step.execution, cause: last }
+  if (step.reason === GiveUpReason.crashing) {
+    return new CrashingRequestError('the request brought down the upstreams that ran it', options)
+  }
+  const message = last instanceof RouterError ? last.message : 'upstream failed'
+  const retryAfterSeconds = (last instanceof RouterError ? last.retryAfterSeconds : undefined) ?? FAILED_RETRY_SECONDS
+  const retry = { ...options, retryAfterSeconds }
+  if (last instanceof UpstreamTimeoutError) return new UpstreamTimeoutError(message, retry)
+  return new UpstreamFailedError(message, retry)
+}
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -2,7 +2,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
-import { InvalidRequestError, RouterError } from '../errors'
+import { InternalError, InvalidRequestError, RouterError } from '../errors'
 import { ExecutionStatus } from '../types'
 import type { Endpoint } from '../types'
 import { errorBodyOf, sendError } from './errorResponse'
@@ -22,6 +22,8 @@
   requestTimeout?: number
   /** Milliseconds that a connection may stay open between requests. @default 75000 */
   idleTimeout?: number
+  /** Connections open at the same time; further ones are closed at once. @default 4096 */
+  maximumConnections?: number
 }
 
 export interface CallerServer {
@@ -57,8 +59,9 @@
     try {
       await options.route(exchange.method, exchange.path)(exchange)
     } catch (error) {
-      if (!exchange.signal.aborted) sendError(exchange, error)
-      if (!(error instanceof RouterError)) throw error
+      if (exchange.signal.aborted) return
+      sendError(exchange, error)
+      if (!(error instanceof RouterError) || error instanceof InternalError) throw error
     }
   }
 
@@ -69,6 +72,7 @@
     keepAliveTimeout: options.idleTimeout ?? 75_000,
     noDelay: true
   }, handle)
+  server.maxConnections = options.maximumConnections ?? 4096
   server.on('clientError', (error, socket) => { refuseMalformed(error, socket as Socket) })
 
   return {
--- a/src/gateway/completionHandler.ts
+++ b/src/gateway/completionHandler.ts
@@ -1,4 +1,5 @@
 /** `POST /v1/chat/completions` and `POST /v1/completions`. */
+import type { ServerResponse } from 'node:http'
 import { fingerprintOf } from '../request/fingerprint'
 import { InternalError, UpstreamTimeoutError } from '../errors'
 import type { CallerIdentity, CompletionExecutor, CompletionPiece } from './completionTypes'
@@ -46,7 +47,7 @@
       signal
     })
     try {
-      if (request.stream) await sendStream(exchange, request, head, pieces, options.unreadLimit)
+      if (request.stream) await sendStream(exchange, request, head, pieces, { signal, limit: options.unreadLimit })
       else await sendCollected(exchange, head, pieces)
     } finally {
       release()
@@ -71,7 +72,7 @@
 /** The header goes out with the first piece, so that a failure before it still has its own status code. */
 async function sendStream (
   exchange: Exchange, request: CompletionRequest, head: CompletionHead, pieces: AsyncIterable<CompletionPiece>,
-  unreadLimit: number
+  pause: { signal: AbortSignal, limit: number }
 ): Promise<void> {
   const { response } = exchange
   try {
@@ -83,7 +84,7 @@
         response.end(text)
         return
       }
-      if (!response.write(text)) await drained(exchange, unreadLimit)
+      if (!response.write(text)) await drained(response, pause)
     }
     throw new InternalError('the completion ended without its last piece')
   } catch (error) {
@@ -107,7 +108,9 @@
 }
 
 /** Resolves when the caller has read on. The limit frees what a caller holds that keeps its connection but never reads. */
-async function drained ({ response, signal }: Exchange, limit: number): Promise<void> {
+async function drained (
+  response: ServerResponse, { signal, limit }: { signal: AbortSignal, limit: number }
+): Promise<void> {
   await new Promise<void>((resolve, reject) => {
     const finish = (): void => {
       clearTimeout(timer)
--- /dev/null
+++ b/src/gateway/serviceExecutor.ts
@@ -0,0 +1,198 @@
+/** Calls a plain service: crash check, admission by quota, choice of an instance, attempts, idempotency, settlement. */
+import {
+  IdempotencyConflictError, InvalidRequestError, NoUpstreamError, PlatformUnavailableError, RouterError
+} from '../errors'
+import { LogEvent } from '../observability/events'
+import type { EventLog, Metrics } from '../observability/events'
+import { MetricName } from '../observability/metrics'
+import type { QuotaAccounts } from '../quota/types'
+import type { AttemptFailure } from '../request/execution'
+import type { IdempotencyGuard, Reservation } from '../request/idempotency'
+import { decideNextStep } from '../request/nextStep'
+import type { RetryBudget } from '../request/retryBudget'
+import type { CrashLedger } from '../upstream/crashLedger'
+import type { UpstreamRegistry, UpstreamView } from '../upstream/registryTypes'
+import type { AttemptTimeouts, ServiceAnswer, UpstreamClient } from '../upstream/types'
+import { ExecutionStatus } from '../types'
+import type { MonotonicMilliseconds, RouteConfiguration, WallClockMilliseconds } from '../types'
+import type { Admission } from './admission'
+import { finalError } from './attemptOutcome'
+import type { AttemptOutcomes } from './attemptOutcome'
+import { refuseCrashing } from './completionExecutor'
+
+/** Seconds after which a caller may try again when no instance serves the route or the platform is unavailable. */
+const RETRY_SECONDS = 1
+
+const NOT_RUN = ExecutionStatus.notRun
+
+export interface ServiceJob {
+  identifier: string
+  /** Undefined on a route open to all when no valid key came with the request. */
+  customer: string | undefined
+  route: RouteConfiguration
+  fingerprint: string
+  method: string
+  /** Path and query without the caller's key. */
+  target: string
+  /** Headers without the caller's key and without hop-by-hop headers. */
+  headers: Readonly<Record<string, string | readonly string[]>>
+  body: Uint8Array
+  idempotencyKey: string | undefined
+  signal: AbortSignal
+}
+
+export type ServiceExecutor = (job: ServiceJob) => Promise<ServiceAnswer>
+
+export interface ServiceExecutorOptions {
+  admission: Admission
+  accounts: Pick<QuotaAccounts, 'settle'>
+  crashes: CrashLedger
+  registry: UpstreamRegistry
+  retryBudget: RetryBudget
+  guard: IdempotencyGuard
+  outcomes: AttemptOutcomes
+  client: Pick<UpstreamClient, 'call'>
+  timeouts: AttemptTimeouts
+  log: EventLog
+  metrics: Metrics
+  now: () => MonotonicMilliseconds
+  wallClock: () => WallClockMilliseconds
+}
+
+export function createServiceExecutor (options: ServiceExecutorOptions): ServiceExecutor {
+  const { admission, accounts, crashes, registry, guard, log, metrics, now } = options
+
+  /** Charges the route's cost around the run; a call that never reached an upstream costs nothing. */
+  async function runCharged (job: ServiceJob): Promise<ServiceAnswer> {
+    if (job.customer === undefined || job.route.open) return await runGuarded(job)
+    const charge = await admission.admit(job.identifier, job.customer, job.route.cost, job.signal)
+    let used = job.route.cost
+    try {
+      return await runGuarded(job)
+    } catch (error) {
+      if (error instanceof RouterError && error.execution === NOT_RUN) used = 0
+      throw error
+    } finally {
+      accounts.settle(charge, used, now())
+    }
+  }
+
+  /** With an idempotency key, reserves it first, so that no other instance runs the request as well. */
+  async function runGuarded (job: ServiceJob): Promise<ServiceAnswer> {
+    if (job.idempotencyKey === undefined) return await attemptAll(job)
+    const owner = job.customer ?? `route ${job.route.name}`
+    const outcome = await guard.reserve(owner, job.idempotencyKey, job.fingerprint, options.wallClock())
+    switch (outcome.kind) {
+      case 'run': return await runReserved(job, outcome.reservation)
+      case 'stored': {
+        const { status, contentType, body } = outcome.answer
+        return { status, headers: contentType === '' ? {} : { 'content-type': contentType }, body }
+      }
+      case 'inDoubt':
+        throw new IdempotencyConflictError('a request with this idempotency key is running or its outcome is unknown', {
+          execution: ExecutionStatus.unknown
+        })
+      case 'mismatch':
+        throw new InvalidRequestError('the idempotency key was used for another request', { execution: NOT_RUN })
+      case 'unavailable':
+        throw new PlatformUnavailableError('the idempotency key cannot be reserved now', {
+          execution: NOT_RUN, retryAfterSeconds: RETRY_SECONDS
+        })
+    }
+  }
+
+  async function runReserved (job: ServiceJob, reservation: Reservation): Promise<ServiceAnswer> {
+    let answer: ServiceAnswer
+    try {
+      answer = await attemptAll(job)
+    } catch (error) {
+      // Anything else than certainly not run keeps the reservation, so that no repeat runs it a second time.
+      if (error instanceof RouterError && error.execution === NOT_RUN) await guard.release(reservation)
+      throw error
+    }
+    const contentType = answer.headers['content-type']
+    await guard.complete(reservation, {
+      status: answer.status, contentType: typeof contentType === 'string' ? contentType : '', body: answer.body
+    })
+    return answer
+  }
+
+  async function attemptAll (job: ServiceJob): Promise<ServiceAnswer> {
+    const { identifier, route, customer = '', method } = job
+    const failures: AttemptFailure[] = []
+    const startedAt = now()
+    let exclude: readonly string[] = []
+    for (let attempt = 1; ; attempt += 1) {
+      const place = choose(route, exclude, failures)
+      const { name: upstream, endpoint, incarnation } = place
+      if (attempt === 1) options.retryBudget.recordRequest(customer, upstream, now())
+      log(LogEvent.requestRouted, { requestIdentifier: identifier, attempt, customer, upstream, route: route.name })
+      metrics.increment(MetricName.attempts, { upstream })
+      const handle = crashes.started(job.fingerprint, upstream, incarnation)
+      registry.startWork(upstream, identifier, 0, now())
+      try {
+        const answer = await options.client.call(endpoint, {
+          requestIdentifier: identifier, attempt, method, path: job.target, headers: job.headers, body: job.body
+        }, options.timeouts, job.signal)
+        handle.ended(true)
+        log(LogEvent.requestFinished, {
+          requestIdentifier: identifier, attempt, customer, upstream, route: route.name, status: answer.status
+        })
+        return answer
+      } catch (error) {
+        if (job.signal.aborted) {
+          handle.ended(false)
+          throw error
+        }
+        const failedPlace = { upstream, endpoint, incarnation }
+        failures.push(await options.outcomes.failed(identifier, attempt, failedPlace, handle, error))
+        const step = decideNextStep({
+          idempotent: route.idempotentMethods.includes(method),
+          failures,
+          deliveredChunks: 0,
+          deadline: startedAt + options.timeouts.whole,
+          callerGone: job.signal.aborted,
+          crashing: crashes.verdict(job.fingerprint, now()).kind === 'refused'
+        }, () => options.retryBudget.tryRetry(customer, upstream, now()), now())
+        if (step.kind === 'giveUp') throw finalError(step, error)
+        exclude = step.exclude
+      } finally {
+        registry.finishWork(upstream, identifier, now())
+      }
+    }
+  }
+
+  function choose (
+    route: RouteConfiguration, exclude: readonly string[], failures: readonly AttemptFailure[]
+  ): UpstreamView {
+    const all = registry.services(route.service, now())
+    const found = all.find((view) => !exclude.includes(view.name)) ?? all[0]
+    if (found !== undefined) return found
+    const sent = failures.some(({ progress }) => progress !== 'notSent')
+    throw new NoUpstreamError(`no instance of ${route.service} is available`, {
+      execution: sent ? ExecutionStatus.unknown : NOT_RUN, retryAfterSeconds: RETRY_SECONDS
+    })
+  }
+
+  return async (job) => {
+    const { identifier, customer = '', route } = job
+    metrics.increment(MetricName.requests, { customer, route: route.name })
+    log(LogEvent.requestReceived, { requestIdentifier: identifier, customer, route: route.name, method: job.method })
+    try {
+      refuseCrashing(crashes, job, now())
+      return await runCharged(job)
+    } catch (error) {
+      const known = error instanceof RouterError
+      const refused = known && error.execution === NOT_RUN
+      log(refused ? LogEvent.requestRefused : LogEvent.requestFailed, {
+        requestIdentifier: identifier,
+        customer,
+        route: route.name,
+        errorCode: known ? error.code : 'internal',
+        execution: known ? error.execution : undefined,
+        message: error instanceof Error ? error.message : ''
+      }, refused ? 'info' : 'warn')
+      throw error
+    }
+  }
+}
