Check peer message schemas against the message types

Cause: the rollout sample gained three fields; the schema in src/peer dropped them from every received message, and only a test's types showed it. Change: the three fields, and each schema must name every field of its type. Conclusion: a field that is added to a type without its schema fails tsc.

--- a/src/peer/__tests__/frames.test.ts
+++ b/src/peer/__tests__/frames.test.ts
@@ -39,10 +39,13 @@
   route: name,
   requests: count,
   failures: count,
+  firstTokens: count,
+  betweenTokens: count,
   slowFirstTokens: count,
   slowTokens: count,
   firstTokenMilliseconds: amount,
-  betweenTokensMilliseconds: amount
+  betweenTokensMilliseconds: amount,
+  braked: fc.boolean()
 })
 const configuration = fc.record({
   revision: count,
--- a/src/peer/schemas.ts
+++ b/src/peer/schemas.ts
@@ -1,8 +1,13 @@
 /** Schemas of all peer messages. Unknown fields are dropped, so that a later version may add some. */
 import { z } from 'zod'
 import { RolloutPhase, RollbackReason } from '../rollout/types'
+import type { RolloutRecord, RolloutSample } from '../rollout/types'
+import type { CustomerConfiguration, KeyRecord, ModelConfiguration, RouteConfiguration } from '../types'
 import type { PeerMessage } from './messages'
 
+/** Fields of a type, each with a schema. A field that is missing here would be dropped from every received message. */
+type FieldsOf<Type> = Record<keyof Type, z.ZodType>
+
 /** Characters of a name, identifier or hash. */
 const NAME_LIMIT = 512
 
@@ -12,11 +17,13 @@
 
 const endpoint = z.object({ host: name, port: z.int().min(0).max(65_535) })
 
-const customer = z.object({ name, rate: amount, burst: amount, weight: amount })
+const customer = z.object({
+  name, rate: amount, burst: amount, weight: amount
+} satisfies FieldsOf<CustomerConfiguration>)
 
 const model = z.object({
   name, version: name, finishBy: z.number().optional(), maximumOutputTokens: count, parallelLoads: count
-})
+} satisfies FieldsOf<ModelConfiguration>)
 
 const route = z.object({
   name,
@@ -26,7 +33,7 @@
   idempotentMethods: z.array(name),
   open: z.boolean(),
   cost: amount
-})
+} satisfies FieldsOf<RouteConfiguration>)
 
 const configuration = z.object({
   revision: count,
@@ -38,7 +45,9 @@
   })
 })
 
-const key = z.object({ hash: name, customer: name, state: z.enum(['granted', 'withdrawn']), version: count })
+const key = z.object({
+  hash: name, customer: name, state: z.enum(['granted', 'withdrawn']), version: count
+} satisfies FieldsOf<KeyRecord>)
 
 const crashNotice = z.object({
   kind: z.literal('crashNotice'), fingerprint: name, upstream: name, incarnation: z.number(), age: amount
@@ -60,7 +69,7 @@
   reason: z.enum(RollbackReason).optional(),
   reasonRoute: name.optional(),
   deadlineMissed: z.boolean()
-})
+} satisfies FieldsOf<RolloutRecord>)
 
 const rolloutSample = z.object({
   model: name,
@@ -68,11 +77,14 @@
   route: name,
   requests: count,
   failures: count,
+  firstTokens: count,
+  betweenTokens: count,
   slowFirstTokens: count,
   slowTokens: count,
   firstTokenMilliseconds: amount,
-  betweenTokensMilliseconds: amount
-})
+  betweenTokensMilliseconds: amount,
+  braked: z.boolean()
+} satisfies FieldsOf<RolloutSample>)
 
 const loanTerms = { identifier: name, customer: name, rate: amount, capacity: amount, tokens: amount, duration: amount }
 
