--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -2,6 +2,8 @@
 import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { Endpoint } from '../types'
+import { createResponseBody } from './responseBody'
+import type { ResponseBody, ResponseBodySink } from './responseBody'
 
 /** Milliseconds for which an idle connection stays open. Shorter than the 5 s after which Node servers close theirs. */
 const KEEP_ALIVE_MS = 4000
@@ -26,7 +28,11 @@
   highWaterMark?: number
 }
 
-export type ExchangeResponse = Dispatcher.ResponseData<unknown>
+export interface ExchangeResponse {
+  statusCode: number
+  headers: Readonly<Record<string, string | string[] | undefined>>
+  body: ResponseBody
+}
 
 export interface HttpConnections {
   exchange: (request: ExchangeRequest) => Promise<ExchangeResponse>
@@ -41,30 +47,54 @@
   return endpoint.host.includes(':') ? `[${endpoint.host}]:${endpoint.port}` : `${endpoint.host}:${endpoint.port}`
 }
 
-/** Marks the trace as soon as undici hands the request to a connected socket. */
-function traceRequestStart (dispatch: Dispatcher.Dispatch): Dispatcher.Dispatch {
-  return (options, handler) => {
-    const trace = (options as { opaque?: ExchangeTrace }).opaque
-    if (trace === undefined) return dispatch(options, handler)
-    return dispatch(options, {
-      ...forwardHandler(handler),
-      onRequestStart (controller, context) {
+/** Sends one request over a pool and resolves with the head of its response. */
+async function dispatchExchange (pool: Pool, request: ExchangeRequest): Promise<ExchangeResponse> {
+  const { signal, trace } = request
+  return await new Promise((resolve, reject) => {
+    let controller: Dispatcher.DispatchController | undefined
+    let sink: ResponseBodySink | undefined
+
+    function fail (error: unknown): void {
+      signal.removeEventListener('abort', onAbort)
+      if (sink === undefined) reject(error)
+      else sink.fail(error)
+    }
+    function onAbort (): void {
+      const error = new Error('exchange aborted')
+      fail(error)
+      controller?.abort(error)
+    }
+    signal.addEventListener('abort', onAbort, { once: true })
+    pool.dispatch({
+      method: request.method,
+      path: request.path,
+      headers: request.headers ?? null,
+      body: request.body ?? null
+    }, {
+      onRequestStart (started) {
+        controller = started
+        // Aborted while the connection was opening: the request is taken back before a byte is written.
+        if (signal.aborted) return started.abort(new Error('exchange aborted'))
         trace.sent = true
         trace.onSent?.()
-        if (handler.onRequestStart !== undefined) handler.onRequestStart(controller, context)
-        else handler.onConnect?.((reason) => controller.abort(reason ?? new Error('aborted')))
-      }
+      },
+      onResponseStart (started, statusCode, headers) {
+        if (statusCode < 200) return
+        sink = createResponseBody({
+          pause: () => started.pause(),
+          resume: () => started.resume(),
+          abort: () => started.abort(new Error('response no longer wanted'))
+        }, request.highWaterMark ?? 65_536)
+        resolve({ statusCode, headers, body: sink.body })
+      },
+      onResponseData (_, bytes) { sink?.push(bytes) },
+      onResponseEnd () {
+        signal.removeEventListener('abort', onAbort)
+        sink?.end()
+      },
+      onResponseError (_, error) { fail(error) }
     })
-  }
-}
-
-function forwardHandler (handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
-  return {
-    onResponseStart: (...parameters) => handler.onResponseStart?.(...parameters),
-    onResponseData: (...parameters) => handler.onResponseData?.(...parameters),
-    onResponseEnd: (...parameters) => handler.onResponseEnd?.(...parameters),
-    onResponseError: (...parameters) => handler.onResponseError?.(...parameters)
-  }
+  })
 }
 
 /** Creates empty pools; connections open on first use. */
@@ -90,15 +120,7 @@
   }
 
   return {
-    exchange: async (request) => await poolFor(request.endpoint).compose(traceRequestStart).request({
-      method: request.method,
-      path: request.path,
-      headers: request.headers ?? null,
-      body: request.body ?? null,
-      signal: request.signal,
-      opaque: request.trace as unknown,
-      ...(request.highWaterMark === undefined ? {} : { highWaterMark: request.highWaterMark })
-    }),
+    exchange: async (request) => await dispatchExchange(poolFor(request.endpoint), request),
     abandon (endpoint) {
       const origin = `http://${formatEndpoint(endpoint)}`
       const pool = pools.get(origin)
--- a/src/platform/httpPlatformClient.ts
+++ b/src/platform/httpPlatformClient.ts
@@ -1,6 +1,7 @@
 /** Platform client over HTTP. The wire format is in `docs/protocol.md`. */
 import { createHttpConnections } from '../http/connections'
 import type { ExchangeTrace } from '../http/connections'
+import { readWholeBody } from '../http/responseBody'
 import {
   InternalError, OutcomeUnknownError, PlatformUnavailableError, RouterError, TransactionConflictError
 } from '../errors'
@@ -14,6 +15,8 @@
   connectTimeout?: number
   /** Milliseconds for the whole exchange. @default 5000 */
   wholeTimeout?: number
+  /** Largest answer in bytes. @default 67108864 */
+  maximumAnswerBytes?: number
 }
 
 interface PlatformRequest {
@@ -32,7 +35,7 @@
 
 /** Creates a client; connections open on first use. */
 export function createHttpPlatformClient (options: HttpPlatformClientOptions): PlatformClient {
-  const { endpoint, connectTimeout = 1000, wholeTimeout = 5000 } = options
+  const { endpoint, connectTimeout = 1000, wholeTimeout = 5000, maximumAnswerBytes = 67_108_864 } = options
   const connections = createHttpConnections()
 
   async function send (request: PlatformRequest): Promise<PlatformResponse> {
@@ -42,7 +45,11 @@
     const trace: ExchangeTrace = { sent: false, onSent: () => clearTimeout(connectTimer) }
     try {
       const response = await connections.exchange({ endpoint, ...request, signal: aborter.signal, trace })
-      const body = new Uint8Array(await response.body.arrayBuffer())
+      const body = await readWholeBody(response.body, maximumAnswerBytes)
+      if (body === undefined) {
+        response.body.destroy()
+        throw failure(request, false, `answer exceeds ${maximumAnswerBytes} bytes`)
+      }
       if (response.statusCode >= 500) {
         throw failure(request, response.headers[EXECUTION_HEADER] === 'not_run', `status ${response.statusCode}`)
       }
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -73,9 +73,6 @@
   } catch (error) {
     throw failure(trace.sent ? 'connection lost' : 'connection failed', error)
   }
-  // An abort while nobody reads would otherwise be an uncaught error event.
-  response.body.on('error', () => undefined)
-  const iterator = (response.body as AsyncIterable<Uint8Array>)[Symbol.asyncIterator]()
 
   return {
     response,
@@ -88,11 +85,10 @@
       // Only the time spent waiting for the upstream counts, not the time that a slow consumer takes.
       if (started) startStep('between chunks', timeouts.betweenChunks)
       try {
-        const { value, done } = await iterator.next()
+        const bytes = await response.body.read()
         if (started) clearTimeout(stepTimer)
-        if (done !== true) return value
-        ended = true
-        return undefined
+        ended = bytes === undefined
+        return bytes
       } catch (error) {
         throw failure('connection lost', error)
       }
@@ -105,8 +101,8 @@
         return
       }
       const timer = setTimeout(() => response.body.destroy(), DRAIN_MS)
-      iterator.next()
-        .then(({ done }) => { if (done !== true) response.body.destroy() }, () => undefined)
+      response.body.read()
+        .then((bytes) => { if (bytes !== undefined) response.body.destroy() }, () => undefined)
         .finally(() => clearTimeout(timer))
     }
   }
--- a/standins/__tests__/programs.test.ts
+++ b/standins/__tests__/programs.test.ts
@@ -1,8 +1,13 @@
 /** The stand-in programs as processes of their own, over real sockets. */
-import { afterEach, expect, it } from 'vitest'
+import { spawn } from 'node:child_process'
+import { mkdtemp, readFile, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { afterEach, expect, it, vi } from 'vitest'
 import { createHttpPlatformClient } from '../../src/platform/httpPlatformClient'
 import { createHttpUpstreamClient, progressOf } from '../../src/upstream/engineClient'
 import type { CompletionOrder } from '../../src/upstream/types'
+import type { JournalEntry } from '../journal'
 import { controlStandin, standinProgram, startProcess } from '../process'
 import type { StandinProcess } from '../process'
 
@@ -99,3 +104,49 @@
   expect(await read()).toBe('answered')
   expect(performance.now() - began).toBeGreaterThan(180)
 })
+
+it('the journal file of a service outlives its crash, and SIGTERM lets running calls finish', async () => {
+  const client = createClient()
+  const directory = await mkdtemp(join(tmpdir(), 'journal-'))
+  closers.push(async () => { await rm(directory, { recursive: true }) })
+  const file = join(directory, 'journal.jsonl')
+  const crashing = await start('service', '--journal', file)
+  const call = { requestIdentifier: 'c', attempt: 1, method: 'POST', path: '/orders', headers: {}, body: Buffer.from('x') }
+  await controlStandin(crashing.url, 'PUT', 'faults', { crash: 'after' })
+  await client.call(crashing.endpoint, call, timeouts, never).catch(() => undefined)
+  await crashing.exited
+  const entries = (await readFile(file, 'utf8')).trim().split('\n').map((line) => JSON.parse(line) as JournalEntry)
+  expect(entries.at(-1)).toMatchObject({ event: 'finished', requestIdentifier: 'c', outcome: 'complete' })
+
+  const leaving = await start('service', '--call-ms', '300')
+  const running = client.call(leaving.endpoint, call, timeouts, never)
+  await vi.waitFor(async () => {
+    expect((await controlStandin<{ running: number }>(leaving.url, 'GET', 'state')).running).toBe(1)
+  })
+  leaving.signal('SIGTERM')
+  expect((await running).status).toBe(200)
+  expect(await leaving.exited).toBe(0)
+})
+
+it('a stopped helper leaves no process behind, even one that was frozen', async () => {
+  const engine = await start('engine')
+  engine.signal('SIGSTOP')
+  await engine.stop()
+  expect(() => process.kill(engine.pid, 0)).toThrow('ESRCH')
+})
+
+it('a stand-in ends when the process that started it is killed', async () => {
+  const script = `import { startProcess, standinProgram } from './standins/process.ts'
+    const relay = await startProcess(standinProgram('relay'), ['--target', '127.0.0.1:1'])
+    console.log(relay.pid)`
+  const parent = spawn(process.execPath, ['--import', 'tsx', '--input-type=module', '--eval', script])
+  const pid = Number(await new Promise<string>((resolve) => parent.stdout.once('data', (data) => resolve(String(data)))))
+  expect(process.kill(pid, 0)).toBe(true)
+  parent.kill('SIGKILL')
+  await vi.waitFor(() => { expect(() => process.kill(pid, 0)).toThrow('ESRCH') }, { timeout: 5000 })
+})
+
+it('a program that cannot start is reported with its output', async () => {
+  const taken = await start('platform')
+  await expect(startProcess(standinProgram('platform'), ['--port', String(taken.endpoint.port)])).rejects.toThrow('EADDRINUSE')
+})
--- a/standins/platform/weightStore.ts
+++ b/standins/platform/weightStore.ts
@@ -52,6 +52,8 @@
         signal.addEventListener('abort', () => {
           advance()
           loads.delete(load)
+          // Plans the end of the other loads anew at their higher speed.
+          advance()
           resolve()
         }, { once: true })
         advance()
--- a/standins/process.ts
+++ b/standins/process.ts
@@ -5,6 +5,7 @@
 import { fileURLToPath } from 'node:url'
 import { InternalError } from '../src/errors'
 import type { Endpoint } from '../src/types'
+import { EXIT_WITH_PARENT } from './ready'
 import type { ReadyLine } from './ready'
 
 /** Milliseconds within which a program prints its ready line. Starting tsx takes about 1 s on a busy machine. */
@@ -50,9 +51,11 @@
 ): Promise<StandinProcess> {
   const loader = file.endsWith('.ts') ? ['--import', 'tsx'] : []
   const child = spawn(process.execPath, [...loader, file, ...parameters], {
-    stdio: ['ignore', 'pipe', 'pipe'], env: { ...process.env, ...options.environment }
+    // The open pipe to standard input tells a stand-in whether this process still runs, however it ends.
+    stdio: ['pipe', 'pipe', 'pipe'], env: { ...process.env, [EXIT_WITH_PARENT]: '1', ...options.environment }
   })
   children.add(child)
+  child.stdin.on('error', () => undefined)
   const lines: string[] = []
   const exited = new Promise<number | NodeJS.Signals>((resolve) => {
     child.once('exit', (code, signal) => {
--- a/standins/service/server.ts
+++ b/standins/service/server.ts
@@ -112,7 +112,8 @@
       'PUT leaving': async () => { state.leaving = (await readJson<{ leaving: boolean }>()).leaving },
       'POST crash': () => { setImmediate(crash) },
       'GET journal': () => ({ incarnation, entries: journal.entries() }),
-      'DELETE journal': () => journal.clear()
+      'DELETE journal': () => journal.clear(),
+      'GET state': () => ({ incarnation, ...state })
     }
     const action = actions[`${method} ${segments[0] ?? ''}`] as (() => unknown) | undefined
     if (action === undefined) sendJson(404, { code: 'not_found', message: 'no such control' })
