--- a/src/upstream/registry.ts
+++ b/src/upstream/registry.ts
@@ -8,8 +8,8 @@
   UpstreamEventKind, UpstreamRegistry, UpstreamRegistryOptions, UpstreamView
 } from './registryTypes'
 import {
-  adoptIncarnation, adoptReport, createUpstreamState, endPrefill, noteFailure, noteSuccess, ownQueuedTokens,
-  prefillRate, queuedTokens
+  adoptIncarnation, adoptReport, beginWork, createUpstreamState, endPrefill, endWork, noteFailure, noteSuccess,
+  ownQueuedTokens, prefillRate, queuedTokens
 } from './upstreamState'
 import type { UpstreamState } from './upstreamState'
 
@@ -87,12 +87,21 @@
     }
   }
 
+  /** Sums over all peers; kept until an announcement arrives or lapses, since every decision reads all of them. */
+  let peerSums: { tokens: Map<string, number>, validUntil: MonotonicMilliseconds } | undefined
+
   function peerTokens (upstream: string, now: MonotonicMilliseconds): number {
-    let tokens = 0
-    for (const { work, receivedAt } of peers.values()) {
-      if (now - receivedAt <= PEER_WORK_LIFETIME_MS) tokens += work[upstream] ?? 0
+    if (peerSums === undefined || now > peerSums.validUntil) {
+      peerSums = { tokens: new Map(), validUntil: Infinity }
+      for (const { work, receivedAt } of peers.values()) {
+        if (now - receivedAt > PEER_WORK_LIFETIME_MS) continue
+        peerSums.validUntil = Math.min(peerSums.validUntil, receivedAt + PEER_WORK_LIFETIME_MS)
+        for (const name of Object.keys(work)) {
+          peerSums.tokens.set(name, (peerSums.tokens.get(name) ?? 0) + work[name]!)
+        }
+      }
     }
-    return tokens
+    return peerSums.tokens.get(upstream) ?? 0
   }
 
   const isSuspected = (state: UpstreamState): boolean => state.failures >= failureLimit
@@ -113,7 +122,7 @@
       suspected: isSuspected(state),
       listed: state.listed,
       loaded: state.report?.loaded ?? [],
-      inFlight: state.work.size,
+      inFlight: state.inFlight.size,
       queuedTokens: queuedTokens(state, peerTokens(name, now), now),
       prefillTokensPerSecond: prefillRate(state)
     }
@@ -146,6 +155,7 @@
     },
     applyPeerWork (peer, work, now) {
       peers.set(peer, { work, receivedAt: now })
+      peerSums = undefined
     },
     markLeaving (upstream, incarnation) {
       const state = states.get(upstream)
@@ -155,14 +165,15 @@
     },
     startWork (upstream, identifier, tokens, now) {
       const state = states.get(upstream)
-      state?.work.set(identifier, { tokens, startedAt: now, alone: state.work.size === 0, prefilled: false })
+      if (state !== undefined) beginWork(state, identifier, tokens, now)
     },
     finishPrefill (upstream, identifier, outcome) {
       const state = states.get(upstream)
       if (state !== undefined) endPrefill(state, identifier, outcome)
     },
     finishWork (upstream, identifier) {
-      states.get(upstream)?.work.delete(identifier)
+      const state = states.get(upstream)
+      if (state !== undefined) endWork(state, identifier)
     },
     recordFailure (upstream, now) {
       const state = states.get(upstream)
@@ -195,7 +206,7 @@
     services (name, now) {
       const selected = [...states.values()].filter(state =>
         state.listing.kind === 'service' && state.listing.service === name && isUsable(state))
-      selected.sort((left, right) => distanceTo(left) - distanceTo(right) || left.work.size - right.work.size)
+      selected.sort((left, right) => distanceTo(left) - distanceTo(right) || left.inFlight.size - right.inFlight.size)
       return views(selected, now)
     },
     probesDue (now) {
--- a/src/upstream/upstreamState.ts
+++ b/src/upstream/upstreamState.ts
@@ -13,12 +13,11 @@
 const LONGEST_BACKOFF_MS = 10_000
 
 /** Prompt of this instance that waits or is computed at the upstream. */
-interface OwnWork {
+interface OwnPrefill {
   tokens: number
   startedAt: MonotonicMilliseconds
   /** True when no other own work was in flight at the start; only then does the time show the prefill speed. */
   alone: boolean
-  prefilled: boolean
 }
 
 export interface UpstreamState {
@@ -38,7 +37,10 @@
   /** Probes are due from this time on while the upstream is suspected. */
   probeAt: MonotonicMilliseconds
   backoff: number
-  work: Map<string, OwnWork>
+  /** Identifiers of own requests in flight. */
+  inFlight: Set<string>
+  /** Those of them that have no first token yet. */
+  prefills: Map<string, OwnPrefill>
 }
 
 export function createUpstreamState (listing: ListedInstance, now: MonotonicMilliseconds): UpstreamState {
@@ -56,7 +58,8 @@
     failures: 0,
     probeAt: now,
     backoff: FIRST_BACKOFF_MS,
-    work: new Map()
+    inFlight: new Set(),
+    prefills: new Map()
   }
 }
 
@@ -72,7 +75,8 @@
   }
   if (restarted) {
     state.report = undefined
-    state.work.clear()
+    state.inFlight.clear()
+    state.prefills.clear()
   }
   return restarted
 }
@@ -87,20 +91,30 @@
   return state.reportedRate || state.measuredRate || INITIAL_PREFILL_RATE
 }
 
+export function beginWork (state: UpstreamState, identifier: string, tokens: number, now: MonotonicMilliseconds): void {
+  state.prefills.set(identifier, { tokens, startedAt: now, alone: state.inFlight.size === 0 })
+  state.inFlight.add(identifier)
+}
+
+export function endWork (state: UpstreamState, identifier: string): void {
+  state.inFlight.delete(identifier)
+  state.prefills.delete(identifier)
+}
+
 /** Ends the prefill of one request and learns from its duration. */
 export function endPrefill (state: UpstreamState, identifier: string, outcome: PrefillOutcome): void {
-  const work = state.work.get(identifier)
-  if (work === undefined || work.prefilled) return
-  work.prefilled = true
-  if (!work.alone || outcome.computedTokens < RATE_SAMPLE_TOKENS || outcome.milliseconds <= 0) return
+  const prefill = state.prefills.get(identifier)
+  if (prefill === undefined) return
+  state.prefills.delete(identifier)
+  if (!prefill.alone || outcome.computedTokens < RATE_SAMPLE_TOKENS || outcome.milliseconds <= 0) return
   state.measuredRate = smooth(state.measuredRate, outcome.computedTokens * 1000 / outcome.milliseconds)
 }
 
 /** Prompt tokens of this instance that are not known to be computed, sent after `since`. */
 export function ownQueuedTokens (state: UpstreamState, since = -Infinity): number {
   let tokens = 0
-  for (const work of state.work.values()) {
-    if (!work.prefilled && work.startedAt > since) tokens += work.tokens
+  for (const prefill of state.prefills.values()) {
+    if (prefill.startedAt > since) tokens += prefill.tokens
   }
   return tokens
 }
