Weight recomputation four times in the routing score

Change: the score counts recomputation at RECOMPUTE_WEIGHT = 4, about 1 / (1 - utilization) at 75%, the part of a busy period that a unit of work adds. expectedMilliseconds stays the plain expectation. The concurrency limits still push work off its holders in rush.

--- a/src/prefix/routing.ts
+++ b/src/prefix/routing.ts
@@ -1,6 +1,6 @@
 /**
  * Choice of the upstream for a request: the lowest expected time to first token, made from the queue and from the part
- * of the prompt that the upstream would have to recompute.
+ * of the prompt that the upstream would have to recompute, which counts more than once because it delays others.
  */
 import { BLOCK_BYTES, BYTES_PER_TOKEN } from '../constants'
 import type { MonotonicMilliseconds, RandomSource } from '../types'
@@ -12,7 +12,13 @@
 
 /** Used when a candidate comes without a learned prefill speed, in tokens per second. */
 const FALLBACK_PREFILL_RATE = 8000
-/** Expected times closer than this count as equal: reports and heartbeats are older than that. */
+/**
+ * Weight of recomputation in the score. Computing a block also delays the requests that come later in the same busy
+ * period, by about 1 / (1 - utilization) times its duration; 4 stands for 75%. With weight 1 every upstream recomputes
+ * every hot prefix under load, which is more load.
+ */
+const RECOMPUTE_WEIGHT = 4
+/** Scores closer than this count as equal: reports and heartbeats are older than that. */
 const TIE_MILLISECONDS = 10
 
 /** A candidate with its expected time for one request. */
@@ -20,23 +26,23 @@
   candidate: RoutingCandidate
   /** Leading blocks believed cached, uncertain ones by their weight. */
   blocks: number
-  /** Milliseconds of prefill for the tokens that are not cached. */
-  recompute: number
   /** Milliseconds to the first token: queue, recomputation and distance. */
   expected: number
+  /** The same with the recomputation at its weight; the lowest is the best. */
+  score: number
   /** Rendezvous weight for the request's first block. */
   weight: number
 }
 
 /**
- * Chooses by expected time to first token. Requests without a cached prefix choose between the two first upstreams in
+ * Chooses by score. Requests without a cached prefix choose between the two first upstreams in
  * rendezvous order, and requests with one between the best holder and one non-holder, so that instances that see the
  * same idle upstream do not all choose it.
  */
 export const chooseUpstream: RoutingPolicy = (request, candidates, index, now, random) => {
   const estimates = estimate(request, candidates, index, now, random)
   if (estimates.length === 0) return undefined
-  const holders = estimates.filter(({ blocks }) => blocks > 0).sort(byExpected)
+  const holders = estimates.filter(({ blocks }) => blocks > 0).sort(byScore)
   const others = estimates.filter(({ blocks }) => blocks === 0).sort(byWeight)
   const chosen = holders.length === 0 ? chooseCold(others) : chooseWarm(holders[0]!, others)
   return decisionFor(chosen, estimates)
@@ -66,7 +72,8 @@
     const perToken = 1000 / (candidate.prefillTokensPerSecond || FALLBACK_PREFILL_RATE)
     const recompute = Math.max(0, request.promptTokens - blocks * BLOCK_TOKENS) * perToken
     const expected = candidate.queuedTokens * perToken + recompute + candidate.distanceMilliseconds
-    estimates.push({ candidate, blocks, recompute, expected, weight: rendezvousWeight(key, candidate.upstream) })
+    const score = expected + (RECOMPUTE_WEIGHT - 1) * recompute
+    estimates.push({ candidate, blocks, expected, score, weight: rendezvousWeight(key, candidate.upstream) })
   }
   return estimates
 }
@@ -75,13 +82,13 @@
 function chooseCold (ranked: readonly Estimate[]): Estimate {
   const first = ranked[0]!
   const second = ranked[1]
-  return second !== undefined && second.expected + TIE_MILLISECONDS < first.expected ? second : first
+  return second !== undefined && second.score + TIE_MILLISECONDS < first.score ? second : first
 }
 
-/** The best holder, unless waiting for it costs more than recomputing at the first non-holder in rendezvous order. */
+/** The best holder, unless its queue costs more than recomputing at the first non-holder in rendezvous order. */
 function chooseWarm (holder: Estimate, ranked: readonly Estimate[]): Estimate {
   const other = ranked[0]
-  return other !== undefined && other.expected + TIE_MILLISECONDS < holder.expected ? other : holder
+  return other !== undefined && other.score + TIE_MILLISECONDS < holder.score ? other : holder
 }
 
 function decisionFor (chosen: Estimate, estimates: readonly Estimate[]): RoutingDecision {
@@ -92,15 +99,15 @@
     expectedMilliseconds: chosen.expected,
     alternatives: estimates
       .filter(other => other !== chosen)
-      .sort(byExpected)
+      .sort(byScore)
       .map(({ candidate }) => candidate.upstream)
   }
 }
 
 /** Near ties go to the higher rendezvous weight, so that all instances agree without communicating. */
-function byExpected (left: Estimate, right: Estimate): number {
-  const leftStep = Math.floor(left.expected / TIE_MILLISECONDS)
-  const rightStep = Math.floor(right.expected / TIE_MILLISECONDS)
+function byScore (left: Estimate, right: Estimate): number {
+  const leftStep = Math.floor(left.score / TIE_MILLISECONDS)
+  const rightStep = Math.floor(right.score / TIE_MILLISECONDS)
   return leftStep - rightStep || byWeight(left, right)
 }
 
