Wire the daemon: state, gateway, periodic tasks, peer handlers

Cause: the parts need one place that connects them and owns their timers, start and end.

The schemas keep the fields that samples and loan requests have gained.

--- /dev/null
+++ b/src/cli/serveCommand.ts
@@ -0,0 +1,21 @@
+/** `serve`: runs the router daemon until it is told to stop. */
+import { readFileSync } from 'node:fs'
+import { startDaemon } from '../compose'
+import { readSettings } from '../configuration/settings'
+import { UsageError } from '../errors'
+
+/** Starts the daemon and resolves when it has stopped after SIGTERM or SIGINT. */
+export async function runServeCommand (settingsFile: string): Promise<void> {
+  let text: string
+  try {
+    text = readFileSync(settingsFile, 'utf8')
+  } catch (cause) {
+    throw new UsageError(`cannot read the settings file ${settingsFile}`, { cause })
+  }
+  const daemon = await startDaemon(readSettings(settingsFile, text))
+  await new Promise<void>((resolve, reject) => {
+    const stop = (): void => { daemon.stop().then(resolve, reject) }
+    process.on('SIGTERM', stop)
+    process.on('SIGINT', stop)
+  })
+}
--- /dev/null
+++ b/src/compose.ts
@@ -0,0 +1,286 @@
+/** Wires the parts of one router daemon and owns its start and its end. */
+import { randomUUID } from 'node:crypto'
+import { createGateway } from './composeGateway'
+import { createInstanceState } from './composeState'
+import type { InstanceIdentity } from './composeState'
+import { createTasks } from './composeTasks'
+import type { Tasks } from './composeTasks'
+import type { Settings } from './configuration/settings'
+import { formatEndpoint } from './http/connections'
+import { createControlServer } from './gateway/controlServer'
+import { LogEvent } from './observability/events'
+import { createHybridClock } from './observability/hybridClock'
+import { createEventLog } from './observability/log'
+import { createMetrics } from './observability/metrics'
+import { createPeerHandlers } from './peer/handlers'
+import type { CrashNotice } from './peer/messages'
+import { createPeerNode } from './peer/node'
+import { createHttpPlatformClient } from './platform/httpPlatformClient'
+import { createIdempotencyGuard } from './request/idempotency'
+import { createStatusReport } from './statusReport'
+import { createTimers } from './timers'
+import { createHttpUpstreamClient } from './upstream/engineClient'
+import type { Endpoint, KeyRecord, ListedInstance } from './types'
+
+/** Milliseconds between looks at whether the last request has ended, while stopping. */
+const DRAIN_POLL_MS = 20
+
+/** Longest time for giving back the grants; what is not given back lapses. */
+const RELEASE_LIMIT_MS = 6000
+
+/** Milliseconds without a heartbeat after which a peer's connection is closed and opened anew. */
+const PEER_SILENCE_MS = 3000
+
+export interface Daemon {
+  callerEndpoint: Endpoint
+  peerEndpoint: Endpoint
+  controlEndpoint: Endpoint
+  /** Stops gracefully: no running or queued request is interrupted unless `shutdown.limit` is set. */
+  stop: () => Promise<void>
+}
+
+/** Starts a daemon. Rejects when an address is taken. */
+export async function startDaemon (settings: Settings): Promise<Daemon> {
+  const identity: InstanceIdentity = {
+    name: settings.instance.name, incarnation: Date.now(), dataCentre: settings.instance.dataCentre
+  }
+  const now = (): number => performance.now()
+  const wallClock = Date.now
+  const random = Math.random
+  const clock = createHybridClock()
+  const { log, registerKey, flush } = createEventLog({
+    instance: identity.name, incarnation: identity.incarnation, clock, level: settings.log.level
+  })
+  const metrics = createMetrics({
+    instance: identity.name,
+    dataCentre: identity.dataCentre,
+    prefix: settings.statsd.prefix,
+    ...(settings.statsd.address === undefined ? {} : { address: settings.statsd.address })
+  })
+  const platform = createHttpPlatformClient({
+    endpoint: endpointOf(settings.platform.address), wholeTimeout: settings.platform.timeout
+  })
+  const client = createHttpUpstreamClient()
+  const reportFault = (error: unknown): void => {
+    const { message, stack } = error instanceof Error ? error : new Error(String(error))
+    log(LogEvent.requestFailed, { errorCode: 'internal', message, stack }, 'error')
+  }
+  const timers = createTimers({ random, reportFault })
+  const createIdentifier = (): string => randomUUID()
+  let phase: 'running' | 'leaving' | 'refusing' = 'running'
+  let snapshotSeen = false
+  const leavingPeers = new Set<string>()
+  const heardAt = new Map<string, number>()
+
+  const publishCrashes = (notices: readonly CrashNotice[]): void => {
+    for (const notice of notices) node.broadcast(notice)
+  }
+  const state = await createInstanceState({ settings, identity, log, now, random, publishCrashes })
+  const guard = createIdempotencyGuard({
+    platform, instance: identity.name, incarnation: identity.incarnation, createIdentifier
+  })
+
+  function reasonNotServing (): string | undefined {
+    if (phase === 'refusing') return 'the instance is stopping'
+    if (state.tracker.revision() === 0) return 'no configuration is known yet'
+    return snapshotSeen || state.keys.age(now()) !== undefined ? undefined : 'no keys are known yet'
+  }
+  const reasonNotReady = (): string | undefined => phase === 'running' ? reasonNotServing() : 'the instance is stopping'
+
+  const gateway = createGateway({
+    settings,
+    identity,
+    state,
+    client,
+    guard,
+    log,
+    metrics,
+    registerKey,
+    createIdentifier,
+    borrow: (customer, tokens) => tasks.borrow(customer, tokens),
+    publishCrashes,
+    reasonNotServing,
+    reasonNotReady,
+    reportFault,
+    now,
+    wallClock,
+    random
+  })
+  const handlers = createPeerHandlers({
+    node: () => node,
+    tracker: state.tracker,
+    keys: state.keys,
+    accounts: state.accounts,
+    loans: state.loans,
+    registry: state.registry,
+    crashes: state.crashes,
+    rollouts: state.rollouts,
+    leader: () => tasks.leader,
+    clock,
+    onHeartbeat (peer, message) {
+      heardAt.set(peer.instance, now())
+      if (message.state === 'leaving') leavingPeers.add(peer.instance)
+      else leavingPeers.delete(peer.instance)
+    },
+    onSnapshot () { snapshotSeen = true },
+    instances: () => tasks.instances(),
+    takeInstances: (list) => { tasks.takeList(list) },
+    onLoan: gateway.admission.wake,
+    onCrashes: gateway.dispatcher.pump,
+    log,
+    now,
+    wallClock
+  })
+  const node = await createPeerNode({
+    self: {
+      instance: identity.name,
+      incarnation: identity.incarnation,
+      dataCentre: identity.dataCentre,
+      endpoint: settings.listen.peer
+    },
+    onMessage: handlers.handle,
+    onConnected (peer) {
+      heardAt.set(peer.instance, now())
+      leavingPeers.delete(peer.instance)
+      log(LogEvent.peerConnected, { peer: peer.instance, incarnation: peer.incarnation })
+      tasks.grants.observeIncarnation(formatEndpoint(peer.endpoint), peer.incarnation, now())
+      handlers.requestSnapshot(peer.instance)
+    },
+    onDisconnected (peer, error) {
+      heardAt.delete(peer.instance)
+      log(LogEvent.peerDisconnected, { peer: peer.instance, errorCode: error?.code })
+    },
+    onProtocolError (error, address) {
+      log(LogEvent.peerProtocolError, { address, errorCode: error.code, message: error.message }, 'warn')
+    }
+  })
+
+  function connectPeers (instances: readonly ListedInstance[]): void {
+    for (const { kind, name, peerEndpoint } of instances) {
+      if (kind === 'router' && name !== identity.name && peerEndpoint !== undefined) node.connect(peerEndpoint)
+    }
+  }
+
+  function dropSilentPeers (): void {
+    for (const { instance } of node.peers()) {
+      if (now() - (heardAt.get(instance) ?? now()) > PEER_SILENCE_MS) node.drop(instance)
+    }
+  }
+
+  const tasks: Tasks = createTasks({
+    identity,
+    peerEndpoint: node.endpoint,
+    state,
+    platform,
+    client,
+    node,
+    timers,
+    connectPeers,
+    isLeaving: (instance) => leavingPeers.has(instance),
+    isStopping: () => phase !== 'running',
+    onQuota: gateway.admission.wake,
+    pump: gateway.dispatcher.pump,
+    finishWrites: guard.tick,
+    tickClock: () => clock.tick(wallClock()),
+    log,
+    metrics,
+    reportFault,
+    now,
+    wallClock,
+    random
+  })
+  timers.every(1000, dropSilentPeers)
+
+  const control = createControlServer({
+    createIdentifier,
+    reportFault,
+    status: createStatusReport({
+      identity,
+      state,
+      reasonNotReady,
+      isStopping: () => phase !== 'running',
+      peers: () => node.peers().map(({ instance, incarnation, dataCentre }) => ({ instance, incarnation, dataCentre })),
+      openRequests: gateway.server.openRequests,
+      waitingRequests: gateway.dispatcher.size,
+      pendingWrites: guard.pendingWrites,
+      platformError: tasks.platformError,
+      now
+    }),
+    acceptKeys (records: readonly KeyRecord[]) {
+      const changed = state.keys.apply(records)
+      for (const { customer, state: keyState, version } of changed) {
+        const event = keyState === 'withdrawn' ? LogEvent.keyWithdrawn : LogEvent.keyChanged
+        log(event, { customer, keyVersion: version, source: 'operator' })
+      }
+      const notified = changed.length === 0
+        ? []
+        : node.peers().filter(({ instance }) => {
+          return node.send(instance, { kind: 'keyNotice', keys: changed })
+        }).map(({ instance }) => instance)
+      return { instance: identity.name, keyVersion: state.keys.version(), changed: changed.length, notified }
+    }
+  })
+  const controlEndpoint = await control.listen(settings.listen.control)
+  const callerEndpoint = await gateway.server.listen(settings.listen.caller)
+  log(LogEvent.daemonStarted, {
+    caller: formatEndpoint(callerEndpoint),
+    peer: formatEndpoint(node.endpoint),
+    control: formatEndpoint(controlEndpoint),
+    dataCentre: identity.dataCentre
+  })
+  for (const seed of settings.peers.seeds) node.connect(seed)
+  tasks.start().then(() => { log(LogEvent.daemonReady, { ready: reasonNotReady() === undefined }) }).catch(reportFault)
+
+  async function drain (): Promise<void> {
+    const limit = settings.shutdown.limit === 0 ? Infinity : now() + settings.shutdown.limit
+    while (gateway.server.openRequests() > 0 || guard.pendingWrites() > 0) {
+      if (now() >= limit) return
+      await pause(DRAIN_POLL_MS)
+    }
+  }
+
+  async function releaseGrants (): Promise<void> {
+    const end = now() + RELEASE_LIMIT_MS
+    while (now() < end) {
+      const { released, delay } = await tasks.grants.release(now())
+      if (released) return
+      await pause(Math.min(delay, Math.max(0, end - now())))
+    }
+  }
+
+  let stopped: Promise<void> | undefined
+  async function stop (): Promise<void> {
+    phase = 'leaving'
+    log(LogEvent.daemonStopping, { openRequests: gateway.server.openRequests() })
+    await pause(settings.shutdown.grace)
+    phase = 'refusing'
+    gateway.server.closeConnections()
+    await drain()
+    await Promise.race([releaseGrants().catch(reportFault), pause(RELEASE_LIMIT_MS)])
+    timers.stop()
+    await Promise.race([
+      Promise.allSettled([
+        gateway.server.close(), control.close(), node.close(), platform.close(), client.close(), metrics.close()
+      ]),
+      pause(1000)
+    ])
+    log(LogEvent.daemonStopped)
+    flush()
+  }
+
+  return {
+    callerEndpoint,
+    peerEndpoint: node.endpoint,
+    controlEndpoint,
+    stop: async () => { await (stopped ??= stop()) }
+  }
+}
+
+function endpointOf (address: string): Endpoint {
+  const url = new URL(address)
+  return { host: url.hostname, port: Number(url.port === '' ? 80 : url.port) }
+}
+
+async function pause (milliseconds: number): Promise<void> {
+  await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
+}
--- /dev/null
+++ b/src/composeState.ts
@@ -0,0 +1,170 @@
+/** Creates the decision state of one instance and connects its parts with each other. Owns no socket and no timer. */
+import type { Settings } from './configuration/settings'
+import { createRevisionTracker } from './configuration/revisionTracker'
+import { createKeySet } from './customer/keys'
+import { createConcurrencyLimit } from './fairness/concurrencyLimit'
+import { createFairQueue } from './fairness/fairQueue'
+import type { ConcurrencyLimit } from './fairness/types'
+import { LogEvent } from './observability/events'
+import type { EventLog } from './observability/events'
+import type { CrashNotice } from './peer/messages'
+import { createBlockIndex } from './prefix/blockIndex'
+import { createBlockKeyFunction } from './prefix/blockKeys'
+import { createColdPrefixGate } from './prefix/coldPrefix'
+import { createQuotaAccounts } from './quota/accounts'
+import { createLoanPlanner } from './quota/borrowing'
+import { createRetryBudget } from './request/retryBudget'
+import { createLocalBrake } from './rollout/localBrake'
+import { createRolloutSampler } from './rollout/sampler'
+import type { RequestOutcome } from './rollout/sampler'
+import { RolloutPhase } from './rollout/types'
+import type { RolloutRecord } from './rollout/types'
+import { createRolloutView } from './rollout/view'
+import { createCrashLedger } from './upstream/crashLedger'
+import { createUpstreamRegistry } from './upstream/registry'
+import type { UpstreamEvent } from './upstream/registryTypes'
+import type { FleetConfiguration, Incarnation, MonotonicMilliseconds, RandomSource } from './types'
+
+/** Entries of the block index; one takes 18 bytes, so that the index stays below 20 MB. */
+const INDEX_ENTRIES = 1_000_000
+
+export interface InstanceIdentity {
+  name: string
+  incarnation: Incarnation
+  dataCentre: string
+}
+
+export interface StateOptions {
+  settings: Settings
+  identity: InstanceIdentity
+  log: EventLog
+  now: () => MonotonicMilliseconds
+  random: RandomSource
+  /** Sends crash notices to all peers. */
+  publishCrashes: (notices: readonly CrashNotice[]) => void
+}
+
+export type InstanceState = Awaited<ReturnType<typeof createInstanceState>>
+
+const UPSTREAM_EVENTS = {
+  found: LogEvent.upstreamFound,
+  lost: LogEvent.upstreamLost,
+  leaving: LogEvent.upstreamLeaving,
+  restarted: LogEvent.upstreamRestarted
+} as const
+
+/** Rejects when WebAssembly, which the block hash needs, is not available. */
+export async function createInstanceState (options: StateOptions) {
+  const { settings, identity, log, now, random } = options
+  const tracker = createRevisionTracker()
+  const keys = createKeySet({ maximumAge: settings.keys.maximumAge })
+  const accounts = createQuotaAccounts()
+  const loans = createLoanPlanner({
+    accounts, dataCentre: identity.dataCentre, identifierPrefix: `${identity.name}/${identity.incarnation}`
+  })
+  const queue = createFairQueue({
+    maximumRequests: settings.queue.requests,
+    maximumTokens: settings.queue.tokens,
+    maximumRequestsPerCustomer: settings.queue.customerRequests,
+    maximumTokensPerCustomer: settings.queue.customerTokens
+  })
+  const limits = new Map<string, ConcurrencyLimit>()
+  const index = createBlockIndex({ maximumEntries: INDEX_ENTRIES })
+  const crashes = createCrashLedger()
+  /** Incarnations as last seen, so that a restart tells which one has ended. */
+  const incarnations = new Map<string, Incarnation>()
+
+  function limitOf (upstream: string): ConcurrencyLimit {
+    let limit = limits.get(upstream)
+    if (limit === undefined) {
+      limit = createConcurrencyLimit()
+      limits.set(upstream, limit)
+    }
+    return limit
+  }
+
+  function onUpstreamEvent ({ kind, upstream, incarnation }: UpstreamEvent): void {
+    log(UPSTREAM_EVENTS[kind], { upstream, incarnation })
+    if (kind === 'lost') {
+      index.dropUpstream(upstream)
+      limits.delete(upstream)
+      incarnations.delete(upstream)
+    } else if (kind === 'restarted') {
+      const ended = incarnations.get(upstream)
+      incarnations.set(upstream, incarnation)
+      if (ended !== undefined && ended !== incarnation) publish(crashes.upstreamDied(upstream, ended, now()))
+    }
+  }
+
+  function publish (notices: readonly CrashNotice[]): void {
+    if (notices.length === 0) return
+    log(LogEvent.crashCounted, { upstream: notices[0]?.upstream ?? '', requests: notices.length }, 'warn')
+    options.publishCrashes(notices)
+  }
+
+  const registry = createUpstreamRegistry({
+    dataCentre: identity.dataCentre,
+    hasRoom: (upstream) => limitOf(upstream).inFlight() < limitOf(upstream).limit(),
+    onEvent: onUpstreamEvent
+  })
+  const brake = createLocalBrake()
+  const rollouts = createRolloutView({ isBraked: (model, version) => brake.isBraked(model, version, now()) })
+  const sampler = createRolloutSampler({
+    referenceVersion: (model) => runningRollout(rollouts.record(model))?.fromVersion,
+    isBraked: (model, version, route) => brake.isRouteBraked(model, version, route, now())
+  })
+
+  function recordOutcome (outcome: RequestOutcome): void {
+    const { model, version, route, failed } = outcome
+    sampler.record(outcome)
+    if (runningRollout(rollouts.record(model))?.toVersion !== version) return
+    if (brake.record(model, version, route, failed, now())) {
+      log(LogEvent.rolloutLocalBrake, { rollout: model, model, version, route }, 'warn')
+    }
+  }
+
+  function chooseVersion (model: string, failed: string | undefined): string {
+    const fallback = failed === undefined ? undefined : rollouts.fallbackVersion(model, failed)
+    const configured = tracker.current()?.configuration.models.find(({ name }) => name === model)?.version
+    return fallback ?? rollouts.chooseVersion(model, random) ?? configured ?? ''
+  }
+
+  tracker.onAccepted(({ configuration }) => { applyConfiguration(configuration) })
+  function applyConfiguration ({ customers }: FleetConfiguration): void {
+    accounts.setLimits(customers.map(({ name, rate, burst }) => ({ customer: name, rate, burst })), now())
+    queue.setWeights(new Map(customers.map(({ name, weight }) => [name, weight])))
+  }
+
+  return {
+    tracker,
+    keys,
+    accounts,
+    loans,
+    queue,
+    limitOf,
+    index,
+    crashes,
+    registry,
+    rollouts,
+    brake,
+    sampler,
+    gate: createColdPrefixGate(),
+    retryBudget: createRetryBudget(),
+    blockKeys: await createBlockKeyFunction(),
+    recordOutcome,
+    chooseVersion,
+    /** Notes the present incarnations; called every second or so. */
+    noteIncarnations () {
+      for (const { name, incarnation } of registry.upstreams(now())) {
+        if (incarnation !== 0) incarnations.set(name, incarnation)
+      }
+    }
+  }
+}
+
+/** The record while the versions of its rollout are compared. */
+function runningRollout (record: RolloutRecord | undefined): RolloutRecord | undefined {
+  if (record === undefined || record.fromVersion === undefined) return undefined
+  const compared = record.phase === RolloutPhase.canary || record.phase === RolloutPhase.completeShare
+  return compared ? record : undefined
+}
--- /dev/null
+++ b/src/composeTasks.ts
@@ -0,0 +1,272 @@
+/** Periodic work of one instance: polls of platform and upstreams, grants, loans, heartbeats, rollouts. */
+import type { InstanceIdentity, InstanceState } from './composeState'
+import { createConfigurationTask } from './configuration/configurationTask'
+import { createKeyTask } from './customer/keyTask'
+import { RouterError } from './errors'
+import { LogEvent } from './observability/events'
+import type { EventLog, Metrics } from './observability/events'
+import { MetricName } from './observability/metrics'
+import type { PeerNode } from './peer/node'
+import { rankByRendezvous } from './prefix/rendezvous'
+import type { InstanceList, PlatformClient } from './platform/types'
+import { BORROWING_INTERVAL_MS } from './quota/borrowing'
+import type { PlannedLoan } from './quota/borrowing'
+import { createGrantTask } from './quota/grantTask'
+import { createRolloutLeader, leaderInstance } from './rollout/leader'
+import { RolloutPhase } from './rollout/types'
+import type { RolloutEffect, RolloutRecord } from './rollout/types'
+import type { Timers } from './timers'
+import { createUpstreamPolling } from './upstream/upstreamPolling'
+import type { UpstreamClient } from './upstream/types'
+import { InstanceState as ListedState } from './types'
+import type { Endpoint, ListedInstance, MonotonicMilliseconds, RandomSource, WallClockMilliseconds } from './types'
+
+const SECOND_MS = 1000
+
+/** Milliseconds between polls of the engines' reports and cache events, for each engine that is polled. */
+const POLL_INTERVAL_PER_ENGINE_MS = 20
+const SHORTEST_POLL_INTERVAL_MS = 250
+
+/** Milliseconds between rounds of probes; the registry decides which upstreams are due. */
+const PROBE_INTERVAL_MS = 250
+
+/** Milliseconds between looks at the queue when no event asks for one; bounds how late a deadline is noticed. */
+const PUMP_INTERVAL_MS = 50
+
+/** Instances up to which every one may lead any rollout; above, two for each model do. */
+const SMALL_FLEET = 16
+const LEADERS_PER_MODEL = 2
+
+export interface TasksOptions {
+  identity: InstanceIdentity
+  peerEndpoint: Endpoint
+  state: InstanceState
+  platform: PlatformClient
+  client: UpstreamClient
+  node: PeerNode
+  timers: Timers
+  /** Connects to the peers of a new list. */
+  connectPeers: (instances: readonly ListedInstance[]) => void
+  /** Routers that said that they are leaving. */
+  isLeaving: (instance: string) => boolean
+  isStopping: () => boolean
+  /** A grant or a loan may have come. */
+  onQuota: () => void
+  pump: () => void
+  /** Repeats unfinished writes of the idempotency guard. */
+  finishWrites: () => Promise<void>
+  tickClock: () => string
+  log: EventLog
+  metrics: Metrics
+  reportFault: (error: unknown) => void
+  now: () => MonotonicMilliseconds
+  wallClock: () => WallClockMilliseconds
+  random: RandomSource
+}
+
+export type Tasks = ReturnType<typeof createTasks>
+
+export function createTasks (options: TasksOptions) {
+  const { identity, state, platform, client, node, timers, log, metrics, now, wallClock, random } = options
+  let list: InstanceList | undefined
+  let listError: RouterError | undefined
+  let platformAway = false
+
+  const configurationTask = createConfigurationTask({ platform, tracker: state.tracker, log })
+  const keyTask = createKeyTask({
+    platform, keys: state.keys, log, onChanged: (keys) => { node.broadcast({ kind: 'keyNotice', keys }) }
+  })
+  const polling = createUpstreamPolling({
+    client, registry: state.registry, index: state.index, onChanged: options.pump, log, now
+  })
+  const routers = (): ListedInstance[] => (list?.instances ?? []).filter(({ kind, state: listed }) => {
+    return kind === 'router' && listed === ListedState.live
+  })
+  const grants = createGrantTask({
+    platform,
+    accounts: state.accounts,
+    self: {
+      instance: identity.name,
+      incarnation: identity.incarnation,
+      address: `${options.peerEndpoint.host}:${options.peerEndpoint.port}`,
+      dataCentre: identity.dataCentre
+    },
+    weights: () => new Map(
+      state.tracker.current()?.configuration.dataCentres.map(({ name, weight }) => [name, weight])
+    ),
+    liveInstances: () => routers().filter(({ name, dataCentre }) => {
+      return dataCentre === identity.dataCentre && !options.isLeaving(name)
+    }).map(({ name }) => name),
+    clock: now,
+    random
+  })
+  const leader = createRolloutLeader({
+    platform,
+    self: { instance: identity.name, incarnation: identity.incarnation },
+    configuration: state.tracker.current,
+    engines: () => state.registry.upstreams(now()).filter(({ kind }) => kind === 'engine'),
+    mayLead (model) {
+      const names = [...new Set([identity.name, ...routers().map(({ name }) => name)])]
+      return names.length <= SMALL_FLEET ||
+        rankByRendezvous(model, names).slice(0, LEADERS_PER_MODEL).includes(identity.name)
+    },
+    onRecord: takeRecord
+  })
+
+  function takeRecord (record: RolloutRecord): void {
+    if (!state.rollouts.offer(record)) return
+    node.broadcast({ kind: 'rolloutNotice', record })
+    logRecord(record)
+  }
+
+  function logRecord (record: RolloutRecord): void {
+    const event = record.phase === RolloutPhase.rolledBack
+      ? LogEvent.rolloutRolledBack
+      : record.phase === RolloutPhase.finished ? LogEvent.rolloutFinished : LogEvent.rolloutStep
+    const { model, phase, share, toVersion, reason, leader: by } = record
+    log(event, { rollout: model, model, version: toVersion, phase, share, reason, leader: by })
+  }
+
+  function takeList (newer: InstanceList): void {
+    if (list !== undefined && newer.asOf < list.asOf) return
+    list = newer
+    state.registry.applyList(newer.instances, newer.asOf, now())
+    options.connectPeers(newer.instances)
+  }
+
+  async function pollList (): Promise<void> {
+    try {
+      takeList(await platform.listInstances())
+      listError = undefined
+    } catch (error) {
+      if (!(error instanceof RouterError)) throw error
+      listError = error
+    }
+  }
+
+  const platformError = (): RouterError | undefined => listError ?? configurationTask.lastError() ?? keyTask.lastError()
+
+  function notePlatform (): void {
+    const error = platformError()
+    if (platformAway === (error !== undefined)) return
+    platformAway = error !== undefined
+    if (error === undefined) log(LogEvent.platformAvailable)
+    else log(LogEvent.platformUnavailable, { errorCode: error.code }, 'warn')
+    if (error !== undefined) metrics.increment(MetricName.platformFailures)
+  }
+
+  async function renewGrants (): Promise<number> {
+    if (state.tracker.revision() === 0) return SECOND_MS / 4
+    const { outcome, delay, units, reclaimed } = await grants.tick(now())
+    if (outcome === 'renewed') log(LogEvent.quotaGranted, { floor: units.floor, pool: units.pool }, 'debug')
+    for (const { instance, tier, units: count } of reclaimed) {
+      log(LogEvent.quotaReclaimed, { peer: instance, tier, units: count })
+    }
+    options.onQuota()
+    return delay
+  }
+
+  function sendLoans (loans: readonly PlannedLoan[]): void {
+    for (const { peer, request } of loans) node.send(peer, { kind: 'loanRequest', ...request })
+  }
+
+  const loanPeers = () => node.peers().filter(({ instance }) => !options.isLeaving(instance))
+
+  function sendHeartbeat (): void {
+    node.broadcast({
+      kind: 'heartbeat',
+      state: options.isStopping() ? ListedState.leaving : ListedState.live,
+      revision: state.tracker.revision(),
+      keyVersion: state.keys.version(),
+      work: state.registry.ownWork(),
+      clock: options.tickClock()
+    })
+  }
+
+  function sendSamples (): void {
+    const samples = state.sampler.drain()
+    for (const model of new Set(samples.map((sample) => sample.model))) {
+      const record = state.rollouts.record(model)
+      if (record === undefined) continue
+      const part = samples.filter((sample) => sample.model === model)
+      const target = leaderInstance(record.leader)
+      if (target === identity.name) leader.addSamples(identity.name, part)
+      else node.send(target, { kind: 'rolloutSample', samples: part })
+    }
+  }
+
+  function carryOut (effects: readonly RolloutEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'record') {
+        node.broadcast({ kind: 'rolloutNotice', record: effect.record })
+        continue
+      }
+      const { engine, endpoint, order, validUntil } = effect
+      // A leader whose lease has lapsed, or that was replaced, must not order any more.
+      if (now() >= validUntil || order.fencingToken < state.rollouts.fencingToken(order.model)) continue
+      client.order(endpoint, order).catch((error: unknown) => {
+        log(LogEvent.rolloutStep, {
+          rollout: order.model,
+          upstream: engine,
+          version: order.version,
+          order: order.kind,
+          message: (error as Error).message
+        }, 'warn')
+        if (order.kind === 'load') leader.loadFailed(engine, order.model, order.version)
+      })
+    }
+  }
+
+  function tidy (): void {
+    state.registry.expire(now())
+    state.noteIncarnations()
+    notePlatform()
+    metrics.gauge(MetricName.indexEntries, state.index.entryCount())
+    metrics.gauge(MetricName.queueSize, state.queue.size())
+    metrics.gauge(MetricName.peers, node.peers().length)
+  }
+
+  const pollInterval = (): number => {
+    return Math.max(SHORTEST_POLL_INTERVAL_MS, state.registry.upstreams(now()).length * POLL_INTERVAL_PER_ENGINE_MS)
+  }
+
+  return {
+    leader,
+    grants,
+    polling,
+    platformError: () => platformError()?.message,
+    instances: () => list,
+    takeList,
+    /** Sends requests for loans that would admit the request; returns how long to wait for the replies. */
+    borrow (customer: string, tokens: number): number | undefined {
+      const plan = state.loans.planLoans(customer, tokens, loanPeers(), now())
+      if (plan === undefined) return undefined
+      sendLoans(plan.loans)
+      return plan.waitMilliseconds
+    },
+    /** Asks the platform for everything at once, then starts the timers. Resolves after the first answers. */
+    async start (): Promise<void> {
+      timers.every(PUMP_INTERVAL_MS, options.pump)
+      timers.every(SECOND_MS, sendHeartbeat)
+      timers.every(SECOND_MS, sendSamples)
+      timers.every(SECOND_MS, tidy)
+      timers.every(SECOND_MS, options.finishWrites)
+      timers.every(BORROWING_INTERVAL_MS, () => { sendLoans(state.loans.planAhead(loanPeers(), now())) })
+      timers.every(PROBE_INTERVAL_MS, polling.probe)
+      timers.every(SECOND_MS * 60, () => { state.retryBudget.prune(now()) })
+      timers.paced(renewGrants)
+      timers.paced(async () => {
+        // A silent engine must not hold up the next round for the others.
+        polling.pollReports().catch(options.reportFault)
+        polling.pollEvents().catch(options.reportFault)
+        return pollInterval()
+      })
+      await Promise.all([configurationTask.tick(now()), keyTask.tick(now()), pollList()])
+      await polling.pollReports()
+      timers.every(SECOND_MS, async () => { await configurationTask.tick(now()) })
+      timers.every(SECOND_MS, async () => { await keyTask.tick(now()) })
+      timers.every(SECOND_MS, pollList)
+      timers.every(SECOND_MS, async () => { carryOut(await leader.tick(now(), wallClock())) })
+    }
+  }
+}
--- a/src/observability/metrics.ts
+++ b/src/observability/metrics.ts
@@ -31,6 +31,8 @@
 export interface MetricsOptions {
   /** StatsD address; nothing is sent without one. @default undefined */
   address?: Endpoint
+  /** Before every name. @default 'waxwingspoke.' */
+  prefix?: string
   instance: string
   dataCentre: string
 }
@@ -45,7 +47,7 @@
     host: options.address?.host ?? '127.0.0.1',
     port: options.address?.port ?? 8125,
     mock: options.address === undefined,
-    prefix: 'waxwingspoke.',
+    prefix: options.prefix ?? 'waxwingspoke.',
     globalTags: { instance: options.instance, data_centre: options.dataCentre },
     cacheDns: true,
     // A lost metric is not worth a log line of its own.
--- a/src/peer/__tests__/frames.test.ts
+++ b/src/peer/__tests__/frames.test.ts
@@ -39,10 +39,22 @@
   route: name,
   requests: count,
   failures: count,
+  firstTokens: count,
+  betweenTokens: count,
   slowFirstTokens: count,
   slowTokens: count,
   firstTokenMilliseconds: amount,
-  betweenTokensMilliseconds: amount
+  betweenTokensMilliseconds: amount,
+  braked: fc.boolean()
+})
+const listed = fc.record({
+  name,
+  kind: fc.constantFrom('router' as const, 'engine' as const, 'service' as const),
+  dataCentre: name,
+  endpoint,
+  peerEndpoint: maybe(endpoint),
+  state: fc.constantFrom('live' as const, 'leaving' as const),
+  service: maybe(name)
 })
 const configuration = fc.record({
   revision: count,
@@ -95,12 +107,13 @@
     configuration: maybe(configuration),
     keys: fc.array(key),
     crashes: fc.array(crash),
-    rollouts: fc.array(record)
+    rollouts: fc.array(record),
+    instances: maybe(fc.record({ instances: fc.array(listed), asOf: wall }))
   }),
   configurationNotice: fc.record({ kind: fc.constant('configurationNotice'), configuration }),
   keyNotice: fc.record({ kind: fc.constant('keyNotice'), keys: fc.array(key) }),
   crashNotice: crash,
-  loanRequest: fc.record({ kind: fc.constant('loanRequest'), ...loan }),
+  loanRequest: fc.record({ kind: fc.constant('loanRequest'), ...loan, renews: maybe(name) }),
   loanReply: fc.record({ kind: fc.constant('loanReply'), ...loan }),
   rolloutSample: fc.record({ kind: fc.constant('rolloutSample'), samples: fc.array(sample) }),
   rolloutNotice: fc.record({ kind: fc.constant('rolloutNotice'), record })
--- a/src/peer/messages.ts
+++ b/src/peer/messages.ts
@@ -1,6 +1,7 @@
 /** Messages between router instances. Each is one cbor-x value in a length-prefixed frame. */
 import type { ConfigurationRevision, Endpoint, Incarnation, InstanceState, KeyRecord } from '../types'
 import type { LoanReply, LoanRequest } from '../quota/types'
+import type { InstanceList } from '../platform/types'
 import type { RolloutRecord, RolloutSample } from '../rollout/types'
 
 /** Version of the peer protocol; connections between different versions are refused. */
@@ -43,6 +44,8 @@
   keys: readonly KeyRecord[]
   crashes: readonly CrashNotice[]
   rollouts: readonly RolloutRecord[]
+  /** Newest instance list that the sender has; lets an instance that starts during a platform outage find upstreams. */
+  instances: InstanceList | undefined
 }
 
 /** A new revision; the receiver keeps it when it is higher than its own. */
--- a/src/peer/schemas.ts
+++ b/src/peer/schemas.ts
@@ -40,6 +40,16 @@
 
 const key = z.object({ hash: name, customer: name, state: z.enum(['granted', 'withdrawn']), version: count })
 
+const listedInstance = z.object({
+  name,
+  kind: z.enum(['router', 'engine', 'service']),
+  dataCentre: name,
+  endpoint,
+  peerEndpoint: endpoint.optional(),
+  state: z.enum(['live', 'leaving']),
+  service: name.optional()
+})
+
 const crashNotice = z.object({
   kind: z.literal('crashNotice'), fingerprint: name, upstream: name, incarnation: z.number(), age: amount
 })
@@ -68,10 +78,13 @@
   route: name,
   requests: count,
   failures: count,
+  firstTokens: count,
+  betweenTokens: count,
   slowFirstTokens: count,
   slowTokens: count,
   firstTokenMilliseconds: amount,
-  betweenTokensMilliseconds: amount
+  betweenTokensMilliseconds: amount,
+  braked: z.boolean()
 })
 
 const loanTerms = { identifier: name, customer: name, rate: amount, capacity: amount, tokens: amount, duration: amount }
@@ -96,12 +109,13 @@
     configuration: configuration.optional(),
     keys: z.array(key),
     crashes: z.array(crashNotice),
-    rollouts: z.array(rolloutRecord)
+    rollouts: z.array(rolloutRecord),
+    instances: z.object({ instances: z.array(listedInstance), asOf: z.number() }).optional()
   }),
   configurationNotice: z.object({ kind: z.literal('configurationNotice'), configuration }),
   keyNotice: z.object({ kind: z.literal('keyNotice'), keys: z.array(key) }),
   crashNotice,
-  loanRequest: z.object({ kind: z.literal('loanRequest'), ...loanTerms }),
+  loanRequest: z.object({ kind: z.literal('loanRequest'), ...loanTerms, renews: name.optional() }),
   loanReply: z.object({ kind: z.literal('loanReply'), ...loanTerms }),
   rolloutSample: z.object({ kind: z.literal('rolloutSample'), samples: z.array(rolloutSample) }),
   rolloutNotice: z.object({ kind: z.literal('rolloutNotice'), record: rolloutRecord })
