--- a/src/peer/schemas.ts
+++ b/src/peer/schemas.ts
@@ -2,7 +2,9 @@
 import { z } from 'zod'
 import { RolloutPhase, RollbackReason } from '../rollout/types'
 import type { RolloutRecord, RolloutSample } from '../rollout/types'
-import type { CustomerConfiguration, KeyRecord, ModelConfiguration, RouteConfiguration } from '../types'
+import type {
+  CustomerConfiguration, KeyRecord, ListedInstance, ModelConfiguration, RouteConfiguration
+} from '../types'
 import type { PeerMessage } from './messages'
 
 /** Fields of a type, each with a schema. A field that is missing here would be dropped from every received message. */
@@ -49,6 +51,16 @@
   hash: name, customer: name, state: z.enum(['granted', 'withdrawn']), version: count
 } satisfies FieldsOf<KeyRecord>)
 
+const listedInstance = z.object({
+  name,
+  kind: z.enum(['router', 'engine', 'service']),
+  dataCentre: name,
+  endpoint,
+  peerEndpoint: endpoint.optional(),
+  state: z.enum(['live', 'leaving']),
+  service: name.optional()
+} satisfies FieldsOf<ListedInstance>)
+
 const crashNotice = z.object({
   kind: z.literal('crashNotice'), fingerprint: name, upstream: name, incarnation: z.number(), age: amount
 })
@@ -108,12 +120,13 @@
     configuration: configuration.optional(),
     keys: z.array(key),
     crashes: z.array(crashNotice),
-    rollouts: z.array(rolloutRecord)
+    rollouts: z.array(rolloutRecord),
+    instances: z.object({ instances: z.array(listedInstance), asOf: z.number() }).optional()
   }),
   configurationNotice: z.object({ kind: z.literal('configurationNotice'), configuration }),
   keyNotice: z.object({ kind: z.literal('keyNotice'), keys: z.array(key) }),
   crashNotice,
-  loanRequest: z.object({ kind: z.literal('loanRequest'), ...loanTerms }),
+  loanRequest: z.object({ kind: z.literal('loanRequest'), ...loanTerms, renews: name.optional() }),
   loanReply: z.object({ kind: z.literal('loanReply'), ...loanTerms }),
   rolloutSample: z.object({ kind: z.literal('rolloutSample'), samples: z.array(rolloutSample) }),
   rolloutNotice: z.object({ kind: z.literal('rolloutNotice'), record: rolloutRecord })
