Give the priority test of the engine stand-in a full second to queue its requests

Cause: one of 412 cases failed once in a run beside other work; the first prefill took 51 ms and ended before all three other requests had arrived. Ruled out: the scheduler, which had only one request waiting at that moment. Change: the first prompt is 20 blocks, so its prefill takes 1 s. The expected order is unchanged. Conclusion: the check no longer depends on the machine's load.

--- a/standins/engine/__tests__/engine.test.ts
+++ b/standins/engine/__tests__/engine.test.ts
@@ -117,11 +117,12 @@
   it('lets higher priority go first and keeps the others in order', async () => {
     const { complete, engine } = await start({ prefillTokensPerSecond: 20_000 })
     const ended: string[] = []
-    const run = async (name: string, priority: number): Promise<void> => {
-      await complete({ prompt: BLOCK, priority, maximumOutputTokens: 1, requestIdentifier: name })
+    const run = async (name: string, priority: number, prompt = BLOCK): Promise<void> => {
+      await complete({ prompt, priority, maximumOutputTokens: 1, requestIdentifier: name })
       ended.push(name)
     }
-    const first = run('first', 0)
+    // The first prefill takes a second, so that the other three are all waiting when it ends, also on a busy machine.
+    const first = run('first', 0, BLOCK.repeat(20))
     while (engine.core.scheduler.running() === 0) await new Promise((resolve) => setTimeout(resolve, 1))
     await Promise.all([first, run('low-1', 0), run('low-2', 0), run('high', 5)])
     expect(ended).toEqual(['first', 'high', 'low-1', 'low-2'])
