Leave optional native modules out of the bundle without a warning

Cause: the executable printed a Node warning on each start, because cbor-x and hot-shots ask for native modules that were external to the bundle. Change: both resolve to a module that throws, which the libraries expect. Conclusion: nothing else changes; cbor-x runs on its JavaScript decoder.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -14,8 +14,8 @@
   target: 'node20',
   sourcemap: false,
   logLevel: 'warning',
-  // Optional native modules; the libraries fall back to JavaScript without them.
-  external: ['unix-dgram', 'cbor-extract']
+  // Optional native modules do not survive bundling. As externals they make the executable print a warning at each start.
+  alias: { 'unix-dgram': './scripts/optionalModule.cjs', 'cbor-extract': './scripts/optionalModule.cjs' }
 }
 
 await build({ ...common, entryPoints: ['src/main.ts'], format: 'cjs', outfile: join(output, 'waxwingspoke.cjs') })
