Check the quota bound under failures; fairness and limit properties

Cause: the bound on rate and burst had no check under partitions, restarts, pauses, drift, lost, late and doubled messages and outages.

--- a/experiments/quota/eventQueue.ts
+++ b/experiments/quota/eventQueue.ts
@@ -6,7 +6,9 @@
   /** Runs `action` at an instant; earlier ones run at once. Events of the same instant run in the order of their entry. */
   at: (time: number, action: () => void) => void
   after: (delay: number, action: () => void) => void
-  /** Runs all events up to an instant. Promises that an event settles are followed up before the next event. */
+  /** Settles a promise; what follows from it runs before the next event. */
+  settle: (action: () => void) => void
+  /** Runs all events up to an instant. */
   runUntil: (time: number) => Promise<void>
 }
 
@@ -20,6 +22,7 @@
   const heap: Entry[] = []
   let time = 0
   let order = 0
+  let hasSettled = false
 
   const isBefore = (first: Entry, second: Entry): boolean =>
     first.time < second.time || (first.time === second.time && first.order < second.order)
@@ -60,13 +63,18 @@
     now: () => time,
     at,
     after: (delay, action) => { at(time + delay, action) },
+    settle (action) {
+      hasSettled = true
+      action()
+    },
     async runUntil (until) {
       while (heap.length > 0 && heap[0]!.time <= until) {
         const { time: when, action } = pop()
         time = when
         action()
         // Enough turns of the microtask queue for the longest chain between two answers of the platform.
-        for (let turn = 0; turn < 12; turn += 1) await undefined
+        if (hasSettled) for (let turn = 0; turn < 16; turn += 1) await undefined
+        hasSettled = false
       }
       time = Math.max(time, until)
     }
--- a/experiments/quota/fleet.ts
+++ b/experiments/quota/fleet.ts
@@ -69,7 +69,11 @@
   /** Data centres cut off from the platform and from other data centres. */
   cutFromPlatform: Set<string>
   cutFromOthers: Set<string>
+  /** Running instances that the platform's list has lost sight of. */
+  unlisted: Set<string>
   platformDown: boolean
+  /** Milliseconds between calls of `planAhead`. */
+  borrowingInterval: number
   admit: (instance: FleetInstance, customer: string, tokens: number) => Charge | undefined
   /** Admits at once or after a loan; tells the outcome once. */
   admitWithLoans: (
@@ -204,8 +208,8 @@
     // An answer that arrives during a pause is taken in afterwards; one for an ended process never.
     const held = <Result>(answer: Promise<Result>): Promise<Result> => new Promise((resolve, reject) => {
       answer.then(
-        (value) => { within(instance, incarnation, 0, () => { resolve(value) }) },
-        (error: Error) => { within(instance, incarnation, 0, () => { reject(error) }) }
+        (value) => { within(instance, incarnation, 0, () => { events.settle(() => { resolve(value) }) }) },
+        (error: Error) => { within(instance, incarnation, 0, () => { events.settle(() => { reject(error) }) }) }
       )
     })
     instance.grants = (options.replace?.grantTask ?? createGrantTask)({
@@ -217,7 +221,8 @@
       self: { instance: instance.name, incarnation, address: instance.name, dataCentre: instance.dataCentre },
       weights: () => weights,
       liveInstances: () => instances
-        .filter((other) => other.isUp && other.dataCentre === instance.dataCentre).map(({ name }) => name),
+        .filter(({ name, isUp, dataCentre }) => isUp && dataCentre === instance.dataCentre && !fleet.unlisted.has(name))
+        .map(({ name }) => name),
       clock: instance.clock,
       random,
       ...options.grants
@@ -233,7 +238,7 @@
       sendLoans(instance, planner.planAhead(peersOf(instance), instance.clock()), (reply) => {
         planner.receive(reply, instance.clock())
       })
-      within(instance, incarnation, BORROWING_INTERVAL_MS / rate, borrow)
+      within(instance, incarnation, fleet.borrowingInterval / rate, borrow)
     }
     within(instance, incarnation, 0, tick)
     if (options.loans !== false) within(instance, incarnation, 0, borrow)
@@ -252,7 +257,9 @@
     links,
     cutFromPlatform: new Set(),
     cutFromOthers: new Set(),
+    unlisted: new Set(),
     platformDown: false,
+    borrowingInterval: BORROWING_INTERVAL_MS,
     admit,
     admitWithLoans,
     restart,
--- a/experiments/quota/tablePlatform.ts
+++ b/experiments/quota/tablePlatform.ts
@@ -24,6 +24,11 @@
 /** After this time without an answer a client gives up. */
 const TIMEOUT_MS = 1000
 
+// One object for all failures; taking a stack trace for each would cost most of the time of a trial.
+const unavailable = new PlatformUnavailableError('the platform does not answer')
+
+const unknown = new OutcomeUnknownError('the answer was lost')
+
 export function createTablePlatform (events: EventQueue, random: RandomSource): TablePlatform {
   const rows = new Map<string, TableRow>()
   const faults: TableFaults = { lostAnswers: 0, lateCommits: 0 }
@@ -42,30 +47,32 @@
 
   /** Runs `work` at the platform and passes its result back, each after the latency. */
   function call<Result> (
-    isReachable: () => boolean, work: () => Result, lost: Error
+    isReachable: () => boolean, work: () => Result, lostAnswer: Error
   ): Promise<Result> {
     return new Promise((resolve, reject) => {
-      const unavailable = new PlatformUnavailableError('the platform does not answer')
+      const fail = (error: Error): void => {
+        events.after(TIMEOUT_MS, () => { events.settle(() => { reject(error) }) })
+      }
       if (!isReachable()) {
-        events.after(TIMEOUT_MS, () => { reject(unavailable) })
+        fail(unavailable)
         return
       }
       events.after(LATENCY_MS, () => {
         if (!isReachable()) {
-          events.after(TIMEOUT_MS, () => { reject(unavailable) })
+          fail(unavailable)
           return
         }
         let answer: () => void
         try {
           const result = work()
-          answer = () => { resolve(result) }
+          answer = () => { events.settle(() => { resolve(result) }) }
         } catch (caught) {
           const error = caught instanceof Error ? caught : new InternalError('not an error', { cause: caught })
-          answer = () => { reject(error) }
+          answer = () => { events.settle(() => { reject(error) }) }
         }
         events.after(LATENCY_MS, () => {
           if (isReachable()) answer()
-          else events.after(TIMEOUT_MS, () => { reject(lost) })
+          else fail(lostAnswer)
         })
       })
     })
@@ -78,10 +85,9 @@
       readRow: <Value>(table: string, key: string) => call(
         isReachable,
         () => structuredClone(rows.get(`${table}/${key}`)) as TableRow<Value> | undefined,
-        new PlatformUnavailableError('the answer was lost')
+        unavailable
       ),
       commit (transaction) {
-        const unknown = new OutcomeUnknownError('the answer was lost')
         const draw = random()
         if (draw < faults.lateCommits) {
           events.after(1500 * random(), () => {
@@ -91,7 +97,9 @@
               if (!(error instanceof TransactionConflictError)) throw error
             }
           })
-          return new Promise((_resolve, reject) => { events.after(LATENCY_MS, () => { reject(unknown) }) })
+          return new Promise((_resolve, reject) => {
+            events.after(LATENCY_MS, () => { events.settle(() => { reject(unknown) }) })
+          })
         }
         const isLost = draw < faults.lateCommits + faults.lostAnswers
         return call(isReachable, () => {
--- /dev/null
+++ b/src/fairness/__tests__/concurrencyLimit.test.ts
@@ -0,0 +1,49 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { createConcurrencyLimit } from '../concurrencyLimit'
+
+/** Runs an upstream whose latency grows when more than `capacity` requests are in flight; returns the final limit. */
+function settleAt (capacity: number, initial: number): number {
+  const limit = createConcurrencyLimit({ initial })
+  let now = 0
+  // Several periods of the memory, so that a lowest latency that creeps up with the load would show.
+  while (now < 300_000) {
+    let started = 0
+    while (limit.tryAcquire()) started += 1
+    const latency = 100 * Math.max(1, started / capacity) ** 2
+    now += latency
+    for (let index = 0; index < started; index += 1) limit.release(latency, now)
+  }
+  return limit.limit()
+}
+
+describe('concurrency limit', () => {
+  it.each([[10, 2], [10, 16], [60, 16]])('finds an upstream of capacity %d from %d', (capacity, initial) => {
+    const found = settleAt(capacity, initial)
+    expect(found).toBeGreaterThan(capacity * 0.8)
+    expect(found).toBeLessThan(capacity * 2)
+  })
+
+  it('never admits more than the limit and never leaves its bounds', () => {
+    const latency = fc.option(fc.integer({ min: 0, max: 5000 }), { nil: undefined })
+    const step = fc.record({ acquire: fc.boolean(), latency })
+    fc.assert(fc.property(fc.array(step, { maxLength: 300 }), (steps) => {
+      const limit = createConcurrencyLimit({ minimum: 3, maximum: 9, initial: 5 })
+      let inFlight = 0
+      steps.forEach(({ acquire, latency }, index) => {
+        if (acquire) {
+          const before = limit.limit()
+          const admitted = limit.tryAcquire()
+          expect(admitted).toBe(inFlight < before)
+          if (admitted) inFlight += 1
+        } else if (inFlight > 0) {
+          limit.release(latency, index * 100)
+          inFlight -= 1
+        }
+        expect(limit.inFlight()).toBe(inFlight)
+        expect(limit.limit()).toBeGreaterThanOrEqual(3)
+        expect(limit.limit()).toBeLessThanOrEqual(9)
+      })
+    }), { seed: 20261204, numRuns: 200 })
+  })
+})
--- a/src/fairness/__tests__/fairQueue.test.ts
+++ b/src/fairness/__tests__/fairQueue.test.ts
@@ -5,8 +5,10 @@
 
 const SEED = 20261204
 
+type Order = Pick<FairQueue, 'enqueue' | 'dequeue'>
+
 /** A queue without fairness, to show that the fairness check can fail. */
-function createFifoQueue (): Pick<FairQueue, 'enqueue' | 'dequeue'> {
+function createFifoQueue (): Order {
   const work: QueuedWork[] = []
   return {
     enqueue (item) {
@@ -19,25 +21,25 @@
 
 const weights = new Map([['long', 1], ['short', 1], ['heavy', 3]])
 
-/** Serves two customers that both always have work waiting; returns the largest gap in normalized service and its bound. */
-function largestGap (queue: Pick<FairQueue, 'enqueue' | 'dequeue'>, costs: Record<string, readonly number[]>): { gap: number, bound: number } {
+/** Serves customers that all have work waiting; returns the largest gap in normalized service and its bound. */
+function largestGap (queue: Order, costs: Record<string, readonly number[]>): { gap: number, bound: number } {
   const names = Object.keys(costs)
-  const left: Record<string, number> = {}
+  const weightOf = (name: string): number => weights.get(name) ?? 1
+  const left = new Map(names.map((name) => [name, costs[name]!.length]))
   for (const customer of names) {
-    left[customer] = costs[customer]!.length
     costs[customer]!.forEach((cost, index) => {
-      expect(queue.enqueue({ identifier: `${customer}${index}`, customer, cost, deadline: 1e9 }, 0).queued).toBe(true)
+      const work = { identifier: `${customer}${index}`, customer, cost, deadline: 1e9 }
+      expect(queue.enqueue(work, 0).queued).toBe(true)
     })
   }
-  const service: Record<string, number> = Object.fromEntries(names.map((name) => [name, 0]))
-  const bound = names.reduce((sum, name) => sum + Math.max(...costs[name]!) / (weights.get(name) ?? 1), 0)
+  const service = new Map(names.map((name) => [name, 0]))
+  const bound = names.reduce((sum, name) => sum + Math.max(...costs[name]!) / weightOf(name), 0)
   let gap = 0
-  while (names.every((name) => left[name]! > 0)) {
-    const work = queue.dequeue(1)!
-    service[work.customer]! += work.cost / (weights.get(work.customer) ?? 1)
-    left[work.customer]! -= 1
-    const values = Object.values(service)
-    gap = Math.max(gap, Math.max(...values) - Math.min(...values))
+  while (names.every((name) => left.get(name)! > 0)) {
+    const { customer, cost } = queue.dequeue(1)!
+    service.set(customer, service.get(customer)! + cost / weightOf(customer))
+    left.set(customer, left.get(customer)! - 1)
+    gap = Math.max(gap, Math.max(...service.values()) - Math.min(...service.values()))
   }
   return { gap, bound }
 }
@@ -46,7 +48,7 @@
 const longCosts = fc.array(fc.integer({ min: 500, max: 4000 }), { minLength: 3, maxLength: 10 })
 
 describe('fair queue', () => {
-  it('keeps two backlogged customers within one request of each other, so that neither long nor short prompts starve the other', () => {
+  it('keeps backlogged customers within one request of each other, so that neither long nor short prompts starve', () => {
     fc.assert(fc.property(shortCosts, longCosts, fc.constantFrom('long', 'heavy'), (short, long, name) => {
       const { gap, bound } = largestGap(createFairQueue({ weights }), { short, [name]: long })
       expect(gap).toBeLessThanOrEqual(bound + 1e-6)
@@ -58,4 +60,111 @@
     const { gap, bound } = largestGap(createFifoQueue(), { short, long: [500, 500, 500] })
     expect(gap).toBeGreaterThan(bound)
   })
+
+  it('loses no work, returns none twice and keeps to its bounds, whatever is called in whatever order', () => {
+    const bounds = {
+      maximumRequests: 12, maximumTokens: 500, maximumRequestsPerCustomer: 8, maximumTokensPerCustomer: 300
+    }
+    const enqueue = fc.record({
+      kind: fc.constant('enqueue' as const),
+      customer: fc.nat(3),
+      cost: fc.integer({ min: 0, max: 120 }),
+      patience: fc.integer({ min: -5, max: 200 })
+    })
+    const step = fc.oneof(
+      { weight: 4, arbitrary: enqueue },
+      { weight: 2, arbitrary: fc.record({ kind: fc.constant('dequeue' as const), barred: fc.nat(4) }) },
+      { weight: 1, arbitrary: fc.record({ kind: fc.constant('remove' as const), index: fc.nat(40) }) },
+      { weight: 1, arbitrary: fc.record({ kind: fc.constant('expire' as const), time: fc.nat(60) }) }
+    )
+    fc.assert(fc.property(fc.array(step, { maxLength: 120 }), (steps) => {
+      const queue = createFairQueue(bounds)
+      const waiting = new Map<string, QueuedWork>()
+      const take = (identifier: string): void => { expect(waiting.delete(identifier)).toBe(true) }
+      let now = 0
+      steps.forEach((action, index) => {
+        now += 1
+        if (action.kind === 'enqueue') {
+          const { cost, customer, patience } = action
+          const work = { identifier: `${index}`, customer: `c${customer}`, cost, deadline: now + patience }
+          const result = queue.enqueue(work, now)
+          if (result.queued) waiting.set(work.identifier, work)
+          else expect(result.retryAfterMilliseconds).toBeGreaterThan(0)
+        } else if (action.kind === 'dequeue') {
+          const canStart = ({ customer }: QueuedWork): boolean => customer !== `c${action.barred}`
+          const work = queue.dequeue(now, canStart)
+          if (work !== undefined) take(work.identifier)
+          else expect([...waiting.values()].filter((item) => canStart(item) && item.deadline > now)).toEqual([])
+        } else if (action.kind === 'remove') {
+          expect(queue.remove(`${action.index}`)).toBe(waiting.delete(`${action.index}`))
+        } else {
+          now += action.time
+          for (const { identifier } of queue.expire(now)) take(identifier)
+          for (const { deadline } of waiting.values()) expect(deadline).toBeGreaterThan(now)
+        }
+        expect(queue.size()).toBe(waiting.size)
+        expect(waiting.size).toBeLessThanOrEqual(bounds.maximumRequests)
+        for (const name of ['c0', 'c1', 'c2', 'c3']) {
+          const own = [...waiting.values()].filter(({ customer }) => customer === name)
+          expect(own.length).toBeLessThanOrEqual(bounds.maximumRequestsPerCustomer)
+          expect(own.reduce((sum, { cost }) => sum + cost, 0)).toBeLessThanOrEqual(bounds.maximumTokensPerCustomer)
+        }
+      })
+      while (waiting.size > 0) {
+        const work = queue.dequeue(-1)
+        if (work === undefined) break
+        take(work.identifier)
+      }
+      expect(waiting.size).toBe(0)
+    }), { seed: SEED, numRuns: 300 })
+  })
+
+  it('always has room for a customer with nothing waiting, however many requests another one sends', () => {
+    const queue = createFairQueue({ maximumRequests: 20 })
+    for (let index = 0; index < 100; index += 1) {
+      queue.enqueue({ identifier: `flood${index}`, customer: 'flood', cost: 10, deadline: 1e6 }, 0)
+    }
+    expect(queue.size()).toBe(10)
+    const quiet = { identifier: 'quiet', customer: 'quiet', cost: 10, deadline: 1e6 }
+    expect(queue.enqueue(quiet, 0)).toEqual({ queued: true })
+    expect([queue.dequeue(0), queue.dequeue(0)].map((work) => work?.customer)).toContain('quiet')
+  })
+
+  it('refuses at once what cannot start before its deadline, and names a time from the observed drain rate', () => {
+    const queue = createFairQueue({ maximumRequests: 1000 })
+    const enqueue = (identifier: string, patience: number, now: number) =>
+      queue.enqueue({ identifier, customer: 'c', cost: 100, deadline: now + patience }, now)
+    for (let index = 0; index < 50; index += 1) enqueue(`w${index}`, 1e6, 0)
+    // One request of 100 tokens leaves every 20 ms; 40 of them wait after 200 ms, so that a new one waits 800 ms.
+    for (let time = 20; time <= 200; time += 20) queue.dequeue(time)
+    expect(enqueue('patient', 1000, 200)).toEqual({ queued: true })
+    const refused = enqueue('hurried', 300, 200)
+    expect(refused).toMatchObject({ queued: false, reason: 'deadline' })
+    if (!refused.queued) expect(refused.retryAfterMilliseconds).toBeCloseTo(520, -1)
+  })
+
+  it('gives up waiting work as soon as its deadline cannot be met any more', () => {
+    const queue = createFairQueue()
+    for (let index = 0; index < 20; index += 1) {
+      queue.enqueue({ identifier: `${index}`, customer: 'c', cost: 100, deadline: 1000 }, 0)
+    }
+    // At 100 ms for each request, ten of the twenty can start within 1000 ms.
+    queue.dequeue(100)
+    queue.dequeue(200)
+    const hopeless = queue.expire(200)
+    expect(hopeless.length).toBeGreaterThanOrEqual(8)
+    expect(hopeless.map(({ identifier }) => identifier)).not.toContain('2')
+  })
+
+  it('gives a customer whose work could not start no claim on service that others used meanwhile', () => {
+    const queue = createFairQueue()
+    for (let index = 0; index < 40; index += 1) {
+      for (const customer of ['blocked', 'free']) {
+        queue.enqueue({ identifier: `${customer}${index}`, customer, cost: 10, deadline: 1e6 }, 0)
+      }
+    }
+    for (let index = 0; index < 20; index += 1) queue.dequeue(1, ({ customer }) => customer === 'free')
+    const next = Array.from({ length: 10 }, () => queue.dequeue(2)!.customer)
+    expect(next.filter((customer) => customer === 'free').length).toBeGreaterThanOrEqual(4)
+  })
 })
--- a/src/fairness/concurrencyLimit.ts
+++ b/src/fairness/concurrencyLimit.ts
@@ -8,9 +8,15 @@
 /** Factor of one decrease. */
 const DECREASE = 0.9
 
-/** Milliseconds after a decrease in which no other one follows; the work in flight then still reflects the old limit. */
+/** Milliseconds after a decrease without another change, at least; latencies then still reflect the old limit. */
 const DECREASE_PAUSE_MS = 250
 
+/**
+ * Factor at the start of each period of the memory. Without a phase of lower load the lowest latency of a loaded
+ * upstream would be taken for the normal one, and the limit would grow by a part of itself in every period.
+ */
+const PROBE = 0.5
+
 export interface ConcurrencyLimitOptions {
   /** @default 16 */
   initial?: number
@@ -33,7 +39,7 @@
   let lowest = Infinity
   let previousLowest = Infinity
   let periodStart: MonotonicMilliseconds | undefined
-  let lastDecrease = -Infinity
+  let pausedUntil = -Infinity
 
   function observe (latency: number, now: MonotonicMilliseconds): void {
     periodStart ??= now
@@ -41,14 +47,14 @@
       previousLowest = now - periodStart >= 2 * memory ? Infinity : lowest
       lowest = Infinity
       periodStart = now
+      limit = Math.max(minimum, limit * PROBE)
     }
     lowest = Math.min(lowest, latency)
   }
 
-  function decrease (now: MonotonicMilliseconds): void {
-    if (now - lastDecrease < DECREASE_PAUSE_MS) return
+  function decrease (latency: number, now: MonotonicMilliseconds): void {
     limit = Math.max(minimum, limit * DECREASE)
-    lastDecrease = now
+    pausedUntil = now + Math.max(DECREASE_PAUSE_MS, latency)
   }
 
   return {
@@ -61,12 +67,11 @@
       // A limit that is not used has not been tested by this latency.
       const used = inFlight >= Math.floor(limit) / 2
       inFlight = Math.max(0, inFlight - 1)
-      if (latency === undefined || !(latency >= 0)) {
-        decrease(now)
-        return
-      }
-      observe(latency, now)
-      if (latency > Math.min(lowest, previousLowest) * tolerance + slack) decrease(now)
+      const isFailure = latency === undefined || !(latency >= 0)
+      if (!isFailure) observe(latency, now)
+      if (now < pausedUntil) return
+      if (isFailure) decrease(0, now)
+      else if (latency > Math.min(lowest, previousLowest) * tolerance + slack) decrease(latency, now)
       else if (used) limit = Math.min(maximum, limit + 1 / limit)
     },
     inFlight: () => inFlight,
