Give the concurrency limit the wait for others instead of the time to first token

Cause: the limit compares the time to first token with the lowest recent one. With a prefix cache the lowest is a hit of about 10 ms and a miss takes 300 ms without any queue, so the limits fell to their minimum, the holders of hot prefixes had no room, and their prefixes were computed elsewhere. The gateway is not changed here; it still passes the time to first token.

--- a/experiments/model/router.ts
+++ b/experiments/model/router.ts
@@ -22,6 +22,8 @@
 /** How long a caller waits for the first token before the request counts as refused. */
 const PATIENCE_MS = 10_000
 const RETRY_PAUSE_MS = 100
+/** Wait for others above the lowest recent one at which a concurrency limit decreases, in milliseconds. */
+const LIMIT_SLACK_MS = 300
 
 export interface RouterOptions {
   name: string
@@ -57,7 +59,8 @@
   const choose = policy.createChoice()
   const gate = createColdPrefixGate()
   const queue = createFairQueue()
-  const limits = new Map<string, ConcurrencyLimit>(engines.map(({ name }) => [name, createConcurrencyLimit()]))
+  const limits = new Map<string, ConcurrencyLimit>(
+    engines.map(({ name }) => [name, createConcurrencyLimit({ slack: LIMIT_SLACK_MS })]))
   const byName = new Map(engines.map(engine => [engine.name, engine]))
   const requests = new Map<string, Request>()
   /** Incarnations of the engines at the last poll of their event streams. */
@@ -156,7 +159,8 @@
     const sentAt = now()
     const computed = Math.max(0, arrival.promptTokens - expectedBlocks * BLOCK_TOKENS)
     const remote = engine.dataCentre === options.dataCentre ? 0 : options.remoteMilliseconds
-    let latency: number | undefined
+    /** Milliseconds waited for others; undefined until the first token. */
+    let waited: number | undefined
     let cached = 0
     limit.tryAcquire()
     registry.startWork(upstream, identifier, computed, sentAt)
@@ -164,13 +168,13 @@
 
     const finish = (): void => {
       registry.finishWork(upstream, identifier, now())
-      limit.release(latency, now())
+      limit.release(waited, now())
       if (policy.fairness) pump()
     }
     const fail = (): void => {
       registry.recordFailure(upstream, now())
       finish()
-      if (latency !== undefined) return
+      if (waited !== undefined) return
       settle(request)
       simulation.after(0, () => admit(request))
     }
@@ -180,10 +184,9 @@
         promptTokens: arrival.promptTokens,
         outputTokens: arrival.outputTokens,
         onFirstToken (cachedTokens) {
-          latency = now() - sentAt
           cached = cachedTokens
-          const computedTokens = arrival.promptTokens - cachedTokens
-          registry.finishPrefill(upstream, identifier, { computedTokens, milliseconds: latency }, now())
+          const outcome = { computedTokens: arrival.promptTokens - cachedTokens, milliseconds: now() - sentAt }
+          waited = registry.finishPrefill(upstream, identifier, outcome, now())
           requests.delete(request.identifier)
           figures.firstToken(arrival, now() + remote - arrival.time, cachedTokens)
           settle(request)
--- a/src/upstream/__tests__/registry.test.ts
+++ b/src/upstream/__tests__/registry.test.ts
@@ -157,6 +157,17 @@
     registry.finishPrefill('a', 'r1', { computedTokens: 4000, milliseconds: 2000 }, 2000)
     expect(registry.upstream('a', 2000)?.prefillTokensPerSecond).toBe(2000)
   })
+
+  it.each([
+    { name: 'a cached prompt that waited', computedTokens: 100, milliseconds: 510, wait: 500 },
+    { name: 'a long computation without a queue', computedTokens: 5000, milliseconds: 500, wait: 0 }
+  ])('tells the wait for others apart from the own computation: $name', ({ computedTokens, milliseconds, wait }) => {
+    const { registry } = create()
+    registry.applyList([listing('a')], 1, 0)
+    registry.applyReport('a', report(1), 0)
+    registry.startWork('a', 'r1', computedTokens, 0)
+    expect(registry.finishPrefill('a', 'r1', { computedTokens, milliseconds }, milliseconds)).toBe(wait)
+  })
 })
 
 const name = fc.constantFrom('a', 'b')
--- a/src/upstream/registry.ts
+++ b/src/upstream/registry.ts
@@ -169,7 +169,7 @@
     },
     finishPrefill (upstream, identifier, outcome) {
       const state = states.get(upstream)
-      if (state !== undefined) endPrefill(state, identifier, outcome)
+      return state === undefined ? 0 : endPrefill(state, identifier, outcome)
     },
     finishWork (upstream, identifier) {
       const state = states.get(upstream)
--- a/src/upstream/registryTypes.ts
+++ b/src/upstream/registryTypes.ts
@@ -83,8 +83,12 @@
   markLeaving: (upstream: string, incarnation: Incarnation, now: MonotonicMilliseconds) => void
   /** Work that this instance sends; `tokens` are the prompt tokens to compute. */
   startWork: (upstream: string, identifier: string, tokens: number, now: MonotonicMilliseconds) => void
-  /** The first token arrived: the prompt no longer counts as queued, the request is still in flight. */
-  finishPrefill: (upstream: string, identifier: string, outcome: PrefillOutcome, now: MonotonicMilliseconds) => void
+  /**
+   * The first token arrived: the prompt no longer counts as queued, the request is still in flight. Returns the
+   * milliseconds that the request waited for others. This and not the time to first token is the latency for the
+   * concurrency limit: the time to first token of a prompt that is not cached is long without any queue.
+   */
+  finishPrefill: (upstream: string, identifier: string, outcome: PrefillOutcome, now: MonotonicMilliseconds) => number
   /** The request ended in whatever way. */
   finishWork: (upstream: string, identifier: string, now: MonotonicMilliseconds) => void
   /** A connection failed or went silent. */
--- a/src/upstream/upstreamState.ts
+++ b/src/upstream/upstreamState.ts
@@ -101,13 +101,19 @@
   state.prefills.delete(identifier)
 }
 
-/** Ends the prefill of one request and learns from its duration. */
-export function endPrefill (state: UpstreamState, identifier: string, outcome: PrefillOutcome): void {
+/**
+ * Ends the prefill of one request and learns from its duration. Returns the milliseconds that the request waited for
+ * others, that is the time which its own computation does not explain.
+ */
+export function endPrefill (state: UpstreamState, identifier: string, outcome: PrefillOutcome): number {
   const prefill = state.prefills.get(identifier)
-  if (prefill === undefined) return
+  const wait = Math.max(0, outcome.milliseconds - outcome.computedTokens * 1000 / prefillRate(state))
+  if (prefill === undefined) return wait
   state.prefills.delete(identifier)
-  if (!prefill.alone || outcome.computedTokens < RATE_SAMPLE_TOKENS || outcome.milliseconds <= 0) return
-  state.measuredRate = smooth(state.measuredRate, outcome.computedTokens * 1000 / outcome.milliseconds)
+  if (prefill.alone && outcome.computedTokens >= RATE_SAMPLE_TOKENS && outcome.milliseconds > 0) {
+    state.measuredRate = smooth(state.measuredRate, outcome.computedTokens * 1000 / outcome.milliseconds)
+  }
+  return wait
 }
 
 /** Prompt tokens of this instance that are not known to be computed, sent after `since`. */
