Rank upstreams by the first block that nobody has

Cause: the rendezvous order used the first block of the prompt. It is the same for all prompts of a customer, so every new document and session of a customer went to the same upstreams until their queues pushed it away.

--- a/src/prefix/routing.ts
+++ b/src/prefix/routing.ts
@@ -30,7 +30,7 @@
   expected: number
   /** The same with the recomputation at its weight; the lowest is the best. */
   score: number
-  /** Rendezvous weight for the request's first block. */
+  /** Rendezvous weight for the request's affinity key. */
   weight: number
 }
 
@@ -63,9 +63,8 @@
   request: RoutingRequest, candidates: readonly RoutingCandidate[], index: BlockIndex, now: MonotonicMilliseconds,
   random: RandomSource
 ): Estimate[] {
-  // A prompt without a full block has no affinity; a random key spreads such prompts evenly.
-  const key = request.blockKeys[0] ?? random().toString(16)
   const estimates: Estimate[] = []
+  let mostBlocks = 0
   for (const candidate of candidates) {
     if (!candidate.hasRoom) continue
     const blocks = index.cachedBlocks(candidate.upstream, candidate.incarnation, request.blockKeys, now)
@@ -73,11 +72,23 @@
     const recompute = Math.max(0, request.promptTokens - blocks * BLOCK_TOKENS) * perToken
     const expected = candidate.queuedTokens * perToken + recompute + candidate.distanceMilliseconds
     const score = expected + (RECOMPUTE_WEIGHT - 1) * recompute
-    estimates.push({ candidate, blocks, expected, score, weight: rendezvousWeight(key, candidate.upstream) })
+    estimates.push({ candidate, blocks, expected, score, weight: 0 })
+    mostBlocks = Math.max(mostBlocks, blocks)
   }
+  const key = affinityKey(request.blockKeys, mostBlocks) ?? random().toString(16)
+  for (const found of estimates) found.weight = rendezvousWeight(key, found.candidate.upstream)
   return estimates
 }
 
+/**
+ * Key for the rendezvous order: the first block that nobody has, or the last one. The first block of the prompt would
+ * send whatever a customer adds to its common prefix to the same upstreams. Undefined when there is no full block; a
+ * random key then spreads such prompts evenly.
+ */
+function affinityKey (blockKeys: readonly string[], mostBlocks: number): string | undefined {
+  return blockKeys[Math.min(Math.floor(mostBlocks), blockKeys.length - 1)]
+}
+
 /** The better of the two first in rendezvous order. */
 function chooseCold (ranked: readonly Estimate[]): Estimate {
   const first = ranked[0]!
