--- a/playground/fleet.ts
+++ b/playground/fleet.ts
@@ -3,6 +3,8 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { InternalError } from '../src/errors'
+import { createHttpPlatformClient } from '../src/platform/httpPlatformClient'
+import type { PlatformClient } from '../src/platform/types'
 import type { ListedInstance } from '../src/types'
 import { runProgram, startProgram } from './processes'
 import type { Program } from './processes'
@@ -53,6 +55,8 @@
   startEngine: (options: EngineOptions) => Promise<Upstream>
   startService: (options: EngineOptions & { service: string }) => Promise<Upstream>
   startRouter: (options: RouterOptions) => Promise<Router>
+  /** Client of the platform, for changes that need no operator command. */
+  platform: PlatformClient
   /** Runs an operator command through the binary; its settings are those of the first router. */
   command: (...parameters: string[]) => Promise<{ code: number | NodeJS.Signals, output: string }>
   /** Writes the declarative configuration and applies it. */
@@ -60,6 +64,7 @@
   /** Grants a key through the binary and returns it with its hash. */
   grantKey: (customer: string) => Promise<{ key: string, hash: string }>
   logFiles: () => readonly string[]
+  /** Kills every process that was started, and removes the directory unless it was given. */
   stop: () => Promise<void>
 }
 
@@ -83,6 +88,7 @@
   }
 
   const platform = await start('platform.mjs', [])
+  const client = createHttpPlatformClient({ endpoint: { host: '127.0.0.1', port: platform.port } })
 
   async function list (instance: ListedInstance): Promise<void> {
     const response = await fetch(`${platform.url}/control/instance`, { method: 'PUT', body: JSON.stringify(instance) })
@@ -157,6 +163,7 @@
   return {
     directory,
     platformUrl: platform.url,
+    platform: client,
     startEngine: async (engine) => await startUpstream('engine.mjs', { ...engine, parameters: ['--platform', platform.url, ...engine.parameters ?? []] }),
     startService: async (service) => await startUpstream('service.mjs', service),
     startRouter,
@@ -178,6 +185,7 @@
     logFiles: () => logs,
     async stop () {
       await Promise.all(programs.map(async (program) => { await program.stop() }))
+      await client.close()
       if (options.directory === undefined) rmSync(directory, { recursive: true, force: true })
     }
   }
