Give up a connection after a wrong answer that has fully arrived

Cause: a property test that repeats a request under random faults found that the connection on which another request's answer came was used again: the answer had arrived whole, so the connection was back in the pool before its first chunk was checked. With answers shifted by one, 200 attempts in a row failed. Also, a peer frame full of wrong list items held up the process, because every item was reported.

Change: after a StreamIntegrityError the idle connections to the endpoint are closed; the completion stream is one generator; schemas give up a list at its first bad item; the platform client bounds its running exchanges; bundles find the bundled stand-ins.

--- a/src/peer/__tests__/frames.test.ts
+++ b/src/peer/__tests__/frames.test.ts
@@ -1,4 +1,5 @@
 /** Codec of the peer protocol: round trips, and bytes that no peer should send. */
+import { Encoder } from 'cbor-x'
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { PeerProtocolError } from '../../errors'
@@ -107,6 +108,10 @@
 }
 const anyMessage = fc.oneof(...Object.values(messages))
 
+function manyEntries (length: number): Record<string, string> {
+  return Object.fromEntries(Array.from({ length }, (_, index) => [`k${index}`, 'x']))
+}
+
 describe('a frame', () => {
   it.each(Object.entries(messages))('of kind %s decodes to the message that was encoded', (_, arbitrary) => {
     fc.assert(fc.property(arbitrary, (message) => {
@@ -159,6 +164,16 @@
     expect(() => encodeFrame({ kind: 'keyNotice', keys })).toThrow(PeerProtocolError)
   })
 
+  it.each([
+    ['list items', { kind: 'keyNotice', keys: Array(1_000_000).fill(0) }],
+    ['entries', { kind: 'heartbeat', state: 'live', revision: 1, keyVersion: 1, clock: '', work: manyEntries(100_000) }]
+  ])('full of bad %s is refused at the first one, so that it does not hold up the process', (_, value) => {
+    const body = new Encoder({ useRecords: false }).encode(value)
+    const began = performance.now()
+    expect(() => decodeBody(body)).toThrow(PeerProtocolError)
+    expect(performance.now() - began).toBeLessThan(1000)
+  })
+
   it('nested deeply is refused without a stack overflow', () => {
     expect(() => decodeBody(Buffer.alloc(500_000, 0x81))).toThrow(PeerProtocolError)
   })
--- a/src/peer/node.ts
+++ b/src/peer/node.ts
@@ -60,9 +60,12 @@
   connect: (endpoint: Endpoint) => void
   /** Stops reconnecting and closes the connection that this node opened to the endpoint. */
   disconnect: (endpoint: Endpoint) => void
-  /** Sends to one peer. Returns false when it is not connected or too slow; the message is then not sent later. */
+  /**
+   * Sends to one peer. Returns false when it is not connected or too slow; the message is then not sent later.
+   * Throws `PeerProtocolError` when the message exceeds the frame limit: long key lists go in several messages.
+   */
   send: (instance: string, message: PeerMessage) => boolean
-  /** Sends to all peers, or to those that the filter selects. Returns how many it was queued for. */
+  /** Sends to all peers, or to those that the filter selects. Returns for how many it was queued. Throws as `send`. */
   broadcast: (message: PeerMessage, filter?: (peer: PeerIdentity) => boolean) => number
   /** Closes all connections to a peer, for example after missed heartbeats; opened ones are opened again. */
   drop: (instance: string) => void
--- a/src/peer/schemas.ts
+++ b/src/peer/schemas.ts
@@ -6,6 +6,32 @@
 /** Characters of a name, identifier or hash. */
 const NAME_LIMIT = 512
 
+/**
+ * Array that is given up at its first bad item. `z.array` reports every bad item, which took 3 s for a frame of a
+ * million wrong ones.
+ */
+function listOf<Item> (item: z.ZodType<Item>) {
+  return z.array(z.unknown()).transform((values, context): Item[] => {
+    const items: Item[] = []
+    for (const [index, value] of values.entries()) {
+      const result = item.safeParse(value)
+      if (!result.success) {
+        const issue = result.error.issues[0]
+        context.addIssue({ code: 'custom', message: issue?.message ?? '', path: [index, ...issue?.path ?? []] })
+        return z.NEVER
+      }
+      items.push(result.data)
+    }
+    return items
+  })
+}
+
+/** Work by upstream name, given up at the first bad entry like `listOf`. */
+const workByName = z.custom<Record<string, number>>((value) => {
+  if (typeof value !== 'object' || value === null || Object.getPrototypeOf(value) !== Object.prototype) return false
+  return Object.entries(value).every(([key, work]) => key.length <= NAME_LIMIT && amount.safeParse(work).success)
+}, 'expected non-negative numbers by name')
+
 const name = z.string().max(NAME_LIMIT)
 const amount = z.number().nonnegative()
 const count = z.int().nonnegative()
@@ -22,8 +48,8 @@
   name,
   path: z.string(),
   service: name,
-  methods: z.array(name),
-  idempotentMethods: z.array(name),
+  methods: listOf(name),
+  idempotentMethods: listOf(name),
   open: z.boolean(),
   cost: amount
 })
@@ -31,10 +57,10 @@
 const configuration = z.object({
   revision: count,
   configuration: z.object({
-    dataCentres: z.array(z.object({ name, weight: amount })),
-    customers: z.array(customer),
-    models: z.array(model),
-    routes: z.array(route)
+    dataCentres: listOf(z.object({ name, weight: amount })),
+    customers: listOf(customer),
+    models: listOf(model),
+    routes: listOf(route)
   })
 })
 
@@ -86,7 +112,7 @@
     state: z.enum(['live', 'leaving']),
     revision: count,
     keyVersion: count,
-    work: z.record(name, amount),
+    work: workByName,
     clock: name
   }),
   snapshotRequest: z.object({ kind: z.literal('snapshotRequest'), identifier: count }),
@@ -94,16 +120,16 @@
     kind: z.literal('snapshotReply'),
     identifier: count,
     configuration: configuration.optional(),
-    keys: z.array(key),
-    crashes: z.array(crashNotice),
-    rollouts: z.array(rolloutRecord)
+    keys: listOf(key),
+    crashes: listOf(crashNotice),
+    rollouts: listOf(rolloutRecord)
   }),
   configurationNotice: z.object({ kind: z.literal('configurationNotice'), configuration }),
-  keyNotice: z.object({ kind: z.literal('keyNotice'), keys: z.array(key) }),
+  keyNotice: z.object({ kind: z.literal('keyNotice'), keys: listOf(key) }),
   crashNotice,
   loanRequest: z.object({ kind: z.literal('loanRequest'), ...loanTerms }),
   loanReply: z.object({ kind: z.literal('loanReply'), ...loanTerms }),
-  rolloutSample: z.object({ kind: z.literal('rolloutSample'), samples: z.array(rolloutSample) }),
+  rolloutSample: z.object({ kind: z.literal('rolloutSample'), samples: listOf(rolloutSample) }),
   rolloutNotice: z.object({ kind: z.literal('rolloutNotice'), record: rolloutRecord })
 } satisfies Record<PeerMessage['kind'], z.ZodType>
 
--- a/src/platform/__tests__/httpPlatformClient.test.ts
+++ b/src/platform/__tests__/httpPlatformClient.test.ts
@@ -51,3 +51,14 @@
   server.faults.outage = false
   expect((await client.readRow('t', 'k'))?.value).toBe(1)
 })
+
+it('beyond its limit of running exchanges the client refuses at once, and recovers', async () => {
+  await start()
+  await client.close()
+  client = createHttpPlatformClient({ endpoint: server.endpoint, maximumConcurrent: 2 })
+  server.faults.latency = 100
+  const calls = await Promise.allSettled([1, 2, 3].map(async () => await client.commit(transaction)))
+  expect(calls.map((call) => call.status)).toEqual(['fulfilled', 'fulfilled', 'rejected'])
+  expect(calls[2]).toMatchObject({ reason: expect.any(PlatformUnavailableError) })
+  await client.commit(transaction)
+})
--- a/src/platform/httpPlatformClient.ts
+++ b/src/platform/httpPlatformClient.ts
@@ -17,6 +17,8 @@
   wholeTimeout?: number
   /** Largest answer in bytes. @default 67108864 */
   maximumAnswerBytes?: number
+  /** Exchanges at the same time; more are refused at once, so that a slow platform does not use up memory. @default 256 */
+  maximumConcurrent?: number
 }
 
 interface PlatformRequest {
@@ -35,10 +37,15 @@
 
 /** Creates a client; connections open on first use. */
 export function createHttpPlatformClient (options: HttpPlatformClientOptions): PlatformClient {
-  const { endpoint, connectTimeout = 1000, wholeTimeout = 5000, maximumAnswerBytes = 67_108_864 } = options
+  const {
+    endpoint, connectTimeout = 1000, wholeTimeout = 5000, maximumAnswerBytes = 67_108_864, maximumConcurrent = 256
+  } = options
   const connections = createHttpConnections()
+  let concurrent = 0
 
   async function send (request: PlatformRequest): Promise<PlatformResponse> {
+    if (concurrent >= maximumConcurrent) throw failure(request, true, `${concurrent} exchanges are running`)
+    concurrent++
     const aborter = new AbortController()
     const connectTimer = setTimeout(() => aborter.abort(), connectTimeout)
     const wholeTimer = setTimeout(() => aborter.abort(), wholeTimeout)
@@ -60,6 +67,7 @@
       if (trace.sent && aborter.signal.aborted) connections.abandon(endpoint)
       throw failure(request, !trace.sent, aborter.signal.aborted ? 'time limit passed' : 'connection failed', error)
     } finally {
+      concurrent--
       clearTimeout(connectTimer)
       clearTimeout(wholeTimer)
     }
--- a/src/upstream/__tests__/engineClient.test.ts
+++ b/src/upstream/__tests__/engineClient.test.ts
@@ -1,4 +1,5 @@
 /** Engine client against an engine stand-in in the same process, one case for each fault. */
+import fc from 'fast-check'
 import { afterEach, describe, expect, it } from 'vitest'
 import type { EngineOptions } from '../../../standins/engine/core'
 import type { EngineFaults } from '../../../standins/engine/faults'
@@ -199,6 +200,20 @@
     expect((await run(engine, client)).error).toBeUndefined()
   })
 
+  it('because of the previous answer closes the connection also when the whole wrong answer has arrived', async () => {
+    const { engine, client } = await start()
+    engine.core.faults.replayPrevious = true
+    const outcomes: unknown[] = []
+    for (let attempt = 1; attempt <= 6; attempt++) {
+      const { error } = await run(engine, client, { attempt, maximumOutputTokens: 0 })
+      outcomes.push((error as RouterError | undefined)?.code)
+      await wait(10)
+    }
+    // Each wrong answer costs one attempt; the next one gets a new connection, which has no previous answer.
+    const alternating = [undefined, 'stream_integrity']
+    expect(outcomes).toEqual([...alternating, ...alternating, ...alternating])
+  })
+
   it('on an open connection that went silent is followed by one on a new connection', async () => {
     const { engine, client } = await start()
     await run(engine, client)
@@ -217,6 +232,43 @@
   })
 })
 
+describe('a request that is repeated after each failure', () => {
+  it('delivers exactly the text of one version, whatever faults come in between', async () => {
+    const { engine, client } = await start()
+    let requests = 0
+    const probability = fc.constantFrom(0, 0, 0.05, 0.3)
+    const faults = fc.record({
+      crossedAnswers: probability,
+      lostChunks: probability,
+      truncatedStreams: probability,
+      refuse: probability,
+      replayPrevious: fc.boolean(),
+      failVersions: fc.record({ v1: fc.record({ fraction: probability, afterTokens: fc.nat(5) }) })
+    })
+    await fc.assert(fc.asyncProperty(faults, fc.nat(40), fc.string(), async (change, length, prompt) => {
+      Object.assign(engine.core.faults, change)
+      const expected = generateText('model', 'v1', prompt).textBefore(length)
+      // Identifiers are unique in the fleet; with a used one, a replayed chunk could not be told from a new one.
+      const requestIdentifier = `repeated-${++requests}`
+      let text = ''
+      let received = 0
+      for (let attempt = 1; attempt <= 200; attempt++) {
+        const { chunks } = await run(engine, client, {
+          requestIdentifier, attempt, prompt, maximumOutputTokens: length, resumeFrom: received, resumeText: text
+        })
+        text += textOf(chunks)
+        received += chunks.length
+        expect(expected.startsWith(text)).toBe(true)
+        if (chunks.at(-1)?.final === true) {
+          expect(text).toBe(expected)
+          return
+        }
+      }
+      throw new Error('no attempt completed')
+    }), { numRuns: 40 })
+  })
+})
+
 describe('orders', () => {
   it('load and unload, and refuse a stale fencing token unless the engine ignores it', async () => {
     const { engine, client } = await start({ loadMilliseconds: 5 })
--- a/src/upstream/completionStream.ts
+++ b/src/upstream/completionStream.ts
@@ -1,7 +1,7 @@
 /** Stream of one completion: sends the order, checks echo and order of the chunks, yields them at the consumer's pace. */
 import { z } from 'zod'
 import { ATTEMPT_HEADER, REQUEST_IDENTIFIER_HEADER } from '../constants'
-import type { RouterError } from '../errors'
+import { RouterError, StreamIntegrityError } from '../errors'
 import type { HttpConnections } from '../http/connections'
 import type { Endpoint } from '../types'
 import { checkEcho, ERROR_ANSWER_LIMIT, parseJson, readWhole, throwIfRefused, validateAnswer } from './answer'
@@ -9,6 +9,7 @@
 import { startExchange } from './exchange'
 import type { UpstreamExchange } from './exchange'
 import { createServerSentEventParser } from './serverSentEvents'
+import type { ServerSentEvent } from './serverSentEvents'
 import type { AttemptTimeouts, CompletionChunk, CompletionOrder } from './types'
 
 /** Bytes buffered ahead of the consumer; small, so that the engine notices a slow consumer soon. */
@@ -52,12 +53,23 @@
     body: JSON.stringify(order),
     highWaterMark: READ_AHEAD_BYTES
   }, timeouts, signal)
-  const state = { complete: false }
+  const reader = createChunkReader(order)
   try {
     await checkHead(exchange, order)
-    yield * readChunks(exchange, order, state)
+    for (let bytes = await exchange.read(); bytes !== undefined; bytes = await exchange.read()) {
+      const { chunks, error } = reader.take(bytes)
+      if (chunks.length > 0) exchange.markStarted()
+      for (const chunk of chunks) yield chunk
+      if (error !== undefined) throw error
+      if (reader.state() !== 'open') return
+    }
+    throw connectionError('stream ended without its final chunk', 'started')
+  } catch (error) {
+    if (error instanceof StreamIntegrityError) exchange.distrust()
+    throw error
   } finally {
-    exchange.finish(state.complete)
+    exchange.finish(reader.state() === 'complete')
+    if (reader.state() === 'overrun') exchange.distrust()
   }
 }
 
@@ -71,27 +83,50 @@
   checkEcho(exchange, order.requestIdentifier, order.attempt, true)
 }
 
-async function * readChunks (
-  exchange: UpstreamExchange, order: CompletionOrder, state: { complete: boolean }
-): AsyncGenerator<CompletionChunk, void, undefined> {
+interface ChunkReader {
+  /** Returns the chunks in these bytes up to the first fault, and the fault. */
+  take: (bytes: Uint8Array) => { chunks: readonly CompletionChunk[], error: RouterError | undefined }
+  /** `overrun` when bytes of another answer followed the final chunk: the answer is whole, the connection is not usable. */
+  state: () => 'open' | 'complete' | 'overrun'
+}
+
+/** Turns the bytes of a body into checked chunks. */
+function createChunkReader (order: CompletionOrder): ChunkReader {
   const parser = createServerSentEventParser()
   let expected = order.resumeFrom
-  for (let bytes = await exchange.read(); bytes !== undefined; bytes = await exchange.read()) {
-    const events = parser.push(bytes)
-    if (events === 'tooLong') throw integrityError('event exceeds the limit')
-    if (events.length > 0) exchange.markStarted()
-    for (const [position, event] of events.entries()) {
-      if (event.type === 'error') throw reportedError(event.data)
-      const chunk = validateAnswer(chunkSchema, parseJson(event.data), 'a completion chunk') as CompletionChunk
-      checkChunk(chunk, order, expected)
-      expected++
-      // Anything after the final chunk belongs to another answer: the connection is not used again.
-      state.complete = chunk.final && position === events.length - 1
-      yield chunk
-      if (chunk.final) return
+  let state: ReturnType<ChunkReader['state']> = 'open'
+
+  function takeEvent (event: ServerSentEvent): CompletionChunk {
+    if (event.type === 'error') throw reportedError(event.data)
+    const chunk = validateAnswer(chunkSchema, parseJson(event.data), 'a completion chunk') as CompletionChunk
+    checkChunk(chunk, order, expected)
+    expected++
+    return chunk
+  }
+
+  return {
+    state: () => state,
+    take (bytes) {
+      const chunks: CompletionChunk[] = []
+      const events = parser.push(bytes)
+      if (events === 'tooLong') return { chunks, error: integrityError('event exceeds the limit') }
+      for (const event of events) {
+        if (state !== 'open') {
+          state = 'overrun'
+          break
+        }
+        try {
+          const chunk = takeEvent(event)
+          chunks.push(chunk)
+          if (chunk.final) state = 'complete'
+        } catch (error) {
+          if (error instanceof RouterError) return { chunks, error }
+          throw error
+        }
+      }
+      return { chunks, error: undefined }
     }
   }
-  throw connectionError('stream ended without its final chunk', 'started')
 }
 
 function checkChunk (chunk: CompletionChunk, order: CompletionOrder, expected: number): void {
--- a/src/upstream/engineClient.ts
+++ b/src/upstream/engineClient.ts
@@ -1,7 +1,7 @@
 /** Client for model engines and plain services over HTTP. The wire format is in `docs/protocol.md`. */
 import { z } from 'zod'
 import { ATTEMPT_HEADER, REQUEST_IDENTIFIER_HEADER } from '../constants'
-import { StaleFencingTokenError } from '../errors'
+import { StaleFencingTokenError, StreamIntegrityError } from '../errors'
 import { createHttpConnections } from '../http/connections'
 import type { Endpoint } from '../types'
 import { checkEcho, codeOf, parseJson, readWhole, throwIfRefused, validateAnswer } from './answer'
@@ -96,6 +96,9 @@
       exchange.markStarted()
       const body = await readWhole(exchange, maximumAnswerBytes)
       return { status: exchange.response.statusCode, headers: exchange.response.headers as ServiceAnswer['headers'], body }
+    } catch (error) {
+      if (error instanceof StreamIntegrityError) exchange.distrust()
+      throw error
     } finally {
       exchange.finish()
     }
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -15,6 +15,11 @@
    * body is awaited in the background for a short time, and the connection is closed when more content comes.
    */
   finish: (drain?: boolean) => void
+  /**
+   * Gives up the idle connections to the endpoint. Needed after an answer that belongs to another request: when all of it
+   * has arrived, the connection is back in the pool, where `finish` cannot close it.
+   */
+  distrust: () => void
 }
 
 /** Milliseconds for which the end of a complete body is awaited before its connection is closed. */
@@ -104,6 +109,7 @@
       response.body.read()
         .then((bytes) => { if (bytes !== undefined) response.body.destroy() }, () => undefined)
         .finally(() => clearTimeout(timer))
-    }
+    },
+    distrust: () => connections.abandon(request.endpoint)
   }
 }
--- a/standins/process.ts
+++ b/standins/process.ts
@@ -37,9 +37,10 @@
 const children = new Set<ChildProcess>()
 process.on('exit', () => { for (const child of children) child.kill('SIGKILL') })
 
-/** Program of this directory, by the name of its subdirectory. */
+/** File of a stand-in: its source here, or its bundle next to the bundle that this module is part of. */
 export function standinProgram (name: 'platform' | 'engine' | 'service' | 'relay'): string {
-  return fileURLToPath(new URL(`./${name}/main.ts`, import.meta.url))
+  const file = import.meta.url.endsWith('.ts') ? `./${name}/main.ts` : `./${name}.mjs`
+  return fileURLToPath(new URL(file, import.meta.url))
 }
 
 /**
