Check the platform's answers and let the stand-in have a rate limit

Cause: an answer that was not JSON surfaced as a SyntaxError, which does not tell whether a write took effect. The platform handles several hundred writes and about two thousand reads a second, which the stand-in did not show.

Change: answers are checked against schemas; a malformed one leaves the outcome of a write unknown. The memory platform has read and write rates with a bounded queue. startProcess runs executables, returns the whole ready line and keeps a bounded number of output lines.

--- a/src/platform/__tests__/httpPlatformClient.test.ts
+++ b/src/platform/__tests__/httpPlatformClient.test.ts
@@ -1,5 +1,6 @@
 /** Failures of the connection to the platform, and what the client says about the write. */
 import { afterEach, expect, it } from 'vitest'
+import { startStandinServer } from '../../../standins/http'
 import { startPlatformServer } from '../../../standins/platform/server'
 import type { OutageMode, PlatformServer } from '../../../standins/platform/server'
 import { OutcomeUnknownError, PlatformUnavailableError } from '../../errors'
@@ -62,3 +63,15 @@
   expect(calls[2]).toMatchObject({ reason: expect.any(PlatformUnavailableError) })
   await client.commit(transaction)
 })
+
+it.each([['no JSON', 'oops'], ['another form', '{"ok":true}']])(
+  'an answer with %s leaves the outcome of a write unknown and fails a read', async (_, text) => {
+    await start()
+    await server.close()
+    const broken = await startStandinServer({
+      port: server.endpoint.port, routes: {}, fallback: ({ response }) => { response.end(text) }
+    })
+    await expect(client.commit(transaction)).rejects.toBeInstanceOf(OutcomeUnknownError)
+    await expect(client.listInstances()).rejects.toBeInstanceOf(PlatformUnavailableError)
+    await broken.close()
+  })
--- a/src/platform/__tests__/platformContract.test.ts
+++ b/src/platform/__tests__/platformContract.test.ts
@@ -116,6 +116,16 @@
     platform.faults.outage = false
     expect(await client.readRow('t', 'k')).toBeUndefined()
   },
+  async 'above its rate the platform makes writes wait, and refuses them when the queue is too long' ({ client, platform }) {
+    platform.faults.writeRate = 5
+    const began = performance.now()
+    const calls = await Promise.allSettled(Array.from({ length: 20 }, async (_, index) => await client.commit(put('t', `${index}`, 1))))
+    expect(performance.now() - began).toBeGreaterThan(1900)
+    const refused = calls.filter((call) => call.status === 'rejected')
+    expect(refused.length).toBeGreaterThan(0)
+    for (const call of refused) expect(call.reason).toBeInstanceOf(PlatformUnavailableError)
+    expect(await client.readTable('t')).toHaveLength(calls.length - refused.length)
+  },
   async 'a commit whose answer is lost took effect and reports that this is not known' ({ client, platform }) {
     platform.faults.loseAnswers = 1
     await expect(client.commit(put('t', 'k', 1))).rejects.toBeInstanceOf(OutcomeUnknownError)
--- a/src/platform/httpPlatformClient.ts
+++ b/src/platform/httpPlatformClient.ts
@@ -1,4 +1,5 @@
 /** Platform client over HTTP. The wire format is in `docs/protocol.md`. */
+import { z } from 'zod'
 import { createHttpConnections } from '../http/connections'
 import type { ExchangeTrace } from '../http/connections'
 import { readWholeBody } from '../http/responseBody'
@@ -7,7 +8,7 @@
 } from '../errors'
 import { EXECUTION_HEADER } from '../constants'
 import type { Endpoint } from '../types'
-import type { CommitResult, InstanceList, PlatformClient, ReadOptions, ReadTableOptions, TableRow } from './types'
+import type { PlatformClient, ReadOptions, ReadTableOptions, TableRow } from './types'
 
 export interface HttpPlatformClientOptions {
   endpoint: Endpoint
@@ -21,6 +22,24 @@
   maximumConcurrent?: number
 }
 
+const rowSchema = z.object({ key: z.string(), value: z.unknown(), version: z.number() })
+const tableSchema = z.object({ rows: z.array(rowSchema) })
+const commitSchema = z.object({ version: z.number() })
+const errorSchema = z.object({ message: z.string() })
+const endpointSchema = z.object({ host: z.string(), port: z.number() })
+const listSchema = z.object({
+  instances: z.array(z.object({
+    name: z.string(),
+    kind: z.enum(['router', 'engine', 'service']),
+    dataCentre: z.string(),
+    endpoint: endpointSchema,
+    peerEndpoint: endpointSchema.optional(),
+    state: z.enum(['live', 'leaving']),
+    service: z.string().optional()
+  })),
+  asOf: z.number()
+})
+
 interface PlatformRequest {
   method: 'GET' | 'PUT' | 'POST'
   path: string
@@ -80,49 +99,67 @@
       : new PlatformUnavailableError(message, { execution: 'not_run', cause })
   }
 
-  async function get (path: string): Promise<PlatformResponse> {
-    const response = await send({ method: 'GET', path, writes: false })
-    if (response.status !== 200 && response.status !== 404) throw unexpected(path, response.status)
-    return response
+  /** Sends a request and reads the JSON of a 200 answer; undefined after 404. */
+  async function sendJson<Value> (request: PlatformRequest, schema: z.ZodType<Value>): Promise<Value | undefined> {
+    const { status, body } = await send(request)
+    if (status === 404) return undefined
+    if (status === 409) throw new TransactionConflictError(`platform ${request.path}: ${messageOf(body)}`)
+    if (status !== 200) throw unexpected(request.path, status)
+    const result = schema.safeParse(parseJson(body))
+    // What an answer that cannot be read says about a write is not known.
+    if (!result.success) throw failure(request, false, 'malformed answer', result.error)
+    return result.data
+  }
+
+  /** As `sendJson`, for requests that 404 is no answer to. */
+  async function requireJson<Value> (request: PlatformRequest, schema: z.ZodType<Value>): Promise<Value> {
+    const value = await sendJson(request, schema)
+    if (value === undefined) throw unexpected(request.path, 404)
+    return value
   }
 
   return {
     async readRow<Value> (table: string, key: string, read: ReadOptions = {}) {
-      const response = await get(`/tables/${encodeURIComponent(table)}/rows/${encodeURIComponent(key)}${query({ consistency: read.consistency })}`)
-      return response.status === 404 ? undefined : parse<TableRow<Value>>(response.body)
+      const path = `${tablePath(table)}/rows/${encodeURIComponent(key)}${query({ consistency: read.consistency })}`
+      return await sendJson({ method: 'GET', path, writes: false }, rowSchema) as TableRow<Value> | undefined
     },
     async readTable<Value> (table: string, read: ReadTableOptions = {}) {
       const parameters = { afterVersion: read.afterVersion, prefix: read.prefix, consistency: read.consistency }
-      const response = await get(`/tables/${encodeURIComponent(table)}${query(parameters)}`)
-      return parse<{ rows: Array<TableRow<Value>> }>(response.body).rows
+      const path = `${tablePath(table)}${query(parameters)}`
+      const { rows } = await requireJson({ method: 'GET', path, writes: false }, tableSchema)
+      return rows as Array<TableRow<Value>>
     },
     async commit (transaction) {
-      // JSON has no undefined; an absent `value` deletes the row.
-      const response = await send({
-        method: 'POST', path: '/transactions', headers: { 'content-type': 'application/json' }, body: JSON.stringify(transaction), writes: true
-      })
-      if (response.status === 409) throw new TransactionConflictError(parse<{ message: string }>(response.body).message)
-      if (response.status !== 200) throw unexpected('/transactions', response.status)
-      return parse<CommitResult>(response.body)
+      return await requireJson({
+        method: 'POST',
+        path: '/transactions',
+        headers: { 'content-type': 'application/json' },
+        // JSON has no undefined; an absent `value` deletes the row.
+        body: JSON.stringify(transaction),
+        writes: true
+      }, commitSchema)
     },
     async readObject (name) {
-      const response = await get(`/objects/${encodeURIComponent(name)}`)
-      return response.status === 404 ? undefined : response.body
+      const path = `/objects/${encodeURIComponent(name)}`
+      const { status, body } = await send({ method: 'GET', path, writes: false })
+      if (status !== 200 && status !== 404) throw unexpected(path, status)
+      return status === 404 ? undefined : body
     },
     async writeObject (name, content) {
       const path = `/objects/${encodeURIComponent(name)}`
-      const response = await send({
-        method: 'PUT', path, headers: { 'content-type': 'application/octet-stream' }, body: content, writes: true
-      })
-      if (response.status !== 204) throw unexpected(path, response.status)
-    },
-    async listInstances () {
-      return parse<InstanceList>((await get('/instances')).body)
+      const headers = { 'content-type': 'application/octet-stream' }
+      const { status } = await send({ method: 'PUT', path, headers, body: content, writes: true })
+      if (status !== 204) throw unexpected(path, status)
     },
+    listInstances: async () => await requireJson({ method: 'GET', path: '/instances', writes: false }, listSchema),
     close: connections.close
   }
 }
 
+function tablePath (table: string): string {
+  return `/tables/${encodeURIComponent(table)}`
+}
+
 function query (parameters: Readonly<Record<string, string | number | undefined>>): string {
   const search = new URLSearchParams()
   for (const [name, value] of Object.entries(parameters)) {
@@ -131,8 +168,17 @@
   return search.size === 0 ? '' : `?${search.toString()}`
 }
 
-function parse<Value> (body: Uint8Array): Value {
-  return JSON.parse(Buffer.from(body).toString('utf8')) as Value
+function parseJson (body: Uint8Array): unknown {
+  try {
+    return JSON.parse(Buffer.from(body).toString('utf8'))
+  } catch {
+    return undefined
+  }
+}
+
+function messageOf (body: Uint8Array): string {
+  const result = errorSchema.safeParse(parseJson(body))
+  return result.success ? result.data.message : 'conflict'
 }
 
 /** The platform refused a request as malformed: a fault of this client. */
--- a/src/platform/memoryPlatform.ts
+++ b/src/platform/memoryPlatform.ts
@@ -8,6 +8,9 @@
 /** Milliseconds for which superseded row versions and lists are kept for lagging reads. */
 const HISTORY_MS = 60_000
 
+/** Milliseconds for which a call waits at most when the platform is at its rate limit. */
+const LONGEST_QUEUE_MS = 2000
+
 /** Faults in force. All are off at the start. */
 export interface PlatformFaults {
   /** Every call fails with `PlatformUnavailableError`. @default false */
@@ -20,6 +23,10 @@
   listLag: number
   /** Milliseconds that each call takes. @default 0 */
   latency: number
+  /** Reads a second that the platform handles; more wait, and are refused after 2 s of waiting. 0 for no limit. @default 0 */
+  readRate: number
+  /** Writes a second, likewise. @default 0 */
+  writeRate: number
 }
 
 export interface MemoryPlatformOptions {
@@ -57,7 +64,11 @@
 /** Creates an empty platform. */
 export function createMemoryPlatform (options: MemoryPlatformOptions = {}): MemoryPlatform {
   const clock = options.clock ?? Date.now
-  const faults: PlatformFaults = { outage: false, loseAnswers: 0, replicaLag: 0, listLag: 0, latency: 0 }
+  const faults: PlatformFaults = {
+    outage: false, loseAnswers: 0, replicaLag: 0, listLag: 0, latency: 0, readRate: 0, writeRate: 0
+  }
+  /** Wall-clock time at which the queue of reads or writes is empty. */
+  const busyUntil = { reads: 0, writes: 0 }
   const counts = { reads: 0, writes: 0 }
   const tables = new Map<string, Map<string, RowState[]>>()
   const objects = new Map<string, Uint8Array>()
@@ -66,7 +77,13 @@
   let version = 0
 
   async function begin (kind: keyof typeof counts): Promise<void> {
-    if (faults.latency > 0) await new Promise((resolve) => setTimeout(resolve, faults.latency))
+    const rate = kind === 'reads' ? faults.readRate : faults.writeRate
+    const now = clock()
+    const queue = Math.max(0, busyUntil[kind] - now)
+    if (queue > LONGEST_QUEUE_MS) throw new PlatformUnavailableError('platform overloaded', { execution: 'not_run' })
+    busyUntil[kind] = now + queue + (rate > 0 ? 1000 / rate : 0)
+    const wait = queue + faults.latency
+    if (wait > 0) await new Promise((resolve) => setTimeout(resolve, wait))
     if (faults.outage) throw new PlatformUnavailableError('platform outage', { execution: 'not_run' })
     counts[kind]++
   }
--- a/standins/load/__tests__/run.test.ts
+++ b/standins/load/__tests__/run.test.ts
@@ -2,6 +2,7 @@
 import { Agent } from 'undici'
 import { afterEach, expect, it } from 'vitest'
 import { startEngineServer } from '../../engine/server'
+import { startStandinServer } from '../../http'
 import { planLoad } from '../plan'
 import { runLoad } from '../run'
 import { createTarget } from '../targets'
@@ -74,3 +75,36 @@
   engine.core.leaving = true
   expect((await run()).errors).toEqual({ http_503_leaving: plan.length })
 })
+
+const content = 'data: {"choices":[{"delta":{"content":"a"},"finish_reason":null}]}\n\n'
+const finish = 'data: {"choices":[{"delta":{},"finish_reason":"stop"}]}\n\n'
+it.each([
+  ['a whole stream', 200, `${content}${content}${finish}data: [DONE]\n\n`, undefined],
+  ['no end marker', 200, `${content}${finish}`, 'incomplete'],
+  ['no finish reason', 200, `${content}data: [DONE]\n\n`, 'incomplete'],
+  ['an error in the stream', 200, `${content}data: {"error":{"code":"upstream_failed"}}\n\n`, 'stream_upstream_failed'],
+  ['a refusal', 503, '{"error":{"code":"overloaded","execution":"not_run"}}', 'http_503_overloaded_not_run']
+])('router mode judges %s', async (_, status, answer, error) => {
+  let authorization: string | undefined
+  const router = await startStandinServer({
+    routes: {
+      'POST /v1': ({ request, response }) => {
+        authorization = request.headers.authorization
+        response.writeHead(status).end(answer)
+      }
+    }
+  })
+  const agent = new Agent()
+  closers.push(router.close, async () => await agent.destroy())
+  const target = createTarget(agent, {
+    url: `http://127.0.0.1:${router.endpoint.port}`,
+    mode: 'router',
+    key: 'secret',
+    model: 'model',
+    version: '',
+    outputTokens: 2,
+    timeout: 2000
+  })
+  expect((await target({ arrival: 0, requestIdentifier: 'r', prompt: 'p' }, () => undefined)).error).toBe(error)
+  expect(authorization).toBe('Bearer secret')
+})
--- a/standins/process.ts
+++ b/standins/process.ts
@@ -8,6 +8,9 @@
 import { EXIT_WITH_PARENT } from './ready'
 import type { ReadyLine } from './ready'
 
+/** Last lines of output that are kept for each program. */
+const OUTPUT_LINES = 5000
+
 /** Milliseconds within which a program prints its ready line. Starting tsx takes about 1 s on a busy machine. */
 const READY_TIMEOUT_MS = 20_000
 
@@ -17,7 +20,9 @@
   /** URL under which `/control/` is reached; differs from `url` for the relay only. */
   controlUrl: string
   pid: number
-  /** Lines that the program printed after its ready line, and its error output. */
+  /** The whole ready line, for programs that listen on more ports. */
+  ready: Readonly<ReadyLine & Record<string, unknown>>
+  /** Last lines that the program printed besides its ready line, and its error output. */
   output: () => readonly string[]
   /** Sends a signal to this process only. */
   signal: (signal: NodeJS.Signals) => void
@@ -44,27 +49,39 @@
 }
 
 /**
- * Starts a program and resolves when it has printed its ready line. TypeScript files run through tsx.
+ * Starts a program and resolves when it has printed its ready line. Scripts run through node, TypeScript with tsx; any
+ * other file is run itself.
  * Rejects with `InternalError` when the program ends or stays silent before.
  */
 export async function startProcess (
   file: string, parameters: readonly string[] = [], options: StartOptions = {}
 ): Promise<StandinProcess> {
-  const loader = file.endsWith('.ts') ? ['--import', 'tsx'] : []
-  const child = spawn(process.execPath, [...loader, file, ...parameters], {
+  const script = /\.[cm]?[jt]s$/.test(file)
+  const loader = file.endsWith('ts') ? ['--import', 'tsx'] : []
+  const child = spawn(script ? process.execPath : file, [...script ? [...loader, file] : [], ...parameters], {
     // The open pipe to standard input tells a stand-in whether this process still runs, however it ends.
     stdio: ['pipe', 'pipe', 'pipe'], env: { ...process.env, [EXIT_WITH_PARENT]: '1', ...options.environment }
   })
   children.add(child)
   child.stdin.on('error', () => undefined)
   const lines: string[] = []
+  const keepLine = (line: string): void => {
+    lines.push(line)
+    if (lines.length > OUTPUT_LINES) lines.shift()
+  }
   const exited = new Promise<number | NodeJS.Signals>((resolve) => {
+    // Without a process there is no exit event.
+    child.once('error', (error) => {
+      children.delete(child)
+      keepLine(String(error))
+      resolve(-1)
+    })
     child.once('exit', (code, signal) => {
       children.delete(child)
       resolve(code ?? signal ?? 0)
     })
   })
-  createInterface({ input: child.stderr }).on('line', (line) => lines.push(line))
+  createInterface({ input: child.stderr }).on('line', keepLine)
 
   async function stop (): Promise<void> {
     // SIGKILL also ends a process that SIGSTOP froze.
@@ -74,6 +91,7 @@
 
   const ready = await new Promise<ReadyLine>((resolve, reject) => {
     const fail = (reason: string): void => {
+      clearTimeout(timer)
       reject(new InternalError(`${file}: ${reason}; output: ${lines.join(' | ')}`))
     }
     const timer = setTimeout(() => fail('no ready line'), options.readyTimeout ?? READY_TIMEOUT_MS)
@@ -81,7 +99,7 @@
     createInterface({ input: child.stdout }).on('line', (line) => {
       const parsed = parseReadyLine(line)
       if (parsed === undefined) {
-        lines.push(line)
+        keepLine(line)
         return
       }
       clearTimeout(timer)
@@ -98,6 +116,7 @@
     url: `http://127.0.0.1:${ready.port}`,
     controlUrl: `http://127.0.0.1:${ready.controlPort ?? ready.port}`,
     pid: ready.pid,
+    ready: { ...ready },
     output: () => lines,
     signal: (signal) => { child.kill(signal) },
     exited,
