Keep tokens and units from getting lost between holders

Cause: under evenly spread traffic the levels of all instances together stayed far below one common bucket with the same requests. Three losses were seen: the pool followed a noisy demand, so that units given back and not yet taken idled (rates added up to 2750 of 3000); a lender that was full lost the tokens above the capacity it kept; a borrowed rate that lapsed took its tokens along. Change: the reported demand is smoothed and changes in steps, tokens that do not fit any more go along with a loan, and parts not renewed are given back. Conclusion: what remains is refill lost at instances that are full while others are not.

--- a/src/quota/allowance.ts
+++ b/src/quota/allowance.ts
@@ -100,7 +100,10 @@
   if (rate < earlierRate * ROUNDING || capacity < earlierCapacity * ROUNDING) return emptyReply(request)
   const share = Math.max(shareOf(rate, limit.rate), shareOf(capacity, limit.burst))
   if (share < SMALLEST_LOAN_SHARE) return emptyReply(request)
-  const tokens = Math.max(0, Math.min(request.tokens, spare.tokens, capacity - earlierCapacity))
+  // Tokens that do not fit into the lender's remaining capacity go along; they would be lost otherwise.
+  const displaced = account.bucket.level - (account.bucket.allowance.capacity - (capacity - earlierCapacity))
+  const wanted = Math.max(displaced, Math.min(request.tokens, spare.tokens))
+  const tokens = Math.max(0, Math.min(wanted, account.bucket.level, capacity - earlierCapacity))
   return { ...emptyReply(request), rate, capacity, tokens, duration }
 }
 
--- a/src/quota/borrowing.ts
+++ b/src/quota/borrowing.ts
@@ -201,9 +201,12 @@
     let missing = needed - (demand.allowedRate - own.reduce((sum, [, { rate }]) => sum + rate, 0))
     const loans: PlannedLoan[] = []
     for (const [series, loan] of own) {
-      if (missing <= 0) break
-      missing -= loan.rate
       const isDue = now >= loan.sentAt + loan.duration / 2
+      if (missing <= 0) {
+        if (isDue && !isAsked(series)) loans.push(...giveBack(series, now))
+        continue
+      }
+      missing -= loan.rate
       const peer = peers.find(({ instance }) => instance === loan.peer)
       if (!isDue || peer === undefined || isAsked(series) || avoidUntil.has(avoidKey(customer, loan.peer, 'rate'))) continue
       loans.push(...ask(peer, { customer, rate: loan.rate, capacity: loan.capacity, tokens: 0, renews: series }, now))
@@ -249,8 +252,9 @@
     const isExhausted = reply.rate < request.rate * NEXT_TO_NOTHING ||
       reply.capacity < request.capacity * NEXT_TO_NOTHING || reply.tokens < request.tokens * NEXT_TO_NOTHING
     if (isExhausted) avoidUntil.set(avoidKey(customer, peer, request.rate > 0 ? 'rate' : 'tokens'), now + EXHAUSTED_MS)
-    if (!(reply.duration > 0)) return []
     const series = request.renews ?? request.identifier
+    // A lender that refuses a renewal needs its part; what is left of the level goes back with it.
+    if (!(reply.duration > 0)) return request.renews === undefined ? [] : giveBack(series, now)
     borrowed.set(series, {
       peer, customer, rate: reply.rate, capacity: reply.capacity, sentAt, duration: reply.duration
     })
--- a/src/quota/grantTask.ts
+++ b/src/quota/grantTask.ts
@@ -37,6 +37,15 @@
 /** Part of the wanted units below which the instance asks again soon. */
 const NEARLY_ALL = 0.9
 
+/** Weight of the newest value in the demand that is reported with a renewal. */
+const NEWEST_DEMAND_WEIGHT = 0.3
+
+/**
+ * The reported demand changes only when it is off by this factor. Holders change their parts at different times, and
+ * units that one has given back and the other not yet taken are idle: 8% of them without this rule.
+ */
+const DEMAND_STEP = 1.5
+
 const TIERS = [GrantTier.floor, GrantTier.pool] as const
 
 const FLEET_KEY = 'fleet'
@@ -99,6 +108,8 @@
   let sequence = 0
   let failures = 0
   let renewedAt = -Infinity
+  let smoothedDemand = 0
+  let reportedDemand = 0
   let releasing = false
   let running: Promise<GrantTickResult> | undefined
 
@@ -163,6 +174,12 @@
     return new Set([...options.liveInstances(), ...renewing, self.instance])
   }
 
+  function observeDemand (now: MonotonicMilliseconds): void {
+    smoothedDemand += NEWEST_DEMAND_WEIGHT * (accounts.demandShare(now) - smoothedDemand)
+    const isNear = smoothedDemand < reportedDemand * DEMAND_STEP && smoothedDemand > reportedDemand / DEMAND_STEP
+    if (!isNear) reportedDemand = smoothedDemand
+  }
+
   /** One attempt to renew; undefined asks for another one. */
   async function renew (): Promise<GrantTickResult | undefined> {
     const read = await readRows()
@@ -176,7 +193,7 @@
       target: dataCentreTargets(options.weights()).get(dataCentre) ?? 0,
       keep,
       sequence: sequence + 1,
-      demand: accounts.demandShare(now),
+      demand: reportedDemand,
       floorPart,
       isReclaimable: (grant) => watch.isReclaimable(grant, now)
     })
@@ -232,6 +249,7 @@
 
   async function tick (): Promise<GrantTickResult> {
     if (releasing) return result('released', renewalInterval)
+    observeDemand(clock())
     try {
       for (let attempt = 0; attempt < MAXIMUM_ATTEMPTS; attempt += 1) {
         const renewed = await renew()
