Lower the weight of index entries by what lost events can have evicted

Cause: one lost event halved the weight of all entries of an upstream until each was confirmed. Change: each gap adds the part of the entries that the lost events can have evicted (events lost times mean blocks per event, by entries held) to the doubt of the upstream; an entry is weighted by the doubt added since its confirmation, down to one half. A lapsed heartbeat halves as before.

--- a/src/prefix/__tests__/blockIndex.test.ts
+++ b/src/prefix/__tests__/blockIndex.test.ts
@@ -30,6 +30,16 @@
     expect(index.cachedBlocks('u', 1, [10, 11].map(keyOf), now)).toBe(1)
   })
 
+  it('doubts no more than lost events can have evicted', () => {
+    const index = createBlockIndex({ maximumEntries: 1000 })
+    for (let sequence = 1; sequence <= 100; sequence++) index.applyEvents('u', batch(1, stored(sequence, sequence)), 0)
+    index.applyEvents('u', batch(1, stored(111, 111)), 1)
+    expect(index.cachedBlocks('u', 1, [keyOf(5)], 1)).toBeCloseTo(0.9)
+    // Doubt adds up over gaps, down to one half.
+    for (let sequence = 142; sequence <= 400; sequence += 31) index.applyEvents('u', batch(1, stored(sequence, sequence)), 1)
+    expect(index.cachedBlocks('u', 1, [keyOf(5)], 1)).toBe(0.5)
+  })
+
   it('is certain again after a confirmation by an event or an outcome', () => {
     const index = createBlockIndex({ maximumEntries: 100 })
     index.applyEvents('u', batch(1, stored(1, 10, 11, 12)), 0)
--- a/src/prefix/blockIndex.ts
+++ b/src/prefix/blockIndex.ts
@@ -8,16 +8,22 @@
 import type { BlockIndex } from './types'
 
 export interface BlockIndexOptions {
-  /** Entries kept at most; one entry is a block at one upstream and takes 18 bytes. */
+  /** Entries kept at most; one entry is a block at one upstream and takes 20 bytes. */
   maximumEntries: number
   /** Milliseconds without an answer of the event endpoint after which an upstream's entries are uncertain. @default 3000 */
   heartbeatLapseMilliseconds?: number
 }
 
-/** Weight of an uncertain entry. */
-const UNCERTAIN_WEIGHT = 0.5
+/** Lowest weight of an uncertain entry; also the weight while the upstream's heartbeat has lapsed. */
+const LOWEST_WEIGHT = 0.5
+/** Doubt is counted in thousandths of an entry. */
+const DOUBT_UNITS = 1000
+/** Doubt at which an entry has the lowest weight. */
+const MOST_DOUBT = (1 - LOWEST_WEIGHT) * DOUBT_UNITS
 const DEFAULT_HEARTBEAT_LAPSE_MS = 3000
-const MARK_LIMIT = 0x10000
+const MARK_LIMIT = 0x100000000
+/** Weight of a new event in the mean number of blocks of an event. */
+const EVENT_WEIGHT = 0.1
 /** Dropped upstreams that are remembered; the oldest is forgotten first. */
 const DROPPED_LIMIT = 4096
 
@@ -30,8 +36,13 @@
   newestSequence: number
   /** Newest sequence number for which missing events have already been noticed. */
   gapNoticedAt: number
-  /** Entries whose mark differs are uncertain. Starts at 0; raised by each gap. */
-  certainty: number
+  /**
+   * Sum of the parts of the cache that lost events can have evicted, in `DOUBT_UNITS`, modulo `MARK_LIMIT`. An entry is
+   * marked with the sum at its confirmation, so the difference is the chance that it was evicted unnoticed.
+   */
+  doubt: number
+  /** Mean number of blocks of an event. */
+  blocksPerEvent: number
   lastHeard: MonotonicMilliseconds
 }
 
@@ -60,7 +71,8 @@
       entries: 0,
       newestSequence: 0,
       gapNoticedAt: 0,
-      certainty: 0,
+      doubt: 0,
+      blocksPerEvent: 1,
       lastHeard: now
     }
     byName.set(upstream, owner)
@@ -77,7 +89,7 @@
         if (replaced !== undefined) replaced.entries--
         owner.entries++
       }
-      table.setMark(result.slot, owner.certainty)
+      table.setMark(result.slot, owner.doubt)
     }
   }
 
@@ -93,8 +105,10 @@
 
   function applyEvent (owner: Owner, event: CacheEvent, now: MonotonicMilliseconds): void {
     if (event.sequence <= owner.newestSequence) return
-    if (event.sequence > owner.newestSequence + 1) noticeGap(owner)
+    const lost = event.sequence - Math.max(owner.newestSequence, owner.gapNoticedAt) - 1
+    if (lost > 0) noticeGap(owner, lost)
     owner.newestSequence = event.sequence
+    owner.blocksPerEvent += EVENT_WEIGHT * (event.blockKeys.length - owner.blocksPerEvent)
     if (event.kind === 'stored') store(owner, event.blockKeys, now)
     else discard(owner, event.blockKeys)
   }
@@ -107,8 +121,9 @@
       for (const event of batch.events) applyEvent(owner, event, now)
       // An answer without events although newer ones exist: they were lost or are late. The position stays, so that
       // late ones are still taken in.
-      if (batch.events.length === 0 && batch.newestSequence > Math.max(owner.newestSequence, owner.gapNoticedAt)) {
-        noticeGap(owner)
+      const missing = batch.newestSequence - Math.max(owner.newestSequence, owner.gapNoticedAt)
+      if (batch.events.length === 0 && missing > 0) {
+        noticeGap(owner, missing)
         owner.gapNoticedAt = batch.newestSequence
       }
     },
@@ -125,7 +140,7 @@
         if (slot === NO_SLOT) continue
         // Blocks that were not cached have been computed by this request; their stored event confirms them again.
         const confirmed = position / 2 < cachedBlocks
-        table.setMark(slot, confirmed ? owner.certainty : previousMark(owner.certainty))
+        table.setMark(slot, confirmed ? owner.doubt : (owner.doubt - MOST_DOUBT + MARK_LIMIT) % MARK_LIMIT)
         if (confirmed) table.touch(slot, now)
       }
     },
@@ -148,7 +163,7 @@
         const slot = table.find(parts[position]!, parts[position + 1]!, owner.identifier)
         if (slot === NO_SLOT) break
         table.touch(slot, now)
-        blocks += lapsed || table.getMark(slot) !== owner.certainty ? UNCERTAIN_WEIGHT : 1
+        blocks += lapsed ? LOWEST_WEIGHT : weightOf(owner, table.getMark(slot))
       }
       return blocks
     },
@@ -161,12 +176,17 @@
   }
 }
 
-function noticeGap (owner: Owner): void {
-  owner.certainty = (owner.certainty + 1) % MARK_LIMIT
+/** Raises the doubt in all entries by the part of them that the lost events can have evicted. */
+function noticeGap (owner: Owner, lostEvents: number): void {
+  const part = lostEvents * owner.blocksPerEvent / Math.max(1, owner.entries)
+  const doubt = Math.min(MOST_DOUBT, Math.max(1, Math.ceil(part * DOUBT_UNITS)))
+  owner.doubt = (owner.doubt + doubt) % MARK_LIMIT
 }
 
-function previousMark (certainty: number): number {
-  return (certainty + MARK_LIMIT - 1) % MARK_LIMIT
+/** Weight of an entry with this mark. */
+function weightOf (owner: Owner, mark: number): number {
+  const doubt = (owner.doubt - mark + MARK_LIMIT) % MARK_LIMIT
+  return 1 - Math.min(MOST_DOUBT, doubt) / DOUBT_UNITS
 }
 
 /**
--- a/src/prefix/blockTable.ts
+++ b/src/prefix/blockTable.ts
@@ -18,7 +18,7 @@
   insert: (high: number, low: number, owner: number, now: number, isLive: (owner: number) => boolean) => InsertResult
   remove: (slot: number) => void
   touch: (slot: number, now: number) => void
-  /** Number that the caller keeps with a pair, 0 to 65535. */
+  /** Number that the caller keeps with a pair, an unsigned 32-bit integer. */
   getMark: (slot: number) => number
   setMark: (slot: number, mark: number) => void
   byteLength: () => number
@@ -39,7 +39,7 @@
   const lows = new Uint32Array(slots)
   const owners = new Uint32Array(slots)
   const usedAt = new Uint32Array(slots)
-  const marks = new Uint16Array(slots)
+  const marks = new Uint32Array(slots)
 
   const tickOf = (now: number): number => Math.floor(now / TICK_MILLISECONDS) >>> 0
 
