--- /dev/null
+++ b/src/rollout/__tests__/rolloutSimulation.ts
@@ -0,0 +1,166 @@
+/** A fleet of routers with one rollout, in steps of one second, for measuring harm and wrong rollbacks. */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { mersenne } from 'pure-rand/generator/mersenne'
+import { createFakePlatform } from '../../platform/__tests__/fakePlatform'
+import type { ModelConfiguration, RandomSource } from '../../types'
+import { createRolloutLeader } from '../leader'
+import { createLocalBrake } from '../localBrake'
+import { createRolloutSampler, type RequestOutcome } from '../sampler'
+import type { EngineState, RolloutRecord } from '../types'
+import { createRolloutView } from '../view'
+
+const MODEL = 'chat'
+const INSTANCES = 8
+const ENGINES = 6
+const WARM_UP_SECONDS = 30
+const ROUTES = [{ name: 'chat', part: 0.6 }, { name: 'completions', part: 0.3 }, { name: 'assistant', part: 0.1 }] as const
+const TICK_MS = 1000
+
+/** State in which a fault is asked for its effect. */
+export interface Situation {
+  /** Seconds since the rollout began. */
+  age: number
+  route: string
+  /** Traffic relative to that outside the peak. */
+  load: number
+  /** Requests per second on the new version. */
+  ownRate: number
+}
+
+/** What a bad version does to one request. */
+export interface Effect {
+  failureRate?: number
+  firstTokenFactor?: number
+  betweenTokensFactor?: number
+}
+export type FaultModel = (situation: Situation) => Effect | undefined
+
+export interface SimulationOptions {
+  seed: number
+  seconds: number
+  /** Requests per second of the whole fleet outside the peak. */
+  rate: number
+  fault?: FaultModel
+  detection?: boolean
+  finishBySeconds?: number
+}
+
+export interface SimulationResult {
+  requests: number
+  /** Requests that the fault made fail or slow. */
+  harmed: number
+  record: RolloutRecord | undefined
+  /** Seconds from the start to the end of the rollout. */
+  duration: number | undefined
+}
+
+export async function simulateRollout (options: SimulationOptions): Promise<SimulationResult> {
+  const { seed, seconds, rate, fault, detection = true } = options
+  const generator = mersenne(seed)
+  const random: RandomSource = () => uniformFloat64(generator)
+  const platform = createFakePlatform()
+  const engines: EngineState[] = Array.from({ length: ENGINES }, (_, index) => {
+    return { name: `e${index}`, endpoint: { host: '127.0.0.1', port: 1 }, leaving: false, loaded: [`${MODEL}@v1`] }
+  })
+  const model: ModelConfiguration = { name: MODEL, version: 'v1', finishBy: undefined, maximumOutputTokens: 1, parallelLoads: 2 }
+  let applied = { revision: 1, configuration: { dataCentres: [], customers: [], routes: [], models: [model] } }
+  let now = 0
+  const instances = Array.from({ length: INSTANCES }, () => createInstance(() => now))
+  const leader = createRolloutLeader({
+    platform, self: { instance: 'i0', incarnation: 1 }, configuration: () => applied, engines: () => engines, detection
+  })
+  const peakStart = WARM_UP_SECONDS + random() * seconds * 0.5
+  const crashes = [random() * seconds, random() * seconds].map(time => WARM_UP_SECONDS + Math.floor(time))
+  let notices: RolloutRecord[] = []
+  let startedAt: number | undefined
+  const result: SimulationResult = { requests: 0, harmed: 0, record: undefined, duration: undefined }
+
+  for (let second = 0; second < WARM_UP_SECONDS + seconds; second++) {
+    now = second * TICK_MS
+    if (second === WARM_UP_SECONDS) {
+      const finishBy = options.finishBySeconds === undefined ? undefined : now + options.finishBySeconds * 1000
+      applied = { revision: 2, configuration: { ...applied.configuration, models: [{ ...model, version: 'v2', finishBy }] } }
+      startedAt = now
+    }
+    // Records reach half of the instances at once, the others one tick after they were written.
+    for (const notice of notices) for (const { view } of instances) view.offer(notice)
+    notices = []
+    for (const effect of await leader.tick(now, now)) {
+      if (effect.kind === 'record') {
+        notices.push(effect.record)
+        for (const { view } of instances.slice(0, INSTANCES / 2)) view.offer(effect.record)
+        if (startedAt !== undefined && effect.record.toVersion === 'v2' && result.record?.phase !== effect.record.phase) {
+          if (['finished', 'rolled_back'].includes(effect.record.phase)) result.duration = (now - startedAt) / 1000
+        }
+        result.record = effect.record
+      } else {
+        const engine = engines.find(other => other.name === effect.engine)!
+        const name = `${effect.order.model}@${effect.order.version}`
+        engine.loaded = effect.order.kind === 'load' ? [...engine.loaded, name] : engine.loaded.filter(other => other !== name)
+      }
+    }
+    const load = 1 + (second >= peakStart && second < peakStart + 60 ? 1 : 0)
+    serveSecond(second, load)
+    for (const { sampler } of instances) leader.addSamples(sampler.drain())
+  }
+  return result
+
+  function serveSecond (second: number, load: number): void {
+    const share = instances[0]!.view.record(MODEL)?.share ?? 0
+    const age = startedAt === undefined ? 0 : (now - startedAt) / 1000
+    const crashed = crashes.includes(second)
+    for (let request = 0; request < rate * load; request++) {
+      const instance = instances[Math.floor(random() * INSTANCES)]!
+      const version = instance.view.chooseVersion(MODEL, random) ?? 'v1'
+      const route = chooseRoute(random)
+      const fresh = version === 'v2'
+      const effect = fresh ? fault?.({ age, route, load, ownRate: share * rate * load }) : undefined
+      // Requests of a new version gather on few engines by prefix, so that one crash hits a larger part of them.
+      const crashRate = crashed ? (fresh ? 0.8 : 0.3) : 0
+      const faulty = effect !== undefined && random() < (effect.failureRate ?? 0)
+      const failed = faulty || random() < 0.001 + crashRate
+      const computedTokens = random() < (fresh ? 0.3 + 0.7 / (1 + share * age) : 0.1) ? 4000 : 200
+      const queueing = 1 + (load - 1) * (1 + random())
+      const firstToken = (20 + computedTokens * 0.1) * queueing * noise(random, 0.4)
+      const betweenTokens = 20 * (1 + (load - 1) * 0.3) * noise(random, 0.15)
+      const outcome: RequestOutcome = {
+        model: MODEL,
+        version,
+        route,
+        failed,
+        firstToken: failed ? undefined : firstToken * (effect?.firstTokenFactor ?? 1),
+        betweenTokens: failed ? undefined : betweenTokens * (effect?.betweenTokensFactor ?? 1),
+        computedTokens
+      }
+      instance.sampler.record(outcome)
+      if (fresh) instance.brake.record(MODEL, version, route, failed, now)
+      if (second < WARM_UP_SECONDS) continue
+      result.requests++
+      if (faulty || (effect?.firstTokenFactor ?? 1) > 1 || (effect?.betweenTokensFactor ?? 1) > 1) result.harmed++
+    }
+  }
+}
+
+function createInstance (now: () => number) {
+  const brake = createLocalBrake()
+  const view = createRolloutView({ isBraked: (model, version) => brake.isBraked(model, version, now()) })
+  const sampler = createRolloutSampler({
+    referenceVersion: model => view.record(model)?.fromVersion,
+    isBraked: (model, version, route) => brake.isRouteBraked(model, version, route, now())
+  })
+  return { brake, view, sampler }
+}
+
+function chooseRoute (random: RandomSource): string {
+  let rest = random()
+  for (const { name, part } of ROUTES) {
+    rest -= part
+    if (rest < 0) return name
+  }
+  return ROUTES[0].name
+}
+
+/** Log-normal factor with median 1 (Box-Muller). */
+function noise (random: RandomSource, sigma: number): number {
+  return Math.exp(sigma * Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random()))
+}
--- a/src/rollout/judge.ts
+++ b/src/rollout/judge.ts
@@ -1,16 +1,21 @@
 /**
  * Judges a new version against the old one, per route and metric, from the samples of all instances.
  *
- * While both versions carry traffic on a route, the requests that exceed (failures, slow first tokens, slow tokens) are
- * compared over the same period: each exceedance is a Bernoulli trial that falls on the new version with a probability
- * given by its part of the requests. With part s, a relative risk r gives r*s / (r*s + 1 - s). Null hypothesis: r is at
- * most `NULL_RISK`; alternative: r is at least `ALTERNATIVE_RISK`. A disturbance that hits both versions cancels out.
+ * The null hypothesis is a relative risk of at most `NULL_RISK`, the alternative one of at least `ALTERNATIVE_RISK`.
  *
- * Without old traffic (full share) the rate of exceedances is compared with the rate that the old version had before. Slow
- * answers are then judged only while the traffic is not above what the comparison has seen, since load alone slows answers.
+ * Slow answers: while both versions carry traffic on a route, each slow answer is a Bernoulli trial that falls on the new
+ * version with a probability given by its part of the requests. With part s, a relative risk r gives r*s / (r*s + 1 - s).
+ * A disturbance that hits both versions cancels out. Each instance is compared with itself only, since every instance
+ * measures slowness by its own reference. Without old traffic (full share) the rate of slow answers is compared
+ * with the rate that the old version had before under the same or a higher load. Under a load that the comparison has not
+ * seen, or that made the old version slow as well, only very slow answers count, since load alone slows answers.
+ *
+ * Failures: each request on the new version is a trial, and the rate of the null hypothesis comes from the failures of the
+ * old version over the same period. Failures are too rare for the other form, in which only failures would speak for a
+ * version: after a burst of failures its evidence would stand for minutes.
  */
 import { RollbackReason, type RolloutSample } from './types'
-import { createSequentialTest, type SequentialTest } from './sequentialTest'
+import { createSequentialTest, type SequentialTest, type Trials } from './sequentialTest'
 
 /** Relative risk up to which a version is as good as the old one. */
 export const NULL_RISK = 1.5
@@ -19,47 +24,60 @@
 /** Part of the requests on the new version above which the old version's sample is too small for a comparison. */
 const LARGEST_COMPARED_PART = 0.9
 /** One batch contributes at most this part of the bound; a crash of one engine fails many requests in one batch. */
-const LARGEST_BATCH_STEP = 0.7
-/** Traffic, relative to the highest during the comparison, above which slow answers say nothing about the version. */
-const LOAD_MARGIN = 1.25
-/** Instances whose local brake is on at the same time that decide without further evidence. */
-const BRAKES_THAT_DECIDE = 2
-/** Evidence, as a part of the bound, from which one local brake decides. */
-const EVIDENCE_WITH_BRAKE = 0.5
+const LARGEST_BATCH_STEP = 0.6
+/** Requests in one batch are grouped into load levels, each higher than the one before it by this factor. */
+const LOAD_LEVEL_FACTOR = 1.25
+/** Load levels above the highest known one at which nothing is said about slowness: more than 2.4 times its traffic. */
+const JUDGED_LEVELS_ABOVE = 4
+/** Requests of the old version at a load level below which it is no baseline. */
+const MINIMUM_BASELINE = 100
+/** Rate of slow answers of the old version above which a relative risk cannot be seen. */
+const LARGEST_BASELINE_RATE = 0.25
+/** Batches, i.e. seconds, over which the old version's failures are averaged besides those of the present batch. */
+const RECENT_BATCHES = 10
 /** Evidence above which the share does not rise. */
 const EVIDENCE_THAT_HOLDS = 0.3
 
+/** Batches for which the share does not rise after an instance has reported that its local brake is on. */
+const BRAKE_HOLD_BATCHES = 10
+
 interface Metric {
   reason: RollbackReason
   exceedances: (sample: RolloutSample) => number
   trials: (sample: RolloutSample) => number
+  /** Counts instead of `exceedances` where load may explain these. */
+  clearExceedances: (sample: RolloutSample) => number
   /** Lowest rates of the hypotheses without old traffic. */
   lowestNullRate: number
   lowestAlternativeRate: number
-  dependsOnLoad: boolean
+  /** Judged by the part of the exceedances that falls on the new version while there is old traffic; depends on the load. */
+  slowness: boolean
 }
 
 const METRICS: readonly Metric[] = [{
   reason: RollbackReason.failures,
   exceedances: sample => sample.failures,
   trials: sample => sample.requests,
+  clearExceedances: sample => sample.failures,
   lowestNullRate: 0.005,
   lowestAlternativeRate: 0.05,
-  dependsOnLoad: false
+  slowness: false
 }, {
   reason: RollbackReason.slowFirstToken,
   exceedances: sample => sample.slowFirstTokens,
   trials: sample => sample.firstTokens,
+  clearExceedances: sample => sample.verySlowFirstTokens,
   lowestNullRate: 0.15,
   lowestAlternativeRate: 0.4,
-  dependsOnLoad: true
+  slowness: true
 }, {
   reason: RollbackReason.slowTokens,
   exceedances: sample => sample.slowTokens,
   trials: sample => sample.betweenTokens,
+  clearExceedances: sample => sample.verySlowTokens,
   lowestNullRate: 0.15,
   lowestAlternativeRate: 0.4,
-  dependsOnLoad: true
+  slowness: true
 }]
 
 export interface Verdict {
@@ -68,7 +86,8 @@
 }
 
 export interface RolloutJudge {
-  add: (instance: string, samples: readonly RolloutSample[]) => void
+  /** Takes in the samples of one instance over one interval, of both versions. */
+  add: (samples: readonly RolloutSample[]) => void
   /** Judges everything added since the last call. Called once in each reporting interval. */
   evaluate: () => Verdict | undefined
   /** Requests on the new version since `startStep`. */
@@ -78,11 +97,20 @@
   startStep: () => void
 }
 
+interface Counts {
+  exceedances: number
+  trials: number
+}
+
 interface RouteState {
   /** In the order of `METRICS`. */
   tests: readonly SequentialTest[]
-  /** Exceedances and trials of the old version during the comparison, in the order of `METRICS`. */
-  baselines: ReadonlyArray<{ exceedances: number, trials: number }>
+  /** For each metric, in the order of `METRICS`, what the old version did at each load level during the comparison. */
+  baselines: ReadonlyArray<Map<number, Counts>>
+  /** Failures and requests of the old version since the rollout began. */
+  total: Counts
+  /** Failures and requests of the old version in the last batches, newest last. */
+  recent: Counts[]
 }
 
 export interface JudgeOptions {
@@ -95,10 +123,10 @@
 export function createRolloutJudge (options: JudgeOptions): RolloutJudge {
   const { fromVersion, toVersion, enabled = true } = options
   const routes = new Map<string, RouteState>()
-  const brakes = new Map<string, Set<string>>()
-  let pending: RolloutSample[] = []
-  let highestTraffic = 0
+  let pending: Array<readonly RolloutSample[]> = []
   let requestsInStep = 0
+  let batches = 0
+  let brakedBatch = -Infinity
   let verdict: Verdict | undefined
 
   function routeState (route: string): RouteState {
@@ -106,97 +134,138 @@
     if (state === undefined) {
       state = {
         tests: METRICS.map(() => createSequentialTest({ largestStep: LARGEST_BATCH_STEP })),
-        baselines: METRICS.map(() => ({ exceedances: 0, trials: 0 }))
+        baselines: METRICS.map(() => new Map<number, Counts>()),
+        total: { exceedances: 0, trials: 0 },
+        recent: []
       }
       routes.set(route, state)
     }
     return state
   }
 
-  function judgeMetric (state: RouteState, index: number, batch: readonly RolloutSample[], loadKnown: boolean): void {
-    const metric = METRICS[index]!
-    const test = state.tests[index]!
-    const baseline = state.baselines[index]!
-    const fresh = sumOf(batch, toVersion, metric)
-    const old = sumOf(batch, fromVersion, metric)
+  /** Trials of a slowness metric in the samples of one instance. */
+  function slownessTrials (
+    metric: Metric, samples: readonly RolloutSample[], baselines: Map<number, Counts>, level: number
+  ): Trials | undefined {
+    const fresh = sumOf(samples, toVersion, metric)
+    const old = sumOf(samples, fromVersion, metric)
     const part = fresh.trials / (fresh.trials + old.trials)
-    if (old.trials > 0 && part <= LARGEST_COMPARED_PART) {
-      baseline.exceedances += old.exceedances
-      baseline.trials += old.trials
-      if (fresh.trials === 0) return
-      test.add(
-        fresh.exceedances, fresh.exceedances + old.exceedances, risked(part, NULL_RISK), risked(part, ALTERNATIVE_RISK)
-      )
-    } else if (fresh.trials > 0 && (loadKnown || !metric.dependsOnLoad)) {
-      const rate = baseline.trials === 0 ? 0 : baseline.exceedances / baseline.trials
-      const nullRate = Math.min(0.6, Math.max(metric.lowestNullRate, rate * NULL_RISK))
-      const alternativeRate = Math.min(0.9, Math.max(metric.lowestAlternativeRate, rate * ALTERNATIVE_RISK))
-      test.add(fresh.exceedances, fresh.trials, nullRate, alternativeRate)
+    const compared = old.trials > 0 && part <= LARGEST_COMPARED_PART
+    if (compared) {
+      const before = baselines.get(level) ?? { exceedances: 0, trials: 0 }
+      baselines.set(level, { exceedances: before.exceedances + old.exceedances, trials: before.trials + old.trials })
+    }
+    if (fresh.trials === 0) return undefined
+    if (compared) {
+      const trials = fresh.exceedances + old.exceedances
+      const [nullRate, alternativeRate] = [risked(part, NULL_RISK), risked(part, ALTERNATIVE_RISK)]
+      return { exceedances: fresh.exceedances, trials, nullRate, alternativeRate }
     }
+    const rate = baselineAt(baselines, level)
+    if (rate !== undefined && rate <= LARGEST_BASELINE_RATE) return { ...fresh, ...ratesAbove(metric, rate) }
+    if (level > Math.max(...baselines.keys()) + JUDGED_LEVELS_ABOVE) return undefined
+    const clear = samples.reduce(
+      (sum, sample) => sum + (sample.version === toVersion ? metric.clearExceedances(sample) : 0), 0
+    )
+    return { exceedances: clear, trials: fresh.trials, ...ratesAbove(metric, 0) }
   }
 
-  function noteBrake (instance: string, sample: RolloutSample): void {
-    const braked = brakes.get(sample.route) ?? new Set<string>()
-    if (sample.braked) braked.add(instance)
-    else braked.delete(instance)
-    brakes.set(sample.route, braked)
+  function judgeFailures (state: RouteState, metric: Metric, samples: readonly RolloutSample[]): readonly Trials[] {
+    const fresh = sumOf(samples, toVersion, metric)
+    const old = sumOf(samples, fromVersion, metric)
+    noteRecent(state, old)
+    state.total = { exceedances: state.total.exceedances + old.exceedances, trials: state.total.trials + old.trials }
+    const rate = Math.max(rateOf([state.total]), rateOf(state.recent), rateOf([old]))
+    return [{ ...fresh, ...ratesAbove(metric, rate) }]
+  }
+
+  function judgeRoute (route: string, groups: ReadonlyArray<readonly RolloutSample[]>, level: number): void {
+    const state = routeState(route)
+    for (const [index, metric] of METRICS.entries()) {
+      const trials = metric.slowness
+        ? groups.map(group => slownessTrials(metric, group, state.baselines[index]!, level))
+        : judgeFailures(state, metric, groups.flat())
+      state.tests[index]!.add(trials.filter(trial => trial !== undefined))
+    }
+  }
+
+  function noteRecent (state: RouteState, old: Counts): void {
+    state.recent.push(old)
+    if (state.recent.length > RECENT_BATCHES) state.recent.shift()
   }
 
   function decide (): Verdict | undefined {
     for (const [route, state] of routes) {
-      const braked = brakes.get(route)?.size ?? 0
-      for (const [index, test] of state.tests.entries()) {
-        const { reason } = METRICS[index]!
-        const withBrake = braked >= 1 && reason === RollbackReason.failures && test.evidence() >= EVIDENCE_WITH_BRAKE
-        if (test.worse() || withBrake) return { reason, route }
-      }
-      if (braked >= BRAKES_THAT_DECIDE) return { reason: RollbackReason.failures, route }
+      const index = state.tests.findIndex(test => test.worse())
+      if (index !== -1) return { reason: METRICS[index]!.reason, route }
     }
     return undefined
   }
 
   return {
-    add (instance, samples) {
-      for (const sample of samples) {
-        if (sample.version !== toVersion && sample.version !== fromVersion) continue
-        pending.push(sample)
-        if (sample.version === toVersion) noteBrake(instance, sample)
-      }
+    add (samples) {
+      pending.push(samples.filter(sample => sample.version === toVersion || sample.version === fromVersion))
     },
     evaluate () {
-      const batch = pending
+      const groups = pending
+      const batch = groups.flat()
       pending = []
+      batches++
+      if (batch.some(sample => sample.version === toVersion && sample.braked)) brakedBatch = batches
       if (verdict !== undefined || batch.length === 0) return verdict
       const traffic = batch.reduce((sum, sample) => sum + sample.requests, 0)
       const fresh = batch.reduce((sum, sample) => sum + (sample.version === toVersion ? sample.requests : 0), 0)
       requestsInStep += fresh
-      const loadKnown = traffic <= highestTraffic * LOAD_MARGIN
-      if (fresh <= traffic * LARGEST_COMPARED_PART) highestTraffic = Math.max(highestTraffic, traffic)
+      const level = Math.ceil(Math.log(Math.max(1, traffic)) / Math.log(LOAD_LEVEL_FACTOR))
       for (const route of new Set(batch.map(sample => sample.route))) {
-        const state = routeState(route)
-        const samples = batch.filter(sample => sample.route === route)
-        for (const index of METRICS.keys()) judgeMetric(state, index, samples, loadKnown)
+        judgeRoute(route, groups.map(group => group.filter(sample => sample.route === route)), level)
       }
       if (enabled) verdict = decide()
       return verdict
     },
     requestsInStep: () => requestsInStep,
-    clear: () => !enabled || [...routes.values()].every(
-      state => state.tests.every(test => test.evidence() < EVIDENCE_THAT_HOLDS)
-    ),
+    clear () {
+      if (!enabled) return true
+      const leaning = [...routes.values()].some(
+        state => state.tests.some(test => test.evidence() >= EVIDENCE_THAT_HOLDS)
+      )
+      return !leaning && batches - brakedBatch > BRAKE_HOLD_BATCHES
+    },
     startStep () {
       requestsInStep = 0
     }
   }
 }
 
+/** Rates of the hypotheses when the old version exceeds at `rate`. */
+function ratesAbove (metric: Metric, rate: number): Pick<Trials, 'nullRate' | 'alternativeRate'> {
+  return {
+    nullRate: Math.min(0.6, Math.max(metric.lowestNullRate, rate * NULL_RISK)),
+    alternativeRate: Math.min(0.9, Math.max(metric.lowestAlternativeRate, rate * ALTERNATIVE_RISK))
+  }
+}
+
 function risked (part: number, risk: number): number {
   return risk * part / (risk * part + 1 - part)
 }
 
+/** Rate of the old version at the lowest known level that is not below `level`; undefined when there is none. */
+function baselineAt (baselines: ReadonlyMap<number, Counts>, level: number): number | undefined {
+  const levels = [...baselines.entries()].filter(
+    ([known, counts]) => known >= level && counts.trials >= MINIMUM_BASELINE
+  )
+  const nearest = levels.sort(([left], [right]) => left - right)[0]
+  return nearest === undefined ? undefined : rateOf([nearest[1]])
+}
+
+function rateOf (counts: ReadonlyArray<Counts>): number {
+  const trials = counts.reduce((sum, count) => sum + count.trials, 0)
+  return trials === 0 ? 0 : counts.reduce((sum, count) => sum + count.exceedances, 0) / trials
+}
+
 function sumOf (
   batch: readonly RolloutSample[], version: string, metric: Metric
-): { exceedances: number, trials: number } {
+): Counts {
   let exceedances = 0
   let trials = 0
   for (const sample of batch) {
--- a/src/rollout/localBrake.ts
+++ b/src/rollout/localBrake.ts
@@ -10,7 +10,7 @@
 /** Failure rate that is a clear failure. */
 const ALTERNATIVE_RATE = 0.5
 /** Time after which the brake lets requests through again unless the rollout has ended; a burst of another cause is over then. */
-export const BRAKE_DURATION_MS = 15_000
+export const BRAKE_DURATION_MS = 10_000
 
 export interface LocalBrake {
   /** Notes the end of a request on a version that is being rolled out. Returns true when this sets the brake. */
@@ -40,7 +40,9 @@
         tests.set(key, state)
       }
       if (state.brakedAt !== undefined) return false
-      state.test.add(failed ? 1 : 0, 1, NULL_RATE, ALTERNATIVE_RATE)
+      state.test.add(
+        [{ exceedances: failed ? 1 : 0, trials: 1, nullRate: NULL_RATE, alternativeRate: ALTERNATIVE_RATE }]
+      )
       if (!state.test.worse()) return false
       state.brakedAt = now
       return true
--- a/src/rollout/sampler.ts
+++ b/src/rollout/sampler.ts
@@ -11,11 +11,16 @@
 /** Requests of the old version in a group below which its percentile is not used. */
 const MINIMUM_REFERENCE = 20
 const REFERENCE_PERCENTILE = 95
+/** Factors on the reference above which an answer is very slow; more than twice the usual load does not cause as much. */
+const VERY_SLOW_FIRST_TOKEN = 3
+const VERY_SLOW_TOKENS = 1.5
 /** Drains, i.e. seconds, after which the older half of the reference is dropped. */
 const REFERENCE_DRAINS = 60
-/** Histograms count in units of 10 microseconds. */
-const HISTOGRAM_UNITS_PER_MS = 100
-const HIGHEST_MS = 600_000
+/** Histograms count in units of 0.1 ms. */
+const HISTOGRAM_UNITS_PER_MS = 10
+const HIGHEST_MS = 120_000
+/** New values, as a part of all, from which the percentile is computed anew. */
+const REFRESH_PART = 0.05
 
 export interface RequestOutcome {
   model: string
@@ -59,8 +64,8 @@
     return sample
   }
 
-  /** True or false when the value can be compared with the reference of the old version, which it joins if it is of that version. */
-  function exceeds (key: string, value: number, isReference: boolean): boolean | undefined {
+  /** The value as a multiple of the old version's reference, which it joins if it is of that version; undefined without one. */
+  function relative (key: string, value: number, isReference: boolean): number | undefined {
     let reference = references.get(key)
     if (reference === undefined) {
       if (!isReference) return undefined
@@ -69,7 +74,7 @@
     }
     const limit = reference.limit()
     if (isReference) reference.add(value)
-    return limit === undefined ? undefined : value > limit
+    return limit === undefined ? undefined : value / limit
   }
 
   return {
@@ -82,15 +87,17 @@
       if (outcome.firstToken !== undefined) {
         sample.firstTokenMilliseconds += outcome.firstToken
         const group = Math.ceil(Math.log2(1 + Math.max(0, outcome.computedTokens)))
-        const slow = exceeds(`first\n${model}\n${route}\n${group}`, outcome.firstToken, isReference)
-        if (slow !== undefined) sample.firstTokens++
-        if (slow === true) sample.slowFirstTokens++
+        const slowness = relative(`first\n${model}\n${route}\n${group}`, outcome.firstToken, isReference)
+        if (slowness !== undefined) sample.firstTokens++
+        if (slowness !== undefined && slowness > 1) sample.slowFirstTokens++
+        if (slowness !== undefined && slowness > VERY_SLOW_FIRST_TOKEN) sample.verySlowFirstTokens++
       }
       if (outcome.betweenTokens !== undefined) {
         sample.betweenTokensMilliseconds += outcome.betweenTokens
-        const slow = exceeds(`between\n${model}\n${route}`, outcome.betweenTokens, isReference)
-        if (slow !== undefined) sample.betweenTokens++
-        if (slow === true) sample.slowTokens++
+        const slowness = relative(`between\n${model}\n${route}`, outcome.betweenTokens, isReference)
+        if (slowness !== undefined) sample.betweenTokens++
+        if (slowness !== undefined && slowness > 1) sample.slowTokens++
+        if (slowness !== undefined && slowness > VERY_SLOW_TOKENS) sample.verySlowTokens++
       }
     },
     drain () {
@@ -116,6 +123,8 @@
     betweenTokens: 0,
     slowFirstTokens: 0,
     slowTokens: 0,
+    verySlowFirstTokens: 0,
+    verySlowTokens: 0,
     firstTokenMilliseconds: 0,
     betweenTokensMilliseconds: 0,
     braked: false
@@ -140,14 +149,17 @@
   let older: Histogram = create()
   let newer: Histogram = create()
   let limit: number | undefined
+  let unseen = 0
   return {
     add (milliseconds) {
+      unseen++
       newer.recordValue(Math.max(1, Math.round(Math.min(HIGHEST_MS, milliseconds) * HISTOGRAM_UNITS_PER_MS)))
     },
     limit: () => limit,
     refresh (age) {
       const total = older.totalCount + newer.totalCount
-      if (total >= MINIMUM_REFERENCE) {
+      if (total >= MINIMUM_REFERENCE && unseen > total * REFRESH_PART) {
+        unseen = 0
         const merged = create()
         merged.add(older)
         merged.add(newer)
--- a/src/rollout/sequentialTest.ts
+++ b/src/rollout/sequentialTest.ts
@@ -25,9 +25,17 @@
   largestStep?: number
 }
 
+/** Trials with the same rates under both hypotheses. */
+export interface Trials {
+  exceedances: number
+  trials: number
+  nullRate: number
+  alternativeRate: number
+}
+
 export interface SequentialTest {
-  /** Adds a batch of trials with the rates of both hypotheses for these trials. */
-  add: (exceedances: number, trials: number, nullRate: number, alternativeRate: number) => void
+  /** Adds the trials of one batch. */
+  add: (batch: readonly Trials[]) => void
   /** True from when the alternative was taken; final. */
   worse: () => boolean
   /** How often the null hypothesis was taken. */
@@ -44,10 +52,12 @@
   let worse = false
   let acceptances = 0
   return {
-    add (exceedances, trials, nullRate, alternativeRate) {
-      if (worse || trials <= 0) return
-      const step = exceedances * Math.log(alternativeRate / nullRate) +
-        (trials - exceedances) * Math.log((1 - alternativeRate) / (1 - nullRate))
+    add (batch) {
+      if (worse) return
+      const step = batch.reduce((total, { exceedances, trials, nullRate, alternativeRate }) => {
+        return total + exceedances * Math.log(alternativeRate / nullRate) +
+          (trials - exceedances) * Math.log((1 - alternativeRate) / (1 - nullRate))
+      }, 0)
       sum += Math.min(step, upper * largestStep)
       if (sum >= upper) {
         worse = true
--- a/src/rollout/types.ts
+++ b/src/rollout/types.ts
@@ -64,6 +64,10 @@
   slowFirstTokens: number
   /** Requests whose mean time between tokens was above the reference of the old version. */
   slowTokens: number
+  /** Requests whose time to first token was above three times the reference. */
+  verySlowFirstTokens: number
+  /** Requests whose mean time between tokens was above one and a half times the reference. */
+  verySlowTokens: number
   /** Sums for the reference, in milliseconds. */
   firstTokenMilliseconds: number
   betweenTokensMilliseconds: number
