Group samples by instance in the judge and carry the new counts between peers

Cause: the daemon passes the instance with its samples; two messages of one interval must form one comparison. Change: addSamples takes the instance again; schema and property test of the peer frames know the very slow counts.

--- a/src/peer/__tests__/frames.test.ts
+++ b/src/peer/__tests__/frames.test.ts
@@ -43,6 +43,8 @@
   betweenTokens: count,
   slowFirstTokens: count,
   slowTokens: count,
+  verySlowFirstTokens: count,
+  verySlowTokens: count,
   firstTokenMilliseconds: amount,
   betweenTokensMilliseconds: amount,
   braked: fc.boolean()
--- a/src/peer/schemas.ts
+++ b/src/peer/schemas.ts
@@ -93,6 +93,8 @@
   betweenTokens: count,
   slowFirstTokens: count,
   slowTokens: count,
+  verySlowFirstTokens: count,
+  verySlowTokens: count,
   firstTokenMilliseconds: amount,
   betweenTokensMilliseconds: amount,
   braked: z.boolean()
--- a/src/rollout/__tests__/leader.property.test.ts
+++ b/src/rollout/__tests__/leader.property.test.ts
@@ -186,7 +186,7 @@
       world.leaders[operation.leader] = startLeader(world, operation.leader)
       return
     case 'samples':
-      for (const leader of world.leaders) leader.addSamples(samples(operation.bad, operation.route))
+      for (const leader of world.leaders) leader.addSamples('i0', samples(operation.bad, operation.route))
       return
     case 'apply':
       world.configuration = {
--- a/src/rollout/__tests__/rolloutSimulation.ts
+++ b/src/rollout/__tests__/rolloutSimulation.ts
@@ -101,7 +101,7 @@
     }
     const load = 1 + (second >= peakStart && second < peakStart + 60 ? 1 : 0)
     serveSecond(second, load)
-    for (const { sampler } of instances) leader.addSamples(sampler.drain())
+    for (const [index, { sampler }] of instances.entries()) leader.addSamples(`i${index}`, sampler.drain())
   }
   return result
 
--- a/src/rollout/judge.ts
+++ b/src/rollout/judge.ts
@@ -86,8 +86,7 @@
 }
 
 export interface RolloutJudge {
-  /** Takes in the samples of one instance over one interval, of both versions. */
-  add: (samples: readonly RolloutSample[]) => void
+  add: (instance: string, samples: readonly RolloutSample[]) => void
   /** Judges everything added since the last call. Called once in each reporting interval. */
   evaluate: () => Verdict | undefined
   /** Requests on the new version since `startStep`. */
@@ -123,7 +122,7 @@
 export function createRolloutJudge (options: JudgeOptions): RolloutJudge {
   const { fromVersion, toVersion, enabled = true } = options
   const routes = new Map<string, RouteState>()
-  let pending: Array<readonly RolloutSample[]> = []
+  let pending = new Map<string, RolloutSample[]>()
   let requestsInStep = 0
   let batches = 0
   let brakedBatch = -Infinity
@@ -203,13 +202,14 @@
   }
 
   return {
-    add (samples) {
-      pending.push(samples.filter(sample => sample.version === toVersion || sample.version === fromVersion))
+    add (instance, samples) {
+      const relevant = samples.filter(sample => sample.version === toVersion || sample.version === fromVersion)
+      pending.set(instance, [...pending.get(instance) ?? [], ...relevant])
     },
     evaluate () {
-      const groups = pending
+      const groups = [...pending.values()]
       const batch = groups.flat()
-      pending = []
+      pending = new Map()
       batches++
       if (batch.some(sample => sample.version === toVersion && sample.braked)) brakedBatch = batches
       if (verdict !== undefined || batch.length === 0) return verdict
--- a/src/rollout/leader.ts
+++ b/src/rollout/leader.ts
@@ -30,8 +30,8 @@
 export interface RolloutLeader {
   /** Reads the table, then leads what this instance may lead. Returns what must be sent out. A tick that overlaps another one does nothing. */
   tick: (now: MonotonicMilliseconds, wallClock: WallClockMilliseconds) => Promise<readonly RolloutEffect[]>
-  /** Takes in the counts of one instance over one interval, including this one. Ignored for models that this instance does not lead. */
-  addSamples: (samples: readonly RolloutSample[]) => void
+  /** Takes in the counts of one instance, including this one. Ignored for models that this instance does not lead. */
+  addSamples: (instance: string, samples: readonly RolloutSample[]) => void
   /** Notes that an engine refused or failed a load order. */
   loadFailed: (engine: string, model: string, version: string) => void
   /** True while this instance holds the lease of the model. */
@@ -244,9 +244,9 @@
         running = false
       }
     },
-    addSamples (samples) {
+    addSamples (instance, samples) {
       for (const { model } of new Map(samples.map(sample => [sample.model, sample])).values()) {
-        judges.get(model)?.judge.add(samples.filter(sample => sample.model === model))
+        judges.get(model)?.judge.add(instance, samples.filter(sample => sample.model === model))
       }
     },
     loadFailed: planner.failed,
