--- a/src/rollout/__tests__/leader.property.test.ts
+++ b/src/rollout/__tests__/leader.property.test.ts
@@ -128,6 +128,8 @@
     betweenTokens: 0,
     slowFirstTokens: 0,
     slowTokens: 0,
+    verySlowFirstTokens: 0,
+    verySlowTokens: 0,
     firstTokenMilliseconds: 0,
     betweenTokensMilliseconds: 0
   }
