--- /dev/null
+++ b/src/fairness/concurrencyLimit.ts
@@ -0,0 +1,80 @@
+/**
+ * Limit on the work in flight at one upstream: additive increase while the time to first token stays near the lowest
+ * recent value, multiplicative decrease when it does not.
+ */
+import type { MonotonicMilliseconds } from '../types'
+import type { ConcurrencyLimit } from './types'
+
+/** Factor of one decrease. */
+const DECREASE = 0.9
+
+/** Milliseconds after a decrease without another change, at least; latencies then still reflect the old limit. */
+const DECREASE_PAUSE_MS = 250
+
+/**
+ * Factor at the start of each period of the memory. Without a phase of lower load the lowest latency of a loaded
+ * upstream would be taken for the normal one, and the limit would grow by a part of itself in every period.
+ */
+const PROBE = 0.5
+
+export interface ConcurrencyLimitOptions {
+  /** @default 16 */
+  initial?: number
+  /** @default 2 */
+  minimum?: number
+  /** @default 256 */
+  maximum?: number
+  /** A latency up to the lowest recent one times this factor counts as normal. @default 2 */
+  tolerance?: number
+  /** Milliseconds added to the normal latency, because short latencies vary by more than a factor. @default 20 */
+  slack?: number
+  /** Milliseconds for which a lowest latency is remembered, at least; at most twice as long. @default 30_000 */
+  memory?: number
+}
+
+export function createConcurrencyLimit (options: ConcurrencyLimitOptions = {}): ConcurrencyLimit {
+  const { initial = 16, minimum = 2, maximum = 256, tolerance = 2, slack = 20, memory = 30_000 } = options
+  let limit = Math.min(maximum, Math.max(minimum, initial))
+  let inFlight = 0
+  let lowest = Infinity
+  let previousLowest = Infinity
+  let periodStart: MonotonicMilliseconds | undefined
+  let pausedUntil = -Infinity
+
+  function observe (latency: number, now: MonotonicMilliseconds): void {
+    periodStart ??= now
+    if (now - periodStart >= memory) {
+      previousLowest = now - periodStart >= 2 * memory ? Infinity : lowest
+      lowest = Infinity
+      periodStart = now
+      limit = Math.max(minimum, limit * PROBE)
+    }
+    lowest = Math.min(lowest, latency)
+  }
+
+  function decrease (latency: number, now: MonotonicMilliseconds): void {
+    limit = Math.max(minimum, limit * DECREASE)
+    pausedUntil = now + Math.max(DECREASE_PAUSE_MS, latency)
+  }
+
+  return {
+    tryAcquire () {
+      if (inFlight >= Math.floor(limit)) return false
+      inFlight += 1
+      return true
+    },
+    release (latency, now) {
+      // A limit that is not used has not been tested by this latency.
+      const used = inFlight >= Math.floor(limit) / 2
+      inFlight = Math.max(0, inFlight - 1)
+      const isFailure = latency === undefined || !(latency >= 0)
+      if (!isFailure) observe(latency, now)
+      if (now < pausedUntil) return
+      if (isFailure) decrease(0, now)
+      else if (latency > Math.min(lowest, previousLowest) * tolerance + slack) decrease(latency, now)
+      else if (used) limit = Math.min(maximum, limit + 1 / limit)
+    },
+    inFlight: () => inFlight,
+    limit: () => Math.floor(limit)
+  }
+}
--- a/src/peer/schemas.ts
+++ b/src/peer/schemas.ts
@@ -1,7 +1,16 @@
 /** Schemas of all peer messages. Unknown fields are dropped, so that a later version may add some. */
 import { z } from 'zod'
 import { RolloutPhase, RollbackReason } from '../rollout/types'
-import type { PeerMessage } from './messages'
+import type { RolloutRecord, RolloutSample } from '../rollout/types'
+import type {
+  CustomerConfiguration, KeyRecord, ListedInstance, ModelConfiguration, RouteConfiguration
+} from '../types'
+import type {
+  CrashNotice, Greeting, Heartbeat, LoanReplyMessage, LoanRequestMessage, PeerMessage, SnapshotReply
+} from './messages'
+
+/** Fields of a type, each with a schema. A field that is missing here would be dropped from every received message. */
+type FieldsOf<Type> = Record<keyof Type, z.ZodType>
 
 /** Characters of a name, identifier or hash. */
 const NAME_LIMIT = 512
@@ -38,11 +47,13 @@
 
 const endpoint = z.object({ host: name, port: z.int().min(0).max(65_535) })
 
-const customer = z.object({ name, rate: amount, burst: amount, weight: amount })
+const customer = z.object({
+  name, rate: amount, burst: amount, weight: amount
+} satisfies FieldsOf<CustomerConfiguration>)
 
 const model = z.object({
   name, version: name, finishBy: z.number().optional(), maximumOutputTokens: count, parallelLoads: count
-})
+} satisfies FieldsOf<ModelConfiguration>)
 
 const route = z.object({
   name,
@@ -52,7 +63,7 @@
   idempotentMethods: listOf(name),
   open: z.boolean(),
   cost: amount
-})
+} satisfies FieldsOf<RouteConfiguration>)
 
 const configuration = z.object({
   revision: count,
@@ -64,11 +75,23 @@
   })
 })
 
-const key = z.object({ hash: name, customer: name, state: z.enum(['granted', 'withdrawn']), version: count })
+const key = z.object({
+  hash: name, customer: name, state: z.enum(['granted', 'withdrawn']), version: count
+} satisfies FieldsOf<KeyRecord>)
+
+const listedInstance = z.object({
+  name,
+  kind: z.enum(['router', 'engine', 'service']),
+  dataCentre: name,
+  endpoint,
+  peerEndpoint: endpoint.optional(),
+  state: z.enum(['live', 'leaving']),
+  service: name.optional()
+} satisfies FieldsOf<ListedInstance>)
 
 const crashNotice = z.object({
   kind: z.literal('crashNotice'), fingerprint: name, upstream: name, incarnation: z.number(), age: amount
-})
+} satisfies FieldsOf<CrashNotice>)
 
 const rolloutRecord = z.object({
   model: name,
@@ -86,7 +109,7 @@
   reason: z.enum(RollbackReason).optional(),
   reasonRoute: name.optional(),
   deadlineMissed: z.boolean()
-})
+} satisfies FieldsOf<RolloutRecord>)
 
 const rolloutSample = z.object({
   model: name,
@@ -94,11 +117,14 @@
   route: name,
   requests: count,
   failures: count,
+  firstTokens: count,
+  betweenTokens: count,
   slowFirstTokens: count,
   slowTokens: count,
   firstTokenMilliseconds: amount,
-  betweenTokensMilliseconds: amount
-})
+  betweenTokensMilliseconds: amount,
+  braked: z.boolean()
+} satisfies FieldsOf<RolloutSample>)
 
 const loanTerms = { identifier: name, customer: name, rate: amount, capacity: amount, tokens: amount, duration: amount }
 
@@ -106,7 +132,7 @@
 export const messageSchemas = {
   greeting: z.object({
     kind: z.literal('greeting'), protocol: count, instance: name.min(1), incarnation: z.number(), dataCentre: name, endpoint
-  }),
+  } satisfies FieldsOf<Greeting>),
   heartbeat: z.object({
     kind: z.literal('heartbeat'),
     state: z.enum(['live', 'leaving']),
@@ -114,7 +140,7 @@
     keyVersion: count,
     work: workByName,
     clock: name
-  }),
+  } satisfies FieldsOf<Heartbeat>),
   snapshotRequest: z.object({ kind: z.literal('snapshotRequest'), identifier: count }),
   snapshotReply: z.object({
     kind: z.literal('snapshotReply'),
@@ -122,13 +148,16 @@
     configuration: configuration.optional(),
     keys: listOf(key),
     crashes: listOf(crashNotice),
-    rollouts: listOf(rolloutRecord)
-  }),
+    rollouts: listOf(rolloutRecord),
+    instances: z.object({ instances: listOf(listedInstance), asOf: z.number() }).optional()
+  } satisfies FieldsOf<SnapshotReply>),
   configurationNotice: z.object({ kind: z.literal('configurationNotice'), configuration }),
   keyNotice: z.object({ kind: z.literal('keyNotice'), keys: listOf(key) }),
   crashNotice,
-  loanRequest: z.object({ kind: z.literal('loanRequest'), ...loanTerms }),
-  loanReply: z.object({ kind: z.literal('loanReply'), ...loanTerms }),
+  loanRequest: z.object({
+    kind: z.literal('loanRequest'), ...loanTerms, renews: name.optional()
+  } satisfies FieldsOf<LoanRequestMessage>),
+  loanReply: z.object({ kind: z.literal('loanReply'), ...loanTerms } satisfies FieldsOf<LoanReplyMessage>),
   rolloutSample: z.object({ kind: z.literal('rolloutSample'), samples: listOf(rolloutSample) }),
   rolloutNotice: z.object({ kind: z.literal('rolloutNotice'), record: rolloutRecord })
 } satisfies Record<PeerMessage['kind'], z.ZodType>
