Control exchanges carry no shared abort signal

Cause: more than ten reports at once put more than ten listeners on one signal, and Node warned of a leak on standard error.

Change: the signal of an exchange is optional.

--- a/src/upstream/engineClient.ts
+++ b/src/upstream/engineClient.ts
@@ -44,7 +44,6 @@
 export function createHttpUpstreamClient (options: HttpUpstreamClientOptions = {}): UpstreamClient {
   const { controlTimeout = 2000, orderTimeout = 120_000, maximumAnswerBytes = 16_777_216 } = options
   const connections = createHttpConnections()
-  const never = new AbortController().signal
 
   function limits (milliseconds: number): AttemptTimeouts {
     return {
@@ -63,7 +62,7 @@
       method,
       path,
       ...(body === undefined ? {} : { headers: { 'content-type': 'application/json' }, body: JSON.stringify(body) })
-    }, limits(milliseconds), never)
+    }, limits(milliseconds))
     try {
       const content = await readWhole(exchange, maximumAnswerBytes)
       return { status: exchange.response.statusCode, value: parseJson(content) }
@@ -141,7 +140,7 @@
       const fresh = createHttpConnections()
       try {
         const request = { endpoint, method: 'GET', path: '/probe' }
-        const exchange = await startExchange(fresh, request, limits(controlTimeout), never)
+        const exchange = await startExchange(fresh, request, limits(controlTimeout))
         const content = await readWhole(exchange, maximumAnswerBytes)
         exchange.finish()
         return validateAnswer(probeAnswer, parseJson(content), '/probe').incarnation
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -33,7 +33,7 @@
  * its other idle connections may have gone silent as well.
  */
 export async function startExchange (
-  connections: HttpConnections, request: UpstreamExchangeRequest, timeouts: AttemptTimeouts, signal: AbortSignal
+  connections: HttpConnections, request: UpstreamExchangeRequest, timeouts: AttemptTimeouts, signal?: AbortSignal
 ): Promise<UpstreamExchange> {
   const aborter = new AbortController()
   const trace: ExchangeTrace = { sent: false }
@@ -55,7 +55,7 @@
   function release (): void {
     clearTimeout(stepTimer)
     clearTimeout(wholeTimer)
-    signal.removeEventListener('abort', onAbort)
+    signal?.removeEventListener('abort', onAbort)
   }
   function failure (detail: string, cause: unknown): RouterError {
     release()
@@ -63,12 +63,12 @@
       connections.abandon(request.endpoint)
       return timeoutError(limitPassed, progress())
     }
-    return signal.aborted ? abortedError(signal, progress()) : connectionError(detail, progress(), cause)
+    return signal?.aborted === true ? abortedError(signal, progress()) : connectionError(detail, progress(), cause)
   }
 
-  if (signal.aborted) throw abortedError(signal, 'notSent')
+  if (signal?.aborted === true) throw abortedError(signal, 'notSent')
   const wholeTimer = setTimeout(() => expire('whole'), timeouts.whole)
-  signal.addEventListener('abort', onAbort, { once: true })
+  signal?.addEventListener('abort', onAbort, { once: true })
   startStep('connect', timeouts.connect)
   trace.onSent = () => startStep('first byte', timeouts.firstByte)
 
