Keep the order of bytes in the relay when its delay shrinks

Cause: each piece had a timer of its own, so a shorter delay let later bytes overtake earlier ones, which no network does to a TCP connection. Late answers of the engine stand-in had the same fault when they were switched off in a stream.

Change: the relay holds bytes in one queue per direction; the engine keeps the delay that was in force when the request came.

--- a/standins/engine/completion.ts
+++ b/standins/engine/completion.ts
@@ -61,6 +61,8 @@
   const failing = faults.failVersions[order.version]
   const fails = failing !== undefined && applies(failing) && random() < failing.fraction
   const truncated = faulty && random() < faults.truncatedStreams
+  // The delay of the whole answer, so that a change in between does not put chunks out of order.
+  const lateBy = faulty ? faults.lateAnswers : 0
   const text = generateText(order.model, order.version, order.prompt)
   const promptTokens = countTokens(order.prompt)
   const owner = { salt: order.cacheSalt, model: order.model, version: order.version, adapter: order.adapter }
@@ -92,7 +94,7 @@
       blocked = !response.write(data)
       if (blocked) response.once('drain', () => { blocked = false })
     }
-    if (faulty && faults.lateAnswers > 0) setTimeout(send, faults.lateAnswers)
+    if (lateBy > 0) setTimeout(send, lateBy)
     else send()
   }
 
@@ -110,7 +112,7 @@
 
   function end (): void {
     const close = (): void => { response.end() }
-    if (faulty && faults.lateAnswers > 0) setTimeout(close, faults.lateAnswers)
+    if (lateBy > 0) setTimeout(close, lateBy)
     else close()
   }
 
--- a/standins/relay/server.ts
+++ b/standins/relay/server.ts
@@ -1,5 +1,6 @@
 /** TCP relay between two processes that can be cut, silenced or delayed. */
 import { connect, createServer } from 'node:net'
+import { performance } from 'node:perf_hooks'
 import type { AddressInfo, Socket } from 'node:net'
 import type { Endpoint } from '../../src/types'
 import { startStandinServer } from '../http'
@@ -35,36 +36,53 @@
   silent: boolean
 }
 
+interface DelayLine {
+  push: (action: () => void) => void
+}
+
+/** Runs actions after the delay in force when they came, in their order also when the delay shrinks. */
+function createDelayLine (delay: () => number): DelayLine {
+  const queue: Array<{ at: number, action: () => void }> = []
+  function run (): void {
+    while (queue[0] !== undefined && queue[0].at <= performance.now()) queue.shift()?.action()
+    if (queue[0] !== undefined) setTimeout(run, Math.max(1, queue[0].at - performance.now()))
+  }
+  return {
+    push (action) {
+      if (queue.length === 0 && delay() <= 0) {
+        action()
+        return
+      }
+      queue.push({ at: performance.now() + delay(), action })
+      if (queue.length === 1) setTimeout(run, Math.max(1, delay()))
+    }
+  }
+}
+
 /** Starts a relay on 127.0.0.1. */
 export async function startRelay (options: RelayOptions): Promise<Relay> {
   const faults: RelayFaults = { cut: false, silence: 'off', delay: 0 }
   const pairs = new Set<Pair>()
 
   function forward (pair: Pair, from: Socket, to: Socket): void {
+    const line = createDelayLine(() => faults.delay)
     from.on('data', (data) => {
-      const write = (): void => {
+      line.push(() => {
         if (pair.silent || to.destroyed) return
         if (!to.write(data)) {
           from.pause()
           to.once('drain', () => from.resume())
         }
-      }
-      if (faults.delay > 0) setTimeout(write, faults.delay)
-      else write()
+      })
     })
     // A silent pair stays open: the loss of a side is not forwarded either.
-    from.on('end', () => {
-      const end = (): void => { if (!pair.silent) to.end() }
-      if (faults.delay > 0) setTimeout(end, faults.delay)
-      else end()
-    })
+    from.on('end', () => line.push(() => { if (!pair.silent) to.end() }))
     from.on('error', () => undefined)
-    from.on('close', () => {
+    from.on('close', () => line.push(() => {
       if (pair.silent) return
       pairs.delete(pair)
-      if (faults.delay > 0) setTimeout(() => to.destroy(), faults.delay)
-      else if (!to.writableEnded) to.destroy()
-    })
+      if (!to.writableEnded) to.destroy()
+    }))
   }
 
   const server = createServer({ allowHalfOpen: true }, (incoming) => {
