--- a/src/peer/schemas.ts
+++ b/src/peer/schemas.ts
@@ -5,7 +5,9 @@
 import type {
   CustomerConfiguration, KeyRecord, ListedInstance, ModelConfiguration, RouteConfiguration
 } from '../types'
-import type { PeerMessage } from './messages'
+import type {
+  CrashNotice, Greeting, Heartbeat, LoanReplyMessage, LoanRequestMessage, PeerMessage, SnapshotReply
+} from './messages'
 
 /** Fields of a type, each with a schema. A field that is missing here would be dropped from every received message. */
 type FieldsOf<Type> = Record<keyof Type, z.ZodType>
@@ -89,7 +91,7 @@
 
 const crashNotice = z.object({
   kind: z.literal('crashNotice'), fingerprint: name, upstream: name, incarnation: z.number(), age: amount
-})
+} satisfies FieldsOf<CrashNotice>)
 
 const rolloutRecord = z.object({
   model: name,
@@ -132,7 +134,7 @@
 export const messageSchemas = {
   greeting: z.object({
     kind: z.literal('greeting'), protocol: count, instance: name.min(1), incarnation: z.number(), dataCentre: name, endpoint
-  }),
+  } satisfies FieldsOf<Greeting>),
   heartbeat: z.object({
     kind: z.literal('heartbeat'),
     state: z.enum(['live', 'leaving']),
@@ -140,7 +142,7 @@
     keyVersion: count,
     work: workByName,
     clock: name
-  }),
+  } satisfies FieldsOf<Heartbeat>),
   snapshotRequest: z.object({ kind: z.literal('snapshotRequest'), identifier: count }),
   snapshotReply: z.object({
     kind: z.literal('snapshotReply'),
@@ -150,12 +152,14 @@
     crashes: listOf(crashNotice),
     rollouts: listOf(rolloutRecord),
     instances: z.object({ instances: listOf(listedInstance), asOf: z.number() }).optional()
-  }),
+  } satisfies FieldsOf<SnapshotReply>),
   configurationNotice: z.object({ kind: z.literal('configurationNotice'), configuration }),
   keyNotice: z.object({ kind: z.literal('keyNotice'), keys: listOf(key) }),
   crashNotice,
-  loanRequest: z.object({ kind: z.literal('loanRequest'), ...loanTerms, renews: name.optional() }),
-  loanReply: z.object({ kind: z.literal('loanReply'), ...loanTerms }),
+  loanRequest: z.object({
+    kind: z.literal('loanRequest'), ...loanTerms, renews: name.optional()
+  } satisfies FieldsOf<LoanRequestMessage>),
+  loanReply: z.object({ kind: z.literal('loanReply'), ...loanTerms } satisfies FieldsOf<LoanReplyMessage>),
   rolloutSample: z.object({ kind: z.literal('rolloutSample'), samples: listOf(rolloutSample) }),
   rolloutNotice: z.object({ kind: z.literal('rolloutNotice'), record: rolloutRecord })
 } satisfies Record<PeerMessage['kind'], z.ZodType>
