Top up low levels from fuller peers; lend capacity only with tokens

Cause: requests of 500 to 1000 tokens were refused while the fleet had several times as many. A lender with few tokens still gave all the capacity asked for, so that the borrower took it for one with more and asked it again; and levels were uneven, so that full instances lost their refill. Change: without a rate a loan carries no more capacity than tokens; a peer that gave less than asked is left out for 10 ms; a level below a quarter of its capacity is topped up from peers that are more than half full. The experiment has a policy with a wait of 1 s and one with a floor of 9/10.

--- a/experiments/quota/fleet.ts
+++ b/experiments/quota/fleet.ts
@@ -16,6 +16,12 @@
 const NEAR_LATENCY_MS = 0.5
 const FAR_LATENCY_MS = 1.5
 
+/** Times that a request asks for loans before it is refused or waits. */
+const LOAN_ROUNDS = 4
+
+/** Milliseconds between the attempts of a request that waits. */
+const RETRY_MS = 100
+
 export interface LinkFaults {
   /** Parts of the messages that are lost, doubled, and delayed by up to `delay` milliseconds. */
   lost: number
@@ -75,9 +81,13 @@
   /** Milliseconds between calls of `planAhead`. */
   borrowingInterval: number
   admit: (instance: FleetInstance, customer: string, tokens: number) => Charge | undefined
-  /** Admits at once or after a loan; tells the outcome once. */
+  /**
+   * Admits at once, after loans, or after a wait of at most `patience` milliseconds and loans again; tells the outcome
+   * once. Without patience a request that loans do not admit is refused.
+   */
   admitWithLoans: (
-    instance: FleetInstance, customer: string, tokens: number, done: (charge: Charge | undefined) => void
+    instance: FleetInstance, customer: string, tokens: number, done: (charge: Charge | undefined) => void,
+    patience?: number
   ) => void
   settle: (instance: FleetInstance, charge: Charge, used: number) => void
   /** Ends the process; a new incarnation starts after `delay`. */
@@ -161,9 +171,24 @@
     return result.charge
   }
   function admitWithLoans (
-    instance: FleetInstance, customer: string, tokens: number, done: (charge: Charge | undefined) => void
+    instance: FleetInstance, customer: string, tokens: number, done: (charge: Charge | undefined) => void,
+    patience = 0
   ): void {
     const identifier = nextIdentifier()
+    const deadline = events.now() + patience
+    const attempt = (): void => {
+      tryWithLoans(instance, customer, tokens, identifier, (charge) => {
+        if (charge !== undefined || events.now() + RETRY_MS > deadline) done(charge)
+        else within(instance, instance.incarnation, RETRY_MS, attempt)
+      })
+    }
+    attempt()
+  }
+
+  function tryWithLoans (
+    instance: FleetInstance, customer: string, tokens: number, identifier: string,
+    done: (charge: Charge | undefined) => void
+  ): void {
     const charge = admit(instance, customer, tokens, identifier)
     if (charge !== undefined || options.loans === false) {
       done(charge)
@@ -176,10 +201,10 @@
       for (const plan of plans) sendLoans(instance, instance.planner.finish(plan, instance.clock()), () => {})
       done(admitted)
     }
-    const round = (left: number, peers: readonly LoanPeer[]): void => {
+    const round = (left: number): void => {
       const plan = left === 0
         ? undefined
-        : instance.planner.planLoans(customer, tokens, peers, instance.clock())
+        : instance.planner.planLoans(customer, tokens, peersOf(instance), instance.clock())
       if (plan === undefined) {
         finish(undefined)
         return
@@ -189,7 +214,7 @@
       const nextRound = (): void => {
         if (open < 0 || finished) return
         open = -1
-        round(left - 1, plan.remaining)
+        round(left - 1)
       }
       sendLoans(instance, plan.loans, (reply) => {
         receive(instance, reply)
@@ -201,7 +226,7 @@
       })
       within(instance, instance.incarnation, plan.waitMilliseconds, nextRound)
     }
-    round(3, peersOf(instance))
+    round(LOAN_ROUNDS)
   }
 
   function start (instance: FleetInstance, index: number): void {
--- a/experiments/quota/scenarios.ts
+++ b/experiments/quota/scenarios.ts
@@ -16,17 +16,23 @@
 export interface Policy {
   name: string
   loans: boolean
+  /** Milliseconds for which a request waits for tokens before it is refused. */
+  patience: number
   grants: Partial<GrantTaskOptions>
 }
 
+const shortLease: Partial<GrantTaskOptions> = {
+  leases: { ...LEASE_MS, pool: 10_000 }, floorPart: 0.25, renewalInterval: RENEWAL_INTERVAL_MS / 3
+}
+
 export const policies: readonly Policy[] = [
-  {
-    name: 'A: short lease and floor, no loans',
-    loans: false,
-    grants: { leases: { ...LEASE_MS, pool: 10_000 }, floorPart: 0.25, renewalInterval: RENEWAL_INTERVAL_MS / 3 }
-  },
-  { name: 'B: long lease, loans', loans: true, grants: { floorPart: 1 } },
-  { name: 'C: both tiers, loans', loans: true, grants: {} }
+  { name: 'A short lease and floor', loans: false, patience: 0, grants: shortLease },
+  { name: 'B long lease, loans', loans: true, patience: 0, grants: { floorPart: 1 } },
+  { name: 'C both tiers, loans', loans: true, patience: 0, grants: {} },
+  { name: 'A with a wait of 1 s', loans: false, patience: 1000, grants: shortLease },
+  { name: 'B with a wait of 1 s', loans: true, patience: 1000, grants: { floorPart: 1 } },
+  { name: 'C with a wait of 1 s', loans: true, patience: 1000, grants: {} },
+  { name: 'C with a wait of 1 s, floor 9/10', loans: true, patience: 1000, grants: { floorPart: 0.9 } }
 ]
 
 export interface Scenario {
--- a/experiments/quota/trial.ts
+++ b/experiments/quota/trial.ts
@@ -10,6 +10,9 @@
 /** Milliseconds before the counting begins, in which the grants are acquired and the buckets fill. */
 const WARM_UP_MS = 60_000
 
+/** Milliseconds after the last request within which its loans are answered. */
+const SETTLE_MS = 1000
+
 /** Mean cost of a request in tokens, and its bounds. */
 const MEAN_COST = 300
 const SMALLEST_COST = 50
@@ -41,7 +44,8 @@
     grants: policy.grants
   }, {
     admitted (customer, { tokens }, time) {
-      if (time > WARM_UP_MS) admittedTokens.set(customer, admittedTokens.get(customer)! + tokens)
+      if (time <= WARM_UP_MS || time > WARM_UP_MS + scenario.duration) return
+      admittedTokens.set(customer, admittedTokens.get(customer)! + tokens)
     },
     refunded () {}
   })
@@ -56,14 +60,15 @@
     if (isInside) inside += 1
     fleet.admitWithLoans(instance, limit.customer, cost, (charge) => {
       if (charge === undefined && isInside) refusedInside += 1
-    })
+    }, policy.patience)
   }
 
   for (const limit of limits) {
     const isAdmitted = createReference(limit)
     const schedule = (): void => {
       const pause = -Math.log(1 - traffic()) * MEAN_COST * 1000 / (limit.rate * scenario.load)
-      const cost = Math.min(LARGEST_COST, Math.max(SMALLEST_COST, Math.round(-Math.log(1 - traffic()) * MEAN_COST)))
+      const draw = Math.round(-Math.log(1 - traffic()) * MEAN_COST)
+      const cost = Math.min(LARGEST_COST, Math.max(SMALLEST_COST, draw))
       const position = traffic()
       fleet.events.after(pause, () => {
         offer(limit, isAdmitted(cost, fleet.events.now()), cost, position)
@@ -73,7 +78,8 @@
     fleet.events.at(WARM_UP_MS, schedule)
   }
   fleet.events.at(WARM_UP_MS, () => { scenario.begin?.(fleet) })
-  await fleet.events.runUntil(WARM_UP_MS + scenario.duration)
+  // Requests that wait at the end are still decided.
+  await fleet.events.runUntil(WARM_UP_MS + scenario.duration + 2 * policy.patience + SETTLE_MS)
   const [largest] = limits
   return {
     policy: policy.name,
--- a/src/quota/allowance.ts
+++ b/src/quota/allowance.ts
@@ -93,8 +93,15 @@
 ): LoanReply {
   const { limit } = account
   const spare = spareOf(account, units, now)
+  if (request.surplusOnly === true) {
+    const { level, allowance } = account.bucket
+    spare.tokens = Math.min(spare.tokens, level - allowance.capacity / 2)
+    spare.capacity = Math.min(spare.capacity, spare.tokens)
+  }
   const earlierRate = (earlier?.rateShare ?? 0) * limit.rate
   const earlierCapacity = (earlier?.capacityShare ?? 0) * limit.burst
+  // Without a rate, capacity beyond the tokens would be of no use to the borrower.
+  if (request.rate === 0) spare.capacity = Math.min(spare.capacity, spare.tokens)
   const rate = Math.max(0, Math.min(request.rate, earlierRate + spare.rate))
   const capacity = Math.max(0, Math.min(request.capacity, earlierCapacity + spare.capacity))
   if (rate < earlierRate * ROUNDING || capacity < earlierCapacity * ROUNDING) return emptyReply(request)
--- a/src/quota/borrowing.ts
+++ b/src/quota/borrowing.ts
@@ -22,6 +22,18 @@
 /** A reply below this part of the request shows that the lender has next to nothing. */
 const NEXT_TO_NOTHING = 0.1
 
+/** A reply below this part shows that the lender has no more for the same request. */
+const NEARLY_ALL = 0.9
+
+/** Milliseconds for which a peer is not asked again after such a reply; about the life of a request's loans. */
+const PARTLY_EXHAUSTED_MS = 10
+
+/** Below this part of its capacity a level is topped up, to twice this part, from peers that are more than half full. */
+const LOW_LEVEL = 0.25
+
+/** Peers asked for a top-up at the same time. */
+const TOP_UP_PEERS = 2
+
 /**
  * Tokens asked of several peers for one request, as a multiple of the missing tokens. Some have less than others; what is
  * not needed goes back at once.
@@ -56,8 +68,6 @@
    * after each reply.
    */
   waitMilliseconds: number
-  /** Peers that were not asked; the ones to name in the next call for the same request. */
-  remaining: readonly LoanPeer[]
 }
 
 export interface LoanPlannerOptions {
@@ -71,7 +81,7 @@
   /**
    * Loans that would let this instance admit a request of `tokens` after its admission was refused for the rate.
    * Undefined when the level suffices, when the customer's burst does not, or when there is no peer left to ask; the
-   * request is then refused. Call `finish` with every plan once the request has been admitted or refused.
+   * request is then refused. A second call after the replies asks peers that were not asked or may have more. Call `finish` with every plan once the request has been admitted or refused.
    */
   planLoans: (
     customer: string, tokens: number, peers: readonly LoanPeer[], now: MonotonicMilliseconds
@@ -127,7 +137,7 @@
 
   /** Sends go out at once; the accounts remember `now` as the time of sending. */
   function ask (
-    peer: LoanPeer, wanted: Pick<LoanRequest, 'customer' | 'rate' | 'capacity' | 'tokens' | 'renews'>,
+    peer: LoanPeer, wanted: Pick<LoanRequest, 'customer' | 'rate' | 'capacity' | 'tokens' | 'renews' | 'surplusOnly'>,
     now: MonotonicMilliseconds
   ): PlannedLoan[] {
     count += 1
@@ -171,8 +181,7 @@
     const isNear = chosen.every((peer) => peer.dataCentre === dataCentre)
     return {
       loans,
-      waitMilliseconds: isNear ? OWN_DATA_CENTRE_WAIT_MS : ANY_DATA_CENTRE_WAIT_MS,
-      remaining: peers.filter((peer) => !chosen.includes(peer))
+      waitMilliseconds: isNear ? OWN_DATA_CENTRE_WAIT_MS : ANY_DATA_CENTRE_WAIT_MS
     }
   }
 
@@ -219,12 +228,28 @@
     return false
   }
 
+  /**
+   * Moves tokens from fuller peers to a low level: a loan that is given back at once, without its tokens. An instance that
+   * is full loses its refill while others have room for it.
+   */
+  function planTopUp (demand: CustomerDemand, peers: readonly LoanPeer[], now: MonotonicMilliseconds): PlannedLoan[] {
+    const { customer, level, capacity } = demand
+    if (demand.rate <= 0 || level >= LOW_LEVEL * capacity || peers.length === 0) return []
+    const amount = (2 * LOW_LEVEL * capacity - level) / TOP_UP_PEERS
+    const loans = rotate(peers).slice(0, TOP_UP_PEERS).flatMap((peer) =>
+      ask(peer, { customer, rate: 0, capacity: amount, tokens: amount, surplusOnly: true }, now))
+    for (const { request } of loans) asked.get(request.identifier)!.isWanted = false
+    return loans
+  }
+
   function planAhead (peers: readonly LoanPeer[], now: MonotonicMilliseconds): readonly PlannedLoan[] {
     forget(now)
     const loans: PlannedLoan[] = []
     for (const customer of accounts.customers()) {
       const demand = accounts.demand(customer, now)
-      if (demand === undefined || demand.sustainedRate <= 0) continue
+      if (demand === undefined) continue
+      loans.push(...planTopUp(demand, peers, now))
+      if (demand.sustainedRate <= 0) continue
       const { limit } = demand
       const needed = Math.min(limit.rate, DEMAND_HEADROOM * demand.sustainedRate)
       loans.push(...planRenewals(demand, needed, peers, now))
@@ -249,9 +274,12 @@
     asked.delete(reply.identifier)
     const { peer, request, sentAt, isWanted } = question
     const { customer } = request
-    const isExhausted = reply.rate < request.rate * NEXT_TO_NOTHING ||
-      reply.capacity < request.capacity * NEXT_TO_NOTHING || reply.tokens < request.tokens * NEXT_TO_NOTHING
-    if (isExhausted) avoidUntil.set(avoidKey(customer, peer, request.rate > 0 ? 'rate' : 'tokens'), now + EXHAUSTED_MS)
+    const part = Math.min(partOf(reply.rate, request.rate), partOf(reply.capacity, request.capacity))
+    const avoidFor = part < NEXT_TO_NOTHING ? EXHAUSTED_MS : part < NEARLY_ALL ? PARTLY_EXHAUSTED_MS : 0
+    // A peer without a surplus may still lend to a request that waits.
+    if (avoidFor > 0 && request.surplusOnly !== true) {
+      avoidUntil.set(avoidKey(customer, peer, request.rate > 0 ? 'rate' : 'tokens'), now + avoidFor)
+    }
     const series = request.renews ?? request.identifier
     // A lender that refuses a renewal needs its part; what is left of the level goes back with it.
     if (!(reply.duration > 0)) return request.renews === undefined ? [] : giveBack(series, now)
@@ -264,6 +292,10 @@
   return { planLoans, finish, planAhead, receive }
 }
 
+function partOf (given: number, wanted: number): number {
+  return wanted > 0 ? given / wanted : 1
+}
+
 function avoidKey (customer: string, peer: string, kind: LoanKind): string {
   return `${kind}\n${customer}\n${peer}`
 }
--- a/src/quota/types.ts
+++ b/src/quota/types.ts
@@ -52,6 +52,8 @@
    * borrower gives the series back before its end, together with `tokens` of its level. @default undefined
    */
   renews?: string
+  /** Asks only for tokens above half of the lender's capacity, to even out levels. @default false */
+  surplusOnly?: boolean
 }
 
 /** What the lender gives; zeros when it has nothing to spare. */
