Compare other indexes: fix the summary, add the policy without the gate

Change: unsigned probes, with a test; own decisions count for 2 s; a policy without-gate to measure the cold-prefix gate.

--- a/experiments/__tests__/model.test.ts
+++ b/experiments/__tests__/model.test.ts
@@ -1,5 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { createEngine } from '../model/engine'
+import { createSummaryIndex } from '../model/otherIndexes'
 import { POLICIES } from '../model/policies'
 import { runExperiment } from '../model/run'
 import { createSimulation } from '../model/simulation'
@@ -107,3 +108,22 @@
     expect(targets.map(({ met }) => met)).toEqual([false, false, false])
   })
 })
+
+describe('summary index', () => {
+  it('shows every block that the engine holds, also for keys with a high lower half', () => {
+    const simulation = createSimulation()
+    const engine = createEngine(simulation, { ...engineOptions, cacheBlocks: 100 })
+    const blockKeys = Array.from({ length: 50 }, (_, number) => ((number * 0x9e3779b1) >>> 0).toString(16).padStart(16, 'f'))
+    engine.submit({
+      blockKeys,
+      promptTokens: 50 * 1024,
+      outputTokens: 1,
+      onFirstToken: () => {},
+      onEnd: () => {},
+      onFailure: () => {}
+    })
+    simulation.run(20_000)
+    const index = createSummaryIndex([engine], simulation.now)
+    expect(index.cachedBlocks('engine', 1, blockKeys, 0)).toBe(50)
+  })
+})
--- a/experiments/model/otherIndexes.ts
+++ b/experiments/model/otherIndexes.ts
@@ -26,6 +26,8 @@
 
 /** Milliseconds between two summaries of an engine. */
 const SUMMARY_INTERVAL_MS = 1000
+/** Milliseconds for which the router's own decisions count as cached. */
+const ROUTED_MEMORY_MS = 2000
 const BITS_PER_BLOCK = 10
 const PROBES = 4
 
@@ -33,11 +35,11 @@
   incarnation: number
   takenAt: number
   bits: Uint8Array
-  /** Blocks that this router sent there since the summary. */
-  routed: Set<string>
+  /** Blocks that this router sent there, with the time: a summary shows them only after they are computed. */
+  routed: Map<string, number>
 }
 
-/** A Bloom filter per engine, taken every second, and the router's own decisions since then. */
+/** A Bloom filter per engine, taken every second, and the router's own decisions of the last seconds. */
 export function createSummaryIndex (engines: readonly Engine[], clock: () => number): BlockIndex {
   const summaries = new Map<string, Summary>()
 
@@ -53,7 +55,11 @@
     for (const key of keys) {
       for (const bit of probesOf(key, bits.length * 8)) bits[bit >> 3]! |= 1 << (bit & 7)
     }
-    const fresh = { incarnation: engine.incarnation(), takenAt: now, bits, routed: new Set<string>() }
+    const routed = new Map<string, number>()
+    if (known?.incarnation === engine.incarnation()) {
+      for (const [key, routedAt] of known.routed) if (now - routedAt < ROUTED_MEMORY_MS) routed.set(key, routedAt)
+    }
+    const fresh = { incarnation: engine.incarnation(), takenAt: now, bits, routed }
     summaries.set(name, fresh)
     return fresh
   }
@@ -61,7 +67,7 @@
   return {
     applyEvents: ignore,
     recordRouted (upstream, _incarnation, blockKeys) {
-      for (const key of blockKeys) summaryOf(upstream)?.routed.add(key)
+      for (const key of blockKeys) summaryOf(upstream)?.routed.set(key, clock())
     },
     recordOutcome: ignore,
     dropUpstream: ignore,
@@ -82,6 +88,6 @@
 /** The key is a hash already; its halves give the probes. */
 function probesOf (key: string, size: number): number[] {
   const high = parseInt(key.slice(0, 8), 16)
-  const low = parseInt(key.slice(8, 16), 16) | 1
+  const low = (parseInt(key.slice(8, 16), 16) | 1) >>> 0
   return Array.from({ length: PROBES }, (_, probe) => (high + probe * low) % size)
 }
--- a/experiments/model/policies.ts
+++ b/experiments/model/policies.ts
@@ -89,6 +89,9 @@
   oracle: {
     name: 'oracle', createChoice: () => chooseUpstream, createIndex: createPerfectIndex, gate: true, fairness: true
   },
+  'without-gate': {
+    name: 'without-gate', createChoice: () => chooseUpstream, createIndex: createOwnIndex, gate: false, fairness: true
+  },
   'rendezvous-levels': {
     name: 'rendezvous-levels',
     createChoice: () => rendezvousLevels,
@@ -101,5 +104,5 @@
   }
 }
 
-/** The policies of the main table; the others belong to the comparison of indexes. */
+/** The policies of the main table; the others belong to the comparisons of section 11 of the design page. */
 export const MAIN_POLICIES = ['round-robin', 'least-loaded', 'consistent-hash', 'waxwingspoke', 'oracle']
