Add the operator commands

Cause: configuration, keys and rollouts had no command line. Change: check, plan, apply, keys, customers, moves and status, each a module with one function in a table; cac parses, and unknown commands and flags are errors with the nearest known name. serve and timeline are registered by main.ts. A key counts as withdrawn on an instance only after that instance has answered to the record itself. Conclusion: every command and every documented exit code is exercised without sockets.

--- /dev/null
+++ b/src/cli/__tests__/program.test.ts
@@ -0,0 +1,203 @@
+import { describe, expect, it } from 'vitest'
+import { applyConfiguration } from '../../configuration/apply'
+import { readFleetConfiguration } from '../../configuration/fleetConfiguration'
+import { createFakePlatform, type FakePlatform } from '../../platform/__tests__/fakePlatform'
+import type { Endpoint, KeyRecord } from '../../types'
+import { commandTable } from '../commandTable'
+import type { CommandContext } from '../context'
+import { createProgram } from '../program'
+
+const FLEET = '[data-centre south]\n[customer bakery]\nrate = 100\nburst = 500\n[model chat]\nversion = v1\n'
+const PLATFORM = ['--platform', 'http://127.0.0.1:7000']
+
+interface Instance {
+  revision: number
+  silent: boolean
+  keys: KeyRecord[]
+}
+
+interface Terminal {
+  run: (...words: string[]) => Promise<number>
+  output: () => string
+  errors: () => string
+  json: () => any
+  platform: FakePlatform
+  instances: Record<number, Instance>
+  files: Record<string, string>
+}
+
+function createTerminal (): Terminal {
+  const platform = createFakePlatform()
+  const instances: Record<number, Instance> = {
+    1: { revision: 1, silent: false, keys: [] }, 2: { revision: 1, silent: false, keys: [] }
+  }
+  for (const port of [1, 2]) {
+    platform.instances.push({ name: `r${port}`, kind: 'router', dataCentre: 'south', endpoint: { host: '127.0.0.1', port }, state: 'live' })
+  }
+  const files: Record<string, string> = { 'fleet.ini': FLEET }
+  let printed = ''
+  let errors = ''
+  let time = 0
+  const context: CommandContext = {
+    createPlatform: () => platform,
+    async http (endpoint: Endpoint, method, path, body) {
+      const instance = instances[endpoint.port]
+      if (instance === undefined || instance.silent) throw new Error('connection refused')
+      if (path === '/control/keys') {
+        instance.keys.push(...JSON.parse(body!) as KeyRecord[])
+        return { status: 200, body: '{}' }
+      }
+      const quota = [{ customer: 'bakery', rate: 40, capacity: 200 }]
+      return { status: 200, body: JSON.stringify({ instance: `r${endpoint.port}`, incarnation: 7, state: 'live', revision: instance.revision, keyVersion: 0, quota, rollouts: [], upstreams: [] }) }
+    },
+    readFile: async (path) => {
+      if (files[path] === undefined) throw new Error('no such file')
+      return files[path]
+    },
+    print: (text) => { printed += text },
+    printError: (text) => { errors += text },
+    wallClock: () => time,
+    randomBytes: length => new Uint8Array(length).fill(++time),
+    createIdentifier: () => `operation-${++time}`,
+    sleep: async (milliseconds) => { time += milliseconds }
+  }
+  const program = createProgram({ context })
+  return {
+    async run (...words) {
+      printed = ''
+      errors = ''
+      return await program.run(words)
+    },
+    output: () => printed,
+    errors: () => errors,
+    json: () => JSON.parse(printed),
+    platform,
+    instances,
+    files
+  }
+}
+
+async function applied (): Promise<Terminal> {
+  const terminal = createTerminal()
+  await applyConfiguration(terminal.platform, readFleetConfiguration('fleet.ini', FLEET), 0, 'setup', 0)
+  return terminal
+}
+
+describe('operator commands', () => {
+  it.each([
+    ['unknown command', ['aply', 'fleet.ini'], "'apply'"],
+    ['unknown flag', ['plan', 'fleet.ini', '--platfrom', 'x'], "'platform'"],
+    ['unknown action', ['keys', 'grnat', 'bakery', ...PLATFORM], "'grant'"],
+    ['no command', [], '--help'],
+    ['missing file', ['check', 'absent.ini'], 'absent.ini'],
+    ['missing argument', ['check'], 'FILE'],
+    ['extra argument', ['moves', 'chat', ...PLATFORM], "'chat'"],
+    ['missing platform', ['moves'], '--platform'],
+    ['malformed platform', ['moves', '--platform', 'nowhere'], 'HOST:PORT'],
+    ['flag without value', ['moves', '--platform'], 'platform'],
+    ['malformed wait', ['apply', 'fleet.ini', '--wait', 'soon', ...PLATFORM], '--wait'],
+    ['malformed instance', ['status', '--instance', 'r1'], 'HOST:PORT']
+  ])('answers %s with exit code 2 and a hint', async (_, words, hint) => {
+    const terminal = createTerminal()
+    expect(await terminal.run(...words)).toBe(2)
+    expect(terminal.errors()).toContain(hint)
+  })
+
+  it.each(commandTable.map(({ pattern, examples }) => ({ name: pattern.split(' ')[0]!, examples })))(
+    'gives examples that $name accepts as far as flags go', async ({ name, examples }) => {
+      for (const example of examples) {
+        expect(example.startsWith(name)).toBe(true)
+        const terminal = createTerminal()
+        await terminal.run(...example.split(' '))
+        expect(terminal.errors()).not.toMatch(/unknown (option|command)|missing argument/)
+      }
+    })
+
+  it('checks a file and lists all findings with exit code 4', async () => {
+    const terminal = createTerminal()
+    expect(await terminal.run('check', 'fleet.ini')).toBe(0)
+    terminal.files['fleet.ini'] = FLEET + '[model x]\nverison = 1\n'
+    expect(await terminal.run('check', 'fleet.ini', '--json')).toBe(4)
+    expect(JSON.parse(terminal.errors()).error.findings).toMatchObject([{ line: 7 }, { line: 8, suggestion: 'version' }])
+  })
+
+  it('applies, and reports an instance that stays behind instead of claiming success', async () => {
+    const terminal = await applied()
+    terminal.files['fleet.ini'] = FLEET.replace('v1', 'v2')
+    terminal.instances[1]!.revision = 2
+    expect(await terminal.run('apply', 'fleet.ini', '--json', ...PLATFORM)).toBe(1)
+    expect(terminal.json()).toMatchObject({
+      applied: true, revision: 2, instances: [{ name: 'r1', inForce: true }, { name: 'r2', inForce: false, detail: 'revision 1' }]
+    })
+    terminal.instances[2]!.revision = 2
+    expect(await terminal.run('apply', 'fleet.ini', ...PLATFORM)).toBe(0)
+    expect(terminal.output()).toContain('no changes')
+  })
+
+  it.each([
+    ['conflict', 3, (terminal: Terminal) => terminal.run('apply', 'fleet.ini', '--expect', '5', ...PLATFORM)],
+    ['platform unavailable', 5, (terminal: Terminal) => {
+      terminal.platform.readFaults = ['unavailable']
+      return terminal.run('apply', 'fleet.ini', ...PLATFORM)
+    }],
+    ['outcome unknown', 6, (terminal: Terminal) => {
+      terminal.platform.writeFaults = ['none', 'lostAfter']
+      terminal.platform.readFaults = ['none', 'none', 'none', 'unavailable']
+      return terminal.run('apply', 'fleet.ini', ...PLATFORM)
+    }]
+  ])('ends with the documented code on %s', async (_, code, act) => {
+    const terminal = await applied()
+    terminal.files['fleet.ini'] = FLEET.replace('v1', 'v2')
+    expect(await act(terminal)).toBe(code)
+  })
+
+  it('grants a key for a known customer only, shows it once and stores no more than its hash', async () => {
+    const terminal = await applied()
+    expect(await terminal.run('keys', 'grant', 'bakry', ...PLATFORM)).toBe(1)
+    expect(terminal.errors()).toContain("'bakery'")
+    expect(await terminal.run('keys', 'grant', 'bakery', '--json', ...PLATFORM)).toBe(0)
+    const { key, hash } = terminal.json()
+    expect(JSON.stringify(terminal.platform.rows('keys'))).not.toContain(key)
+    await terminal.run('keys', 'list', ...PLATFORM)
+    expect(terminal.output()).toContain(hash)
+    expect(terminal.output()).not.toContain(key)
+  })
+
+  it('withdraws a key and names the instances that have not confirmed', async () => {
+    const terminal = await applied()
+    await terminal.run('keys', 'grant', 'bakery', '--json', ...PLATFORM)
+    const { key, hash } = terminal.json()
+    terminal.instances[2]!.silent = true
+    expect(await terminal.run('keys', 'withdraw', key, '--json', ...PLATFORM)).toBe(1)
+    expect(terminal.json()).toMatchObject({ hash, stored: true, confirmed: ['r1'], unconfirmed: [{ name: 'r2', failure: 'no answer' }] })
+    terminal.instances[2]!.silent = false
+    expect(await terminal.run('keys', 'withdraw', hash, ...PLATFORM)).toBe(0)
+    expect(terminal.instances[2]!.keys).toMatchObject([{ hash, state: 'withdrawn', customer: 'bakery' }])
+  })
+
+  it('hands a withdrawal to an instance directly when the platform does not answer, and says that it is not stored', async () => {
+    const terminal = await applied()
+    terminal.platform.readFaults = ['unavailable', 'unavailable']
+    expect(await terminal.run('keys', 'withdraw', 'a'.repeat(64), '--instance', '127.0.0.1:2', '--json', ...PLATFORM)).toBe(5)
+    expect(terminal.json()).toMatchObject({ stored: false, listKnown: false, confirmed: ['127.0.0.1:2'] })
+    expect(await terminal.run('keys', 'withdraw', 'a'.repeat(64), '--instance', '127.0.0.1:2')).toBe(0)
+    expect(terminal.instances[2]!.keys).toHaveLength(2)
+  })
+
+  it('reports silent instances, missing tables and unanswered rates as unknown', async () => {
+    const terminal = await applied()
+    terminal.instances[1]!.silent = true
+    expect(await terminal.run('status', ...PLATFORM)).toBe(1)
+    expect(terminal.output()).toMatch(/r1 +south +live +no answer +- +-/)
+    expect(terminal.output()).toContain('their state is unknown')
+    await terminal.run('customers', '--json', ...PLATFORM)
+    expect(terminal.json()).toMatchObject({ instancesAnswered: 1, instancesListed: 2, customers: [{ name: 'bakery', heldRate: 40 }] })
+    await terminal.run('moves', '--json', ...PLATFORM)
+    expect(terminal.json()).toMatchObject([{ model: 'chat', state: 'requested', toVersion: 'v1' }])
+    terminal.platform.readFaults = ['unavailable']
+    expect(await terminal.run('moves', ...PLATFORM)).toBe(5)
+    terminal.platform.readFaults = ['unavailable']
+    expect(await terminal.run('status', '--instance', '127.0.0.1:2', '--json', ...PLATFORM)).toBe(5)
+    expect(terminal.json()).toMatchObject({ platform: 'unavailable', instances: [{ name: 'r2' }] })
+  })
+})
--- /dev/null
+++ b/src/cli/program.ts
@@ -0,0 +1,119 @@
+/** The command line: parses arguments, runs one command, prints its output and returns the exit code. */
+import { cac, type CAC } from 'cac'
+import { nearestName } from '../configuration/nearestName'
+import { parseEndpoint } from '../configuration/valueKinds'
+import { ConfigurationError, RouterError, UsageError } from '../errors'
+import type { PlatformClient } from '../platform/types'
+import type { CommandContext, CommandInput } from './context'
+import { commandTable, type CommandDefinition } from './commandTable'
+import { ExitCode, exitCodeOf } from './exitCodes'
+
+const PROGRAM_NAME = 'waxwingspoke'
+
+export const EXIT_CODES_TEXT = 'Exit codes: 0 ok, 1 failed or not confirmed, 2 usage, 3 conflict, 4 invalid file, ' +
+  '5 platform unavailable, 6 outcome unknown'
+
+export interface ProgramOptions {
+  context: CommandContext
+  /** Adds commands of other modules, such as `serve` and `timeline`. Their actions return promises. @default none */
+  register?: (program: CAC) => void
+}
+
+export interface Program {
+  /** Runs one command line, without the program's name. Resolves with the exit code and never rejects. */
+  run: (commandLine: readonly string[]) => Promise<number>
+}
+
+export function createProgram (options: ProgramOptions): Program {
+  const { context, register } = options
+  return {
+    async run (commandLine) {
+      const program = cac(PROGRAM_NAME)
+      let exitCode: number = ExitCode.ok
+      for (const definition of commandTable) {
+        addCommand(program, definition, context, (code) => { exitCode = code })
+      }
+      register?.(program)
+      program.help(sections => [...sections, { body: EXIT_CODES_TEXT }])
+      const json = commandLine.includes('--json')
+      try {
+        program.parse(['node', PROGRAM_NAME, ...commandLine], { run: false })
+        if (program.options.help === true) return ExitCode.ok
+        checkCommandLine(program, commandLine)
+        await program.runMatchedCommand()
+        return exitCode
+      } catch (error) {
+        return reportError(context, error, json)
+      }
+    }
+  }
+}
+
+function addCommand (
+  program: CAC, definition: CommandDefinition, context: CommandContext, finish: (code: number) => void
+): void {
+  const command = program.command(definition.pattern, definition.description)
+  for (const [flag, description] of definition.options) command.option(flag, description)
+  command.option('--json', 'Print JSON')
+  for (const example of definition.examples) command.example(`  ${PROGRAM_NAME} ${example}`)
+  command.action(async (words: string[], given: Record<string, unknown>) => {
+    let client: PlatformClient | undefined
+    const input: CommandInput = {
+      context,
+      arguments: words.map(String),
+      options: given,
+      platform () {
+        client ??= createClient(context, given.platform)
+        return client
+      }
+    }
+    try {
+      const output = await definition.run(input)
+      context.print(given.json === true ? JSON.stringify(output.data, undefined, 2) + '\n' : output.text)
+      finish(output.exitCode ?? ExitCode.ok)
+    } finally {
+      await client?.close()
+    }
+  })
+}
+
+function createClient (context: CommandContext, address: unknown): PlatformClient {
+  if (address === undefined) throw new UsageError('missing --platform URL')
+  const endpoint = parseEndpoint(String(address).replace(/^http:\/\//, '').replace(/\/$/, ''))
+  if (endpoint === undefined) throw new UsageError(`--platform takes http://HOST:PORT, not '${String(address)}'`)
+  return context.createPlatform(endpoint)
+}
+
+/** Unknown commands and flags are errors; `cac` would ignore the first and not suggest a name for the second. */
+function checkCommandLine (program: CAC, commandLine: readonly string[]): void {
+  const command = program.matchedCommand
+  if (command === undefined) {
+    const name = commandLine.find(word => !word.startsWith('-'))
+    if (name === undefined) throw new UsageError(`no command given; see ${PROGRAM_NAME} --help`)
+    throw new UsageError(`unknown command '${name}'` + suggest(name, program.commands.map(other => other.name)))
+  }
+  const known = command.options.flatMap(option => option.names)
+  for (const name of Object.keys(program.options)) {
+    if (name === '--' || command.hasOption(name) !== undefined || program.globalCommand.hasOption(name) !== undefined) continue
+    throw new UsageError(`unknown option '--${name}'` + suggest(name, known))
+  }
+}
+
+function suggest (name: string, known: readonly string[]): string {
+  const nearest = nearestName(name, known)
+  return nearest === undefined ? '' : ` (did you mean '${nearest}'?)`
+}
+
+function reportError (context: CommandContext, error: unknown, json: boolean): number {
+  // cac reports missing values of options with its own class.
+  const known = error instanceof Error && error.name === 'CACError' ? new UsageError(error.message, { cause: error }) : error
+  if (!(known instanceof RouterError)) {
+    context.printError(`internal error: ${known instanceof Error ? known.stack ?? known.message : String(known)}\n`)
+    return ExitCode.failed
+  }
+  const findings = known instanceof ConfigurationError ? { findings: known.findings } : {}
+  context.printError(json
+    ? JSON.stringify({ error: { code: known.code, message: known.message, ...findings } }, undefined, 2) + '\n'
+    : known instanceof ConfigurationError ? `${known.message}\n` : `error: ${known.message}\n`)
+  return exitCodeOf(known)
+}
--- a/src/cli/serveCommand.ts
+++ b/src/cli/serveCommand.ts
@@ -1,5 +1,6 @@
 /** `serve`: runs the router daemon until it is told to stop. */
 import { readFileSync } from 'node:fs'
+import type { CAC } from 'cac'
 import { startDaemon } from '../compose'
 import { readSettings } from '../configuration/settings'
 import { UsageError } from '../errors'
@@ -19,3 +20,11 @@
     process.on('SIGINT', stop)
   })
 }
+
+/** Adds the command to the program. */
+export function addServeCommand (program: CAC, run: (settingsFile: string) => Promise<void>): void {
+  program.command('serve', 'Run the router daemon')
+    .option('--config <file>', 'Settings file (default: waxwingspoke.ini)')
+    .example('  waxwingspoke serve --config router.ini')
+    .action(async (options: { config?: string }) => { await run(options.config ?? 'waxwingspoke.ini') })
+}
--- /dev/null
+++ b/src/cli/systemContext.ts
@@ -0,0 +1,30 @@
+/** The command context of the real program: files, clock, randomness, HTTP. */
+import { randomBytes, randomUUID } from 'node:crypto'
+import { readFile } from 'node:fs/promises'
+import { setTimeout as sleep } from 'node:timers/promises'
+import { request } from 'undici'
+import { formatEndpoint } from '../configuration/valueKinds'
+import { createHttpPlatformClient } from '../platform/httpPlatformClient'
+import type { CommandContext } from './context'
+
+export function createSystemContext (): CommandContext {
+  return {
+    createPlatform: endpoint => createHttpPlatformClient({ endpoint }),
+    async http (endpoint, method, path, body, timeoutMilliseconds) {
+      const answer = await request(`http://${formatEndpoint(endpoint)}${path}`, {
+        method,
+        headers: body === undefined ? {} : { 'content-type': 'application/json' },
+        body: body ?? null,
+        signal: AbortSignal.timeout(timeoutMilliseconds)
+      })
+      return { status: answer.statusCode, body: await answer.body.text() }
+    },
+    readFile: async path => await readFile(path, 'utf8'),
+    print: (text) => { process.stdout.write(text) },
+    printError: (text) => { process.stderr.write(text) },
+    wallClock: Date.now,
+    randomBytes,
+    createIdentifier: randomUUID,
+    sleep: async (milliseconds) => { await sleep(milliseconds) }
+  }
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,21 +1,15 @@
 /** Entry point of the single executable. */
-import { cac } from 'cac'
-import { runServeCommand } from './cli/serveCommand'
+import { createProgram } from './cli/program'
+import { addServeCommand, runServeCommand } from './cli/serveCommand'
+import { createSystemContext } from './cli/systemContext'
 import { addTimelineCommand } from './cli/timelineCommand'
-import { RouterError } from './errors'
 
-async function main (): Promise<void> {
-  const program = cac('waxwingspoke')
-  program.command('serve', 'Run the router daemon')
-    .option('--config <file>', 'Settings file')
-    .action(async (options: { config?: string }) => { await runServeCommand(options.config ?? 'waxwingspoke.ini') })
-  addTimelineCommand(program, (text) => { process.stdout.write(text) })
-  program.help()
-  program.parse(process.argv, { run: false })
-  await program.runMatchedCommand()
-}
-
-main().then(() => { process.exit() }, (error: unknown) => {
-  process.stderr.write(`${error instanceof RouterError ? error.message : String(error instanceof Error ? error.stack : error)}\n`)
-  process.exit(1)
+const program = createProgram({
+  context: createSystemContext(),
+  register (commands) {
+    addServeCommand(commands, runServeCommand)
+    addTimelineCommand(commands, (text) => { process.stdout.write(text) })
+  }
 })
+
+program.run(process.argv.slice(2)).then((code) => { process.exit(code) }, (error: unknown) => { throw error })
