--- /dev/null
+++ b/src/configuration/__tests__/documentation.test.ts
@@ -0,0 +1,31 @@
+import { readdirSync, readFileSync } from 'node:fs'
+import { join } from 'node:path'
+import { describe, expect, it } from 'vitest'
+import { commandTable } from '../../cli/commandTable'
+import { EXIT_CODES_TEXT } from '../../cli/program'
+import { fleetTables, settingsTables } from '../documentation'
+import { readFleetConfiguration } from '../fleetConfiguration'
+import { readSettings } from '../settings'
+
+const page = readFileSync('docs/configuration.md', 'utf8')
+const examples = 'playground/examples'
+
+describe('documentation of the configuration', () => {
+  it.each([['settings', settingsTables], ['fleet', fleetTables]])('states every key, default, unit and bound of the %s schema', (name, tables) => {
+    const part = new RegExp(`<!-- ${name} begin -->\n\n(.*?)\n<!-- ${name} end -->`, 's').exec(page)?.[1]
+    expect(part).toBe(tables())
+  })
+
+  it('states every command and all exit codes', () => {
+    for (const { pattern } of commandTable) expect(page).toContain(`\`${pattern.split(' ')[0]!}`)
+    for (const part of EXIT_CODES_TEXT.replace('Exit codes: ', '').split(', ')) {
+      expect(page).toContain(`| ${part.slice(0, 1)} | ${part.slice(2)} |`)
+    }
+  })
+
+  it.each(readdirSync(examples).filter(file => file.endsWith('.ini')))('has a valid example %s', (file) => {
+    const text = readFileSync(join(examples, file), 'utf8')
+    if (file.startsWith('router')) expect(readSettings(file, text).instance.name).not.toBe('')
+    else expect(readFleetConfiguration(file, text).customers).toHaveLength(5)
+  })
+})
