Let concurrency limits grow quickly and measure waits without the own prefill

The limit took long prompts for overload and fell to 2 to 11, and grew by one for each round. Change: the limit gets the wait without the request's own prefill, starts at 64 with a slack of 300 ms, doubles for each round until the first decrease and grows by a tenth afterwards. Chunks are rendered around a fixed frame. Cache events are read from the start after a restart of the engine.

--- a/src/composeState.ts
+++ b/src/composeState.ts
@@ -28,6 +28,13 @@
 /** Entries of the block index; one takes 18 bytes, so that the index stays below 20 MB. */
 const INDEX_ENTRIES = 1_000_000
 
+/**
+ * Engines batch dozens of requests, and the limit grows by one for each round of them, so that a start at the default of
+ * 16 took minutes to fill six engines with 500 streams. Waits below the slack (milliseconds) are no sign of overload: one
+ * decode step of a full batch takes about 40 ms, and a prefill of another prompt some hundreds.
+ */
+const CONCURRENCY = { initial: 64, minimum: 4, slack: 300 }
+
 export interface InstanceIdentity {
   name: string
   incarnation: Incarnation
@@ -77,7 +84,7 @@
   function limitOf (upstream: string): ConcurrencyLimit {
     let limit = limits.get(upstream)
     if (limit === undefined) {
-      limit = createConcurrencyLimit()
+      limit = createConcurrencyLimit(CONCURRENCY)
       limits.set(upstream, limit)
     }
     return limit
--- a/src/fairness/concurrencyLimit.ts
+++ b/src/fairness/concurrencyLimit.ts
@@ -1,6 +1,6 @@
 /**
- * Limit on the work in flight at one upstream: additive increase while the time to first token stays near the lowest
- * recent value, multiplicative decrease when it does not.
+ * Limit on the work in flight at one upstream: increase while the latency stays near the lowest recent value, quick at
+ * first, and multiplicative decrease when it does not.
  */
 import type { MonotonicMilliseconds } from '../types'
 import type { ConcurrencyLimit } from './types'
@@ -8,6 +8,16 @@
 /** Factor of one decrease. */
 const DECREASE = 0.9
 
+/**
+ * Increase for each request that ended with a normal latency, as long as nothing has caused a decrease: the limit doubles
+ * with each round of requests. With one for each round, as in the textbook, 64 requests of 3 s each grew the limit by one
+ * in 3 s, and an idle engine was refused work for minutes.
+ */
+const STARTING_INCREASE = 1
+
+/** Increase for each request afterwards: a tenth of the limit for each round, as much as one decrease takes away. */
+const INCREASE = 0.1
+
 /** Milliseconds after a decrease in which no other one follows; the work in flight then still reflects the old limit. */
 const DECREASE_PAUSE_MS = 250
 
@@ -67,7 +77,7 @@
       }
       observe(latency, now)
       if (latency > Math.min(lowest, previousLowest) * tolerance + slack) decrease(now)
-      else if (used) limit = Math.min(maximum, limit + 1 / limit)
+      else if (used) limit = Math.min(maximum, limit + (lastDecrease === -Infinity ? STARTING_INCREASE : INCREASE))
     },
     inFlight: () => inFlight,
     limit: () => Math.floor(limit)
--- a/src/gateway/__tests__/dispatcher.test.ts
+++ b/src/gateway/__tests__/dispatcher.test.ts
@@ -102,7 +102,7 @@
     expect(third).toBeUndefined()
     expect(dispatcher.size()).toBe(1)
     first!.firstToken(0)
-    first!.release()
+    first!.release(false)
     await waiting
     expect(third).toMatchObject({ upstream: 'e1' })
   })
@@ -165,7 +165,7 @@
       .then((placement) => { third = placement })
     await Promise.resolve()
     expect(third).toBeUndefined()
-    first!.release()
+    first!.release(false)
     await waiting
   })
 
--- a/src/gateway/__tests__/openaiApi.test.ts
+++ b/src/gateway/__tests__/openaiApi.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { InvalidRequestError } from '../../errors'
-import { canonicalPrompt, parseCompletionRequest, renderChunk, renderWhole } from '../openaiApi'
+import { canonicalPrompt, createChunkRenderer, parseCompletionRequest, renderWhole } from '../openaiApi'
 
 const encode = (value: unknown): Uint8Array => Buffer.from(JSON.stringify(value))
 const role = fc.constantFrom('system' as const, 'user' as const, 'assistant' as const)
@@ -71,7 +71,7 @@
   it.each([
     ['chat', 'chat.completion.chunk', { delta: { content: 'x\n' } }], ['plain', 'text_completion', { text: 'x\n' }]
   ] as const)('renders a %s chunk on one line', (style, object, content) => {
-    const text = renderChunk({ identifier: 'i', model: 'm', style, created: 1 }, 'x\n', undefined)
+    const text = createChunkRenderer({ identifier: 'i', model: 'm', style, created: 1 })('x\n', undefined)
     expect(text).toMatch(/^data: [^\n]*\n\n$/)
     expect(JSON.parse(text.slice(6))).toEqual({
       id: 'i', object, created: 1, model: 'm', choices: [{ index: 0, ...content, finish_reason: null }]
--- a/src/gateway/completionHandler.ts
+++ b/src/gateway/completionHandler.ts
@@ -7,9 +7,9 @@
 import { readBody, sendWhole } from './exchange'
 import type { Exchange, ExchangeHandler } from './exchange'
 import {
-  parseCompletionRequest, renderChunk, renderUsageChunk, renderWhole, STREAM_END
+  createChunkRenderer, parseCompletionRequest, renderUsageChunk, renderWhole, STREAM_END
 } from './openaiApi'
-import type { CompletionHead, CompletionRequest, CompletionStyle } from './openaiApi'
+import type { ChunkRenderer, CompletionHead, CompletionRequest, CompletionStyle } from './openaiApi'
 
 export interface CompletionHandlerOptions {
   style: CompletionStyle
@@ -75,11 +75,12 @@
   pause: { signal: AbortSignal, limit: number }
 ): Promise<void> {
   const { response } = exchange
+  const renderChunk = createChunkRenderer(head)
   try {
     for await (const piece of pieces) {
       if (exchange.signal.aborted) return
       if (!response.headersSent) beginStream(exchange)
-      const text = renderPiece(request, head, piece)
+      const text = renderPiece(request, head, piece, renderChunk)
       if (piece.end !== undefined) {
         response.end(text)
         return
@@ -101,10 +102,12 @@
   })
 }
 
-function renderPiece (request: CompletionRequest, head: CompletionHead, piece: CompletionPiece): string {
-  if (piece.end === undefined) return renderChunk(head, piece.text, undefined)
+function renderPiece (
+  request: CompletionRequest, head: CompletionHead, piece: CompletionPiece, renderChunk: ChunkRenderer
+): string {
+  if (piece.end === undefined) return renderChunk(piece.text, undefined)
   const usage = request.includeUsage ? renderUsageChunk(head, piece.end.usage) : ''
-  return renderChunk(head, piece.text, piece.end.finishReason) + usage + STREAM_END
+  return renderChunk(piece.text, piece.end.finishReason) + usage + STREAM_END
 }
 
 /** Resolves when the caller has read on. The limit frees what a caller holds that keeps its connection but never reads. */
--- a/src/gateway/completionRun.ts
+++ b/src/gateway/completionRun.ts
@@ -108,7 +108,7 @@
       } catch (error) {
         failure = error
       } finally {
-        attempt.place.release()
+        attempt.place.release(failure !== undefined && !signal.aborted)
         // Reached without a failure when the consumer has stopped reading.
         if (failure === undefined && handleOpen) handle.ended(false)
       }
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -48,8 +48,8 @@
   waited: number
   /** The first token came; `cachedTokens` of the prompt were cached, as far as known. */
   firstToken: (cachedTokens: number) => void
-  /** Ends the use of the place, in whatever way. */
-  release: () => void
+  /** Ends the use of the place. `failed` tells that the upstream did not do what was asked. */
+  release: (failed: boolean) => void
 }
 
 export interface DispatcherOptions {
@@ -148,7 +148,8 @@
     running.set(fingerprint, (running.get(fingerprint) ?? 0) + 1)
     registry.startWork(upstream, identifier, Math.round(routing.promptTokens * (1 - blockShare)), startedAt)
     index.recordRouted(upstream, incarnation, routing.blockKeys, startedAt)
-    let latency: number | undefined
+    /** Milliseconds that the request waited for others at the upstream; undefined before the first token. */
+    let waited: number | undefined
     let released = false
     const endComputing = (): void => { if (!begun) requeue(gate.settle(identifier)) }
     return {
@@ -158,14 +159,14 @@
       expectedBlocks,
       waited: startedAt - entry.arrivedAt,
       firstToken (cachedTokens) {
-        if (latency !== undefined) return
-        latency = now() - startedAt
+        if (waited !== undefined) return
         const computedTokens = Math.max(0, routing.promptTokens - cachedTokens)
-        registry.finishPrefill(upstream, identifier, { computedTokens, milliseconds: latency }, now())
+        waited = waitOf(upstream, computedTokens, now() - startedAt)
+        registry.finishPrefill(upstream, identifier, { computedTokens, milliseconds: now() - startedAt }, now())
         endComputing()
         pump()
       },
-      release () {
+      release (failed) {
         if (released) return
         released = true
         const left = (running.get(fingerprint) ?? 1) - 1
@@ -173,12 +174,23 @@
         else running.set(fingerprint, left)
         endComputing()
         registry.finishWork(upstream, identifier, now())
-        limit.release(latency, now())
+        // A caller that left before the first token tells at least how long its request has waited.
+        if (!failed) waited ??= waitOf(upstream, routing.promptTokens, now() - startedAt)
+        limit.release(waited, now())
         pump()
       }
     }
   }
 
+  /**
+   * Latency without the request's own prefill. The time to first token of a long prompt is long without any queue, and
+   * the concurrency limit would take it for overload.
+   */
+  function waitOf (upstream: string, computedTokens: number, milliseconds: number): number {
+    const rate = registry.upstream(upstream, now())?.prefillTokensPerSecond ?? 0
+    return rate > 0 ? Math.max(0, milliseconds - computedTokens / rate * 1000) : milliseconds
+  }
+
   function refuse (entry: Entry, retryAfterMilliseconds: number): void {
     settle(entry)
     requeue(gate.settle(entry.work.identifier))
--- a/src/gateway/openaiApi.ts
+++ b/src/gateway/openaiApi.ts
@@ -131,13 +131,19 @@
 /** Last data of a complete stream. */
 export const STREAM_END = 'data: [DONE]\n\n'
 
-/** One SSE event with a piece of the text; `finishReason` is set on the last piece. */
-export function renderChunk (head: CompletionHead, text: string, finishReason: string | undefined): string {
-  const content = head.style === CompletionStyle.chat ? { delta: text === '' ? {} : { content: text } } : { text }
-  return sseData({
-    ...renderHead(head, OBJECT_NAMES[head.style].chunk),
-    choices: [{ index: 0, ...content, finish_reason: finishReason ?? null }]
-  })
+/** Renders one SSE event with a piece of the text; `finishReason` is set on the last piece. */
+export type ChunkRenderer = (text: string, finishReason: string | undefined) => string
+
+/** Only text and finish reason differ between the chunks of one completion; the rest is rendered once. */
+export function createChunkRenderer (head: CompletionHead): ChunkRenderer {
+  const fields = JSON.stringify(renderHead(head, OBJECT_NAMES[head.style].chunk)).slice(0, -1)
+  const start = `data: ${fields},"choices":[{"index":0,`
+  const isChat = head.style === CompletionStyle.chat
+  return (text, finishReason) => {
+    const quoted = JSON.stringify(text)
+    const content = isChat ? `"delta":${text === '' ? '{}' : `{"content":${quoted}}`}` : `"text":${quoted}`
+    return `${start}${content},"finish_reason":${JSON.stringify(finishReason ?? null)}}]}\n\n`
+  }
 }
 
 /** SSE event with the usage, sent before the end on request. */
--- a/src/upstream/upstreamPolling.ts
+++ b/src/upstream/upstreamPolling.ts
@@ -1,6 +1,6 @@
 /** Polls upstreams for their reports and cache events, and probes those that are due. Timers belong to the caller. */
 import type { BlockIndex } from '../prefix/types'
-import type { MonotonicMilliseconds } from '../types'
+import type { Incarnation, MonotonicMilliseconds } from '../types'
 import { LogEvent } from '../observability/events'
 import type { EventLog } from '../observability/events'
 import type { UpstreamRegistry, UpstreamView } from './registryTypes'
@@ -46,6 +46,8 @@
     }
   }
 
+  /** Incarnations whose event streams were read last. */
+  const known = new Map<string, Incarnation>()
   const engines = (): readonly UpstreamView[] => registry.upstreams(now()).filter(({ kind }) => kind === 'engine')
 
   /** Engines in turn, so that a bounded round reaches all of them. */
@@ -70,7 +72,10 @@
     pollEvents: createRound(rotating(), async ({ name, endpoint }) => {
       const after = index.newestSequence(name)
       try {
-        const batch = await client.cacheEvents(endpoint, after)
+        let batch = await client.cacheEvents(endpoint, after)
+        // A restarted engine counts its events from the start, so that the position in the old stream skips some.
+        if (after > 0 && batch.incarnation !== known.get(name)) batch = await client.cacheEvents(endpoint, 0)
+        known.set(name, batch.incarnation)
         const first = batch.events[0]
         if (first !== undefined && after > 0 && first.sequence > after + 1) {
           options.log(LogEvent.cacheEventsLost, { upstream: name, after, first: first.sequence }, 'debug')
