--- a/src/composeState.ts
+++ b/src/composeState.ts
@@ -33,7 +33,7 @@
  * 16 took minutes to fill six engines with 500 streams. Waits below the slack (milliseconds) are no sign of overload: one
  * decode step of a full batch takes about 40 ms, and a prefill of another prompt some hundreds.
  */
-const CONCURRENCY = { initial: 64, minimum: 4, slack: 300 }
+const CONCURRENCY = { initial: 64, minimum: 4, slack: 300, probe: 1 }
 
 export interface InstanceIdentity {
   name: string
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -161,8 +161,8 @@
       firstToken (cachedTokens) {
         if (waited !== undefined) return
         const computedTokens = Math.max(0, routing.promptTokens - cachedTokens)
-        waited = waitOf(upstream, computedTokens, now() - startedAt)
-        registry.finishPrefill(upstream, identifier, { computedTokens, milliseconds: now() - startedAt }, now())
+        const milliseconds = now() - startedAt
+        waited = registry.finishPrefill(upstream, identifier, { computedTokens, milliseconds }, now())
         endComputing()
         pump()
       },
@@ -182,10 +182,7 @@
     }
   }
 
-  /**
-   * Latency without the request's own prefill. The time to first token of a long prompt is long without any queue, and
-   * the concurrency limit would take it for overload.
-   */
+  /** Milliseconds of a time to first token that the request's own prefill does not account for. */
   function waitOf (upstream: string, computedTokens: number, milliseconds: number): number {
     const rate = registry.upstream(upstream, now())?.prefillTokensPerSecond ?? 0
     return rate > 0 ? Math.max(0, milliseconds - computedTokens / rate * 1000) : milliseconds
