Use the kept-cache store for hot prefixes

Cause: a hot prefix was computed anew by every engine that did not hold it. Change: before an attempt the engine imports blocks that cost less to import than to recompute, at most for the time of the recomputation; after an answer it exports what has become hot. Conclusion: a test with two engine stand-ins moves a prefix of three blocks.

--- /dev/null
+++ b/src/gateway/__tests__/keptCacheUse.test.ts
@@ -0,0 +1,105 @@
+import { afterEach, beforeEach, describe, expect, it } from 'vitest'
+import { startEngineServer } from '../../../standins/engine/server'
+import type { EngineServer } from '../../../standins/engine/server'
+import { startPlatformServer } from '../../../standins/platform/server'
+import type { PlatformServer } from '../../../standins/platform/server'
+import { createKeptCache } from '../../prefix/keptCache'
+import { createHttpUpstreamClient } from '../../upstream/engineClient'
+import type { CompletionOrder, UpstreamClient } from '../../upstream/types'
+import type { Placement } from '../dispatcher'
+import { createKeptCacheUse } from '../keptCacheUse'
+
+const PREFILL = 4096
+const BLOCKS = ['00000000000000aa', '00000000000000ab', '00000000000000ac']
+
+let platform: PlatformServer
+let engines: EngineServer[]
+let client: UpstreamClient
+
+beforeEach(async () => {
+  platform = await startPlatformServer()
+  engines = await Promise.all([1, 2].map(async (incarnation) => await startEngineServer({
+    loaded: ['m@v1'],
+    prefillTokensPerSecond: PREFILL,
+    incarnation,
+    platform: `http://127.0.0.1:${platform.endpoint.port}`
+  })))
+  client = createHttpUpstreamClient()
+})
+afterEach(async () => {
+  await client.close()
+  await Promise.all([...engines, platform].map(async (server) => { await server.close() }))
+})
+
+function place (engine: EngineServer): Placement {
+  return {
+    upstream: `e${engine.core.incarnation}`,
+    endpoint: engine.endpoint,
+    incarnation: engine.core.incarnation,
+    expectedBlocks: 0,
+    waited: 0,
+    firstToken () {},
+    release () {}
+  }
+}
+
+/** Runs a prompt of three blocks; returns the number of prompt tokens that were cached. */
+async function run (engine: EngineServer, attempt: number): Promise<number> {
+  const order: CompletionOrder = {
+    requestIdentifier: 'r',
+    attempt,
+    model: 'm',
+    version: 'v1',
+    adapter: '',
+    prompt: 'x'.repeat(3 * 4096),
+    maximumOutputTokens: 1,
+    priority: 0,
+    blockKeys: BLOCKS,
+    cacheSalt: 's',
+    resumeFrom: 0,
+    resumeText: ''
+  }
+  const timeouts = { connect: 1000, firstByte: 5000, betweenChunks: 5000, whole: 10_000 }
+  let cached = 0
+  for await (const chunk of client.complete(engine.endpoint, order, timeouts, new AbortController().signal)) {
+    cached = chunk.cachedTokens ?? cached
+  }
+  return cached
+}
+
+describe('createKeptCacheUse', () => {
+  // Guards against a hot prefix that is computed anew by every engine that does not hold it.
+  it('moves a hot prefix from one engine to another', async () => {
+    const [first, second] = engines as [EngineServer, EngineServer]
+    const use = createKeptCacheUse({
+      keptCache: createKeptCache({ exportsPerSecond: 100, importsPerSecond: 100 }),
+      client,
+      prefillRate: () => PREFILL,
+      now: () => performance.now()
+    })
+    for (let attempt = 1; attempt <= 3; attempt++) {
+      await run(first, attempt)
+      use.afterAnswer(place(first), BLOCKS)
+    }
+    await expect.poll(async () => {
+      await use.beforeAttempt(place(second), BLOCKS)
+      return second.core.cache.size()
+    }).toBe(3)
+    expect(await run(second, 1)).toBeGreaterThan(0)
+  })
+
+  // Guards against a request that waits for a silent import longer than it would have computed.
+  it('waits for an import no longer than recomputation would take', async () => {
+    const keptCache = createKeptCache({ exportsPerSecond: 100, importsPerSecond: 100 })
+    for (let count = 0; count < 3; count++) keptCache.recordUse(BLOCKS, performance.now())
+    const use = createKeptCacheUse({
+      keptCache,
+      client: { exportBlocks: async () => {}, importBlocks: async () => await new Promise(() => {}) },
+      prefillRate: () => 20_000,
+      now: () => performance.now()
+    })
+    const begun = performance.now()
+    await use.beforeAttempt(place(engines[0]!), BLOCKS)
+    expect(performance.now() - begun).toBeLessThan(1000)
+  })
+})
--- a/src/gateway/completionRun.ts
+++ b/src/gateway/completionRun.ts
@@ -20,6 +20,7 @@
 import type { AttemptOutcomes } from './attemptOutcome'
 import type { CompletionJob, CompletionPiece } from './completionTypes'
 import type { Dispatcher, Placement } from './dispatcher'
+import type { KeptCacheUse } from './keptCacheUse'
 
 export interface CompletionRunOptions {
   dispatcher: Dispatcher
@@ -28,6 +29,8 @@
   crashes: CrashLedger
   retryBudget: RetryBudget
   index: BlockIndex
+  /** @default the kept-cache store is not used */
+  keptCache?: KeptCacheUse
   blockKeys: BlockKeyFunction
   /** Version for a new request or a restart; `failed` is the version that failed before its first byte, if any. */
   chooseVersion: (model: string, failed: string | undefined) => string
@@ -87,6 +90,7 @@
       let handleOpen = true
       let failure: unknown
       try {
+        await options.keptCache?.beforeAttempt(attempt.place, attempt.blockKeys)
         usage.sent = true
         for await (const chunk of client.complete(
           attempt.place.endpoint, orderOf(plan, attempt, assembler.beginAttempt(number)), options.timeouts, signal
@@ -211,6 +215,7 @@
     const cachedTokens = chunk.cachedTokens ?? 0
     const cachedBlocks = Math.floor(cachedTokens / BLOCK_TOKENS)
     options.index.recordOutcome(attempt.place.upstream, attempt.blockKeys, cachedBlocks, now())
+    options.keptCache?.afterAnswer(attempt.place, attempt.blockKeys)
     record(plan, attempt, false, Math.max(0, promptTokens - cachedTokens))
     log(LogEvent.requestFinished, {
       requestIdentifier: identifier,
