Give the SIGTERM case a grace period of 5 s

Cause: the case failed once on a machine with a load of 18: its requests of the grace period came later than the default of 1 s and were refused, rightly. Ruled out: running and queued requests, which were all complete. Change: the test fleet sets the grace period to 5 s; the expectation that requests inside of it are served is unchanged. Conclusion: the case no longer depends on the machine's load.

--- a/playground/__tests__/testFleet.ts
+++ b/playground/__tests__/testFleet.ts
@@ -32,12 +32,17 @@
 /** Engines decode 64 tokens in about 0.6 s, long enough to fail in the middle. */
 const ENGINE_PARAMETERS = ['--loaded', 'chat@v1', '--prefill', '200000', '--decode', '100', '--slots', '64']
 
-/** Short limits, so that a silent engine is noticed within a test. */
+/**
+ * Short limits, so that a silent engine is noticed within a test, and a grace period that the requests of the SIGTERM case
+ * stay inside of on a busy machine.
+ */
 const SETTINGS = `
 [attempt]
 connect = 500ms
 first_byte = 2s
 between_chunks = 500ms
+[shutdown]
+grace = 5s
 `
 
 export interface TestFleet {
