Bound the tokens of a returned loan; tests of grants, borrowing and returns

Cause: a message that gives a loan back could arrive twice, and between the two a doubled request could deduct the part again; the second return then credited tokens that the borrower had given back only once.

--- a/experiments/quota/fleet.ts
+++ b/experiments/quota/fleet.ts
@@ -310,12 +310,12 @@
         grants.release(instance.clock()).then(
           ({ released, delay: wait }) => {
             if (released || left === 0) within(instance, incarnation, 0, () => { restart(instance, delay) })
-            else within(instance, incarnation, wait, () => { release(left - 1) })
+            else within(instance, incarnation, wait, () => { events.settle(() => { release(left - 1) }) })
           },
           (error: unknown) => { events.after(0, () => { throw error }) }
         )
       }
-      if (instance.isUp) release(3)
+      if (instance.isUp) within(instance, incarnation, 0, () => { events.settle(() => { release(3) }) })
     },
     settle (instance, charge, used) {
       const before = instance.accounts.inspect(charge.customer, instance.clock()).level
--- a/src/quota/__tests__/accounts.test.ts
+++ b/src/quota/__tests__/accounts.test.ts
@@ -69,6 +69,35 @@
     expect(lender.inspect('acme', 10_001 + LOAN_SETTLED_MS).capacity).toBeCloseTo(1000)
   })
 
+  it('takes a part back once with the tokens that were deducted, however often it is returned', () => {
+    const lender = accountsWith(0.5)
+    const borrower = accountsWith(0.5)
+    const request = borrower.requestLoan('loan', 'acme', 1800, 10_000)
+    const reply = lender.lend(request, 'borrower', 10_001)
+    borrower.acceptLoan(reply, 10_002)
+    const returned = borrower.returnLoan('return', 'acme', 'loan', 10_003)!
+    expect(returned).toMatchObject({ renews: 'loan', duration: 0 })
+    expect(borrower.inspect('acme', 10_003)).toMatchObject({ capacity: 1000, level: 1000 })
+    lender.lend(returned, 'borrower', 10_004)
+    const { level, capacity } = lender.inspect('acme', 10_004)
+    expect(capacity).toBe(1000)
+    expect(level).toBeCloseTo(1000, 0)
+    // The request arrives a second time after its reply was forgotten, and so does the message that returns the loan.
+    lender.lend(request, 'borrower', 15_000)
+    lender.lend(returned, 'borrower', 15_000)
+    lender.lend(returned, 'borrower', 15_000)
+    expect(lender.inspect('acme', 15_000)).toMatchObject({ capacity: 1000, level: 1000 })
+  })
+
+  it('scales borrowed and lent parts when a limit is lowered', () => {
+    const lender = accountsWith(0.5)
+    const borrower = accountsWith(0.5)
+    borrower.acceptLoan(lender.lend(borrower.requestLoan('loan', 'acme', 1500, 10_000), 'borrower', 10_000), 10_000)
+    for (const accounts of [lender, borrower]) accounts.setLimits([{ ...limit, burst: 1000 }], 10_000)
+    const total = lender.inspect('acme', 10_000).capacity + borrower.inspect('acme', 10_000).capacity
+    expect(total).toBeLessThanOrEqual(1000 + 1e-6)
+  })
+
   it('lends nothing for longer than the lease that it comes from', () => {
     const lender = accountsWith(0.5, 12_000)
     const request = { identifier: 'l', customer: 'acme', rate: 100, capacity: 100, tokens: 100, duration: 5000 }
--- a/src/quota/accounts.ts
+++ b/src/quota/accounts.ts
@@ -9,21 +9,18 @@
 import type { MonotonicMilliseconds } from '../types'
 import { advanceBucket, chargeBucket, createBucket, refreshAllowance, settleBucket } from './bucket'
 import type { Bucket } from './bucket'
-import { allowanceOf, capacityForRate, isAmount, lendableGrants, loanFrom, shareOf, sumLent } from './allowance'
+import { allowanceOf, capacityForRate, isAmount, shareOf, sumLent } from './allowance'
 import type { Account, HeldGrants } from './allowance'
 import { DEMAND_HEADROOM, createDemand, demandRate, recordOffer, sustainedRate } from './demand'
-import {
-  LOAN_MAXIMUM_MS, createLoanBook, emptyReply, forgetEnded, isReturn, isUsableRequest, loanReturnsAt, seriesOf
-} from './loans'
+import { acceptPart, expectPart, returnPart } from './borrowedParts'
+import { lendPart } from './lending'
+import { LOAN_MAXIMUM_MS, createLoanBook, emptyReply, forgetEnded, isUsableRequest } from './loans'
 import { GrantTier } from './types'
 import type { AdmissionResult, CustomerLimit, LoanReply, LoanRequest, QuotaAccounts } from './types'
 
 /** Longest wait that a refusal names, in milliseconds. Grants and loans change sooner than any longer forecast holds. */
 export const MAXIMUM_WAIT_MS = 60_000
 
-/** Loan requests under way and loans given that one customer may have; a bound on memory, not reached in normal work. */
-const MAXIMUM_LOANS_PER_CUSTOMER = 1024
-
 export interface QuotaAccountsOptions {
   /** Largest relative difference between the clocks of two instances. @default CLOCK_DRIFT_BOUND */
   driftBound?: number
@@ -76,7 +73,7 @@
   const driftBound = options.driftBound ?? CLOCK_DRIFT_BOUND
   const loanDuration = Math.min(options.loanDuration ?? LOAN_MAXIMUM_MS, LOAN_MAXIMUM_MS)
   const accounts = new Map<string, Account>()
-  let lending = true
+  let isLending = true
   const grants: HeldGrants = {
     [GrantTier.floor]: { units: 0, expiresAt: 0 },
     [GrantTier.pool]: { units: 0, expiresAt: 0 }
@@ -172,64 +169,7 @@
   function lend (request: LoanRequest, borrower: string, now: MonotonicMilliseconds): LoanReply {
     const account = present(request.customer, now)
     if (account === undefined || !isUsableRequest(request)) return emptyReply(request)
-    const { bucket, limit, loans } = account
-    const time = bucket.time
-    forgetEnded(loans, time)
-    const known = loans.answered.get(request.identifier)
-    if (known !== undefined) return known.borrower === borrower ? known.reply : emptyReply(request)
-    if (loans.answered.size >= MAXIMUM_LOANS_PER_CUSTOMER) return emptyReply(request)
-
-    const series = seriesOf(request)
-    const earlier = loans.lent.get(series)
-    if (isReturn(request)) {
-      if (earlier?.borrower === borrower) takeBack(account, series, request.tokens)
-      return emptyReply(request)
-    }
-    if (earlier !== undefined && earlier.borrower !== borrower) return emptyReply(request)
-    const wanted = Math.min(request.duration, LOAN_MAXIMUM_MS)
-    const { units, duration } = lendableGrants(grants, wanted, time)
-    const reply = lending && duration > 0
-      ? loanFrom(account, request, earlier, units, duration, time)
-      : emptyReply(request)
-    const returnsAt = loanReturnsAt(reply.duration, time, driftBound)
-    loans.answered.set(request.identifier, { borrower, reply, forgetAt: loanReturnsAt(wanted, time, driftBound) })
-    if (reply.duration > 0) {
-      loans.lent.set(series, {
-        borrower,
-        rate: reply.rate,
-        capacity: reply.capacity,
-        rateShare: Math.max(earlier?.rateShare ?? 0, shareOf(reply.rate, limit.rate)),
-        capacityShare: Math.max(earlier?.capacityShare ?? 0, shareOf(reply.capacity, limit.burst)),
-        returnsAt: Math.max(earlier?.returnsAt ?? 0, returnsAt)
-      })
-      bucket.level -= reply.tokens
-      refreshAllowance(bucket, account.allowanceAt)
-    }
-    return reply
-  }
-
-  function takeBack (account: Account, series: string, tokens: number): void {
-    const { bucket, loans } = account
-    const capacity = loans.lent.get(series)?.capacity ?? 0
-    loans.lent.delete(series)
-    bucket.level += Math.min(tokens, capacity)
-    refreshAllowance(bucket, account.allowanceAt)
-  }
-
-  function returnLoan (
-    identifier: string, customer: string, series: string, now: MonotonicMilliseconds
-  ): LoanRequest | undefined {
-    const account = present(customer, now)
-    const part = account?.loans.borrowed.get(series)
-    if (account === undefined || part === undefined) return undefined
-    const { bucket, loans } = account
-    loans.borrowed.delete(series)
-    // A renewal under way must not bring the part back after the lender has begun to use it again.
-    for (const [pending, { request }] of loans.pending) if (seriesOf(request) === series) loans.pending.delete(pending)
-    const { level } = bucket
-    refreshAllowance(bucket, account.allowanceAt)
-    const tokens = Math.min(part.capacity, level - bucket.level)
-    return { identifier, customer, rate: 0, capacity: 0, tokens, duration: 0, renews: series }
+    return lendPart(account, request, borrower, { grants, isLending, driftBound })
   }
 
   function requestLoan (identifier: string, customer: string, tokens: number, now: MonotonicMilliseconds): LoanRequest {
@@ -247,40 +187,7 @@
 
   function expectLoan (request: LoanRequest, now: MonotonicMilliseconds): boolean {
     const account = present(request.customer, now)
-    if (account === undefined) return false
-    forgetEnded(account.loans, account.bucket.time)
-    if (account.loans.pending.size >= MAXIMUM_LOANS_PER_CUSTOMER) return false
-    account.loans.pending.set(request.identifier, { request, sentAt: now })
-    return true
-  }
-
-  function acceptLoan (reply: LoanReply, now: MonotonicMilliseconds): void {
-    const account = present(reply.customer, now)
-    if (account === undefined) return
-    const { bucket, limit, loans } = account
-    forgetEnded(loans, now)
-    const pending = loans.pending.get(reply.identifier)
-    if (pending === undefined) return
-    loans.pending.delete(reply.identifier)
-    if (![reply.rate, reply.capacity, reply.tokens, reply.duration].every(isAmount)) return
-    const expiresAt = pending.sentAt + Math.min(reply.duration, pending.request.duration)
-    const series = seriesOf(pending.request)
-    const earlier = loans.borrowed.get(series)
-    if (expiresAt <= bucket.time) return
-    // Replies of one series are taken in the order of their requests only; an older one would bring its tokens on top of
-    // a level that the newer one has filled.
-    for (const [identifier, other] of loans.pending) {
-      if (seriesOf(other.request) === series && other.sentAt <= pending.sentAt) loans.pending.delete(identifier)
-    }
-    loans.borrowed.set(series, {
-      rate: reply.rate,
-      capacity: reply.capacity,
-      rateShare: shareOf(reply.rate, limit.rate),
-      capacityShare: shareOf(reply.capacity, limit.burst),
-      expiresAt
-    })
-    bucket.level += Math.max(0, Math.min(reply.tokens, reply.capacity - (earlier?.capacity ?? 0)))
-    refreshAllowance(bucket, account.allowanceAt)
+    return account !== undefined && expectPart(account, request, now)
   }
 
   return {
@@ -290,8 +197,14 @@
     lend,
     requestLoan,
     expectLoan,
-    acceptLoan,
-    returnLoan,
+    acceptLoan (reply, now) {
+      const account = present(reply.customer, now)
+      if (account !== undefined) acceptPart(account, reply)
+    },
+    returnLoan (identifier, customer, series, now) {
+      const account = present(customer, now)
+      return account === undefined ? undefined : returnPart(account, identifier, series)
+    },
     settle (charge, usedTokens, now) {
       const account = accounts.get(charge.customer)
       if (account === undefined) return
@@ -333,7 +246,7 @@
       return share
     },
     stopLending () {
-      lending = false
+      isLending = false
     },
     customers: () => [...accounts.values()].filter(({ removed }) => !removed).map(({ limit }) => limit.customer)
   }
--- a/src/quota/loans.ts
+++ b/src/quota/loans.ts
@@ -12,6 +12,9 @@
  */
 export const LOAN_MAXIMUM_MS = 2000
 
+/** Requests under way and replies remembered for one customer; a bound on memory that normal work does not reach. */
+export const MAXIMUM_LOANS_PER_CUSTOMER = 1024
+
 /** Milliseconds on any clock within the drift bound after which a loan of the longest duration has ended. */
 export const LOAN_SETTLED_MS = LOAN_MAXIMUM_MS * (1 + CLOCK_DRIFT_BOUND) + LOAN_MARGIN_MS
 
@@ -23,6 +26,9 @@
   /** Parts of the customer's limits, so that a raised limit does not shrink what is set aside. */
   rateShare: number
   capacityShare: number
+  /** Tokens deducted with the part, and when the first of the series was given. */
+  tokens: number
+  since: MonotonicMilliseconds
   /** When the lender may use the part again. */
   returnsAt: MonotonicMilliseconds
 }
