Keep slowness references fixed during a rollout and judge by load level

Change: references stand still while two versions are compared; where load makes the old version slow too, only very slow answers count; well below the compared load the old version is taken to exceed its reference at 5%. A share rises early only after enough requests on every route. Failures need three batches. The property test knows lagging instances.

--- a/src/rollout/__tests__/leader.property.test.ts
+++ b/src/rollout/__tests__/leader.property.test.ts
@@ -20,7 +20,7 @@
   | { kind: 'race' }
   | { kind: 'pause' | 'resume' | 'crash', leader: number }
   | { kind: 'samples', bad: boolean, route: string }
-  | { kind: 'apply', version: string, finishBy: number | undefined }
+  | { kind: 'apply', version: string, finishBy: number | undefined, unaware: number }
   | { kind: 'loadFails', leader: number }
 
 const leaderArbitrary = fc.nat(LEADERS - 1)
@@ -31,7 +31,7 @@
   { weight: 3, arbitrary: fc.constant({ kind: 'race' as const }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constantFrom('pause' as const, 'resume' as const, 'resume' as const, 'crash' as const), leader: leaderArbitrary }) },
   { weight: 2, arbitrary: fc.record({ kind: fc.constant('samples' as const), bad: fc.boolean(), route: fc.constantFrom('a', 'b') }) },
-  { weight: 1, arbitrary: fc.record({ kind: fc.constant('apply' as const), version: fc.constantFrom('v1', 'v2', 'v3'), finishBy: fc.option(fc.constantFrom(60_000, 500_000), { nil: undefined }) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('apply' as const), unaware: fc.nat(LEADERS), version: fc.constantFrom('v1', 'v2', 'v3'), finishBy: fc.option(fc.constantFrom(60_000, 500_000), { nil: undefined }) }) },
   { weight: 1, arbitrary: fc.record({ kind: fc.constant('loadFails' as const), leader: leaderArbitrary }) }
 )
 
@@ -43,19 +43,25 @@
   /** A leader whose commits wait, as if its process were stopped between reading and writing. */
   gates: Array<{ pending: Promise<readonly RolloutEffect[]>, release: () => void } | undefined>
   configuration: ConfigurationRevision
+  /** Every revision applied, and the one that each leader knows. */
+  applied: ConfigurationRevision[]
+  known: ConfigurationRevision[]
   engines: EngineState[]
   history: RolloutRecord[]
   orders: Array<{ token: number, time: number }>
 }
 
 function createWorld (): World {
+  const first = { revision: 1, configuration: fleet('v1', undefined) }
   const world: World = {
     time: 1000,
     platform: createFakePlatform(),
     leaders: [],
     incarnations: Array.from({ length: LEADERS }, () => 1),
     gates: [],
-    configuration: { revision: 1, configuration: fleet('v1', undefined) },
+    configuration: first,
+    applied: [first],
+    known: Array.from({ length: LEADERS }, () => first),
     engines: ['e1', 'e2', 'e3'].map(name => ({ name, endpoint: { host: '127.0.0.1', port: 1 }, leaving: false, loaded: [] })),
     history: [],
     orders: []
@@ -89,7 +95,7 @@
       }
     },
     self: { instance: `i${index}`, incarnation: world.incarnations[index]! },
-    configuration: () => world.configuration,
+    configuration: () => world.known[index],
     engines: () => world.engines
   })
 }
@@ -195,13 +201,16 @@
           operation.version, operation.finishBy === undefined ? undefined : world.time + operation.finishBy
         )
       }
+      world.applied.push(world.configuration)
+      // An unaware instance is cut off from the platform's rows and its peers until the next revision.
+      world.known = world.known.map((known, leader) => leader === operation.unaware ? known : world.configuration)
       return
     case 'loadFails':
       for (let attempt = 0; attempt < 3; attempt++) world.leaders[operation.leader]!.loadFailed('e1', MODEL, 'v2')
   }
 }
 
-function checkHistory (history: readonly RolloutRecord[]): void {
+function checkHistory ({ history, applied }: World): void {
   for (const [index, after] of history.entries()) {
     const before = history[index - 1]
     if (before === undefined) continue
@@ -218,6 +227,12 @@
       expect([after.phase, after.share, after.reason]).toEqual([before.phase, before.share, before.reason])
     } else if (after.phase === 'rolled_back') {
       expect(after.share).toBe(0)
+      // An instance that lags behind must not take a running rollout for a superseded one.
+      if (after.reason === 'superseded') {
+        expect(applied.some(({ revision, configuration }) => {
+          return revision >= before.revision && configuration.models[0]!.version !== before.toVersion
+        })).toBe(true)
+      }
     } else {
       expect(ORDER.indexOf(after.phase)).toBeGreaterThanOrEqual(ORDER.indexOf(before.phase))
       expect(after.share).toBeGreaterThanOrEqual(before.share)
@@ -248,7 +263,7 @@
         await perform(world, operation)
         checkLeaders(world)
       }
-      checkHistory(world.history)
+      checkHistory(world)
       // An engine that checks fencing tokens would never have to refuse an order.
       const tokens = world.orders.map(order => order.token)
       expect(tokens).toEqual([...tokens].sort((left, right) => left - right))
--- a/src/rollout/__tests__/rolloutSimulation.ts
+++ b/src/rollout/__tests__/rolloutSimulation.ts
@@ -109,7 +109,8 @@
     const share = instances[0]!.view.record(MODEL)?.share ?? 0
     const age = startedAt === undefined ? 0 : (now - startedAt) / 1000
     const crashed = crashes.includes(second)
-    for (let request = 0; request < rate * load; request++) {
+    const requests = rate * load * (0.85 + 0.3 * random())
+    for (let request = 0; request < requests; request++) {
       const instance = instances[Math.floor(random() * INSTANCES)]!
       const version = instance.view.chooseVersion(MODEL, random) ?? 'v1'
       const route = chooseRoute(random)
--- a/src/rollout/judge.ts
+++ b/src/rollout/judge.ts
@@ -23,16 +23,23 @@
 export const ALTERNATIVE_RISK = 3
 /** Part of the requests on the new version above which the old version's sample is too small for a comparison. */
 const LARGEST_COMPARED_PART = 0.9
-/** One batch contributes at most this part of the bound; a crash of one engine fails many requests in one batch. */
-const LARGEST_BATCH_STEP = 0.6
 /** Requests in one batch are grouped into load levels, each higher than the one before it by this factor. */
 const LOAD_LEVEL_FACTOR = 1.25
 /** Load levels above the highest known one at which nothing is said about slowness: more than 2.4 times its traffic. */
 const JUDGED_LEVELS_ABOVE = 4
+/** Load levels that make about one and a half times the traffic. */
+const MUCH_HIGHER_LEVELS = 2
+/** Batches whose mean traffic is the least that a batch counts as, so that chance does not make the load seem low. */
+const TRAFFIC_BATCHES = 3
+/** Rate at which the old version exceeds its own reference, the 95th percentile. */
+const REFERENCE_RATE = 0.05
 /** Requests of the old version at a load level below which it is no baseline. */
 const MINIMUM_BASELINE = 100
 /** Rate of slow answers of the old version above which a relative risk cannot be seen. */
 const LARGEST_BASELINE_RATE = 0.25
+/** Requests on the new version, in all and on each route, that allow the next share before the longest time has passed. */
+const SUFFICIENT_REQUESTS = 200
+const SUFFICIENT_ON_ROUTE = 30
 /** Batches, i.e. seconds, over which the old version's failures are averaged besides those of the present batch. */
 const RECENT_BATCHES = 10
 /** Evidence above which the share does not rise. */
@@ -52,6 +59,11 @@
   lowestAlternativeRate: number
   /** Judged by the part of the exceedances that falls on the new version while there is old traffic; depends on the load. */
   slowness: boolean
+  /**
+   * Largest part of the bound that one batch contributes. The crash of one engine fails many requests in one batch, and
+   * two crashes may come close together; one stall slows many.
+   */
+  largestStep: number
 }
 
 const METRICS: readonly Metric[] = [{
@@ -61,7 +73,8 @@
   clearExceedances: sample => sample.failures,
   lowestNullRate: 0.005,
   lowestAlternativeRate: 0.05,
-  slowness: false
+  slowness: false,
+  largestStep: 0.45
 }, {
   reason: RollbackReason.slowFirstToken,
   exceedances: sample => sample.slowFirstTokens,
@@ -69,7 +82,8 @@
   clearExceedances: sample => sample.verySlowFirstTokens,
   lowestNullRate: 0.15,
   lowestAlternativeRate: 0.4,
-  slowness: true
+  slowness: true,
+  largestStep: 0.6
 }, {
   reason: RollbackReason.slowTokens,
   exceedances: sample => sample.slowTokens,
@@ -77,7 +91,8 @@
   clearExceedances: sample => sample.verySlowTokens,
   lowestNullRate: 0.15,
   lowestAlternativeRate: 0.4,
-  slowness: true
+  slowness: true,
+  largestStep: 0.6
 }]
 
 export interface Verdict {
@@ -89,8 +104,8 @@
   add: (instance: string, samples: readonly RolloutSample[]) => void
   /** Judges everything added since the last call. Called once in each reporting interval. */
   evaluate: () => Verdict | undefined
-  /** Requests on the new version since `startStep`. */
-  requestsInStep: () => number
+  /** True when every route that has traffic has shown enough requests on the new version since `startStep`. */
+  sufficient: () => boolean
   /** False while some test leans towards a fault, so that the share must not rise. */
   clear: () => boolean
   startStep: () => void
@@ -123,7 +138,8 @@
   const { fromVersion, toVersion, enabled = true } = options
   const routes = new Map<string, RouteState>()
   let pending = new Map<string, RolloutSample[]>()
-  let requestsInStep = 0
+  const inStep = new Map<string, number>()
+  const recentTraffic: number[] = []
   let batches = 0
   let brakedBatch = -Infinity
   let verdict: Verdict | undefined
@@ -132,7 +148,7 @@
     let state = routes.get(route)
     if (state === undefined) {
       state = {
-        tests: METRICS.map(() => createSequentialTest({ largestStep: LARGEST_BATCH_STEP })),
+        tests: METRICS.map(({ largestStep }) => createSequentialTest({ largestStep })),
         baselines: METRICS.map(() => new Map<number, Counts>()),
         total: { exceedances: 0, trials: 0 },
         recent: []
@@ -155,17 +171,20 @@
       baselines.set(level, { exceedances: before.exceedances + old.exceedances, trials: before.trials + old.trials })
     }
     if (fresh.trials === 0) return undefined
+    const known = baselineAt(baselines, level)
     if (compared) {
+      // Where the load makes the old version slow as well, very slow answers still tell the versions apart.
+      if (known !== undefined && known > LARGEST_BASELINE_RATE) {
+        fresh.exceedances = sumOfClear(samples, toVersion, metric)
+        old.exceedances = sumOfClear(samples, fromVersion, metric)
+      }
       const trials = fresh.exceedances + old.exceedances
       const [nullRate, alternativeRate] = [risked(part, NULL_RISK), risked(part, ALTERNATIVE_RISK)]
       return { exceedances: fresh.exceedances, trials, nullRate, alternativeRate }
     }
-    const rate = baselineAt(baselines, level)
-    if (rate !== undefined && rate <= LARGEST_BASELINE_RATE) return { ...fresh, ...ratesAbove(metric, rate) }
+    if (known !== undefined && known <= LARGEST_BASELINE_RATE) return { ...fresh, ...ratesAbove(metric, known) }
     if (level > Math.max(...baselines.keys()) + JUDGED_LEVELS_ABOVE) return undefined
-    const clear = samples.reduce(
-      (sum, sample) => sum + (sample.version === toVersion ? metric.clearExceedances(sample) : 0), 0
-    )
+    const clear = sumOfClear(samples, toVersion, metric)
     return { exceedances: clear, trials: fresh.trials, ...ratesAbove(metric, 0) }
   }
 
@@ -188,6 +207,13 @@
     }
   }
 
+  function levelOf (traffic: number): number {
+    recentTraffic.push(traffic)
+    if (recentTraffic.length > TRAFFIC_BATCHES) recentTraffic.shift()
+    const mean = recentTraffic.reduce((sum, other) => sum + other, 0) / recentTraffic.length
+    return Math.ceil(Math.log(Math.max(1, traffic, mean)) / Math.log(LOAD_LEVEL_FACTOR))
+  }
+
   function noteRecent (state: RouteState, old: Counts): void {
     state.recent.push(old)
     if (state.recent.length > RECENT_BATCHES) state.recent.shift()
@@ -214,16 +240,21 @@
       if (batch.some(sample => sample.version === toVersion && sample.braked)) brakedBatch = batches
       if (verdict !== undefined || batch.length === 0) return verdict
       const traffic = batch.reduce((sum, sample) => sum + sample.requests, 0)
-      const fresh = batch.reduce((sum, sample) => sum + (sample.version === toVersion ? sample.requests : 0), 0)
-      requestsInStep += fresh
-      const level = Math.ceil(Math.log(Math.max(1, traffic)) / Math.log(LOAD_LEVEL_FACTOR))
+      for (const { route, version, requests } of batch) {
+        inStep.set(route, (inStep.get(route) ?? 0) + (version === toVersion ? requests : 0))
+      }
+      const level = levelOf(traffic)
       for (const route of new Set(batch.map(sample => sample.route))) {
         judgeRoute(route, groups.map(group => group.filter(sample => sample.route === route)), level)
       }
       if (enabled) verdict = decide()
       return verdict
     },
-    requestsInStep: () => requestsInStep,
+    sufficient () {
+      const counts = [...inStep.values()]
+      return counts.length > 0 && counts.every(count => count >= SUFFICIENT_ON_ROUTE) &&
+        counts.reduce((sum, count) => sum + count, 0) >= SUFFICIENT_REQUESTS
+    },
     clear () {
       if (!enabled) return true
       const leaning = [...routes.values()].some(
@@ -232,7 +263,7 @@
       return !leaning && batches - brakedBatch > BRAKE_HOLD_BATCHES
     },
     startStep () {
-      requestsInStep = 0
+      inStep.clear()
     }
   }
 }
@@ -255,7 +286,15 @@
     ([known, counts]) => known >= level && counts.trials >= MINIMUM_BASELINE
   )
   const nearest = levels.sort(([left], [right]) => left - right)[0]
-  return nearest === undefined ? undefined : rateOf([nearest[1]])
+  if (nearest === undefined) return undefined
+  const rate = rateOf([nearest[1]])
+  // The reference is the old version's 95th percentile before the rollout. If it was exceeded often under a much higher
+  // load, it comes from a lower load.
+  return rate > LARGEST_BASELINE_RATE && nearest[0] - level >= MUCH_HIGHER_LEVELS ? REFERENCE_RATE : rate
+}
+
+function sumOfClear (batch: readonly RolloutSample[], version: string, metric: Metric): number {
+  return batch.reduce((sum, sample) => sum + (sample.version === version ? metric.clearExceedances(sample) : 0), 0)
 }
 
 function rateOf (counts: ReadonlyArray<Counts>): number {
--- a/src/rollout/leader.ts
+++ b/src/rollout/leader.ts
@@ -173,7 +173,7 @@
       unable: planner.unable(targets, record.model, record.toVersion),
       verdict: judge?.evaluate(),
       clear: judge?.clear() ?? true,
-      requests: judge?.requestsInStep() ?? 0
+      sufficient: judge?.sufficient() ?? false
     })
     if (change === undefined && lease.heldUntil(record.model)! - now > RENEW_BELOW_MS) return held
     const written = await write({ ...record, ...change, step: record.step + 1 }, held.version, now)
--- a/src/rollout/sampler.ts
+++ b/src/rollout/sampler.ts
@@ -3,7 +3,8 @@
  *
  * A first token is slow when it comes later than the 95th percentile of the old version for requests on the same route
  * that had a similar number of tokens to compute. Without this grouping a new version, whose caches are empty at first,
- * would seem slow.
+ * would seem slow. The percentiles stay as they are while another version gets requests, so that slowness means the same
+ * during a whole rollout; a percentile that followed a traffic peak would hide a slow version afterwards.
  */
 import { build, type Histogram } from 'hdr-histogram-js'
 import type { RolloutSample } from './types'
@@ -14,6 +15,8 @@
 /** Factors on the reference above which an answer is very slow; more than twice the usual load does not cause as much. */
 const VERY_SLOW_FIRST_TOKEN = 3
 const VERY_SLOW_TOKENS = 1.5
+/** Drains, i.e. seconds, without requests on another version after which the percentiles move again. */
+const FREEZE_DRAINS = 30
 /** Drains, i.e. seconds, after which the older half of the reference is dropped. */
 const REFERENCE_DRAINS = 60
 /** Histograms count in units of 0.1 ms. */
@@ -52,6 +55,8 @@
   const { referenceVersion, isBraked = () => false } = options
   const samples = new Map<string, RolloutSample>()
   const references = new Map<string, Reference>()
+  /** Drain at which a model last had requests on a version other than the reference. */
+  const comparedAt = new Map<string, number>()
   let drains = 0
 
   function sampleOf (outcome: RequestOutcome): RolloutSample {
@@ -65,11 +70,11 @@
   }
 
   /** The value as a multiple of the old version's reference, which it joins if it is of that version; undefined without one. */
-  function relative (key: string, value: number, isReference: boolean): number | undefined {
+  function relative (model: string, key: string, value: number, isReference: boolean): number | undefined {
     let reference = references.get(key)
     if (reference === undefined) {
       if (!isReference) return undefined
-      reference = createReference()
+      reference = createReference(model)
       references.set(key, reference)
     }
     const limit = reference.limit()
@@ -82,19 +87,20 @@
       const { model, version, route } = outcome
       const sample = sampleOf(outcome)
       const isReference = version === (referenceVersion(model) ?? version)
+      if (!isReference) comparedAt.set(model, drains)
       sample.requests++
       if (outcome.failed) sample.failures++
       if (outcome.firstToken !== undefined) {
         sample.firstTokenMilliseconds += outcome.firstToken
         const group = Math.ceil(Math.log2(1 + Math.max(0, outcome.computedTokens)))
-        const slowness = relative(`first\n${model}\n${route}\n${group}`, outcome.firstToken, isReference)
+        const slowness = relative(model, `first\n${model}\n${route}\n${group}`, outcome.firstToken, isReference)
         if (slowness !== undefined) sample.firstTokens++
         if (slowness !== undefined && slowness > 1) sample.slowFirstTokens++
         if (slowness !== undefined && slowness > VERY_SLOW_FIRST_TOKEN) sample.verySlowFirstTokens++
       }
       if (outcome.betweenTokens !== undefined) {
         sample.betweenTokensMilliseconds += outcome.betweenTokens
-        const slowness = relative(`between\n${model}\n${route}`, outcome.betweenTokens, isReference)
+        const slowness = relative(model, `between\n${model}\n${route}`, outcome.betweenTokens, isReference)
         if (slowness !== undefined) sample.betweenTokens++
         if (slowness !== undefined && slowness > 1) sample.slowTokens++
         if (slowness !== undefined && slowness > VERY_SLOW_TOKENS) sample.verySlowTokens++
@@ -106,7 +112,11 @@
       })
       samples.clear()
       drains++
-      for (const reference of references.values()) reference.refresh(drains % REFERENCE_DRAINS === 0)
+      for (const reference of references.values()) {
+        const frozen = drains - (comparedAt.get(reference.model) ?? -Infinity) <= FREEZE_DRAINS
+        // A percentile that does not exist yet is better late than never.
+        if (!frozen || reference.limit() === undefined) reference.refresh(drains % REFERENCE_DRAINS === 0)
+      }
       return result
     }
   }
@@ -132,13 +142,14 @@
 }
 
 interface Reference {
+  model: string
   add: (milliseconds: number) => void
   limit: () => number | undefined
   /** Computes the percentile anew; `age` drops the older half when newer values exist. */
   refresh: (age: boolean) => void
 }
 
-function createReference (): Reference {
+function createReference (model: string): Reference {
   const create = () => build(
     {
       lowestDiscernibleValue: 1,
@@ -151,6 +162,7 @@
   let limit: number | undefined
   let unseen = 0
   return {
+    model,
     add (milliseconds) {
       unseen++
       newer.recordValue(Math.max(1, Math.round(Math.min(HIGHEST_MS, milliseconds) * HISTOGRAM_UNITS_PER_MS)))
--- a/src/rollout/transitions.ts
+++ b/src/rollout/transitions.ts
@@ -10,8 +10,6 @@
 export const MINIMUM_DWELL_MS = 3000
 /** Longest time at one share while nothing speaks against the version and the deadline leaves room. */
 export const MAXIMUM_DWELL_MS = 20_000
-/** Requests on the new version that allow the next share before the longest time has passed. */
-export const SUFFICIENT_REQUESTS = 200
 /** Shortest and longest time for which the full share is watched. */
 export const MINIMUM_WATCH_MS = 20_000
 export const MAXIMUM_WATCH_MS = 120_000
@@ -34,8 +32,8 @@
   verdict: Verdict | undefined
   /** False while a test leans towards a fault. */
   clear: boolean
-  /** Requests on the new version since the last change of the share. */
-  requests: number
+  /** True when the new version has had enough requests on every route since the last change of the share. */
+  sufficient: boolean
 }
 
 /** Fields that a transition changes; `step`, `leader` and `fencingToken` belong to the leader. */
@@ -126,7 +124,7 @@
 function dwelled (record: RolloutRecord, seen: Observation): boolean {
   const time = seen.wallClock - record.phaseSince
   if (time < MINIMUM_DWELL_MS || !seen.clear) return false
-  return seen.requests >= SUFFICIENT_REQUESTS || time >= dwellTime(record)
+  return seen.sufficient || time >= dwellTime(record)
 }
 
 function dwellTime (record: RolloutRecord): number {
