--- a/playground/__tests__/testFleet.ts
+++ b/playground/__tests__/testFleet.ts
@@ -13,7 +13,7 @@
 
 const PROGRAMS = fileURLToPath(new URL('../../dist', import.meta.url))
 
-const CONFIGURATION = `
+export const CONFIGURATION = `
 [data-centre north]
 weight = 1
 [customer bakery]
@@ -53,8 +53,9 @@
   key: string
   keyHash: string
   complete: (
-    router: Router, prompt: string, more?: { onText?: (text: string) => void, key?: string }
+    router: Router, prompt: string, more?: { onText?: (text: string) => void, key?: string, tokens?: number }
   ) => Promise<StreamedAnswer>
+  startEngine: (name: string) => Promise<Upstream>
   startRouter: (name: string, replaces?: Router) => Promise<Router>
 }
 
@@ -88,13 +89,13 @@
   // its part when the others renew their grants, up to 10 s later.
   const configuration = readFleetConfiguration('fleet.ini', CONFIGURATION)
   await applyConfiguration(fleet.platform, configuration, 0, randomUUID(), Date.now())
-  const complete: TestFleet['complete'] = async (router, prompt, more = {}) => {
-    return await streamCompletion({ url: router.callerUrl, key, prompt, maximumOutputTokens: 64, ...more })
+  const complete: TestFleet['complete'] = async (router, prompt, { tokens = 64, ...more } = {}) => {
+    return await streamCompletion({ url: router.callerUrl, key, prompt, maximumOutputTokens: tokens, ...more })
   }
   for (const router of routers) {
     await waitReady(router.callerUrl)
     // Buckets start empty; a first answer shows that quota, keys and engines are there.
     await waitFor(`${router.name} serves`, async () => (await complete(router, 'warm')).complete ? true : undefined, 20_000)
   }
-  return { fleet, engines, service, routers, key, keyHash: record.hash, complete, startRouter }
+  return { fleet, engines, service, routers, key, keyHash: record.hash, complete, startEngine: engine, startRouter }
 }
