Read what arrived during a pause before a time limit applies

Cause: after a pause of the process, timers run before the sockets are read. A router that had been paused, or had one long callback, gave up streams and calls whose bytes had already arrived; a lost call that must not be repeated then ends as unknown.

Change: an expired limit of an attempt or of a platform call is looked at again after one reading of the sockets.

--- a/src/platform/httpPlatformClient.ts
+++ b/src/platform/httpPlatformClient.ts
@@ -66,8 +66,9 @@
     if (concurrent >= maximumConcurrent) throw failure(request, true, `${concurrent} exchanges are running`)
     concurrent++
     const aborter = new AbortController()
-    const connectTimer = setTimeout(() => aborter.abort(), connectTimeout)
-    const wholeTimer = setTimeout(() => aborter.abort(), wholeTimeout)
+    // After a pause of this process an answer may be waiting: it is read before the limit applies.
+    const connectTimer = setTimeout(() => setImmediate(() => { if (!trace.sent) aborter.abort() }), connectTimeout)
+    const wholeTimer = setTimeout(() => setImmediate(() => aborter.abort()), wholeTimeout)
     const trace: ExchangeTrace = { sent: false, onSent: () => clearTimeout(connectTimer) }
     try {
       const response = await connections.exchange({ endpoint, ...request, signal: aborter.signal, trace })
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -41,19 +41,29 @@
   let started = false
   let ended = false
   let stepTimer: NodeJS.Timeout | undefined
+  let step = 0
 
   const progress = (): AttemptProgress => !trace.sent ? 'notSent' : started ? 'started' : 'maybeStarted'
   function expire (limit: string): void {
     limitPassed ??= limit
     aborter.abort()
   }
-  function startStep (limit: string, milliseconds: number): void {
+  function endStep (): void {
+    step++
     clearTimeout(stepTimer)
-    stepTimer = setTimeout(() => expire(limit), milliseconds)
+  }
+  function startStep (limit: string, milliseconds: number): void {
+    endStep()
+    const own = step
+    // After a pause of this process the timer runs before the bytes that came meanwhile are read. The second look comes
+    // after one reading of the sockets.
+    stepTimer = setTimeout(() => {
+      setImmediate(() => { if (step === own) expire(limit) })
+    }, milliseconds)
   }
   const onAbort = (): void => aborter.abort()
   function release (): void {
-    clearTimeout(stepTimer)
+    endStep()
     clearTimeout(wholeTimer)
     signal?.removeEventListener('abort', onAbort)
   }
@@ -84,14 +94,14 @@
     markStarted () {
       if (started) return
       started = true
-      clearTimeout(stepTimer)
+      endStep()
     },
     async read () {
       // Only the time spent waiting for the upstream counts, not the time that a slow consumer takes.
       if (started) startStep('between chunks', timeouts.betweenChunks)
       try {
         const bytes = await response.body.read()
-        if (started) clearTimeout(stepTimer)
+        if (started) endStep()
         ended = bytes === undefined
         return bytes
       } catch (error) {
--- a/standins/__tests__/programs.test.ts
+++ b/standins/__tests__/programs.test.ts
@@ -67,6 +67,36 @@
   }
 })
 
+function pause (): void {
+  const end = performance.now() + 600
+  while (performance.now() < end) { /* blocks the event loop as SIGSTOP would */ }
+}
+
+it('a pause of this process longer than the time limit loses no answer of the platform', async () => {
+  const platform = await start('platform')
+  await controlStandin(platform.url, 'PUT', 'faults', { latency: 20 })
+  const client = createHttpPlatformClient({ endpoint: platform.endpoint, wholeTimeout: 300 })
+  closers.push(client.close)
+  for (let round = 0; round < 5; round++) {
+    const committed = client.commit({ identifier: 't', conditions: [], writes: [{ table: 't', key: 'k', value: round }] })
+    // By then the request has been sent, and the answer comes during the pause.
+    setTimeout(() => setImmediate(pause), 5)
+    expect((await committed).version).toBe(round + 1)
+  }
+})
+
+it('a pause of this process longer than the time limits fails no stream whose bytes arrived meanwhile', async () => {
+  const client = createClient()
+  const engine = await start('engine', '--loaded', 'model@v2', '--decode', '100')
+  let received = 0
+  for await (const chunk of client.complete(engine.endpoint, order, { ...timeouts, betweenChunks: 300 }, never)) {
+    received++
+    // The pause falls into the next wait for bytes, right before timers run.
+    if (chunk.index % 25 === 5) setImmediate(pause)
+  }
+  expect(received).toBe(101)
+})
+
 it('service: one call runs once, and a crash before or after it shows in the journal only', async () => {
   const client = createClient()
   const service = await start('service')
