Queue the messages that give loans back in the planner

Change: the planner keeps these messages; takeReturns() hands them out at once and planAhead() with its next call. A plan that nobody finishes gives its loans back after a second.

--- a/experiments/quota/fleet.ts
+++ b/experiments/quota/fleet.ts
@@ -133,7 +133,8 @@
   }
 
   function receive (instance: FleetInstance, reply: LoanReply): void {
-    sendLoans(instance, instance.planner.receive(reply, instance.clock()), () => {})
+    instance.planner.receive(reply, instance.clock())
+    sendLoans(instance, instance.planner.takeReturns(), () => {})
   }
 
   function sendLoans (from: FleetInstance, loans: readonly PlannedLoan[], answered: (reply: LoanReply) => void): void {
@@ -198,7 +199,8 @@
     const plans: LoanPlan[] = []
     const finish = (admitted: Charge | undefined): void => {
       finished = true
-      for (const plan of plans) sendLoans(instance, instance.planner.finish(plan, instance.clock()), () => {})
+      for (const plan of plans) instance.planner.finish(plan, instance.clock())
+      sendLoans(instance, instance.planner.takeReturns(), () => {})
       done(admitted)
     }
     const round = (left: number): void => {
--- a/src/quota/__tests__/borrowing.test.ts
+++ b/src/quota/__tests__/borrowing.test.ts
@@ -49,11 +49,21 @@
     const plan = planner.planLoans('acme', 900, peers, 10_000)!
     const [early, late] = plan.loans.map(({ request }) => request)
     planner.receive(early!, 10_001)
-    expect(planner.finish(plan, 10_002).map(({ request }) => request.renews)).toEqual([early!.identifier])
-    expect(planner.receive(late!, 10_003).map(({ request }) => request.renews)).toEqual([late!.identifier])
+    planner.finish(plan, 10_002)
+    expect(planner.takeReturns().map(({ request }) => request.renews)).toEqual([early!.identifier])
+    planner.receive(late!, 10_003)
+    expect(planner.takeReturns().map(({ request }) => request.renews)).toEqual([late!.identifier])
     expect(accounts.inspect('acme', 10_004).capacity).toBeCloseTo(360)
   })
 
+  it('gives back by itself what nobody finished', () => {
+    const { planner } = createPlanner()
+    const plan = planner.planLoans('acme', 900, peers, 10_000)!
+    for (const { request } of plan.loans) planner.receive(request, 10_001)
+    expect(planner.planAhead(peers, 10_500).filter(({ request }) => request.duration === 0)).toEqual([])
+    expect(planner.planAhead(peers, 11_000).filter(({ request }) => request.duration === 0)).toHaveLength(2)
+  })
+
   it.each([
     ['nothing for one long prompt', [1700], 0],
     ['the missing rate for steady demand', Array.from({ length: 50 }, () => 60), 400]
--- a/src/quota/borrowing.ts
+++ b/src/quota/borrowing.ts
@@ -46,6 +46,9 @@
 /** Milliseconds for which a peer is not asked again after it did not answer. */
 const SILENT_MS = 2000
 
+/** Milliseconds after which the loans of a plan that was not finished are given back. */
+const UNFINISHED_MS = 1000
+
 /** Shortfall, as a part of the customer's rate, from which loans are requested ahead of demand. */
 const SMALLEST_SHORTFALL = 0.01
 
@@ -86,12 +89,17 @@
   planLoans: (
     customer: string, tokens: number, peers: readonly LoanPeer[], now: MonotonicMilliseconds
   ) => LoanPlan | undefined
-  /** Messages that give back what a plan has borrowed and what is not needed any more. */
-  finish: (plan: LoanPlan, now: MonotonicMilliseconds) => readonly PlannedLoan[]
-  /** Loans for customers whose demand exceeds the local rate, and renewals of loans still needed. */
+  /** Gives back what a plan has borrowed. A plan that nobody finishes ends by itself after a second. */
+  finish: (plan: LoanPlan, now: MonotonicMilliseconds) => void
+  /**
+   * Loans for customers whose demand exceeds the local rate, renewals of loans still needed, and messages that give loans
+   * back and were not taken yet.
+   */
   planAhead: (peers: readonly LoanPeer[], now: MonotonicMilliseconds) => readonly PlannedLoan[]
-  /** Takes in a reply of a peer and passes it to the accounts. Returns messages that give a late loan back. */
-  receive: (reply: LoanReply, now: MonotonicMilliseconds) => readonly PlannedLoan[]
+  /** Takes in a reply of a peer and passes it to the accounts. */
+  receive: (reply: LoanReply, now: MonotonicMilliseconds) => void
+  /** Messages that give loans back, to be sent after `receive` and `finish`; sooner than with the next `planAhead`. */
+  takeReturns: () => readonly PlannedLoan[]
 }
 
 /** A peer that has no rate to lend may still have tokens, and the reverse. */
@@ -123,6 +131,7 @@
   const borrowed = new Map<string, Borrowed>()
   /** Instant until which a peer is not asked, by kind, customer and peer. */
   const avoidUntil = new Map<string, MonotonicMilliseconds>()
+  const returns: PlannedLoan[] = []
   let count = 0
 
   function forget (now: MonotonicMilliseconds): void {
@@ -185,21 +194,25 @@
     }
   }
 
-  function giveBack (series: string, now: MonotonicMilliseconds): PlannedLoan[] {
+  function giveBack (series: string, now: MonotonicMilliseconds): void {
     const loan = borrowed.get(series)
-    if (loan === undefined) return []
+    if (loan === undefined) return
     borrowed.delete(series)
     count += 1
     const request = accounts.returnLoan(`${identifierPrefix}/${count}`, loan.customer, series, now)
-    return request === undefined ? [] : [{ peer: loan.peer, request }]
+    if (request !== undefined) returns.push({ peer: loan.peer, request })
   }
 
-  function finish (plan: LoanPlan, now: MonotonicMilliseconds): readonly PlannedLoan[] {
+  function finish (plan: LoanPlan, now: MonotonicMilliseconds): void {
     for (const { request } of plan.loans) {
       const question = asked.get(request.identifier)
       if (question !== undefined) question.isWanted = false
+      giveBack(request.identifier, now)
     }
-    return plan.loans.flatMap(({ request }) => giveBack(request.identifier, now))
+  }
+
+  function takeReturns (): readonly PlannedLoan[] {
+    return returns.splice(0)
   }
 
   function planRenewals (
@@ -212,7 +225,7 @@
     for (const [series, loan] of own) {
       const isDue = now >= loan.sentAt + loan.duration / 2
       if (missing <= 0) {
-        if (isDue && !isAsked(series)) loans.push(...giveBack(series, now))
+        if (isDue && !isAsked(series)) giveBack(series, now)
         continue
       }
       missing -= loan.rate
@@ -244,6 +257,9 @@
 
   function planAhead (peers: readonly LoanPeer[], now: MonotonicMilliseconds): readonly PlannedLoan[] {
     forget(now)
+    for (const [series, { rate, sentAt }] of borrowed) {
+      if (rate === 0 && now - sentAt >= UNFINISHED_MS) giveBack(series, now)
+    }
     const loans: PlannedLoan[] = []
     for (const customer of accounts.customers()) {
       const demand = accounts.demand(customer, now)
@@ -264,13 +280,13 @@
       const capacity = capacityForRate(rate, limit)
       loans.push(...chosen.flatMap((peer) => ask(peer, { customer, rate, capacity, tokens: 0 }, now)))
     }
-    return loans
+    return [...loans, ...takeReturns()]
   }
 
-  function receive (reply: LoanReply, now: MonotonicMilliseconds): readonly PlannedLoan[] {
+  function receive (reply: LoanReply, now: MonotonicMilliseconds): void {
     accounts.acceptLoan(reply, now)
     const question = asked.get(reply.identifier)
-    if (question === undefined) return []
+    if (question === undefined) return
     asked.delete(reply.identifier)
     const { peer, request, sentAt, isWanted } = question
     const { customer } = request
@@ -282,14 +298,17 @@
     }
     const series = request.renews ?? request.identifier
     // A lender that refuses a renewal needs its part; what is left of the level goes back with it.
-    if (!(reply.duration > 0)) return request.renews === undefined ? [] : giveBack(series, now)
+    if (!(reply.duration > 0)) {
+      if (request.renews !== undefined) giveBack(series, now)
+      return
+    }
     borrowed.set(series, {
       peer, customer, rate: reply.rate, capacity: reply.capacity, sentAt, duration: reply.duration
     })
-    return isWanted ? [] : giveBack(series, now)
+    if (!isWanted) giveBack(series, now)
   }
 
-  return { planLoans, finish, planAhead, receive }
+  return { planLoans, finish, planAhead, receive, takeReturns }
 }
 
 function partOf (given: number, wanted: number): number {
