Load a first version on every engine that should have it

Cause: a test of the first version showed that the engines to load shrank to those that had loaded first: with two loads at a time, two of four engines got the model and the rollout was called finished. Change: idle engines are divided among the models, and a target stays a target. Conclusion: a first version is finished only when all engines that can load it have it.

--- a/src/rollout/leader.ts
+++ b/src/rollout/leader.ts
@@ -9,7 +9,7 @@
 import type { ConfigurationRevision, Incarnation, ModelConfiguration, MonotonicMilliseconds, WallClockMilliseconds } from '../types'
 import { createRolloutJudge, type RolloutJudge } from './judge'
 import { createLeaseWatch, RENEW_BELOW_MS } from './lease'
-import { createLoadPlanner, hasModel, loadedName, targetEngines, UNLOAD_DELAY_MS, unwantedVersions, type LoadRequest } from './loading'
+import { createLoadPlanner, engineModel, hasModel, loadedName, targetEngines, UNLOAD_DELAY_MS, unwantedVersions, type LoadRequest } from './loading'
 import { carriedVersion, isTerminal, nextChange, requestedRollout, wantedModel, type RolloutRequest } from './transitions'
 import { RolloutPhase, type EngineState, type RolloutEffect, type RolloutRecord, type RolloutSample } from './types'
 
@@ -54,7 +54,7 @@
   const lease = createLeaseWatch()
   const planner = createLoadPlanner()
   const judges = new Map<string, { rollout: string, judge: RolloutJudge }>()
-  const knownEngines = new Map<string, Set<string>>()
+  const knownEngines = new Set<string>()
   let running = false
   let commits = 0
 
@@ -75,11 +75,15 @@
   }
 
   function targetsOf (model: string): readonly EngineState[] {
-    const known = knownEngines.get(model) ?? new Set<string>()
-    knownEngines.set(model, known)
     const engines = options.engines()
-    for (const engine of engines) if (hasModel(engine, model)) known.add(engine.name)
-    return targetEngines(engines, model, known)
+    const models = options.configuration()?.configuration.models.map(other => other.name) ?? []
+    for (const engine of engines) {
+      for (const name of models) if (hasModel(engine, name)) knownEngines.add(engineModel(engine.name, name))
+    }
+    const targets = targetEngines(engines, model, models, knownEngines)
+    // A target stays one when the first of them have loaded the model.
+    for (const engine of models.includes(model) ? targets : []) knownEngines.add(engineModel(engine.name, model))
+    return targets
   }
 
   function loadRequest (
--- a/src/rollout/loading.ts
+++ b/src/rollout/loading.ts
@@ -16,17 +16,31 @@
 }
 
 /**
- * Engines that should serve a model: those that have any version of it. Without any, the engines with nothing loaded;
- * without these, all.
+ * Engines that should serve a model: those that have any version of it or had one before, and its part of the engines
+ * with nothing loaded. Without any of these, all engines. `known` holds `engine model` pairs seen before.
  */
 export function targetEngines (
-  engines: readonly EngineState[], model: string, known: ReadonlySet<string>
+  engines: readonly EngineState[], model: string, models: readonly string[], known: ReadonlySet<string>
 ): readonly EngineState[] {
   const candidates = engines.filter(engine => !engine.leaving)
-  const serving = candidates.filter(engine => known.has(engine.name) || hasModel(engine, model))
-  if (serving.length > 0) return serving
-  const empty = candidates.filter(engine => engine.loaded.length === 0)
-  return empty.length > 0 ? empty : candidates
+  const serves = (engine: EngineState, name: string) => {
+    return hasModel(engine, name) || known.has(engineModel(engine.name, name))
+  }
+  const counts = new Map(models.map(name => [name, candidates.filter(engine => serves(engine, name)).length]))
+  const targets = candidates.filter(engine => serves(engine, model))
+  const idle = candidates.filter(engine => engine.loaded.length === 0 && !models.some(name => serves(engine, name)))
+  // Each idle engine goes to the model with the fewest engines; the order of names makes all instances agree.
+  for (const engine of idle.sort((left, right) => left.name < right.name ? -1 : 1)) {
+    const [neediest] = [...counts].sort(([, left], [, right]) => left - right)
+    if (neediest === undefined) break
+    counts.set(neediest[0], neediest[1] + 1)
+    if (neediest[0] === model) targets.push(engine)
+  }
+  return targets.length > 0 ? targets : candidates
+}
+
+export function engineModel (engine: string, model: string): string {
+  return `${engine} ${model}`
 }
 
 export function hasModel (engine: EngineState, model: string): boolean {
