Add membership to the wiring and the demonstration

Change: the membership decides connections, relays poll for large fleets and pass news on, key lists are split below the frame limit, and the demonstration runs a fleet of eight processes through the operator commands.

--- a/playground/__tests__/testFleet.ts
+++ b/playground/__tests__/testFleet.ts
@@ -32,12 +32,10 @@
 /** Engines decode 64 tokens in about 0.6 s, long enough to fail in the middle. */
 const ENGINE_PARAMETERS = ['--loaded', 'chat@v1', '--prefill', '200000', '--decode', '100', '--slots', '64']
 
-/** Short limits, so that a silent engine is noticed within a test. */
+/** A silent engine is noticed within a test, and a machine under load does not pass for one. */
 const SETTINGS = `
 [attempt]
-connect = 500ms
-first_byte = 2s
-between_chunks = 500ms
+between_chunks = 1500ms
 `
 
 export interface TestFleet {
--- a/playground/demo/main.ts
+++ b/playground/demo/main.ts
@@ -7,6 +7,7 @@
 import { dirname, join } from 'node:path'
 import { fileURLToPath } from 'node:url'
 import Table from 'cli-table3'
+import { BLOCK_BYTES } from '../../src/constants'
 import { readTimeline } from '../../src/observability/timeline'
 import { renderTimelinePage } from '../../src/observability/timelinePage'
 import { readJournal, streamCompletion, waitFor, waitReady } from '../client'
@@ -34,8 +35,9 @@
 idempotent_methods = GET
 `
 
-/** About 8,000 tokens: eight cache blocks. */
+/** About 8,000 tokens. */
 const LONG_PROMPT = 'The bakery opens at four and the first bread is sold at five. '.repeat(520)
+const FULL_BLOCKS = Math.floor(LONG_PROMPT.length / BLOCK_BYTES)
 
 interface Step {
   request: string
@@ -103,7 +105,7 @@
   await waitFor('cache events', async () => {
     const response = await fetch(`${second.controlUrl}/control/status`)
     const { indexEntries = 0 } = await response.json() as { indexEntries?: number }
-    return indexEntries >= 8 ? true : undefined
+    return indexEntries >= FULL_BLOCKS ? true : undefined
   })
   const warm = await streamCompletion({ url: second.callerUrl, key: bakery.key, prompt: LONG_PROMPT })
   const warmEngine = await engineOf(scene, warm.requestIdentifier)
@@ -155,7 +157,7 @@
   const fleet = await startFleet({ programs: dirname(fileURLToPath(import.meta.url)), directory })
   try {
     const steps = await runSteps(await build(fleet))
-    const table = new Table({ head: ['request', 'result', ''], colWidths: [38, 66, 7], wordWrap: true, style: { head: [] } })
+    const table = new Table({ head: ['request', 'result', ''], colWidths: [38, 66, 7], wordWrap: true, style: { head: [], border: [] } })
     for (const { request, result, good } of steps) table.push([request, result, good ? 'ok' : 'WRONG'])
     print(table.toString())
     const page = join(directory, 'timeline.html')
--- a/playground/fleet.ts
+++ b/playground/fleet.ts
@@ -57,7 +57,7 @@
   startRouter: (options: RouterOptions) => Promise<Router>
   /** Client of the platform, for changes that need no operator command. */
   platform: PlatformClient
-  /** Runs an operator command through the binary; its settings are those of the first router. */
+  /** Runs an operator command through the binary. */
   command: (...parameters: string[]) => Promise<{ code: number | NodeJS.Signals, output: string }>
   /** Writes the declarative configuration and applies it. */
   apply: (configuration: string) => Promise<string>
@@ -76,7 +76,6 @@
   const binary = join(options.programs, 'waxwingspoke')
   const programs: Program[] = []
   const logs: string[] = []
-  let settingsFile = ''
 
   async function start (file: string, parameters: readonly string[]) {
     const program = await startProgram({
@@ -124,7 +123,6 @@
 address = ${platform.url}
 ${settings}
 `)
-    if (settingsFile === '') settingsFile = file
     const logFile = join(directory, `${name}.log`)
     if (!logs.includes(logFile)) logs.push(logFile)
     const program = await startProgram({
@@ -157,7 +155,7 @@
   }
 
   async function command (...parameters: string[]): Promise<{ code: number | NodeJS.Signals, output: string }> {
-    return await runProgram(binary, [...parameters, '--config', settingsFile])
+    return await runProgram(binary, [...parameters, '--platform', platform.url])
   }
 
   return {
--- a/src/compose.ts
+++ b/src/compose.ts
@@ -12,7 +12,9 @@
 import { createHybridClock } from './observability/hybridClock'
 import { createEventLog } from './observability/log'
 import { createMetrics } from './observability/metrics'
-import { createPeerHandlers } from './peer/handlers'
+import { createPeerHandlers, keyNotices } from './peer/handlers'
+import { createMembership, FULL_MESH_LIMIT } from './membership/membership'
+import { PEER_PROTOCOL_VERSION } from './peer/messages'
 import type { CrashNotice } from './peer/messages'
 import { createPeerNode } from './peer/node'
 import { createHttpPlatformClient } from './platform/httpPlatformClient'
@@ -28,9 +30,6 @@
 /** Longest time for giving back the grants; what is not given back lapses. */
 const RELEASE_LIMIT_MS = 6000
 
-/** Milliseconds without a heartbeat after which a peer's connection is closed and opened anew. */
-const PEER_SILENCE_MS = 3000
-
 export interface Daemon {
   callerEndpoint: Endpoint
   peerEndpoint: Endpoint
@@ -69,8 +68,6 @@
   const createIdentifier = (): string => randomUUID()
   let phase: 'running' | 'leaving' | 'refusing' = 'running'
   let snapshotSeen = false
-  const leavingPeers = new Set<string>()
-  const heardAt = new Map<string, number>()
 
   const publishCrashes = (notices: readonly CrashNotice[]): void => {
     for (const notice of notices) node.broadcast(notice)
@@ -117,11 +114,8 @@
     rollouts: state.rollouts,
     leader: () => tasks.leader,
     clock,
-    onHeartbeat (peer, message) {
-      heardAt.set(peer.instance, now())
-      if (message.state === 'leaving') leavingPeers.add(peer.instance)
-      else leavingPeers.delete(peer.instance)
-    },
+    forwards: () => membership.members().length >= FULL_MESH_LIMIT && membership.isRelay(now()),
+    onHeartbeat: (peer, message) => { membership.heard(peer.instance, message.state, now()) },
     onSnapshot () { snapshotSeen = true },
     instances: () => tasks.instances(),
     takeInstances: (list) => { tasks.takeList(list) },
@@ -140,14 +134,12 @@
     },
     onMessage: handlers.handle,
     onConnected (peer) {
-      heardAt.set(peer.instance, now())
-      leavingPeers.delete(peer.instance)
+      membership.greeted({ kind: 'greeting', protocol: PEER_PROTOCOL_VERSION, ...peer }, now())
       log(LogEvent.peerConnected, { peer: peer.instance, incarnation: peer.incarnation })
       tasks.grants.observeIncarnation(formatEndpoint(peer.endpoint), peer.incarnation, now())
       handlers.requestSnapshot(peer.instance)
     },
     onDisconnected (peer, error) {
-      heardAt.delete(peer.instance)
       log(LogEvent.peerDisconnected, { peer: peer.instance, errorCode: error?.code })
     },
     onProtocolError (error, address) {
@@ -155,16 +147,30 @@
     }
   })
 
-  function connectPeers (instances: readonly ListedInstance[]): void {
-    for (const { kind, name, peerEndpoint } of instances) {
-      if (kind === 'router' && name !== identity.name && peerEndpoint !== undefined) node.connect(peerEndpoint)
+  const membership = createMembership({
+    self: { ...identity, endpoint: node.endpoint }, seeds: settings.peers.seeds
+  })
+  const connected = new Map<string, Endpoint>()
+
+  /** Opens the connections that the membership wants, closes the others, and drops those that have gone silent. */
+  function keepConnections (): void {
+    const wanted = new Map(membership.wantedConnections(now()).map((endpoint) => [formatEndpoint(endpoint), endpoint]))
+    for (const [key, endpoint] of connected) {
+      if (wanted.has(key)) continue
+      connected.delete(key)
+      node.disconnect(endpoint)
+    }
+    for (const [key, endpoint] of wanted) {
+      if (connected.has(key)) continue
+      connected.set(key, endpoint)
+      node.connect(endpoint)
     }
+    for (const { name } of membership.suspected(now())) node.drop(name)
   }
 
-  function dropSilentPeers (): void {
-    for (const { instance } of node.peers()) {
-      if (now() - (heardAt.get(instance) ?? now()) > PEER_SILENCE_MS) node.drop(instance)
-    }
+  function takeInstances (instances: readonly ListedInstance[]): void {
+    membership.setList(instances, now())
+    keepConnections()
   }
 
   const tasks: Tasks = createTasks({
@@ -175,8 +181,8 @@
     client,
     node,
     timers,
-    connectPeers,
-    isLeaving: (instance) => leavingPeers.has(instance),
+    takeInstances,
+    membership,
     isStopping: () => phase !== 'running',
     onQuota: gateway.admission.wake,
     pump: gateway.dispatcher.pump,
@@ -189,7 +195,7 @@
     wallClock,
     random
   })
-  timers.every(1000, dropSilentPeers)
+  timers.every(1000, keepConnections)
 
   const control = createControlServer({
     createIdentifier,
@@ -215,7 +221,7 @@
       const notified = changed.length === 0
         ? []
         : node.peers().filter(({ instance }) => {
-          return node.send(instance, { kind: 'keyNotice', keys: changed })
+          return keyNotices(changed).every((part) => node.send(instance, part))
         }).map(({ instance }) => instance)
       return { instance: identity.name, keyVersion: state.keys.version(), changed: changed.length, notified }
     }
@@ -228,7 +234,7 @@
     control: formatEndpoint(controlEndpoint),
     dataCentre: identity.dataCentre
   })
-  for (const seed of settings.peers.seeds) node.connect(seed)
+  keepConnections()
   tasks.start().then(() => { log(LogEvent.daemonReady, { ready: reasonNotReady() === undefined }) }).catch(reportFault)
 
   async function drain (): Promise<void> {
--- a/src/composeTasks.ts
+++ b/src/composeTasks.ts
@@ -3,9 +3,12 @@
 import { createConfigurationTask } from './configuration/configurationTask'
 import { createKeyTask } from './customer/keyTask'
 import { RouterError } from './errors'
+import { FULL_MESH_LIMIT } from './membership/membership'
+import type { Member, Membership } from './membership/membership'
 import { LogEvent } from './observability/events'
 import type { EventLog, Metrics } from './observability/events'
 import { MetricName } from './observability/metrics'
+import { keyNotices } from './peer/handlers'
 import type { PeerNode } from './peer/node'
 import { rankByRendezvous } from './prefix/rendezvous'
 import type { InstanceList, PlatformClient } from './platform/types'
@@ -23,6 +26,9 @@
 
 const SECOND_MS = 1000
 
+/** Rounds of polling of which an instance that is no relay takes part in one. */
+const OWN_POLL_ROUNDS = 30
+
 /** Milliseconds between polls of the engines' reports and cache events, for each engine that is polled. */
 const POLL_INTERVAL_PER_ENGINE_MS = 20
 const SHORTEST_POLL_INTERVAL_MS = 250
@@ -33,8 +39,7 @@
 /** Milliseconds between looks at the queue when no event asks for one; bounds how late a deadline is noticed. */
 const PUMP_INTERVAL_MS = 50
 
-/** Instances up to which every one may lead any rollout; above, two for each model do. */
-const SMALL_FLEET = 16
+/** Instances that compete for the lead of one model's rollouts in a fleet that is too large for a full mesh. */
 const LEADERS_PER_MODEL = 2
 
 export interface TasksOptions {
@@ -45,10 +50,9 @@
   client: UpstreamClient
   node: PeerNode
   timers: Timers
-  /** Connects to the peers of a new list. */
-  connectPeers: (instances: readonly ListedInstance[]) => void
-  /** Routers that said that they are leaving. */
-  isLeaving: (instance: string) => boolean
+  /** Takes in a new instance list; connects to its routers. */
+  takeInstances: (instances: readonly ListedInstance[]) => void
+  membership: Pick<Membership, 'alive' | 'aliveInDataCentre' | 'isRelay' | 'members'>
   isStopping: () => boolean
   /** A grant or a loan may have come. */
   onQuota: () => void
@@ -64,24 +68,27 @@
   random: RandomSource
 }
 
+const isStaying = ({ state }: Member): boolean => state === ListedState.live
+
 export type Tasks = ReturnType<typeof createTasks>
 
 export function createTasks (options: TasksOptions) {
-  const { identity, state, platform, client, node, timers, log, metrics, now, wallClock, random } = options
+  const { identity, state, platform, client, node, membership, timers, log, metrics, now, wallClock, random } = options
   let list: InstanceList | undefined
   let listError: RouterError | undefined
   let platformAway = false
+  let rounds = 0
 
   const configurationTask = createConfigurationTask({ platform, tracker: state.tracker, log })
   const keyTask = createKeyTask({
-    platform, keys: state.keys, log, onChanged: (keys) => { node.broadcast({ kind: 'keyNotice', keys }) }
+    platform,
+    keys: state.keys,
+    log,
+    onChanged (changed) { for (const part of keyNotices(changed)) node.broadcast(part) }
   })
   const polling = createUpstreamPolling({
     client, registry: state.registry, index: state.index, onChanged: options.pump, log, now
   })
-  const routers = (): ListedInstance[] => (list?.instances ?? []).filter(({ kind, state: listed }) => {
-    return kind === 'router' && listed === ListedState.live
-  })
   const grants = createGrantTask({
     platform,
     accounts: state.accounts,
@@ -94,9 +101,7 @@
     weights: () => new Map(
       state.tracker.current()?.configuration.dataCentres.map(({ name, weight }) => [name, weight])
     ),
-    liveInstances: () => routers().filter(({ name, dataCentre }) => {
-      return dataCentre === identity.dataCentre && !options.isLeaving(name)
-    }).map(({ name }) => name),
+    liveInstances: () => membership.aliveInDataCentre(now()).filter(isStaying).map(({ name }) => name),
     clock: now,
     random
   })
@@ -106,8 +111,8 @@
     configuration: state.tracker.current,
     engines: () => state.registry.upstreams(now()).filter(({ kind }) => kind === 'engine'),
     mayLead (model) {
-      const names = [...new Set([identity.name, ...routers().map(({ name }) => name)])]
-      return names.length <= SMALL_FLEET ||
+      const names = membership.alive(now()).filter(isStaying).map(({ name }) => name)
+      return names.length <= FULL_MESH_LIMIT ||
         rankByRendezvous(model, names).slice(0, LEADERS_PER_MODEL).includes(identity.name)
     },
     onRecord: takeRecord
@@ -131,7 +136,15 @@
     if (list !== undefined && newer.asOf < list.asOf) return
     list = newer
     state.registry.applyList(newer.instances, newer.asOf, now())
-    options.connectPeers(newer.instances)
+    options.takeInstances(newer.instances)
+  }
+
+  async function pollConfiguration (): Promise<void> {
+    const before = state.tracker.revision()
+    await configurationTask.tick(now())
+    const configuration = state.tracker.current()
+    if (configuration === undefined || configuration.revision === before) return
+    node.broadcast({ kind: 'configurationNotice', configuration })
   }
 
   async function pollList (): Promise<void> {
@@ -170,7 +183,10 @@
     for (const { peer, request } of loans) node.send(peer, { kind: 'loanRequest', ...request })
   }
 
-  const loanPeers = () => node.peers().filter(({ instance }) => !options.isLeaving(instance))
+  const loanPeers = () => {
+    const leaving = new Set(membership.members().filter((member) => !isStaying(member)).map(({ name }) => name))
+    return node.peers().filter(({ instance }) => !leaving.has(instance))
+  }
 
   function sendHeartbeat (): void {
     node.broadcast({
@@ -261,10 +277,14 @@
         polling.pollEvents().catch(options.reportFault)
         return pollInterval()
       })
-      await Promise.all([configurationTask.tick(now()), keyTask.tick(now()), pollList()])
+      await Promise.all([pollConfiguration(), keyTask.tick(now()), pollList()])
       await polling.pollReports()
-      timers.every(SECOND_MS, async () => { await configurationTask.tick(now()) })
-      timers.every(SECOND_MS, async () => { await keyTask.tick(now()) })
+      // In a large fleet the relays poll for all; the others learn from them. Each still looks now and then by itself.
+      timers.every(SECOND_MS, async () => {
+        rounds += 1
+        if (!membership.isRelay(now()) && rounds % OWN_POLL_ROUNDS !== 0) return
+        await Promise.all([pollConfiguration(), keyTask.tick(now())])
+      })
       timers.every(SECOND_MS, pollList)
       timers.every(SECOND_MS, async () => { carryOut(await leader.tick(now(), wallClock())) })
     }
--- a/src/peer/handlers.ts
+++ b/src/peer/handlers.ts
@@ -11,7 +11,7 @@
 import type { RolloutView } from '../rollout/view'
 import type { CrashLedger } from '../upstream/crashLedger'
 import type { UpstreamRegistry } from '../upstream/registryTypes'
-import type { MonotonicMilliseconds, WallClockMilliseconds } from '../types'
+import type { KeyRecord, MonotonicMilliseconds, WallClockMilliseconds } from '../types'
 import type {
   ConfigurationNotice, CrashNotice, Greeting, Heartbeat, KeyNotice, PeerMessage, PeerMessageKind, SnapshotReply
 } from './messages'
@@ -23,6 +23,18 @@
 /** Milliseconds between two snapshot requests to the same peer, when its heartbeats show that it knows more. */
 const CATCH_UP_INTERVAL_MS = 2000
 
+/** Key records in one message; 1,000 take about 150 KB, far below the frame limit. */
+const KEYS_PER_MESSAGE = 1000
+
+/** Splits key records into messages below the frame limit. */
+export function keyNotices (records: readonly KeyRecord[]): KeyNotice[] {
+  const notices: KeyNotice[] = []
+  for (let start = 0; start < records.length; start += KEYS_PER_MESSAGE) {
+    notices.push({ kind: 'keyNotice', keys: records.slice(start, start + KEYS_PER_MESSAGE) })
+  }
+  return notices
+}
+
 export interface PeerHandlersOptions {
   node: () => Pick<PeerNode, 'send' | 'broadcast'>
   tracker: RevisionTracker
@@ -34,6 +46,8 @@
   rollouts: RolloutView
   leader: () => Pick<RolloutLeader, 'addSamples'>
   clock: HybridClock
+  /** True when this instance passes news on: a relay in a fleet without a full mesh. */
+  forwards: () => boolean
   /** A peer's heartbeat came. */
   onHeartbeat: (peer: PeerIdentity, message: Heartbeat) => void
   /** A snapshot with a configuration came: keys and configuration are known. */
@@ -73,8 +87,12 @@
     options.node().send(peer, { kind: 'snapshotRequest', identifier: snapshots })
   }
 
-  /** Passes news on to all but the peer that they came from. Only news are passed on, so that this ends. */
+  /**
+   * Passes news on to all but the peer that they came from. In a full mesh the sender has reached everybody itself. Only
+   * news are passed on, so that this ends.
+   */
   function forward (message: PeerMessage, from: PeerIdentity): void {
+    if (!options.forwards()) return
     options.node().broadcast(message, (peer) => peer.instance !== from.instance)
   }
 
@@ -94,7 +112,7 @@
       const event = record.state === 'withdrawn' ? LogEvent.keyWithdrawn : LogEvent.keyChanged
       log(event, { customer: record.customer, keyVersion: record.version, peer: from.instance })
     }
-    if (changed.length > 0) forward({ kind: 'keyNotice', keys: changed }, from)
+    for (const part of keyNotices(changed)) forward(part, from)
   }
 
   function takeCrash (notice: CrashNotice, from: PeerIdentity): void {
@@ -125,11 +143,14 @@
       if (behind && due) requestSnapshot(peer.instance)
     },
     snapshotRequest (peer, { identifier }) {
+      // Keys that do not fit into one frame go first, so that the snapshot completes what the peer needs.
+      const [last, ...others] = keyNotices(keys.records()).reverse()
+      for (const part of others) options.node().send(peer.instance, part)
       options.node().send(peer.instance, {
         kind: 'snapshotReply',
         identifier,
         configuration: tracker.current(),
-        keys: keys.records(),
+        keys: last?.keys ?? [],
         crashes: crashes.notices(now()).slice(-SNAPSHOT_CRASHES),
         rollouts: rollouts.records(),
         instances: options.instances()
--- a/src/peer/schemas.ts
+++ b/src/peer/schemas.ts
@@ -157,7 +157,7 @@
   keyNotice: z.object({ kind: z.literal('keyNotice'), keys: listOf(key) }),
   crashNotice,
   loanRequest: z.object({
-    kind: z.literal('loanRequest'), ...loanTerms, renews: name.optional()
+    kind: z.literal('loanRequest'), ...loanTerms, renews: name.optional(), surplusOnly: z.boolean().optional()
   } satisfies FieldsOf<LoanRequestMessage>),
   loanReply: z.object({ kind: z.literal('loanReply'), ...loanTerms } satisfies FieldsOf<LoanReplyMessage>),
   rolloutSample: z.object({ kind: z.literal('rolloutSample'), samples: listOf(rolloutSample) }),
