--- a/playground/__tests__/testFleet.ts
+++ b/playground/__tests__/testFleet.ts
@@ -32,10 +32,15 @@
 /** Engines decode 64 tokens in about 0.6 s, long enough to fail in the middle. */
 const ENGINE_PARAMETERS = ['--loaded', 'chat@v1', '--prefill', '200000', '--decode', '100', '--slots', '64']
 
-/** A silent engine is noticed within a test, and a machine under load does not pass for one. */
+/**
+ * Short limits, so that a silent engine is noticed within a test while a machine under load does not pass for one, and a
+ * grace period that the requests of the SIGTERM case stay inside of on a busy machine.
+ */
 const SETTINGS = `
 [attempt]
 between_chunks = 1500ms
+[shutdown]
+grace = 5s
 `
 
 export interface TestFleet {
