--- a/experiments/model/policies.ts
+++ b/experiments/model/policies.ts
@@ -12,6 +12,8 @@
   /** A new chooser for each router, since some keep a counter. */
   createChoice: () => RoutingPolicy
   createIndex: (engines: readonly Engine[], now: () => number) => BlockIndex
+  /** True when the index is fed by event streams; the others do without the polls. */
+  events: boolean
   /** Waiting for cold prefixes. */
   gate: boolean
   /** Fair queue and concurrency limits. */
@@ -77,30 +79,30 @@
   return best === undefined ? undefined : { ...decisionOf(best.candidate), expectedMilliseconds: best.expected }
 }
 
-const baseline = { createIndex: createOwnIndex, gate: false, fairness: false }
+const baseline = { createIndex: createOwnIndex, events: false, gate: false, fairness: false }
+
+const shipped = {
+  createChoice: () => chooseUpstream, createIndex: createOwnIndex, events: true, gate: true, fairness: true
+}
 
 export const POLICIES: Readonly<Record<string, PolicyDefinition>> = {
   'round-robin': { ...baseline, name: 'round-robin', createChoice: createRoundRobin },
   'least-loaded': { ...baseline, name: 'least-loaded', createChoice: () => leastLoaded },
   'consistent-hash': { ...baseline, name: 'consistent-hash', createChoice: () => consistentHash },
   waxwingspoke: {
-    name: 'waxwingspoke', createChoice: () => chooseUpstream, createIndex: createOwnIndex, gate: true, fairness: true
+    ...shipped, name: 'waxwingspoke'
   },
   oracle: {
-    name: 'oracle', createChoice: () => chooseUpstream, createIndex: createPerfectIndex, gate: true, fairness: true
+    ...shipped, name: 'oracle', createIndex: createPerfectIndex, events: false
   },
   'without-gate': {
-    name: 'without-gate', createChoice: () => chooseUpstream, createIndex: createOwnIndex, gate: false, fairness: true
+    ...shipped, name: 'without-gate', gate: false
   },
   'rendezvous-levels': {
-    name: 'rendezvous-levels',
-    createChoice: () => rendezvousLevels,
-    createIndex: createOwnIndex,
-    gate: true,
-    fairness: true
+    ...shipped, name: 'rendezvous-levels', createChoice: () => rendezvousLevels, events: false
   },
   summary: {
-    name: 'summary', createChoice: () => chooseUpstream, createIndex: createSummaryIndex, gate: true, fairness: true
+    ...shipped, name: 'summary', createIndex: createSummaryIndex, events: false
   }
 }
 
--- a/experiments/model/router.ts
+++ b/experiments/model/router.ts
@@ -207,7 +207,7 @@
   for (const engine of engines) {
     pollReport(engine)
     every(REPORT_POLL_MS, () => pollReport(engine))
-    every(EVENT_POLL_MS, () => pollEvents(engine))
+    if (policy.events) every(EVENT_POLL_MS, () => pollEvents(engine))
   }
   every(HEARTBEAT_MS, () => options.announce(options.name, registry.ownWork()))
   every(QUEUE_CHECK_MS, () => {
