--- a/src/gateway/completionHandler.ts
+++ b/src/gateway/completionHandler.ts
@@ -1,4 +1,5 @@
 /** `POST /v1/chat/completions` and `POST /v1/completions`. */
+import type { ServerResponse } from 'node:http'
 import { fingerprintOf } from '../request/fingerprint'
 import { InternalError, UpstreamTimeoutError } from '../errors'
 import type { CallerIdentity, CompletionExecutor, CompletionPiece } from './completionTypes'
@@ -6,9 +7,9 @@
 import { readBody, sendWhole } from './exchange'
 import type { Exchange, ExchangeHandler } from './exchange'
 import {
-  parseCompletionRequest, renderChunk, renderUsageChunk, renderWhole, STREAM_END
+  createChunkRenderer, parseCompletionRequest, renderUsageChunk, renderWhole, STREAM_END
 } from './openaiApi'
-import type { CompletionHead, CompletionRequest, CompletionStyle } from './openaiApi'
+import type { ChunkRenderer, CompletionHead, CompletionRequest, CompletionStyle } from './openaiApi'
 
 export interface CompletionHandlerOptions {
   style: CompletionStyle
@@ -46,7 +47,7 @@
       signal
     })
     try {
-      if (request.stream) await sendStream(exchange, request, head, pieces, options.unreadLimit)
+      if (request.stream) await sendStream(exchange, request, head, pieces, { signal, limit: options.unreadLimit })
       else await sendCollected(exchange, head, pieces)
     } finally {
       release()
@@ -71,19 +72,20 @@
 /** The header goes out with the first piece, so that a failure before it still has its own status code. */
 async function sendStream (
   exchange: Exchange, request: CompletionRequest, head: CompletionHead, pieces: AsyncIterable<CompletionPiece>,
-  unreadLimit: number
+  pause: { signal: AbortSignal, limit: number }
 ): Promise<void> {
   const { response } = exchange
+  const renderChunk = createChunkRenderer(head)
   try {
     for await (const piece of pieces) {
       if (exchange.signal.aborted) return
       if (!response.headersSent) beginStream(exchange)
-      const text = renderPiece(request, head, piece)
+      const text = renderPiece(request, head, piece, renderChunk)
       if (piece.end !== undefined) {
         response.end(text)
         return
       }
-      if (!response.write(text)) await drained(exchange, unreadLimit)
+      if (!response.write(text)) await drained(response, pause)
     }
     throw new InternalError('the completion ended without its last piece')
   } catch (error) {
@@ -100,14 +102,18 @@
   })
 }
 
-function renderPiece (request: CompletionRequest, head: CompletionHead, piece: CompletionPiece): string {
-  if (piece.end === undefined) return renderChunk(head, piece.text, undefined)
+function renderPiece (
+  request: CompletionRequest, head: CompletionHead, piece: CompletionPiece, renderChunk: ChunkRenderer
+): string {
+  if (piece.end === undefined) return renderChunk(piece.text, undefined)
   const usage = request.includeUsage ? renderUsageChunk(head, piece.end.usage) : ''
-  return renderChunk(head, piece.text, piece.end.finishReason) + usage + STREAM_END
+  return renderChunk(piece.text, piece.end.finishReason) + usage + STREAM_END
 }
 
 /** Resolves when the caller has read on. The limit frees what a caller holds that keeps its connection but never reads. */
-async function drained ({ response, signal }: Exchange, limit: number): Promise<void> {
+async function drained (
+  response: ServerResponse, { signal, limit }: { signal: AbortSignal, limit: number }
+): Promise<void> {
   await new Promise<void>((resolve, reject) => {
     const finish = (): void => {
       clearTimeout(timer)
--- a/src/quota/accounts.ts
+++ b/src/quota/accounts.ts
@@ -9,24 +9,18 @@
 import type { MonotonicMilliseconds } from '../types'
 import { advanceBucket, chargeBucket, createBucket, refreshAllowance, settleBucket } from './bucket'
 import type { Bucket } from './bucket'
-import { allowanceOf, isAmount, lendableGrants, shareOf, spareOf, sumLent } from './allowance'
+import { allowanceOf, capacityForRate, isAmount, shareOf, sumLent } from './allowance'
 import type { Account, HeldGrants } from './allowance'
-import { DEMAND_HEADROOM, createDemand, demandRate, largestOffer, recordOffer } from './demand'
-import {
-  LOAN_MAXIMUM_MS, createLoanBook, emptyReply, forgetEnded, isUsableRequest, loanReturnsAt
-} from './loans'
+import { DEMAND_HEADROOM, createDemand, demandRate, recordOffer, sustainedRate } from './demand'
+import { acceptPart, expectPart, returnPart } from './borrowedParts'
+import { lendPart } from './lending'
+import { LOAN_MAXIMUM_MS, createLoanBook, emptyReply, forgetEnded, isUsableRequest } from './loans'
 import { GrantTier } from './types'
 import type { AdmissionResult, CustomerLimit, LoanReply, LoanRequest, QuotaAccounts } from './types'
 
 /** Longest wait that a refusal names, in milliseconds. Grants and loans change sooner than any longer forecast holds. */
 export const MAXIMUM_WAIT_MS = 60_000
 
-/** Loan requests under way and loans given that one customer may have; a bound on memory, not reached in normal work. */
-const MAXIMUM_LOANS_PER_CUSTOMER = 1024
-
-/** Smallest loan as a part of the customer's limits; less is not worth a message. */
-const SMALLEST_LOAN_SHARE = 1e-6
-
 export interface QuotaAccountsOptions {
   /** Largest relative difference between the clocks of two instances. @default CLOCK_DRIFT_BOUND */
   driftBound?: number
@@ -39,8 +33,8 @@
   customer: string
   /** Recent demand in tokens per second. */
   rate: number
-  /** Tokens of the largest recent request. */
-  largest: number
+  /** The same without the largest requests. */
+  sustainedRate: number
   /** Present rate in tokens per second, with loans. */
   allowedRate: number
   /** Present capacity in tokens, with loans. */
@@ -54,17 +48,32 @@
 export interface InstanceQuotaAccounts extends QuotaAccounts {
   /** Units that peers may be using at this instant; the instance must not give these back to the platform. */
   lentUnits: (now: MonotonicMilliseconds) => number
+  /**
+   * Remembers when a request was sent, so that its reply can be accepted. `requestLoan` does this for the requests that
+   * it builds. False when the customer is unknown or too many requests are under way.
+   */
+  expectLoan: (request: LoanRequest, now: MonotonicMilliseconds) => boolean
+  /**
+   * Ends a borrowed part before its time and builds the message for its lender, with the tokens that do not fit into the
+   * remaining capacity. Undefined when nothing is borrowed under this series.
+   */
+  returnLoan: (
+    identifier: string, customer: string, series: string, now: MonotonicMilliseconds
+  ) => LoanRequest | undefined
   /** Demand of one customer; undefined for an unknown one. */
   demand: (customer: string, now: MonotonicMilliseconds) => CustomerDemand | undefined
   /** Largest recent demand of any customer as a part of its whole rate; 0 when idle. */
   demandShare: (now: MonotonicMilliseconds) => number
   customers: () => readonly string[]
+  /** Refuses all further loans, so that the grants can be given back once the present loans have ended. */
+  stopLending: () => void
 }
 
 export function createQuotaAccounts (options: QuotaAccountsOptions = {}): InstanceQuotaAccounts {
   const driftBound = options.driftBound ?? CLOCK_DRIFT_BOUND
   const loanDuration = Math.min(options.loanDuration ?? LOAN_MAXIMUM_MS, LOAN_MAXIMUM_MS)
   const accounts = new Map<string, Account>()
+  let isLending = true
   const grants: HeldGrants = {
     [GrantTier.floor]: { units: 0, expiresAt: 0 },
     [GrantTier.pool]: { units: 0, expiresAt: 0 }
@@ -160,71 +169,25 @@
   function lend (request: LoanRequest, borrower: string, now: MonotonicMilliseconds): LoanReply {
     const account = present(request.customer, now)
     if (account === undefined || !isUsableRequest(request)) return emptyReply(request)
-    const { bucket, limit, loans } = account
-    const time = bucket.time
-    forgetEnded(loans, time)
-    const known = loans.lent.get(request.identifier)
-    if (known !== undefined) return known.borrower === borrower ? known.reply : emptyReply(request)
-    if (loans.lent.size >= MAXIMUM_LOANS_PER_CUSTOMER) return emptyReply(request)
-
-    const wanted = Math.min(request.duration, LOAN_MAXIMUM_MS)
-    const { units, duration } = lendableGrants(grants, wanted, time)
-    const spare = spareOf(account, units, time)
-    const capacity = Math.min(request.capacity, spare.capacity)
-    const rate = Math.min(request.rate, spare.rate)
-    const tokens = Math.min(request.tokens, spare.tokens, capacity)
-    const share = Math.max(shareOf(rate, limit.rate), shareOf(capacity, limit.burst))
-    const given = duration > 0 && share >= SMALLEST_LOAN_SHARE
-    const reply = given ? { ...emptyReply(request), rate, capacity, tokens, duration } : emptyReply(request)
-    loans.lent.set(request.identifier, {
-      borrower,
-      reply,
-      rate: reply.rate,
-      capacity: reply.capacity,
-      rateShare: shareOf(reply.rate, limit.rate),
-      capacityShare: shareOf(reply.capacity, limit.burst),
-      returnsAt: loanReturnsAt(given ? duration : wanted, time, driftBound)
-    })
-    bucket.level -= reply.tokens
-    refreshAllowance(bucket, account.allowanceAt)
-    return reply
+    return lendPart(account, request, borrower, { grants, isLending, driftBound })
   }
 
   function requestLoan (identifier: string, customer: string, tokens: number, now: MonotonicMilliseconds): LoanRequest {
     const account = present(customer, now)
     const request: LoanRequest = { identifier, customer, rate: 0, capacity: 0, tokens: 0, duration: loanDuration }
     if (account === undefined) return request
-    const { bucket, limit, loans, demand } = account
-    forgetEnded(loans, now)
-    if (loans.pending.size >= MAXIMUM_LOANS_PER_CUSTOMER) return request
+    const { bucket, limit, demand } = account
     request.tokens = Math.max(0, Math.min(tokens, limit.burst) - bucket.level)
-    request.rate = Math.max(0, Math.min(limit.rate, DEMAND_HEADROOM * demandRate(demand, now)) - bucket.allowance.rate)
-    // Capacity for the tokens themselves and for as much burst as belongs to the borrowed rate.
-    request.capacity = Math.max(request.tokens, shareOf(request.rate, limit.rate) * limit.burst)
-    loans.pending.set(identifier, { request, sentAt: now })
+    const wantedRate = Math.min(limit.rate, DEMAND_HEADROOM * sustainedRate(demand, now))
+    request.rate = Math.max(0, wantedRate - bucket.allowance.rate)
+    request.capacity = Math.max(request.tokens, capacityForRate(request.rate, limit))
+    expectLoan(request, now)
     return request
   }
 
-  function acceptLoan (reply: LoanReply, now: MonotonicMilliseconds): void {
-    const account = present(reply.customer, now)
-    if (account === undefined) return
-    const { bucket, limit, loans } = account
-    forgetEnded(loans, now)
-    const pending = loans.pending.get(reply.identifier)
-    if (pending === undefined) return
-    loans.pending.delete(reply.identifier)
-    if (![reply.rate, reply.capacity, reply.tokens, reply.duration].every(isAmount)) return
-    const expiresAt = pending.sentAt + Math.min(reply.duration, pending.request.duration)
-    if (expiresAt <= now) return
-    loans.borrowed.set(reply.identifier, {
-      rate: reply.rate,
-      capacity: reply.capacity,
-      rateShare: shareOf(reply.rate, limit.rate),
-      capacityShare: shareOf(reply.capacity, limit.burst),
-      expiresAt
-    })
-    bucket.level += Math.min(reply.tokens, reply.capacity)
-    refreshAllowance(bucket, account.allowanceAt)
+  function expectLoan (request: LoanRequest, now: MonotonicMilliseconds): boolean {
+    const account = present(request.customer, now)
+    return account !== undefined && expectPart(account, request, now)
   }
 
   return {
@@ -233,7 +196,15 @@
     admit,
     lend,
     requestLoan,
-    acceptLoan,
+    expectLoan,
+    acceptLoan (reply, now) {
+      const account = present(reply.customer, now)
+      if (account !== undefined) acceptPart(account, reply)
+    },
+    returnLoan (identifier, customer, series, now) {
+      const account = present(customer, now)
+      return account === undefined ? undefined : returnPart(account, identifier, series)
+    },
     settle (charge, usedTokens, now) {
       const account = accounts.get(charge.customer)
       if (account === undefined) return
@@ -260,7 +231,7 @@
       return {
         customer,
         rate: demandRate(demand, now),
-        largest: largestOffer(demand, now),
+        sustainedRate: sustainedRate(demand, now),
         allowedRate: bucket.allowance.rate,
         capacity: bucket.allowance.capacity,
         level: bucket.level,
@@ -274,6 +245,9 @@
       }
       return share
     },
+    stopLending () {
+      isLending = false
+    },
     customers: () => [...accounts.values()].filter(({ removed }) => !removed).map(({ limit }) => limit.customer)
   }
 }
