Name the hash when the outcome of a grant is unknown

Cause: after a lost answer the operator had no means to withdraw a key that may have been granted. Change: the message of OutcomeUnknownError names hash and wanted state. Conclusion: such a key can be withdrawn by its hash.

--- a/src/customer/keyStore.ts
+++ b/src/customer/keyStore.ts
@@ -26,7 +26,7 @@
 
 /**
  * Grants a new key. Rejects with `OutcomeUnknownError` when the platform cannot be asked whether the row was written; the
- * key must then not be used, and its hash can be withdrawn.
+ * key must then not be used; the message names its hash, which can be withdrawn.
  */
 export async function grantKey (
   platform: PlatformClient, customer: string, randomBytes: Uint8Array, operation: string, now: WallClockMilliseconds
@@ -80,18 +80,20 @@
     } catch (error) {
       const conflict = error instanceof TransactionConflictError
       uncertain ||= error instanceof OutcomeUnknownError
-      if (!conflict && !(error instanceof OutcomeUnknownError)) throw uncertain ? unknownOutcome(row, error) : error
-      if (attempt === MAXIMUM_ATTEMPTS) throw uncertain ? unknownOutcome(row, error) : error
+      if (!conflict && !(error instanceof OutcomeUnknownError)) {
+        throw uncertain ? unknownOutcome(row, hash, error) : error
+      }
+      if (attempt === MAXIMUM_ATTEMPTS) throw uncertain ? unknownOutcome(row, hash, error) : error
     }
     try {
       present = await platform.readRow<KeyRow>(PlatformTable.keys, hash)
     } catch (error) {
-      throw uncertain && error instanceof RouterError ? unknownOutcome(row, error) : error
+      throw uncertain && error instanceof RouterError ? unknownOutcome(row, hash, error) : error
     }
     if (decide(present) === 'done') return toKeyRecord(present!)
   }
 }
 
-function unknownOutcome (row: KeyRow, cause: unknown): OutcomeUnknownError {
-  return new OutcomeUnknownError(`cannot tell whether operation '${row.operation}' took effect`, { cause })
+function unknownOutcome (row: KeyRow, hash: string, cause: unknown): OutcomeUnknownError {
+  return new OutcomeUnknownError(`cannot tell whether the key with hash ${hash} is ${row.state}`, { cause })
 }
