Hold nine tenths of the quota as floor, wait for loans longer, return them early

Cause: with half of the units in the pool, an outage of the platform of an hour refused 17% of the requests inside the rate; the gateway dropped the plans of loans, so that unused parts stayed bound for a second; a data centre named 'fleet' would have shared the fleet's quota row. Change: FLOOR_PART 0.9; admission waits up to 900 ms while a loan or a refill can still admit, and finishes its plans; returns go out after each reply; the fleet's row is '_fleet'. The bound test runs for both floors, the lease model keeps the floor of one half, in which leases lapse within a run.

--- a/src/compose.ts
+++ b/src/compose.ts
@@ -119,7 +119,10 @@
     onSnapshot () { snapshotSeen = true },
     instances: () => tasks.instances(),
     takeInstances: (list) => { tasks.takeList(list) },
-    onLoan: gateway.admission.wake,
+    onLoan () {
+      gateway.admission.wake()
+      tasks.returnLoans()
+    },
     onCrashes: gateway.dispatcher.pump,
     log,
     now,
--- a/src/composeGateway.ts
+++ b/src/composeGateway.ts
@@ -3,6 +3,7 @@
 import type { Settings } from './configuration/settings'
 import { NotFoundError } from './errors'
 import { createAdmission } from './gateway/admission'
+import type { AdmissionOptions } from './gateway/admission'
 import { createAttemptOutcomes } from './gateway/attemptOutcome'
 import { createAuthentication } from './gateway/authentication'
 import { createCallerServer } from './gateway/callerServer'
@@ -38,7 +39,7 @@
   registerKey: (key: string) => void
   createIdentifier: () => string
   /** Asks peers for loans; see `AdmissionOptions`. */
-  borrow: (customer: string, tokens: number) => number | undefined
+  borrow: AdmissionOptions['borrow']
   publishCrashes: (notices: readonly CrashNotice[]) => void
   /** Why requests cannot be served now; undefined when they can. */
   reasonNotServing: () => string | undefined
--- a/src/composeTasks.ts
+++ b/src/composeTasks.ts
@@ -12,6 +12,7 @@
 import type { PeerNode } from './peer/node'
 import { rankByRendezvous } from './prefix/rendezvous'
 import type { InstanceList, PlatformClient } from './platform/types'
+import type { Borrowing } from './gateway/admission'
 import { BORROWING_INTERVAL_MS } from './quota/borrowing'
 import type { PlannedLoan } from './quota/borrowing'
 import { createGrantTask } from './quota/grantTask'
@@ -253,13 +254,21 @@
     platformError: () => platformError()?.message,
     instances: () => list,
     takeList,
-    /** Sends requests for loans that would admit the request; returns how long to wait for the replies. */
-    borrow (customer: string, tokens: number): number | undefined {
+    /** Sends requests for loans that would admit the request. */
+    borrow (customer: string, tokens: number): Borrowing | undefined {
       const plan = state.loans.planLoans(customer, tokens, loanPeers(), now())
       if (plan === undefined) return undefined
       sendLoans(plan.loans)
-      return plan.waitMilliseconds
+      return {
+        waitMilliseconds: plan.waitMilliseconds,
+        finish () {
+          state.loans.finish(plan, now())
+          sendLoans(state.loans.takeReturns())
+        }
+      }
     },
+    /** Sends the messages that give loans back; called after each reply, since most returns are known then. */
+    returnLoans (): void { sendLoans(state.loans.takeReturns()) },
     /** Asks the platform for everything at once, then starts the timers. Resolves after the first answers. */
     async start (): Promise<void> {
       timers.every(PUMP_INTERVAL_MS, options.pump)
--- a/src/constants.ts
+++ b/src/constants.ts
@@ -33,7 +33,7 @@
   configuration: 'configuration',
   /** Rows: key hash -> KeyRecord. */
   keys: 'keys',
-  /** Rows: `fleet` and one for each data centre. */
+  /** Rows: `_fleet` and one for each data centre. */
   quota: 'quota',
   /** Rows: model name -> rollout record. */
   rollout: 'rollout',
--- a/src/gateway/__tests__/admission.test.ts
+++ b/src/gateway/__tests__/admission.test.ts
@@ -10,15 +10,16 @@
 
 function create (results: AdmissionResult[], canBorrow = false) {
   const borrowed: number[] = []
+  const finished: number[] = []
   const admission = createAdmission({
     accounts: { admit: () => results.length > 1 ? results.shift()! : results[0]! },
     borrow (customer, tokens) {
       borrowed.push(tokens)
-      return canBorrow ? 250 : undefined
+      return canBorrow ? { waitMilliseconds: 250, finish: () => { finished.push(tokens) } } : undefined
     },
     now: () => performance.now()
   })
-  return { admission, borrowed }
+  return { admission, borrowed, finished }
 }
 
 describe('createAdmission', () => {
@@ -35,12 +36,14 @@
 
   // Guards against refusing a request inside the rate because one instance's part is short for a moment.
   it('admits after a loan has arrived', async () => {
-    const { admission, borrowed } = create([lacking(60_000), admitted], true)
+    const { admission, borrowed, finished } = create([lacking(60_000), admitted], true)
     const admission1 = admission.admit('r', 'c', 10, never)
     await expect.poll(() => admission.waiting()).toBe(1)
     admission.wake()
     await expect(admission1).resolves.toMatchObject({ tokens: 10 })
     expect(borrowed).toEqual([10])
+    // A plan that is not finished keeps the lenders' parts for another second.
+    expect(finished).toEqual([10])
     expect(admission.waiting()).toBe(0)
   })
 
--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -8,10 +8,11 @@
 import type { MonotonicMilliseconds } from '../types'
 
 /**
- * Longest wait for a loan or for the refill of a bucket. A loan takes one round trip between instances, up to a few
- * milliseconds, and a heartbeat-driven plan may need several; a caller over its rate should still hear at once.
+ * Longest wait for loans and for the refill of a bucket. It applies only while one of them can still admit the request;
+ * without a wait, 0.4% of the requests inside the rate were refused in a steady run, with a wait of 1 s 0.1%
+ * (experiments/quota).
  */
-const LONGEST_WAIT_MS = 300
+const LONGEST_WAIT_MS = 900
 
 /** Shortest time between two attempts to admit the same request. */
 const SHORTEST_STEP_MS = 5
@@ -21,13 +22,20 @@
 
 const NOT_RUN = ExecutionStatus.notRun
 
+/** Loans that were asked for to admit one request. */
+export interface Borrowing {
+  /** How long to wait for the replies. */
+  waitMilliseconds: number
+  /** Gives back what the request did not need. Called once the request has been admitted or refused. */
+  finish: () => void
+}
+
 export interface AdmissionOptions {
   accounts: Pick<QuotaAccounts, 'admit'>
   /**
-   * Asks peers for loans; the answers show as wake-ups. Returns how long to wait for them in milliseconds, or undefined
-   * when there is nobody to ask.
+   * Asks peers for loans; the answers show as wake-ups. Returns undefined when there is nobody to ask.
    */
-  borrow: (customer: string, tokens: number) => number | undefined
+  borrow: (customer: string, tokens: number) => Borrowing | undefined
   now: () => MonotonicMilliseconds
 }
 
@@ -65,7 +73,7 @@
 
   async function admitLater (
     identifier: string, customer: string, tokens: number, signal: AbortSignal,
-    first: AdmissionResult & { admitted: false }
+    first: AdmissionResult & { admitted: false }, borrowings: Borrowing[]
   ): Promise<Charge> {
     const end = now() + LONGEST_WAIT_MS
     let result: AdmissionResult = first
@@ -75,10 +83,11 @@
       const time = now()
       if (time >= end) throw refusal(result, customer, tokens)
       if (time >= repliesUntil) {
-        const wait = borrow(customer, tokens)
+        const borrowing = borrow(customer, tokens)
+        if (borrowing !== undefined) borrowings.push(borrowing)
         // Without a lender only the bucket's own refill can help, and its time is known.
-        if (wait === undefined && time + result.waitMilliseconds > end) throw refusal(result, customer, tokens)
-        repliesUntil = time + (wait ?? 0)
+        else if (time + result.waitMilliseconds > end) throw refusal(result, customer, tokens)
+        repliesUntil = time + (borrowing?.waitMilliseconds ?? 0)
       }
       const until = Math.min(end, Math.max(repliesUntil, time + SHORTEST_STEP_MS), time + result.waitMilliseconds)
       await pause(Math.max(SHORTEST_STEP_MS, until - time), signal)
@@ -96,9 +105,11 @@
       if (first.admitted) return first.charge
       if (count >= MAXIMUM_WAITING) throw refusal(first, customer, tokens)
       waitingByCustomer.set(customer, count + 1)
+      const borrowings: Borrowing[] = []
       try {
-        return await admitLater(identifier, customer, tokens, signal, first)
+        return await admitLater(identifier, customer, tokens, signal, first, borrowings)
       } finally {
+        for (const borrowing of borrowings) borrowing.finish()
         const left = (waitingByCustomer.get(customer) ?? 1) - 1
         if (left === 0) waitingByCustomer.delete(customer)
         else waitingByCustomer.set(customer, left)
--- a/src/quota/__tests__/brokenModels.ts
+++ b/src/quota/__tests__/brokenModels.ts
@@ -17,6 +17,11 @@
   }
 }
 
+/** Correct instances with another division between floor and pool. */
+export function withFloor (floorPart: number): Replacement {
+  return { grantTask: (options) => createGrantTask({ ...options, floorPart }) }
+}
+
 /** Hides grants from the task's reads, so that its next write removes them. */
 function hideGrants (isHidden: (grant: Grant, options: GrantTaskOptions) => boolean): Replacement {
   return {
@@ -63,9 +68,13 @@
     accounts: () => createQuotaAccounts({ driftBound: 0 }),
     grantTask: (options) => createGrantTask({ ...options, driftBound: 0 })
   },
-  'leases not checked at admission': wrapAccounts((inner) => ({
-    setGrant: (tier, units, _expiresAt, now) => { inner.setGrant(tier, units, Infinity, now) }
-  })),
+  // Half of the units in the pool: only its short leases lapse within a run.
+  'leases not checked at admission': {
+    ...withFloor(0.5),
+    ...wrapAccounts((inner) => ({
+      setGrant: (tier, units, _expiresAt, now) => { inner.setGrant(tier, units, Infinity, now) }
+    }))
+  },
   'refunds without the refundable pool': wrapAccounts(refundWithoutPool),
   'lender does not deduct': wrapAccounts((inner) => ({
     lend (request, _borrower, now) {
--- a/src/quota/__tests__/fleet.test.ts
+++ b/src/quota/__tests__/fleet.test.ts
@@ -1,7 +1,8 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import type { FleetOptions } from '../../../experiments/quota/fleet'
-import { brokenModels } from './brokenModels'
+import { FLOOR_PART } from '../ledger'
+import { brokenModels, withFloor } from './brokenModels'
 import { clockRates, commandArbitraries, runTrial } from './fleetCommands'
 
 /** The runs take a few seconds; the limit leaves room for a busy machine. */
@@ -17,8 +18,8 @@
 }
 
 describe('quota of a fleet', () => {
-  it('admits at most rate * window + burst in every window under failures', async () => {
-    await fc.assert(boundHolds(), { seed: 20261204, numRuns: 40, endOnFailure: true })
+  it.each([FLOOR_PART, 0.5])('admits at most rate * window + burst in every window under failures, floor %d', async (floorPart) => {
+    await fc.assert(boundHolds(withFloor(floorPart)), { seed: 20261204, numRuns: 40, endOnFailure: true })
   }, TIME_LIMIT_MS)
 
   // The check is known to be able to fail: each mechanism that is switched off is found by the same property. The seeds
--- a/src/quota/__tests__/grants.test.ts
+++ b/src/quota/__tests__/grants.test.ts
@@ -4,7 +4,7 @@
 import type { Fleet } from '../../../experiments/quota/fleet'
 import { QUOTA_UNITS } from '../../constants'
 import { LEASE_MS, RECLAIM_MARGIN_MS, createLeaseWatch } from '../leases'
-import { claimUnits, existingRows, planGrants } from '../ledger'
+import { FLOOR_PART, claimUnits, existingRows, planGrants } from '../ledger'
 import type { QuotaRows } from '../ledger'
 import { LOAN_SETTLED_MS } from '../loans'
 import { GrantTier } from '../types'
@@ -145,7 +145,7 @@
     await fleet.events.runUntil(30_000)
     fleet.platformDown = true
     await fleet.events.runUntil(3_630_000)
-    expect(sum(heldUnits(fleet))).toBeCloseTo(QUOTA_UNITS / 2, 3)
+    expect(sum(heldUnits(fleet))).toBeCloseTo(QUOTA_UNITS * FLOOR_PART, 3)
     fleet.platformDown = false
     await fleet.events.runUntil(3_650_000)
     expect(sum(heldUnits(fleet))).toBeCloseTo(QUOTA_UNITS, 3)
--- a/src/quota/grantTask.ts
+++ b/src/quota/grantTask.ts
@@ -48,7 +48,8 @@
 
 const TIERS = [GrantTier.floor, GrantTier.pool] as const
 
-const FLEET_KEY = 'fleet'
+/** Key of the fleet's row. No data centre can have it, since names begin with a letter or a digit. */
+const FLEET_KEY = '_fleet'
 
 export interface GrantTaskOptions {
   platform: Pick<PlatformClient, 'readRow' | 'commit'>
@@ -65,7 +66,7 @@
   driftBound?: number
   /** Lengths of the leases; the same on all instances. @default LEASE_MS */
   leases?: LeaseLengths
-  /** Part of the units that is held as floor. @default 0.5 */
+  /** Part of the units that is held as floor. @default as in the ledger */
   floorPart?: number
   /** Milliseconds between renewals. @default RENEWAL_INTERVAL_MS */
   renewalInterval?: number
--- a/src/quota/ledger.ts
+++ b/src/quota/ledger.ts
@@ -12,6 +12,12 @@
 /** Part of the pool that is divided evenly; the rest is divided by demand. An idle instance so keeps enough to begin. */
 const EVEN_PART = 0.25
 
+/**
+ * Part of the units that is held as floor. In an outage of the platform of an hour, 0.5 refused 17% of the requests inside
+ * the rate and 0.9 refused 0.5%; a crash cost 0.6% and 1.0% (experiments/quota).
+ */
+export const FLOOR_PART = 0.9
+
 /** Demand taken for an instance that has not reported any, as a part of the rate. */
 const SMALLEST_DEMAND = 0.01
 
@@ -86,7 +92,7 @@
   sequence: number
   /** This instance's recent demand as a part of the rate. */
   demand: number
-  /** Part of the units that is held as floor. @default 0.5 */
+  /** Part of the units that is held as floor. @default FLOOR_PART */
   floorPart?: number
   /** True for grants of others that may be reclaimed. */
   isReclaimable: (grant: Grant) => boolean
@@ -143,7 +149,7 @@
 
 /** The instance's part: an even share of the units for the floor, and a share by demand of the rest. */
 function partOf (
-  others: readonly Grant[], units: number, { self, live, demand, floorPart = 0.5 }: GrantPlanOptions
+  others: readonly Grant[], units: number, { self, live, demand, floorPart = FLOOR_PART }: GrantPlanOptions
 ): Record<GrantTier, number> {
   const names = new Set([...live, self.instance])
   const newest = new Map([[self.instance, self.incarnation]])
--- a/src/quota/types.ts
+++ b/src/quota/types.ts
@@ -26,7 +26,7 @@
   grants: readonly Grant[]
 }
 
-/** Row `fleet` of the quota table. */
+/** Row `_fleet` of the quota table. */
 export interface FleetQuota {
   /** Units that no data centre owns. */
   freeUnits: number
