Wait for the verdict on a dead upstream before the next attempt

Change: after a lost connection the next attempt waits up to 1 s for the probe; after a time limit still 150 ms. Conclusion: a notice that reaches another router later than the caller's repeat can still let a third engine be hit.

--- a/src/gateway/attemptOutcome.ts
+++ b/src/gateway/attemptOutcome.ts
@@ -17,10 +17,12 @@
 import type { Endpoint, Incarnation, MonotonicMilliseconds } from '../types'
 
 /**
- * Longest time for which a request waits for the answer to whether its upstream died. A refused connection tells within
- * a few milliseconds; a silent upstream would cost the caller the whole probe limit.
+ * Longest time for which a request waits for the answer to whether its upstream died. After a lost connection a refused
+ * one tells within milliseconds, on a busy machine within some hundred; with 150 ms a request that crashes engines was
+ * sent to a third one before the second crash was counted. A silent upstream would cost the whole limit of the probe.
  */
-const DEATH_CHECK_MS = 150
+const DEATH_CHECK_MS = 1000
+const SILENT_DEATH_CHECK_MS = 150
 
 /** Seconds after which a caller may repeat a request whose attempts have all failed. */
 const FAILED_RETRY_SECONDS = 1
@@ -94,7 +96,10 @@
         if (progress === 'notSent') handle.ended(false)
         if (error instanceof UpstreamTimeoutError) client.cancel(endpoint, requestIdentifier, attempt).catch(() => {})
         const check = checkDeath(place).finally(() => { handle.ended(false) })
-        await Promise.race([check, new Promise((resolve) => { setTimeout(resolve, DEATH_CHECK_MS) })])
+        const limit = error instanceof UpstreamTimeoutError ? SILENT_DEATH_CHECK_MS : DEATH_CHECK_MS
+        let timer: NodeJS.Timeout | undefined
+        await Promise.race([check, new Promise<void>((resolve) => { timer = setTimeout(resolve, limit) })])
+        clearTimeout(timer)
       }
       return { upstream, progress, reportedFailure }
     }
