Give a starting instance its part of the quota at once

Cause: a router that started beside others lived on loans for up to 10 s, until the others renewed their grants. The settings for the lengths of the leases had no effect, and lengths that differ between instances would break the bound. Change: the greeting of a peer in the own data centre makes the holders divide the units anew after 0.5 s, and a renewal that gives units back is written at once; the settings [quota] floor_lease and pool_lease are gone.

--- a/src/compose.ts
+++ b/src/compose.ts
@@ -141,6 +141,7 @@
       log(LogEvent.peerConnected, { peer: peer.instance, incarnation: peer.incarnation })
       tasks.grants.observeIncarnation(formatEndpoint(peer.endpoint), peer.incarnation, now())
       handlers.requestSnapshot(peer.instance)
+      if (peer.dataCentre === identity.dataCentre) tasks.notePeerStarted()
     },
     onDisconnected (peer, error) {
       log(LogEvent.peerDisconnected, { peer: peer.instance, errorCode: error?.code })
--- a/src/composeTasks.ts
+++ b/src/composeTasks.ts
@@ -37,6 +37,9 @@
 /** Milliseconds between rounds of probes; the registry decides which upstreams are due. */
 const PROBE_INTERVAL_MS = 250
 
+/** Milliseconds after a peer's greeting until grants are divided anew; peers that start together share one change. */
+const PEER_START_DELAY_MS = 500
+
 /** Milliseconds between looks at the queue when no event asks for one; bounds how late a deadline is noticed. */
 const PUMP_INTERVAL_MS = 50
 
@@ -254,6 +257,10 @@
     platformError: () => platformError()?.message,
     instances: () => list,
     takeList,
+    /** A peer of the own data centre has started: its part of the quota is given back before the next renewal. */
+    notePeerStarted (): void {
+      timers.once(PEER_START_DELAY_MS, async () => { await renewGrants() })
+    },
     /** Sends requests for loans that would admit the request. */
     borrow (customer: string, tokens: number): Borrowing | undefined {
       const plan = state.loans.planLoans(customer, tokens, loanPeers(), now())
--- a/src/configuration/settings.ts
+++ b/src/configuration/settings.ts
@@ -57,10 +57,6 @@
     customer_tokens: entry(count('tokens', 1, 1_000_000_000), '5000000', 'Tokens that waiting requests of one customer may cost together.'),
     maximum_wait: entry(duration(10, HOUR), '20s', 'Longest time in the queue.')
   },
-  quota: {
-    floor_lease: entry(duration(MINUTE, DAY), '2h', 'Lease of the floor grant.'),
-    pool_lease: entry(duration(2 * SECOND, HOUR), '30s', 'Lease of the pool grant.')
-  },
   keys: {
     maximum_age: entry(duration(0, 30 * DAY), '0s', 'Age of the knowledge of keys above which requests are refused; 0 never refuses.')
   },
--- a/src/quota/grantTask.ts
+++ b/src/quota/grantTask.ts
@@ -198,8 +198,11 @@
       floorPart,
       isReclaimable: (grant) => watch.isReclaimable(grant, now)
     })
-    const gains = TIERS.some((tier) => plan.granted[tier] > heldUnits(now)[tier])
-    if (now - renewedAt < renewalInterval / 2 && !gains && plan.reclaimed.length === 0) {
+    const units = heldUnits(now)
+    const gains = TIERS.some((tier) => plan.granted[tier] > units[tier])
+    // An instance that has just started waits for the units that the others hold beyond their parts.
+    const gives = TIERS.some((tier) => plan.granted[tier] < units[tier] * NEARLY_ALL)
+    if (now - renewedAt < renewalInterval / 2 && !gains && !gives && plan.reclaimed.length === 0) {
       return result('unchanged', nextDelay(plan, now))
     }
     lower(plan.granted, now)
