Measure rollouts of bad and good versions in the experiment driver

Change: the scenario bad-version rolls out four bad versions and a good one with the modules of src/rollout. Baselines switch all traffic when every engine has loaded the version.

--- a/experiments/main.ts
+++ b/experiments/main.ts
@@ -10,10 +10,15 @@
 import { MAIN_POLICIES, POLICIES } from './model/policies'
 import { PRESETS } from './model/presets'
 import { runExperiment } from './model/run'
-import type { RunRequest } from './model/run'
+import type { RunResult } from './model/run'
 import { SCENARIOS } from './model/scenarios'
+import type { RolloutResult } from './rollout/run'
 import { renderRun, renderSummary, writeResult } from './report'
+import { formatRollouts, renderRollout, renderRollouts } from './rollout/report'
+import { BAD_VERSION, ROLLOUT_POLICIES, runRolloutExperiment } from './rollout/run'
+import { checkRolloutTargets, GOOD_SEEDS_FACTOR, rolloutRequests, summarizeRollouts } from './rollout/summary'
 import { createProgressBar, runAll } from './runAll'
+import type { AnyRequest, AnyResult } from './runAll'
 import { checkTargets, formatTable, formatTargets, summarize } from './summary'
 
 interface Options {
@@ -26,6 +31,8 @@
   workers: number
 }
 
+const SCENARIO_NAMES = [...Object.keys(SCENARIOS), BAD_VERSION]
+
 /** Names separated by commas, or all of them when none is given. */
 function selectNames (kind: string, given: string, known: readonly string[], all: readonly string[] = known): string[] {
   if (given === '') return [...all]
@@ -41,36 +48,53 @@
   return value
 }
 
+function isRollout (result: AnyResult): result is RolloutResult {
+  return result.scenario === BAD_VERSION
+}
+
 async function runOne (options: Options): Promise<void> {
   const [preset] = selectNames('preset', options.preset, Object.keys(PRESETS))
-  const [scenario] = selectNames('scenario', options.scenario, Object.keys(SCENARIOS))
-  const [policy] = selectNames('policy', options.policy || 'waxwingspoke', Object.keys(POLICIES))
-  const result = runExperiment({
+  const [scenario] = selectNames('scenario', options.scenario, SCENARIO_NAMES)
+  const policies = scenario === BAD_VERSION ? ROLLOUT_POLICIES : Object.keys(POLICIES)
+  const [policy] = selectNames('policy', options.policy || 'waxwingspoke', policies)
+  const request = {
     preset: preset!, scenario: scenario!, policy: policy!, seed: requireCount('seed', options.seed)
-  })
+  }
+  const result = scenario === BAD_VERSION ? await runRolloutExperiment(request) : runExperiment(request)
   const name = `${result.preset}-${result.scenario}-${result.policy}-${result.seed}.html`
-  const path = await writeResult(name, renderRun(result))
+  const path = await writeResult(name, isRollout(result) ? renderRollout(result) : renderRun(result))
   process.stdout.write(`${JSON.stringify(result, undefined, 2)}\n`)
   process.stderr.write(`report: ${path}\n`)
 }
 
 async function runTable (options: Options): Promise<void> {
-  const requests: RunRequest[] = []
+  const requests: AnyRequest[] = []
   const seeds = requireCount('seeds', options.seeds)
   for (const preset of selectNames('preset', options.preset, Object.keys(PRESETS))) {
-    for (const scenario of selectNames('scenario', options.scenario, Object.keys(SCENARIOS))) {
+    for (const scenario of selectNames('scenario', options.scenario, SCENARIO_NAMES)) {
+      if (scenario === BAD_VERSION) {
+        const policies = selectNames('policy', options.policy, Object.keys(POLICIES), ROLLOUT_POLICIES)
+        requests.push(...rolloutRequests(preset, policies.filter(policy => ROLLOUT_POLICIES.includes(policy)), seeds))
+        continue
+      }
       for (const policy of selectNames('policy', options.policy, Object.keys(POLICIES), MAIN_POLICIES)) {
         for (let seed = 1; seed <= seeds; seed++) requests.push({ preset, scenario, policy, seed })
       }
     }
   }
   const results = await runAll(requests, requireCount('workers', options.workers), createProgressBar(requests.length))
-  const rows = summarize(results)
-  const targets = checkTargets(rows)
-  await writeResult('all.json', `${JSON.stringify({ rows, targets }, undefined, 2)}\n`)
-  const path = await writeResult('all.html', renderSummary(rows, targets))
-  process.stdout.write(`median (lowest-highest) over ${seeds} seeds\n${formatTable(rows)}\n`)
-  if (targets.length > 0) process.stdout.write(`targets of design 2.2, medians\n${formatTargets(targets)}\n`)
+  const rows = summarize(results.filter((result): result is RunResult => !isRollout(result)))
+  const rollouts = summarizeRollouts(results.filter(isRollout))
+  const targets = [...checkTargets(rows), ...checkRolloutTargets(rollouts)]
+  await writeResult('all.json', `${JSON.stringify({ rows, rollouts, targets }, undefined, 2)}\n`)
+  const path = await writeResult('all.html', renderSummary(rows, targets, renderRollouts(rollouts)))
+  process.stdout.write(`median (lowest-highest) over ${seeds} seeds\n`)
+  if (rows.length > 0) process.stdout.write(`${formatTable(rows)}\n`)
+  if (rollouts.length > 0) {
+    process.stdout.write(`${BAD_VERSION}: ${seeds} seeds; the good version of waxwingspoke ${seeds * GOOD_SEEDS_FACTOR} seeds\n`)
+    process.stdout.write(`${formatRollouts(rollouts)}\n`)
+  }
+  if (targets.length > 0) process.stdout.write(`targets of design 2.2, medians unless stated\n${formatTargets(targets)}\n`)
   process.stderr.write(`report: ${path}\n`)
 }
 
--- a/experiments/model/presets.ts
+++ b/experiments/model/presets.ts
@@ -12,6 +12,8 @@
   prefillTokensPerSecond: number
   cacheBlocks: number
   batchSize: number
+  /** Engines that load new weights at once without slowing each other down. */
+  parallelLoads: number
   /** Extra milliseconds to reach another data centre. */
   remoteMilliseconds: number
 }
@@ -31,6 +33,7 @@
     prefillTokensPerSecond: 20_000,
     cacheBlocks: 256,
     batchSize: 48,
+    parallelLoads: 2,
     remoteMilliseconds: 1
   },
   splitwell: {
@@ -43,6 +46,7 @@
     prefillTokensPerSecond: 20_000,
     cacheBlocks: 256,
     batchSize: 48,
+    parallelLoads: 3,
     remoteMilliseconds: 1.5
   }
 }
--- a/experiments/report.ts
+++ b/experiments/report.ts
@@ -35,7 +35,9 @@
   ])
 }
 
-export function renderSummary (rows: readonly SummaryRow[], targets: readonly TargetResult[]): string {
+export function renderSummary (
+  rows: readonly SummaryRow[], targets: readonly TargetResult[], more: readonly string[] = []
+): string {
   const sections = [
     heading('Targets of design 2.2'),
     renderTable(['preset', 'scenario', 'target', 'measured', 'bound', 'result'], targets.map(target => [
@@ -50,19 +52,19 @@
       plotBars('prefix hit rate', members, 'hitRate', 3), plotBars('p99 time to first token in ms', members, 'p99', 0)
     )
   }
-  return page('Routing policies by scenario', sections)
+  return page('Routing policies by scenario', [...sections, ...more])
 }
 
-function page (title: string, sections: readonly string[]): string {
+export function page (title: string, sections: readonly string[]): string {
   const style = 'body{font:14px sans-serif;margin:2em}table{border-collapse:collapse}td,th{border:1px solid #ccc;' +
     'padding:2px 8px;text-align:left}svg{display:block;margin:1em 0}'
   return `<!doctype html>\n<html lang="en"><head><meta charset="utf-8"><title>${escape(title)}</title>` +
     `<style>${style}</style></head><body>\n<h1>${escape(title)}</h1>\n${sections.join('\n')}\n</body></html>\n`
 }
 
-const heading = (text: string): string => `<h2>${escape(text)}</h2>`
+export const heading = (text: string): string => `<h2>${escape(text)}</h2>`
 
-function renderTable (head: readonly string[], lines: ReadonlyArray<readonly string[]>): string {
+export function renderTable (head: readonly string[], lines: ReadonlyArray<readonly string[]>): string {
   const row = (cells: readonly string[], tag: string): string =>
     `<tr>${cells.map(cell => `<${tag}>${escape(cell)}</${tag}>`).join('')}</tr>`
   return `<table>${row(head, 'th')}${lines.map(line => row(line, 'td')).join('')}</table>`
--- a/src/rollout/__tests__/rolloutSimulation.ts
+++ b/experiments/rollout/simulation.ts
@@ -1,17 +1,15 @@
 /** A fleet of routers with one rollout, in steps of one second, for measuring harm and wrong rollbacks. */
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { mersenne } from 'pure-rand/generator/mersenne'
-import { createFakePlatform } from '../../platform/__tests__/fakePlatform'
-import type { ModelConfiguration, RandomSource } from '../../types'
-import { createRolloutLeader } from '../leader'
-import { createLocalBrake } from '../localBrake'
-import { createRolloutSampler, type RequestOutcome } from '../sampler'
-import type { EngineState, RolloutRecord } from '../types'
-import { createRolloutView } from '../view'
+import { createFakePlatform } from '../../src/platform/__tests__/fakePlatform'
+import type { ModelConfiguration, RandomSource } from '../../src/types'
+import { createRolloutLeader } from '../../src/rollout/leader'
+import { createLocalBrake } from '../../src/rollout/localBrake'
+import { createRolloutSampler, type RequestOutcome } from '../../src/rollout/sampler'
+import type { EngineState, RolloutRecord } from '../../src/rollout/types'
+import { createRolloutView, type RolloutView } from '../../src/rollout/view'
 
 const MODEL = 'chat'
-const INSTANCES = 8
-const ENGINES = 6
 const WARM_UP_SECONDS = 30
 const ROUTES = [{ name: 'chat', part: 0.6 }, { name: 'completions', part: 0.3 }, { name: 'assistant', part: 0.1 }] as const
 const TICK_MS = 1000
@@ -43,6 +41,14 @@
   fault?: FaultModel
   detection?: boolean
   finishBySeconds?: number
+  /** Router instances. @default 8 */
+  instances?: number
+  /** @default 6 */
+  engines?: number
+  /** Engines that load weights at once. @default 2 */
+  parallelLoads?: number
+  /** Sends all traffic to the new version, without judgement, as soon as every engine has loaded it. @default false */
+  switchAtOnce?: boolean
 }
 
 export interface SimulationResult {
@@ -52,20 +58,25 @@
   record: RolloutRecord | undefined
   /** Seconds from the start to the end of the rollout. */
   duration: number | undefined
+  /** Seconds from the first request that the fault harmed to the rollback; undefined without either. */
+  secondsToRollback: number | undefined
 }
 
 export async function simulateRollout (options: SimulationOptions): Promise<SimulationResult> {
-  const { seed, seconds, rate, fault, detection = true } = options
+  const { seed, seconds, rate, fault, switchAtOnce = false, detection = !switchAtOnce } = options
+  const { instances: instanceCount = 8, engines: engineCount = 6, parallelLoads = 2 } = options
   const generator = mersenne(seed)
   const random: RandomSource = () => uniformFloat64(generator)
   const platform = createFakePlatform()
-  const engines: EngineState[] = Array.from({ length: ENGINES }, (_, index) => {
+  const engines: EngineState[] = Array.from({ length: engineCount }, (_, index) => {
     return { name: `e${index}`, endpoint: { host: '127.0.0.1', port: 1 }, leaving: false, loaded: [`${MODEL}@v1`] }
   })
-  const model: ModelConfiguration = { name: MODEL, version: 'v1', finishBy: undefined, maximumOutputTokens: 1, parallelLoads: 2 }
+  const model: ModelConfiguration = {
+    name: MODEL, version: 'v1', finishBy: undefined, maximumOutputTokens: 1, parallelLoads
+  }
   let applied = { revision: 1, configuration: { dataCentres: [], customers: [], routes: [], models: [model] } }
   let now = 0
-  const instances = Array.from({ length: INSTANCES }, () => createInstance(() => now))
+  const instances = Array.from({ length: instanceCount }, () => createInstance(() => now))
   const leader = createRolloutLeader({
     platform, self: { instance: 'i0', incarnation: 1 }, configuration: () => applied, engines: () => engines, detection
   })
@@ -73,7 +84,11 @@
   const crashes = [random() * seconds, random() * seconds].map(time => WARM_UP_SECONDS + Math.floor(time))
   let notices: RolloutRecord[] = []
   let startedAt: number | undefined
-  const result: SimulationResult = { requests: 0, harmed: 0, record: undefined, duration: undefined }
+  let firstHarmAt: number | undefined
+  let switched = false
+  const result: SimulationResult = {
+    requests: 0, harmed: 0, record: undefined, duration: undefined, secondsToRollback: undefined
+  }
 
   for (let second = 0; second < WARM_UP_SECONDS + seconds; second++) {
     now = second * TICK_MS
@@ -88,9 +103,12 @@
     for (const effect of await leader.tick(now, now)) {
       if (effect.kind === 'record') {
         notices.push(effect.record)
-        for (const { view } of instances.slice(0, INSTANCES / 2)) view.offer(effect.record)
+        for (const { view } of instances.slice(0, instanceCount / 2)) view.offer(effect.record)
         if (startedAt !== undefined && effect.record.toVersion === 'v2' && result.record?.phase !== effect.record.phase) {
-          if (['finished', 'rolled_back'].includes(effect.record.phase)) result.duration = (now - startedAt) / 1000
+          if (['finished', 'rolled_back'].includes(effect.record.phase)) result.duration ??= (now - startedAt) / 1000
+          if (effect.record.phase === 'rolled_back' && firstHarmAt !== undefined) {
+            result.secondsToRollback = (now - firstHarmAt) / 1000
+          }
         }
         result.record = effect.record
       } else {
@@ -99,20 +117,29 @@
         engine.loaded = effect.order.kind === 'load' ? [...engine.loaded, name] : engine.loaded.filter(other => other !== name)
       }
     }
+    if (switchAtOnce && !switched && engines.every(({ loaded }) => loaded.includes(`${MODEL}@v2`))) {
+      switched = true
+      result.duration = (now - startedAt!) / 1000
+    }
     const load = 1 + (second >= peakStart && second < peakStart + 60 ? 1 : 0)
     serveSecond(second, load)
     for (const [index, { sampler }] of instances.entries()) leader.addSamples(`i${index}`, sampler.drain())
   }
   return result
 
+  function chooseVersion (view: RolloutView): string {
+    if (switchAtOnce) return switched ? 'v2' : 'v1'
+    return view.chooseVersion(MODEL, random) ?? 'v1'
+  }
+
   function serveSecond (second: number, load: number): void {
-    const share = instances[0]!.view.record(MODEL)?.share ?? 0
+    const share = switched ? 1 : instances[0]!.view.record(MODEL)?.share ?? 0
     const age = startedAt === undefined ? 0 : (now - startedAt) / 1000
     const crashed = crashes.includes(second)
     const requests = rate * load * (0.85 + 0.3 * random())
     for (let request = 0; request < requests; request++) {
-      const instance = instances[Math.floor(random() * INSTANCES)]!
-      const version = instance.view.chooseVersion(MODEL, random) ?? 'v1'
+      const instance = instances[Math.floor(random() * instanceCount)]!
+      const version = chooseVersion(instance.view)
       const route = chooseRoute(random)
       const fresh = version === 'v2'
       const effect = fresh ? fault?.({ age, route, load, ownRate: share * rate * load }) : undefined
@@ -137,7 +164,10 @@
       if (fresh) instance.brake.record(MODEL, version, route, failed, now)
       if (second < WARM_UP_SECONDS) continue
       result.requests++
-      if (faulty || (effect?.firstTokenFactor ?? 1) > 1 || (effect?.betweenTokensFactor ?? 1) > 1) result.harmed++
+      if (faulty || (effect?.firstTokenFactor ?? 1) > 1 || (effect?.betweenTokensFactor ?? 1) > 1) {
+        result.harmed++
+        firstHarmAt ??= now
+      }
     }
   }
 }
--- a/experiments/runAll.ts
+++ b/experiments/runAll.ts
@@ -4,11 +4,15 @@
 import { fileURLToPath } from 'node:url'
 import { InternalError } from '../src/errors'
 import type { RunRequest, RunResult } from './model/run'
+import type { RolloutRequest, RolloutResult } from './rollout/run'
+
+export type AnyRequest = RunRequest | RolloutRequest
+export type AnyResult = RunResult | RolloutResult
 
 export async function runAll (
-  requests: readonly RunRequest[], workers: number, onProgress: (done: number) => void
-): Promise<RunResult[]> {
-  const results = new Array<RunResult>(requests.length)
+  requests: readonly AnyRequest[], workers: number, onProgress: (done: number) => void
+): Promise<AnyResult[]> {
+  const results = new Array<AnyResult>(requests.length)
   let next = 0
   let done = 0
 
@@ -23,7 +27,7 @@
       current = next++
       child.send(requests[current]!)
     }
-    child.on('message', (result: RunResult) => {
+    child.on('message', (result: AnyResult) => {
       results[current] = result
       onProgress(++done)
       sendNext()
--- a/experiments/summary.ts
+++ b/experiments/summary.ts
@@ -37,7 +37,7 @@
 }
 
 /** Without lines between the rows, so that the table of all policies fits on some screens. */
-const TABLE_STYLE = {
+export const TABLE_STYLE = {
   style: { head: [], border: [] }, chars: { mid: '', 'left-mid': '', 'mid-mid': '', 'right-mid': '' }
 }
 
--- a/src/rollout/__tests__/judge.test.ts
+++ b/src/rollout/__tests__/judge.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { simulateRollout, type FaultModel } from './rolloutSimulation'
+import { simulateRollout, type FaultModel } from '../../../experiments/rollout/simulation'
 
 /** Largest part of all requests that a bad version may harm. */
 const HARM_BOUND = 0.02
