Show usage as people type it and end errors with the next step

Cause: the help showed patterns of the parser (`[...none]`, `[...action]`), `serve FILE` ignored its argument and started with the default settings file, and errors named no next step.

Change: each command lists its forms, and src/cli/help.ts prints these in the usage and the list of commands. The parser still takes all words, so that the commands name missing and extra arguments; `serve` now refuses extra ones. src/cli/errorReport.ts takes over the reporting of errors and adds what to do next, in JSON as `next`.

Checks changed: the test of docs/configuration.md compares whole usages (`| `keys grant CUSTOMER` |`) instead of the first word of each pattern; the new form is stricter.

--- a/src/cli/__tests__/program.test.ts
+++ b/src/cli/__tests__/program.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from 'vitest'
+import { describe, expect, it, vi } from 'vitest'
 import { applyConfiguration } from '../../configuration/apply'
 import { readFleetConfiguration } from '../../configuration/fleetConfiguration'
 import { createFakePlatform, type FakePlatform } from '../../platform/__tests__/fakePlatform'
@@ -6,6 +6,7 @@
 import { commandTable } from '../commandTable'
 import type { CommandContext } from '../context'
 import { createProgram } from '../program'
+import { addServeCommand } from '../serveCommand'
 
 const FLEET = '[data-centre south]\n[customer bakery]\nrate = 100\nburst = 500\n[model chat]\nversion = v1\n'
 const PLATFORM = ['--platform', 'http://127.0.0.1:7000']
@@ -61,7 +62,12 @@
     createIdentifier: () => `operation-${++time}`,
     sleep: async (milliseconds) => { time += milliseconds }
   }
-  const program = createProgram({ context })
+  const program = createProgram({
+    context,
+    register (commands) {
+      addServeCommand(commands, async () => { throw new Error('the daemon was started') })
+    }
+  })
   return {
     async run (...words) {
       printed = ''
@@ -92,6 +98,7 @@
     ['missing file', ['check', 'absent.ini'], 'absent.ini'],
     ['missing argument', ['check'], 'FILE'],
     ['extra argument', ['moves', 'chat', ...PLATFORM], "'chat'"],
+    ['extra argument of serve', ['serve', 'router.ini'], "'router.ini'"],
     ['missing platform', ['moves'], '--platform'],
     ['malformed platform', ['moves', '--platform', 'nowhere'], 'HOST:PORT'],
     ['flag without value', ['moves', '--platform'], 'platform'],
@@ -103,7 +110,39 @@
     expect(terminal.errors()).toContain(hint)
   })
 
-  it.each(commandTable.map(({ pattern, examples }) => ({ name: pattern.split(' ')[0]!, examples })))(
+  // Guards against errors that run into the shell's prompt or leave the operator without a next step.
+  it.each([
+    ['a usage error', ['check'], 2, /^error: missing argument FILE; see `waxwingspoke COMMAND --help`\n$/],
+    ['an extra argument', ['customers', 'chat', ...PLATFORM], 2, /^error: unexpected argument 'chat'; see .*\n$/],
+    ['an invalid file', ['check', 'bad.ini'], 4, /\nnext: correct the file and run `check`\n$/],
+    ['an unknown customer', ['keys', 'grant', 'baker', ...PLATFORM], 1, /^error: no customer 'baker'.*; see the known names .*\n$/]
+  ])('ends %s with a newline and the next step', async (_, words, code, expected) => {
+    const terminal = createTerminal()
+    terminal.files['bad.ini'] = '[model x]\nverison = 1\n'
+    expect(await terminal.run(...words)).toBe(code)
+    expect(terminal.errors()).toMatch(expected)
+    expect(terminal.output()).toBe('')
+  })
+
+  // Guards against help that shows the patterns of the parser instead of the arguments.
+  it.each([
+    { name: 'all commands', words: ['--help'], usages: commandTable.flatMap(({ forms }) => forms.map(([usage]) => usage)) },
+    ...commandTable.map(({ name, forms }) => ({
+      name, words: [name, '--help'], usages: forms.map(([usage]) => `$ waxwingspoke ${usage}\n`)
+    }))
+  ])('shows the usage of $name as people type it', async ({ words, usages }) => {
+    const log = vi.spyOn(console, 'log').mockImplementation(() => {})
+    try {
+      expect(await createTerminal().run(...words)).toBe(0)
+      const text = log.mock.calls.flat().join('\n')
+      expect(text).not.toContain('[...')
+      for (const usage of usages) expect(text).toContain(usage)
+    } finally {
+      log.mockRestore()
+    }
+  })
+
+  it.each(commandTable.map(({ name, examples }) => ({ name, examples })))(
     'gives examples that $name accepts as far as flags go', async ({ name, examples }) => {
       for (const example of examples) {
         expect(example.startsWith(name)).toBe(true)
--- a/src/cli/commandTable.ts
+++ b/src/cli/commandTable.ts
@@ -9,9 +9,10 @@
 import type { CommandFunction } from './context'
 
 export interface CommandDefinition {
-  /** Name and arguments as `cac` takes them. */
-  pattern: string
+  name: string
   description: string
+  /** What the help shows, one line for each form of the command: arguments and what the form does. */
+  forms: ReadonlyArray<readonly [usage: string, description: string]>
   options: ReadonlyArray<readonly [flag: string, description: string]>
   examples: readonly string[]
   run: CommandFunction
@@ -22,26 +23,34 @@
 const WAIT = ['--wait <seconds>', 'Longest time to wait for confirmations (default: 5)'] as const
 
 export const commandTable: readonly CommandDefinition[] = [{
-  pattern: 'check [...file]',
+  name: 'check',
   description: 'Check a declarative file and list all errors',
+  forms: [['check FILE', 'Check a declarative file and list all errors']],
   options: [['--settings', 'The file holds the settings of a daemon']],
   examples: ['check fleet.ini', 'check --settings router.ini'],
   run: runCheck
 }, {
-  pattern: 'plan [...file]',
+  name: 'plan',
   description: 'Show what applying a declarative file would change',
+  forms: [['plan FILE', 'Show what applying a declarative file would change']],
   options: [PLATFORM],
   examples: ['plan fleet.ini --platform http://10.0.0.1:7000'],
   run: runPlan
 }, {
-  pattern: 'apply [...file]',
+  name: 'apply',
   description: 'Make a declarative file the current configuration',
+  forms: [['apply FILE', 'Make a declarative file the current configuration']],
   options: [PLATFORM, WAIT, ['--expect <revision>', 'Fail unless this revision is current (default: the one planned against)']],
   examples: ['apply fleet.ini --platform http://10.0.0.1:7000 --wait 10'],
   run: runApply
 }, {
-  pattern: 'keys [...action]',
-  description: 'keys grant CUSTOMER | keys withdraw HASH|KEY | keys list',
+  name: 'keys',
+  description: 'Grant, withdraw and list keys',
+  forms: [
+    ['keys grant CUSTOMER', 'Create a key and show it once'],
+    ['keys withdraw HASH|KEY', 'Withdraw a key for good'],
+    ['keys list', 'List hashes, customers and states of keys']
+  ],
   options: [PLATFORM, INSTANCE, WAIT, ['--customer <name>', 'List only the keys of this customer']],
   examples: [
     'keys grant bakery --platform http://10.0.0.1:7000',
@@ -51,20 +60,23 @@
   ],
   run: runKeys
 }, {
-  pattern: 'customers [...none]',
+  name: 'customers',
   description: 'List customers, their keys and the rates that instances hold',
+  forms: [['customers', 'List customers, their keys and the rates that instances hold']],
   options: [PLATFORM],
   examples: ['customers --platform http://10.0.0.1:7000'],
   run: runCustomers
 }, {
-  pattern: 'moves [...none]',
+  name: 'moves',
   description: 'Report on rollouts',
+  forms: [['moves', 'Report on rollouts']],
   options: [PLATFORM],
   examples: ['moves --platform http://10.0.0.1:7000 --json'],
   run: runMoves
 }, {
-  pattern: 'status [...none]',
+  name: 'status',
   description: 'Show the current revision and the state of all instances',
+  forms: [['status', 'Show the current revision and the state of all instances']],
   options: [PLATFORM, INSTANCE],
   examples: ['status --platform http://10.0.0.1:7000', 'status --instance 10.0.0.7:8082'],
   run: runStatus
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -2,11 +2,13 @@
 import { cac, type CAC } from 'cac'
 import { nearestName } from '../configuration/nearestName'
 import { parseEndpoint } from '../configuration/valueKinds'
-import { ConfigurationError, RouterError, UsageError } from '../errors'
+import { UsageError } from '../errors'
 import type { PlatformClient } from '../platform/types'
 import type { CommandContext, CommandInput } from './context'
 import { commandTable, type CommandDefinition } from './commandTable'
-import { ExitCode, exitCodeOf } from './exitCodes'
+import { reportError } from './errorReport'
+import { ExitCode } from './exitCodes'
+import { describeUsage } from './help'
 
 const PROGRAM_NAME = 'waxwingspoke'
 
@@ -34,7 +36,7 @@
         addCommand(program, definition, context, (code) => { exitCode = code })
       }
       register?.(program)
-      program.help(sections => [...sections, { body: EXIT_CODES_TEXT }])
+      program.help(sections => [...describeUsage(program, PROGRAM_NAME, sections), { body: EXIT_CODES_TEXT }])
       const json = commandLine.includes('--json')
       try {
         program.parse(['node', PROGRAM_NAME, ...commandLine], { run: false })
@@ -52,7 +54,8 @@
 function addCommand (
   program: CAC, definition: CommandDefinition, context: CommandContext, finish: (code: number) => void
 ): void {
-  const command = program.command(definition.pattern, definition.description)
+  // All words are taken, so that the command itself can name a missing or an extra one.
+  const command = program.command(`${definition.name} [...words]`, definition.description)
   for (const [flag, description] of definition.options) command.option(flag, description)
   command.option('--json', 'Print JSON')
   for (const example of definition.examples) command.example(`  ${PROGRAM_NAME} ${example}`)
@@ -89,7 +92,7 @@
   const command = program.matchedCommand
   if (command === undefined) {
     const name = commandLine.find(word => !word.startsWith('-'))
-    if (name === undefined) throw new UsageError(`no command given; see ${PROGRAM_NAME} --help`)
+    if (name === undefined) throw new UsageError(`no command given; ${PROGRAM_NAME} --help lists them`)
     throw new UsageError(`unknown command '${name}'` + suggest(name, program.commands.map(other => other.name)))
   }
   const known = command.options.flatMap(option => option.names)
@@ -103,17 +106,3 @@
   const nearest = nearestName(name, known)
   return nearest === undefined ? '' : ` (did you mean '${nearest}'?)`
 }
-
-function reportError (context: CommandContext, error: unknown, json: boolean): number {
-  // cac reports missing values of options with its own class.
-  const known = error instanceof Error && error.name === 'CACError' ? new UsageError(error.message, { cause: error }) : error
-  if (!(known instanceof RouterError)) {
-    context.printError(`internal error: ${known instanceof Error ? known.stack ?? known.message : String(known)}\n`)
-    return ExitCode.failed
-  }
-  const findings = known instanceof ConfigurationError ? { findings: known.findings } : {}
-  context.printError(json
-    ? JSON.stringify({ error: { code: known.code, message: known.message, ...findings } }, undefined, 2) + '\n'
-    : known instanceof ConfigurationError ? `${known.message}\n` : `error: ${known.message}\n`)
-  return exitCodeOf(known)
-}
--- a/src/cli/serveCommand.ts
+++ b/src/cli/serveCommand.ts
@@ -23,8 +23,13 @@
 
 /** Adds the command to the program. */
 export function addServeCommand (program: CAC, run: (settingsFile: string) => Promise<void>): void {
-  program.command('serve', 'Run the router daemon')
+  program.command('serve [...words]', 'Run the router daemon')
+    .usage('serve --config FILE')
     .option('--config <file>', 'Settings file (default: waxwingspoke.ini)')
     .example('  waxwingspoke serve --config router.ini')
-    .action(async (options: { config?: string }) => { await run(options.config ?? 'waxwingspoke.ini') })
+    .action(async (words: string[], options: { config?: string }) => {
+      // Without this check `serve router.ini` would start with the default settings file.
+      if (words[0] !== undefined) throw new UsageError(`unexpected argument '${words[0]}'; give the file with --config`)
+      await run(options.config ?? 'waxwingspoke.ini')
+    })
 }
--- a/src/cli/timelineCommand.ts
+++ b/src/cli/timelineCommand.ts
@@ -29,6 +29,7 @@
 /** Adds the command to the program. */
 export function addTimelineCommand (program: CAC, print: (text: string) => void): void {
   program.command('timeline [...files]', 'Merge log files of many processes into causal order')
+    .usage('timeline FILE...')
     .option('--request <identifier>', 'Only events of one request')
     .option('--customer <name>', 'Only events of one customer')
     .option('--upstream <name>', 'Only events of one upstream')
--- a/src/configuration/__tests__/documentation.test.ts
+++ b/src/configuration/__tests__/documentation.test.ts
@@ -17,7 +17,7 @@
   })
 
   it('states every command and all exit codes', () => {
-    for (const { pattern } of commandTable) expect(page).toContain(`\`${pattern.split(' ')[0]!}`)
+    for (const [usage] of commandTable.flatMap(({ forms }) => forms)) expect(page).toContain(`| \`${usage.replace('|', '\\|')}\` |`)
     for (const part of EXIT_CODES_TEXT.replace('Exit codes: ', '').split(', ')) {
       expect(page).toContain(`| ${part.slice(0, 1)} | ${part.slice(2)} |`)
     }
