Let moves ask instances when the platform is away

Cause: `moves` ended with an error as soon as the platform did not answer, although instances know the rollouts.

The views are marked as such, their age is unknown, and they are not merged. A table that can be read is printed as before.

The command was run against fake control ports only.

--- a/src/cli/__tests__/program.test.ts
+++ b/src/cli/__tests__/program.test.ts
@@ -15,6 +15,7 @@
   revision: number
   silent: boolean
   keys: KeyRecord[]
+  rollouts?: unknown
 }
 
 interface Terminal {
@@ -49,7 +50,7 @@
         return { status: 200, body: '{}' }
       }
       const quota = [{ customer: 'bakery', rate: 40, capacity: 200 }]
-      return { status: 200, body: JSON.stringify({ instance: `r${endpoint.port}`, incarnation: 7, state: 'live', revision: instance.revision, keyVersion: 0, quota, rollouts: [], upstreams: [] }) }
+      return { status: 200, body: JSON.stringify({ instance: `r${endpoint.port}`, incarnation: 7, state: 'live', revision: instance.revision, keyVersion: 0, quota, rollouts: instance.rollouts ?? [], upstreams: [] }) }
     },
     readFile: async (path) => {
       if (files[path] === undefined) throw new Error('no such file')
@@ -239,4 +240,34 @@
     expect(await terminal.run('status', '--instance', '127.0.0.1:2', '--json', ...PLATFORM)).toBe(5)
     expect(terminal.json()).toMatchObject({ platform: 'unavailable', instances: [{ name: 'r2' }] })
   })
+  // Guards against views of instances that pass for the platform's table, or claim more than an old record can tell.
+  it.each([
+    ['a platform that is away', PLATFORM, {}, 5, 'unavailable', undefined],
+    ['no platform given', [], {}, 0, 'not asked', undefined],
+    ['a recorded miss', [], { deadlineMissed: true }, 0, 'not asked', true],
+    ['a rollout that finished in time', [], { phase: 'finished' }, 0, 'not asked', false],
+    ['an instance that is silent', ['--instance', '127.0.0.1:2'], {}, 1, 'not asked', undefined]
+  ])('marks the views of instances as such with %s', async (_, words, fields, code, platform, deadlineMissed) => {
+    const terminal = createTerminal()
+    const record = { model: 'chat', toVersion: 'v2', phase: 'canary', share: 0.05, finishBy: 0, deadlineMissed: false, revision: 3 }
+    terminal.instances[1]!.rollouts = [{ ...record, ...fields }]
+    terminal.instances[2]!.silent = true
+    for (const format of [['--json'], []]) {
+      terminal.platform.readFaults = ['unavailable']
+      expect(await terminal.run('moves', '--instance', '127.0.0.1:1', ...words, ...format)).toBe(code)
+      if (format.length > 0) {
+        expect(terminal.json()).toMatchObject({ source: 'instances', platform, age: 'unknown', instances: [{ name: 'r1' }, ...(code === 1 ? [{ failure: 'no answer' }] : [])] })
+        expect(terminal.json().instances[0].rollouts[0].deadlineMissed).toBe(deadlineMissed)
+      }
+    }
+    expect(terminal.output()).toContain(`platform ${platform}; the instances' views, age unknown:`)
+    expect(terminal.output().includes('view unknown: 127.0.0.1:2 (no answer)')).toBe(code === 1)
+  })
+
+  it('reports the view of an instance as unknown when its rollouts cannot be read', async () => {
+    const terminal = createTerminal()
+    terminal.instances[1]!.rollouts = [{ model: 'chat', phase: 'sideways' }]
+    expect(await terminal.run('moves', '--instance', '127.0.0.1:1')).toBe(1)
+    expect(terminal.output()).toContain('view unknown: r1 (rollouts not readable)')
+  })
 })
--- a/src/cli/commandTable.ts
+++ b/src/cli/commandTable.ts
@@ -70,8 +70,11 @@
   name: 'moves',
   description: 'Report on rollouts',
   forms: [['moves', 'Report on rollouts']],
-  options: [PLATFORM],
-  examples: ['moves --platform http://10.0.0.1:7000 --json'],
+  options: [PLATFORM, INSTANCE],
+  examples: [
+    'moves --platform http://10.0.0.1:7000 --json',
+    'moves --platform http://10.0.0.1:7000 --instance 10.0.0.7:8082'
+  ],
   run: runMoves
 }, {
   name: 'status',
--- a/src/cli/controlPorts.ts
+++ b/src/cli/controlPorts.ts
@@ -4,11 +4,26 @@
 import { OutcomeUnknownError, PlatformUnavailableError } from '../errors'
 import type { PlatformClient } from '../platform/types'
 import type { Endpoint, KeyRecord, ListedInstance } from '../types'
+import { RollbackReason, RolloutPhase } from '../rollout/types'
 import type { CommandContext } from './context'
 
 /** Milliseconds for one exchange with a control port. */
 export const CONTROL_TIMEOUT_MS = 2000
 
+/** The parts of an instance's rollout record that reports need. */
+const rolloutSchema = z.looseObject({
+  model: z.string(),
+  fromVersion: z.string().optional(),
+  toVersion: z.string(),
+  phase: z.enum(RolloutPhase),
+  share: z.number(),
+  reason: z.enum(RollbackReason).optional(),
+  reasonRoute: z.string().optional(),
+  finishBy: z.number().optional(),
+  deadlineMissed: z.boolean(),
+  revision: z.number()
+})
+
 const statusSchema = z.looseObject({
   instance: z.string(),
   incarnation: z.number(),
@@ -19,7 +34,8 @@
   keyVersion: z.number(),
   quota: z.array(
     z.looseObject({ customer: z.string(), rate: z.number(), capacity: z.number() })
-  ).optional().catch(undefined)
+  ).optional().catch(undefined),
+  rollouts: z.array(rolloutSchema).optional().catch(undefined)
 })
 export type InstanceStatus = z.infer<typeof statusSchema>
 
--- a/src/rollout/report.ts
+++ b/src/rollout/report.ts
@@ -37,8 +37,22 @@
   [RolloutPhase.rolledBack]: RolloutState.rolledBack
 }
 
+/** The fields of a record that a report needs; fields may be absent in an instance's answer. */
+export type ReportedRecord = Pick<RolloutRecord, 'model' | 'toVersion' | 'phase' | 'share' | 'deadlineMissed' | 'revision'> & {
+  [Field in 'fromVersion' | 'reason' | 'reasonRoute' | 'finishBy']?: RolloutRecord[Field] | undefined
+}
+
+/**
+ * Describes a record that an instance holds. Its age is unknown and the rollout may have gone on since, so that only a
+ * deadline recorded as missed, or a rollout recorded as finished, settles the question of the deadline.
+ */
+export function reportView (record: ReportedRecord): RolloutReport {
+  const settled = record.deadlineMissed || record.phase === RolloutPhase.finished
+  return { ...reportRecord(record, 0), deadlineMissed: settled ? record.deadlineMissed : undefined }
+}
+
 /** Describes one record as it stood in the table at `readAt`. */
-export function reportRecord (record: RolloutRecord, readAt: WallClockMilliseconds): RolloutReport {
+export function reportRecord (record: ReportedRecord, readAt: WallClockMilliseconds): RolloutReport {
   const finished = record.phase === RolloutPhase.finished
   return {
     model: record.model,
