--- a/src/cli/__tests__/program.test.ts
+++ b/src/cli/__tests__/program.test.ts
@@ -1,4 +1,4 @@
-import { describe, expect, it } from 'vitest'
+import { describe, expect, it, vi } from 'vitest'
 import { applyConfiguration } from '../../configuration/apply'
 import { readFleetConfiguration } from '../../configuration/fleetConfiguration'
 import { createFakePlatform, type FakePlatform } from '../../platform/__tests__/fakePlatform'
@@ -6,6 +6,7 @@
 import { commandTable } from '../commandTable'
 import type { CommandContext } from '../context'
 import { createProgram } from '../program'
+import { addServeCommand } from '../serveCommand'
 
 const FLEET = '[data-centre south]\n[customer bakery]\nrate = 100\nburst = 500\n[model chat]\nversion = v1\n'
 const PLATFORM = ['--platform', 'http://127.0.0.1:7000']
@@ -14,6 +15,7 @@
   revision: number
   silent: boolean
   keys: KeyRecord[]
+  rollouts?: unknown
 }
 
 interface Terminal {
@@ -48,7 +50,7 @@
         return { status: 200, body: '{}' }
       }
       const quota = [{ customer: 'bakery', rate: 40, capacity: 200 }]
-      return { status: 200, body: JSON.stringify({ instance: `r${endpoint.port}`, incarnation: 7, state: 'live', revision: instance.revision, keyVersion: 0, quota, rollouts: [], upstreams: [] }) }
+      return { status: 200, body: JSON.stringify({ instance: `r${endpoint.port}`, incarnation: 7, state: 'live', revision: instance.revision, keyVersion: 0, quota, rollouts: instance.rollouts ?? [], upstreams: [] }) }
     },
     readFile: async (path) => {
       if (files[path] === undefined) throw new Error('no such file')
@@ -61,7 +63,12 @@
     createIdentifier: () => `operation-${++time}`,
     sleep: async (milliseconds) => { time += milliseconds }
   }
-  const program = createProgram({ context })
+  const program = createProgram({
+    context,
+    register (commands) {
+      addServeCommand(commands, async () => { throw new Error('the daemon was started') })
+    }
+  })
   return {
     async run (...words) {
       printed = ''
@@ -92,6 +99,7 @@
     ['missing file', ['check', 'absent.ini'], 'absent.ini'],
     ['missing argument', ['check'], 'FILE'],
     ['extra argument', ['moves', 'chat', ...PLATFORM], "'chat'"],
+    ['extra argument of serve', ['serve', 'router.ini'], "'router.ini'"],
     ['missing platform', ['moves'], '--platform'],
     ['malformed platform', ['moves', '--platform', 'nowhere'], 'HOST:PORT'],
     ['flag without value', ['moves', '--platform'], 'platform'],
@@ -103,7 +111,39 @@
     expect(terminal.errors()).toContain(hint)
   })
 
-  it.each(commandTable.map(({ pattern, examples }) => ({ name: pattern.split(' ')[0]!, examples })))(
+  // Guards against errors that run into the shell's prompt or leave the operator without a next step.
+  it.each([
+    ['a usage error', ['check'], 2, /^error: missing argument FILE; see `waxwingspoke COMMAND --help`\n$/],
+    ['an extra argument', ['customers', 'chat', ...PLATFORM], 2, /^error: unexpected argument 'chat'; see .*\n$/],
+    ['an invalid file', ['check', 'bad.ini'], 4, /\nnext: correct the file and run `check`\n$/],
+    ['an unknown customer', ['keys', 'grant', 'baker', ...PLATFORM], 1, /^error: no customer 'baker'.*; see the known names .*\n$/]
+  ])('ends %s with a newline and the next step', async (_, words, code, expected) => {
+    const terminal = createTerminal()
+    terminal.files['bad.ini'] = '[model x]\nverison = 1\n'
+    expect(await terminal.run(...words)).toBe(code)
+    expect(terminal.errors()).toMatch(expected)
+    expect(terminal.output()).toBe('')
+  })
+
+  // Guards against help that shows the patterns of the parser instead of the arguments.
+  it.each([
+    { name: 'all commands', words: ['--help'], usages: commandTable.flatMap(({ forms }) => forms.map(([usage]) => usage)) },
+    ...commandTable.map(({ name, forms }) => ({
+      name, words: [name, '--help'], usages: forms.map(([usage]) => `$ waxwingspoke ${usage}\n`)
+    }))
+  ])('shows the usage of $name as people type it', async ({ words, usages }) => {
+    const log = vi.spyOn(console, 'log').mockImplementation(() => {})
+    try {
+      expect(await createTerminal().run(...words)).toBe(0)
+      const text = log.mock.calls.flat().join('\n')
+      expect(text).not.toContain('[...')
+      for (const usage of usages) expect(text).toContain(usage)
+    } finally {
+      log.mockRestore()
+    }
+  })
+
+  it.each(commandTable.map(({ name, examples }) => ({ name, examples })))(
     'gives examples that $name accepts as far as flags go', async ({ name, examples }) => {
       for (const example of examples) {
         expect(example.startsWith(name)).toBe(true)
@@ -200,4 +240,34 @@
     expect(await terminal.run('status', '--instance', '127.0.0.1:2', '--json', ...PLATFORM)).toBe(5)
     expect(terminal.json()).toMatchObject({ platform: 'unavailable', instances: [{ name: 'r2' }] })
   })
+  // Guards against views of instances that pass for the platform's table, or claim more than an old record can tell.
+  it.each([
+    ['a platform that is away', PLATFORM, {}, 5, 'unavailable', undefined],
+    ['no platform given', [], {}, 0, 'not asked', undefined],
+    ['a recorded miss', [], { deadlineMissed: true }, 0, 'not asked', true],
+    ['a rollout that finished in time', [], { phase: 'finished' }, 0, 'not asked', false],
+    ['an instance that is silent', ['--instance', '127.0.0.1:2'], {}, 1, 'not asked', undefined]
+  ])('marks the views of instances as such with %s', async (_, words, fields, code, platform, deadlineMissed) => {
+    const terminal = createTerminal()
+    const record = { model: 'chat', toVersion: 'v2', phase: 'canary', share: 0.05, finishBy: 0, deadlineMissed: false, revision: 3 }
+    terminal.instances[1]!.rollouts = [{ ...record, ...fields }]
+    terminal.instances[2]!.silent = true
+    for (const format of [['--json'], []]) {
+      terminal.platform.readFaults = ['unavailable']
+      expect(await terminal.run('moves', '--instance', '127.0.0.1:1', ...words, ...format)).toBe(code)
+      if (format.length > 0) {
+        expect(terminal.json()).toMatchObject({ source: 'instances', platform, age: 'unknown', instances: [{ name: 'r1' }, ...(code === 1 ? [{ failure: 'no answer' }] : [])] })
+        expect(terminal.json().instances[0].rollouts[0].deadlineMissed).toBe(deadlineMissed)
+      }
+    }
+    expect(terminal.output()).toContain(`platform ${platform}; the instances' views, age unknown:`)
+    expect(terminal.output().includes('view unknown: 127.0.0.1:2 (no answer)')).toBe(code === 1)
+  })
+
+  it('reports the view of an instance as unknown when its rollouts cannot be read', async () => {
+    const terminal = createTerminal()
+    terminal.instances[1]!.rollouts = [{ model: 'chat', phase: 'sideways' }]
+    expect(await terminal.run('moves', '--instance', '127.0.0.1:1')).toBe(1)
+    expect(terminal.output()).toContain('view unknown: r1 (rollouts not readable)')
+  })
 })
