Grow the concurrency limit when first tokens come

Cause: at 500 streams to an engine with 2,000 slots the time was lost waiting for the concurrency limit, not in processing. The limit was capped at 256 and grew only when a stream ended, 2.7 s after its start, so requests queued for seconds. A burst from that queue then raised a wait above the slack of 300 ms, which ended the quick growth near 300 places.

Change: the maximum is 4,096, and the limit is adjusted when the first token comes, where the latency is known. The start stays at 64.

No run was made with 100 streams or with a small engine.

--- a/src/composeState.ts
+++ b/src/composeState.ts
@@ -28,12 +28,18 @@
 /** Entries of the block index; one takes 18 bytes, so that the index stays below 20 MB. */
 const INDEX_ENTRIES = 1_000_000
 
+/**
+ * Safety bound of the learned limit: eight accelerators of one engine with 512 slots each. The default of 256 refused
+ * requests at 500 streams to an engine with 2,000 slots.
+ */
+const MAXIMUM_CONCURRENCY = 4096
+
 /**
  * Engines batch dozens of requests, and the limit grows by one for each round of them, so that a start at the default of
  * 16 took minutes to fill six engines with 500 streams. Waits below the slack (milliseconds) are no sign of overload: one
  * decode step of a full batch takes about 40 ms, and a prefill of another prompt some hundreds.
  */
-const CONCURRENCY = { initial: 64, minimum: 4, slack: 300, probe: 1 }
+const CONCURRENCY = { initial: 64, minimum: 4, maximum: MAXIMUM_CONCURRENCY, slack: 300, probe: 1 }
 
 export interface InstanceIdentity {
   name: string
--- a/src/fairness/__tests__/concurrencyLimit.test.ts
+++ b/src/fairness/__tests__/concurrencyLimit.test.ts
@@ -46,4 +46,21 @@
       })
     }), { seed: 20261204, numRuns: 200 })
   })
+
+  // Guards against a limit that grows only when streams end, and so holds back load that an idle upstream could take.
+  it('grows from recorded latencies while all requests still run', () => {
+    const limit = createConcurrencyLimit({ initial: 64, maximum: 4096 })
+    let running = 0
+    for (let round = 0; round < 3; round += 1) {
+      let started = 0
+      while (limit.tryAcquire()) started += 1
+      running += started
+      for (let index = 0; index < started; index += 1) limit.record(50, round * 50)
+    }
+    expect(limit.inFlight()).toBe(running)
+    expect(limit.limit()).toBe(256)
+    for (let index = 0; index < running; index += 1) limit.releaseRecorded()
+    expect(limit.inFlight()).toBe(0)
+    expect(limit.limit()).toBe(256)
+  })
 })
--- a/src/fairness/concurrencyLimit.ts
+++ b/src/fairness/concurrencyLimit.ts
@@ -9,7 +9,7 @@
 const DECREASE = 0.9
 
 /**
- * Increase for each request that ended with a normal latency, as long as nothing has caused a decrease: the limit doubles
+ * Increase for each request with a normal latency, as long as nothing has caused a decrease: the limit doubles
  * with each round of requests. With one for each round, as in the textbook, 64 requests of 3 s each grew the limit by one
  * in 3 s, and an idle engine was refused work for minutes.
  */
@@ -76,22 +76,30 @@
     pausedUntil = now + Math.max(DECREASE_PAUSE_MS, latency)
   }
 
+  function adjust (latency: number | undefined, now: MonotonicMilliseconds): void {
+    // A limit that is not used has not been tested by this latency.
+    const used = inFlight >= Math.floor(limit) / 2
+    const isFailure = latency === undefined || !(latency >= 0)
+    if (!isFailure) observe(latency, now)
+    if (now < pausedUntil) return
+    if (isFailure) decrease(0, now)
+    else if (latency > Math.min(lowest, previousLowest) * tolerance + slack) decrease(latency, now)
+    else if (used) limit = Math.min(maximum, limit + (decreased ? INCREASE : STARTING_INCREASE))
+  }
+
   return {
     tryAcquire () {
       if (inFlight >= Math.floor(limit)) return false
       inFlight += 1
       return true
     },
+    record: adjust,
     release (latency, now) {
-      // A limit that is not used has not been tested by this latency.
-      const used = inFlight >= Math.floor(limit) / 2
+      adjust(latency, now)
+      inFlight = Math.max(0, inFlight - 1)
+    },
+    releaseRecorded () {
       inFlight = Math.max(0, inFlight - 1)
-      const isFailure = latency === undefined || !(latency >= 0)
-      if (!isFailure) observe(latency, now)
-      if (now < pausedUntil) return
-      if (isFailure) decrease(0, now)
-      else if (latency > Math.min(lowest, previousLowest) * tolerance + slack) decrease(latency, now)
-      else if (used) limit = Math.min(maximum, limit + (decreased ? INCREASE : STARTING_INCREASE))
     },
     inFlight: () => inFlight,
     limit: () => Math.floor(limit)
--- a/src/fairness/types.ts
+++ b/src/fairness/types.ts
@@ -31,7 +31,14 @@
 export interface ConcurrencyLimit {
   /** True when one more request may start. */
   tryAcquire: () => boolean
-  /** Ends a request; `latency` is its time to first token in milliseconds, undefined when it failed before it. */
+  /** Adjusts the limit to the latency of a request that still runs; end that request with `releaseRecorded`. */
+  record: (latency: number, now: MonotonicMilliseconds) => void
+  /** Ends a request whose latency was recorded. */
+  releaseRecorded: () => void
+  /**
+   * Ends a request whose latency was not recorded; `latency` is its time to first token in milliseconds, undefined when
+   * it failed before it.
+   */
   release: (latency: number | undefined, now: MonotonicMilliseconds) => void
   inFlight: () => number
   limit: () => number
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -163,6 +163,7 @@
         const computedTokens = Math.max(0, routing.promptTokens - cachedTokens)
         const milliseconds = now() - startedAt
         waited = registry.finishPrefill(upstream, identifier, { computedTokens, milliseconds }, now())
+        limit.record(waited, now())
         endComputing()
         pump()
       },
@@ -175,8 +176,8 @@
         endComputing()
         registry.finishWork(upstream, identifier, now())
         // A caller that left before the first token tells at least how long its request has waited.
-        if (!failed) waited ??= waitOf(upstream, routing.promptTokens, now() - startedAt)
-        limit.release(waited, now())
+        if (waited !== undefined) limit.releaseRecorded()
+        else limit.release(failed ? undefined : waitOf(upstream, routing.promptTokens, now() - startedAt), now())
         pump()
       }
     }
