--- a/src/rollout/judge.ts
+++ b/src/rollout/judge.ts
@@ -14,29 +14,17 @@
  * old version over the same period. Failures are too rare for the other form, in which only failures would speak for a
  * version: after a burst of failures its evidence would stand for minutes.
  */
-import { RollbackReason, type RolloutSample } from './types'
+import { baselineAt, createLoadLevels, LARGEST_BASELINE_RATE } from './loadBaseline'
+import {
+  ALTERNATIVE_RISK, METRICS, NULL_RISK, rateOf, ratesAbove, risked, sumOf, sumOfClear, type Counts, type Metric
+} from './judgedMetrics'
 import { createSequentialTest, type SequentialTest, type Trials } from './sequentialTest'
+import type { RollbackReason, RolloutSample } from './types'
 
-/** Relative risk up to which a version is as good as the old one. */
-export const NULL_RISK = 1.5
-/** Relative risk from which a version is bad. */
-export const ALTERNATIVE_RISK = 3
 /** Part of the requests on the new version above which the old version's sample is too small for a comparison. */
 const LARGEST_COMPARED_PART = 0.9
-/** Requests in one batch are grouped into load levels, each higher than the one before it by this factor. */
-const LOAD_LEVEL_FACTOR = 1.25
 /** Load levels above the highest known one at which nothing is said about slowness: more than 2.4 times its traffic. */
 const JUDGED_LEVELS_ABOVE = 4
-/** Load levels that make about one and a half times the traffic. */
-const MUCH_HIGHER_LEVELS = 2
-/** Batches whose mean traffic is the least that a batch counts as, so that chance does not make the load seem low. */
-const TRAFFIC_BATCHES = 3
-/** Rate at which the old version exceeds its own reference, the 95th percentile. */
-const REFERENCE_RATE = 0.05
-/** Requests of the old version at a load level below which it is no baseline. */
-const MINIMUM_BASELINE = 100
-/** Rate of slow answers of the old version above which a relative risk cannot be seen. */
-const LARGEST_BASELINE_RATE = 0.25
 /** Requests on the new version, in all and on each route, that allow the next share before the longest time has passed. */
 const SUFFICIENT_REQUESTS = 200
 const SUFFICIENT_ON_ROUTE = 30
@@ -48,53 +36,6 @@
 /** Batches for which the share does not rise after an instance has reported that its local brake is on. */
 const BRAKE_HOLD_BATCHES = 10
 
-interface Metric {
-  reason: RollbackReason
-  exceedances: (sample: RolloutSample) => number
-  trials: (sample: RolloutSample) => number
-  /** Counts instead of `exceedances` where load may explain these. */
-  clearExceedances: (sample: RolloutSample) => number
-  /** Lowest rates of the hypotheses without old traffic. */
-  lowestNullRate: number
-  lowestAlternativeRate: number
-  /** Judged by the part of the exceedances that falls on the new version while there is old traffic; depends on the load. */
-  slowness: boolean
-  /**
-   * Largest part of the bound that one batch contributes. The crash of one engine fails many requests in one batch, and
-   * two crashes may come close together; one stall slows many.
-   */
-  largestStep: number
-}
-
-const METRICS: readonly Metric[] = [{
-  reason: RollbackReason.failures,
-  exceedances: sample => sample.failures,
-  trials: sample => sample.requests,
-  clearExceedances: sample => sample.failures,
-  lowestNullRate: 0.005,
-  lowestAlternativeRate: 0.05,
-  slowness: false,
-  largestStep: 0.45
-}, {
-  reason: RollbackReason.slowFirstToken,
-  exceedances: sample => sample.slowFirstTokens,
-  trials: sample => sample.firstTokens,
-  clearExceedances: sample => sample.verySlowFirstTokens,
-  lowestNullRate: 0.15,
-  lowestAlternativeRate: 0.4,
-  slowness: true,
-  largestStep: 0.6
-}, {
-  reason: RollbackReason.slowTokens,
-  exceedances: sample => sample.slowTokens,
-  trials: sample => sample.betweenTokens,
-  clearExceedances: sample => sample.verySlowTokens,
-  lowestNullRate: 0.15,
-  lowestAlternativeRate: 0.4,
-  slowness: true,
-  largestStep: 0.6
-}]
-
 export interface Verdict {
   reason: RollbackReason
   route: string
@@ -111,11 +52,6 @@
   startStep: () => void
 }
 
-interface Counts {
-  exceedances: number
-  trials: number
-}
-
 interface RouteState {
   /** In the order of `METRICS`. */
   tests: readonly SequentialTest[]
@@ -139,7 +75,7 @@
   const routes = new Map<string, RouteState>()
   let pending = new Map<string, RolloutSample[]>()
   const inStep = new Map<string, number>()
-  const recentTraffic: number[] = []
+  const loadLevels = createLoadLevels()
   let batches = 0
   let brakedBatch = -Infinity
   let verdict: Verdict | undefined
@@ -207,13 +143,6 @@
     }
   }
 
-  function levelOf (traffic: number): number {
-    recentTraffic.push(traffic)
-    if (recentTraffic.length > TRAFFIC_BATCHES) recentTraffic.shift()
-    const mean = recentTraffic.reduce((sum, other) => sum + other, 0) / recentTraffic.length
-    return Math.ceil(Math.log(Math.max(1, traffic, mean)) / Math.log(LOAD_LEVEL_FACTOR))
-  }
-
   function noteRecent (state: RouteState, old: Counts): void {
     state.recent.push(old)
     if (state.recent.length > RECENT_BATCHES) state.recent.shift()
@@ -243,7 +172,7 @@
       for (const { route, version, requests } of batch) {
         inStep.set(route, (inStep.get(route) ?? 0) + (version === toVersion ? requests : 0))
       }
-      const level = levelOf(traffic)
+      const level = loadLevels.next(traffic)
       for (const route of new Set(batch.map(sample => sample.route))) {
         judgeRoute(route, groups.map(group => group.filter(sample => sample.route === route)), level)
       }
@@ -267,50 +196,3 @@
     }
   }
 }
-
-/** Rates of the hypotheses when the old version exceeds at `rate`. */
-function ratesAbove (metric: Metric, rate: number): Pick<Trials, 'nullRate' | 'alternativeRate'> {
-  return {
-    nullRate: Math.min(0.6, Math.max(metric.lowestNullRate, rate * NULL_RISK)),
-    alternativeRate: Math.min(0.9, Math.max(metric.lowestAlternativeRate, rate * ALTERNATIVE_RISK))
-  }
-}
-
-function risked (part: number, risk: number): number {
-  return risk * part / (risk * part + 1 - part)
-}
-
-/** Rate of the old version at the lowest known level that is not below `level`; undefined when there is none. */
-function baselineAt (baselines: ReadonlyMap<number, Counts>, level: number): number | undefined {
-  const levels = [...baselines.entries()].filter(
-    ([known, counts]) => known >= level && counts.trials >= MINIMUM_BASELINE
-  )
-  const nearest = levels.sort(([left], [right]) => left - right)[0]
-  if (nearest === undefined) return undefined
-  const rate = rateOf([nearest[1]])
-  // The reference is the old version's 95th percentile before the rollout. If it was exceeded often under a much higher
-  // load, it comes from a lower load.
-  return rate > LARGEST_BASELINE_RATE && nearest[0] - level >= MUCH_HIGHER_LEVELS ? REFERENCE_RATE : rate
-}
-
-function sumOfClear (batch: readonly RolloutSample[], version: string, metric: Metric): number {
-  return batch.reduce((sum, sample) => sum + (sample.version === version ? metric.clearExceedances(sample) : 0), 0)
-}
-
-function rateOf (counts: ReadonlyArray<Counts>): number {
-  const trials = counts.reduce((sum, count) => sum + count.trials, 0)
-  return trials === 0 ? 0 : counts.reduce((sum, count) => sum + count.exceedances, 0) / trials
-}
-
-function sumOf (
-  batch: readonly RolloutSample[], version: string, metric: Metric
-): Counts {
-  let exceedances = 0
-  let trials = 0
-  for (const sample of batch) {
-    if (sample.version !== version) continue
-    exceedances += metric.exceedances(sample)
-    trials += metric.trials(sample)
-  }
-  return { exceedances, trials }
-}
