--- a/playground/overhead/main.ts
+++ b/playground/overhead/main.ts
@@ -40,6 +40,8 @@
   report: LoadReport
   /** Milliseconds of processor time of the router. */
   processor: number
+  /** Largest resident memory of the router so far, in bytes. */
+  peakMemory: number
 }
 
 const program = cac('overhead')
@@ -92,7 +94,7 @@
     const report = await runLoad(plan, target, { streams: 0 })
     const processor = processorTime(router.program.pid) - before
     await agent.destroy()
-    return { report, processor }
+    return { report, processor, peakMemory: peakMemory(router.program.pid) }
   }
 }
 
@@ -113,12 +115,19 @@
       addedFirstTokenP50: through.report.timeToFirstToken.p50 - direct.report.timeToFirstToken.p50,
       addedFirstTokenP99: through.report.timeToFirstToken.p99 - direct.report.timeToFirstToken.p99,
       addedBetweenTokensP99: through.report.timeBetweenTokens.p99 - direct.report.timeBetweenTokens.p99,
+      peakMemory: through.peakMemory,
       processorMilliseconds: through.processor,
       processorMicrosecondsPerToken: 1000 * through.processor / Math.max(1, through.report.tokens)
     }))
   }
 }
 
+/** Largest resident memory of a process since its start, in bytes. */
+function peakMemory (pid: number): number {
+  const line = /VmHWM:\s+(\d+) kB/.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))
+  return Number(line?.[1] ?? 0) * 1024
+}
+
 /** User and system time of a process in milliseconds. */
 function processorTime (pid: number): number {
   const fields = readFileSync(`/proc/${pid}/stat`, 'utf8').split(') ')[1]?.split(' ') ?? []
