--- a/src/compose.ts
+++ b/src/compose.ts
@@ -95,6 +95,7 @@
     registerKey,
     createIdentifier,
     borrow: (customer, tokens) => tasks.borrow(customer, tokens),
+    instanceCount: () => membership.members().length,
     publishCrashes,
     reasonNotServing,
     reasonNotReady,
--- a/src/composeGateway.ts
+++ b/src/composeGateway.ts
@@ -40,6 +40,8 @@
   createIdentifier: () => string
   /** Asks peers for loans; see `AdmissionOptions`. */
   borrow: AdmissionOptions['borrow']
+  /** Known router instances, this one included; they share the budget of the kept-cache store. */
+  instanceCount: () => number
   publishCrashes: (notices: readonly CrashNotice[]) => void
   /** Why requests cannot be served now; undefined when they can. */
   reasonNotServing: () => string | undefined
@@ -85,7 +87,7 @@
     retryBudget: state.retryBudget,
     index: state.index,
     keptCache: createKeptCacheUse({
-      keptCache: createKeptCache(),
+      keptCache: createKeptCache({ instanceCount: options.instanceCount }),
       client,
       prefillRate: (upstream) => state.registry.upstream(upstream, now())?.prefillTokensPerSecond ?? 0,
       now
--- a/src/composeState.ts
+++ b/src/composeState.ts
@@ -25,7 +25,7 @@
 import type { UpstreamEvent } from './upstream/registryTypes'
 import type { FleetConfiguration, Incarnation, MonotonicMilliseconds, RandomSource } from './types'
 
-/** Entries of the block index; one takes 18 bytes, so that the index stays below 20 MB. */
+/** Entries of the block index; one takes 20 bytes, 20 MB in all. */
 const INDEX_ENTRIES = 1_000_000
 
 /**
--- a/src/prefix/__tests__/keptCache.test.ts
+++ b/src/prefix/__tests__/keptCache.test.ts
@@ -43,7 +43,8 @@
 
   it('keeps exports and imports within the store budget and memory within its bound', () => {
     fc.assert(fc.property(fc.array(fc.tuple(fc.nat(50), fc.nat(300)), { maxLength: 300 }), (steps) => {
-      const cache = createKeptCache({ exportsPerSecond: 2, importsPerSecond: 5, maximumBlocks: 20, hotUses: 1 })
+      const rates = { exportsPerSecond: 20, importsPerSecond: 50, instanceCount: () => 10 }
+      const cache = createKeptCache({ ...rates, maximumBlocks: 20, hotUses: 1 })
       let [now, exported, imported] = [0, 0, 0]
       for (const [number, pause] of steps) {
         now += pause
--- a/src/prefix/keptCache.ts
+++ b/src/prefix/keptCache.ts
@@ -15,10 +15,12 @@
   window?: number
   /** Blocks tracked; the least recently used go first. @default 20000 */
   maximumBlocks?: number
-  /** Exports per second of this instance: the store handles several hundred writes a second for all. @default 2 */
+  /** Exported blocks per second of the whole fleet: the store handles several hundred writes a second. @default 60 */
   exportsPerSecond?: number
-  /** Imports per second of this instance, in blocks: the store handles two thousand reads for all. @default 20 */
+  /** Imported blocks per second of the whole fleet: the store handles about two thousand reads a second. @default 400 */
   importsPerSecond?: number
+  /** Number of instances that share these rates; at least 1. @default 1 */
+  instanceCount?: () => number
   /** Milliseconds to import one block before any import was measured. @default 20 */
   initialImportMilliseconds?: number
   /** Milliseconds for which a failed import is remembered. @default 30000 */
@@ -58,12 +60,12 @@
 
 export function createKeptCache (options: KeptCacheOptions = {}): KeptCache {
   const {
-    hotUses = 3, window = 60_000, maximumBlocks = 20_000, exportsPerSecond = 2, importsPerSecond = 20,
-    initialImportMilliseconds = 20, missMemory = 30_000, exportMemory = 600_000
+    hotUses = 3, window = 60_000, maximumBlocks = 20_000, exportsPerSecond = 60, importsPerSecond = 400,
+    instanceCount = () => 1, initialImportMilliseconds = 20, missMemory = 30_000, exportMemory = 600_000
   } = options
   const records = new Map<string, BlockRecord>()
-  const takeExport = createAllowance(exportsPerSecond)
-  const takeImport = createAllowance(importsPerSecond)
+  const takeExport = createAllowance(() => exportsPerSecond / Math.max(1, instanceCount()))
+  const takeImport = createAllowance(() => importsPerSecond / Math.max(1, instanceCount()))
   let millisecondsPerBlock = initialImportMilliseconds
 
   function touch (key: string, now: MonotonicMilliseconds): BlockRecord {
@@ -131,12 +133,13 @@
   }
 }
 
-/** Token bucket with a burst of one second's worth. */
-function createAllowance (perSecond: number): (now: MonotonicMilliseconds) => boolean {
-  let tokens = perSecond
-  let updatedAt: MonotonicMilliseconds | undefined
+/** Token bucket with a burst of one second's worth, at least one token. */
+function createAllowance (perSecond: () => number): (now: MonotonicMilliseconds) => boolean {
+  let tokens = Infinity
+  let updatedAt: MonotonicMilliseconds = -Infinity
   return (now) => {
-    tokens = Math.min(perSecond, tokens + Math.max(0, now - (updatedAt ?? now)) * perSecond / 1000)
+    const rate = perSecond()
+    tokens = Math.min(Math.max(1, rate), tokens + Math.max(0, now - updatedAt) * rate / 1000)
     updatedAt = now
     if (tokens < 1) return false
     tokens -= 1
