--- a/src/composeTasks.ts
+++ b/src/composeTasks.ts
@@ -1,4 +1,5 @@
 /** Periodic work of one instance: polls of platform and upstreams, grants, loans, heartbeats, rollouts. */
+import { monitorEventLoopDelay } from 'node:perf_hooks'
 import type { InstanceIdentity, InstanceState } from './composeState'
 import { createConfigurationTask } from './configuration/configurationTask'
 import { createKeyTask } from './customer/keyTask'
@@ -27,6 +28,9 @@
 
 const SECOND_MS = 1000
 
+/** Milliseconds between samples of the event loop's delay; the histogram counts them as a part of each delay. */
+const LOOP_RESOLUTION_MS = 20
+
 /** Rounds of polling of which an instance that is no relay takes part in one. */
 const OWN_POLL_ROUNDS = 30
 
@@ -78,6 +82,8 @@
 
 export function createTasks (options: TasksOptions) {
   const { identity, state, platform, client, node, membership, timers, log, metrics, now, wallClock, random } = options
+  const loopDelay = monitorEventLoopDelay({ resolution: LOOP_RESOLUTION_MS })
+  loopDelay.enable()
   let list: InstanceList | undefined
   let listError: RouterError | undefined
   let platformAway = false
@@ -244,6 +250,9 @@
     metrics.gauge(MetricName.indexEntries, state.index.entryCount())
     metrics.gauge(MetricName.queueSize, state.queue.size())
     metrics.gauge(MetricName.peers, node.peers().length)
+    metrics.gauge(MetricName.upstreams, state.registry.upstreams(now()).length)
+    metrics.gauge(MetricName.eventLoopDelay, Math.max(0, loopDelay.max / 1e6 - LOOP_RESOLUTION_MS))
+    loopDelay.reset()
   }
 
   const pollInterval = (): number => {
