--- a/src/compose.ts
+++ b/src/compose.ts
@@ -191,7 +191,7 @@
     isStopping: () => phase !== 'running',
     onQuota: gateway.admission.wake,
     pump: gateway.dispatcher.pump,
-    finishWrites: guard.tick,
+    guard,
     tickClock: () => clock.tick(wallClock()),
     log,
     metrics,
--- a/src/composeTasks.ts
+++ b/src/composeTasks.ts
@@ -17,6 +17,8 @@
 import { BORROWING_INTERVAL_MS } from './quota/borrowing'
 import type { PlannedLoan } from './quota/borrowing'
 import { createGrantTask } from './quota/grantTask'
+import { reservationOwner } from './request/idempotency'
+import type { IdempotencyGuard } from './request/idempotency'
 import { createRolloutLeader, leaderInstance } from './rollout/leader'
 import { RolloutPhase } from './rollout/types'
 import type { RolloutEffect, RolloutRecord } from './rollout/types'
@@ -38,6 +40,9 @@
 const POLL_INTERVAL_PER_ENGINE_MS = 20
 const SHORTEST_POLL_INTERVAL_MS = 250
 
+/** Milliseconds between two sweeps of old idempotency rows, of one customer each. */
+const SWEEP_INTERVAL_MS = 60_000
+
 /** Milliseconds between rounds of probes; the registry decides which upstreams are due. */
 const PROBE_INTERVAL_MS = 250
 
@@ -65,8 +70,8 @@
   /** A grant or a loan may have come. */
   onQuota: () => void
   pump: () => void
-  /** Repeats unfinished writes of the idempotency guard. */
-  finishWrites: () => Promise<void>
+  /** Keeps the rows of idempotency keys. */
+  guard: Pick<IdempotencyGuard, 'tick' | 'sweep'>
   tickClock: () => string
   log: EventLog
   metrics: Metrics
@@ -243,6 +248,22 @@
     }
   }
 
+  let sweeps = 0
+  /** Sweeps one owner at a time; each belongs to one instance, so that two do not delete the same rows. */
+  async function sweepReservations (): Promise<void> {
+    const configuration = state.tracker.current()?.configuration
+    if (configuration === undefined) return
+    const names = [...new Set([identity.name, ...membership.alive(now()).filter(isStaying).map(({ name }) => name)])]
+    const open = configuration.routes.filter((route) => route.open)
+    const own = [
+      ...configuration.customers.map(({ name }) => reservationOwner(name, '')),
+      ...open.map(({ name }) => reservationOwner(undefined, name))
+    ].filter((owner) => rankByRendezvous(owner, names)[0] === identity.name)
+    const owner = own[sweeps % Math.max(1, own.length)]
+    sweeps += 1
+    if (owner !== undefined) await options.guard.sweep(owner, wallClock())
+  }
+
   function tidy (): void {
     state.registry.expire(now())
     state.noteIncarnations()
@@ -291,7 +312,8 @@
       timers.every(SECOND_MS, sendHeartbeat)
       timers.every(SECOND_MS, sendSamples)
       timers.every(SECOND_MS, tidy)
-      timers.every(SECOND_MS, options.finishWrites)
+      timers.every(SECOND_MS, options.guard.tick)
+      timers.every(SWEEP_INTERVAL_MS, sweepReservations)
       timers.every(BORROWING_INTERVAL_MS, () => { sendLoans(state.loans.planAhead(loanPeers(), now())) })
       timers.every(PROBE_INTERVAL_MS, polling.probe)
       timers.every(SECOND_MS * 60, () => { state.retryBudget.prune(now()) })
--- a/src/gateway/serviceExecutor.ts
+++ b/src/gateway/serviceExecutor.ts
@@ -7,6 +7,7 @@
 import { MetricName } from '../observability/metrics'
 import type { QuotaAccounts } from '../quota/types'
 import type { AttemptFailure } from '../request/execution'
+import { reservationOwner } from '../request/idempotency'
 import type { IdempotencyGuard, Reservation } from '../request/idempotency'
 import { decideNextStep } from '../request/nextStep'
 import type { RetryBudget } from '../request/retryBudget'
@@ -80,7 +81,7 @@
   /** With an idempotency key, reserves it first, so that no other instance runs the request as well. */
   async function runGuarded (job: ServiceJob): Promise<ServiceAnswer> {
     if (job.idempotencyKey === undefined) return await attemptAll(job)
-    const owner = job.customer ?? `route ${job.route.name}`
+    const owner = reservationOwner(job.customer, job.route.name)
     const outcome = await guard.reserve(owner, job.idempotencyKey, job.fingerprint, options.wallClock())
     switch (outcome.kind) {
       case 'run': return await runReserved(job, outcome.reservation)
--- a/src/request/__tests__/idempotency.test.ts
+++ b/src/request/__tests__/idempotency.test.ts
@@ -3,7 +3,7 @@
 import { OutcomeUnknownError } from '../../errors'
 import { createMemoryPlatform } from '../../platform/memoryPlatform'
 import type { PlatformClient } from '../../platform/types'
-import { createIdempotencyGuard } from '../idempotency'
+import { createIdempotencyGuard, RETENTION_MS } from '../idempotency'
 import type { IdempotencyGuard, ReservationOutcome } from '../idempotency'
 
 const WALL_CLOCK = 1_700_000_000_000
@@ -129,6 +129,24 @@
     expect([guard.pendingWrites(), (await guard.reserve('c', 'k', 'f', WALL_CLOCK)).kind]).toEqual([0, 'stored'])
   })
 
+  it('deletes old rows of one customer only, and keeps those that still answer repeats', async () => {
+    const platform = createMemoryPlatform()
+    const guard = createGuard(platform.client, 'a')
+    for (const [customer, key, at] of [['c', 'old', 0], ['c', 'new', 1000], ['cc', 'old', 0]] as const) {
+      await guard.reserve(customer, key, 'f', WALL_CLOCK + at)
+    }
+    const later = WALL_CLOCK + RETENTION_MS + 500
+    platform.faults.outage = true
+    expect(await guard.sweep('c', later)).toBe(0)
+    platform.faults.outage = false
+    expect(await guard.sweep('c', later)).toBe(1)
+    const kinds = []
+    for (const [customer, key] of [['c', 'old'], ['c', 'new'], ['cc', 'old']] as const) {
+      kinds.push((await guard.reserve(customer, key, 'f', later)).kind)
+    }
+    expect(kinds).toEqual(['run', 'inDoubt', 'inDoubt'])
+  })
+
   it('would run twice without the condition on the row: the check above can fail', async () => {
     const { client } = createMemoryPlatform()
     const unconditional: PlatformClient = {
--- a/src/request/idempotency.ts
+++ b/src/request/idempotency.ts
@@ -14,6 +14,15 @@
 /** Inserts tried when the platform's answer is lost. */
 const RESERVATION_TRIES = 3
 
+/**
+ * Milliseconds for which a reservation answers repeats; afterwards the same key runs anew. Without an end the table would
+ * grow by a row for each request with a key.
+ */
+export const RETENTION_MS = 24 * 3600 * 1000
+
+/** Rows deleted in one sweep, so that a sweep stays a small part of the store's write budget. */
+const SWEEP_LIMIT = 100
+
 /** Unfinished writes kept for repetition; the oldest are given up first. */
 const MAXIMUM_PENDING_WRITES = 1000
 
@@ -72,9 +81,18 @@
   release: (reservation: Reservation) => Promise<void>
   /** Repeats unfinished writes; call it every second or so. */
   tick: () => Promise<void>
+  /** Deletes rows of a customer, or of another owner, that are older than `RETENTION_MS`; returns how many. Does nothing while the platform is away. */
+  sweep: (customer: string, wallClock: WallClockMilliseconds) => Promise<number>
   pendingWrites: () => number
 }
 
+const SHA256_DIGITS = 64
+
+/** Whose idempotency keys a call belongs to: its customer's, or on a route open to all the route's. */
+export function reservationOwner (customer: string | undefined, route: string): string {
+  return customer ?? `route ${route}`
+}
+
 /** Table key of a reservation. The caller's idempotency key is hashed, since it may hold personal data. */
 export function reservationKey (customer: string, idempotencyKey: string): string {
   return `${encodeURIComponent(customer)}/${createHash('sha256').update(idempotencyKey).digest('hex')}`
@@ -172,6 +190,22 @@
     if (await finish(key, record)) pending.delete(record.operation)
   }
 
+  /** True when the row is deleted, false when another writer was first. */
+  async function deleteRow (row: TableRow<ReservationRecord>): Promise<boolean> {
+    const { key, version, value: { operation } } = row
+    try {
+      await platform.commit({
+        identifier: `sweep/${operation}`,
+        conditions: [{ table: PlatformTable.idempotency, key, version }],
+        writes: [{ table: PlatformTable.idempotency, key, value: undefined }]
+      })
+      return true
+    } catch (error) {
+      if (error instanceof TransactionConflictError) return false
+      throw error
+    }
+  }
+
   return {
     async reserve (customer, idempotencyKey, fingerprint, wallClock) {
       return await reserveRow(reservationKey(customer, idempotencyKey), {
@@ -203,6 +237,20 @@
         else return
       }
     },
+    async sweep (customer, wallClock) {
+      let deleted = 0
+      try {
+        const rows = await platform.readTable<ReservationRecord>(PlatformTable.idempotency, {
+          prefix: reservationKey(customer, '').slice(0, -SHA256_DIGITS)
+        })
+        const old = rows.filter(({ value }) => wallClock - value.reservedAt > RETENTION_MS)
+        for (const row of old.slice(0, SWEEP_LIMIT)) if (await deleteRow(row)) deleted += 1
+      } catch (error) {
+        // The next sweep finds what is left.
+        if (!(error instanceof PlatformUnavailableError || error instanceof OutcomeUnknownError)) throw error
+      }
+      return deleted
+    },
     pendingWrites: () => pending.size
   }
 }
