--- a/playground/__tests__/failures.test.ts
+++ b/playground/__tests__/failures.test.ts
@@ -62,7 +62,7 @@
     await third.program.stop()
     const { platformUrl } = test.fleet
     await controlStandin(platformUrl, 'PUT', 'faults', { outage: true })
-    const restarted = await test.startRouter('router-3', third)
+    const restarted = await test.startRouter('router-3', { replaces: third })
     const begun = performance.now()
     await waitReady(restarted.callerUrl)
     expect(performance.now() - begun).toBeLessThan(3000)
--- a/playground/__tests__/testFleet.ts
+++ b/playground/__tests__/testFleet.ts
@@ -9,7 +9,7 @@
 import { streamCompletion, waitFor, waitReady } from '../client'
 import type { StreamedAnswer } from '../client'
 import { startFleet } from '../fleet'
-import type { Fleet, Router, Upstream } from '../fleet'
+import type { Fleet, Router, RouterOptions, Upstream } from '../fleet'
 
 const PROGRAMS = fileURLToPath(new URL('../../dist', import.meta.url))
 
@@ -54,7 +54,7 @@
     router: Router, prompt: string, more?: { onText?: (text: string) => void, key?: string, tokens?: number }
   ) => Promise<StreamedAnswer>
   startEngine: (name: string) => Promise<Upstream>
-  startRouter: (name: string, replaces?: Router) => Promise<Router>
+  startRouter: (name: string, more?: Pick<RouterOptions, 'replaces' | 'platformUrl'>) => Promise<Router>
 }
 
 /** Starts the fleet and waits until every router serves. */
@@ -76,10 +76,8 @@
   const { key, record } = await grantKey(fleet.platform, 'bakery', randomBytes(32), randomUUID(), Date.now())
   const engines: [Upstream, Upstream] = [await engine('engine-1'), await engine('engine-2')]
   const service = await fleet.startService({ name: 'ordering-1', dataCentre: 'north', service: 'ordering' })
-  const startRouter = async (name: string, replaces?: Router): Promise<Router> => {
-    return await fleet.startRouter({
-      name, dataCentre: 'north', settings: SETTINGS, ...(replaces === undefined ? {} : { replaces })
-    })
+  const startRouter: TestFleet['startRouter'] = async (name, more = {}) => {
+    return await fleet.startRouter({ name, dataCentre: 'north', settings: SETTINGS, ...more })
   }
   const routers: Router[] = []
   for (let index = 1; index <= routerCount; index++) routers.push(await startRouter(`router-${index}`))
--- a/playground/fleet.ts
+++ b/playground/fleet.ts
@@ -47,6 +47,8 @@
   settings?: string
   /** Ports of an earlier process that this one replaces. */
   replaces?: Router
+  /** @default the platform's own address */
+  platformUrl?: string
 }
 
 export interface Fleet {
@@ -55,6 +57,8 @@
   startEngine: (options: EngineOptions) => Promise<Upstream>
   startService: (options: EngineOptions & { service: string }) => Promise<Upstream>
   startRouter: (options: RouterOptions) => Promise<Router>
+  /** Starts a relay to the platform, through which a router can be cut off from it. */
+  startRelay: () => Promise<{ url: string, controlUrl: string }>
   /** Client of the platform, for changes that need no operator command. */
   platform: PlatformClient
   /** Runs an operator command through the binary. */
@@ -109,7 +113,9 @@
     return { name, url, program }
   }
 
-  async function startRouter ({ name, dataCentre, settings = '', replaces }: RouterOptions): Promise<Router> {
+  async function startRouter (
+    { name, dataCentre, settings = '', replaces, platformUrl = platform.url }: RouterOptions
+  ): Promise<Router> {
     const file = join(directory, `${name}.ini`)
     const address = (url: string | undefined): string => url?.replace('http://', '') ?? '127.0.0.1:0'
     writeFileSync(file, `[instance]
@@ -120,7 +126,7 @@
 peer = ${address(replaces?.peerAddress)}
 control = ${address(replaces?.controlUrl)}
 [platform]
-address = ${platform.url}
+address = ${platformUrl}
 ${settings}
 `)
     const logFile = join(directory, `${name}.log`)
@@ -165,6 +171,10 @@
     startEngine: async (engine) => await startUpstream('engine.mjs', { ...engine, parameters: ['--platform', platform.url, ...engine.parameters ?? []] }),
     startService: async (service) => await startUpstream('service.mjs', service),
     startRouter,
+    async startRelay () {
+      const { program, url } = await start('relay.mjs', ['--target', platform.url.replace('http://', '')])
+      return { url, controlUrl: `http://127.0.0.1:${String(program.ready.controlPort)}` }
+    },
     command,
     async apply (configuration) {
       const file = join(directory, 'fleet.ini')
