Move the rollout work of an instance out of composeTasks

Change: composeRollouts.ts leads rollouts, sends samples and carries out effects; behaviour is unchanged.

--- /dev/null
+++ b/src/composeRollouts.ts
@@ -0,0 +1,102 @@
+/** Rollout work of one instance: leads rollouts, sends samples to leaders, and carries out a leader's effects. */
+import type { InstanceIdentity, InstanceState } from './composeState'
+import { FULL_MESH_LIMIT } from './membership/membership'
+import { LogEvent } from './observability/events'
+import type { EventLog } from './observability/events'
+import type { PeerNode } from './peer/node'
+import { rankByRendezvous } from './prefix/rendezvous'
+import type { PlatformClient } from './platform/types'
+import { createRolloutLeader, leaderInstance } from './rollout/leader'
+import { RolloutPhase } from './rollout/types'
+import type { RolloutEffect, RolloutRecord } from './rollout/types'
+import type { UpstreamClient } from './upstream/types'
+import type { MonotonicMilliseconds, WallClockMilliseconds } from './types'
+
+/** Instances that compete for the lead of one model's rollouts in a fleet that is too large for a full mesh. */
+const LEADERS_PER_MODEL = 2
+
+export interface RolloutTasksOptions {
+  identity: InstanceIdentity
+  state: InstanceState
+  platform: PlatformClient
+  client: Pick<UpstreamClient, 'order'>
+  node: Pick<PeerNode, 'broadcast' | 'send'>
+  /** Live instances that are not leaving, this one included. */
+  stayingInstances: () => readonly string[]
+  log: EventLog
+  now: () => MonotonicMilliseconds
+  wallClock: () => WallClockMilliseconds
+}
+
+export type RolloutTasks = ReturnType<typeof createRolloutTasks>
+
+export function createRolloutTasks (options: RolloutTasksOptions) {
+  const { identity, state, platform, client, node, log, now, wallClock } = options
+  const leader = createRolloutLeader({
+    platform,
+    self: { instance: identity.name, incarnation: identity.incarnation },
+    configuration: state.tracker.current,
+    engines: () => state.registry.upstreams(now()).filter(({ kind }) => kind === 'engine'),
+    mayLead (model) {
+      const names = options.stayingInstances()
+      return names.length <= FULL_MESH_LIMIT ||
+        rankByRendezvous(model, names).slice(0, LEADERS_PER_MODEL).includes(identity.name)
+    },
+    onRecord: takeRecord
+  })
+
+  function takeRecord (record: RolloutRecord): void {
+    if (!state.rollouts.offer(record)) return
+    node.broadcast({ kind: 'rolloutNotice', record })
+    logRecord(record)
+  }
+
+  function logRecord (record: RolloutRecord): void {
+    const event = record.phase === RolloutPhase.rolledBack
+      ? LogEvent.rolloutRolledBack
+      : record.phase === RolloutPhase.finished ? LogEvent.rolloutFinished : LogEvent.rolloutStep
+    const { model, phase, share, toVersion, reason, leader: by } = record
+    log(event, { rollout: model, model, version: toVersion, phase, share, reason, leader: by })
+  }
+
+  function sendSamples (): void {
+    const samples = state.sampler.drain()
+    for (const model of new Set(samples.map((sample) => sample.model))) {
+      const record = state.rollouts.record(model)
+      if (record === undefined) continue
+      const part = samples.filter((sample) => sample.model === model)
+      const target = leaderInstance(record.leader)
+      if (target === identity.name) leader.addSamples(identity.name, part)
+      else node.send(target, { kind: 'rolloutSample', samples: part })
+    }
+  }
+
+  function carryOut (effects: readonly RolloutEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === 'record') {
+        node.broadcast({ kind: 'rolloutNotice', record: effect.record })
+        continue
+      }
+      const { engine, endpoint, order, validUntil } = effect
+      // A leader whose lease has lapsed, or that was replaced, must not order any more.
+      if (now() >= validUntil || order.fencingToken < state.rollouts.fencingToken(order.model)) continue
+      client.order(endpoint, order).catch((error: unknown) => {
+        log(LogEvent.rolloutStep, {
+          rollout: order.model,
+          upstream: engine,
+          version: order.version,
+          order: order.kind,
+          message: (error as Error).message
+        }, 'warn')
+        if (order.kind === 'load') leader.loadFailed(engine, order.model, order.version)
+      })
+    }
+  }
+
+  return {
+    leader,
+    sendSamples,
+    /** Steps the rollouts that this instance leads. */
+    lead: async (): Promise<void> => { carryOut(await leader.tick(now(), wallClock())) }
+  }
+}
--- a/src/composeTasks.ts
+++ b/src/composeTasks.ts
@@ -1,10 +1,10 @@
-/** Periodic work of one instance: polls of platform and upstreams, grants, loans, heartbeats, rollouts. */
+/** Periodic work of one instance: polls of platform and upstreams, grants, loans, heartbeats. */
 import { monitorEventLoopDelay } from 'node:perf_hooks'
 import type { InstanceIdentity, InstanceState } from './composeState'
+import { createRolloutTasks } from './composeRollouts'
 import { createConfigurationTask } from './configuration/configurationTask'
 import { createKeyTask } from './customer/keyTask'
 import { RouterError } from './errors'
-import { FULL_MESH_LIMIT } from './membership/membership'
 import type { Member, Membership } from './membership/membership'
 import { LogEvent } from './observability/events'
 import type { EventLog, Metrics } from './observability/events'
@@ -19,9 +19,6 @@
 import { createGrantTask } from './quota/grantTask'
 import { reservationOwner } from './request/idempotency'
 import type { IdempotencyGuard } from './request/idempotency'
-import { createRolloutLeader, leaderInstance } from './rollout/leader'
-import { RolloutPhase } from './rollout/types'
-import type { RolloutEffect, RolloutRecord } from './rollout/types'
 import type { Timers } from './timers'
 import { createUpstreamPolling } from './upstream/upstreamPolling'
 import type { UpstreamClient } from './upstream/types'
@@ -52,9 +49,6 @@
 /** Milliseconds between looks at the queue when no event asks for one; bounds how late a deadline is noticed. */
 const PUMP_INTERVAL_MS = 50
 
-/** Instances that compete for the lead of one model's rollouts in a fleet that is too large for a full mesh. */
-const LEADERS_PER_MODEL = 2
-
 export interface TasksOptions {
   identity: InstanceIdentity
   peerEndpoint: Endpoint
@@ -120,32 +114,12 @@
     clock: now,
     random
   })
-  const leader = createRolloutLeader({
-    platform,
-    self: { instance: identity.name, incarnation: identity.incarnation },
-    configuration: state.tracker.current,
-    engines: () => state.registry.upstreams(now()).filter(({ kind }) => kind === 'engine'),
-    mayLead (model) {
-      const names = membership.alive(now()).filter(isStaying).map(({ name }) => name)
-      return names.length <= FULL_MESH_LIMIT ||
-        rankByRendezvous(model, names).slice(0, LEADERS_PER_MODEL).includes(identity.name)
-    },
-    onRecord: takeRecord
-  })
-
-  function takeRecord (record: RolloutRecord): void {
-    if (!state.rollouts.offer(record)) return
-    node.broadcast({ kind: 'rolloutNotice', record })
-    logRecord(record)
-  }
-
-  function logRecord (record: RolloutRecord): void {
-    const event = record.phase === RolloutPhase.rolledBack
-      ? LogEvent.rolloutRolledBack
-      : record.phase === RolloutPhase.finished ? LogEvent.rolloutFinished : LogEvent.rolloutStep
-    const { model, phase, share, toVersion, reason, leader: by } = record
-    log(event, { rollout: model, model, version: toVersion, phase, share, reason, leader: by })
+  const stayingInstances = (): string[] => {
+    return [...new Set([identity.name, ...membership.alive(now()).filter(isStaying).map(({ name }) => name)])]
   }
+  const rollouts = createRolloutTasks({
+    identity, state, platform, client, node, stayingInstances, log, now, wallClock
+  })
 
   function takeList (newer: InstanceList): void {
     if (list !== undefined && newer.asOf < list.asOf) return
@@ -214,46 +188,12 @@
     })
   }
 
-  function sendSamples (): void {
-    const samples = state.sampler.drain()
-    for (const model of new Set(samples.map((sample) => sample.model))) {
-      const record = state.rollouts.record(model)
-      if (record === undefined) continue
-      const part = samples.filter((sample) => sample.model === model)
-      const target = leaderInstance(record.leader)
-      if (target === identity.name) leader.addSamples(identity.name, part)
-      else node.send(target, { kind: 'rolloutSample', samples: part })
-    }
-  }
-
-  function carryOut (effects: readonly RolloutEffect[]): void {
-    for (const effect of effects) {
-      if (effect.kind === 'record') {
-        node.broadcast({ kind: 'rolloutNotice', record: effect.record })
-        continue
-      }
-      const { engine, endpoint, order, validUntil } = effect
-      // A leader whose lease has lapsed, or that was replaced, must not order any more.
-      if (now() >= validUntil || order.fencingToken < state.rollouts.fencingToken(order.model)) continue
-      client.order(endpoint, order).catch((error: unknown) => {
-        log(LogEvent.rolloutStep, {
-          rollout: order.model,
-          upstream: engine,
-          version: order.version,
-          order: order.kind,
-          message: (error as Error).message
-        }, 'warn')
-        if (order.kind === 'load') leader.loadFailed(engine, order.model, order.version)
-      })
-    }
-  }
-
   let sweeps = 0
   /** Sweeps one owner at a time; each belongs to one instance, so that two do not delete the same rows. */
   async function sweepReservations (): Promise<void> {
     const configuration = state.tracker.current()?.configuration
     if (configuration === undefined) return
-    const names = [...new Set([identity.name, ...membership.alive(now()).filter(isStaying).map(({ name }) => name)])]
+    const names = stayingInstances()
     const open = configuration.routes.filter((route) => route.open)
     const own = [
       ...configuration.customers.map(({ name }) => reservationOwner(name, '')),
@@ -281,7 +221,7 @@
   }
 
   return {
-    leader,
+    leader: rollouts.leader,
     grants,
     polling,
     platformError: () => platformError()?.message,
@@ -310,7 +250,7 @@
     async start (): Promise<void> {
       timers.every(PUMP_INTERVAL_MS, options.pump)
       timers.every(SECOND_MS, sendHeartbeat)
-      timers.every(SECOND_MS, sendSamples)
+      timers.every(SECOND_MS, rollouts.sendSamples)
       timers.every(SECOND_MS, tidy)
       timers.every(SECOND_MS, options.guard.tick)
       timers.every(SWEEP_INTERVAL_MS, sweepReservations)
@@ -333,7 +273,7 @@
         await Promise.all([pollConfiguration(), keyTask.tick(now())])
       })
       timers.every(SECOND_MS, pollList)
-      timers.every(SECOND_MS, async () => { carryOut(await leader.tick(now(), wallClock())) })
+      timers.every(SECOND_MS, rollouts.lead)
     }
   }
 }
