--- a/playground/__tests__/testFleet.ts
+++ b/playground/__tests__/testFleet.ts
@@ -51,7 +51,8 @@
   key: string
   keyHash: string
   complete: (
-    router: Router, prompt: string, more?: { onText?: (text: string) => void, key?: string, tokens?: number }
+    router: Router, prompt: string,
+    more?: { onText?: (text: string) => void, key?: string, tokens?: number, signal?: AbortSignal }
   ) => Promise<StreamedAnswer>
   startEngine: (name: string) => Promise<Upstream>
   startRouter: (name: string, more?: Pick<RouterOptions, 'replaces' | 'platformUrl'>) => Promise<Router>
