Count this instance among those that share the kept-cache budget

Cause: the list of members leaves out the instance itself, so that n instances each took 1/(n-1) of the fleet's budget, against the option's own description. Change: one is added where the number is passed on. Figures: linter, type check, build and 126 cases of src/prefix, src/gateway and playground/__tests__/callers.test.ts pass; the whole suite was not run again. Conclusion: found in a read of the whole change; no check caught it.

--- a/src/compose.ts
+++ b/src/compose.ts
@@ -95,7 +95,8 @@
     registerKey,
     createIdentifier,
     borrow: (customer, tokens) => tasks.borrow(customer, tokens),
-    instanceCount: () => membership.members().length,
+    // `members` leaves out this instance.
+    instanceCount: () => membership.members().length + 1,
     publishCrashes,
     reasonNotServing,
     reasonNotReady,
