--- a/src/cli/controlPorts.ts
+++ b/src/cli/controlPorts.ts
@@ -1,6 +1,6 @@
 /** Questions to the control ports of router instances. An instance that does not answer is reported as such. */
 import { z } from 'zod'
-import { formatEndpoint } from '../configuration/valueKinds'
+import { formatEndpoint } from '../http/endpoint'
 import { OutcomeUnknownError, PlatformUnavailableError } from '../errors'
 import type { PlatformClient } from '../platform/types'
 import type { Endpoint, KeyRecord, ListedInstance } from '../types'
--- a/src/cli/input.ts
+++ b/src/cli/input.ts
@@ -1,6 +1,6 @@
 /** Reading of options and files that several commands share. */
 import { readFleetConfiguration } from '../configuration/fleetConfiguration'
-import { parseEndpoint } from '../configuration/valueKinds'
+import { parseEndpoint } from '../http/endpoint'
 import { UsageError } from '../errors'
 import type { Endpoint, FleetConfiguration } from '../types'
 import type { CommandInput } from './context'
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -1,7 +1,7 @@
 /** The command line: parses arguments, runs one command, prints its output and returns the exit code. */
 import { cac, type CAC } from 'cac'
 import { nearestName } from '../configuration/nearestName'
-import { parseEndpoint } from '../configuration/valueKinds'
+import { parseEndpoint } from '../http/endpoint'
 import { UsageError } from '../errors'
 import type { PlatformClient } from '../platform/types'
 import type { CommandContext, CommandInput } from './context'
--- a/src/cli/systemContext.ts
+++ b/src/cli/systemContext.ts
@@ -3,7 +3,7 @@
 import { readFile } from 'node:fs/promises'
 import { setTimeout as sleep } from 'node:timers/promises'
 import { request } from 'undici'
-import { formatEndpoint } from '../configuration/valueKinds'
+import { formatEndpoint } from '../http/endpoint'
 import { createHttpPlatformClient } from '../platform/httpPlatformClient'
 import type { CommandContext } from './context'
 
--- a/src/configuration/valueKinds.ts
+++ b/src/configuration/valueKinds.ts
@@ -1,5 +1,6 @@
 /** Kinds of values in INI files: how a text is parsed, its unit and its bound. */
 import { z } from 'zod'
+import { parseEndpoint } from '../http/endpoint'
 import type { Endpoint, WallClockMilliseconds } from '../types'
 
 export interface ValueKind<Output> {
@@ -12,7 +13,6 @@
 
 const DURATION_UNITS: Readonly<Record<string, number>> = { ms: 1, s: 1000, m: 60_000, h: 3_600_000, d: 86_400_000 }
 const SIZE_UNITS: Readonly<Record<string, number>> = { B: 1, KiB: 1024, MiB: 1024 ** 2, GiB: 1024 ** 3 }
-const HIGHEST_PORT = 65_535
 
 function kind<Output> (unit: string, bound: string, parse: (text: string) => Output | undefined): ValueKind<Output> {
   const schema = z.string().transform((text, context) => {
@@ -92,17 +92,6 @@
     text => VERSION_PATTERN.test(text) ? text : undefined)
 }
 
-export function parseEndpoint (text: string): Endpoint | undefined {
-  const match = /^(?:\[([0-9A-Fa-f:.]+)\]|([^\s:/[\]]+)):(\d{1,5})$/.exec(text)
-  if (match === null) return undefined
-  const port = Number(match[3])
-  return port > HIGHEST_PORT ? undefined : { host: match[1] ?? match[2]!, port }
-}
-
-export function formatEndpoint (endpoint: Endpoint): string {
-  return endpoint.host.includes(':') ? `[${endpoint.host}]:${endpoint.port}` : `${endpoint.host}:${endpoint.port}`
-}
-
 export function address (): ValueKind<Endpoint> {
   return kind('address', '`HOST:PORT` or `[IPv6]:PORT`', parseEndpoint)
 }
--- /dev/null
+++ b/src/edge/callerAnswer.ts
@@ -0,0 +1,103 @@
+/** The caller's side of one exchange: reads the body and writes exactly one answer. */
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Dialect } from './types'
+
+export interface Refusal {
+  status: number
+  code: string
+  message: string
+  /** Milliseconds after which the caller may come back; undefined when that would not help. */
+  retryAfter?: number
+}
+
+export interface CallerAnswer {
+  /** Gives the router's own answer, unless one has begun. */
+  refuse: (refusal: Refusal) => void
+  /** Begins an upstream's answer. */
+  begin: (status: number, message: string | undefined, rawHeaders: readonly string[]) => void
+  /** Writes a piece; false when the caller does not keep up. */
+  write: (bytes: Buffer) => boolean
+  end: (bytes?: Buffer) => void
+  /** Closes the connection so that the answer does not look complete. */
+  breakOff: () => void
+  hasBegun: () => boolean
+  isOver: () => boolean
+  onDrained: (listener: () => void) => void
+}
+
+export interface CallerAnswerOptions {
+  response: ServerResponse
+  dialect: Dialect
+  identifier: string | undefined
+  /** Whether the connection must close after the answer. */
+  mustClose: () => boolean
+}
+
+export function createCallerAnswer ({ response, dialect, identifier, mustClose }: CallerAnswerOptions): CallerAnswer {
+  let begun = false
+  let over = false
+
+  function begin (status: number, message: string | undefined, rawHeaders: readonly string[]): void {
+    begun = true
+    const headers = dialect.callerHeaders(rawHeaders)
+    if (mustClose()) headers.push('Connection', 'close')
+    response.writeHead(status, message, headers)
+  }
+
+  return {
+    refuse ({ status, code, message, retryAfter }) {
+      if (begun || over) return
+      begun = true
+      over = true
+      const body = Buffer.from(JSON.stringify({ error: { code, message } }))
+      const headers = dialect.ownHeaders(identifier, retryAfter === undefined ? undefined : retryAfter / 1000)
+      headers.push('Content-Type', 'application/json', 'Content-Length', String(body.length))
+      // A body that has not been read would be taken for the next request.
+      if (mustClose() || !response.req.complete) headers.push('Connection', 'close')
+      response.writeHead(status, headers)
+      response.end(body)
+    },
+    begin,
+    write: (bytes) => response.write(bytes),
+    end (bytes) {
+      over = true
+      response.end(bytes)
+    },
+    breakOff () {
+      over = true
+      response.destroy()
+    },
+    hasBegun: () => begun,
+    isOver: () => over,
+    onDrained: (listener) => { response.on('drain', listener) }
+  }
+}
+
+/** Whether a request has a body at all. */
+export function hasBody (request: IncomingMessage): boolean {
+  const length = request.headers['content-length']
+  return request.headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0')
+}
+
+/** Reads the whole body. Calls `onTooLong` once when it exceeds the limit; neither is called when the caller leaves. */
+export function readBody (
+  request: IncomingMessage, limit: number, onBody: (body: Buffer) => void, onTooLong: () => void
+): void {
+  const chunks: Buffer[] = []
+  let bytes = 0
+  let tooLong = false
+  request.on('data', (chunk: Buffer) => {
+    if (tooLong) return
+    bytes += chunk.length
+    if (bytes > limit) {
+      tooLong = true
+      chunks.length = 0
+      onTooLong()
+      return
+    }
+    chunks.push(chunk)
+  })
+  request.on('end', () => {
+    if (!tooLong) onBody(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))
+  })
+}
--- /dev/null
+++ b/src/edge/composeEdge.ts
@@ -0,0 +1,234 @@
+/** Wires the parts of one edge daemon and owns its start and its end. */
+import { ConfigurationError } from '../errors'
+import { createBoundedLog } from './boundedLog'
+import { startEdgeServer } from './edgeServer'
+import { EdgeEvent } from './events'
+import { startExchange, type Exchange } from './exchange'
+import { createFreshness } from './freshness'
+import { createInstanceList } from './instanceList'
+import { createKeptParts } from './promptPlan'
+import { createQuotaShares } from './quotaShare'
+import { createRetryAllowance } from './retryAllowance'
+import { createRouteTable, type RouteTable } from './routeTable'
+import type { EdgeSettings } from './settings'
+import { followTable } from './storeFollower'
+import { createStoreLease } from './storeLease'
+import type { Dialect, EngineControl, Instant, Store, StoreRecords, StoreRow, UpstreamEntry } from './types'
+import { createUpstreamConnections } from './upstreamConnections'
+import { createUpstreamDirectory, type DirectoryChange } from './upstreamDirectory'
+import { createWeightsMove } from './weightsMove'
+import { startWeightsTask } from './weightsTask'
+
+/** Part of the revocation bound for which a call waits for changes; two of them and a time-out fit into the bound. */
+const FOLLOW_SHARE = 0.35
+/** Milliseconds that a call waits for changes without a revocation bound, and for changes of upstreams. */
+const FOLLOW_MS = 2000
+/** Milliseconds between looks for silent upstreams and idle connections. */
+const SWEEP_MS = 100
+/** Milliseconds between writes of the log. */
+const LOG_FLUSH_MS = 500
+/** Milliseconds after the request to stop for which new connections are taken; the balancer needs two missed checks. */
+const ACCEPT_MS = 3500
+/** Milliseconds before the end by force at which the process ends by itself. */
+const END_MARGIN_MS = 500
+/** Milliseconds between looks at whether the last exchange is over. */
+const DRAIN_POLL_MS = 50
+
+export interface EdgeOptions {
+  settings: EdgeSettings
+  dialect: Dialect
+  records: StoreRecords
+  store: Store
+  control: EngineControl
+}
+
+export interface Edge {
+  /** Stops gracefully; resolves when the process may end. */
+  stop: () => Promise<void>
+  /** Notes that the settings were read again. */
+  reloaded: (outcome: string) => void
+  fault: (error: unknown) => void
+}
+
+const CHANGE_EVENTS: Readonly<Record<DirectoryChange['kind'], EdgeEvent>> = {
+  found: EdgeEvent.upstreamFound,
+  lost: EdgeEvent.upstreamLost,
+  leaving: EdgeEvent.upstreamLeaving,
+  restarted: EdgeEvent.upstreamRestarted
+}
+
+/** Rejects when an address is taken. */
+export async function startEdge (options: EdgeOptions): Promise<Edge> {
+  const { settings, dialect, records, store, control } = options
+  const { instance, limits } = settings
+  const now = (): Instant => ({ steady: performance.now(), wall: Date.now() })
+  const random = Math.random
+  const incarnation = Date.now()
+  const { log, flush, close: closeLog } = createBoundedLog({
+    instance: instance.name, incarnation, now: () => performance.now(), wallClock: Date.now
+  })
+  const newestVersion = { value: 0 }
+  const freshness = createFreshness(limits.revocation)
+  const directory = createUpstreamDirectory()
+  const connections = createUpstreamConnections(() => performance.now())
+  const move = createWeightsMove()
+  const namedAt = new Map<string, number>()
+  const exchanges = new Set<Exchange>()
+  let table: RouteTable | undefined
+  let listRead = false
+  let stopping = false
+
+  function isReady (): boolean {
+    return !stopping && table !== undefined && listRead && freshness.permitsKeys(now())
+  }
+
+  const server = await startEdgeServer({
+    caller: settings.listen.caller,
+    readiness: settings.listen.readiness,
+    isReady,
+    onRequest (request, response) {
+      const exchange: Exchange = startExchange(context, request, response, () => { exchanges.delete(exchange) })
+      exchanges.add(exchange)
+    }
+  })
+  const instances = createInstanceList({
+    store, newestVersion, now, random, log, instance: instance.name, dataCentre: instance.dataCentre
+  })
+  const context = {
+    dialect,
+    table: () => table,
+    freshness,
+    directory,
+    connections,
+    quotas: createQuotaShares({ overage: limits.quotaOverage, slack: limits.quotaSlack }),
+    retries: createRetryAllowance({ window: limits.retryWindow, ratio: limits.retryRatio, extra: limits.retryExtra }),
+    kept: createKeptParts(),
+    dataCentre: instance.dataCentre,
+    instances: () => instances.count(),
+    wantedWeights (model: string) {
+      const version = move.wanted(model)
+      return version === undefined ? undefined : { version, since: namedAt.get(model) ?? 0 }
+    },
+    isStopping: () => stopping,
+    log,
+    now,
+    random
+  }
+
+  function takeConfiguration (value: Buffer, rowVersion: number): void {
+    try {
+      const configuration = records.configuration(value)
+      // A replica that lags may show an older configuration; it never replaces a newer one.
+      if (table !== undefined && configuration.version <= table.configuration.version) {
+        if (configuration.version < table.configuration.version) {
+          log(EdgeEvent.configurationIgnored, { configurationVersion: configuration.version, inForce: table.configuration.version })
+        }
+        return
+      }
+      table = createRouteTable(configuration)
+      server.setLimits(configuration.limits)
+      log(EdgeEvent.configurationAccepted, { configurationVersion: configuration.version, rowVersion })
+    } catch (error) {
+      if (!(error instanceof ConfigurationError)) throw error
+      log(EdgeEvent.configurationIgnored, { rowVersion, reason: error.message })
+    }
+  }
+
+  function takeOperatorRow ({ key, value, version }: StoreRow): void {
+    if (value === undefined) return
+    if (key === records.configurationKey) return takeConfiguration(value, version)
+    const weights = records.wantedWeights(key, value)
+    if (weights === undefined || !move.want(weights)) return
+    namedAt.set(weights.model, now().steady)
+    log(EdgeEvent.weightsNamed, { ...weights, rowVersion: version })
+  }
+
+  function noteChanges (changes: readonly DirectoryChange[]): void {
+    for (const { kind, upstream } of changes) {
+      const { identifier, service, startedAt } = upstream.entry
+      log(CHANGE_EVENTS[kind], { upstream: identifier, service, startedAt })
+      if (kind === 'lost' || kind === 'restarted') connections.forget(upstream)
+    }
+  }
+
+  function readEntry ({ key, value }: StoreRow): UpstreamEntry | undefined {
+    const entry = value === undefined ? undefined : records.upstream(key, value)
+    if (value !== undefined && entry === undefined) log(EdgeEvent.upstreamUnreadable, { upstream: key })
+    return entry
+  }
+
+  function takeUpstreamChange (row: StoreRow, afterOutage: boolean): void {
+    const entry = readEntry(row)
+    const present = now().steady
+    noteChanges(entry === undefined ? directory.remove(row.key, afterOutage, present) : directory.update(entry))
+  }
+
+  const shared = { store, newestVersion, log, now, random }
+  const operatorFollower = followTable({
+    ...shared,
+    table: records.tables.operator,
+    wait: Number.isFinite(limits.revocation) ? Math.round(limits.revocation * FOLLOW_SHARE) : FOLLOW_MS,
+    onRows: (rows) => { rows.forEach(takeOperatorRow) },
+    onChanges: (rows) => { rows.forEach(takeOperatorRow) },
+    onContact: freshness.proved
+  })
+  const upstreamFollower = followTable({
+    ...shared,
+    table: records.tables.upstreams,
+    wait: FOLLOW_MS,
+    onRows (rows, afterOutage) {
+      listRead = true
+      const entries = rows.flatMap((row) => readEntry(row) ?? [])
+      noteChanges(directory.replace(entries, afterOutage, now().steady))
+    },
+    onChanges: (rows, afterOutage) => { for (const row of rows) takeUpstreamChange(row, afterOutage) }
+  })
+  const weightsTask = startWeightsTask({
+    instance: instance.name,
+    store,
+    control,
+    lease: createStoreLease(instance.name, incarnation, limits.lease),
+    move,
+    directory,
+    isStopping: () => stopping,
+    log,
+    now,
+    random
+  })
+  const sweep = setInterval(() => {
+    const present = now()
+    for (const exchange of exchanges) exchange.check(present)
+    noteChanges(directory.expire(present.steady))
+    connections.prune()
+  }, SWEEP_MS)
+  const flushTimer = setInterval(flush, LOG_FLUSH_MS)
+  log(EdgeEvent.started, { dataCentre: instance.dataCentre })
+
+  async function pause (milliseconds: number): Promise<void> {
+    await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
+  }
+
+  return {
+    async stop () {
+      if (stopping) return
+      stopping = true
+      log(EdgeEvent.stopping, { exchanges: exchanges.size })
+      const end = performance.now() + limits.grace - END_MARGIN_MS
+      await pause(Math.min(ACCEPT_MS, limits.grace / 2))
+      server.closeIdle()
+      while (exchanges.size > 0 && performance.now() < end) await pause(DRAIN_POLL_MS)
+      for (const task of [operatorFollower, upstreamFollower, weightsTask, instances]) task.stop()
+      clearInterval(sweep)
+      clearInterval(flushTimer)
+      server.close()
+      store.close()
+      log(EdgeEvent.stopped, { exchanges: exchanges.size })
+      closeLog()
+    },
+    reloaded: (outcome) => { log(EdgeEvent.reloaded, { outcome }) },
+    fault (error) {
+      log(EdgeEvent.fault, { reason: error instanceof Error ? error.stack : String(error) })
+      closeLog()
+    }
+  }
+}
--- /dev/null
+++ b/src/edge/edgeServer.ts
@@ -0,0 +1,69 @@
+/** The caller port and the readiness port of an edge daemon. */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Endpoint } from '../types'
+import type { CallerLimits } from './types'
+
+/** Milliseconds between checks for slow headers and bodies. */
+const CONNECTION_CHECK_MS = 500
+/** Milliseconds for a whole request; its caller's own time ends sooner. */
+const REQUEST_LIMIT_MS = 60_000
+/** Added to the idle time that callers count on, so that they stop using a connection before it closes. */
+const IDLE_MARGIN_MS = 1000
+/** Waiting connections; a zone's callers may all come at once. */
+const BACKLOG = 1024
+/** Header bytes until a configuration is known. */
+const INITIAL_HEADER_BYTES = 65_536
+
+export interface EdgeServerOptions {
+  caller: Endpoint
+  readiness: Endpoint
+  onRequest: (request: IncomingMessage, response: ServerResponse) => void
+  isReady: () => boolean
+}
+
+export interface EdgeServer {
+  setLimits: (limits: CallerLimits) => void
+  /** Takes no new connections and closes idle ones; running exchanges go on. */
+  closeIdle: () => void
+  close: () => void
+}
+
+async function listen (server: Server, endpoint: Endpoint): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen({ host: endpoint.host, port: endpoint.port, backlog: BACKLOG }, resolve)
+  })
+}
+
+/** Rejects when an address is taken. */
+export async function startEdgeServer (options: EdgeServerOptions): Promise<EdgeServer> {
+  const callers = createServer({
+    connectionsCheckingInterval: CONNECTION_CHECK_MS,
+    requestTimeout: REQUEST_LIMIT_MS,
+    maxHeaderSize: INITIAL_HEADER_BYTES,
+    noDelay: true
+  }, (request, response) => {
+    response.sendDate = false
+    options.onRequest(request, response)
+  })
+  const readiness = createServer((request, response) => {
+    request.resume()
+    response.writeHead(options.isReady() ? 200 : 503, { 'Content-Length': '0' }).end()
+  })
+  await Promise.all([listen(callers, options.caller), listen(readiness, options.readiness)])
+  return {
+    setLimits ({ headerTimeout, idleTimeout }) {
+      callers.headersTimeout = headerTimeout
+      callers.keepAliveTimeout = idleTimeout + IDLE_MARGIN_MS
+    },
+    closeIdle () {
+      callers.close()
+      callers.closeIdleConnections()
+    },
+    close () {
+      callers.closeAllConnections()
+      readiness.close()
+      readiness.closeAllConnections()
+    }
+  }
+}
--- /dev/null
+++ b/src/edge/events.ts
@@ -0,0 +1,33 @@
+/** Log events of the edge, each with its fields. */
+export const EdgeEvent = {
+  started: 'edge.started',
+  stopping: 'edge.stopping',
+  stopped: 'edge.stopped',
+  reloaded: 'edge.reloaded',
+  fault: 'edge.fault',
+  requestRouted: 'request.routed',
+  requestRefused: 'request.refused',
+  requestFinished: 'request.finished',
+  requestCancelled: 'request.cancelled',
+  answerBrokenOff: 'request.broken_off',
+  attemptFailed: 'attempt.failed',
+  attemptRejected: 'attempt.rejected',
+  configurationAccepted: 'configuration.accepted',
+  configurationIgnored: 'configuration.ignored',
+  upstreamFound: 'upstream.found',
+  upstreamLost: 'upstream.lost',
+  upstreamLeaving: 'upstream.leaving',
+  upstreamRestarted: 'upstream.restarted',
+  upstreamUnreadable: 'upstream.unreadable',
+  instancesChanged: 'instances.changed',
+  storeLost: 'store.lost',
+  storeRegained: 'store.regained',
+  weightsNamed: 'weights.named',
+  weightsOrdered: 'weights.ordered',
+  weightsOrderFailed: 'weights.order_failed',
+  leaseTaken: 'lease.taken',
+  leaseLost: 'lease.lost'
+} as const
+export type EdgeEvent = typeof EdgeEvent[keyof typeof EdgeEvent]
+
+export type EdgeLog = (event: EdgeEvent, fields?: Readonly<Record<string, unknown>>) => void
--- /dev/null
+++ b/src/edge/placement.ts
@@ -0,0 +1,78 @@
+/**
+ * Places one request on an upstream.
+ *
+ * Load patterns that these decisions answer:
+ * - Long shared prompts, more of them than the engines hold: the engines are ranked by rendezvous hashing of the last
+ *   shared part, so that all instances choose the same engine without telling each other.
+ * - One hot prefix: requests move on to the next engines in rank when the wait at the first exceeds a fetch of the parts.
+ * - Short calls of plain services: the least busy upstream, with a preference for the own data centre.
+ */
+import { rendezvousWeight } from '../prefix/rendezvous'
+import type { MonotonicMilliseconds } from '../types'
+import { currentWait, type Upstream } from './upstreamDirectory'
+
+/** Milliseconds that an upstream in another data centre must be faster by; a round trip between data centres. */
+const DISTANCE_MS = 3
+/** Milliseconds for one request in flight at a plain service; the usual time of a call, over its slots. */
+const SERVICE_CALL_MS = 20
+/** Milliseconds to fetch or read again 1,000 shared tokens, from the engines' prefill rate and the links to the store. */
+const FETCH_MS_PER_1000_TOKENS = 12
+/** Milliseconds by which the next engine in rank must be better, so that a prefix does not wander with each wave. */
+const SWITCH_MARGIN_MS = 40
+/** Growth of that distance with each rank, so that a hot prefix spreads to few engines first. */
+const RANK_STEP = 0.3
+/** Milliseconds to read 1,000 prompt tokens; engines of the deployments read 80 to 160 tokens in a millisecond. */
+const READ_MS_PER_1000_TOKENS = 8
+/** Milliseconds of waiting that newer weights are worth; an answer on old ones loses a fifth of its value. */
+const OLD_WEIGHTS_MS = 150
+
+export interface PlacementRequest {
+  /** What the request shares with others: cache scope and last shared part; undefined without such parts. */
+  sharedSubject: string | undefined
+  sharedTokens: number
+  dataCentre: string
+  /** Newer weights have been in force for a while than the upstream has. */
+  hasOldWeights: (upstream: Upstream) => boolean
+}
+
+/** Candidates in the order in which they should be tried. */
+export function orderUpstreams (
+  request: PlacementRequest, candidates: readonly Upstream[], now: MonotonicMilliseconds
+): Upstream[] {
+  return request.sharedSubject === undefined
+    ? orderByLoad(request, candidates, now)
+    : orderByPrefix(request, request.sharedSubject, candidates, now)
+}
+
+function byCost (candidates: readonly Upstream[], cost: (upstream: Upstream) => number): Upstream[] {
+  return candidates
+    .map((upstream) => ({ upstream, cost: cost(upstream) }))
+    .sort((one, other) => one.cost - other.cost)
+    .map(({ upstream }) => upstream)
+}
+
+function orderByLoad (
+  request: PlacementRequest, candidates: readonly Upstream[], now: MonotonicMilliseconds
+): Upstream[] {
+  return byCost(candidates, (upstream) => (
+    currentWait(upstream, now) +
+    upstream.inFlight * SERVICE_CALL_MS / upstream.entry.slots +
+    (upstream.entry.dataCentre === request.dataCentre ? 0 : DISTANCE_MS)
+  ))
+}
+
+function orderByPrefix (
+  request: PlacementRequest, subject: string, candidates: readonly Upstream[], now: MonotonicMilliseconds
+): Upstream[] {
+  const ranks = new Map(candidates
+    .map((upstream) => ({ upstream, weight: rendezvousWeight(subject, upstream.entry.identifier) }))
+    .sort((one, other) => other.weight - one.weight)
+    .map(({ upstream }, rank) => [upstream, rank]))
+  const move = SWITCH_MARGIN_MS + request.sharedTokens / 1000 * FETCH_MS_PER_1000_TOKENS
+  return byCost(candidates, (upstream) => {
+    const rank = ranks.get(upstream)!
+    return currentWait(upstream, now) + upstream.unreadTokens / 1000 * READ_MS_PER_1000_TOKENS +
+      (rank === 0 ? 0 : move * (1 + RANK_STEP * rank)) +
+      (request.hasOldWeights(upstream) ? OLD_WEIGHTS_MS : 0)
+  })
+}
--- /dev/null
+++ b/src/edge/promptPlan.ts
@@ -0,0 +1,94 @@
+/** Which cached parts of a prompt a request shares, and where they may be fetched from or kept. */
+import { RepeatRule } from './types'
+import type { AttemptDirections, CacheStore, CallerRequest, EdgeCustomer, EdgeRoute } from './types'
+import type { Upstream } from './upstreamDirectory'
+
+/** Shared tokens from which a transfer to or from the store costs less than reading them again. */
+const WORTH_KEEPING_TOKENS = 1000
+/** Milliseconds for which a part that was sent to the store is not sent again. */
+const KEPT_MS = 20_000
+/** Parts remembered as sent to the store. */
+const KEPT_PARTS = 20_000
+/** Urgency steps for each step of a customer's priority; the routes' priorities lie between them. */
+const CUSTOMER_STEP = 3
+const LAST_URGENCY = 9
+
+export interface PromptPlan {
+  /** Identity of the last shared part and of who may share it; undefined without shared parts. */
+  subject: string | undefined
+  sharedTokens: number
+  promptTokens: number
+}
+
+export function planPrompt (request: CallerRequest, customer: EdgeCustomer | undefined): PromptPlan {
+  const shared = request.promptParts.slice(0, -1)
+  const last = shared.at(-1)
+  const wall = customer?.isolated === true ? customer.name : ''
+  return {
+    subject: last === undefined ? undefined : `${wall}:${last.identifier}`,
+    sharedTokens: shared.reduce((sum, part) => sum + part.tokens, 0),
+    promptTokens: request.tokens?.prompt ?? 0
+  }
+}
+
+/** Rank of a request at an engine; the customer's priority goes before the route's. */
+export function urgencyOf (route: EdgeRoute, customer: EdgeCustomer | undefined): number | undefined {
+  if (route.repeat !== RepeatRule.stream) return undefined
+  return Math.min(LAST_URGENCY, (customer?.priority ?? 0) * CUSTOMER_STEP + Math.min(route.priority, CUSTOMER_STEP - 1))
+}
+
+/** Remembers which parts this instance has sent to the store. */
+export interface KeptParts {
+  /** True when the part should be sent to the store; remembers that it is. */
+  shouldKeep: (subject: string, now: number) => boolean
+}
+
+export function createKeptParts (): KeptParts {
+  const sentAt = new Map<string, number>()
+  return {
+    shouldKeep (subject, now) {
+      const before = sentAt.get(subject)
+      if (before !== undefined && now - before < KEPT_MS) return false
+      sentAt.delete(subject)
+      sentAt.set(subject, now)
+      const oldest = sentAt.keys().next().value
+      if (sentAt.size > KEPT_PARTS && oldest !== undefined) sentAt.delete(oldest)
+      return true
+    }
+  }
+}
+
+export type CacheDirections = Pick<AttemptDirections, 'cacheScope' | 'weightsVersion' | 'importFrom' | 'exportTo'>
+
+const NO_CACHE: CacheDirections = {
+  cacheScope: undefined, weightsVersion: undefined, importFrom: undefined, exportTo: undefined
+}
+
+export interface CacheDirectionsOptions {
+  plan: PromptPlan
+  customer: EdgeCustomer | undefined
+  model: string | undefined
+  upstream: Upstream
+  store: CacheStore | undefined
+  kept: KeptParts
+  /** Text that no other request uses as its scope. */
+  uniqueScope: string
+}
+
+/** The scope names model, weights and, for an isolated customer, the customer: parts under it are safe to use. */
+export function directCache (options: CacheDirectionsOptions, now: number): CacheDirections {
+  const { plan, customer, model, upstream, store, kept, uniqueScope } = options
+  if (model === undefined) return NO_CACHE
+  const version = upstream.weights.get(model)
+  // Without known weights nothing that is cached may be used.
+  if (version === undefined) return { ...NO_CACHE, cacheScope: `request.${uniqueScope}` }
+  const wall = customer?.isolated === true ? `.${customer.name}` : ''
+  const cacheScope = `${model}.${version}${wall}`
+  const usesStore = store !== undefined && plan.subject !== undefined && plan.sharedTokens >= WORTH_KEEPING_TOKENS
+  return {
+    cacheScope,
+    weightsVersion: version,
+    importFrom: usesStore ? store.endpoint : undefined,
+    exportTo: usesStore && kept.shouldKeep(`${cacheScope}/${plan.subject!}`, now) ? store.endpoint : undefined
+  }
+}
--- /dev/null
+++ b/src/edge/quotaShare.ts
@@ -0,0 +1,70 @@
+/** This instance's share of each customer's rate and burst. */
+import { advanceBucket, chargeBucket, createBucket, refreshAllowance, settleBucket, type Bucket } from '../quota/bucket'
+import type { MonotonicMilliseconds } from '../types'
+import type { CallerRequest, EdgeCustomer } from './types'
+
+/** Longest time in milliseconds after which a caller is told to come back. */
+const LONGEST_RETRY_MS = 2000
+/** Part of the permitted overage that is used; the rest covers instances that join before all others know of them. */
+const OVERAGE_USED = 0.5
+
+export interface QuotaOptions {
+  /** Part by which the limit may be exceeded in a window. */
+  overage: number
+  /** Units by which the limit may be exceeded in a window, over all instances. */
+  slack: number
+}
+
+export type QuotaDecision = { admitted: true } | { admitted: false, retryAfter: number }
+
+export interface QuotaShares {
+  /** Charges a request or says when its cost will be there. */
+  admit: (
+    customer: EdgeCustomer, identifier: string, cost: number, instances: number, now: MonotonicMilliseconds
+  ) => QuotaDecision
+  /** Ends a charge; `run` is false when no upstream ran the request. */
+  settle: (customer: string, identifier: string, cost: number, run: boolean) => void
+}
+
+/** Units that a request costs its customer. */
+export function costOf (request: CallerRequest, customer: EdgeCustomer): number {
+  if (customer.unit === 'request') return 1
+  return request.tokens === undefined ? customer.defaultCost : request.tokens.prompt + request.tokens.output
+}
+
+export function createQuotaShares ({ overage, slack }: QuotaOptions): QuotaShares {
+  const buckets = new Map<string, Bucket>()
+  const factor = 1 + overage * OVERAGE_USED
+
+  return {
+    admit (customer, identifier, cost, instances, now) {
+      if (customer.rate === 0) return { admitted: true }
+      const share = 1 / Math.max(1, instances)
+      const rate = customer.rate * factor * share
+      const capacity = (customer.burst * factor + slack * OVERAGE_USED) * share
+      const allowanceAt = (): { rate: number, capacity: number, until: number } => ({ rate, capacity, until: Infinity })
+      let bucket = buckets.get(customer.name)
+      if (bucket === undefined) {
+        bucket = createBucket(now)
+        refreshAllowance(bucket, allowanceAt)
+        // What an earlier run of this instance spent is not known, so the burst has to fill up anew.
+        bucket.level = slack * OVERAGE_USED * share
+        buckets.set(customer.name, bucket)
+      } else if (bucket.allowance.rate !== rate || bucket.allowance.capacity !== capacity) {
+        refreshAllowance(bucket, allowanceAt)
+      }
+      advanceBucket(bucket, now, allowanceAt)
+      // A request above the whole share is admitted when the share is full; it would never be otherwise.
+      if (bucket.level < Math.min(cost, capacity)) {
+        const missing = Math.min(cost, capacity) - bucket.level
+        return { admitted: false, retryAfter: Math.min(LONGEST_RETRY_MS, missing / rate * 1000) }
+      }
+      chargeBucket(bucket, identifier, cost)
+      return { admitted: true }
+    },
+    settle (customer, identifier, cost, run) {
+      const bucket = buckets.get(customer)
+      if (bucket !== undefined) settleBucket(bucket, identifier, run ? 0 : cost)
+    }
+  }
+}
--- /dev/null
+++ b/src/edge/routeTable.ts
@@ -0,0 +1,39 @@
+/** Lookup of routes, customers and services in one configuration. */
+import type { CacheStore, EdgeConfiguration, EdgeCustomer, EdgeRoute, EdgeService } from './types'
+
+export interface RouteTable {
+  configuration: EdgeConfiguration
+  /** The route of the host with the longest prefix that begins the path. */
+  route: (host: string | undefined, path: string) => EdgeRoute | undefined
+  customerOfKey: (key: string) => EdgeCustomer | undefined
+  customer: (name: string) => EdgeCustomer | undefined
+  service: (name: string) => EdgeService | undefined
+  cacheStore: CacheStore | undefined
+}
+
+/** Host names are compared without port and case. */
+function normalizeHost (host: string): string {
+  const colon = host.indexOf(':')
+  return (colon < 0 ? host : host.slice(0, colon)).toLowerCase()
+}
+
+export function createRouteTable (configuration: EdgeConfiguration): RouteTable {
+  const hosts = new Map<string, EdgeRoute[]>()
+  for (const route of configuration.routes) {
+    const host = normalizeHost(route.host)
+    hosts.set(host, [...(hosts.get(host) ?? []), route])
+  }
+  for (const routes of hosts.values()) routes.sort((one, other) => other.prefix.length - one.prefix.length)
+  const keys = new Map<string, EdgeCustomer>()
+  for (const customer of configuration.customers) for (const key of customer.keys) keys.set(key, customer)
+  const customers = new Map(configuration.customers.map((customer) => [customer.name, customer]))
+  const services = new Map(configuration.services.map((service) => [service.name, service]))
+  return {
+    configuration,
+    route: (host, path) => hosts.get(normalizeHost(host ?? ''))?.find(({ prefix }) => path.startsWith(prefix)),
+    customerOfKey: (key) => keys.get(key),
+    customer: (name) => customers.get(name),
+    service: (name) => services.get(name),
+    cacheStore: configuration.cacheStores[0]
+  }
+}
--- /dev/null
+++ b/src/edge/upstreamDirectory.ts
@@ -0,0 +1,201 @@
+/**
+ * The upstreams that may be used: what they say of themselves in the list, weighed against what traffic shows. An entry
+ * alone neither saves an upstream that does not answer nor condemns one that does.
+ */
+import type { MonotonicMilliseconds } from '../types'
+import type { ModelWeights, UpstreamEntry } from './types'
+
+/** Milliseconds for which an upstream is left alone after its first failure in a row; doubles with each further one. */
+const FIRST_PAUSE_MS = 250
+/** Longest such pause, so that one that comes back is found within the time in which the list would show it. */
+const LONGEST_PAUSE_MS = 2000
+/** Milliseconds without a byte from an upstream with requests in flight after which it counts as silent. */
+export const SILENCE_MS = 700
+/** Milliseconds for which an entry that vanished during an outage of the store is still used. */
+const VANISHED_GRACE_MS = 1500
+/** Milliseconds for which an engine that refuses work while it should load weights is left alone; about one load. */
+const LOADING_PAUSE_MS = 1000
+/** Milliseconds for which an upstream that is full is left alone. */
+const FULL_PAUSE_MS = 60
+/** Time constant in milliseconds with which an observed wait loses its weight when nothing new is seen. */
+const WAIT_DECAY_MS = 1500
+/** Weight of the newest observed wait. */
+const WAIT_GAIN = 0.3
+
+export interface Upstream {
+  entry: UpstreamEntry
+  /** Requests of this instance that run there. */
+  inFlight: number
+  /** Prompt tokens of requests of this instance without a first event yet. */
+  unreadTokens: number
+  /** Newest weights known by model, from the entry and from answers. */
+  weights: Map<string, number>
+  /** Smoothed milliseconds to the first byte of an answer, beyond what the request's own tokens take. */
+  wait: number
+  waitObservedAt: MonotonicMilliseconds
+  failures: number
+  pausedUntil: MonotonicMilliseconds
+  lastHeard: MonotonicMilliseconds
+  /** Since when requests are in flight without a byte from the upstream. */
+  quietSince: MonotonicMilliseconds
+  vanishedAt: MonotonicMilliseconds | undefined
+}
+
+export interface DirectoryChange {
+  kind: 'found' | 'lost' | 'leaving' | 'restarted'
+  upstream: Upstream
+}
+
+export interface UpstreamDirectory {
+  /** Replaces the list by a full reading. `afterOutage` keeps vanished entries for a while. */
+  replace: (entries: readonly UpstreamEntry[], afterOutage: boolean, now: MonotonicMilliseconds) => DirectoryChange[]
+  /** Takes in one changed entry. */
+  update: (entry: UpstreamEntry) => DirectoryChange[]
+  /** Takes in a removed entry, or one that cannot be read. */
+  remove: (identifier: string, afterOutage: boolean, now: MonotonicMilliseconds) => DirectoryChange[]
+  /** Drops vanished entries whose grace has passed. */
+  expire: (now: MonotonicMilliseconds) => DirectoryChange[]
+  get: (identifier: string) => Upstream | undefined
+  /** Entries of a service that take new requests, whatever their traffic shows. */
+  listed: (service: string) => readonly Upstream[]
+  /** Entries of a service that may get a request now. */
+  usable: (service: string, now: MonotonicMilliseconds) => readonly Upstream[]
+  all: () => Iterable<Upstream>
+}
+
+export function createUpstreamDirectory (): UpstreamDirectory {
+  const upstreams = new Map<string, Upstream>()
+  const services = new Map<string, Upstream[]>()
+
+  function index (): void {
+    services.clear()
+    for (const upstream of upstreams.values()) {
+      if (upstream.entry.leaving) continue
+      const list = services.get(upstream.entry.service)
+      if (list === undefined) services.set(upstream.entry.service, [upstream])
+      else list.push(upstream)
+    }
+  }
+
+  function take (entry: UpstreamEntry): DirectoryChange[] {
+    const present = upstreams.get(entry.identifier)
+    if (present === undefined || present.entry.startedAt !== entry.startedAt) {
+      const upstream = createUpstream(entry)
+      upstreams.set(entry.identifier, upstream)
+      return [{ kind: present === undefined ? 'found' : 'restarted', upstream }]
+    }
+    const leaves = entry.leaving && !present.entry.leaving
+    present.entry = entry
+    present.vanishedAt = undefined
+    for (const weights of entry.weights) learnWeights(present, weights)
+    return leaves ? [{ kind: 'leaving', upstream: present }] : []
+  }
+
+  function drop (identifier: string, afterOutage: boolean, now: MonotonicMilliseconds): DirectoryChange[] {
+    const upstream = upstreams.get(identifier)
+    if (upstream === undefined) return []
+    if (afterOutage && !upstream.entry.leaving) {
+      upstream.vanishedAt ??= now
+      return []
+    }
+    upstreams.delete(identifier)
+    return [{ kind: 'lost', upstream }]
+  }
+
+  function finish (changes: DirectoryChange[]): DirectoryChange[] {
+    index()
+    return changes
+  }
+
+  return {
+    replace (entries, afterOutage, now) {
+      const names = new Set(entries.map(({ identifier }) => identifier))
+      const gone = [...upstreams.keys()].filter((identifier) => !names.has(identifier))
+      return finish([...gone.flatMap((identifier) => drop(identifier, afterOutage, now)), ...entries.flatMap(take)])
+    },
+    update: (entry) => finish(take(entry)),
+    remove: (identifier, afterOutage, now) => finish(drop(identifier, afterOutage, now)),
+    expire (now) {
+      const over = [...upstreams.values()].filter(({ vanishedAt }) => (
+        vanishedAt !== undefined && now - vanishedAt >= VANISHED_GRACE_MS
+      ))
+      return over.length === 0 ? [] : finish(over.flatMap(({ entry }) => drop(entry.identifier, false, now)))
+    },
+    get: (identifier) => upstreams.get(identifier),
+    listed: (service) => services.get(service) ?? [],
+    usable: (service, now) => (services.get(service) ?? []).filter((upstream) => isUsable(upstream, now)),
+    all: () => upstreams.values()
+  }
+}
+
+function createUpstream (entry: UpstreamEntry): Upstream {
+  return {
+    entry,
+    inFlight: 0,
+    unreadTokens: 0,
+    weights: new Map(entry.weights.map(({ model, version }) => [model, version])),
+    wait: 0,
+    waitObservedAt: -Infinity,
+    failures: 0,
+    pausedUntil: -Infinity,
+    lastHeard: -Infinity,
+    quietSince: -Infinity,
+    vanishedAt: undefined
+  }
+}
+
+/** Versions only grow within one run of an engine. */
+export function learnWeights (upstream: Upstream, { model, version }: ModelWeights): void {
+  if (version > (upstream.weights.get(model) ?? 0)) upstream.weights.set(model, version)
+}
+
+export function isSilent (upstream: Upstream, now: MonotonicMilliseconds): boolean {
+  return upstream.inFlight > 0 && now - Math.max(upstream.lastHeard, upstream.quietSince) > SILENCE_MS
+}
+
+function isUsable (upstream: Upstream, now: MonotonicMilliseconds): boolean {
+  return now >= upstream.pausedUntil && !isSilent(upstream, now)
+}
+
+export function attemptBegan (upstream: Upstream, unreadTokens: number, now: MonotonicMilliseconds): void {
+  if (upstream.inFlight === 0) upstream.quietSince = now
+  upstream.inFlight += 1
+  upstream.unreadTokens += unreadTokens
+}
+
+export function attemptEnded (upstream: Upstream): void {
+  upstream.inFlight -= 1
+}
+
+/** Any byte of an answer shows that the upstream lives. */
+export function heardFrom (upstream: Upstream, now: MonotonicMilliseconds): void {
+  upstream.lastHeard = now
+  upstream.failures = 0
+}
+
+/** The first byte of an answer came `wait` milliseconds later than the request's own tokens explain. */
+export function observeWait (upstream: Upstream, wait: number, now: MonotonicMilliseconds): void {
+  const present = currentWait(upstream, now)
+  upstream.wait = present + (Math.max(0, wait) - present) * WAIT_GAIN
+  upstream.waitObservedAt = now
+}
+
+/** Expected milliseconds in the upstream's queue; an old observation fades, so that the upstream is tried again. */
+export function currentWait (upstream: Upstream, now: MonotonicMilliseconds): number {
+  if (upstream.wait === 0) return 0
+  return upstream.wait * Math.exp(-Math.max(0, now - upstream.waitObservedAt) / WAIT_DECAY_MS)
+}
+
+/** A connection could not be opened, broke or stayed silent. */
+export function pauseAfterFailure (upstream: Upstream, now: MonotonicMilliseconds): void {
+  // Requests that fail at the same moment tell no more than one.
+  if (now < upstream.pausedUntil) return
+  const pause = Math.min(LONGEST_PAUSE_MS, FIRST_PAUSE_MS * 2 ** upstream.failures)
+  upstream.failures += 1
+  upstream.pausedUntil = now + pause
+}
+
+/** The upstream refused a request without running it. */
+export function pauseAfterRefusal (upstream: Upstream, loading: boolean, now: MonotonicMilliseconds): void {
+  upstream.pausedUntil = Math.max(upstream.pausedUntil, now + (loading ? LOADING_PAUSE_MS : FULL_PAUSE_MS))
+}
--- /dev/null
+++ b/src/edge/weightsMove.ts
@@ -0,0 +1,138 @@
+/** Decides which engine loads new weights next. */
+import type { MonotonicMilliseconds } from '../types'
+import { learnWeights, type Upstream } from './upstreamDirectory'
+import { OrderOutcome } from './types'
+import type { EngineReport, ModelWeights } from './types'
+
+/** Part of the engines that load at the same time; more make each load longer. */
+const PARALLEL_SHARE = 0.25
+/** Milliseconds after which an accepted order is looked at again when the engine does not show the new weights. */
+const LOAD_LIMIT_MS = 5000
+/** Milliseconds between reports of an engine that loads. */
+const REPORT_INTERVAL_MS = 300
+/** Milliseconds before an engine with a failed or conflicting order is looked at again. */
+const RETRY_MS = 600
+
+export interface WeightsStep {
+  kind: 'report' | 'order'
+  upstream: Upstream
+  wanted: ModelWeights
+}
+
+interface LoadState {
+  startedAt: number
+  wanted: ModelWeights
+  /** Since when the order runs; undefined while the engine has not accepted one. */
+  orderedAt: MonotonicMilliseconds | undefined
+  lookAgainAt: MonotonicMilliseconds
+  report: EngineReport | undefined
+}
+
+export interface WeightsMove {
+  /** Notes the weights that the operator names; older ones are ignored. */
+  want: (weights: ModelWeights) => boolean
+  wanted: (model: string) => number | undefined
+  /** Whether some engine still has older weights. */
+  isPending: (upstreams: Iterable<Upstream>) => boolean
+  /** What to do next with engines; the caller reports back with `reported`, `ordered` or `failed`. */
+  nextSteps: (upstreams: Iterable<Upstream>, now: MonotonicMilliseconds) => WeightsStep[]
+  reported: (upstream: Upstream, report: EngineReport, now: MonotonicMilliseconds) => void
+  ordered: (upstream: Upstream, outcome: OrderOutcome, now: MonotonicMilliseconds) => void
+  failed: (upstream: Upstream, now: MonotonicMilliseconds) => void
+  /** Orders that the engine had accepted at its last report. */
+  acceptedOrders: (upstream: Upstream) => number
+  /** Forgets what this instance ordered, when it loses the lease. */
+  reset: () => void
+}
+
+export function createWeightsMove (): WeightsMove {
+  const targets = new Map<string, number>()
+  const loads = new Map<string, LoadState>()
+
+  /** Weights that the engine should load; undefined when it has the newest ones. */
+  function behind (upstream: Upstream): ModelWeights | undefined {
+    if (upstream.entry.leaving) return undefined
+    for (const [model, version] of upstream.weights) {
+      const target = targets.get(model)
+      if (target !== undefined && version < target) return { model, version: target }
+    }
+    return undefined
+  }
+
+  function stateOf (upstream: Upstream, wanted: ModelWeights): LoadState {
+    const { identifier, startedAt } = upstream.entry
+    const present = loads.get(identifier)
+    if (present !== undefined && present.startedAt === startedAt && present.wanted.version === wanted.version) return present
+    // An engine that still loads superseded weights goes on to count as loading.
+    const orderedAt = present?.startedAt === startedAt ? present.orderedAt : undefined
+    const state: LoadState = { startedAt, wanted, orderedAt, lookAgainAt: -Infinity, report: undefined }
+    loads.set(identifier, state)
+    return state
+  }
+
+  function isLoading (state: LoadState, now: MonotonicMilliseconds): boolean {
+    return state.orderedAt !== undefined && now - state.orderedAt < LOAD_LIMIT_MS
+  }
+
+  return {
+    want ({ model, version }) {
+      if (version <= (targets.get(model) ?? 0)) return false
+      targets.set(model, version)
+      return true
+    },
+    wanted: (model) => targets.get(model),
+    isPending (upstreams) {
+      for (const upstream of upstreams) if (behind(upstream) !== undefined) return true
+      return false
+    },
+    nextSteps (upstreams, now) {
+      const engines = [...upstreams].filter(({ weights, entry }) => weights.size > 0 && !entry.leaving)
+      const waiting = engines.flatMap((upstream) => {
+        const wanted = behind(upstream)
+        return wanted === undefined ? [] : [{ upstream, wanted, state: stateOf(upstream, wanted) }]
+      })
+      const limit = Math.max(1, Math.round(engines.length * PARALLEL_SHARE))
+      let loading = waiting.filter(({ state }) => isLoading(state, now)).length
+      const steps: WeightsStep[] = []
+      for (const { upstream, wanted, state } of waiting) {
+        if (now < state.lookAgainAt) continue
+        const isStarted = isLoading(state, now)
+        if (!isStarted && loading >= limit) continue
+        if (!isStarted) loading += 1
+        const mayOrder = state.report !== undefined && !state.report.busy && !isStarted
+        steps.push({ kind: mayOrder ? 'order' : 'report', upstream, wanted })
+      }
+      return steps
+    },
+    reported (upstream, report, now) {
+      for (const weights of report.weights) learnWeights(upstream, weights)
+      const state = loads.get(upstream.entry.identifier)
+      if (state === undefined) return
+      const wanted = behind(upstream)
+      if (wanted === undefined) {
+        loads.delete(upstream.entry.identifier)
+        return
+      }
+      state.report = report
+      if (!report.busy && state.orderedAt !== undefined && now - state.orderedAt > REPORT_INTERVAL_MS) state.orderedAt = undefined
+      state.lookAgainAt = report.busy || state.orderedAt !== undefined ? now + REPORT_INTERVAL_MS : now
+    },
+    ordered (upstream, outcome, now) {
+      const state = loads.get(upstream.entry.identifier)
+      if (state === undefined) return
+      state.report = undefined
+      if (outcome === OrderOutcome.done) learnWeights(upstream, state.wanted)
+      const runs = outcome === OrderOutcome.accepted || outcome === OrderOutcome.unknown
+      state.orderedAt = runs ? now : undefined
+      state.lookAgainAt = now + (runs ? REPORT_INTERVAL_MS : RETRY_MS)
+    },
+    failed (upstream, now) {
+      const state = loads.get(upstream.entry.identifier)
+      if (state === undefined) return
+      state.report = undefined
+      state.lookAgainAt = now + RETRY_MS
+    },
+    acceptedOrders: (upstream) => loads.get(upstream.entry.identifier)?.report?.orders ?? 0,
+    reset: () => { loads.clear() }
+  }
+}
--- /dev/null
+++ b/src/edge/weightsTask.ts
@@ -0,0 +1,119 @@
+/** Gives engines the orders that bring them to new weights, under the lease. */
+import { EdgeEvent, type EdgeLog } from './events'
+import type { StoreLease } from './storeLease'
+import type { EngineControl, Instant, Store } from './types'
+import type { UpstreamDirectory } from './upstreamDirectory'
+import type { WeightsMove, WeightsStep } from './weightsMove'
+
+/** Table with the lease; nobody follows it. */
+const LEASE_TABLE = 'waxwingspoke-lease'
+const LEASE_KEY = 'orders'
+/** Milliseconds between looks at whether there is something to do. */
+const TICK_MS = 100
+/** Milliseconds between attempts to get the lease while another instance holds it. */
+const CLAIM_INTERVAL_MS = 1000
+/** Milliseconds within which instances that see the same change first ask for the lease. */
+const CLAIM_SPREAD_MS = 300
+
+export interface WeightsTaskOptions {
+  instance: string
+  store: Store
+  control: EngineControl
+  lease: StoreLease
+  move: WeightsMove
+  directory: UpstreamDirectory
+  isStopping: () => boolean
+  log: EdgeLog
+  now: () => Instant
+  random: () => number
+}
+
+export interface WeightsTask {
+  stop: () => void
+}
+
+export function startWeightsTask (options: WeightsTaskOptions): WeightsTask {
+  const { instance, store, control, lease, move, directory, log, now, random } = options
+  let claiming = false
+  let claimAt = -Infinity
+  let held = false
+  let wasPending = false
+  const busy = new Set<string>()
+
+  async function claim (): Promise<void> {
+    const readAt = now()
+    const reading = await store.read(LEASE_TABLE)
+    lease.clock(reading.storeTime, readAt)
+    lease.observe(reading.rows.find(({ key }) => key === LEASE_KEY))
+    const sentAt = now()
+    const claim = lease.claim(sentAt)
+    if (claim === undefined) return
+    const result = await store.commit({
+      table: LEASE_TABLE,
+      conditions: [{ key: LEASE_KEY, version: claim.version }],
+      writes: [{ key: LEASE_KEY, value: claim.value }],
+      removals: []
+    })
+    lease.clock(result.storeTime, sentAt)
+    if (result.committed) lease.granted(result.version, sentAt)
+    else lease.forget()
+  }
+
+  function wantLease (present: Instant): void {
+    if (claiming || present.steady < claimAt || !lease.wantsRenewal(present)) return
+    claiming = true
+    claimAt = present.steady + CLAIM_INTERVAL_MS * (0.5 + random())
+    claim().catch((error: unknown) => {
+      // A write with an unknown outcome gives no lease; the next read shows what became of it.
+      lease.forget()
+      log(EdgeEvent.leaseLost, { reason: error instanceof Error ? error.message : String(error) })
+    }).finally(() => { claiming = false })
+  }
+
+  async function perform ({ kind, upstream, wanted }: WeightsStep): Promise<void> {
+    const { identifier } = upstream.entry
+    if (kind === 'report') {
+      move.reported(upstream, await control.report(upstream.entry), now().steady)
+      return
+    }
+    const fencingToken = lease.token(now())
+    if (fencingToken === undefined) return
+    const expectedOrders = move.acceptedOrders(upstream)
+    const outcome = await control.orderWeights(upstream.entry, {
+      ...wanted, holder: instance, fencingToken, expectedOrders
+    }).catch((error: unknown) => {
+      log(EdgeEvent.weightsOrderFailed, { upstream: identifier, ...wanted, reason: error instanceof Error ? error.message : String(error) })
+      return 'unknown' as const
+    })
+    log(EdgeEvent.weightsOrdered, { upstream: identifier, ...wanted, fencingToken, expectedOrders, outcome })
+    move.ordered(upstream, outcome, now().steady)
+  }
+
+  function tick (): void {
+    const present = now()
+    const pending = move.isPending(directory.all())
+    if (pending && !wasPending) claimAt = Math.max(claimAt, present.steady + random() * CLAIM_SPREAD_MS)
+    wasPending = pending
+    if (!pending || options.isStopping()) return
+    wantLease(present)
+    const holds = lease.token(present) !== undefined
+    if (holds !== held) {
+      held = holds
+      log(holds ? EdgeEvent.leaseTaken : EdgeEvent.leaseLost, { token: lease.token(present) })
+      if (!holds) move.reset()
+    }
+    if (!holds) return
+    for (const step of move.nextSteps(directory.all(), present.steady)) {
+      const { identifier } = step.upstream.entry
+      if (busy.has(identifier)) continue
+      busy.add(identifier)
+      perform(step).catch((error: unknown) => {
+        log(EdgeEvent.weightsOrderFailed, { upstream: identifier, reason: error instanceof Error ? error.message : String(error) })
+        move.failed(step.upstream, now().steady)
+      }).finally(() => { busy.delete(identifier) })
+    }
+  }
+
+  const timer = setInterval(tick, TICK_MS)
+  return { stop: () => { clearInterval(timer) } }
+}
--- a/src/errors.ts
+++ b/src/errors.ts
@@ -134,6 +134,12 @@
   readonly httpStatus = 503
 }
 
+/** The platform no longer holds the changes after the version that was asked for; the rows must be read anew. */
+export class HistoryLostError extends RouterError {
+  readonly code = 'history_lost'
+  readonly httpStatus = 503
+}
+
 /** A condition of a transaction did not hold: another writer was first. */
 export class TransactionConflictError extends RouterError {
   readonly code: string = 'transaction_conflict'
--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -2,6 +2,7 @@
 import { Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { Endpoint } from '../types'
+import { formatEndpoint } from './endpoint'
 import { createResponseBody } from './responseBody'
 import type { ResponseBody, ResponseBodySink } from './responseBody'
 
@@ -42,11 +43,6 @@
   close: () => Promise<void>
 }
 
-/** Formats an endpoint as `host:port`, with brackets around IPv6 addresses. */
-export function formatEndpoint (endpoint: Endpoint): string {
-  return endpoint.host.includes(':') ? `[${endpoint.host}]:${endpoint.port}` : `${endpoint.host}:${endpoint.port}`
-}
-
 /** Sends one request over a pool and resolves with the head of its response. */
 async function dispatchExchange (pool: Pool, request: ExchangeRequest): Promise<ExchangeResponse> {
   const { signal, trace } = request
