--- a/src/edge/boundedLog.ts
+++ b/src/edge/boundedLog.ts
@@ -46,7 +46,7 @@
   const logger = pino({
     base: { instance, incarnation },
     timestamp: () => `,"time":${wallClock()}`,
-    formatters: { level: () => ({}) }
+    formatters: { level: (label) => ({ level: label }) }
   }, options.destination ?? standardOutput!)
   let second = -Infinity
   let lines = 0
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -3,7 +3,7 @@
 import { createBoundedLog } from './boundedLog'
 import { startEdgeServer } from './edgeServer'
 import { EdgeEvent } from './events'
-import { startExchange, type Exchange } from './exchange'
+import { createExchange, type Exchange } from './exchange'
 import { createFreshness } from './freshness'
 import { createInstanceList } from './instanceList'
 import { createKeptParts } from './promptPlan'
@@ -87,8 +87,9 @@
     readiness: settings.listen.readiness,
     isReady,
     onRequest (request, response) {
-      const exchange: Exchange = startExchange(context, request, response, () => { exchanges.delete(exchange) })
+      const exchange: Exchange = createExchange(context, request, response, () => { exchanges.delete(exchange) })
       exchanges.add(exchange)
+      exchange.start()
     }
   })
   const instances = createInstanceList({
@@ -100,7 +101,7 @@
     freshness,
     directory,
     connections,
-    quotas: createQuotaShares({ overage: limits.quotaOverage, slack: limits.quotaSlack }),
+    quotas: createQuotaShares({ overage: limits.quotaOverage, slack: limits.quotaSlack, startedAt: performance.now() }),
     retries: createRetryAllowance({ window: limits.retryWindow, ratio: limits.retryRatio, extra: limits.retryExtra }),
     kept: createKeptParts(),
     dataCentre: instance.dataCentre,
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -62,6 +62,7 @@
 }
 
 export interface Exchange {
+  start: () => void
   /** Looks for silence; called a few times a second. */
   check: (now: Instant) => void
 }
@@ -75,8 +76,8 @@
   unreadTokens: number
 }
 
-/** Starts an exchange. `onOver` is called once, when the caller has its answer or has left. */
-export function startExchange (
+/** `onOver` is called once, when the caller has its answer or has left. */
+export function createExchange (
   context: ExchangeContext, request: IncomingMessage, response: ServerResponse, onOver: () => void
 ): Exchange {
   const { dialect, directory, log } = context
@@ -464,9 +465,8 @@
     request.on('end', () => { if (!over) refuse(refusal, 'admission') })
   }
 
-  start()
-
   return {
+    start,
     check (now) {
       if (over || attempt === undefined) return
       const { repeat, resumable, runs, maximumAttempts } = history
--- a/src/edge/quotaShare.ts
+++ b/src/edge/quotaShare.ts
@@ -13,6 +13,8 @@
   overage: number
   /** Units by which the limit may be exceeded in a window, over all instances. */
   slack: number
+  /** When this run of the instance began. */
+  startedAt: MonotonicMilliseconds
 }
 
 export type QuotaDecision = { admitted: true } | { admitted: false, retryAfter: number }
@@ -32,7 +34,7 @@
   return request.tokens === undefined ? customer.defaultCost : request.tokens.prompt + request.tokens.output
 }
 
-export function createQuotaShares ({ overage, slack }: QuotaOptions): QuotaShares {
+export function createQuotaShares ({ overage, slack, startedAt }: QuotaOptions): QuotaShares {
   const buckets = new Map<string, Bucket>()
   const factor = 1 + overage * OVERAGE_USED
 
@@ -47,8 +49,8 @@
       if (bucket === undefined) {
         bucket = createBucket(now)
         refreshAllowance(bucket, allowanceAt)
-        // What an earlier run of this instance spent is not known, so the burst has to fill up anew.
-        bucket.level = slack * OVERAGE_USED * share
+        // What an earlier run of this instance spent is not known, so the burst fills up anew since the start.
+        bucket.level = Math.min(capacity, slack * OVERAGE_USED * share + rate * (now - startedAt) / 1000)
         buckets.set(customer.name, bucket)
       } else if (bucket.allowance.rate !== rate || bucket.allowance.capacity !== capacity) {
         refreshAllowance(bucket, allowanceAt)
