Load the oldest weights first and spread a window's allowance over the instances

Ruled out: a larger refill rate alone (the steady demand of the busiest instance fits its share). Change: engines with the oldest weights first and 0.4 of them under order; none with weights older than 0.85 of the limit; the window's overage goes into the shares' capacity.

--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -101,10 +101,13 @@
     freshness,
     directory,
     connections,
-    quotas: createQuotaShares({ overage: limits.quotaOverage, slack: limits.quotaSlack, startedAt: performance.now() }),
+    quotas: createQuotaShares({
+      window: limits.quotaWindow, overage: limits.quotaOverage, slack: limits.quotaSlack, startedAt: performance.now()
+    }),
     retries: createRetryAllowance({ window: limits.retryWindow, ratio: limits.retryRatio, extra: limits.retryExtra }),
     kept: createKeptParts(),
     dataCentre: instance.dataCentre,
+    oldWeightsLimit: limits.oldWeights,
     instances: () => instances.count(),
     wantedWeights (model: string) {
       const version = move.wanted(model)
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -37,6 +37,8 @@
 const LONGEST_RETRY_MS = 1000
 /** Milliseconds for which weights that were just named do not count against engines that still have older ones. */
 const OLD_WEIGHTS_GRACE_MS = 1200
+/** Part of the limit on old weights after which they are not used; the rest is time in the engine's queue. */
+const OLD_WEIGHTS_SHARE = 0.85
 
 /** Statuses that promise that a request has not run; an upstream's own are passed on only with that proof. */
 const PROMISING_STATUSES = new Set([408, 421, 429, 503])
@@ -53,6 +55,8 @@
   dataCentre: string
   /** Instances that share quotas and retries. */
   instances: () => number
+  /** Milliseconds after which no request may begin on weights older than the newest ones named. */
+  oldWeightsLimit: number
   /** Newest weights named for a model and when this instance heard of them. */
   wantedWeights: (model: string) => { version: number, since: number } | undefined
   isStopping: () => boolean
@@ -180,15 +184,20 @@
     current.unreadTokens = 0
   }
 
-  function hasOldWeights (upstream: Upstream): boolean {
+  /** Milliseconds since newer weights were named than the upstream has; undefined when it has the newest. */
+  function oldWeightsAge (upstream: Upstream): number | undefined {
     const wanted = facts.model === undefined ? undefined : context.wantedWeights(facts.model)
-    if (wanted === undefined || context.now().steady - wanted.since < OLD_WEIGHTS_GRACE_MS) return false
-    return (upstream.weights.get(facts.model!) ?? wanted.version) < wanted.version
+    if (wanted === undefined || (upstream.weights.get(facts.model!) ?? wanted.version) >= wanted.version) return undefined
+    return context.now().steady - wanted.since
   }
 
   function choose (): Upstream | undefined {
     const now = context.now().steady
-    const candidates = directory.usable(service, now).filter(({ entry }) => !tried.has(entry.identifier))
+    const tooOld = context.oldWeightsLimit * OLD_WEIGHTS_SHARE
+    const candidates = directory.usable(service, now).filter((upstream) => (
+      !tried.has(upstream.entry.identifier) && (oldWeightsAge(upstream) ?? 0) < tooOld
+    ))
+    const hasOldWeights = (upstream: Upstream): boolean => (oldWeightsAge(upstream) ?? 0) > OLD_WEIGHTS_GRACE_MS
     const sharedSubject = plan.subject
     return orderUpstreams(
       { sharedSubject, sharedTokens: plan.sharedTokens, dataCentre: context.dataCentre, hasOldWeights }, candidates, now
--- a/src/edge/quotaShare.ts
+++ b/src/edge/quotaShare.ts
@@ -5,10 +5,17 @@
 
 /** Longest time in milliseconds after which a caller is told to come back. */
 const LONGEST_RETRY_MS = 2000
-/** Part of the permitted overage that is used; the rest covers instances that join before all others know of them. */
-const OVERAGE_USED = 0.5
+/**
+ * Parts of what a window permits beyond rate and burst. The rest covers instances that join before all others know of
+ * them, and answers that were counted as not run.
+ */
+const CAPACITY_PART = 0.7
+/** What a starting instance may spend at once; what an earlier run of it spent is not known. */
+const START_PART = 0.12
 
 export interface QuotaOptions {
+  /** Milliseconds of the window over which a customer's limit holds. */
+  window: number
   /** Part by which the limit may be exceeded in a window. */
   overage: number
   /** Units by which the limit may be exceeded in a window, over all instances. */
@@ -34,23 +41,27 @@
   return request.tokens === undefined ? customer.defaultCost : request.tokens.prompt + request.tokens.output
 }
 
-export function createQuotaShares ({ overage, slack, startedAt }: QuotaOptions): QuotaShares {
+export function createQuotaShares ({ window, overage, slack, startedAt }: QuotaOptions): QuotaShares {
   const buckets = new Map<string, Bucket>()
-  const factor = 1 + overage * OVERAGE_USED
+
+  /** Units that a window permits beyond rate and burst, over all instances. */
+  function extraOf (customer: EdgeCustomer): number {
+    return overage * (customer.burst + customer.rate * window / 1000) + slack
+  }
 
   return {
     admit (customer, identifier, cost, instances, now) {
       if (customer.rate === 0) return { admitted: true }
       const share = 1 / Math.max(1, instances)
-      const rate = customer.rate * factor * share
-      const capacity = (customer.burst * factor + slack * OVERAGE_USED) * share
+      const rate = customer.rate * share
+      const extra = extraOf(customer)
+      const capacity = (customer.burst + extra * CAPACITY_PART) * share
       const allowanceAt = (): { rate: number, capacity: number, until: number } => ({ rate, capacity, until: Infinity })
       let bucket = buckets.get(customer.name)
       if (bucket === undefined) {
         bucket = createBucket(now)
         refreshAllowance(bucket, allowanceAt)
-        // What an earlier run of this instance spent is not known, so the burst fills up anew since the start.
-        bucket.level = Math.min(capacity, slack * OVERAGE_USED * share + rate * (now - startedAt) / 1000)
+        bucket.level = Math.min(capacity, extra * START_PART * share + rate * (now - startedAt) / 1000)
         buckets.set(customer.name, bucket)
       } else if (bucket.allowance.rate !== rate || bucket.allowance.capacity !== capacity) {
         refreshAllowance(bucket, allowanceAt)
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -17,10 +17,14 @@
     retryWindow: number
     retryRatio: number
     retryExtra: number
+    /** Milliseconds of the window over which a customer's limit holds. */
+    quotaWindow: number
     /** Part by which a customer's limit may be exceeded in a window. */
     quotaOverage: number
     /** Units by which a customer's limit may be exceeded in a window, over all instances. */
     quotaSlack: number
+    /** Milliseconds after which no request may begin on weights older than the newest ones named. */
+    oldWeights: number
     /** Milliseconds of the lease under which orders are given. */
     lease: number
     /** Milliseconds between the request to stop and the end of the process by force. */
@@ -68,8 +72,10 @@
       retryWindow: number('retry_window_s') * 1000,
       retryRatio: number('retry_ratio'),
       retryExtra: number('retry_extra'),
+      quotaWindow: number('quota_window_s') * 1000,
       quotaOverage: number('quota_overage'),
       quotaSlack: number('quota_slack'),
+      oldWeights: number('old_weights_ms'),
       lease: number('lease_ms'),
       grace: number('grace_s') * 1000
     }
--- a/src/edge/weightsMove.ts
+++ b/src/edge/weightsMove.ts
@@ -4,12 +4,12 @@
 import { OrderOutcome } from './types'
 import type { EngineReport, ModelWeights } from './types'
 
-/** Part of the engines that load at the same time; more make each load longer. */
-const PARALLEL_SHARE = 0.25
+/** Part of the engines under order at the same time: some wait for their runs to end while others load. */
+const PARALLEL_SHARE = 0.4
 /** Milliseconds after which an accepted order is looked at again when the engine does not show the new weights. */
 const LOAD_LIMIT_MS = 5000
 /** Milliseconds between reports of an engine that loads. */
-const REPORT_INTERVAL_MS = 300
+const REPORT_INTERVAL_MS = 200
 /** Milliseconds before an engine with a failed or conflicting order is looked at again. */
 const RETRY_MS = 600
 
@@ -91,6 +91,8 @@
         const wanted = behind(upstream)
         return wanted === undefined ? [] : [{ upstream, wanted, state: stateOf(upstream, wanted) }]
       })
+      // The oldest weights first: an engine that was just brought to superseded ones can wait.
+      waiting.sort((one, other) => one.upstream.weights.get(one.wanted.model)! - other.upstream.weights.get(other.wanted.model)!)
       const limit = Math.max(1, Math.round(engines.length * PARALLEL_SHARE))
       let loading = waiting.filter(({ state }) => isLoading(state, now)).length
       const steps: WeightsStep[] = []
