Split the exchange into its life and its attempts; spread hot prefixes by their known rate

Cause: nine instances that move a hot prefix by observed waits alone change sides together, since each sees only its own requests and sees them late.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,10 +2,16 @@
 
 const adapterImports = ['node:http', 'node:net', 'undici', 'pino', 'hot-shots', 'cac']
 
+/** Decisions of the edge; its other modules own sockets, timers and tasks. */
+const edgeDecisions = [
+  'admission', 'attemptDecision', 'eventBoundary', 'freshness', 'placement', 'prefixDemand', 'promptPlan', 'quotaShare',
+  'retryAllowance', 'routeTable', 'serviceChoice', 'storeLease', 'upstreamDirectory', 'weightsMove'
+].map((name) => `src/edge/${name}.ts`)
+
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**', 'experiments/results/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**', 'experiments/results/**'] }),
   {
-    files: ['src/**/*.ts', 'standins/**/*.ts', 'playground/**/*.ts', 'experiments/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts', 'standins/**/*.ts', 'playground/**/*.ts', 'experiments/**/*.ts'],
     rules: {
       '@stylistic/max-len': ['error', { code: 120, ignoreUrls: true, ignoreStrings: true, ignoreTemplateLiterals: true, ignoreComments: true }],
       // A constant object and the type of its values share one name.
@@ -17,7 +23,7 @@
   },
   {
     // Decision modules stay free of sockets, logs and adapters so that tests and experiments can drive them directly.
-    files: ['src/{quota,fairness,prefix,rollout,customer,membership}/*.ts', 'src/request/*.ts', 'src/upstream/registry.ts'],
+    files: ['src/{quota,fairness,prefix,rollout,customer,membership}/*.ts', 'src/request/*.ts', 'src/upstream/registry.ts', ...edgeDecisions],
     rules: {
       'no-restricted-imports': ['error', {
         paths: adapterImports,
--- /dev/null
+++ b/src/edge/__tests__/admission.test.ts
@@ -0,0 +1,38 @@
+import { describe, expect, it } from 'vitest'
+import { admit, AdmissionRefusal } from '../admission'
+import { createFreshness } from '../freshness'
+import { createRouteTable } from '../routeTable'
+import type { CallerRequest } from '../types'
+import { createConfiguration, createRoute } from './fixtures'
+
+const table = createRouteTable(createConfiguration({
+  routes: [createRoute(), createRoute({ name: 'open', prefix: '/open/', open: true })]
+}))
+const request: CallerRequest = {
+  identifier: 'r', patience: 4000, key: 'bakery-key', model: 'small', tokens: undefined, promptParts: [], resumeAfter: undefined
+}
+
+describe('admit', () => {
+  it.each<[string, string, string | undefined, number, AdmissionRefusal | undefined]>([
+    ['a known key', '/chat/x', 'bakery-key', 0, undefined],
+    ['a path with a query', '/chat/x?y=/z', 'bakery-key', 0, undefined],
+    ['an unknown key', '/chat/x', 'other', 0, AdmissionRefusal.unknownKey],
+    ['no key', '/chat/x', undefined, 0, AdmissionRefusal.unknownKey],
+    ['no route', '/other/x', 'bakery-key', 0, AdmissionRefusal.unknownRoute],
+    ['an open route without key', '/open/x', undefined, 0, undefined],
+    ['an open route without a sound configuration', '/open/x', undefined, 60_000, undefined],
+    ['a key without a sound configuration', '/chat/x', 'bakery-key', 4600, AdmissionRefusal.staleConfiguration],
+    ['a key that may have been added since', '/chat/x', 'other', 3500, AdmissionRefusal.staleConfiguration],
+    ['a route that may have been added since', '/other/x', 'bakery-key', 3500, AdmissionRefusal.staleConfiguration]
+  ])('%s', (_title, path, key, age, refusal) => {
+    const freshness = createFreshness(5000)
+    freshness.proved({ steady: 0, wall: 0 })
+    const admission = admit(table, freshness, 'chat.example', path, { ...request, key }, { steady: age, wall: age })
+    expect(admission.admitted ? undefined : admission.refusal).toBe(refusal)
+  })
+
+  it('says that it is not ready before the first configuration', () => {
+    const admission = admit(undefined, createFreshness(5000), 'chat.example', '/', request, { steady: 0, wall: 0 })
+    expect(admission).toEqual({ admitted: false, refusal: AdmissionRefusal.noConfiguration })
+  })
+})
--- /dev/null
+++ b/src/edge/__tests__/placement.test.ts
@@ -0,0 +1,118 @@
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { describe, expect, it } from 'vitest'
+import { createPrefixDemand } from '../prefixDemand'
+import { orderUpstreams, type PlacementRequest } from '../placement'
+import { attemptBegan, attemptEnded, observeWait, type Upstream } from '../upstreamDirectory'
+import { createEntry, createUpstreams } from './fixtures'
+
+const plain: PlacementRequest = {
+  sharedSubject: undefined, sharedTokens: 0, dataCentre: 'north', holders: 1, draw: 0, hasOldWeights: () => false
+}
+const shared = (subject: string): PlacementRequest => ({ ...plain, sharedSubject: subject, sharedTokens: 6300 })
+
+function createEngines (count: number): Upstream[] {
+  return createUpstreams(Array.from({ length: count }, (_, index) => createEntry(`engine-${index}`)))
+}
+
+function first (request: PlacementRequest, upstreams: readonly Upstream[], now = 0): string {
+  return orderUpstreams(request, upstreams, now)[0]!.entry.identifier
+}
+
+describe('plain services', () => {
+  it.each([
+    ['the own data centre when all are idle', 0, 0, 'near'],
+    ['still with little more work', 0, 1, 'near'],
+    ['the less busy one', 0, 4, 'far'],
+    ['the one that answers faster', 100, 0, 'far']
+  ])('%s', (_title, wait, inFlight, expected) => {
+    const upstreams = createUpstreams([
+      createEntry('far', { dataCentre: 'south', slots: 6 }), createEntry('near', { dataCentre: 'north', slots: 6 })
+    ])
+    const near = upstreams[1]!
+    for (let index = 0; index < inFlight; index += 1) attemptBegan(near, 0, 0)
+    if (wait > 0) observeWait(near, wait, 0)
+    expect(first(plain, upstreams)).toBe(expected)
+  })
+})
+
+describe('engines', () => {
+  it('sends the same prefix to the same engine, whatever the order of the list', () => {
+    const engines = createEngines(6)
+    expect(first(shared('sheet-1'), engines)).toBe(first(shared('sheet-1'), [...engines].reverse()))
+  })
+
+  it('keeps the other prefixes where they are when an engine goes', () => {
+    const engines = createEngines(6)
+    const subjects = Array.from({ length: 200 }, (_, index) => `sheet-${index}`)
+    const gone = engines[2]!
+    const left = engines.filter((engine) => engine !== gone)
+    for (const subject of subjects) {
+      const before = first(shared(subject), engines)
+      if (before !== gone.entry.identifier) expect(first(shared(subject), left)).toBe(before)
+    }
+  })
+
+  it('prefers newer weights to the engine in rank', () => {
+    const engines = createEngines(2)
+    const old = first(shared('sheet-1'), engines)
+    expect(first({ ...shared('sheet-1'), hasOldWeights: ({ entry }) => entry.identifier === old }, engines)).not.toBe(old)
+  })
+})
+
+/** Deterministic numbers in [0, 1) from a seed. */
+function createRandom (seed: number): () => number {
+  const generator = xoroshiro128plus(seed)
+  return () => uniformFloat64(generator)
+}
+
+/**
+ * Replay of the load at its worst: nine instances that see only their own requests, six engines at 85% of what they can
+ * read, and one prefix with a share of all requests. An instance learns a wait when the prompt has been read.
+ */
+function replay (hotShare: number, spread: boolean): { late: number, readAgain: number } {
+  const random = createRandom(11)
+  const demand = createPrefixDemand()
+  const instances = Array.from({ length: 9 }, () => createEngines(6))
+  const freeAt = new Map<string, number>()
+  const held = new Set<string>()
+  const events: Array<{ at: number, wait: number, engine: Upstream }> = []
+  let now = 0
+  let late = 0
+  let readAgain = 0
+  for (let index = 0; index < 4000; index += 1) {
+    now += -Math.log(1 - random()) * 4.5
+    events.sort((one, other) => one.at - other.at)
+    while (events.length > 0 && events[0]!.at <= now) {
+      const { at, wait, engine } = events.shift()!
+      attemptEnded(engine)
+      engine.unreadTokens -= 9190
+      observeWait(engine, wait, at)
+    }
+    const engines = instances[Math.floor(random() * 9)]!
+    const subject = random() < hotShare ? 'hot' : `sheet-${Math.floor(random() * 700)}`
+    const holders = spread ? demand.holders(subject, 2890, 1, now) : 1
+    const engine = orderUpstreams({ ...shared(subject), holders, draw: random() }, engines, now)[0]!
+    const name = engine.entry.identifier
+    const isHeld = held.has(`${subject}/${name}`)
+    held.add(`${subject}/${name}`)
+    if (!isHeld) readAgain += 1
+    const readAt = Math.max(now, freeAt.get(name) ?? 0) + (isHeld ? 18.4 : 30)
+    freeAt.set(name, readAt)
+    attemptBegan(engine, 9190, now)
+    events.push({ at: readAt, wait: readAt - now, engine })
+    if (index > 400 && readAt - now > 200) late += 1
+  }
+  return { late: late / 3600, readAgain }
+}
+
+describe('a hot prefix at high load', () => {
+  // Half of the 400 ms of the class are left for the first token itself.
+  it.each([[0], [0.3], [0.7]])('of %d of the requests: at most 1 in 20 waits more than half of its target', (share) => {
+    expect(replay(share, true).late).toBeLessThan(0.05)
+  })
+
+  it('would wait longer on one engine', () => {
+    expect(replay(0.7, false).late).toBeGreaterThan(2 * replay(0.7, true).late)
+  })
+})
--- /dev/null
+++ b/src/edge/__tests__/quotaShare.test.ts
@@ -0,0 +1,68 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { costOf, createQuotaShares, type QuotaShares } from '../quotaShare'
+import { createCustomer } from './fixtures'
+import type { CallerRequest } from '../types'
+
+const options = { window: 8000, overage: 0.1, slack: 110_000, startedAt: 0 }
+const customer = createCustomer({ rate: 70_000, burst: 70_000 })
+const request: CallerRequest = {
+  identifier: 'r', patience: undefined, key: undefined, model: undefined, tokens: undefined, promptParts: [], resumeAfter: undefined
+}
+
+describe('costOf', () => {
+  it.each([
+    ['stated tokens', { tokens: { prompt: 1460, output: 80 } }, {}, 1540],
+    ['no statement', {}, {}, 200],
+    ['a customer counted in requests', { tokens: { prompt: 9, output: 9 } }, { unit: 'request' as const }, 1]
+  ])('%s', (_title, fields, values, expected) => {
+    expect(costOf({ ...request, ...fields }, createCustomer(values))).toBe(expected)
+  })
+})
+
+describe('createQuotaShares', () => {
+  it('admits single long prompts at one of nine instances', () => {
+    const shares = createQuotaShares(options)
+    for (let index = 0; index < 10; index += 1) {
+      expect(shares.admit(customer, String(index), 18_000, 9, 12_000 + index * 2400)).toEqual({ admitted: true })
+    }
+  })
+
+  it('returns what did not run and tells when a refused request fits', () => {
+    const shares = createQuotaShares(options)
+    expect(shares.admit(customer, 'a', 20_000, 9, 60_000)).toEqual({ admitted: true })
+    const refusal = shares.admit(customer, 'b', 20_000, 9, 60_000)
+    expect(refusal.admitted).toBe(false)
+    if (!refusal.admitted) expect(refusal.retryAfter).toBeGreaterThan(0)
+    shares.settle(customer.name, 'a', 20_000, false)
+    expect(shares.admit(customer, 'b', 20_000, 9, 60_000)).toEqual({ admitted: true })
+  })
+
+  it('does not limit a customer without a rate', () => {
+    expect(createQuotaShares(options).admit(createCustomer({ rate: 0 }), 'a', 1e9, 9, 0)).toEqual({ admitted: true })
+  })
+
+  it('keeps every window over all instances inside the permitted overage, also when all restart at once', () => {
+    const operation = fc.record({ instance: fc.nat(8), cost: fc.integer({ min: 1, max: 30_000 }), pause: fc.nat(60) })
+    const operationLists = fc.array(operation, { minLength: 200, maxLength: 600 })
+    fc.assert(fc.property(operationLists, fc.nat(20_000), (operations, restartAt) => {
+      let instances: QuotaShares[] = Array.from({ length: 9 }, () => createQuotaShares(options))
+      const admitted: Array<{ at: number, cost: number }> = []
+      let now = 12_000
+      let restarted = false
+      operations.forEach(({ instance, cost, pause }, index) => {
+        now += pause
+        if (!restarted && now > 12_000 + restartAt) {
+          restarted = true
+          instances = Array.from({ length: 9 }, () => createQuotaShares({ ...options, startedAt: now }))
+        }
+        if (instances[instance]!.admit(customer, String(index), cost, 9, now).admitted) admitted.push({ at: now, cost })
+      })
+      const bound = (customer.rate * 8 + customer.burst) * 1.1 + 110_000
+      for (const { at } of admitted) {
+        const window = admitted.filter((other) => other.at >= at && other.at < at + 8000)
+        expect(window.reduce((sum, { cost }) => sum + cost, 0)).toBeLessThanOrEqual(bound)
+      }
+    }), { numRuns: 60, seed: 8 })
+  })
+})
--- /dev/null
+++ b/src/edge/__tests__/retryAllowance.test.ts
@@ -0,0 +1,25 @@
+import { describe, expect, it } from 'vitest'
+import { createRetryAllowance } from '../retryAllowance'
+
+describe('createRetryAllowance', () => {
+  it.each([
+    ['the fixed part is shared by the instances', 0, 1, 46],
+    ['by two', 0, 2, 23],
+    ['requests add their ratio', 100, 1, 62]
+  ])('%s', (_title, requests, instances, expected) => {
+    const allowance = createRetryAllowance({ window: 10_000, ratio: 0.2, extra: 58 })
+    for (let index = 0; index < requests; index += 1) allowance.recordRequest('engines', 0)
+    let retries = 0
+    while (allowance.tryRetry('engines', instances, 0)) retries += 1
+    expect(retries).toBe(expected)
+  })
+
+  it('counts each service by itself and a window at a time', () => {
+    const allowance = createRetryAllowance({ window: 10_000, ratio: 0, extra: 2 })
+    expect(allowance.tryRetry('engines', 1, 0)).toBe(true)
+    expect(allowance.tryRetry('engines', 1, 0)).toBe(false)
+    expect(allowance.tryRetry('orders', 1, 0)).toBe(true)
+    expect(allowance.tryRetry('engines', 1, 8999)).toBe(false)
+    expect(allowance.tryRetry('engines', 1, 10_000)).toBe(true)
+  })
+})
--- /dev/null
+++ b/src/edge/__tests__/upstreamDirectory.test.ts
@@ -0,0 +1,117 @@
+import { describe, expect, it } from 'vitest'
+import {
+  attemptBegan, attemptEnded, createUpstreamDirectory, currentWait, heardFrom, isSilent, learnWeights, observeWait,
+  pauseAfterFailure, pauseAfterRefusal, SILENCE_MS, type UpstreamDirectory
+} from '../upstreamDirectory'
+import { createEntry } from './fixtures'
+
+function createDirectory (): UpstreamDirectory {
+  const directory = createUpstreamDirectory()
+  directory.replace([createEntry('a'), createEntry('b')], false, 0)
+  return directory
+}
+
+function usable (directory: UpstreamDirectory, now: number): string[] {
+  return directory.usable('engines', now).map(({ entry }) => entry.identifier)
+}
+
+describe('the list', () => {
+  it.each([
+    ['a leaving upstream', (directory: UpstreamDirectory) => directory.update(createEntry('a', { leaving: true })), ['b']],
+    ['a removed one', (directory: UpstreamDirectory) => directory.remove('a', false, 0), ['b']],
+    ['one that vanished in an outage stays', (directory: UpstreamDirectory) => directory.remove('a', true, 0), ['a', 'b']],
+    ['one that moved to another service', (directory: UpstreamDirectory) => directory.update(createEntry('a', { service: 'x' })), ['b']],
+    ['a new one', (directory: UpstreamDirectory) => directory.update(createEntry('c')), ['a', 'b', 'c']]
+  ])('%s', (_title, change, expected) => {
+    const directory = createDirectory()
+    change(directory)
+    expect(usable(directory, 0)).toEqual(expected)
+  })
+
+  it('drops an entry that is still missing after an outage', () => {
+    const directory = createDirectory()
+    directory.replace([createEntry('b')], true, 0)
+    expect(directory.expire(1499)).toEqual([])
+    expect(directory.expire(1500).map(({ kind, upstream }) => [kind, upstream.entry.identifier])).toEqual([['lost', 'a']])
+    expect(usable(directory, 1500)).toEqual(['b'])
+  })
+
+  it('keeps an entry that is back in time', () => {
+    const directory = createDirectory()
+    directory.remove('a', true, 0)
+    directory.update(createEntry('a'))
+    expect(directory.expire(5000)).toEqual([])
+  })
+
+  it('removes a leaving upstream at once also after an outage', () => {
+    const directory = createDirectory()
+    directory.update(createEntry('a', { leaving: true }))
+    expect(directory.remove('a', true, 0).map(({ kind }) => kind)).toEqual(['lost'])
+  })
+
+  it('starts without memory for a new run under the same identifier', () => {
+    const directory = createDirectory()
+    const before = directory.get('a')!
+    learnWeights(before, { model: 'small', version: 5 })
+    pauseAfterFailure(before, 0)
+    expect(directory.update(createEntry('a', { startedAt: 2 })).map(({ kind }) => kind)).toEqual(['restarted'])
+    expect(directory.get('a')!.weights.get('small')).toBe(1)
+    expect(usable(directory, 1)).toContain('a')
+  })
+})
+
+describe('weights', () => {
+  it.each([[2, 1, 2], [1, 2, 2]])('%i then %i is %i', (first, second, expected) => {
+    const upstream = createDirectory().get('a')!
+    learnWeights(upstream, { model: 'small', version: first })
+    learnWeights(upstream, { model: 'small', version: second })
+    expect(upstream.weights.get('small')).toBe(expected)
+  })
+})
+
+describe('traffic', () => {
+  it('pauses longer with each failure in a row, and failures at one moment count once', () => {
+    const directory = createDirectory()
+    const upstream = directory.get('a')!
+    pauseAfterFailure(upstream, 0)
+    pauseAfterFailure(upstream, 10)
+    expect(usable(directory, 249)).toEqual(['b'])
+    expect(usable(directory, 250)).toEqual(['a', 'b'])
+    pauseAfterFailure(upstream, 250)
+    expect(usable(directory, 749)).toEqual(['b'])
+    expect(usable(directory, 750)).toEqual(['a', 'b'])
+  })
+
+  it('forgets failures once the upstream answers', () => {
+    const upstream = createDirectory().get('a')!
+    pauseAfterFailure(upstream, 0)
+    heardFrom(upstream, 300)
+    pauseAfterFailure(upstream, 400)
+    expect(upstream.pausedUntil).toBe(650)
+  })
+
+  it.each([[true, 1000], [false, 60]])('a refusal (loading: %s) pauses for %i ms', (loading, pause) => {
+    const upstream = createDirectory().get('a')!
+    pauseAfterRefusal(upstream, loading, 0)
+    expect(upstream.pausedUntil).toBe(pause)
+  })
+
+  it('an upstream with requests in flight and no byte is silent; an idle one is not', () => {
+    const upstream = createDirectory().get('a')!
+    expect(isSilent(upstream, 10_000)).toBe(false)
+    attemptBegan(upstream, 0, 10_000)
+    expect(isSilent(upstream, 10_000 + SILENCE_MS)).toBe(false)
+    expect(isSilent(upstream, 10_001 + SILENCE_MS)).toBe(true)
+    heardFrom(upstream, 10_001 + SILENCE_MS)
+    expect(isSilent(upstream, 10_002 + SILENCE_MS)).toBe(false)
+    attemptEnded(upstream)
+    expect(isSilent(upstream, 99_000)).toBe(false)
+  })
+
+  it('an observed wait fades', () => {
+    const upstream = createDirectory().get('a')!
+    observeWait(upstream, 1000, 0)
+    expect(currentWait(upstream, 0)).toBeCloseTo(300)
+    expect(currentWait(upstream, 6000)).toBeLessThan(10)
+  })
+})
--- a/src/edge/admission.ts
+++ b/src/edge/admission.ts
@@ -31,7 +31,8 @@
   const query = path.indexOf('?')
   const route = table.route(host, query < 0 ? path : path.slice(0, query))
   if (route === undefined) {
-    return { admitted: false, refusal: trustsAbsence ? AdmissionRefusal.unknownRoute : AdmissionRefusal.staleConfiguration }
+    const refusal = trustsAbsence ? AdmissionRefusal.unknownRoute : AdmissionRefusal.staleConfiguration
+    return { admitted: false, refusal }
   }
   if (route.open || table.configuration.customers.length === 0) return { admitted: true, route, customer: undefined }
   if (!freshness.permitsKeys(now)) return { admitted: false, refusal: AdmissionRefusal.staleConfiguration }
--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -35,7 +35,7 @@
   /** Breaks the caller's connection off, since part of an answer has gone out. */
   | { kind: 'breakOff' }
 
-function mayRepeat (history: AttemptHistory): boolean {
+export function mayRepeat (history: Pick<AttemptHistory, 'repeat' | 'resumable'>): boolean {
   return history.repeat === RepeatRule.safe || (history.repeat === RepeatRule.stream && history.resumable)
 }
 
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -4,8 +4,10 @@
 import { startEdgeServer } from './edgeServer'
 import { EdgeEvent } from './events'
 import { createExchange, type Exchange } from './exchange'
+import type { ExchangeContext } from './exchangeContext'
 import { createFreshness } from './freshness'
 import { createInstanceList } from './instanceList'
+import { createPrefixDemand } from './prefixDemand'
 import { createKeptParts } from './promptPlan'
 import { createQuotaShares } from './quotaShare'
 import { createRetryAllowance } from './retryAllowance'
@@ -95,7 +97,7 @@
   const instances = createInstanceList({
     store, newestVersion, now, random, log, instance: instance.name, dataCentre: instance.dataCentre
   })
-  const context = {
+  const context: ExchangeContext = {
     dialect,
     table: () => table,
     freshness,
@@ -106,6 +108,7 @@
     }),
     retries: createRetryAllowance({ window: limits.retryWindow, ratio: limits.retryRatio, extra: limits.retryExtra }),
     kept: createKeptParts(),
+    demand: createPrefixDemand(),
     dataCentre: instance.dataCentre,
     oldWeightsLimit: limits.oldWeights,
     instances: () => instances.count(),
@@ -125,7 +128,8 @@
       // A replica that lags may show an older configuration; it never replaces a newer one.
       if (table !== undefined && configuration.version <= table.configuration.version) {
         if (configuration.version < table.configuration.version) {
-          log(EdgeEvent.configurationIgnored, { configurationVersion: configuration.version, inForce: table.configuration.version })
+          const inForce = table.configuration.version
+          log(EdgeEvent.configurationIgnored, { configurationVersion: configuration.version, inForce })
         }
         return
       }
--- /dev/null
+++ b/src/edge/dispatch.ts
@@ -0,0 +1,361 @@
+/** Sends one admitted request to upstreams until one gives a whole answer or no further attempt may be made. */
+import type { IncomingMessage } from 'node:http'
+import { AttemptEnd, decideAfter, mayRepeat, type AttemptHistory } from './attemptDecision'
+import type { CallerAnswer } from './callerAnswer'
+import { createEventBoundary, type EventBoundary } from './eventBoundary'
+import { EdgeEvent } from './events'
+import type { ExchangeContext } from './exchangeContext'
+import { orderUpstreams, type PlacementRequest } from './placement'
+import { directCache, urgencyOf, type PromptPlan } from './promptPlan'
+import { ExecutionStatus } from '../types'
+import { RepeatRule } from './types'
+import type { CallerRequest, EdgeCustomer, EdgeRoute, Instant } from './types'
+import { callUpstream, type UpstreamCall } from './upstreamCall'
+import {
+  attemptBegan, attemptEnded, heardFrom, isSilent, learnWeights, observeWait, pauseAfterFailure, pauseAfterRefusal
+} from './upstreamDirectory'
+import type { Upstream } from './upstreamDirectory'
+
+/** Milliseconds to open a connection; several round trips between data centres. */
+const CONNECT_LIMIT_MS = 400
+/** Part of the time left that may pass until a connection is open, so that there is time for another upstream. */
+const CONNECT_SHARE = 0.25
+/** Part of the time left after which a repeatable call without an answer is repeated. */
+const REPEAT_SHARE = 0.5
+/** Milliseconds without a byte after which a resumable stream goes on elsewhere although its engine serves others. */
+const STUCK_STREAM_MS = 1500
+/** Milliseconds for which weights that were just named do not count against engines that still have older ones. */
+const OLD_WEIGHTS_GRACE_MS = 1200
+/** Part of the limit on old weights after which they are not used; the rest is time in the engine's queue. */
+const OLD_WEIGHTS_SHARE = 0.85
+
+/** Statuses that promise that a request has not run; an upstream's own are passed on only with that proof. */
+const PROMISING_STATUSES = new Set([408, 421, 429, 503])
+
+/** An admitted request. */
+export interface Job {
+  request: IncomingMessage
+  facts: CallerRequest
+  route: EdgeRoute
+  customer: EdgeCustomer | undefined
+  service: string
+  plan: PromptPlan
+  body: Buffer | undefined
+}
+
+/** What the dispatch tells its exchange; exactly one of these is called, once. */
+export interface DispatchOutcome {
+  succeeded: (upstream: Upstream, status: number) => void
+  /** No answer has begun. */
+  gaveUp: (execution: ExecutionStatus, reason: string) => void
+  /** Part of an answer has gone out and cannot be completed. */
+  brokenOff: (reason: string) => void
+}
+
+export interface Dispatch {
+  send: () => void
+  /** Looks for silence; called a few times a second. */
+  check: (now: Instant) => void
+  /** Ends the running attempt, because its caller has left or its time is over. */
+  cancel: () => void
+  /** Goes on reading after the caller has caught up. */
+  resume: () => void
+  /** Attempts that may have run, and those that certainly did not. */
+  counts: () => { runs: number, rejections: number }
+  lastEvent: () => string | undefined
+}
+
+interface Attempt {
+  upstream: Upstream
+  call: UpstreamCall
+  startedAt: number
+  lastByteAt: number
+  answered: boolean
+  unreadTokens: number
+  head: IncomingMessage | undefined
+  /** Answer that is passed on only when it is complete. */
+  pieces: Buffer[]
+}
+
+export function createDispatch (
+  context: ExchangeContext, job: Job, answer: CallerAnswer, timeLeft: () => number, outcome: DispatchOutcome
+): Dispatch {
+  const { dialect, directory, log } = context
+  const { request, facts, route, customer, service, plan, body } = job
+  const identifier = facts.identifier ?? ''
+  const history: AttemptHistory = {
+    repeat: route.repeat,
+    resumable: route.resumable,
+    maximumAttempts: route.maximumAttempts,
+    runs: 0,
+    rejections: 0,
+    begun: false
+  }
+  const tried = new Set<string>()
+  let attempt: Attempt | undefined
+  let boundary: EventBoundary | undefined
+  let holders = 1
+
+  function executionSoFar (): ExecutionStatus {
+    return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
+  }
+
+  /** The prompt has been read, or never will be. */
+  function forgetUnread (current: Attempt): void {
+    current.upstream.unreadTokens -= current.unreadTokens
+    current.unreadTokens = 0
+  }
+
+  function leave (current: Attempt): void {
+    if (attempt !== current) return
+    attempt = undefined
+    forgetUnread(current)
+    attemptEnded(current.upstream)
+  }
+
+  /** Milliseconds since newer weights were named than the upstream has; 0 when it has the newest. */
+  function oldWeightsAge (upstream: Upstream): number {
+    const wanted = facts.model === undefined ? undefined : context.wantedWeights(facts.model)
+    if (wanted === undefined || (upstream.weights.get(facts.model!) ?? wanted.version) >= wanted.version) return 0
+    return context.now().steady - wanted.since
+  }
+
+  function choose (now: number): Upstream | undefined {
+    const tooOld = context.oldWeightsLimit * OLD_WEIGHTS_SHARE
+    const candidates = directory.usable(service, now).filter((upstream) => (
+      !tried.has(upstream.entry.identifier) && oldWeightsAge(upstream) < tooOld
+    ))
+    const placement: PlacementRequest = {
+      sharedSubject: plan.subject,
+      sharedTokens: plan.sharedTokens,
+      dataCentre: context.dataCentre,
+      holders,
+      draw: context.random(),
+      hasOldWeights: (upstream) => oldWeightsAge(upstream) > OLD_WEIGHTS_GRACE_MS
+    }
+    return orderUpstreams(placement, candidates, now)[0]
+  }
+
+  /** A key may have been taken away since the request was admitted. */
+  function mayStillRun (now: Instant): boolean {
+    if (customer === undefined) return true
+    const present = context.table()?.customerOfKey(facts.key ?? '')
+    return present?.name === customer.name && context.freshness.permitsKeys(now)
+  }
+
+  function send (): void {
+    const now = context.now()
+    if (!mayStillRun(now)) return giveUp(executionSoFar(), 'the key could not be checked again')
+    const upstream = choose(now.steady)
+    if (upstream === undefined) return giveUp(executionSoFar(), 'no upstream is usable')
+    tried.add(upstream.entry.identifier)
+    const left = timeLeft()
+    const cache = directCache({
+      plan,
+      customer,
+      model: facts.model,
+      upstream,
+      store: context.table()?.cacheStore,
+      kept: context.kept,
+      uniqueScope: identifier
+    }, now.steady)
+    const resumeAfter = boundary?.lastEvent() ?? (route.resumable ? facts.resumeAfter : undefined)
+    const headers = dialect.upstreamHeaders(request.rawHeaders, body?.length, {
+      timeLeft: left,
+      upstream: upstream.entry.identifier,
+      customer: customer?.name,
+      urgency: urgencyOf(route, customer),
+      resumeAfter,
+      ...cache
+    })
+    log(EdgeEvent.requestRouted, {
+      requestIdentifier: identifier,
+      upstream: upstream.entry.identifier,
+      service,
+      customer: customer?.name,
+      attempt: history.runs + history.rejections + 1,
+      resumeAfter,
+      scope: cache.cacheScope,
+      timeLeft: Math.round(left),
+      wait: Math.round(upstream.wait),
+      holders,
+      configurationAge: Math.round(context.freshness.age(now))
+    })
+    history.runs += 1
+    attemptBegan(upstream, plan.promptTokens, now.steady)
+    const current: Attempt = {
+      upstream,
+      startedAt: now.steady,
+      lastByteAt: now.steady,
+      answered: false,
+      unreadTokens: plan.promptTokens,
+      head: undefined,
+      pieces: [],
+      call: callUpstream({
+        endpoint: upstream.entry.endpoint,
+        agent: context.connections.agentFor(upstream, !mayRepeat(history)),
+        method: request.method!,
+        path: request.url!,
+        headers,
+        body,
+        connectTimeout: Math.min(CONNECT_LIMIT_MS, left * CONNECT_SHARE)
+      }, {
+        onHead: (head) => { onHead(current, head) },
+        onData: (chunk) => { onData(current, chunk) },
+        onEnd: () => { onEnd(current) },
+        onFailure: (reason, sent) => { onFailure(current, reason, sent) }
+      })
+    }
+    attempt = current
+  }
+
+  function giveUp (execution: ExecutionStatus, reason: string): void {
+    if (answer.hasBegun()) outcome.brokenOff(reason)
+    else outcome.gaveUp(execution, reason)
+  }
+
+  /** Goes on after an attempt that gave no whole answer. */
+  function next (end: AttemptEnd, reason: string, passOn?: () => void): void {
+    const step = decideAfter(end, { ...history, begun: answer.hasBegun() })
+    const now = context.now().steady
+    if (step.kind === 'retry' && timeLeft() > 0 && context.retries.tryRetry(service, context.instances(), now)) {
+      return send()
+    }
+    if (end === AttemptEnd.failed && passOn !== undefined) return passOn()
+    giveUp(executionSoFar(), reason)
+  }
+
+  function onFailure (current: Attempt, reason: string, sent: boolean): void {
+    leave(current)
+    const { upstream } = current
+    log(EdgeEvent.attemptFailed, { requestIdentifier: identifier, upstream: upstream.entry.identifier, reason, sent })
+    pauseAfterFailure(upstream, context.now().steady)
+    context.connections.abandon(upstream)
+    boundary?.dropRest()
+    if (sent) return next(AttemptEnd.unknown, reason)
+    history.runs -= 1
+    history.rejections += 1
+    next(AttemptEnd.notRun, reason)
+  }
+
+  /** Ends an attempt whose answer or silence shows that no whole answer will come. */
+  function abandon (current: Attempt, reason: string): void {
+    current.call.cancel()
+    onFailure(current, reason, true)
+  }
+
+  function onHead (current: Attempt, head: IncomingMessage): void {
+    const now = context.now().steady
+    const { upstream } = current
+    heardFrom(upstream, now)
+    current.lastByteAt = now
+    const status = head.statusCode ?? 0
+    const stated = dialect.readAnswer(status, head.headers)
+    if (stated.notRun) return onRejected(current, status, stated.answeredBy, stated.misdirected)
+    if (stated.identifier !== identifier || !stated.signed) {
+      return abandon(current, 'the answer belongs to another request or bears no signature')
+    }
+    if (stated.weightsVersion !== undefined && facts.model !== undefined) {
+      learnWeights(upstream, { model: facts.model, version: stated.weightsVersion })
+    }
+    current.head = head
+    if (status !== 200 || history.repeat !== RepeatRule.stream || answer.hasBegun()) return
+    boundary = createEventBoundary()
+    answer.begin(status, head.statusMessage, head.rawHeaders)
+  }
+
+  /** The upstream states that it has not run the request. */
+  function onRejected (
+    current: Attempt, status: number, answeredBy: string | undefined, misdirected: boolean
+  ): void {
+    current.call.cancel()
+    leave(current)
+    const { upstream } = current
+    const now = context.now().steady
+    const wanted = facts.model === undefined ? undefined : context.wantedWeights(facts.model)?.version
+    const isBehind = wanted !== undefined && (upstream.weights.get(facts.model!) ?? 0) < wanted
+    const isOther = misdirected && answeredBy !== undefined && answeredBy !== upstream.entry.identifier
+    if (misdirected && !isOther && isBehind) learnWeights(upstream, { model: facts.model!, version: wanted })
+    else pauseAfterRefusal(upstream, isBehind || isOther, now)
+    log(EdgeEvent.attemptRejected, {
+      requestIdentifier: identifier, upstream: upstream.entry.identifier, status, answeredBy, isBehind
+    })
+    history.runs -= 1
+    history.rejections += 1
+    next(AttemptEnd.notRun, `the upstream answered ${status} without running the request`)
+  }
+
+  function isStreamed (current: Attempt): boolean {
+    return boundary !== undefined && current.head?.statusCode === 200
+  }
+
+  function onData (current: Attempt, chunk: Buffer): void {
+    const now = context.now().steady
+    heardFrom(current.upstream, now)
+    current.lastByteAt = now
+    if (!current.answered) {
+      current.answered = true
+      forgetUnread(current)
+      observeWait(current.upstream, now - current.startedAt, now)
+    }
+    if (!isStreamed(current)) {
+      current.pieces.push(chunk)
+      return
+    }
+    const events = boundary!.push(chunk)
+    if (events !== undefined && !answer.write(events)) current.call.pause()
+    if (boundary!.overflowed()) abandon(current, 'an event is too long')
+  }
+
+  function onEnd (current: Attempt): void {
+    const { head, upstream } = current
+    if (isStreamed(current)) {
+      if (boundary!.rest().length > 0) return onFailure(current, 'the stream ended within an event', true)
+      leave(current)
+      answer.end()
+      return outcome.succeeded(upstream, 200)
+    }
+    leave(current)
+    const status = head?.statusCode ?? 0
+    if (status >= 500 || PROMISING_STATUSES.has(status)) {
+      return next(AttemptEnd.failed, `the upstream answered ${status}`, () => { passOn(current, status) })
+    }
+    passOn(current, status)
+  }
+
+  function passOn ({ head, pieces, upstream }: Attempt, status: number): void {
+    if (answer.hasBegun()) return outcome.brokenOff(`the upstream answered ${status} to a resumed stream`)
+    if (PROMISING_STATUSES.has(status)) {
+      return outcome.gaveUp(ExecutionStatus.unknown, `the upstream answered ${status} after it may have run the request`)
+    }
+    answer.begin(status, head?.statusMessage, head?.rawHeaders ?? [])
+    answer.end(Buffer.concat(pieces))
+    outcome.succeeded(upstream, status)
+  }
+
+  return {
+    send () {
+      if (plan.subject !== undefined) {
+        const ownTokens = Math.max(0, plan.promptTokens - plan.sharedTokens)
+        holders = context.demand.holders(plan.subject, ownTokens, context.instances(), context.now().steady)
+      }
+      context.retries.recordRequest(service, context.now().steady)
+      send()
+    },
+    check (now) {
+      if (attempt === undefined || !mayRepeat(history) || history.runs >= history.maximumAttempts) return
+      const quiet = now.steady - attempt.lastByteAt
+      const limit = history.repeat === RepeatRule.safe ? timeLeft() * REPEAT_SHARE : STUCK_STREAM_MS
+      const isLost = isSilent(attempt.upstream, now.steady) && quiet > CONNECT_LIMIT_MS
+      if (quiet >= limit || isLost) abandon(attempt, `no byte for ${Math.round(quiet)} ms`)
+    },
+    cancel () {
+      if (attempt === undefined) return
+      attempt.call.cancel()
+      leave(attempt)
+    },
+    resume: () => { attempt?.call.resume() },
+    counts: () => ({ runs: history.runs, rejections: history.rejections }),
+    lastEvent: () => boundary?.lastEvent()
+  }
+}
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -30,4 +30,9 @@
 } as const
 export type EdgeEvent = typeof EdgeEvent[keyof typeof EdgeEvent]
 
+/** Text of a caught value for a log line. */
+export function reasonOf (error: unknown): string {
+  return error instanceof Error ? error.message : String(error)
+}
+
 export type EdgeLog = (event: EdgeEvent, fields?: Readonly<Record<string, unknown>>) => void
--- /dev/null
+++ b/src/edge/exchangeContext.ts
@@ -0,0 +1,35 @@
+/** What all exchanges of an instance share. */
+import type { RandomSource } from '../types'
+import type { EdgeLog } from './events'
+import type { Freshness } from './freshness'
+import type { PrefixDemand } from './prefixDemand'
+import type { KeptParts } from './promptPlan'
+import type { QuotaShares } from './quotaShare'
+import type { RetryAllowance } from './retryAllowance'
+import type { RouteTable } from './routeTable'
+import type { Dialect, Instant } from './types'
+import type { UpstreamConnections } from './upstreamConnections'
+import type { UpstreamDirectory } from './upstreamDirectory'
+
+export interface ExchangeContext {
+  dialect: Dialect
+  table: () => RouteTable | undefined
+  freshness: Freshness
+  directory: UpstreamDirectory
+  connections: UpstreamConnections
+  quotas: QuotaShares
+  retries: RetryAllowance
+  kept: KeptParts
+  demand: PrefixDemand
+  dataCentre: string
+  /** Instances that share quotas and retries. */
+  instances: () => number
+  /** Milliseconds after which no request may begin on weights older than the newest ones named. */
+  oldWeightsLimit: number
+  /** Newest weights named for a model and when this instance heard of them. */
+  wantedWeights: (model: string) => { version: number, since: number } | undefined
+  isStopping: () => boolean
+  log: EdgeLog
+  now: () => Instant
+  random: RandomSource
+}
--- a/src/edge/instanceList.ts
+++ b/src/edge/instanceList.ts
@@ -1,5 +1,5 @@
 /** The list of edge instances in the store, by which quotas and retries are shared out. */
-import { EdgeEvent, type EdgeLog } from './events'
+import { EdgeEvent, reasonOf, type EdgeLog } from './events'
 import { followTable, type Follower, type FollowerOptions } from './storeFollower'
 import type { Store } from './types'
 
@@ -27,14 +27,13 @@
   let timer: NodeJS.Timeout | undefined
 
   async function register (): Promise<void> {
-    await store.commit({
-      table: INSTANCE_TABLE, conditions: [], writes: [{ key: instance, value: JSON.stringify({ dataCentre }) }], removals: []
-    })
+    const writes = [{ key: instance, value: JSON.stringify({ dataCentre }) }]
+    await store.commit({ table: INSTANCE_TABLE, conditions: [], writes, removals: [] })
   }
 
   function tryRegister (): void {
     register().catch((error: unknown) => {
-      log(EdgeEvent.storeLost, { table: INSTANCE_TABLE, reason: error instanceof Error ? error.message : String(error) })
+      log(EdgeEvent.storeLost, { table: INSTANCE_TABLE, reason: reasonOf(error) })
       timer = setTimeout(tryRegister, WRITE_RETRY_MS)
     })
   }
--- a/src/edge/placement.ts
+++ b/src/edge/placement.ts
@@ -4,7 +4,9 @@
  * Load patterns that these decisions answer:
  * - Long shared prompts, more of them than the engines hold: the engines are ranked by rendezvous hashing of the last
  *   shared part, so that all instances choose the same engine without telling each other.
- * - One hot prefix: requests move on to the next engines in rank when the wait at the first exceeds a fetch of the parts.
+ * - One hot prefix: its known rate decides how many engines in rank hold it, and a draw spreads its requests over them.
+ *   Waits are seen late and by each instance apart, so that moving by waits alone makes all instances change sides together.
+ * - An engine that is slow or crowded: requests move on in rank when its wait exceeds a fetch of the parts.
  * - Short calls of plain services: the least busy upstream, with a preference for the own data centre.
  */
 import { rendezvousWeight } from '../prefix/rendezvous'
@@ -12,7 +14,7 @@
 import { currentWait, type Upstream } from './upstreamDirectory'
 
 /** Milliseconds that an upstream in another data centre must be faster by; a round trip between data centres. */
-const DISTANCE_MS = 3
+const DISTANCE_MS = 5
 /** Milliseconds for one request in flight at a plain service; the usual time of a call, over its slots. */
 const SERVICE_CALL_MS = 20
 /** Milliseconds to fetch or read again 1,000 shared tokens, from the engines' prefill rate and the links to the store. */
@@ -24,13 +26,17 @@
 /** Milliseconds to read 1,000 prompt tokens; engines of the deployments read 80 to 160 tokens in a millisecond. */
 const READ_MS_PER_1000_TOKENS = 8
 /** Milliseconds of waiting that newer weights are worth; an answer on old ones loses a fifth of its value. */
-const OLD_WEIGHTS_MS = 150
+const OLD_WEIGHTS_MS = 250
 
 export interface PlacementRequest {
   /** What the request shares with others: cache scope and last shared part; undefined without such parts. */
   sharedSubject: string | undefined
   sharedTokens: number
   dataCentre: string
+  /** Engines that should hold the prefix, at least 1. */
+  holders: number
+  /** Uniform in [0, 1). */
+  draw: number
   /** Newer weights have been in force for a while than the upstream has. */
   hasOldWeights: (upstream: Upstream) => boolean
 }
@@ -68,11 +74,17 @@
     .map((upstream) => ({ upstream, weight: rendezvousWeight(subject, upstream.entry.identifier) }))
     .sort((one, other) => other.weight - one.weight)
     .map(({ upstream }, rank) => [upstream, rank]))
+  const preferred = Math.floor(request.draw * Math.min(request.holders, candidates.length))
   const move = SWITCH_MARGIN_MS + request.sharedTokens / 1000 * FETCH_MS_PER_1000_TOKENS
   return byCost(candidates, (upstream) => {
     const rank = ranks.get(upstream)!
     return currentWait(upstream, now) + upstream.unreadTokens / 1000 * READ_MS_PER_1000_TOKENS +
-      (rank === 0 ? 0 : move * (1 + RANK_STEP * rank)) +
+      distanceOfRank(rank, preferred, request.holders, move) +
       (request.hasOldWeights(upstream) ? OLD_WEIGHTS_MS : 0)
   })
 }
+
+function distanceOfRank (rank: number, preferred: number, holders: number, move: number): number {
+  if (rank === preferred) return 0
+  return rank < holders ? SWITCH_MARGIN_MS : move * (1 + RANK_STEP * rank)
+}
--- a/src/edge/storeFollower.ts
+++ b/src/edge/storeFollower.ts
@@ -1,6 +1,6 @@
 /** Follows one table of the store by long polls, and starts anew when the history is gone. */
 import { HistoryLostError } from '../errors'
-import { EdgeEvent, type EdgeLog } from './events'
+import { EdgeEvent, reasonOf, type EdgeLog } from './events'
 import type { Instant, Store, StoreReading, StoreRow } from './types'
 
 /** Milliseconds before a failed call is repeated; doubles up to the longest pause. */
@@ -79,7 +79,7 @@
 
   function failed (error: unknown): void {
     if (error instanceof HistoryLostError) version = undefined
-    if (!lost) log(EdgeEvent.storeLost, { table, reason: error instanceof Error ? error.message : String(error) })
+    if (!lost) log(EdgeEvent.storeLost, { table, reason: reasonOf(error) })
     lost = true
     timer = setTimeout(run, pause * (1 - PAUSE_JITTER * random()))
     pause = Math.min(LONGEST_PAUSE_MS, pause * 2)
--- a/src/edge/storeLease.ts
+++ b/src/edge/storeLease.ts
@@ -80,7 +80,8 @@
       const record = row === undefined ? undefined : parseRecord(row)
       const isOwn = record?.holder === holder && record.incarnation === incarnation
       // The reading's own time is used here, not an extrapolation: it is never later than the store's clock.
-      if (record !== undefined && !isOwn && reference!.storeTime <= record.expires + duration * TAKEOVER_SHARE) return undefined
+      const takeoverAt = record === undefined || isOwn ? -Infinity : record.expires + duration * TAKEOVER_SHARE
+      if (reference!.storeTime <= takeoverAt) return undefined
       const value: LeaseRecord = { holder, incarnation, expires: Math.ceil(storeTime + duration) }
       return { value: JSON.stringify(value), version: row?.version ?? 0 }
     },
--- a/src/edge/upstreamConnections.ts
+++ b/src/edge/upstreamConnections.ts
@@ -1,5 +1,5 @@
 /** Connections to upstreams: kept ones for requests that may be repeated, new ones for all others. */
-import { Agent, type AgentOptions } from 'node:http'
+import { Agent, type AgentOptions, type ClientRequest } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Upstream } from './upstreamDirectory'
 
@@ -30,7 +30,7 @@
     return true
   }
 
-  override reuseSocket (socket: Socket, request: import('node:http').ClientRequest): void {
+  override reuseSocket (socket: Socket, request: ClientRequest): void {
     this.idleSince.delete(socket)
     socket.removeListener('data', onIdleData)
     super.reuseSocket(socket, request)
--- a/src/edge/weightsMove.ts
+++ b/src/edge/weightsMove.ts
@@ -62,7 +62,7 @@
   function stateOf (upstream: Upstream, wanted: ModelWeights): LoadState {
     const { identifier, startedAt } = upstream.entry
     const present = loads.get(identifier)
-    if (present !== undefined && present.startedAt === startedAt && present.wanted.version === wanted.version) return present
+    if (present?.startedAt === startedAt && present.wanted.version === wanted.version) return present
     // An engine that still loads superseded weights goes on to count as loading.
     const orderedAt = present?.startedAt === startedAt ? present.orderedAt : undefined
     const state: LoadState = { startedAt, wanted, orderedAt, lookAgainAt: -Infinity, report: undefined }
@@ -92,7 +92,8 @@
         return wanted === undefined ? [] : [{ upstream, wanted, state: stateOf(upstream, wanted) }]
       })
       // The oldest weights first: an engine that was just brought to superseded ones can wait.
-      waiting.sort((one, other) => one.upstream.weights.get(one.wanted.model)! - other.upstream.weights.get(other.wanted.model)!)
+      const versionOf = ({ upstream, wanted }: typeof waiting[number]): number => upstream.weights.get(wanted.model)!
+      waiting.sort((one, other) => versionOf(one) - versionOf(other))
       const limit = Math.max(1, Math.round(engines.length * PARALLEL_SHARE))
       let loading = waiting.filter(({ state }) => isLoading(state, now)).length
       const steps: WeightsStep[] = []
@@ -116,7 +117,8 @@
         return
       }
       state.report = report
-      if (!report.busy && state.orderedAt !== undefined && now - state.orderedAt > REPORT_INTERVAL_MS) state.orderedAt = undefined
+      const orderAge = state.orderedAt === undefined ? 0 : now - state.orderedAt
+      if (!report.busy && orderAge > REPORT_INTERVAL_MS) state.orderedAt = undefined
       state.lookAgainAt = report.busy || state.orderedAt !== undefined ? now + REPORT_INTERVAL_MS : now
     },
     ordered (upstream, outcome, now) {
--- a/src/edge/weightsTask.ts
+++ b/src/edge/weightsTask.ts
@@ -1,5 +1,5 @@
 /** Gives engines the orders that bring them to new weights, under the lease. */
-import { EdgeEvent, type EdgeLog } from './events'
+import { EdgeEvent, reasonOf, type EdgeLog } from './events'
 import type { StoreLease } from './storeLease'
 import type { EngineControl, Instant, Store } from './types'
 import type { UpstreamDirectory } from './upstreamDirectory'
@@ -66,7 +66,7 @@
     claim().catch((error: unknown) => {
       // A write with an unknown outcome gives no lease; the next read shows what became of it.
       lease.forget()
-      log(EdgeEvent.leaseLost, { reason: error instanceof Error ? error.message : String(error) })
+      log(EdgeEvent.leaseLost, { reason: reasonOf(error) })
     }).finally(() => { claiming = false })
   }
 
@@ -82,7 +82,7 @@
     const outcome = await control.orderWeights(upstream.entry, {
       ...wanted, holder: instance, fencingToken, expectedOrders
     }).catch((error: unknown) => {
-      log(EdgeEvent.weightsOrderFailed, { upstream: identifier, ...wanted, reason: error instanceof Error ? error.message : String(error) })
+      log(EdgeEvent.weightsOrderFailed, { upstream: identifier, ...wanted, reason: reasonOf(error) })
       return 'unknown' as const
     })
     log(EdgeEvent.weightsOrdered, { upstream: identifier, ...wanted, fencingToken, expectedOrders, outcome })
@@ -108,7 +108,7 @@
       if (busy.has(identifier)) continue
       busy.add(identifier)
       perform(step).catch((error: unknown) => {
-        log(EdgeEvent.weightsOrderFailed, { upstream: identifier, reason: error instanceof Error ? error.message : String(error) })
+        log(EdgeEvent.weightsOrderFailed, { upstream: identifier, reason: reasonOf(error) })
         move.failed(step.upstream, now().steady)
       }).finally(() => { busy.delete(identifier) })
     }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,7 +8,7 @@
 
 export default defineConfig({
   test: {
-    include: ['{src,standins,experiments,playground}/**/__tests__/**/*.test.ts'],
+    include: ['{src,platform,standins,experiments,playground}/**/__tests__/**/*.test.ts'],
     exclude: [...configDefaults.exclude, ...knownRed],
     // End-to-end cases start several processes each; more files at the same time would slow them past their limits.
     maxWorkers: 6,
