--- /dev/null
+++ b/standins/fleet/upstream.ts
@@ -0,0 +1,214 @@
+/** Stand-in of an engine or a plain service behind the edge, with a journal of what ran and faults for the next requests. */
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+export const UpstreamFault = {
+  /** Refuses without running. */
+  full: 'full',
+  /** Runs and answers 500. */
+  fails: 'fails',
+  /** Runs and answers 503 without saying that it did not. */
+  failsBusy: 'failsBusy',
+  /** Runs and resets the connection. */
+  answerLost: 'answerLost',
+  /** Resets the connection in the middle of the answer. */
+  cut: 'cut',
+  /** Ends a stream in the middle of an event, with a complete message. */
+  tornEvent: 'tornEvent',
+  /** Answers another request. */
+  crossed: 'crossed',
+  /** Answers without a signature. */
+  unsigned: 'unsigned',
+  /** Sends a second answer after the first. */
+  extra: 'extra',
+  /** Ends the answer without a length by closing the connection. */
+  unframed: 'unframed',
+  /** Answers nothing. */
+  silent: 'silent',
+  /** Answers a long request before its body is in. */
+  early: 'early'
+} as const
+export type UpstreamFault = typeof UpstreamFault[keyof typeof UpstreamFault]
+
+export interface UpstreamRun {
+  identifier: string
+  method: string
+  path: string
+  headers: IncomingMessage['headers']
+  body: string
+  /** The connection closed before the answer was complete. */
+  cancelled: boolean
+}
+
+export interface UpstreamStandIn {
+  identifier: string
+  /** `HOST:PORT`. */
+  address: string
+  runs: UpstreamRun[]
+  /** Requests that arrived, run or not. */
+  arrivals: () => number
+  /** The next requests meet these faults, one each. */
+  fail: (...faults: UpstreamFault[]) => void
+  /** Weights of the model `small`; 0 makes it a plain service. */
+  weights: number
+  /** Orders that were accepted. */
+  orders: Array<Record<string, unknown>>
+  close: () => Promise<void>
+}
+
+export interface UpstreamStandInOptions {
+  /** Events of a stream. @default 4 */
+  events?: number
+  /** Milliseconds between events, and before a plain answer. @default 5 */
+  pace?: number
+  /** Weights of the model `small`; 0 makes it a plain service. @default 0 */
+  weights?: number
+  /** Faults of the next requests, one each; several stand-ins may share one list. @default [] */
+  faults?: UpstreamFault[]
+}
+
+export const PLAIN_ANSWER = 'the whole answer'
+
+export function eventText (number: number): string {
+  return `id: ${number}\ndata: piece ${number}\n\n`
+}
+
+export async function startUpstreamStandIn (
+  identifier: string, { events = 4, pace = 5, weights = 0, faults = [] }: UpstreamStandInOptions = {}
+): Promise<UpstreamStandIn> {
+  const runs: UpstreamRun[] = []
+  const orders: Array<Record<string, unknown>> = []
+  let arrivals = 0
+
+  function refuse (response: ServerResponse, status: number, headers: Record<string, string>): void {
+    response.writeHead(status, { ...headers, 'Content-Length': '0' }).end()
+  }
+
+  function headersOf (request: IncomingMessage, fault: UpstreamFault | undefined): Record<string, string> {
+    const own = String(request.headers['request-id'])
+    return {
+      'Request-Id': fault === UpstreamFault.crossed ? 'another' : own,
+      ...(fault === UpstreamFault.unsigned ? {} : { 'Response-Stamp': `stamp.${identifier}.${own}` }),
+      ...(standIn.weights > 0 ? { 'Weight-Versions': String(standIn.weights) } : {})
+    }
+  }
+
+  function stream (request: IncomingMessage, response: ServerResponse, fault: UpstreamFault | undefined): void {
+    response.writeHead(200, { ...headersOf(request, fault), 'Content-Type': 'text/event-stream' })
+    let number = Number(request.headers['last-event-id'] ?? 0)
+    const next = (): void => {
+      if (response.destroyed) return
+      number += 1
+      const start = eventText(number).slice(0, 8)
+      const endings: Partial<Record<UpstreamFault, () => void>> = {
+        cut () {
+          response.write(start)
+          setTimeout(() => { response.socket?.resetAndDestroy() }, pace)
+        },
+        tornEvent: () => { response.end(start) },
+        silent: () => {}
+      }
+      const ending = fault === undefined || number <= Math.ceil(events / 2) ? undefined : endings[fault]
+      if (ending !== undefined) ending()
+      else if (number > events) response.end()
+      else {
+        response.write(eventText(number))
+        setTimeout(next, pace)
+      }
+    }
+    setTimeout(next, pace)
+  }
+
+  function plain (request: IncomingMessage, response: ServerResponse, fault: UpstreamFault | undefined): void {
+    const headers = headersOf(request, fault)
+    const length = { 'Content-Length': String(PLAIN_ANSWER.length) }
+    const answers: Partial<Record<UpstreamFault, () => void>> = {
+      fails: () => { response.writeHead(500, { ...headers, 'Content-Length': '6' }).end('failed') },
+      failsBusy: () => { response.writeHead(503, { ...headers, 'Content-Length': '4' }).end('busy') },
+      answerLost: () => { request.socket.resetAndDestroy() },
+      cut () {
+        response.writeHead(200, { ...headers, ...length })
+        response.write(PLAIN_ANSWER.slice(0, 5))
+        setTimeout(() => { request.socket.resetAndDestroy() }, pace)
+      },
+      extra () {
+        response.writeHead(200, { ...headers, ...length }).end(PLAIN_ANSWER)
+        const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${headers['Request-Id']}\r\nResponse-Stamp: x\r\nContent-Length: 5\r\n\r\nextra`
+        setTimeout(() => { request.socket.write(head) }, pace)
+      },
+      unframed () {
+        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
+        request.socket.end(`HTTP/1.1 200 OK\r\n${lines}Connection: close\r\n\r\n${PLAIN_ANSWER}`)
+      },
+      silent: () => {}
+    }
+    const handler = fault === undefined ? undefined : answers[fault]
+    if (handler !== undefined) return handler()
+    response.writeHead(200, { ...headers, ...length }).end(PLAIN_ANSWER)
+  }
+
+  function run (
+    request: IncomingMessage, response: ServerResponse, body: string, fault: UpstreamFault | undefined
+  ): void {
+    const { method, url, headers } = request
+    const record: UpstreamRun = {
+      identifier: String(headers['request-id']), method: method ?? '', path: url ?? '', headers, body, cancelled: false
+    }
+    runs.push(record)
+    response.on('close', () => { record.cancelled = !response.writableFinished })
+    if (standIn.weights > 0) stream(request, response, fault)
+    else setTimeout(() => { plain(request, response, fault) }, pace)
+  }
+
+  function order (response: ServerResponse, body: string): void {
+    const fields = JSON.parse(body) as Record<string, unknown>
+    if (fields.precondition !== orders.length) return refuse(response, 409, {})
+    orders.push(fields)
+    standIn.weights = Number(fields.version)
+    refuse(response, 202, {})
+  }
+
+  const server = createServer((request, response) => {
+    if (request.url === '/report') {
+      const models = [{ name: 'small', version: standIn.weights, adapters: [] }]
+      const text = JSON.stringify({ stage: 'both', models, busy: false, sequence: orders.length })
+      response.writeHead(200, { 'Content-Length': text.length }).end(text)
+      return
+    }
+    const isOrder = request.url === '/order'
+    const expected = request.headers['expected-instance']
+    const fault = isOrder ? undefined : faults.shift()
+    if (!isOrder) arrivals += 1
+    if (fault === UpstreamFault.early) {
+      plain(request, response, undefined)
+      return
+    }
+    const chunks: Buffer[] = []
+    request.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+    request.on('end', () => {
+      const body = Buffer.concat(chunks).toString()
+      if (expected !== undefined && expected !== identifier) return refuse(response, 421, { 'Instance-Id': identifier })
+      if (isOrder) return order(response, body)
+      const version = request.headers['expected-version']
+      if (version !== undefined && Number(version) !== standIn.weights) return refuse(response, 421, {})
+      if (fault === UpstreamFault.full) return refuse(response, 503, { 'Not-Executed': '1' })
+      run(request, response, body, fault)
+    })
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+
+  const standIn: UpstreamStandIn = {
+    identifier,
+    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    runs,
+    arrivals: () => arrivals,
+    fail: (...next) => { faults.push(...next) },
+    weights,
+    orders,
+    async close () {
+      server.closeAllConnections()
+      await new Promise((resolve) => { server.close(resolve) })
+    }
+  }
+  return standIn
+}
