Tell a reset from the end of an answer without a length; take requests for 2.7 s after SIGTERM

Ruled out: an error on the socket (none is set). Change: an empty line is written when the connection ends; after a reset it fails. Change: later ones get 503 with Connection: close, and the port stays open until the end.

--- a/src/edge/admission.ts
+++ b/src/edge/admission.ts
@@ -9,6 +9,7 @@
 export const STALE_RETRY_MS = 250
 
 export const AdmissionRefusal = {
+  stopping: { status: 503, code: 'not_ready', message: 'the instance is stopping', retryAfter: STALE_RETRY_MS },
   noConfiguration: { status: 503, code: 'not_ready', message: 'no configuration is known yet', retryAfter: STALE_RETRY_MS },
   staleConfiguration: {
     status: 503, code: 'not_ready', message: 'the configuration is too old to check keys', retryAfter: STALE_RETRY_MS
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -29,8 +29,11 @@
 const SWEEP_MS = 100
 /** Milliseconds between writes of the log. */
 const LOG_FLUSH_MS = 500
-/** Milliseconds after the request to stop for which new connections are taken; the balancer needs two missed checks. */
-const ACCEPT_MS = 3500
+/**
+ * Milliseconds after the request to stop for which requests are taken. The balancer leaves after two missed checks, one a
+ * second; requests that begin later might not end within the grace period.
+ */
+const ACCEPT_MS = 2700
 /** Milliseconds before the end by force at which the process ends by itself. */
 const END_MARGIN_MS = 500
 /** Milliseconds between looks at whether the last exchange is over. */
@@ -79,6 +82,7 @@
   let table: RouteTable | undefined
   let listRead = false
   let stopping = false
+  let refusing = false
 
   function isReady (): boolean {
     return !stopping && table !== undefined && listRead && freshness.permitsKeys(now())
@@ -117,6 +121,7 @@
       return version === undefined ? undefined : { version, since: namedAt.get(model) ?? 0 }
     },
     isStopping: () => stopping,
+    isRefusing: () => refusing,
     log,
     now,
     random
@@ -223,6 +228,7 @@
       log(EdgeEvent.stopping, { exchanges: exchanges.size })
       const end = performance.now() + limits.grace - END_MARGIN_MS
       await pause(Math.min(ACCEPT_MS, limits.grace / 2))
+      refusing = true
       server.closeIdle()
       while (exchanges.size > 0 && performance.now() < end) await pause(DRAIN_POLL_MS)
       for (const task of [operatorFollower, upstreamFollower, weightsTask, instances]) task.stop()
--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -23,7 +23,7 @@
 
 export interface EdgeServer {
   setLimits: (limits: CallerLimits) => void
-  /** Takes no new connections and closes idle ones; running exchanges go on. */
+  /** Closes idle connections; running exchanges go on, and new connections are still taken. */
   closeIdle: () => void
   close: () => void
 }
@@ -57,10 +57,10 @@
       callers.keepAliveTimeout = idleTimeout + IDLE_MARGIN_MS
     },
     closeIdle () {
-      callers.close()
       callers.closeIdleConnections()
     },
     close () {
+      callers.close()
       callers.closeAllConnections()
       readiness.close()
       readiness.closeAllConnections()
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -1,6 +1,6 @@
 /** One request of a caller, from its head to its final answer. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { admit } from './admission'
+import { admit, AdmissionRefusal } from './admission'
 import { createCallerAnswer, hasBody, readBody, type Refusal } from './callerAnswer'
 import { createDispatch, type Dispatch, type Job } from './dispatch'
 import { EdgeEvent } from './events'
@@ -158,6 +158,7 @@
     start () {
       response.on('close', () => { if (!response.writableFinished) onCallerGone() })
       answer.onDrained(() => { dispatch?.resume() })
+      if (context.isRefusing()) return refuseUnread(AdmissionRefusal.stopping)
       const { host } = request.headers
       const admission = admit(context.table(), context.freshness, host, request.url ?? '', facts, started)
       if (!admission.admitted) return refuseUnread(admission.refusal)
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -29,6 +29,8 @@
   /** Newest weights named for a model and when this instance heard of them. */
   wantedWeights: (model: string) => { version: number, since: number } | undefined
   isStopping: () => boolean
+  /** New requests are refused, so that those that run can end in time. */
+  isRefusing: () => boolean
   log: EdgeLog
   now: () => Instant
   random: RandomSource
--- a/src/edge/upstreamCall.ts
+++ b/src/edge/upstreamCall.ts
@@ -1,7 +1,14 @@
 /** One attempt of a request at an upstream. */
 import { request, type Agent, type IncomingMessage } from 'node:http'
+import type { Socket } from 'node:net'
 import type { Endpoint } from '../types'
 
+/**
+ * An answer without a length ends with its connection, and only a reset tells that it is not whole. A reset that arrives
+ * together with the last bytes is reported as an ordinary end by the event loop, but shows in the next write.
+ */
+const EMPTY_LINE = '\r\n'
+
 export interface UpstreamCallOptions {
   endpoint: Endpoint
   agent: Agent
@@ -35,6 +42,7 @@
   let ended = false
   let connected = false
   let response: IncomingMessage | undefined
+  let connection: Socket | undefined
   const outgoing = request({
     host: options.endpoint.host,
     port: options.endpoint.port,
@@ -52,13 +60,26 @@
     clearTimeout(connectTimer)
     return true
   }
+  function end (): void {
+    if (!finish()) return
+    // The rest of a body that the upstream did not wait for must not be taken for the next request.
+    if (!outgoing.writableFinished) outgoing.destroy()
+    events.onEnd()
+  }
   function fail (reason: string): void {
     if (!finish()) return
     outgoing.destroy()
     events.onFailure(reason, connected)
   }
 
+  /** Writes an empty line, which servers ignore, when the connection ends: after a reset the write fails. */
+  function probeAtEnd (socket: Socket): void {
+    socket.allowHalfOpen = true
+    socket.prependOnceListener('end', () => { socket.write(EMPTY_LINE) })
+  }
+
   outgoing.on('socket', (socket) => {
+    connection = socket
     function onConnected (): void {
       connected = true
       clearTimeout(connectTimer)
@@ -67,18 +88,23 @@
     else onConnected()
   })
   outgoing.on('error', (error) => { fail(error.message) })
-  outgoing.on('close', () => { fail('the connection closed without an answer') })
+  outgoing.on('close', () => { if (response === undefined) fail('the connection closed without an answer') })
   outgoing.on('response', (incoming) => {
     if (ended) return
     response = incoming
+    const isFramed = incoming.headers['content-length'] !== undefined ||
+      incoming.headers['transfer-encoding'] !== undefined
+    if (!isFramed && connection !== undefined) probeAtEnd(connection)
     incoming.on('data', (chunk: Buffer) => { if (!ended) events.onData(chunk) })
     incoming.on('error', (error) => { fail(error.message) })
-    incoming.on('close', () => { fail('the answer broke off') })
+    incoming.on('close', () => { if (!incoming.readableEnded) fail('the answer broke off') })
     incoming.on('end', () => {
-      if (!incoming.complete || !finish()) return
-      // The rest of a body that the upstream did not wait for must not be taken for the next request.
-      if (!outgoing.writableFinished) outgoing.destroy()
-      events.onEnd()
+      if (!incoming.complete) return
+      if (isFramed) return end()
+      setImmediate(() => {
+        if (connection?.errored == null) end()
+        else fail('the connection was reset within an answer without a length')
+      })
     })
     events.onHead(incoming)
   })
--- a/standins/fleet/upstream.ts
+++ b/standins/fleet/upstream.ts
@@ -23,6 +23,8 @@
   extra: 'extra',
   /** Ends the answer without a length by closing the connection. */
   unframed: 'unframed',
+  /** Resets the connection in the middle of an answer without a length. */
+  unframedReset: 'unframedReset',
   /** Answers nothing. */
   silent: 'silent',
   /** Answers a long request before its body is in. */
@@ -122,6 +124,8 @@
   function plain (request: IncomingMessage, response: ServerResponse, fault: UpstreamFault | undefined): void {
     const headers = headersOf(request, fault)
     const length = { 'Content-Length': String(PLAIN_ANSWER.length) }
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
+    const unframedHead = `HTTP/1.1 200 OK\r\n${lines}Connection: close\r\n\r\n`
     const answers: Partial<Record<UpstreamFault, () => void>> = {
       fails: () => { response.writeHead(500, { ...headers, 'Content-Length': '6' }).end('failed') },
       failsBusy: () => { response.writeHead(503, { ...headers, 'Content-Length': '4' }).end('busy') },
@@ -136,9 +140,11 @@
         const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${headers['Request-Id']}\r\nResponse-Stamp: x\r\nContent-Length: 5\r\n\r\nextra`
         setTimeout(() => { request.socket.write(head) }, pace)
       },
-      unframed () {
-        const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
-        request.socket.end(`HTTP/1.1 200 OK\r\n${lines}Connection: close\r\n\r\n${PLAIN_ANSWER}`)
+      unframed: () => { request.socket.end(`${unframedHead}${PLAIN_ANSWER}`) },
+      unframedReset () {
+        // The reset arrives together with the bytes before it.
+        request.socket.write(`${unframedHead}${PLAIN_ANSWER.slice(0, 5)}`)
+        request.socket.resetAndDestroy()
       },
       silent: () => {}
     }
