Trust the store's state only after a write has shown how new it is; ask for a held lease when it ends

Cause: a restarted instance has seen no version of the store, so a stale answer during a compaction counted as proof of the newest keys. Each instance now writes its row at its start, and reads count as proof from that version on. The other instances asked for the lease of orders about once a second; they now ask when it can be taken over. Test: 'takes rows but no proof before a write has shown how new the store is' failed before.

--- a/src/edge/__tests__/storeFollower.test.ts
+++ b/src/edge/__tests__/storeFollower.test.ts
@@ -29,12 +29,17 @@
   return { store, calls }
 }
 
-interface Trace { calls: string[], rows: Array<{ keys: string[], gap: ContactGap }>, contacts: Instant[], events: string[] }
+interface Trace {
+  calls: string[]
+  rows: Array<{ keys: string[], gap: ContactGap }>
+  contacts: Instant[]
+  events: string[]
+}
 
 let follower: Follower
 let time = 0
 
-async function follow (steps: Step[], newest = 0): Promise<Trace> {
+async function follow (steps: Step[], newest = 1): Promise<Trace> {
   const { store, calls } = createStore(steps)
   const trace: Trace = { calls, rows: [], contacts: [], events: [] }
   const take = (rows: ReadonlyArray<{ key: string }>, gap: ContactGap): void => {
@@ -91,6 +96,12 @@
     expect(trace.events).toEqual([EdgeEvent.storeLost, EdgeEvent.storeRegained])
   })
 
+  it('takes rows but no proof before a write has shown how new the store is', async () => {
+    const trace = await follow([reading(5, 'a'), reading(7, 'b')], 0)
+    expect(trace.rows.map(({ keys }) => keys)).toEqual([['a'], ['b']])
+    expect(trace.contacts).toHaveLength(0)
+  })
+
   it('takes no proof of freshness from an answer older than one seen before', async () => {
     const trace = await follow([reading(5, 'a'), reading(9)], 8)
     expect(trace.contacts).toHaveLength(0)
--- a/src/edge/__tests__/storeLease.test.ts
+++ b/src/edge/__tests__/storeLease.test.ts
@@ -24,7 +24,13 @@
     ['a lease of an earlier run of this instance', row({ holder: 'a', incarnation: 4, expires: 4000 }), 3000, undefined],
     ['a row that cannot be read', row('{'), 1000, 7]
   ])('%s', (_title, present, storeTime, version) => {
-    expect(claimAt(createStoreLease('a', 5, DURATION), present, storeTime)?.version).toBe(version)
+    const claim = claimAt(createStoreLease('a', 5, DURATION), present, storeTime)!
+    expect('version' in claim ? claim.version : undefined).toBe(version)
+  })
+
+  it('tells when a held lease can be taken over', () => {
+    const present = row({ holder: 'b', incarnation: 1, expires: 4000 })
+    expect(claimAt(createStoreLease('a', 5, DURATION), present, 3000)).toEqual({ heldFor: 3400 })
   })
 
   it('needs a reading first', () => {
@@ -55,7 +61,7 @@
     const first = createStoreLease('a', 1, DURATION)
     first.clock(50_000, at(0))
     first.observe(undefined)
-    const claim = first.claim(at(20))!
+    const claim = first.claim(at(20)) as { value: string }
     first.granted(9, at(20))
     let lastOrder = 0
     for (let time = 20; time < 10_000; time += 10) if (first.token(at(time)) !== undefined) lastOrder = time
@@ -64,7 +70,7 @@
     for (let time = 20; firstOrder === 0; time += 10) {
       second.clock(50_000 + time, at(time))
       second.observe({ key: 'orders', value: Buffer.from(claim.value), version: 9 })
-      if (second.claim(at(time)) !== undefined) firstOrder = time
+      if ('version' in second.claim(at(time))!) firstOrder = time
     }
     expect(firstOrder - lastOrder).toBeGreaterThanOrEqual(DURATION)
   })
--- a/src/edge/instanceList.ts
+++ b/src/edge/instanceList.ts
@@ -1,4 +1,7 @@
-/** The list of edge instances in the store, by which quotas and retries are shared out. */
+/**
+ * The list of edge instances in the store, by which quotas and retries are shared out. Each instance writes its row when
+ * it starts, which also tells it the newest version of the store.
+ */
 import { EdgeEvent, reasonOf, type EdgeLog } from './events'
 import { followTable, type Follower, type FollowerOptions } from './storeFollower'
 import type { Store } from './types'
@@ -22,13 +25,14 @@
     store: Store, instance: string, dataCentre: string, log: EdgeLog
   }
 ): InstanceList {
-  const { store, instance, dataCentre, log } = options
+  const { store, newestVersion, instance, dataCentre, log } = options
   const names = new Set([instance])
   let timer: NodeJS.Timeout | undefined
 
   async function register (): Promise<void> {
     const writes = [{ key: instance, value: JSON.stringify({ dataCentre }) }]
-    await store.commit({ table: INSTANCE_TABLE, conditions: [], writes, removals: [] })
+    const result = await store.commit({ table: INSTANCE_TABLE, conditions: [], writes, removals: [] })
+    if (result.committed) newestVersion.value = Math.max(newestVersion.value, result.version)
   }
 
   function tryRegister (): void {
@@ -38,6 +42,7 @@
     })
   }
 
+  tryRegister()
   const follower: Follower = followTable({
     ...options,
     table: INSTANCE_TABLE,
@@ -46,8 +51,6 @@
       names.clear()
       names.add(instance)
       for (const { key } of rows) names.add(key)
-      // A restarted instance finds its row in place and leaves it alone.
-      if (!rows.some(({ key }) => key === instance)) tryRegister()
       log(EdgeEvent.instancesChanged, { count: names.size })
     },
     onChanges (rows) {
--- a/src/edge/storeFollower.ts
+++ b/src/edge/storeFollower.ts
@@ -19,7 +19,10 @@
   table: string
   /** Milliseconds that a call waits for changes. */
   wait: number
-  /** Highest version of the store that any call of this instance has shown; an older answer is a stale replica's. */
+  /**
+   * Highest version of the store that a call of this instance has shown; an older answer comes from a stale replica. 0
+   * until a write has been acknowledged: a read alone may show an old state.
+   */
   newestVersion: { value: number }
   /** Takes in all rows. */
   onRows: (rows: readonly StoreRow[], gap: ContactGap) => void
@@ -71,6 +74,7 @@
     if (lost) log(EdgeEvent.storeRegained, { table, version: reading.version })
     lost = false
     if (reading.version < newestVersion.value) return false
+    if (newestVersion.value === 0) return true
     newestVersion.value = reading.version
     options.onContact?.(sentAt)
     return true
--- a/src/edge/storeLease.ts
+++ b/src/edge/storeLease.ts
@@ -27,8 +27,11 @@
   observe: (row: StoreRow | undefined) => void
   /** Notes an answer's store time, for a call sent at `sentAt`. */
   clock: (storeTime: number, sentAt: Instant) => void
-  /** Value for a write that is about to be sent, and the version that the row must have; undefined while another holds it. */
-  claim: (now: Instant) => { value: string, version: number } | undefined
+  /**
+   * Value for a write that is about to be sent, and the version that the row must have. While another instance holds the
+   * lease: milliseconds until it can be taken over if it is not renewed.
+   */
+  claim: (now: Instant) => { value: string, version: number } | { heldFor: number } | undefined
   /** The write that was sent at `sentAt` was committed under this version. */
   granted: (version: number, sentAt: Instant) => void
   /** Fencing token while this instance holds the lease, undefined otherwise. */
@@ -81,7 +84,7 @@
       const isOwn = record?.holder === holder && record.incarnation === incarnation
       // The reading's own time is used here, not an extrapolation: it is never later than the store's clock.
       const takeoverAt = record === undefined || isOwn ? -Infinity : record.expires + duration * TAKEOVER_SHARE
-      if (reference!.storeTime <= takeoverAt) return undefined
+      if (reference!.storeTime <= takeoverAt) return { heldFor: takeoverAt - reference!.storeTime }
       const value: LeaseRecord = { holder, incarnation, expires: Math.ceil(storeTime + duration) }
       return { value: JSON.stringify(value), version: row?.version ?? 0 }
     },
--- a/src/edge/weightsTask.ts
+++ b/src/edge/weightsTask.ts
@@ -48,6 +48,10 @@
     const sentAt = now()
     const claim = lease.claim(sentAt)
     if (claim === undefined) return
+    if ('heldFor' in claim) {
+      claimAt = sentAt.steady + claim.heldFor + random() * CLAIM_SPREAD_MS
+      return
+    }
     const result = await store.commit({
       table: LEASE_TABLE,
       conditions: [{ key: LEASE_KEY, version: claim.version }],
