Refuse streams by the expected wait while engines cannot keep up

Conclusion: waits are seen too late, Little's law shows the queue at once. A connection that did not open is no retry: no upstream received anything, and the allowance ran out for it. After a restart the first proof of the store's state came with the second long poll, 1.75 s late; it now comes at once.

--- a/src/edge/__tests__/placement.test.ts
+++ b/src/edge/__tests__/placement.test.ts
@@ -7,7 +7,7 @@
 import { createEntry, createUpstreams } from './fixtures'
 
 const plain: PlacementRequest = {
-  sharedSubject: undefined, sharedTokens: 0, dataCentre: 'north', holders: 1, draw: 0, hasOldWeights: () => false
+  sharedSubject: undefined, sharedTokens: 0, dataCentre: 'north', urgency: 0, holders: 1, draw: 0, hasOldWeights: () => false
 }
 const shared = (subject: string): PlacementRequest => ({ ...plain, sharedSubject: subject, sharedTokens: 6300 })
 
@@ -31,7 +31,7 @@
     ])
     const near = upstreams[1]!
     for (let index = 0; index < inFlight; index += 1) attemptBegan(near, 0, 0)
-    if (wait > 0) observeWait(near, wait, 0)
+    if (wait > 0) observeWait(near, 0, wait, 0)
     expect(first(plain, upstreams)).toBe(expected)
   })
 })
@@ -87,7 +87,7 @@
       const { at, wait, engine } = events.shift()!
       attemptEnded(engine)
       engine.unreadTokens -= 9190
-      observeWait(engine, wait, at)
+      observeWait(engine, 0, wait, at)
     }
     const engines = instances[Math.floor(random() * 9)]!
     const subject = random() < hotShare ? 'hot' : `sheet-${Math.floor(random() * 700)}`
--- a/src/edge/__tests__/upstreamDirectory.test.ts
+++ b/src/edge/__tests__/upstreamDirectory.test.ts
@@ -110,8 +110,8 @@
 
   it('an observed wait fades', () => {
     const upstream = createDirectory().get('a')!
-    observeWait(upstream, 1000, 0)
-    expect(currentWait(upstream, 0)).toBeCloseTo(300)
-    expect(currentWait(upstream, 6000)).toBeLessThan(10)
+    observeWait(upstream, 1, 1000, 0)
+    expect(currentWait(upstream, 1, 0)).toBeCloseTo(300)
+    expect(currentWait(upstream, 1, 6000)).toBeLessThan(10)
   })
 })
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -1,5 +1,6 @@
 /** Wires the parts of one edge daemon and owns its start and its end. */
 import { ConfigurationError } from '../errors'
+import { createBacklog, type Backlog } from './backlog'
 import { createBoundedLog } from './boundedLog'
 import { startEdgeServer } from './edgeServer'
 import { EdgeEvent } from './events'
@@ -79,6 +80,7 @@
   const move = createWeightsMove()
   const namedAfter = new Map<string, Instant | undefined>()
   const exchanges = new Set<Exchange>()
+  const backlogs = new Map<string, Backlog>()
   let table: RouteTable | undefined
   let listRead = false
   let stopping = false
@@ -113,6 +115,13 @@
     retries: createRetryAllowance({ window: limits.retryWindow, ratio: limits.retryRatio, extra: limits.retryExtra }),
     kept: createKeptParts(),
     demand: createPrefixDemand(),
+    backlog (name) {
+      const present = backlogs.get(name)
+      if (present !== undefined) return present
+      const backlog = createBacklog()
+      backlogs.set(name, backlog)
+      return backlog
+    },
     dataCentre: instance.dataCentre,
     oldWeightsLimit: limits.oldWeights,
     instances: () => instances.count(),
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -6,6 +6,7 @@
 import { EdgeEvent } from './events'
 import type { ExchangeContext } from './exchangeContext'
 import { elapsed } from './freshness'
+import { decideShedding } from './loadShedding'
 import { orderUpstreams, type PlacementRequest } from './placement'
 import { directCache, urgencyOf, type PromptPlan } from './promptPlan'
 import { ExecutionStatus } from '../types'
@@ -13,7 +14,8 @@
 import type { CallerRequest, EdgeCustomer, EdgeRoute, Instant } from './types'
 import { callUpstream, type UpstreamCall } from './upstreamCall'
 import {
-  attemptBegan, attemptEnded, heardFrom, isSilent, learnWeights, observeWait, pauseAfterFailure, pauseAfterRefusal
+  attemptBegan, attemptEnded, currentWait, heardFrom, isSilent, learnWeights, observeWait, pauseAfterFailure,
+  pauseAfterRefusal
 } from './upstreamDirectory'
 import type { Upstream } from './upstreamDirectory'
 
@@ -47,6 +49,8 @@
 /** What the dispatch tells its exchange; exactly one of these is called, once. */
 export interface DispatchOutcome {
   succeeded: (upstream: Upstream, status: number) => void
+  /** The engines cannot keep up: nothing was sent. */
+  shed: (wait: number, retryAfter: number) => void
   /** No answer has begun. */
   gaveUp: (execution: ExecutionStatus, reason: string) => void
   /** Part of an answer has gone out and cannot be completed. */
@@ -93,8 +97,14 @@
     begun: false
   }
   const tried = new Set<string>()
+  /** An upstream has received the request, whether it ran it or not. */
+  let arrived = false
   let attempt: Attempt | undefined
   let boundary: EventBoundary | undefined
+  const urgency = urgencyOf(route, customer)
+  const backlog = context.backlog(`${service}/${urgency ?? ''}`)
+  /** Plain calls all have one rank. */
+  const rank = urgency ?? 0
   let holders = 1
 
   function executionSoFar (): ExecutionStatus {
@@ -103,6 +113,7 @@
 
   /** The prompt has been read, or never will be. */
   function forgetUnread (current: Attempt): void {
+    if (!current.answered) backlog.left()
     current.upstream.unreadTokens -= current.unreadTokens
     current.unreadTokens = 0
   }
@@ -132,6 +143,7 @@
       sharedSubject: plan.subject,
       sharedTokens: plan.sharedTokens,
       dataCentre: context.dataCentre,
+      urgency: rank,
       holders,
       draw: context.random(),
       hasOldWeights: (upstream) => oldWeightsAge(upstream) > OLD_WEIGHTS_GRACE_MS
@@ -151,6 +163,12 @@
     if (!mayStillRun(now)) return giveUp(executionSoFar(), 'the key could not be checked again')
     const upstream = choose(now.steady)
     if (upstream === undefined) return giveUp(executionSoFar(), 'no upstream is usable')
+    const wait = currentWait(upstream, rank, now.steady)
+    if (history.repeat === RepeatRule.stream && history.runs === 0) {
+      const expectedWait = backlog.expectedWait(now.steady)
+      const shedding = decideShedding(expectedWait, route.latencyTarget, context.random())
+      if (shedding.shed) return outcome.shed(expectedWait, shedding.retryAfter)
+    }
     tried.add(upstream.entry.identifier)
     const left = timeLeft()
     const cache = directCache({
@@ -167,7 +185,7 @@
       timeLeft: left,
       upstream: upstream.entry.identifier,
       customer: customer?.name,
-      urgency: urgencyOf(route, customer),
+      urgency,
       resumeAfter,
       ...cache
     })
@@ -180,12 +198,13 @@
       resumeAfter,
       scope: cache.cacheScope,
       timeLeft: Math.round(left),
-      wait: Math.round(upstream.wait),
+      wait: Math.round(wait),
       holders,
       configurationAge: Math.round(context.freshness.age(now))
     })
     history.runs += 1
     attemptBegan(upstream, plan.promptTokens, now.steady)
+    backlog.began()
     const current: Attempt = {
       upstream,
       startedAt: now.steady,
@@ -217,13 +236,16 @@
     else outcome.gaveUp(execution, reason)
   }
 
+  /** Requests that no upstream has received yet are no retries. */
+  function mayRetry (): boolean {
+    if (timeLeft() <= 0) return false
+    return !arrived || context.retries.tryRetry(service, context.instances(), context.now().steady)
+  }
+
   /** Goes on after an attempt that gave no whole answer. */
   function next (end: AttemptEnd, reason: string, passOn?: () => void): void {
     const step = decideAfter(end, { ...history, begun: answer.hasBegun() })
-    const now = context.now().steady
-    if (step.kind === 'retry' && timeLeft() > 0 && context.retries.tryRetry(service, context.instances(), now)) {
-      return send()
-    }
+    if (step.kind === 'retry' && mayRetry()) return send()
     if (end === AttemptEnd.failed && passOn !== undefined) return passOn()
     giveUp(executionSoFar(), reason)
   }
@@ -235,6 +257,7 @@
     pauseAfterFailure(upstream, context.now().steady)
     context.connections.abandon(upstream)
     boundary?.dropRest()
+    arrived ||= sent
     if (sent) return next(AttemptEnd.unknown, reason)
     history.runs -= 1
     history.rejections += 1
@@ -273,6 +296,7 @@
   ): void {
     current.call.cancel()
     leave(current)
+    arrived = true
     const { upstream } = current
     const now = context.now().steady
     const wanted = facts.model === undefined ? undefined : context.wantedWeights(facts.model)?.version
@@ -298,8 +322,9 @@
     current.lastByteAt = now
     if (!current.answered) {
       current.answered = true
+      backlog.answered(now)
       forgetUnread(current)
-      observeWait(current.upstream, now - current.startedAt, now)
+      observeWait(current.upstream, rank, now - current.startedAt, now)
     }
     if (!isStreamed(current)) {
       current.pieces.push(chunk)
@@ -319,6 +344,7 @@
       return outcome.succeeded(upstream, 200)
     }
     leave(current)
+    arrived = true
     const status = head?.statusCode ?? 0
     if (status >= 500 || PROMISING_STATUSES.has(status)) {
       return next(AttemptEnd.failed, `the upstream answered ${status}`, () => { passOn(current, status) })
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -17,6 +17,10 @@
 const SHORTEST_RETRY_MS = 50
 const LONGEST_RETRY_MS = 1000
 
+function clampRetry (milliseconds: number): number {
+  return Math.min(LONGEST_RETRY_MS, Math.max(SHORTEST_RETRY_MS, milliseconds))
+}
+
 export interface Exchange {
   start: () => void
   /** Looks for silence; called a few times a second. */
@@ -81,7 +85,7 @@
     const now = context.now().steady
     const until = Math.min(...directory.listed(service).map(({ pausedUntil }) => pausedUntil))
     const wait = Number.isFinite(until) && until > now ? until - now : DEFAULT_RETRY_MS
-    return Math.min(LONGEST_RETRY_MS, Math.max(SHORTEST_RETRY_MS, wait))
+    return clampRetry(wait)
   }
 
   function refuseUnserved (service: string, execution: ExecutionStatus, reason: string, unknownStatus: number): void {
@@ -147,6 +151,11 @@
         })
         finish()
       },
+      shed (wait, retryAfter) {
+        const message = 'the engines cannot keep up'
+        const reason = `expected wait of ${Math.round(wait)} ms`
+        refuse({ status: 503, code: 'overloaded', message, retryAfter: clampRetry(retryAfter) }, reason)
+      },
       gaveUp: (execution, reason) => { refuseUnserved(service, execution, reason, 502) },
       brokenOff: breakOff
     })
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -1,5 +1,6 @@
 /** What all exchanges of an instance share. */
 import type { RandomSource } from '../types'
+import type { Backlog } from './backlog'
 import type { EdgeLog } from './events'
 import type { Freshness } from './freshness'
 import type { PrefixDemand } from './prefixDemand'
@@ -21,6 +22,8 @@
   retries: RetryAllowance
   kept: KeptParts
   demand: PrefixDemand
+  /** Requests of one service and urgency that wait for their first byte. */
+  backlog: (name: string) => Backlog
   dataCentre: string
   /** Instances that share quotas and retries. */
   instances: () => number
--- a/src/edge/placement.ts
+++ b/src/edge/placement.ts
@@ -33,6 +33,8 @@
   sharedSubject: string | undefined
   sharedTokens: number
   dataCentre: string
+  /** Rank at the upstream, 0 first. */
+  urgency: number
   /** Engines that should hold the prefix, at least 1. */
   holders: number
   /** Uniform in [0, 1). */
@@ -61,7 +63,7 @@
   request: PlacementRequest, candidates: readonly Upstream[], now: MonotonicMilliseconds
 ): Upstream[] {
   return byCost(candidates, (upstream) => (
-    currentWait(upstream, now) +
+    currentWait(upstream, request.urgency, now) +
     upstream.inFlight * SERVICE_CALL_MS / upstream.entry.slots +
     (upstream.entry.dataCentre === request.dataCentre ? 0 : DISTANCE_MS)
   ))
@@ -78,7 +80,7 @@
   const move = SWITCH_MARGIN_MS + request.sharedTokens / 1000 * FETCH_MS_PER_1000_TOKENS
   return byCost(candidates, (upstream) => {
     const rank = ranks.get(upstream)!
-    return currentWait(upstream, now) + upstream.unreadTokens / 1000 * READ_MS_PER_1000_TOKENS +
+    return currentWait(upstream, request.urgency, now) + upstream.unreadTokens / 1000 * READ_MS_PER_1000_TOKENS +
       distanceOfRank(rank, preferred, request.holders, move) +
       (request.hasOldWeights(upstream) ? OLD_WEIGHTS_MS : 0)
   })
--- a/src/edge/storeFollower.ts
+++ b/src/edge/storeFollower.ts
@@ -7,6 +7,8 @@
 /** Milliseconds before a failed call is repeated; doubles up to the longest pause. */
 const FIRST_PAUSE_MS = 100
 const LONGEST_PAUSE_MS = 800
+/** Milliseconds that a call waits until a write has shown how new the store is, so that proof follows soon after. */
+const UNPROVED_WAIT_MS = 50
 /** Part of a pause that is drawn at random, so that instances do not call at the same moment after an outage. */
 const PAUSE_JITTER = 0.5
 /** Milliseconds without contact after which the next contact counts as the end of an outage. */
@@ -89,7 +91,7 @@
       options.onRows(reading.rows, gap())
       return
     }
-    const reading = await store.follow(table, version, wait)
+    const reading = await store.follow(table, version, newestVersion.value === 0 ? UNPROVED_WAIT_MS : wait)
     contacted(sentAt, reading)
     if (reading.version > version) version = reading.version
     if (reading.rows.length > 0) options.onChanges(reading.rows, gap())
--- a/src/edge/upstreamDirectory.ts
+++ b/src/edge/upstreamDirectory.ts
@@ -22,6 +22,11 @@
 /** Weight of the newest observed wait. */
 const WAIT_GAIN = 0.3
 
+interface ObservedWait {
+  value: number
+  at: MonotonicMilliseconds
+}
+
 export interface Upstream {
   entry: UpstreamEntry
   /** Requests of this instance that run there. */
@@ -30,9 +35,8 @@
   unreadTokens: number
   /** Newest weights known by model, from the entry and from answers. */
   weights: Map<string, number>
-  /** Smoothed milliseconds to the first byte of an answer, beyond what the request's own tokens take. */
-  wait: number
-  waitObservedAt: MonotonicMilliseconds
+  /** Smoothed milliseconds to the first byte of an answer, by urgency: more urgent requests pass the others. */
+  waits: Map<number, ObservedWait>
   failures: number
   pausedUntil: MonotonicMilliseconds
   lastHeard: MonotonicMilliseconds
@@ -134,8 +138,7 @@
     inFlight: 0,
     unreadTokens: 0,
     weights: new Map(entry.weights.map(({ model, version }) => [model, version])),
-    wait: 0,
-    waitObservedAt: -Infinity,
+    waits: new Map(),
     failures: 0,
     pausedUntil: -Infinity,
     lastHeard: -Infinity,
@@ -153,7 +156,7 @@
   return upstream.inFlight > 0 && now - Math.max(upstream.lastHeard, upstream.quietSince) > SILENCE_MS
 }
 
-function isUsable (upstream: Upstream, now: MonotonicMilliseconds): boolean {
+export function isUsable (upstream: Upstream, now: MonotonicMilliseconds): boolean {
   return now >= upstream.pausedUntil && !isSilent(upstream, now)
 }
 
@@ -173,17 +176,16 @@
   upstream.failures = 0
 }
 
-/** The first byte of an answer came `wait` milliseconds later than the request's own tokens explain. */
-export function observeWait (upstream: Upstream, wait: number, now: MonotonicMilliseconds): void {
-  const present = currentWait(upstream, now)
-  upstream.wait = present + (Math.max(0, wait) - present) * WAIT_GAIN
-  upstream.waitObservedAt = now
+/** The first byte of an answer came after `wait` milliseconds. */
+export function observeWait (upstream: Upstream, urgency: number, wait: number, now: MonotonicMilliseconds): void {
+  const present = currentWait(upstream, urgency, now)
+  upstream.waits.set(urgency, { value: present + (wait - present) * WAIT_GAIN, at: now })
 }
 
-/** Expected milliseconds in the upstream's queue; an old observation fades, so that the upstream is tried again. */
-export function currentWait (upstream: Upstream, now: MonotonicMilliseconds): number {
-  if (upstream.wait === 0) return 0
-  return upstream.wait * Math.exp(-Math.max(0, now - upstream.waitObservedAt) / WAIT_DECAY_MS)
+/** Expected milliseconds to the first byte; an old observation fades, so that the upstream is tried again. */
+export function currentWait (upstream: Upstream, urgency: number, now: MonotonicMilliseconds): number {
+  const observed = upstream.waits.get(urgency)
+  return observed === undefined ? 0 : observed.value * Math.exp(-Math.max(0, now - observed.at) / WAIT_DECAY_MS)
 }
 
 /** A connection could not be opened, broke or stayed silent. */
--- a/src/edge/weightsMove.ts
+++ b/src/edge/weightsMove.ts
@@ -1,11 +1,15 @@
 /** Decides which engine loads new weights next. */
 import type { MonotonicMilliseconds } from '../types'
-import { learnWeights, type Upstream } from './upstreamDirectory'
+import { currentWait, isUsable, learnWeights, type Upstream } from './upstreamDirectory'
 import { OrderOutcome } from './types'
 import type { EngineReport, ModelWeights } from './types'
 
-/** Part of the engines under order at the same time: some wait for their runs to end while others load. */
+/** Part of the usable engines under order at the same time: some wait for their runs to end while others load. */
 const PARALLEL_SHARE = 0.4
+/** The same while requests wait at the engines, so that the others can carry the load. */
+const BUSY_PARALLEL_SHARE = 0.2
+/** Mean milliseconds to the first byte from which the engines count as busy. */
+const BUSY_WAIT_MS = 200
 /** Milliseconds after which an accepted order is looked at again when the engine does not show the new weights. */
 const LOAD_LIMIT_MS = 5000
 /** Milliseconds between reports of an engine that loads. */
@@ -45,6 +49,15 @@
   reset: () => void
 }
 
+/** Engines that may be under order at the same time. */
+function parallelLoads (engines: readonly Upstream[], now: MonotonicMilliseconds): number {
+  const usable = engines.filter((upstream) => isUsable(upstream, now))
+  const waits = usable.flatMap((upstream) => [...upstream.waits.keys()].map((rank) => currentWait(upstream, rank, now)))
+  const mean = waits.reduce((sum, wait) => sum + wait, 0) / Math.max(1, waits.length)
+  const share = mean > BUSY_WAIT_MS ? BUSY_PARALLEL_SHARE : PARALLEL_SHARE
+  return Math.max(1, Math.round(usable.length * share))
+}
+
 export function createWeightsMove (): WeightsMove {
   const targets = new Map<string, number>()
   const loads = new Map<string, LoadState>()
@@ -94,7 +107,7 @@
       // The oldest weights first: an engine that was just brought to superseded ones can wait.
       const versionOf = ({ upstream, wanted }: typeof waiting[number]): number => upstream.weights.get(wanted.model)!
       waiting.sort((one, other) => versionOf(one) - versionOf(other))
-      const limit = Math.max(1, Math.round(engines.length * PARALLEL_SHARE))
+      const limit = parallelLoads(engines, now)
       let loading = waiting.filter(({ state }) => isLoading(state, now)).length
       const steps: WeightsStep[] = []
       for (const { upstream, wanted, state } of waiting) {
