--- a/src/edge/__tests__/placement.test.ts
+++ b/src/edge/__tests__/placement.test.ts
@@ -7,7 +7,7 @@
 import { createEntry, createUpstreams } from './fixtures'
 
 const plain: PlacementRequest = {
-  sharedSubject: undefined, sharedTokens: 0, dataCentre: 'north', urgency: 0, holders: 1, draw: 0, hasOldWeights: () => false
+  sharedSubject: undefined, sharedTokens: 0, dataCentre: 'north', urgency: 0, holders: 1, draw: 0, hasOldWeights: () => false, underOrder: new Set()
 }
 const shared = (subject: string): PlacementRequest => ({ ...plain, sharedSubject: subject, sharedTokens: 6300 })
 
@@ -53,6 +53,12 @@
     }
   })
 
+  it('leaves engines that load weights alone', () => {
+    const engines = createEngines(3)
+    const loading = engines.find(({ entry }) => entry.identifier === first(shared('sheet-1'), engines))!
+    expect(first({ ...shared('sheet-1'), underOrder: new Set([loading]) }, engines)).not.toBe(loading.entry.identifier)
+  })
+
   it('prefers newer weights to the engine in rank', () => {
     const engines = createEngines(2)
     const old = first(shared('sheet-1'), engines)
--- a/src/edge/__tests__/weightsMove.test.ts
+++ b/src/edge/__tests__/weightsMove.test.ts
@@ -12,19 +12,46 @@
   return steps.map(({ kind, upstream }) => `${kind} ${upstream.entry.identifier}`)
 }
 
+const NOW = { steady: 0, wall: 0 }
 const idle = { orders: 0, busy: false, weights: [{ model: 'small', version: 1 }] }
 
 describe('createWeightsMove', () => {
   it('ignores weights older than those named before', () => {
     const move = createWeightsMove()
-    expect(move.want({ model: 'small', version: 3 })).toBe(true)
-    expect(move.want({ model: 'small', version: 2 })).toBe(false)
+    expect(move.want({ model: 'small', version: 3 }, NOW)).toBe(true)
+    expect(move.want({ model: 'small', version: 2 }, NOW)).toBe(false)
     expect(move.wanted('small')).toBe(3)
   })
 
+  it.each([
+    ['the newest weights', 3, 0],
+    ['superseded ones count from the first name after them', 2, 6000],
+    ['also when still newer ones were named since', 1, 10_000]
+  ])('age of %s', (_title, version, expected) => {
+    const move = createWeightsMove()
+    move.want({ model: 'small', version: 2 }, { steady: 0, wall: 0 })
+    move.want({ model: 'small', version: 3 }, { steady: 4000, wall: 4000 })
+    expect(move.age('small', version, { steady: 10_000, wall: 10_000 })).toBe(expected)
+  })
+
+  it('takes weights whose time is not known for old', () => {
+    const move = createWeightsMove()
+    move.want({ model: 'small', version: 2 }, undefined)
+    expect(move.age('small', 1, NOW)).toBe(Infinity)
+  })
+
+  it('tells every instance the same engines under order', () => {
+    const engines = createEngines([2, 1, 1, 1, 2])
+    const move = createWeightsMove()
+    move.want({ model: 'small', version: 2 }, NOW)
+    const names = (upstreams: Iterable<Upstream>): string[] => [...upstreams].map(({ entry }) => entry.identifier)
+    expect(names(move.underOrder(engines, 0))).toEqual(['e1', 'e2'])
+    expect(names(move.underOrder([...engines].reverse(), 0))).toEqual(['e1', 'e2'])
+  })
+
   it('asks for a report before each order', () => {
     const move = createWeightsMove()
-    move.want({ model: 'small', version: 2 })
+    move.want({ model: 'small', version: 2 }, NOW)
     const engines = createEngines([1])
     expect(names(move.nextSteps(engines, 0))).toEqual(['report e0'])
     move.reported(engines[0]!, { ...idle, orders: 4 }, 0)
@@ -40,7 +67,7 @@
     ['done needs nothing more', OrderOutcome.done, 5000, []]
   ])('%s', (_title, outcome, time, expected) => {
     const move = createWeightsMove()
-    move.want({ model: 'small', version: 2 })
+    move.want({ model: 'small', version: 2 }, NOW)
     const engines = createEngines([1])
     move.nextSteps(engines, 0)
     move.reported(engines[0]!, idle, 0)
@@ -50,19 +77,19 @@
 
   it('keeps most engines in service', () => {
     const move = createWeightsMove()
-    move.want({ model: 'small', version: 2 })
+    move.want({ model: 'small', version: 2 }, NOW)
     expect(move.nextSteps(createEngines(Array.from({ length: 10 }, () => 1)), 0)).toHaveLength(4)
   })
 
   it('takes the oldest weights first when newer ones are named on the way', () => {
     const move = createWeightsMove()
-    move.want({ model: 'small', version: 3 })
+    move.want({ model: 'small', version: 3 }, NOW)
     expect(names(move.nextSteps(createEngines([2, 2, 1, 3, 1]), 0))).toEqual(['report e2', 'report e4'])
   })
 
   it('leaves leaving engines and plain services alone', () => {
     const move = createWeightsMove()
-    move.want({ model: 'small', version: 2 })
+    move.want({ model: 'small', version: 2 }, NOW)
     const engines = createUpstreams([createEntry('gone', { leaving: true }), createEntry('orders', { weights: [] })])
     expect(move.isPending(engines)).toBe(false)
     expect(move.nextSteps(engines, 0)).toEqual([])
@@ -70,7 +97,7 @@
 
   it('orders anew after an order that was lost', () => {
     const move = createWeightsMove()
-    move.want({ model: 'small', version: 2 })
+    move.want({ model: 'small', version: 2 }, NOW)
     const engines = createEngines([1])
     move.nextSteps(engines, 0)
     move.reported(engines[0]!, idle, 0)
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -18,7 +18,7 @@
 import { createStoreLease } from './storeLease'
 import type { Dialect, EngineControl, Instant, Store, StoreRecords, StoreRow, UpstreamEntry } from './types'
 import { createUpstreamConnections } from './upstreamConnections'
-import { createUpstreamDirectory, type DirectoryChange } from './upstreamDirectory'
+import { createUpstreamDirectory, type DirectoryChange, type Upstream } from './upstreamDirectory'
 import { createWeightsMove } from './weightsMove'
 import { startWeightsTask } from './weightsTask'
 
@@ -78,7 +78,7 @@
   const directory = createUpstreamDirectory()
   const connections = createUpstreamConnections(() => performance.now())
   const move = createWeightsMove()
-  const namedAfter = new Map<string, Instant | undefined>()
+  let underOrder: ReadonlySet<Upstream> = new Set()
   const exchanges = new Set<Exchange>()
   const backlogs = new Map<string, Backlog>()
   let table: RouteTable | undefined
@@ -125,10 +125,8 @@
     dataCentre: instance.dataCentre,
     oldWeightsLimit: limits.oldWeights,
     instances: () => instances.count(),
-    wantedWeights (model: string) {
-      const version = move.wanted(model)
-      return version === undefined ? undefined : { version, after: namedAfter.get(model) }
-    },
+    weights: move,
+    underOrder: () => underOrder,
     isStopping: () => stopping,
     isRefusing: () => refusing,
     log,
@@ -160,8 +158,7 @@
     if (value === undefined) return
     if (key === records.configurationKey) return takeConfiguration(value, version)
     const weights = records.wantedWeights(key, value)
-    if (weights === undefined || !move.want(weights)) return
-    namedAfter.set(weights.model, unseenSince)
+    if (weights === undefined || !move.want(weights, unseenSince)) return
     log(EdgeEvent.weightsNamed, { ...weights, rowVersion: version })
   }
 
@@ -221,6 +218,7 @@
     const present = now()
     for (const exchange of exchanges) exchange.check(present)
     noteChanges(directory.expire(present.steady))
+    underOrder = move.underOrder(directory.all(), present.steady)
     connections.prune()
   }, SWEEP_MS)
   const flushTimer = setInterval(flush, LOG_FLUSH_MS)
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -5,7 +5,6 @@
 import { createEventBoundary, type EventBoundary } from './eventBoundary'
 import { EdgeEvent } from './events'
 import type { ExchangeContext } from './exchangeContext'
-import { elapsed } from './freshness'
 import { decideShedding } from './loadShedding'
 import { orderUpstreams, type PlacementRequest } from './placement'
 import { directCache, urgencyOf, type PromptPlan } from './promptPlan'
@@ -125,13 +124,10 @@
     attemptEnded(current.upstream)
   }
 
-  /**
-   * Most milliseconds that newer weights than the upstream's may have been named for; 0 when it has the newest.
-   */
+  /** Most milliseconds that newer weights than the upstream's may have been named for. */
   function oldWeightsAge (upstream: Upstream): number {
-    const wanted = facts.model === undefined ? undefined : context.wantedWeights(facts.model)
-    if (wanted === undefined || (upstream.weights.get(facts.model!) ?? wanted.version) >= wanted.version) return 0
-    return wanted.after === undefined ? Infinity : elapsed(wanted.after, context.now())
+    const version = facts.model === undefined ? undefined : upstream.weights.get(facts.model)
+    return version === undefined ? 0 : context.weights.age(facts.model!, version, context.now())
   }
 
   function choose (now: number): Upstream | undefined {
@@ -146,6 +142,7 @@
       urgency: rank,
       holders,
       draw: context.random(),
+      underOrder: context.underOrder(),
       hasOldWeights: (upstream) => oldWeightsAge(upstream) > OLD_WEIGHTS_GRACE_MS
     }
     return orderUpstreams(placement, candidates, now)[0]
@@ -299,7 +296,7 @@
     arrived = true
     const { upstream } = current
     const now = context.now().steady
-    const wanted = facts.model === undefined ? undefined : context.wantedWeights(facts.model)?.version
+    const wanted = facts.model === undefined ? undefined : context.weights.wanted(facts.model)
     const isBehind = wanted !== undefined && (upstream.weights.get(facts.model!) ?? 0) < wanted
     const isOther = misdirected && answeredBy !== undefined && answeredBy !== upstream.entry.identifier
     if (misdirected && !isOther && isBehind) learnWeights(upstream, { model: facts.model!, version: wanted })
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -10,7 +10,8 @@
 import type { RouteTable } from './routeTable'
 import type { Dialect, Instant } from './types'
 import type { UpstreamConnections } from './upstreamConnections'
-import type { UpstreamDirectory } from './upstreamDirectory'
+import type { Upstream, UpstreamDirectory } from './upstreamDirectory'
+import type { WeightsMove } from './weightsMove'
 
 export interface ExchangeContext {
   dialect: Dialect
@@ -29,8 +30,9 @@
   instances: () => number
   /** Milliseconds after which no request may begin on weights older than the newest ones named. */
   oldWeightsLimit: number
-  /** Newest weights named for a model, and the instant after which they were; undefined when that is not known. */
-  wantedWeights: (model: string) => { version: number, after: Instant | undefined } | undefined
+  weights: Pick<WeightsMove, 'wanted' | 'age'>
+  /** Engines that load weights now or next. */
+  underOrder: () => ReadonlySet<Upstream>
   isStopping: () => boolean
   /** New requests are refused, so that those that run can end in time. */
   isRefusing: () => boolean
--- a/src/edge/placement.ts
+++ b/src/edge/placement.ts
@@ -25,6 +25,8 @@
 const RANK_STEP = 0.3
 /** Milliseconds to read 1,000 prompt tokens; engines of the deployments read 80 to 160 tokens in a millisecond. */
 const READ_MS_PER_1000_TOKENS = 8
+/** Milliseconds of waiting that are better than an engine under order; about the time of a load. */
+const UNDER_ORDER_MS = 1000
 /** Milliseconds of waiting that newer weights are worth; an answer on old ones loses a fifth of its value. */
 const OLD_WEIGHTS_MS = 250
 
@@ -39,6 +41,8 @@
   holders: number
   /** Uniform in [0, 1). */
   draw: number
+  /** Engines that refuse requests because they load weights now or next. */
+  underOrder: ReadonlySet<Upstream>
   /** Newer weights have been in force for a while than the upstream has. */
   hasOldWeights: (upstream: Upstream) => boolean
 }
@@ -82,7 +86,8 @@
     const rank = ranks.get(upstream)!
     return currentWait(upstream, request.urgency, now) + upstream.unreadTokens / 1000 * READ_MS_PER_1000_TOKENS +
       distanceOfRank(rank, preferred, request.holders, move) +
-      (request.hasOldWeights(upstream) ? OLD_WEIGHTS_MS : 0)
+      (request.hasOldWeights(upstream) ? OLD_WEIGHTS_MS : 0) +
+      (request.underOrder.has(upstream) ? UNDER_ORDER_MS : 0)
   })
 }
 
--- a/src/edge/weightsMove.ts
+++ b/src/edge/weightsMove.ts
@@ -2,7 +2,8 @@
 import type { MonotonicMilliseconds } from '../types'
 import { currentWait, isUsable, learnWeights, type Upstream } from './upstreamDirectory'
 import { OrderOutcome } from './types'
-import type { EngineReport, ModelWeights } from './types'
+import { elapsed } from './freshness'
+import type { EngineReport, Instant, ModelWeights } from './types'
 
 /** Part of the usable engines under order at the same time: some wait for their runs to end while others load. */
 const PARALLEL_SHARE = 0.4
@@ -14,6 +15,8 @@
 const LOAD_LIMIT_MS = 5000
 /** Milliseconds between reports of an engine that loads. */
 const REPORT_INTERVAL_MS = 200
+/** Names of weights remembered for one model; engines with older ones are far beyond their time. */
+const NAMES_REMEMBERED = 16
 /** Milliseconds before an engine with a failed or conflicting order is looked at again. */
 const RETRY_MS = 600
 
@@ -33,9 +36,16 @@
 }
 
 export interface WeightsMove {
-  /** Notes the weights that the operator names; older ones are ignored. */
-  want: (weights: ModelWeights) => boolean
+  /**
+   * Notes the weights that the operator names; older ones are ignored. `after` is an instant before they were named,
+   * undefined when none is known.
+   */
+  want: (weights: ModelWeights, after: Instant | undefined) => boolean
   wanted: (model: string) => number | undefined
+  /** Most milliseconds that weights newer than `version` may have been named for; 0 when it is the newest. */
+  age: (model: string, version: number, now: Instant) => number
+  /** Engines that are under order now or next, by all that an instance without the lease can tell. */
+  underOrder: (upstreams: Iterable<Upstream>, now: MonotonicMilliseconds) => ReadonlySet<Upstream>
   /** Whether some engine still has older weights. */
   isPending: (upstreams: Iterable<Upstream>) => boolean
   /** What to do next with engines; the caller reports back with `reported`, `ordered` or `failed`. */
@@ -58,8 +68,27 @@
   return Math.max(1, Math.round(usable.length * share))
 }
 
+function listEngines (upstreams: Iterable<Upstream>): Upstream[] {
+  return [...upstreams].filter(({ weights, entry }) => weights.size > 0 && !entry.leaving)
+}
+
+/**
+ * The oldest weights first: an engine that was just brought to superseded ones can wait. The identifier decides between
+ * equals, so that all instances see the same order.
+ */
+function inOrder (
+  engines: readonly Upstream[], behind: (upstream: Upstream) => ModelWeights | undefined
+): Upstream[] {
+  const versionOf = (upstream: Upstream): number => upstream.weights.get(behind(upstream)?.model ?? '') ?? Infinity
+  return [...engines].sort((one, other) => (
+    versionOf(one) - versionOf(other) || (one.entry.identifier < other.entry.identifier ? -1 : 1)
+  ))
+}
+
 export function createWeightsMove (): WeightsMove {
   const targets = new Map<string, number>()
+  /** What was named when, by model, the oldest first. */
+  const named = new Map<string, Array<{ version: number, after: Instant | undefined }>>()
   const loads = new Map<string, LoadState>()
 
   /** Weights that the engine should load; undefined when it has the newest ones. */
@@ -88,25 +117,33 @@
   }
 
   return {
-    want ({ model, version }) {
+    want ({ model, version }, after) {
       if (version <= (targets.get(model) ?? 0)) return false
       targets.set(model, version)
+      named.set(model, [...(named.get(model) ?? []), { version, after }].slice(-NAMES_REMEMBERED))
       return true
     },
+    age (model, version, now) {
+      const first = named.get(model)?.find((entry) => entry.version > version)
+      if (first === undefined) return 0
+      return first.after === undefined ? Infinity : elapsed(first.after, now)
+    },
+    underOrder (upstreams, now) {
+      const engines = listEngines(upstreams)
+      const waiting = engines.filter((upstream) => behind(upstream) !== undefined && isUsable(upstream, now))
+      return new Set(inOrder(waiting, behind).slice(0, parallelLoads(engines, now)))
+    },
     wanted: (model) => targets.get(model),
     isPending (upstreams) {
       for (const upstream of upstreams) if (behind(upstream) !== undefined) return true
       return false
     },
     nextSteps (upstreams, now) {
-      const engines = [...upstreams].filter(({ weights, entry }) => weights.size > 0 && !entry.leaving)
-      const waiting = engines.flatMap((upstream) => {
+      const engines = listEngines(upstreams)
+      const waiting = inOrder(engines, behind).flatMap((upstream) => {
         const wanted = behind(upstream)
         return wanted === undefined ? [] : [{ upstream, wanted, state: stateOf(upstream, wanted) }]
       })
-      // The oldest weights first: an engine that was just brought to superseded ones can wait.
-      const versionOf = ({ upstream, wanted }: typeof waiting[number]): number => upstream.weights.get(wanted.model)!
-      waiting.sort((one, other) => versionOf(one) - versionOf(other))
       const limit = parallelLoads(engines, now)
       let loading = waiting.filter(({ state }) => isLoading(state, now)).length
       const steps: WeightsStep[] = []
