--- a/src/edge/__tests__/promptPlan.test.ts
+++ b/src/edge/__tests__/promptPlan.test.ts
@@ -18,7 +18,7 @@
   const [upstream] = createUpstreams([createEntry('e', { weights })])
   const plan = planPrompt(request, customer)
   return directCache({
-    plan, customer, model: 'small', upstream: upstream!, store, kept: createKeptParts(), uniqueScope: 'r'
+    plan, customer, model: 'small', upstream: upstream!, store, kept: createKeptParts(() => false), uniqueScope: 'r'
   }, 0).cacheScope
 }
 
@@ -43,15 +43,18 @@
     expect(scopeOf(customer, weights)).toBe(expected)
   })
 
-  it('sends a part to the store once in a while, and fetches always', () => {
+  it.each([
+    ['a part that the store lacks', false, [0, 10, 3000], [true, false, true]],
+    ['a part that it holds', true, [0, 10, 3000], [false, false, false]]
+  ])('sends %s until it shows there, and fetches always', (_title, held, times, sent) => {
     const [upstream] = createUpstreams([createEntry('e')])
-    const kept = createKeptParts()
-    const at = (now: number): ReturnType<typeof directCache> => directCache({
-      plan: planPrompt(request, undefined), customer: undefined, model: 'small', upstream: upstream!, store, kept, uniqueScope: 'r'
-    }, now)
-    expect(at(0)).toMatchObject({ importFrom: store.endpoint, exportTo: store.endpoint })
-    expect(at(10)).toMatchObject({ importFrom: store.endpoint, exportTo: undefined })
-    expect(at(20_000)).toMatchObject({ exportTo: store.endpoint })
+    const kept = createKeptParts((scope, part) => held && scope === 'small.1' && part === 'b')
+    const plan = planPrompt(request, undefined)
+    const directions = times.map((now) => directCache({
+      plan, customer: undefined, model: 'small', upstream: upstream!, store, kept, uniqueScope: 'r'
+    }, now))
+    expect(directions.map(({ exportTo }) => exportTo !== undefined)).toEqual(sent)
+    expect(directions.every(({ importFrom }) => importFrom === store.endpoint)).toBe(true)
   })
 })
 
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -2,6 +2,8 @@
 import { ConfigurationError } from '../errors'
 import { createBacklog, type Backlog } from './backlog'
 import { createBoundedLog } from './boundedLog'
+import { createCacheStoreIndex } from './cacheStoreIndex'
+import { startCacheStoreTask } from './cacheStoreTask'
 import { startEdgeServer } from './edgeServer'
 import { EdgeEvent } from './events'
 import { createExchange, type Exchange } from './exchange'
@@ -79,6 +81,7 @@
   const connections = createUpstreamConnections(() => performance.now())
   const move = createWeightsMove()
   let underOrder: ReadonlySet<Upstream> = new Set()
+  const cacheIndex = createCacheStoreIndex()
   const exchanges = new Set<Exchange>()
   const backlogs = new Map<string, Backlog>()
   let table: RouteTable | undefined
@@ -113,7 +116,7 @@
       window: limits.quotaWindow, overage: limits.quotaOverage, slack: limits.quotaSlack, startedAt: performance.now()
     }),
     retries: createRetryAllowance({ window: limits.retryWindow, ratio: limits.retryRatio, extra: limits.retryExtra }),
-    kept: createKeptParts(),
+    kept: createKeptParts(cacheIndex.holds),
     demand: createPrefixDemand(),
     backlog (name) {
       const present = backlogs.get(name)
@@ -214,6 +217,9 @@
     now,
     random
   })
+  const cacheStoreTask = startCacheStoreTask({
+    index: cacheIndex, endpoint: () => table?.cacheStore?.endpoint, readEvents: control.cacheEvents, log
+  })
   const sweep = setInterval(() => {
     const present = now()
     for (const exchange of exchanges) exchange.check(present)
@@ -238,7 +244,7 @@
       refusing = true
       server.closeIdle()
       while (exchanges.size > 0 && performance.now() < end) await pause(DRAIN_POLL_MS)
-      for (const task of [operatorFollower, upstreamFollower, weightsTask, instances]) task.stop()
+      for (const task of [operatorFollower, upstreamFollower, weightsTask, cacheStoreTask, instances]) task.stop()
       clearInterval(sweep)
       clearInterval(flushTimer)
       server.close()
--- a/src/edge/promptPlan.ts
+++ b/src/edge/promptPlan.ts
@@ -5,8 +5,8 @@
 
 /** Shared tokens from which a transfer to or from the store costs less than reading them again. */
 const WORTH_KEEPING_TOKENS = 1000
-/** Milliseconds for which a part that was sent to the store is not sent again. */
-const KEPT_MS = 20_000
+/** Milliseconds until a part that was sent to the store shows in its events. */
+const KEPT_MS = 3000
 /** Parts remembered as sent to the store. */
 const KEPT_PARTS = 20_000
 /** Urgency steps for each step of a customer's priority; the routes' priorities lie between them. */
@@ -16,6 +16,8 @@
 export interface PromptPlan {
   /** Identity of the last shared part and of who may share it; undefined without shared parts. */
   subject: string | undefined
+  /** Identifier of the last shared part. */
+  lastShared: string | undefined
   sharedTokens: number
   promptTokens: number
 }
@@ -26,6 +28,7 @@
   const wall = customer?.isolated === true ? customer.name : ''
   return {
     subject: last === undefined ? undefined : `${wall}:${last.identifier}`,
+    lastShared: last?.identifier,
     sharedTokens: shared.reduce((sum, part) => sum + part.tokens, 0),
     promptTokens: request.tokens?.prompt ?? 0
   }
@@ -37,16 +40,19 @@
   return Math.min(LAST_URGENCY, (customer?.priority ?? 0) * CUSTOMER_STEP + Math.min(route.priority, CUSTOMER_STEP - 1))
 }
 
-/** Remembers which parts this instance has sent to the store. */
+/** Decides which parts are sent to the store. */
 export interface KeptParts {
   /** True when the part should be sent to the store; remembers that it is. */
-  shouldKeep: (subject: string, now: number) => boolean
+  shouldKeep: (scope: string, part: string, now: number) => boolean
 }
 
-export function createKeptParts (): KeptParts {
+/** @param storeHolds whether the store is known to hold a part */
+export function createKeptParts (storeHolds: (scope: string, part: string) => boolean): KeptParts {
   const sentAt = new Map<string, number>()
   return {
-    shouldKeep (subject, now) {
+    shouldKeep (scope, part, now) {
+      if (storeHolds(scope, part)) return false
+      const subject = `${scope}/${part}`
       const before = sentAt.get(subject)
       if (before !== undefined && now - before < KEPT_MS) return false
       sentAt.delete(subject)
@@ -89,6 +95,6 @@
     cacheScope,
     weightsVersion: version,
     importFrom: usesStore ? store.endpoint : undefined,
-    exportTo: usesStore && kept.shouldKeep(`${cacheScope}/${plan.subject!}`, now) ? store.endpoint : undefined
+    exportTo: usesStore && kept.shouldKeep(cacheScope, plan.lastShared!, now) ? store.endpoint : undefined
   }
 }
--- a/src/edge/types.ts
+++ b/src/edge/types.ts
@@ -240,8 +240,27 @@
   expectedOrders: number
 }
 
+export interface CacheEvent {
+  /** The part came in; otherwise it was dropped. */
+  added: boolean
+  scope: string
+  part: string
+}
+
+export interface CacheEvents {
+  /** Changes when the store or engine restarts. */
+  epoch: number
+  /** Number of the first event that is not in this batch. */
+  next: number
+  /** Events before this batch are gone. */
+  lost: boolean
+  events: readonly CacheEvent[]
+}
+
 /** Calls to engines besides requests. */
 export interface EngineControl {
+  /** Events of a store of kept cache from a number on. */
+  cacheEvents: (endpoint: Endpoint, since: number) => Promise<CacheEvents>
   report: (upstream: UpstreamEntry) => Promise<EngineReport>
   orderWeights: (upstream: UpstreamEntry, order: WeightsOrder) => Promise<OrderOutcome>
 }
