--- a/src/edge/__tests__/quotaShare.test.ts
+++ b/src/edge/__tests__/quotaShare.test.ts
@@ -24,22 +24,22 @@
   it('admits single long prompts at one of nine instances', () => {
     const shares = createQuotaShares(options)
     for (let index = 0; index < 10; index += 1) {
-      expect(shares.admit(customer, String(index), 18_000, 9, 12_000 + index * 2400)).toEqual({ admitted: true })
+      expect(shares.admit(customer, String(index), 18_000, 1 / 9, 12_000 + index * 2400)).toEqual({ admitted: true })
     }
   })
 
   it('returns what did not run and tells when a refused request fits', () => {
     const shares = createQuotaShares(options)
-    expect(shares.admit(customer, 'a', 20_000, 9, 60_000)).toEqual({ admitted: true })
-    const refusal = shares.admit(customer, 'b', 20_000, 9, 60_000)
+    expect(shares.admit(customer, 'a', 20_000, 1 / 9, 60_000)).toEqual({ admitted: true })
+    const refusal = shares.admit(customer, 'b', 20_000, 1 / 9, 60_000)
     expect(refusal.admitted).toBe(false)
     if (!refusal.admitted) expect(refusal.retryAfter).toBeGreaterThan(0)
     shares.settle(customer.name, 'a', 20_000, false)
-    expect(shares.admit(customer, 'b', 20_000, 9, 60_000)).toEqual({ admitted: true })
+    expect(shares.admit(customer, 'b', 20_000, 1 / 9, 60_000)).toEqual({ admitted: true })
   })
 
   it('does not limit a customer without a rate', () => {
-    expect(createQuotaShares(options).admit(createCustomer({ rate: 0 }), 'a', 1e9, 9, 0)).toEqual({ admitted: true })
+    expect(createQuotaShares(options).admit(createCustomer({ rate: 0 }), 'a', 1e9, 1 / 9, 0)).toEqual({ admitted: true })
   })
 
   it('keeps every window over all instances inside the permitted overage, also when all restart at once', () => {
@@ -56,7 +56,8 @@
           restarted = true
           instances = Array.from({ length: 9 }, () => createQuotaShares({ ...options, startedAt: now }))
         }
-        if (instances[instance]!.admit(customer, String(index), cost, 9, now).admitted) admitted.push({ at: now, cost })
+        const decision = instances[instance]!.admit(customer, String(index), cost, 1 / 9, now)
+        if (decision.admitted) admitted.push({ at: now, cost })
       })
       const bound = (customer.rate * 8 + customer.burst) * 1.1 + 110_000
       for (const { at } of admitted) {
--- a/src/edge/__tests__/retryAllowance.test.ts
+++ b/src/edge/__tests__/retryAllowance.test.ts
@@ -4,13 +4,13 @@
 describe('createRetryAllowance', () => {
   it.each([
     ['the fixed part is shared by the instances', 0, 1, 46],
-    ['by two', 0, 2, 23],
+    ['by two', 0, 0.5, 23],
     ['requests add their ratio', 100, 1, 62]
-  ])('%s', (_title, requests, instances, expected) => {
+  ])('%s', (_title, requests, share, expected) => {
     const allowance = createRetryAllowance({ window: 10_000, ratio: 0.2, extra: 58 })
     for (let index = 0; index < requests; index += 1) allowance.recordRequest('engines', 0)
     let retries = 0
-    while (allowance.tryRetry('engines', instances, 0)) retries += 1
+    while (allowance.tryRetry('engines', share, 0)) retries += 1
     expect(retries).toBe(expected)
   })
 
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -128,6 +128,7 @@
     dataCentre: instance.dataCentre,
     oldWeightsLimit: limits.oldWeights,
     instances: () => instances.count(),
+    share: () => instances.share(),
     weights: move,
     underOrder: () => underOrder,
     isStopping: () => stopping,
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -236,7 +236,7 @@
   /** Requests that no upstream has received yet are no retries. */
   function mayRetry (): boolean {
     if (timeLeft() <= 0) return false
-    return !arrived || context.retries.tryRetry(service, context.instances(), context.now().steady)
+    return !arrived || context.retries.tryRetry(service, context.share(), context.now().steady)
   }
 
   /** Goes on after an attempt that gave no whole answer. */
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -122,15 +122,16 @@
   /** False when the request was refused. */
   function charge (customer: EdgeCustomer): boolean {
     const cost = costOf(facts, customer)
-    const instances = context.instances()
-    const decision = context.quotas.admit(customer, identifier, cost, instances, context.now().steady)
+    const share = context.share()
+    const decision = context.quotas.admit(customer, identifier, cost, share, context.now().steady)
     if (decision.admitted) {
       charged = cost
       return true
     }
     const message = 'the customer is beyond its rate'
     const { retryAfter } = decision
-    refuse({ status: 429, code: 'rate_limited', message, retryAfter }, `cost ${cost} is beyond a share of ${instances}`)
+    const reason = `cost ${cost} is beyond a share of ${share.toFixed(3)}`
+    refuse({ status: 429, code: 'rate_limited', message, retryAfter }, reason)
     return false
   }
 
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -26,8 +26,10 @@
   /** Requests of one service and urgency that wait for their first byte. */
   backlog: (name: string) => Backlog
   dataCentre: string
-  /** Instances that share quotas and retries. */
+  /** Instances of the fleet. */
   instances: () => number
+  /** Part between 0 and 1 that this instance has of quotas and retries. */
+  share: () => number
   /** Milliseconds after which no request may begin on weights older than the newest ones named. */
   oldWeightsLimit: number
   weights: Pick<WeightsMove, 'wanted' | 'age'>
--- a/src/edge/instanceList.ts
+++ b/src/edge/instanceList.ts
@@ -4,7 +4,8 @@
  */
 import { EdgeEvent, reasonOf, type EdgeLog } from './events'
 import { followTable, type Follower, type FollowerOptions } from './storeFollower'
-import type { Store } from './types'
+import { createInstanceShares } from './instanceShares'
+import type { Store, StoreRow } from './types'
 
 const INSTANCE_TABLE = 'waxwingspoke-instances'
 /** Milliseconds that a call waits; the list changes a few times a day. */
@@ -12,9 +13,22 @@
 /** Milliseconds between attempts to write the own row. */
 const WRITE_RETRY_MS = 500
 
+/** Undefined for a row that no edge instance wrote. */
+function readDataCentre (value: Buffer): string | undefined {
+  try {
+    const { dataCentre } = JSON.parse(value.toString('utf8')) as { dataCentre?: unknown }
+    return typeof dataCentre === 'string' ? dataCentre : undefined
+  } catch {
+    // Only edge instances write here; a row that cannot be read counts as none.
+    return undefined
+  }
+}
+
 export interface InstanceList {
   /** Instances, this one included. */
   count: () => number
+  /** Part between 0 and 1 that this instance has of what all may do together. */
+  share: () => number
   /** Removes the own row; for a stop without return. */
   leave: () => Promise<void>
   stop: () => void
@@ -26,7 +40,8 @@
   }
 ): InstanceList {
   const { store, newestVersion, instance, dataCentre, log } = options
-  const names = new Set([instance])
+  const shares = createInstanceShares()
+  shares.set(instance, dataCentre)
   let timer: NodeJS.Timeout | undefined
 
   async function register (): Promise<void> {
@@ -42,28 +57,36 @@
     })
   }
 
+  function take ({ key, value }: StoreRow): void {
+    const place = value === undefined ? undefined : readDataCentre(value)
+    if (place !== undefined) shares.set(key, place)
+    else if (key !== instance) shares.delete(key)
+  }
+
+  function noteChange (): void {
+    log(EdgeEvent.instancesChanged, { count: shares.count(), share: shares.share(dataCentre) })
+  }
+
   tryRegister()
   const follower: Follower = followTable({
     ...options,
     table: INSTANCE_TABLE,
     wait: FOLLOW_MS,
     onRows (rows) {
-      names.clear()
-      names.add(instance)
-      for (const { key } of rows) names.add(key)
-      log(EdgeEvent.instancesChanged, { count: names.size })
+      shares.clear()
+      shares.set(instance, dataCentre)
+      for (const row of rows) take(row)
+      noteChange()
     },
     onChanges (rows) {
-      for (const { key, value } of rows) {
-        if (value !== undefined) names.add(key)
-        else if (key !== instance) names.delete(key)
-      }
-      log(EdgeEvent.instancesChanged, { count: names.size })
+      for (const row of rows) take(row)
+      noteChange()
     }
   })
 
   return {
-    count: () => names.size,
+    count: shares.count,
+    share: () => shares.share(dataCentre),
     async leave () {
       await store.commit({ table: INSTANCE_TABLE, conditions: [], writes: [], removals: [instance] })
     },
--- a/src/edge/quotaShare.ts
+++ b/src/edge/quotaShare.ts
@@ -27,9 +27,9 @@
 export type QuotaDecision = { admitted: true } | { admitted: false, retryAfter: number }
 
 export interface QuotaShares {
-  /** Charges a request or says when its cost will be there. */
+  /** Charges a request to this instance's share (0 to 1) or says when its cost will be there. */
   admit: (
-    customer: EdgeCustomer, identifier: string, cost: number, instances: number, now: MonotonicMilliseconds
+    customer: EdgeCustomer, identifier: string, cost: number, share: number, now: MonotonicMilliseconds
   ) => QuotaDecision
   /** Ends a charge; `run` is false when no upstream ran the request. */
   settle: (customer: string, identifier: string, cost: number, run: boolean) => void
@@ -50,9 +50,8 @@
   }
 
   return {
-    admit (customer, identifier, cost, instances, now) {
+    admit (customer, identifier, cost, share, now) {
       if (customer.rate === 0) return { admitted: true }
-      const share = 1 / Math.max(1, instances)
       const rate = customer.rate * share
       const extra = extraOf(customer)
       const capacity = (customer.burst + extra * CAPACITY_PART) * share
--- a/src/edge/retryAllowance.ts
+++ b/src/edge/retryAllowance.ts
@@ -20,8 +20,8 @@
 
 export interface RetryAllowance {
   recordRequest: (service: string, now: MonotonicMilliseconds) => void
-  /** Takes one retry; false when none is left. */
-  tryRetry: (service: string, instances: number, now: MonotonicMilliseconds) => boolean
+  /** Takes one retry; false when none is left. `share` is this instance's part, 0 to 1, of the retries besides. */
+  tryRetry: (service: string, share: number, now: MonotonicMilliseconds) => boolean
 }
 
 interface Slice { number: number, requests: number, retries: number }
@@ -42,11 +42,11 @@
     recordRequest (service, now) {
       slicesOf(service, now).at(-1)!.requests += 1
     },
-    tryRetry (service, instances, now) {
+    tryRetry (service, share, now) {
       const slices = slicesOf(service, now)
       const requests = slices.reduce((sum, slice) => sum + slice.requests, 0)
       const retries = slices.reduce((sum, slice) => sum + slice.retries, 0)
-      if (retries + 1 > USED_SHARE * (ratio * requests + extra / Math.max(1, instances))) return false
+      if (retries + 1 > USED_SHARE * (ratio * requests + extra * share)) return false
       slices.at(-1)!.retries += 1
       return true
     }
