Let changes of the upstream list come together before the next call

Ruled out: a longer wait, since calls return at each change. Change: 12 ms for each instance, at most a second, between a change and the next call. Also removes lookups that nothing uses.

--- a/src/edge/__tests__/storeFollower.test.ts
+++ b/src/edge/__tests__/storeFollower.test.ts
@@ -39,7 +39,7 @@
 let follower: Follower
 let time = 0
 
-async function follow (steps: Step[], newest = 1): Promise<Trace> {
+async function follow (steps: Step[], newest = 1, settle = 0): Promise<Trace> {
   const { store, calls } = createStore(steps)
   const trace: Trace = { calls, rows: [], contacts: [], events: [] }
   const take = (rows: ReadonlyArray<{ key: string }>, gap: ContactGap): void => {
@@ -50,6 +50,7 @@
     table: 'op',
     wait: 1000,
     newestVersion: { value: newest },
+    settle: () => settle,
     onRows: take,
     onChanges: take,
     onContact: (sentAt) => { trace.contacts.push(sentAt) },
@@ -96,6 +97,15 @@
     expect(trace.events).toEqual([EdgeEvent.storeLost, EdgeEvent.storeRegained])
   })
 
+  it('lets changes in quick succession come together', async () => {
+    const trace = await follow([reading(5, 'a'), reading(7, 'b'), reading(9, 'c')], 1, 100)
+    expect(trace.calls).toEqual(['read', 'follow 5'])
+    await vi.advanceTimersByTimeAsync(99)
+    expect(trace.calls).toHaveLength(2)
+    await vi.advanceTimersByTimeAsync(1)
+    expect(trace.calls).toEqual(['read', 'follow 5', 'follow 7'])
+  })
+
   it('takes rows but no proof before a write has shown how new the store is', async () => {
     const trace = await follow([reading(5, 'a'), reading(7, 'b')], 0)
     expect(trace.rows.map(({ keys }) => keys)).toEqual([['a'], ['b']])
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -28,6 +28,12 @@
 const FOLLOW_SHARE = 0.35
 /** Milliseconds that a call waits for changes without a revocation bound, and for changes of upstreams. */
 const FOLLOW_MS = 2000
+/**
+ * Milliseconds for each instance between changes of the list and the next call: every change costs a call of every
+ * instance. The longest leaves a leaving upstream known well within two seconds.
+ */
+const SETTLE_MS = 12
+const LONGEST_SETTLE_MS = 1000
 /** Milliseconds between looks for silent upstreams and idle connections. */
 const SWEEP_MS = 100
 /** Milliseconds between writes of the log. */
@@ -199,6 +205,7 @@
     ...shared,
     table: records.tables.upstreams,
     wait: FOLLOW_MS,
+    settle: () => Math.min(LONGEST_SETTLE_MS, instances.count() * SETTLE_MS),
     onRows (rows, { afterOutage }) {
       listRead = true
       const entries = rows.flatMap((row) => readEntry(row) ?? [])
--- a/src/edge/routeTable.ts
+++ b/src/edge/routeTable.ts
@@ -1,13 +1,11 @@
 /** Lookup of routes, customers and services in one configuration. */
-import type { CacheStore, EdgeConfiguration, EdgeCustomer, EdgeRoute, EdgeService } from './types'
+import type { CacheStore, EdgeConfiguration, EdgeCustomer, EdgeRoute } from './types'
 
 export interface RouteTable {
   configuration: EdgeConfiguration
   /** The route of the host with the longest prefix that begins the path. */
   route: (host: string | undefined, path: string) => EdgeRoute | undefined
   customerOfKey: (key: string) => EdgeCustomer | undefined
-  customer: (name: string) => EdgeCustomer | undefined
-  service: (name: string) => EdgeService | undefined
   cacheStore: CacheStore | undefined
 }
 
@@ -26,14 +24,10 @@
   for (const routes of hosts.values()) routes.sort((one, other) => other.prefix.length - one.prefix.length)
   const keys = new Map<string, EdgeCustomer>()
   for (const customer of configuration.customers) for (const key of customer.keys) keys.set(key, customer)
-  const customers = new Map(configuration.customers.map((customer) => [customer.name, customer]))
-  const services = new Map(configuration.services.map((service) => [service.name, service]))
   return {
     configuration,
     route: (host, path) => hosts.get(normalizeHost(host ?? ''))?.find(({ prefix }) => path.startsWith(prefix)),
     customerOfKey: (key) => keys.get(key),
-    customer: (name) => customers.get(name),
-    service: (name) => services.get(name),
     cacheStore: configuration.cacheStores[0]
   }
 }
--- a/src/edge/storeFollower.ts
+++ b/src/edge/storeFollower.ts
@@ -26,6 +26,8 @@
    * until a write has been acknowledged: a read alone may show an old state.
    */
   newestVersion: { value: number }
+  /** Milliseconds between changes and the next call, so that changes in quick succession come together. @default 0 */
+  settle?: () => number
   /** Takes in all rows. */
   onRows: (rows: readonly StoreRow[], gap: ContactGap) => void
   /** Takes in changed rows. */
@@ -82,19 +84,22 @@
     return true
   }
 
-  async function step (): Promise<void> {
+  /** Resolves with the milliseconds until the next call. */
+  async function step (): Promise<number> {
     const sentAt = now()
     if (version === undefined) {
       const reading = await store.read(table)
       if (!contacted(sentAt, reading)) throw new HistoryLostError('the store answered from an older state')
       version = reading.version
       options.onRows(reading.rows, gap())
-      return
+      return 0
     }
     const reading = await store.follow(table, version, newestVersion.value === 0 ? UNPROVED_WAIT_MS : wait)
     contacted(sentAt, reading)
     if (reading.version > version) version = reading.version
-    if (reading.rows.length > 0) options.onChanges(reading.rows, gap())
+    if (reading.rows.length === 0) return 0
+    options.onChanges(reading.rows, gap())
+    return options.settle?.() ?? 0
   }
 
   function failed (error: unknown): void {
@@ -106,7 +111,12 @@
   }
 
   function run (): void {
-    if (!stopped) step().then(run, failed)
+    if (!stopped) step().then(again, failed)
+  }
+
+  function again (milliseconds: number): void {
+    if (milliseconds === 0) run()
+    else timer = setTimeout(run, milliseconds)
   }
 
   run()
