--- a/src/observability/__tests__/operationsPage.test.ts
+++ b/src/observability/__tests__/operationsPage.test.ts
@@ -4,7 +4,7 @@
 import { LogEvent } from '../events'
 import { MetricName } from '../metrics'
 
-const page = readFileSync('docs/operations.md', 'utf8')
+const page = readFileSync('docs/OPERATIONS.md', 'utf8')
 const sources = readdirSync('src', { recursive: true, encoding: 'utf8' })
   .filter(file => file.endsWith('.ts') && !file.includes('__tests__'))
   .map(file => readFileSync(join('src', file), 'utf8'))
