--- a/src/edge/__tests__/fixtures.ts
+++ b/src/edge/__tests__/fixtures.ts
@@ -1,4 +1,5 @@
 /** Values that the tests of the edge share. */
+import { readFileSync } from 'node:fs'
 import { RepeatRule } from '../types'
 import type { EdgeConfiguration, EdgeCustomer, EdgeRoute, UpstreamEntry } from '../types'
 import { createUpstreamDirectory, type Upstream } from '../upstreamDirectory'
@@ -65,3 +66,30 @@
   directory.replace(entries, false, 0)
   return [...directory.all()]
 }
+
+/** Values with which the platform fills the settings template in. */
+export const PLATFORM_VALUES: Readonly<Record<string, string>> = {
+  nodeName: 'router-1',
+  zone: 'north',
+  'listenAddresses.front': '10.0.0.1:8606',
+  'listenAddresses.ready': '10.0.0.1:8605',
+  'platform.address': '10.0.0.9:8601',
+  'bounds.strictRevocation': 'true',
+  'bounds.revocationMs': '5000',
+  'bounds.budgetWindowS': '10',
+  'bounds.budgetRatio': '0.2',
+  'bounds.extraRetries': '58',
+  'bounds.quotaWindowS': '8',
+  'bounds.quotaOverage': '0.1',
+  'bounds.quotaSlack': '110000',
+  'bounds.versionMs': '12000',
+  'bounds.leaseMs': '3000',
+  'bounds.gracePeriodS': '8'
+}
+
+/** Settings as the platform renders them from the template. */
+export function renderSettings (changes: Readonly<Record<string, string>> = {}): string {
+  const values = { ...PLATFORM_VALUES, ...changes }
+  const template = readFileSync('deploy/settings.ini.template', 'utf8')
+  return template.replace(/\{\{([\w.]+)\}\}/g, (_match, name: string) => values[name] ?? '')
+}
