Probe again when a death check is reset

After a lost connection the router probes the engine; a refused connection counts as a crash. The system may close the connections of a killed process before its listener. A probe that comes in between is accepted and then reset, which counted as "not dead", so the crash was not counted and a third engine got the request.

Ruled out: a repeat that beats the notice to another router (its answer would not say not_run, and those checks had passed); a probe that ran out of time (the test failed after 124 ms).

Change: a reset probe is repeated every 20 ms within the limit of the check. The new test gives the order of answers without processes.

--- /dev/null
+++ b/src/gateway/__tests__/attemptOutcome.test.ts
@@ -0,0 +1,66 @@
+import { describe, expect, it } from 'vitest'
+import type { CrashNotice } from '../../peer/messages'
+import { connectionError, timeoutError } from '../../upstream/attempt'
+import { createCrashLedger } from '../../upstream/crashLedger'
+import { createUpstreamRegistry } from '../../upstream/registry'
+import type { Incarnation } from '../../types'
+import { createAttemptOutcomes } from '../attemptOutcome'
+
+const PLACE = { upstream: 'engine-1', endpoint: { host: '127.0.0.1', port: 1 }, incarnation: 7 }
+
+type ProbeAnswer = Incarnation | Error
+
+/** Fails an attempt at an upstream whose probes give these answers in turn, the last one for good. */
+async function failAttempt (answers: readonly ProbeAnswer[]): Promise<{ notices: CrashNotice[], probes: number }> {
+  const notices: CrashNotice[] = []
+  const crashes = createCrashLedger()
+  let probes = 0
+  const outcomes = createAttemptOutcomes({
+    client: {
+      async probe () {
+        const answer = answers[Math.min(probes, answers.length - 1)]!
+        probes += 1
+        if (answer instanceof Error) throw answer
+        return answer
+      },
+      async cancel () {}
+    },
+    registry: createUpstreamRegistry({ dataCentre: 'north', hasRoom: () => true, onEvent () {} }),
+    crashes,
+    publishCrashes: (published) => { notices.push(...published) },
+    log () {},
+    metrics: { increment () {}, gauge () {}, timing () {} },
+    now: () => performance.now()
+  })
+  const handle = crashes.started('fingerprint', PLACE.upstream, PLACE.incarnation)
+  await outcomes.failed('request-1', 1, PLACE, handle, connectionError('connection lost', 'maybeStarted'))
+  return { notices, probes }
+}
+
+const refused = connectionError('connection refused', 'notSent')
+const reset = connectionError('connection reset', 'maybeStarted')
+const silent = timeoutError('answer', 'maybeStarted')
+
+describe('what a lost connection says of its upstream', () => {
+  it.each<{ name: string, answers: ProbeAnswer[], crashes: number }>([
+    { name: 'a refused connection shows a crash', answers: [refused], crashes: 1 },
+    { name: 'another process shows a crash', answers: [8], crashes: 1 },
+    { name: 'the same process shows none', answers: [7], crashes: 0 },
+    { name: 'an upstream that is silent shows none', answers: [silent], crashes: 0 },
+    // The connections of a process that ends may close before its listener does.
+    { name: 'a reset probe is repeated until the listener is closed', answers: [reset, reset, refused], crashes: 1 },
+    { name: 'a reset probe is repeated until another process answers', answers: [reset, 8], crashes: 1 },
+    { name: 'a reset probe of a process that lives shows none', answers: [reset, 7], crashes: 0 }
+  ])('$name', async ({ answers, crashes }) => {
+    const { notices, probes } = await failAttempt(answers)
+    expect(notices).toHaveLength(crashes)
+    expect(probes).toBe(answers.length)
+  })
+
+  it('stops probing an upstream that resets every connection', async () => {
+    const begun = performance.now()
+    const { notices } = await failAttempt([reset])
+    expect(notices).toHaveLength(0)
+    expect(performance.now() - begun).toBeLessThan(1500)
+  })
+})
--- a/src/gateway/attemptOutcome.ts
+++ b/src/gateway/attemptOutcome.ts
@@ -1,4 +1,5 @@
 /** What the executors do after a failed attempt: tell the decision modules, and build the final error. */
+import { setTimeout as sleep } from 'node:timers/promises'
 import {
   CrashingRequestError, RouterError, UpstreamFailedError, UpstreamTimeoutError
 } from '../errors'
@@ -24,6 +25,9 @@
 const DEATH_CHECK_MS = 1000
 const SILENT_DEATH_CHECK_MS = 150
 
+/** Milliseconds between probes that were reset; a process that ends closes its listener within some milliseconds. */
+const RESET_PROBE_INTERVAL_MS = 20
+
 /** Seconds after which a caller may repeat a request whose attempts have all failed. */
 const FAILED_RETRY_SECONDS = 1
 
@@ -57,19 +61,32 @@
 export function createAttemptOutcomes (options: AttemptOutcomeOptions): AttemptOutcomes {
   const { client, registry, crashes, log, metrics, now } = options
 
-  /** Probes on a new connection. An upstream that refuses it, or answers as another process, has died. */
-  async function checkDeath (place: AttemptPlace): Promise<void> {
-    const { upstream, endpoint, incarnation } = place
-    let died = false
-    try {
-      const present = await client.probe(endpoint)
-      registry.recordSuccess(upstream, now(), present)
-      died = present !== incarnation && incarnation !== 0
-    } catch (error) {
-      registry.recordFailure(upstream, now())
-      died = progressOf(error) === 'notSent' && !(error instanceof UpstreamTimeoutError)
+  /**
+   * Probes on a new connection. An upstream that refuses it, or answers as another process, has died. A connection that
+   * is reset tells nothing yet: the system may close a dying process's connections before its listener.
+   */
+  async function isDead ({ upstream, endpoint, incarnation }: AttemptPlace): Promise<boolean> {
+    const until = now() + DEATH_CHECK_MS
+    while (true) {
+      try {
+        const present = await client.probe(endpoint)
+        registry.recordSuccess(upstream, now(), present)
+        return present !== incarnation && incarnation !== 0
+      } catch (error) {
+        const isTimeout = error instanceof UpstreamTimeoutError
+        const wasRefused = progressOf(error) === 'notSent' && !isTimeout
+        if (wasRefused || isTimeout || now() + RESET_PROBE_INTERVAL_MS >= until) {
+          registry.recordFailure(upstream, now())
+          return wasRefused
+        }
+      }
+      await sleep(RESET_PROBE_INTERVAL_MS)
     }
-    if (!died) return
+  }
+
+  async function checkDeath (place: AttemptPlace): Promise<void> {
+    const { upstream, incarnation } = place
+    if (!await isDead(place)) return
     const notices = crashes.upstreamDied(upstream, incarnation, now())
     if (notices.length === 0) return
     log(LogEvent.crashCounted, { upstream, incarnation, requests: notices.length }, 'warn')
