Give quota units back also after a commit that failed

Cause: an instance lowers the units it uses before it commits the lower grant. When another writer was first, the second attempt compared the plan with the lowered units, found nothing to give back and reported "unchanged". The logs of a failing run show it: router-2 "unchanged" with floor 3000 of 4500, 5 ms after router-1 renewed.

Ruled out: a peer not yet counted as live (all three were listed), loans that keep units in use (none without traffic), an early look that came too soon.

Change: what is given back is compared with the row. A look after a peer's start that fails for want of the platform is repeated by its own delay.

--- a/src/composeTasks.ts
+++ b/src/composeTasks.ts
@@ -75,6 +75,13 @@
   random: RandomSource
 }
 
+interface GrantRenewal {
+  /** False when nothing is known to have been written or found in order. */
+  settled: boolean
+  /** Milliseconds until the next call is due. */
+  delay: number
+}
+
 const isStaying = ({ state }: Member): boolean => state === ListedState.live
 
 export type Tasks = ReturnType<typeof createTasks>
@@ -157,15 +164,23 @@
     if (error !== undefined) metrics.increment(MetricName.platformFailures)
   }
 
-  async function renewGrants (): Promise<number> {
-    if (state.tracker.revision() === 0) return SECOND_MS / 4
+  async function renewGrants (): Promise<GrantRenewal> {
+    if (state.tracker.revision() === 0) return { settled: false, delay: SECOND_MS / 4 }
     const { outcome, delay, units, reclaimed } = await grants.tick(now())
     if (outcome === 'renewed') log(LogEvent.quotaGranted, { floor: units.floor, pool: units.pool }, 'debug')
     for (const { instance, tier, units: count } of reclaimed) {
       log(LogEvent.quotaReclaimed, { peer: instance, tier, units: count })
     }
     options.onQuota()
-    return delay
+    return { settled: outcome === 'renewed' || outcome === 'unchanged', delay }
+  }
+
+  /** Renews the grants apart from the regular calls, until the platform has answered once. */
+  function renewGrantsSoon (milliseconds: number): void {
+    timers.once(milliseconds, async () => {
+      const { settled, delay } = await renewGrants()
+      if (!settled) renewGrantsSoon(delay)
+    })
   }
 
   function sendLoans (loans: readonly PlannedLoan[]): void {
@@ -228,9 +243,7 @@
     instances: () => list,
     takeList,
     /** A peer of the own data centre has started: its part of the quota is given back before the next renewal. */
-    notePeerStarted (): void {
-      timers.once(PEER_START_DELAY_MS, async () => { await renewGrants() })
-    },
+    notePeerStarted (): void { renewGrantsSoon(PEER_START_DELAY_MS) },
     /** Sends requests for loans that would admit the request. */
     borrow (customer: string, tokens: number): Borrowing | undefined {
       const plan = state.loans.planLoans(customer, tokens, loanPeers(), now())
@@ -257,7 +270,7 @@
       timers.every(BORROWING_INTERVAL_MS, () => { sendLoans(state.loans.planAhead(loanPeers(), now())) })
       timers.every(PROBE_INTERVAL_MS, polling.probe)
       timers.every(SECOND_MS * 60, () => { state.retryBudget.prune(now()) })
-      timers.paced(renewGrants)
+      timers.paced(async () => (await renewGrants()).delay)
       timers.paced(async () => {
         // A silent engine must not hold up the next round for the others.
         polling.pollReports().catch(options.reportFault)
--- a/src/quota/grantTask.ts
+++ b/src/quota/grantTask.ts
@@ -136,6 +136,14 @@
     return { floor: units(GrantTier.floor), pool: units(GrantTier.pool) }
   }
 
+  /** Units that the row shows for this process. */
+  function listedUnits ({ grants }: DataCentreQuota): Record<GrantTier, number> {
+    const units = (tier: GrantTier): number => {
+      return grants.find((grant) => grant.tier === tier && isHeldBy(grant, self))?.units ?? 0
+    }
+    return { floor: units(GrantTier.floor), pool: units(GrantTier.pool) }
+  }
+
   function result (
     outcome: GrantTickResult['outcome'], delay: number, reclaimed: readonly Grant[] = []
   ): GrantTickResult {
@@ -200,8 +208,10 @@
     })
     const units = heldUnits(now)
     const gains = TIERS.some((tier) => plan.granted[tier] > units[tier])
-    // An instance that has just started waits for the units that the others hold beyond their parts.
-    const gives = TIERS.some((tier) => plan.granted[tier] < units[tier] * NEARLY_ALL)
+    // An instance that has just started waits for the units that the others hold beyond their parts. The row counts: the
+    // units in use are lowered before a commit that may then fail.
+    const listed = listedUnits(rows.dataCentre)
+    const gives = TIERS.some((tier) => plan.granted[tier] < listed[tier] * NEARLY_ALL)
     if (now - renewedAt < renewalInterval / 2 && !gains && !gives && plan.reclaimed.length === 0) {
       return result('unchanged', nextDelay(plan, now))
     }
