Split the framing of peer messages from their checks

Cause: the edge needs length-prefixed CBOR frames without the schemas of the product's own peer protocol, whose library would cost each edge process memory. Change: src/peer/framing.ts holds lengths, limits and decoding; frames.ts keeps the messages. No behaviour changes. Conclusion: one copy of the framing.

--- a/src/peer/frames.ts
+++ b/src/peer/frames.ts
@@ -1,38 +1,19 @@
-/** Frames of the peer protocol: 4 bytes of length (big endian), then one CBOR value that holds a message. */
-import { Encoder } from 'cbor-x'
+/** Frames of the peer protocol: each holds one message. */
 import { PeerProtocolError } from '../errors'
+import { createValueReader, decodeValue, encodeValue, type FrameReader } from './framing'
 import type { PeerMessage } from './messages'
 import { peerMessageSchema } from './schemas'
 
-/** Largest frame body in bytes. */
-export const FRAME_LIMIT = 1_048_576
-
-const LENGTH_BYTES = 4
-
-// Records would make frames depend on earlier ones, so that a frame could not be checked by itself.
-const codec = new Encoder({ useRecords: false, mapsAsObjects: true, tagUint8Array: false })
+export { FRAME_LIMIT } from './framing'
 
 /** Encodes a message with its length. Throws `PeerProtocolError` when it exceeds the limit. */
 export function encodeFrame (message: PeerMessage): Buffer {
-  const body = codec.encode(message)
-  if (body.length > FRAME_LIMIT) {
-    throw new PeerProtocolError(`${message.kind} message of ${body.length} bytes exceeds ${FRAME_LIMIT}`)
-  }
-  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length)
-  frame.writeUInt32BE(body.length, 0)
-  body.copy(frame, LENGTH_BYTES)
-  return frame
+  return encodeValue(message, `${message.kind} message`)
 }
 
 /** Decodes and checks a frame body. Throws `PeerProtocolError` for anything but a valid message. */
 export function decodeBody (body: Uint8Array): PeerMessage {
-  let value: unknown
-  try {
-    value = codec.decode(body)
-  } catch (cause) {
-    throw new PeerProtocolError('frame is not one CBOR value', { cause })
-  }
-  const result = peerMessageSchema.safeParse(value)
+  const result = peerMessageSchema.safeParse(decodeValue(body))
   if (!result.success) {
     const issue = result.error.issues[0]
     throw new PeerProtocolError(`invalid message: ${issue?.path.join('.') ?? ''}: ${issue?.message ?? ''}`)
@@ -40,52 +21,7 @@
   return result.data as PeerMessage
 }
 
-/** The same bytes as a Buffer, without a copy. */
-function viewOf (bytes: Uint8Array): Buffer {
-  return Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength)
-}
-
-export interface FrameReader {
-  /** Takes in bytes and returns the complete messages. Throws `PeerProtocolError` at the first bad frame. */
-  push: (bytes: Uint8Array) => PeerMessage[]
-  /** Bytes held for an incomplete frame. */
-  pendingBytes: () => number
-}
-
-/** Creates a reader at the start of a connection. It never holds more than one frame and one piece of input. */
-export function createFrameReader (): FrameReader {
-  let parts: Uint8Array[] = []
-  let held = 0
-
-  function join (): Buffer {
-    const joined = parts.length === 1 ? viewOf(parts[0] as Uint8Array) : Buffer.concat(parts)
-    parts = [joined]
-    return joined
-  }
-
-  /** Length of the frame at the start of the held bytes; undefined while its length is incomplete. */
-  function frameLength (): number | undefined {
-    if (held < LENGTH_BYTES) return undefined
-    if ((parts[0]?.length ?? 0) < LENGTH_BYTES) join()
-    return viewOf(parts[0] as Uint8Array).readUInt32BE(0)
-  }
-
-  return {
-    push (bytes) {
-      if (bytes.length > 0) parts.push(bytes)
-      held += bytes.length
-      const messages: PeerMessage[] = []
-      for (let length = frameLength(); length !== undefined; length = frameLength()) {
-        if (length > FRAME_LIMIT) throw new PeerProtocolError(`frame of ${length} bytes exceeds ${FRAME_LIMIT}`)
-        const end = LENGTH_BYTES + length
-        if (held < end) break
-        const joined = join()
-        messages.push(decodeBody(joined.subarray(LENGTH_BYTES, end)))
-        held -= end
-        parts = held === 0 ? [] : [joined.subarray(end)]
-      }
-      return messages
-    },
-    pendingBytes: () => held
-  }
+/** Creates a reader at the start of a connection. */
+export function createFrameReader (): FrameReader<PeerMessage> {
+  return createValueReader(decodeBody)
 }
