--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,7 @@
 /** Decisions of the edge; its other modules own sockets, timers and tasks. */
 const edgeDecisions = [
   'admission', 'attemptDecision', 'backlog', 'cacheStoreIndex', 'eventBoundary', 'freshness', 'instanceShares', 'loadShedding', 'placement', 'prefixDemand', 'promptPlan', 'quotaShare',
-  'retryAllowance', 'routeTable', 'serviceChoice', 'storeLease', 'upstreamDirectory', 'weightsMove'
+  'retryAllowance', 'routeTable', 'serviceChoice', 'storeLease', 'tableHistory', 'tokenAsks', 'upstreamDirectory', 'weightsMove'
 ].map((name) => `src/edge/${name}.ts`)
 
 export default [
--- a/src/edge/__tests__/fixtures.ts
+++ b/src/edge/__tests__/fixtures.ts
@@ -73,6 +73,8 @@
   zone: 'north',
   'listenAddresses.front': '10.0.0.1:8606',
   'listenAddresses.ready': '10.0.0.1:8605',
+  ipAddress: '10.0.0.1',
+  'internalPortRange.0': '7600',
   'platform.address': '10.0.0.9:8601',
   'bounds.strictRevocation': 'true',
   'bounds.revocationMs': '5000',
--- a/src/edge/__tests__/quotaShare.test.ts
+++ b/src/edge/__tests__/quotaShare.test.ts
@@ -1,9 +1,14 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { costOf, createQuotaShares, type QuotaShares } from '../quotaShare'
+import { costOf, createQuotaShares, type QuotaRequest, type QuotaShares } from '../quotaShare'
 import { createCustomer } from './fixtures'
 import type { CallerRequest } from '../types'
 
+/** A request at an instance that nobody can give units. */
+const alone = (identifier: string, cost: number, share: number): QuotaRequest => {
+  return { customer, identifier, cost, share, mayOwe: true }
+}
+
 const options = { window: 8000, overage: 0.1, slack: 110_000, startedAt: 0 }
 const customer = createCustomer({ rate: 70_000, burst: 70_000 })
 const request: CallerRequest = {
@@ -24,22 +29,23 @@
   it('admits single long prompts at one of nine instances', () => {
     const shares = createQuotaShares(options)
     for (let index = 0; index < 10; index += 1) {
-      expect(shares.admit(customer, String(index), 18_000, 1 / 9, 12_000 + index * 2400)).toEqual({ admitted: true })
+      expect(shares.admit(alone(String(index), 18_000, 1 / 9), 12_000 + index * 2400)).toEqual({ admitted: true })
     }
   })
 
   it('returns what did not run and tells when a refused request fits', () => {
     const shares = createQuotaShares(options)
-    expect(shares.admit(customer, 'a', 20_000, 1 / 9, 60_000)).toEqual({ admitted: true })
-    const refusal = shares.admit(customer, 'b', 20_000, 1 / 9, 60_000)
+    expect(shares.admit(alone('a', 20_000, 1 / 9), 60_000)).toEqual({ admitted: true })
+    const refusal = shares.admit(alone('b', 20_000, 1 / 9), 60_000)
     expect(refusal.admitted).toBe(false)
     if (!refusal.admitted) expect(refusal.retryAfter).toBeGreaterThan(0)
     shares.settle(customer.name, 'a', 20_000, false)
-    expect(shares.admit(customer, 'b', 20_000, 1 / 9, 60_000)).toEqual({ admitted: true })
+    expect(shares.admit(alone('b', 20_000, 1 / 9), 60_000)).toEqual({ admitted: true })
   })
 
   it('does not limit a customer without a rate', () => {
-    expect(createQuotaShares(options).admit(createCustomer({ rate: 0 }), 'a', 1e9, 1 / 9, 0)).toEqual({ admitted: true })
+    const request = { ...alone('a', 1e9, 1 / 9), customer: createCustomer({ rate: 0 }) }
+    expect(createQuotaShares(options).admit(request, 0)).toEqual({ admitted: true })
   })
 
   it('keeps every window over all instances inside the permitted overage, also when all restart at once', () => {
@@ -56,7 +62,7 @@
           restarted = true
           instances = Array.from({ length: 9 }, () => createQuotaShares({ ...options, startedAt: now }))
         }
-        const decision = instances[instance]!.admit(customer, String(index), cost, 1 / 9, now)
+        const decision = instances[instance]!.admit(alone(String(index), cost, 1 / 9), now)
         if (decision.admitted) admitted.push({ at: now, cost })
       })
       const bound = (customer.rate * 8 + customer.burst) * 1.1 + 110_000
--- a/src/edge/__tests__/storeFollower.test.ts
+++ b/src/edge/__tests__/storeFollower.test.ts
@@ -2,9 +2,9 @@
 import { HistoryLostError, PlatformUnavailableError } from '../../errors'
 import { EdgeEvent } from '../events'
 import { followTable, type ContactGap, type Follower } from '../storeFollower'
-import type { Instant, Store, StoreReading } from '../types'
+import type { Instant, RelayedProof, Store, StoreReading } from '../types'
 
-type Step = StoreReading | Error | 'wait'
+type Step = StoreReading | Error | 'wait' | (() => Promise<StoreReading>)
 
 const reading = (version: number, key?: string): StoreReading => ({
   version, storeTime: 0, rows: key === undefined ? [] : [{ key, value: Buffer.from('x'), version }]
@@ -18,7 +18,7 @@
     const step = steps.shift()
     if (step instanceof Error) throw step
     if (step === undefined || step === 'wait') return await new Promise(() => {})
-    return step
+    return typeof step === 'function' ? await step() : step
   }
   const store: Store = {
     read: async () => await answer('read'),
@@ -29,6 +29,16 @@
   return { store, calls }
 }
 
+/** An answer that comes after some milliseconds. */
+const later = (milliseconds: number, answer: StoreReading) => async (): Promise<StoreReading> => {
+  return await new Promise((resolve) => {
+    setTimeout(() => {
+      time += milliseconds
+      resolve(answer)
+    }, milliseconds)
+  })
+}
+
 interface Trace {
   calls: string[]
   rows: Array<{ keys: string[], gap: ContactGap }>
@@ -48,6 +58,9 @@
   follower = followTable({
     store,
     table: 'op',
+    relay: {
+      replaced: () => {}, changed: () => {}, contacted: () => {}, lost: () => {}
+    },
     wait: 1000,
     newestVersion: { value: newest },
     settle: () => settle,
@@ -118,4 +131,28 @@
     expect(trace.rows).toHaveLength(0)
     expect(trace.events).toEqual([EdgeEvent.storeLost])
   })
+
+  describe('a reading that a relay gave', () => {
+    const relayed = (version: number, proof: Partial<RelayedProof> = {}): StoreReading => ({
+      ...reading(version, 'b'), relayed: { age: 300, unseenFor: 250, afterOutage: false, ...proof }
+    })
+
+    it.each([
+      { name: 'proves what was so before the question', proof: {}, unseenSince: 1250, afterOutage: false },
+      { name: 'may hold rows whose age the relay does not know', proof: { unseenFor: undefined }, unseenSince: 1500, afterOutage: false },
+      { name: 'may follow an outage of the relay', proof: { afterOutage: true }, unseenSince: 1250, afterOutage: true }
+    ])('$name', async ({ proof, unseenSince, afterOutage }) => {
+      const trace = await follow([reading(6, 'a'), later(1500, reading(6)), later(900, relayed(7, proof))], 6)
+      await vi.advanceTimersByTimeAsync(2400)
+      expect(trace.contacts.at(-1)).toEqual({ steady: 1200, wall: 1200 })
+      expect(trace.rows.at(-1)!.gap).toEqual({ unseenSince: { steady: unseenSince, wall: unseenSince }, afterOutage })
+    })
+
+    it('takes rows also from a relay that is behind what this instance has seen', async () => {
+      const trace = await follow([reading(9, 'a'), relayed(9)], 9)
+      expect(trace.contacts).toHaveLength(2)
+      const behind = await follow([reading(9, 'a'), relayed(8)], 9)
+      expect(behind.calls).toEqual(['read', 'follow 9', 'follow 9'])
+    })
+  })
 })
--- /dev/null
+++ b/src/edge/__tests__/tableRelay.test.ts
@@ -0,0 +1,153 @@
+import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
+import { HistoryLostError, PlatformUnavailableError } from '../../errors'
+import { rankByRendezvous } from '../../prefix/rendezvous'
+import type { Endpoint } from '../../types'
+import type { PeerValue } from '../peerLinks'
+import { createTableRelay, type TableRelay } from '../tableRelay'
+import type { Instant, Peer, Store, StoreReading } from '../types'
+
+const TABLE = 'op'
+const WAIT_MS = 1750
+const row = (key: string, version: number): { key: string, value: Buffer, version: number } => {
+  return { key, value: Buffer.from(key), version }
+}
+
+let time = 0
+const now = (): Instant => ({ steady: time, wall: time })
+
+interface Instance { relay: TableRelay, waits: number[] }
+
+/** Instances of two data centres whose questions reach each other at once; calls to the store answer nothing new. */
+function createFleet (perDataCentre: number, fails: (name: string) => boolean = () => false): Map<string, Instance> {
+  const peers = ['north', 'south'].flatMap((dataCentre) => Array.from({ length: perDataCentre }, (_unused, index): Peer => ({
+    name: `${dataCentre}-${index}`, dataCentre, endpoint: { host: `${dataCentre}-${index}`, port: 1 }
+  })))
+  const fleet = new Map<string, Instance>()
+  for (const { name, dataCentre } of peers) {
+    const waits: number[] = []
+    const store: Store = {
+      read: async () => ({ rows: [], version: 1, storeTime: 0 }),
+      async follow (_table, after, wait) {
+        waits.push(wait)
+        return { rows: [], version: after, storeTime: 0 }
+      },
+      commit: async () => { throw new Error('not used') },
+      close: () => {}
+    }
+    const relay = createTableRelay({
+      store,
+      links: {
+        isUsable: () => true,
+        async ask ({ host }: Endpoint, question: PeerValue) {
+          if (fails(host)) throw new PlatformUnavailableError('no answer')
+          return await fleet.get(host)!.relay.answer(question)
+        }
+      },
+      instance: name,
+      dataCentre,
+      peers: () => peers.filter((peer) => peer.name !== name),
+      log: () => {},
+      now
+    })
+    fleet.set(name, { relay, waits })
+  }
+  return fleet
+}
+
+const north = (count: number): string[] => Array.from({ length: count }, (_unused, index) => `north-${index}`)
+const relayNames = (count: number): string[] => rankByRendezvous('north', north(count)).slice(0, 2)
+
+/** The relays have read the table at version 5 and heard from the store `age` milliseconds ago. */
+function prepare (fleet: Map<string, Instance>, age: number): void {
+  for (const name of relayNames(4)) {
+    const table = fleet.get(name)!.relay.table(TABLE)
+    table.replaced([row('old', 4)], 5)
+    table.changed([row('new', 6)], 6, { steady: time - age - 10, wall: time - age - 10 }, false)
+    table.contacted({ steady: time - age, wall: time - age })
+  }
+}
+
+function follower (fleet: Map<string, Instance>): Instance {
+  return fleet.get(north(4).find((name) => !relayNames(4).includes(name))!)!
+}
+
+beforeEach(() => {
+  time = 100_000
+  vi.useFakeTimers()
+})
+afterEach(() => { vi.useRealTimers() })
+
+describe('a table that is relayed', () => {
+  it.each([
+    { perDataCentre: 1, readers: 2 }, { perDataCentre: 2, readers: 4 }, { perDataCentre: 23, readers: 4 }
+  ])('is read from the store by $readers instances of 2 x $perDataCentre', async ({ perDataCentre, readers }) => {
+    const fleet = createFleet(perDataCentre)
+    for (const { relay } of fleet.values()) {
+      const table = relay.table(TABLE)
+      table.replaced([], 5)
+      table.contacted(now())
+    }
+    const readings = Promise.all([...fleet.values()].map(async ({ relay }) => {
+      return await relay.store.follow(TABLE, 5, WAIT_MS)
+    }))
+    await vi.advanceTimersByTimeAsync(WAIT_MS)
+    await readings
+    expect([...fleet.values()].filter(({ waits }) => waits.length > 0)).toHaveLength(readers)
+    expect(fleet.get('north-0')!.relay.readers()).toBe(readers)
+  })
+
+  it('reaches the others with the age of the store\'s own word', async () => {
+    const fleet = createFleet(4)
+    prepare(fleet, 700)
+    const reading = await follower(fleet).relay.store.follow(TABLE, 5, WAIT_MS)
+    expect(reading).toEqual<StoreReading>({
+      rows: [row('new', 6)], version: 6, storeTime: 0, relayed: { age: 700, unseenFor: 710, afterOutage: false }
+    })
+  })
+
+  it('reaches them as soon as it changes', async () => {
+    const fleet = createFleet(4)
+    prepare(fleet, 0)
+    const reading = follower(fleet).relay.store.follow(TABLE, 6, WAIT_MS)
+    await vi.advanceTimersByTimeAsync(20)
+    for (const name of relayNames(4)) fleet.get(name)!.relay.table(TABLE).changed([row('newer', 7)], 7, now(), true)
+    await vi.advanceTimersByTimeAsync(0)
+    expect(await reading).toMatchObject({ rows: [row('newer', 7)], version: 7, relayed: { afterOutage: true } })
+  })
+
+  it.each<{ name: string, arrange: (fleet: Map<string, Instance>) => void, failing?: boolean }>([
+    { name: 'has not heard from the store for long', arrange: (fleet) => { prepare(fleet, 2700) } },
+    {
+      name: 'cannot reach the store',
+      arrange (fleet) {
+        prepare(fleet, 0)
+        for (const name of relayNames(4)) fleet.get(name)!.relay.table(TABLE).lost()
+      }
+    },
+    { name: 'does not know the table', arrange: () => {} },
+    { name: 'does not answer', arrange: (fleet) => { prepare(fleet, 0) }, failing: true }
+  ])('is read from the store at once when the relay $name, then from the other relay, then with a wait', async ({ arrange, failing }) => {
+    const fleet = createFleet(4, () => failing === true)
+    arrange(fleet)
+    const { relay, waits } = follower(fleet)
+    for (let call = 0; call < 3; call += 1) await relay.store.follow(TABLE, 6, WAIT_MS)
+    expect(waits).toEqual([0, 0, WAIT_MS])
+    time += 1000
+    waits.splice(0)
+    await relay.store.follow(TABLE, 6, WAIT_MS)
+    expect(waits).toEqual([0])
+  })
+
+  it('is read as a whole by one who is behind the history of the relay', async () => {
+    const fleet = createFleet(4)
+    prepare(fleet, 0)
+    await expect(follower(fleet).relay.store.follow(TABLE, 4, WAIT_MS)).rejects.toBeInstanceOf(HistoryLostError)
+  })
+
+  it.each([
+    { name: 'no table', question: { after: 1, wait: 1, longestAge: 1 } },
+    { name: 'no version', question: { table: TABLE, wait: 1, longestAge: 1 } }
+  ])('is refused for a question with $name', async ({ question }) => {
+    await expect(createFleet(1).get('north-0')!.relay.answer(question)).rejects.toBeInstanceOf(PlatformUnavailableError)
+  })
+})
--- /dev/null
+++ b/src/edge/__tests__/tokenAsks.test.ts
@@ -0,0 +1,49 @@
+import fc from 'fast-check'
+import { describe, expect, it } from 'vitest'
+import { createExhaustedCustomers, planTokenAsks } from '../tokenAsks'
+import type { Peer } from '../types'
+
+const peers: Peer[] = Array.from({ length: 68 }, (_unused, index) => ({
+  name: `router-${index}`, dataCentre: ['north', 'south', 'west'][index % 3]!, endpoint: { host: '10.0.0.1', port: index + 1 }
+}))
+const round = { peers, dataCentre: 'north', asked: new Set<string>(), missing: 9000, capacity: 3000, round: 0 }
+
+describe('planTokenAsks', () => {
+  it.each([
+    { name: 'as many as should have what is missing', values: {}, asks: 8 },
+    { name: 'two for a small remainder', values: { missing: 100 }, asks: 2 },
+    { name: 'at most sixteen', values: { missing: 1e6 }, asks: 16 },
+    { name: 'nobody after the last round', values: { round: 3 }, asks: 0 },
+    { name: 'nobody without peers', values: { peers: [] }, asks: 0 },
+    { name: 'nobody when nothing is missing', values: { missing: 0 }, asks: 0 },
+    { name: 'nobody for a customer without a share', values: { capacity: 0 }, asks: 0 }
+  ])('asks $name', ({ values, asks }) => {
+    expect(planTokenAsks({ ...round, ...values }, () => 0.5)).toHaveLength(asks)
+  })
+
+  it('asks the own data centre first, nobody twice, and for no more than is missing of each', () => {
+    const input = fc.record({
+      missing: fc.integer({ min: 1, max: 100_000 }),
+      capacity: fc.integer({ min: 1, max: 100_000 }),
+      asked: fc.uniqueArray(fc.nat(67), { maxLength: 67 })
+    })
+    fc.assert(fc.property(input, ({ missing, capacity, asked }) => {
+      const before = new Set(asked.map((index) => `router-${index}`))
+      const asks = planTokenAsks({ ...round, missing, capacity, asked: before }, Math.random)
+      expect(new Set(asks.map(({ peer }) => peer.name)).size).toBe(asks.length)
+      expect(asks.every(({ peer, units }) => !before.has(peer.name) && units <= missing)).toBe(true)
+      const isFar = asks.map(({ peer }) => peer.dataCentre !== 'north')
+      expect(isFar).toEqual([...isFar].sort())
+    }), { seed: 3, numRuns: 300 })
+  })
+})
+
+describe('createExhaustedCustomers', () => {
+  it('leaves others alone for a short time', () => {
+    const exhausted = createExhaustedCustomers()
+    exhausted.note('bakery', 1000)
+    expect(exhausted.isExhausted('bakery', 1099)).toBe(true)
+    expect(exhausted.isExhausted('bakery', 1100)).toBe(false)
+    expect(exhausted.isExhausted('mill', 1000)).toBe(false)
+  })
+})
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -1,5 +1,5 @@
 /** Wires the parts of one edge daemon and owns its start and its end. */
-import { ConfigurationError } from '../errors'
+import { ConfigurationError, PeerProtocolError } from '../errors'
 import { createBacklog, type Backlog } from './backlog'
 import { createBoundedLog } from './boundedLog'
 import { createCacheStoreIndex } from './cacheStoreIndex'
@@ -10,6 +10,7 @@
 import type { ExchangeContext } from './exchangeContext'
 import { createFreshness } from './freshness'
 import { createInstanceList } from './instanceList'
+import { createPeerLinks, type AnswerQuestion, type PeerQuestion } from './peerLinks'
 import { createPrefixDemand } from './prefixDemand'
 import { createKeptParts } from './promptPlan'
 import { createQuotaShares } from './quotaShare'
@@ -18,7 +19,9 @@
 import type { EdgeSettings } from './settings'
 import { followTable, type ContactGap } from './storeFollower'
 import { createStoreLease } from './storeLease'
-import type { Dialect, EngineControl, Instant, Store, StoreRecords, StoreRow, UpstreamEntry } from './types'
+import { createTableRelay } from './tableRelay'
+import { createTokenGathering } from './tokenGathering'
+import type { Dialect, EngineControl, Instant, Peer, Store, StoreRecords, StoreRow, UpstreamEntry } from './types'
 import { createUpstreamConnections } from './upstreamConnections'
 import { createUpstreamDirectory, type DirectoryChange, type Upstream } from './upstreamDirectory'
 import { createWeightsMove } from './weightsMove'
@@ -29,8 +32,8 @@
 /** Milliseconds that a call waits for changes without a revocation bound, and for changes of upstreams. */
 const FOLLOW_MS = 2000
 /**
- * Milliseconds for each instance between changes of the list and the next call: every change costs a call of every
- * instance. The longest leaves a leaving upstream known well within two seconds.
+ * Milliseconds for each instance that reads the store between changes of the list and its next call: every change costs
+ * a call of each of them. The longest leaves a leaving upstream known well within two seconds.
  */
 const SETTLE_MS = 12
 const LONGEST_SETTLE_MS = 1000
@@ -99,6 +102,47 @@
     return !stopping && table !== undefined && listRead && freshness.permitsKeys(now())
   }
 
+  const answers: Readonly<Record<PeerQuestion, AnswerQuestion>> = {
+    changes: async (question) => await relay.answer(question),
+    tokens: async (question) => await tokens.answer(question)
+  }
+  const links = await createPeerLinks({
+    listen: settings.listen.peer,
+    async answer (question) {
+      const answer = answers[question.kind as PeerQuestion] as AnswerQuestion | undefined
+      if (answer === undefined) throw new PeerProtocolError(`unknown question '${String(question.kind)}'`)
+      return await answer(question)
+    },
+    log,
+    now: () => performance.now()
+  })
+  const { name, dataCentre } = instance
+  const peers = (): readonly Peer[] => instances.peers()
+  const relay = createTableRelay({ store, links, instance: name, dataCentre, peers, log, now })
+  const instances = createInstanceList({
+    commit: store.commit,
+    relay,
+    endpoint: settings.listen.peer,
+    newestVersion,
+    now,
+    random,
+    log,
+    instance: name,
+    dataCentre
+  })
+  const quotas = createQuotaShares({
+    window: limits.quotaWindow, overage: limits.quotaOverage, slack: limits.quotaSlack, startedAt: performance.now()
+  })
+  const tokens = createTokenGathering({
+    links,
+    quotas,
+    peers,
+    dataCentre,
+    share: () => instances.share(),
+    customer: (customer) => table?.customer(customer),
+    now: () => performance.now(),
+    random
+  })
   const server = await startEdgeServer({
     caller: settings.listen.caller,
     readiness: settings.listen.readiness,
@@ -109,18 +153,14 @@
       exchange.start()
     }
   })
-  const instances = createInstanceList({
-    store, newestVersion, now, random, log, instance: instance.name, dataCentre: instance.dataCentre
-  })
   const context: ExchangeContext = {
     dialect,
     table: () => table,
     freshness,
     directory,
     connections,
-    quotas: createQuotaShares({
-      window: limits.quotaWindow, overage: limits.quotaOverage, slack: limits.quotaSlack, startedAt: performance.now()
-    }),
+    quotas,
+    tokens,
     retries: createRetryAllowance({ window: limits.retryWindow, ratio: limits.retryRatio, extra: limits.retryExtra }),
     kept: createKeptParts(cacheIndex.holds),
     demand: createPrefixDemand(),
@@ -131,7 +171,7 @@
       backlogs.set(name, backlog)
       return backlog
     },
-    dataCentre: instance.dataCentre,
+    dataCentre,
     oldWeightsLimit: limits.oldWeights,
     instances: () => instances.count(),
     share: () => instances.share(),
@@ -140,10 +180,15 @@
     isStopping: () => stopping,
     isRefusing: () => refusing,
     log,
+    fault: reportFault,
     now,
     random
   }
 
+  function reportFault (error: unknown): void {
+    log(EdgeEvent.fault, { reason: error instanceof Error ? error.stack : String(error) })
+  }
+
   function takeConfiguration (value: Buffer, rowVersion: number): void {
     try {
       const configuration = records.configuration(value)
@@ -192,10 +237,11 @@
     noteChanges(entry === undefined ? directory.remove(row.key, afterOutage, present) : directory.update(entry))
   }
 
-  const shared = { store, newestVersion, log, now, random }
+  const shared = { store: relay.store, newestVersion, log, now, random }
   const operatorFollower = followTable({
     ...shared,
     table: records.tables.operator,
+    relay: relay.table(records.tables.operator),
     wait: Number.isFinite(limits.revocation) ? Math.round(limits.revocation * FOLLOW_SHARE) : FOLLOW_MS,
     onRows: (rows, gap) => { for (const row of rows) takeOperatorRow(row, gap) },
     onChanges: (rows, gap) => { for (const row of rows) takeOperatorRow(row, gap) },
@@ -204,8 +250,9 @@
   const upstreamFollower = followTable({
     ...shared,
     table: records.tables.upstreams,
+    relay: relay.table(records.tables.upstreams),
     wait: FOLLOW_MS,
-    settle: () => Math.min(LONGEST_SETTLE_MS, instances.count() * SETTLE_MS),
+    settle: () => Math.min(LONGEST_SETTLE_MS, relay.readers() * SETTLE_MS),
     onRows (rows, { afterOutage }) {
       listRead = true
       const entries = rows.flatMap((row) => readEntry(row) ?? [])
@@ -214,13 +261,14 @@
     onChanges: (rows, { afterOutage }) => { for (const row of rows) takeUpstreamChange(row, afterOutage) }
   })
   const weightsTask = startWeightsTask({
-    instance: instance.name,
+    instance: name,
     store,
     control,
-    lease: createStoreLease(instance.name, incarnation, limits.lease),
+    lease: createStoreLease(name, incarnation, limits.lease),
     move,
     directory,
     isStopping: () => stopping,
+    peers: () => peers().map((peer) => peer.name),
     log,
     now,
     random
@@ -236,7 +284,7 @@
     connections.prune()
   }, SWEEP_MS)
   const flushTimer = setInterval(flush, LOG_FLUSH_MS)
-  log(EdgeEvent.started, { dataCentre: instance.dataCentre })
+  log(EdgeEvent.started, { dataCentre })
 
   async function pause (milliseconds: number): Promise<void> {
     await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
@@ -256,13 +304,14 @@
       clearInterval(sweep)
       clearInterval(flushTimer)
       server.close()
+      links.close()
       store.close()
       log(EdgeEvent.stopped, { exchanges: exchanges.size })
       closeLog()
     },
     reloaded: (outcome) => { log(EdgeEvent.reloaded, { outcome }) },
     fault (error) {
-      log(EdgeEvent.fault, { reason: error instanceof Error ? error.stack : String(error) })
+      reportFault(error)
       closeLog()
     }
   }
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -119,26 +119,39 @@
     request.on('end', () => { if (!over) refuse(refusal, 'admission') })
   }
 
-  /** False when the request was refused. */
-  function charge (customer: EdgeCustomer): boolean {
-    const cost = costOf(facts, customer)
-    const share = context.share()
-    const decision = context.quotas.admit(customer, identifier, cost, share, context.now().steady)
+  /** False when the request was refused or the caller has left. */
+  async function charge (customer: EdgeCustomer, cost: number): Promise<boolean> {
+    const { quotas, tokens } = context
+    const request = { customer, identifier, cost, share: context.share(), mayOwe: false }
+    let decision = quotas.admit(request, context.now().steady)
+    let answers = 0
+    if (!decision.admitted) {
+      const gathered = await tokens.gather(customer, cost, decision.missing)
+      if (over) return false
+      answers = gathered.answers
+      decision = quotas.admit({ ...request, given: gathered.units, mayOwe: answers === 0 }, context.now().steady)
+    }
     if (decision.admitted) {
       charged = cost
       return true
     }
-    const message = 'the customer is beyond its rate'
-    const { retryAfter } = decision
-    const reason = `cost ${cost} is beyond a share of ${share.toFixed(3)}`
-    refuse({ status: 429, code: 'rate_limited', message, retryAfter }, reason)
+    const reason = `${Math.round(decision.missing)} of ${cost} units are missing at ${answers + 1} instances`
+    // What is missing comes back at all instances that were asked.
+    const retryAfter = decision.retryAfter / (answers + 1)
+    refuse({ status: 429, code: 'rate_limited', message: 'the customer is beyond its rate', retryAfter }, reason)
     return false
   }
 
   function begin (route: EdgeRoute, customer: EdgeCustomer | undefined, body: Buffer | undefined): void {
     const service = chooseService(route, context.random())
     job = { request, facts, route, customer, service, plan: planPrompt(facts, customer), body }
-    if (customer !== undefined && !charge(customer)) return
+    const cost = customer === undefined || customer.rate === 0 ? 0 : costOf(facts, customer)
+    if (customer === undefined || cost === 0) return send(job)
+    charge(customer, cost).then((isCharged) => { if (isCharged) send(job!) }, context.fault)
+  }
+
+  function send (job: Job): void {
+    const { route, service } = job
     const limit = Math.min(route.timeout > 0 ? route.timeout : Infinity, facts.patience ?? Infinity)
     const timeLeft = (): number => limit - (context.now().steady - started.steady)
     dispatch = createDispatch(context, job, answer, timeLeft, {
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -8,6 +8,7 @@
 import type { QuotaShares } from './quotaShare'
 import type { RetryAllowance } from './retryAllowance'
 import type { RouteTable } from './routeTable'
+import type { TokenGathering } from './tokenGathering'
 import type { Dialect, Instant } from './types'
 import type { UpstreamConnections } from './upstreamConnections'
 import type { Upstream, UpstreamDirectory } from './upstreamDirectory'
@@ -20,6 +21,7 @@
   directory: UpstreamDirectory
   connections: UpstreamConnections
   quotas: QuotaShares
+  tokens: Pick<TokenGathering, 'gather'>
   retries: RetryAllowance
   kept: KeptParts
   demand: PrefixDemand
@@ -39,6 +41,8 @@
   /** New requests are refused, so that those that run can end in time. */
   isRefusing: () => boolean
   log: EdgeLog
+  /** Called for errors that nothing handled; these are faults of the program. */
+  fault: (error: unknown) => void
   now: () => Instant
   random: RandomSource
 }
--- a/src/edge/freshness.ts
+++ b/src/edge/freshness.ts
@@ -6,6 +6,11 @@
   return Math.max(later.steady - earlier.steady, later.wall - earlier.wall)
 }
 
+/** The instant some milliseconds before another one. */
+export function before ({ steady, wall }: Instant, milliseconds: number): Instant {
+  return { steady: steady - milliseconds, wall: wall - milliseconds }
+}
+
 /** Part of the revocation bound that is left for a request to get from this instance to an upstream. */
 const TRANSIT_SHARE = 0.1
 
--- a/src/edge/instanceList.ts
+++ b/src/edge/instanceList.ts
@@ -2,10 +2,13 @@
  * The list of edge instances in the store, by which quotas and retries are shared out. Each instance writes its row when
  * it starts, which also tells it the newest version of the store.
  */
-import { EdgeEvent, reasonOf, type EdgeLog } from './events'
+import { EdgeEvent, reasonOf } from './events'
+import { formatEndpoint, parseEndpoint } from '../http/endpoint'
+import type { Endpoint } from '../types'
 import { followTable, type Follower, type FollowerOptions } from './storeFollower'
 import { createInstanceShares } from './instanceShares'
-import type { Store, StoreRow } from './types'
+import type { TableRelay } from './tableRelay'
+import type { Peer, Store, StoreRow } from './types'
 
 const INSTANCE_TABLE = 'waxwingspoke-instances'
 /** Milliseconds that a call waits; the list changes a few times a day. */
@@ -14,10 +17,11 @@
 const WRITE_RETRY_MS = 500
 
 /** Undefined for a row that no edge instance wrote. */
-function readDataCentre (value: Buffer): string | undefined {
+function readPeer (name: string, value: Buffer): Peer | undefined {
   try {
-    const { dataCentre } = JSON.parse(value.toString('utf8')) as { dataCentre?: unknown }
-    return typeof dataCentre === 'string' ? dataCentre : undefined
+    const { dataCentre, peer } = JSON.parse(value.toString('utf8')) as { dataCentre?: unknown, peer?: unknown }
+    const endpoint = typeof peer === 'string' ? parseEndpoint(peer) : undefined
+    return typeof dataCentre === 'string' && endpoint !== undefined ? { name, dataCentre, endpoint } : undefined
   } catch {
     // Only edge instances write here; a row that cannot be read counts as none.
     return undefined
@@ -29,24 +33,26 @@
   count: () => number
   /** Part between 0 and 1 that this instance has of what all may do together. */
   share: () => number
-  /** Removes the own row; for a stop without return. */
-  leave: () => Promise<void>
+  /** The other instances. */
+  peers: () => readonly Peer[]
   stop: () => void
 }
 
 export function createInstanceList (
-  options: Pick<FollowerOptions, 'store' | 'newestVersion' | 'now' | 'random'> & {
-    store: Store, instance: string, dataCentre: string, log: EdgeLog
+  options: Pick<FollowerOptions, 'newestVersion' | 'log' | 'now' | 'random'> & {
+    commit: Store['commit'], instance: string, dataCentre: string, endpoint: Endpoint, relay: TableRelay
   }
 ): InstanceList {
-  const { store, newestVersion, instance, dataCentre, log } = options
+  const { commit, newestVersion, instance, dataCentre, endpoint, log } = options
   const shares = createInstanceShares()
   shares.set(instance, dataCentre)
+  const listed = new Map<string, Peer>()
+  let peers: readonly Peer[] = []
   let timer: NodeJS.Timeout | undefined
 
   async function register (): Promise<void> {
-    const writes = [{ key: instance, value: JSON.stringify({ dataCentre }) }]
-    const result = await store.commit({ table: INSTANCE_TABLE, conditions: [], writes, removals: [] })
+    const writes = [{ key: instance, value: JSON.stringify({ dataCentre, peer: formatEndpoint(endpoint) }) }]
+    const result = await commit({ table: INSTANCE_TABLE, conditions: [], writes, removals: [] })
     if (result.committed) newestVersion.value = Math.max(newestVersion.value, result.version)
   }
 
@@ -58,22 +64,32 @@
   }
 
   function take ({ key, value }: StoreRow): void {
-    const place = value === undefined ? undefined : readDataCentre(value)
-    if (place !== undefined) shares.set(key, place)
-    else if (key !== instance) shares.delete(key)
+    if (key === instance) return
+    const peer = value === undefined ? undefined : readPeer(key, value)
+    if (peer !== undefined) {
+      shares.set(key, peer.dataCentre)
+      listed.set(key, peer)
+    } else {
+      shares.delete(key)
+      listed.delete(key)
+    }
   }
 
   function noteChange (): void {
+    peers = [...listed.values()]
     log(EdgeEvent.instancesChanged, { count: shares.count(), share: shares.share(dataCentre) })
   }
 
   tryRegister()
   const follower: Follower = followTable({
     ...options,
+    store: options.relay.store,
     table: INSTANCE_TABLE,
+    relay: options.relay.table(INSTANCE_TABLE),
     wait: FOLLOW_MS,
     onRows (rows) {
       shares.clear()
+      listed.clear()
       shares.set(instance, dataCentre)
       for (const row of rows) take(row)
       noteChange()
@@ -87,9 +103,7 @@
   return {
     count: shares.count,
     share: () => shares.share(dataCentre),
-    async leave () {
-      await store.commit({ table: INSTANCE_TABLE, conditions: [], writes: [], removals: [instance] })
-    },
+    peers: () => peers,
     stop () {
       clearTimeout(timer)
       follower.stop()
--- /dev/null
+++ b/src/edge/peerLinks.ts
@@ -0,0 +1,206 @@
+/** Questions between instances: one connection to each peer that is asked, answers by number, a time limit for each. */
+import { connect, createServer, type Socket } from 'node:net'
+import { OverloadedError, PeerProtocolError, PlatformUnavailableError } from '../errors'
+import { formatEndpoint } from '../http/endpoint'
+import { createValueReader, decodeValue, encodeValue } from '../peer/framing'
+import type { Endpoint } from '../types'
+import { EdgeEvent, reasonOf, type EdgeLog } from './events'
+
+/** Milliseconds for which a peer is not asked again after it failed; doubles up to the longest pause. */
+const FIRST_PAUSE_MS = 500
+const LONGEST_PAUSE_MS = 8000
+/** Milliseconds without any answer after which a connection counts as dead. */
+const SILENT_MS = 500
+/** Connections accepted at the same time; a data centre has far fewer instances. */
+const MOST_INCOMING = 512
+/** Bytes that may wait to be sent on one connection. */
+const SEND_LIMIT_BYTES = 2_097_152
+
+export const PeerQuestion = {
+  /** What changed in a table of the store. */
+  changes: 'changes',
+  /** Tokens of a customer's rate. */
+  tokens: 'tokens'
+} as const
+export type PeerQuestion = typeof PeerQuestion[keyof typeof PeerQuestion]
+
+export type PeerValue = Readonly<Record<string, unknown>>
+
+/** Answers a question of a peer. Rejects with a reason that the peer is told. */
+export type AnswerQuestion = (question: PeerValue) => Promise<PeerValue>
+
+export interface PeerLinksOptions {
+  listen: Endpoint
+  answer: AnswerQuestion
+  log: EdgeLog
+  /** Milliseconds of the steady clock. */
+  now: () => number
+}
+
+export interface PeerLinks {
+  /** Rejects with `PlatformUnavailableError` when no answer came within `timeout` milliseconds or the peer refused. */
+  ask: (peer: Endpoint, question: PeerValue, timeout: number) => Promise<PeerValue>
+  /** False while the peer is left alone because it failed. */
+  isUsable: (peer: Endpoint) => boolean
+  close: () => void
+}
+
+/** A question has a number and a content; an answer repeats the number and has a content or a refusal. */
+interface Envelope {
+  number: number
+  content: PeerValue | undefined
+  refusal: string | undefined
+}
+
+interface Pending {
+  resolve: (answer: PeerValue) => void
+  reject: (error: Error) => void
+  timer: NodeJS.Timeout
+}
+
+interface Link {
+  socket: Socket
+  pending: Map<number, Pending>
+  /** When a question was sent that nothing has answered since; undefined after any answer. */
+  unansweredSince: number | undefined
+}
+
+function isValue (value: unknown): value is PeerValue {
+  return typeof value === 'object' && value !== null && !Array.isArray(value)
+}
+
+function decodeEnvelope (body: Uint8Array): Envelope {
+  const value = decodeValue(body)
+  if (!isValue(value) || typeof value.number !== 'number') throw new PeerProtocolError('a frame has no number')
+  const { number, content, refusal } = value
+  if (isValue(content)) return { number, content, refusal: undefined }
+  if (typeof refusal === 'string') return { number, content: undefined, refusal }
+  throw new PeerProtocolError('a frame has neither content nor refusal')
+}
+
+/** Hands each message to `take`; a frame that cannot be read ends the connection. */
+function readEnvelopes (socket: Socket, take: (envelope: Envelope) => void): void {
+  const reader = createValueReader(decodeEnvelope)
+  socket.setNoDelay(true)
+  socket.on('data', (bytes: Buffer) => {
+    try {
+      for (const envelope of reader.push(bytes)) take(envelope)
+    } catch (error) {
+      socket.destroy(error instanceof Error ? error : undefined)
+    }
+  })
+}
+
+/** Rejects when the address is taken. */
+export async function createPeerLinks (options: PeerLinksOptions): Promise<PeerLinks> {
+  const { listen, answer, log, now } = options
+  const links = new Map<string, Link>()
+  const incoming = new Set<Socket>()
+  const pauses = new Map<string, { until: number, length: number }>()
+  let questions = 0
+
+  function send (socket: Socket, message: Envelope): void {
+    if (socket.writableLength > SEND_LIMIT_BYTES) {
+      socket.destroy(new OverloadedError('the peer reads too slowly'))
+      return
+    }
+    socket.write(encodeValue(message, 'peer message'))
+  }
+
+  function noteFailure (address: string, reason: string): void {
+    const before = pauses.get(address)
+    if (before !== undefined && before.until > now()) return
+    const length = Math.min(LONGEST_PAUSE_MS, before === undefined ? FIRST_PAUSE_MS : before.length * 2)
+    pauses.set(address, { until: now() + length, length })
+    if (before === undefined) log(EdgeEvent.peerLost, { peer: address, reason })
+  }
+
+  function noteAnswer (address: string): void {
+    if (pauses.delete(address)) log(EdgeEvent.peerRegained, { peer: address })
+  }
+
+  function drop (address: string, link: Link, reason: string): void {
+    if (links.get(address) === link) links.delete(address)
+    link.socket.destroy()
+    for (const { reject, timer } of link.pending.values()) {
+      clearTimeout(timer)
+      reject(new PlatformUnavailableError(`peer ${address}: ${reason}`))
+    }
+    link.pending.clear()
+  }
+
+  function open (address: string, peer: Endpoint): Link {
+    const link: Link = { socket: connect(peer.port, peer.host), pending: new Map(), unansweredSince: undefined }
+    links.set(address, link)
+    readEnvelopes(link.socket, ({ number, content, refusal }) => {
+      link.unansweredSince = undefined
+      const pending = link.pending.get(number)
+      // The answer to a question that was given up.
+      if (pending === undefined) return
+      link.pending.delete(number)
+      clearTimeout(pending.timer)
+      noteAnswer(address)
+      if (content !== undefined) pending.resolve(content)
+      else pending.reject(new PlatformUnavailableError(`peer ${address} refused: ${refusal}`))
+    })
+    const onEnd = (reason: string): void => {
+      if (link.pending.size > 0) noteFailure(address, reason)
+      drop(address, link, reason)
+    }
+    link.socket.on('error', (error) => { onEnd(error.message) })
+    link.socket.on('close', () => { onEnd('the connection was closed') })
+    return link
+  }
+
+  const server = createServer((socket) => {
+    if (incoming.size >= MOST_INCOMING) {
+      socket.destroy()
+      return
+    }
+    incoming.add(socket)
+    // The peer notices the end of a connection by itself and asks again.
+    socket.on('error', (error) => { log(EdgeEvent.peerConnectionEnded, { reason: error.message }) })
+    socket.on('close', () => { incoming.delete(socket) })
+    readEnvelopes(socket, ({ number, content }) => {
+      if (content === undefined) throw new PeerProtocolError('a question has no content')
+      const respond = (message: Omit<Envelope, 'number'>): void => {
+        if (!socket.destroyed) send(socket, { number, ...message })
+      }
+      answer(content).then(
+        (given) => { respond({ content: given, refusal: undefined }) },
+        (error: unknown) => { respond({ content: undefined, refusal: reasonOf(error) }) }
+      )
+    })
+  })
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(listen.port, listen.host, resolve)
+  })
+
+  return {
+    async ask (peer, question, timeout) {
+      const address = formatEndpoint(peer)
+      const link = links.get(address) ?? open(address, peer)
+      questions += 1
+      const number = questions
+      return await new Promise((resolve, reject) => {
+        const timer = setTimeout(() => {
+          link.pending.delete(number)
+          noteFailure(address, `no answer in ${timeout} ms`)
+          reject(new PlatformUnavailableError(`peer ${address}: no answer in ${timeout} ms`))
+          const isSilent = link.unansweredSince !== undefined && now() - link.unansweredSince >= SILENT_MS
+          if (isSilent) drop(address, link, 'the connection is silent')
+        }, timeout)
+        link.pending.set(number, { resolve, reject, timer })
+        link.unansweredSince ??= now()
+        send(link.socket, { number, content: question, refusal: undefined })
+      })
+    },
+    isUsable: (peer) => (pauses.get(formatEndpoint(peer))?.until ?? -Infinity) <= now(),
+    close () {
+      server.close()
+      for (const socket of incoming) socket.destroy()
+      for (const [address, link] of links) drop(address, link, 'this instance stops')
+    }
+  }
+}
--- a/src/edge/quotaShare.ts
+++ b/src/edge/quotaShare.ts
@@ -1,5 +1,6 @@
 /** This instance's share of each customer's rate and burst. */
-import { advanceBucket, chargeBucket, createBucket, refreshAllowance, settleBucket, type Bucket } from '../quota/bucket'
+import { advanceBucket, chargeBucket, createBucket, refreshAllowance, settleBucket } from '../quota/bucket'
+import type { Allowance, Bucket } from '../quota/bucket'
 import type { MonotonicMilliseconds } from '../types'
 import type { CallerRequest, EdgeCustomer } from './types'
 
@@ -24,13 +25,35 @@
   startedAt: MonotonicMilliseconds
 }
 
-export type QuotaDecision = { admitted: true } | { admitted: false, retryAfter: number }
+export type QuotaDecision =
+  | { admitted: true }
+  /** `missing` units are not there; by its share alone the instance has them after `retryAfter` milliseconds. */
+  | { admitted: false, missing: number, retryAfter: number }
+
+export interface QuotaRequest {
+  customer: EdgeCustomer
+  identifier: string
+  cost: number
+  /** This instance's share, 0 to 1. */
+  share: number
+  /** Units that others have given for this request. @default 0 */
+  given?: number
+  /**
+   * A request above the whole share is admitted when the share is full, and later ones wait for it. For an instance that
+   * nobody can give units: it would never be admitted otherwise.
+   */
+  mayOwe: boolean
+}
 
 export interface QuotaShares {
-  /** Charges a request to this instance's share (0 to 1) or says when its cost will be there. */
-  admit: (
-    customer: EdgeCustomer, identifier: string, cost: number, share: number, now: MonotonicMilliseconds
-  ) => QuotaDecision
+  /** Charges a request to this instance's share or says what is missing. */
+  admit: (request: QuotaRequest, now: MonotonicMilliseconds) => QuotaDecision
+  /** Takes up to `wanted` units out of this instance's share for another instance; returns how many. */
+  give: (customer: EdgeCustomer, wanted: number, share: number, now: MonotonicMilliseconds) => number
+  /** Takes back units that another instance was given and did not use. */
+  restore: (customer: EdgeCustomer, units: number, share: number, now: MonotonicMilliseconds) => void
+  /** Units that the share holds at most. */
+  capacity: (customer: EdgeCustomer, share: number) => number
   /** Ends a charge; `run` is false when no upstream ran the request. */
   settle: (customer: string, identifier: string, cost: number, run: boolean) => void
 }
@@ -49,31 +72,55 @@
     return overage * (customer.burst + customer.rate * window / 1000) + slack
   }
 
+  function capacityOf (customer: EdgeCustomer, share: number): number {
+    return (customer.burst + extraOf(customer) * CAPACITY_PART) * share
+  }
+
+  /** The customer's bucket as of now. */
+  function bucketOf (customer: EdgeCustomer, share: number, now: MonotonicMilliseconds): Bucket {
+    const rate = customer.rate * share
+    const capacity = capacityOf(customer, share)
+    const allowanceAt = (): Allowance => ({ rate, capacity, until: Infinity })
+    let bucket = buckets.get(customer.name)
+    if (bucket === undefined) {
+      bucket = createBucket(now)
+      refreshAllowance(bucket, allowanceAt)
+      bucket.level = Math.min(capacity, extraOf(customer) * START_PART * share + rate * (now - startedAt) / 1000)
+      buckets.set(customer.name, bucket)
+    } else if (bucket.allowance.rate !== rate || bucket.allowance.capacity !== capacity) {
+      refreshAllowance(bucket, allowanceAt)
+    }
+    advanceBucket(bucket, now, allowanceAt)
+    return bucket
+  }
+
   return {
-    admit (customer, identifier, cost, share, now) {
+    admit ({ customer, identifier, cost, share, given = 0, mayOwe }, now) {
       if (customer.rate === 0) return { admitted: true }
-      const rate = customer.rate * share
-      const extra = extraOf(customer)
-      const capacity = (customer.burst + extra * CAPACITY_PART) * share
-      const allowanceAt = (): { rate: number, capacity: number, until: number } => ({ rate, capacity, until: Infinity })
-      let bucket = buckets.get(customer.name)
-      if (bucket === undefined) {
-        bucket = createBucket(now)
-        refreshAllowance(bucket, allowanceAt)
-        bucket.level = Math.min(capacity, extra * START_PART * share + rate * (now - startedAt) / 1000)
-        buckets.set(customer.name, bucket)
-      } else if (bucket.allowance.rate !== rate || bucket.allowance.capacity !== capacity) {
-        refreshAllowance(bucket, allowanceAt)
-      }
-      advanceBucket(bucket, now, allowanceAt)
-      // A request above the whole share is admitted when the share is full; it would never be otherwise.
-      if (bucket.level < Math.min(cost, capacity)) {
-        const missing = Math.min(cost, capacity) - bucket.level
-        return { admitted: false, retryAfter: Math.min(LONGEST_RETRY_MS, missing / rate * 1000) }
+      const bucket = bucketOf(customer, share, now)
+      // Whatever of it is not charged now stays up to the capacity.
+      bucket.level += given
+      const needed = mayOwe ? Math.min(cost, capacityOf(customer, share)) : cost
+      if (bucket.level < needed) {
+        const missing = needed - bucket.level
+        const retryAfter = Math.min(LONGEST_RETRY_MS, missing / (customer.rate * share) * 1000)
+        return { admitted: false, missing, retryAfter }
       }
       chargeBucket(bucket, identifier, cost)
       return { admitted: true }
     },
+    give (customer, wanted, share, now) {
+      if (customer.rate === 0) return 0
+      const bucket = bucketOf(customer, share, now)
+      const given = Math.max(0, Math.min(wanted, bucket.level))
+      bucket.level -= given
+      return given
+    },
+    restore (customer, units, share, now) {
+      const bucket = bucketOf(customer, share, now)
+      bucket.level = Math.min(bucket.allowance.capacity, bucket.level + units)
+    },
+    capacity: capacityOf,
     settle (customer, identifier, cost, run) {
       const bucket = buckets.get(customer)
       if (bucket !== undefined) settleBucket(bucket, identifier, run ? 0 : cost)
--- a/src/edge/routeTable.ts
+++ b/src/edge/routeTable.ts
@@ -6,6 +6,7 @@
   /** The route of the host with the longest prefix that begins the path. */
   route: (host: string | undefined, path: string) => EdgeRoute | undefined
   customerOfKey: (key: string) => EdgeCustomer | undefined
+  customer: (name: string) => EdgeCustomer | undefined
   cacheStore: CacheStore | undefined
 }
 
@@ -23,11 +24,13 @@
   }
   for (const routes of hosts.values()) routes.sort((one, other) => other.prefix.length - one.prefix.length)
   const keys = new Map<string, EdgeCustomer>()
+  const customers = new Map(configuration.customers.map((customer) => [customer.name, customer]))
   for (const customer of configuration.customers) for (const key of customer.keys) keys.set(key, customer)
   return {
     configuration,
     route: (host, path) => hosts.get(normalizeHost(host ?? ''))?.find(({ prefix }) => path.startsWith(prefix)),
     customerOfKey: (key) => keys.get(key),
+    customer: (name) => customers.get(name),
     cacheStore: configuration.cacheStores[0]
   }
 }
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -6,7 +6,12 @@
 
 export interface EdgeSettings {
   instance: { name: string, dataCentre: string }
-  listen: { caller: Endpoint, readiness: Endpoint }
+  listen: {
+    caller: Endpoint
+    readiness: Endpoint
+    /** Where other instances ask. */
+    peer: Endpoint
+  }
   store: {
     endpoint: Endpoint
   }
@@ -64,7 +69,9 @@
   const settings: EdgeSettings = {
     instance: { name: read('instance', 'name', readers.text), dataCentre: read('instance', 'data_centre', readers.text) },
     listen: {
-      caller: read('listen', 'caller', readers.endpoint), readiness: read('listen', 'readiness', readers.endpoint)
+      caller: read('listen', 'caller', readers.endpoint),
+      readiness: read('listen', 'readiness', readers.endpoint),
+      peer: read('listen', 'peer', readers.endpoint)
     },
     store: { endpoint: read('store', 'address', readers.endpoint) },
     limits: {
--- a/src/edge/storeFollower.ts
+++ b/src/edge/storeFollower.ts
@@ -1,7 +1,8 @@
 /** Follows one table of the store by long polls, and starts anew when the history is gone. */
 import { HistoryLostError } from '../errors'
-import { elapsed } from './freshness'
+import { before, elapsed } from './freshness'
 import { EdgeEvent, reasonOf, type EdgeLog } from './events'
+import type { RelayedTable } from './tableRelay'
 import type { Instant, Store, StoreReading, StoreRow } from './types'
 
 /** Milliseconds before a failed call is repeated; doubles up to the longest pause. */
@@ -17,8 +18,10 @@
 const RETURN_MS = 2000
 
 export interface FollowerOptions {
-  store: Store
+  store: Pick<Store, 'read' | 'follow'>
   table: string
+  /** Passes on to peers what the store says. */
+  relay: RelayedTable
   /** Milliseconds that a call waits for changes. */
   wait: number
   /**
@@ -32,8 +35,8 @@
   onRows: (rows: readonly StoreRow[], gap: ContactGap) => void
   /** Takes in changed rows. */
   onChanges: (rows: readonly StoreRow[], gap: ContactGap) => void
-  /** The state after this call is the newest as of when it was sent. */
-  onContact?: (sentAt: Instant) => void
+  /** The rows are the newest ones as of this instant. */
+  onContact?: (at: Instant) => void
   log: EdgeLog
   now: () => Instant
   random: () => number
@@ -52,9 +55,11 @@
 }
 
 export function followTable (options: FollowerOptions): Follower {
-  const { store, table, wait, newestVersion, log, now, random } = options
+  const { store, table, relay, wait, newestVersion, log, now, random } = options
   let version: number | undefined
   let lastContact: Instant | undefined
+  /** All rows written before this instant were known at the last contact. */
+  let knownAt: Instant | undefined
   let returnedAt = -Infinity
   let unseenSince: Instant | undefined
   let lost = false
@@ -71,19 +76,40 @@
     const present = now()
     const isLate = lastContact === undefined || elapsed(lastContact, present) > wait + OUTAGE_MS
     if (lost || isLate) returnedAt = present.steady
-    // A change that arrives on a waiting call was made just now.
-    unseenSince = lost || isLate ? lastContact : present
+    if (reading.relayed?.afterOutage === true) returnedAt = present.steady
+    unseenSince = writtenAfter(sentAt, present, reading, isLate)
     lastContact = present
+    knownAt = reading.relayed === undefined ? present : before(sentAt, reading.relayed.age)
     pause = FIRST_PAUSE_MS
     if (lost) log(EdgeEvent.storeRegained, { table, version: reading.version })
     lost = false
+    if (reading.relayed !== undefined) {
+      newestVersion.value = Math.max(newestVersion.value, reading.version)
+      prove(knownAt)
+      return true
+    }
     if (reading.version < newestVersion.value) return false
     if (newestVersion.value === 0) return true
     newestVersion.value = reading.version
-    options.onContact?.(sentAt)
+    prove(sentAt)
     return true
   }
 
+  /** An instant before all changes of the reading. */
+  function writtenAfter (
+    sentAt: Instant, present: Instant, { relayed }: StoreReading, isLate: boolean
+  ): Instant | undefined {
+    if (lost || isLate) return knownAt
+    // A change that arrives on a waiting call was made just now.
+    if (relayed === undefined) return present
+    return relayed.unseenFor === undefined ? knownAt : before(sentAt, relayed.unseenFor)
+  }
+
+  function prove (at: Instant): void {
+    relay.contacted(at)
+    options.onContact?.(at)
+  }
+
   /** Resolves with the milliseconds until the next call. */
   async function step (): Promise<number> {
     const sentAt = now()
@@ -92,11 +118,14 @@
       if (!contacted(sentAt, reading)) throw new HistoryLostError('the store answered from an older state')
       version = reading.version
       options.onRows(reading.rows, gap())
+      relay.replaced(reading.rows, reading.version)
       return 0
     }
     const reading = await store.follow(table, version, newestVersion.value === 0 ? UNPROVED_WAIT_MS : wait)
     contacted(sentAt, reading)
     if (reading.version > version) version = reading.version
+    const { afterOutage } = gap()
+    relay.changed(reading.rows, reading.version, unseenSince, afterOutage)
     if (reading.rows.length === 0) return 0
     options.onChanges(reading.rows, gap())
     return options.settle?.() ?? 0
@@ -104,6 +133,7 @@
 
   function failed (error: unknown): void {
     if (error instanceof HistoryLostError) version = undefined
+    relay.lost()
     if (!lost) log(EdgeEvent.storeLost, { table, reason: reasonOf(error) })
     lost = true
     timer = setTimeout(run, pause * (1 - PAUSE_JITTER * random()))
--- /dev/null
+++ b/src/edge/tableRelay.ts
@@ -0,0 +1,217 @@
+/**
+ * Reads tables of the store once for several instances. A few relays of each data centre follow the store; the others ask
+ * one of them what changed and how long ago the store itself said so. Whoever gets no good answer asks the store.
+ */
+import { HistoryLostError, PlatformUnavailableError } from '../errors'
+import { rankByRendezvous } from '../prefix/rendezvous'
+import { EdgeEvent, type EdgeLog } from './events'
+import { elapsed } from './freshness'
+import { PeerQuestion, type PeerLinks, type PeerValue } from './peerLinks'
+import { createTableHistory, type TableHistory } from './tableHistory'
+import type { Instant, Peer, Store, StoreReading, StoreRow } from './types'
+
+/** Relays of each data centre: one may be lost without more calls to the store. */
+const RELAYS = 2
+/** Part of the wait of a call to the store that a question to a relay waits, so that both ages together stay small. */
+const ASKED_WAIT_SHARE = 0.3
+/** Part of that wait that a relay's own call waits. */
+const RELAY_WAIT_SHARE = 0.6
+/** Milliseconds for the answer to a question besides its wait. */
+const ASK_TIMEOUT_MS = 400
+/** Milliseconds besides two waits of its calls for which the store's last word to a relay is good enough for others. */
+const CONTACT_MARGIN_MS = 500
+/** Milliseconds for which a relay is not asked after it could not tell what the store holds. */
+const REFUSAL_PAUSE_MS = 1000
+
+/** What a table's follower tells the relay about it. */
+export interface RelayedTable {
+  replaced: (rows: readonly StoreRow[], version: number) => void
+  changed: (rows: readonly StoreRow[], version: number, unseenSince: Instant | undefined, afterOutage: boolean) => void
+  /** The rows are the newest ones as of this instant. */
+  contacted: (at: Instant) => void
+  /** The last call failed. */
+  lost: () => void
+}
+
+export interface TableRelayOptions {
+  store: Store
+  links: Pick<PeerLinks, 'ask' | 'isUsable'>
+  instance: string
+  dataCentre: string
+  /** The other instances. */
+  peers: () => readonly Peer[]
+  log: EdgeLog
+  now: () => Instant
+}
+
+export interface TableRelay {
+  /** The store as followers should read it. */
+  store: Pick<Store, 'read' | 'follow'>
+  table: (name: string) => RelayedTable
+  /** Instances that read the store itself. */
+  readers: () => number
+  /** Answers a peer's question about a table. */
+  answer: (question: PeerValue) => Promise<PeerValue>
+}
+
+interface KnownTable {
+  history: TableHistory
+  contactAt: Instant | undefined
+  afterOutage: boolean
+  isLost: boolean
+  waiting: Set<() => void>
+}
+
+function encodeRows (rows: readonly StoreRow[]): PeerValue[] {
+  return rows.map(({ key, value, version }) => ({ key, value, version }))
+}
+
+function decodeRows (value: unknown): StoreRow[] | undefined {
+  if (!Array.isArray(value)) return undefined
+  const rows = (value as PeerValue[]).map(({ key, value: content, version }) => ({
+    key, value: content instanceof Uint8Array ? Buffer.from(content) : undefined, version
+  }))
+  return rows.every(({ key, version }) => typeof key === 'string' && typeof version === 'number')
+    ? rows as StoreRow[]
+    : undefined
+}
+
+/** @throws PlatformUnavailableError for an answer that is not a reading */
+function decodeReading (answer: PeerValue): StoreReading {
+  const rows = decodeRows(answer.rows)
+  const { version, age, unseenFor, afterOutage } = answer
+  if (rows === undefined || typeof version !== 'number' || typeof age !== 'number') {
+    throw new PlatformUnavailableError('the answer of a relay cannot be read')
+  }
+  return {
+    rows,
+    version,
+    storeTime: 0,
+    relayed: { age, unseenFor: typeof unseenFor === 'number' ? unseenFor : undefined, afterOutage: afterOutage === true }
+  }
+}
+
+export function createTableRelay (options: TableRelayOptions): TableRelay {
+  const { store, links, instance, dataCentre, log, now } = options
+  const tables = new Map<string, KnownTable>()
+  const pausedUntil = new Map<string, number>()
+
+  function known (name: string): KnownTable {
+    const present = tables.get(name)
+    if (present !== undefined) return present
+    const table: KnownTable = {
+      history: createTableHistory(), contactAt: undefined, afterOutage: false, isLost: false, waiting: new Set()
+    }
+    tables.set(name, table)
+    return table
+  }
+
+  function wake (table: KnownTable): void {
+    for (const go of table.waiting) go()
+    table.waiting.clear()
+  }
+
+  /** The relays of this data centre, in this instance's order; undefined when it is a relay itself. */
+  function otherRelays (): readonly Peer[] | undefined {
+    const near = options.peers().filter((peer) => peer.dataCentre === dataCentre)
+    const names = rankByRendezvous(dataCentre, [instance, ...near.map(({ name }) => name)]).slice(0, RELAYS)
+    if (names.includes(instance)) return undefined
+    return rankByRendezvous(instance, names).flatMap((name) => near.find((peer) => peer.name === name) ?? [])
+  }
+
+  function isUsable ({ name, endpoint }: Peer): boolean {
+    return links.isUsable(endpoint) && (pausedUntil.get(name) ?? -Infinity) <= now().steady
+  }
+
+  /** @param wait Milliseconds that a call to the store would wait */
+  async function ask (relay: Peer, table: string, after: number, wait: number): Promise<StoreReading> {
+    const asked = Math.round(wait * ASKED_WAIT_SHARE)
+    const longestAge = wait * RELAY_WAIT_SHARE * 2 + CONTACT_MARGIN_MS
+    const question = { kind: PeerQuestion.changes, table, after, wait: asked, longestAge }
+    const answer = await links.ask(relay.endpoint, question, asked + ASK_TIMEOUT_MS)
+    if (answer.isForgotten === true) throw new HistoryLostError(`relay ${relay.name} has no history after version ${after}`)
+    return decodeReading(answer)
+  }
+
+  async function pause (table: KnownTable, milliseconds: number): Promise<void> {
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, milliseconds)
+      table.waiting.add(() => {
+        clearTimeout(timer)
+        resolve()
+      })
+    })
+  }
+
+  /**
+   * Milliseconds since the store's last word.
+   * @throws PlatformUnavailableError when it cannot be passed on
+   */
+  function ageOf ({ contactAt, isLost }: KnownTable, longestAge: number): number {
+    const age = contactAt === undefined ? Infinity : elapsed(contactAt, now())
+    if (isLost || age > longestAge) {
+      throw new PlatformUnavailableError(`the store was last reached ${Math.round(age)} ms ago`)
+    }
+    return age
+  }
+
+  return {
+    store: {
+      read: store.read,
+      async follow (table, after, wait) {
+        const relays = otherRelays()
+        if (relays === undefined) return await store.follow(table, after, Math.round(wait * RELAY_WAIT_SHARE))
+        const relay = relays.find(isUsable)
+        if (relay === undefined) return await store.follow(table, after, wait)
+        try {
+          return await ask(relay, table, after, wait)
+        } catch (error) {
+          if (!(error instanceof PlatformUnavailableError)) throw error
+          log(EdgeEvent.relayRefused, { peer: relay.name, table, reason: error.message })
+          pausedUntil.set(relay.name, now().steady + REFUSAL_PAUSE_MS)
+          // No wait, to make up for the time that the question took.
+          return await store.follow(table, after, 0)
+        }
+      }
+    },
+    table (name) {
+      const table = known(name)
+      return {
+        replaced (rows, version) {
+          table.history.replace(rows, version)
+          wake(table)
+        },
+        changed (rows, version, unseenSince, afterOutage) {
+          table.history.add(rows, version, unseenSince)
+          table.afterOutage = afterOutage
+          if (rows.length > 0) wake(table)
+        },
+        contacted (at) {
+          table.contactAt = at
+          table.isLost = false
+        },
+        lost () { table.isLost = true }
+      }
+    },
+    readers () {
+      const counts = new Map([[dataCentre, 1]])
+      for (const peer of options.peers()) counts.set(peer.dataCentre, (counts.get(peer.dataCentre) ?? 0) + 1)
+      return [...counts.values()].reduce((sum, count) => sum + Math.min(RELAYS, count), 0)
+    },
+    async answer (question) {
+      const { table: name, after, wait, longestAge } = question
+      const isSound = typeof name === 'string' && typeof after === 'number' && typeof wait === 'number' &&
+        typeof longestAge === 'number'
+      if (!isSound) throw new PlatformUnavailableError('the question cannot be read')
+      const table = tables.get(name)
+      if (table === undefined) throw new PlatformUnavailableError(`table ${name} is not known here`)
+      ageOf(table, longestAge)
+      if ((table.history.since(after, now())?.rows.length ?? 1) === 0) await pause(table, wait)
+      const age = ageOf(table, longestAge)
+      const changes = table.history.since(after, now())
+      if (changes === undefined) return { isForgotten: true }
+      const { rows, version, unseenFor } = changes
+      return { rows: encodeRows(rows), version, age, unseenFor, afterOutage: table.afterOutage }
+    }
+  }
+}
--- a/src/edge/types.ts
+++ b/src/edge/types.ts
@@ -190,6 +190,25 @@
   version: number
   /** Milliseconds of the store's own steady clock. */
   storeTime: number
+  /** Set when another instance gave the reading. */
+  relayed?: RelayedProof
+}
+
+/** What a relay tells of a reading besides its rows. */
+export interface RelayedProof {
+  /** Milliseconds since the store itself showed that the rows are the newest ones. */
+  age: number
+  /** Milliseconds before the answer after which the rows were written; undefined when the relay does not know. */
+  unseenFor: number | undefined
+  /** The relay had just come back from an outage of the store. */
+  afterOutage: boolean
+}
+
+/** Another instance. */
+export interface Peer {
+  name: string
+  dataCentre: string
+  endpoint: Endpoint
 }
 
 export interface StoreCommit {
--- a/src/edge/weightsTask.ts
+++ b/src/edge/weightsTask.ts
@@ -1,5 +1,6 @@
 /** Gives engines the orders that bring them to new weights, under the lease. */
 import { EdgeEvent, reasonOf, type EdgeLog } from './events'
+import { rankByRendezvous } from '../prefix/rendezvous'
 import type { StoreLease } from './storeLease'
 import type { EngineControl, Instant, Store } from './types'
 import type { UpstreamDirectory } from './upstreamDirectory'
@@ -12,8 +13,13 @@
 const TICK_MS = 100
 /** Milliseconds between attempts to get the lease while another instance holds it. */
 const CLAIM_INTERVAL_MS = 1000
-/** Milliseconds within which instances that see the same change first ask for the lease. */
-const CLAIM_SPREAD_MS = 300
+/**
+ * Milliseconds that an instance waits for each one before it in the order of claims. Longer than a claim takes, so that
+ * of a large fleet mostly the first live instance asks.
+ */
+const CLAIM_STEP_MS = 200
+/** The wait for those before grows no further, so that the loss of many instances delays a move by seconds only. */
+const LONGEST_CLAIM_DELAY_MS = 2500
 
 export interface WeightsTaskOptions {
   instance: string
@@ -23,6 +29,8 @@
   move: WeightsMove
   directory: UpstreamDirectory
   isStopping: () => boolean
+  /** Names of the other instances. */
+  peers: () => readonly string[]
   log: EdgeLog
   now: () => Instant
   random: () => number
@@ -40,6 +48,12 @@
   let wasPending = false
   const busy = new Set<string>()
 
+  /** Milliseconds for those that are before this instance in the order of claims. */
+  function claimDelay (): number {
+    const rank = rankByRendezvous(LEASE_KEY, [instance, ...options.peers()]).indexOf(instance)
+    return Math.min(LONGEST_CLAIM_DELAY_MS, rank * CLAIM_STEP_MS) + random() * CLAIM_STEP_MS
+  }
+
   async function claim (): Promise<void> {
     const readAt = now()
     const reading = await store.read(LEASE_TABLE)
@@ -49,7 +63,7 @@
     const claim = lease.claim(sentAt)
     if (claim === undefined) return
     if ('heldFor' in claim) {
-      claimAt = sentAt.steady + claim.heldFor + random() * CLAIM_SPREAD_MS
+      claimAt = sentAt.steady + claim.heldFor + claimDelay()
       return
     }
     const result = await store.commit({
@@ -96,7 +110,7 @@
   function tick (): void {
     const present = now()
     const pending = move.isPending(directory.all())
-    if (pending && !wasPending) claimAt = Math.max(claimAt, present.steady + random() * CLAIM_SPREAD_MS)
+    if (pending && !wasPending) claimAt = Math.max(claimAt, present.steady + claimDelay())
     wasPending = pending
     if (!pending || options.isStopping()) return
     wantLease(present)
