Explain one request of an edge daemon from the logs of all instances

Change: `waxwingspoke explain IDENTIFIER FILE...` collects the request's lines, what happened to its upstreams, its instance and its customer at that time, and says what became of it. Ruled out: a mode of `timeline`, which orders by a clock that edge lines lack.

--- a/src/main.ts
+++ b/src/main.ts
@@ -1,4 +1,5 @@
 /** Entry point of the single executable. */
+import { addExplainCommand } from './cli/explainCommand'
 import { createProgram } from './cli/program'
 import { addServeCommand, runServeCommand } from './cli/serveCommand'
 import { createSystemContext } from './cli/systemContext'
@@ -9,6 +10,7 @@
   register (commands) {
     addServeCommand(commands, runServeCommand)
     addTimelineCommand(commands, (text) => { process.stdout.write(text) })
+    addExplainCommand(commands, (text) => { process.stdout.write(text) })
   }
 })
 
