Tell all instances of loads and kept parts; spread rates; count and measure

Load progress. Cause: an instance of 69 meets an engine every 16 s, so its picture of a move to new weights was seconds old. The holder of the lease now tells all others which engines are under order and which have new weights (peerBroadcast, one message to each other data centre).

Cause: a customer may use burst and rate of every window, and a bucket of rate and burst lets it have the burst once only. Half of what a window permits beyond the rate is now spread over it; the bound of a window stays the same.

Cause: the cache store holds 12 calls for events at a time; 69 instances asked every 700 ms. It is now a table that relays follow with a wait. Not yet measured.

Upstreams write their entries about once a second and each change woke every reader; readers settle 80 ms for each other reader, at most 700 ms.

`request.finished` names service and first byte, `request.routed` the shared part.

--- a/src/edge/__tests__/peerLinks.test.ts
+++ b/src/edge/__tests__/peerLinks.test.ts
@@ -29,7 +29,7 @@
   const endpoint = await freePort()
   const events: string[] = []
   const links = await createPeerLinks({
-    listen: endpoint, answer, log: (event) => { events.push(event) }, now: () => performance.now()
+    listen: endpoint, answer, log: (event) => { events.push(event) }, onAnswered: () => {}, now: () => performance.now()
   })
   open.push(links.close)
   return { links, endpoint, events }
--- a/src/edge/__tests__/quotaShare.test.ts
+++ b/src/edge/__tests__/quotaShare.test.ts
@@ -43,6 +43,18 @@
     expect(shares.admit(alone('b', 20_000, 1 / 9), 60_000)).toEqual({ admitted: true })
   })
 
+  // Answers a customer whose steady traffic lies between its rate and what each window permits: a quarter of it was refused.
+  it('lets in evenly what every window permits beyond the rate', () => {
+    const shares = createQuotaShares(options)
+    const permitted = customer.rate + customer.burst / 8
+    let admitted = 0
+    for (let index = 0; index < 300; index += 1) {
+      const now = 20_000 + index * 3000 / permitted * 1000
+      if (shares.admit(alone(String(index), 3000, 1), now).admitted) admitted += 1
+    }
+    expect(admitted).toBe(300)
+  })
+
   it('does not limit a customer without a rate', () => {
     const request = { ...alone('a', 1e9, 1 / 9), customer: createCustomer({ rate: 0 }) }
     expect(createQuotaShares(options).admit(request, 0)).toEqual({ admitted: true })
--- a/src/edge/__tests__/settings.test.ts
+++ b/src/edge/__tests__/settings.test.ts
@@ -17,7 +17,12 @@
   it('reads what the template renders', () => {
     expect(parseEdgeSettings(renderSettings(), 'settings.ini')).toEqual({
       instance: { name: 'router-1', dataCentre: 'north' },
-      listen: { caller: { host: '10.0.0.1', port: 8606 }, readiness: { host: '10.0.0.1', port: 8605 }, peer: { host: '10.0.0.1', port: 7600 } },
+      listen: {
+        caller: { host: '10.0.0.1', port: 8606 },
+        readiness: { host: '10.0.0.1', port: 8605 },
+        peer: { host: '10.0.0.1', port: 7600 },
+        metrics: { host: '10.0.0.1', port: 9464 }
+      },
       store: { endpoint: { host: '10.0.0.9', port: 8601 } },
       limits: {
         revocation: 5000,
@@ -42,7 +47,7 @@
   it('reports all errors at once, with line and key', () => {
     const content = renderSettings({ nodeName: '', 'platform.address': 'nowhere', 'bounds.leaseMs': '-1' })
     expect(findingsOf(content)).toEqual([
-      "3 instance.name '' is not valid", "12 store.address 'nowhere' is not valid", "24 limits.lease_ms '-1' is not valid"
+      "3 instance.name '' is not valid", "13 store.address 'nowhere' is not valid", "25 limits.lease_ms '-1' is not valid"
     ])
   })
 
--- a/src/edge/__tests__/storeFollower.test.ts
+++ b/src/edge/__tests__/storeFollower.test.ts
@@ -112,11 +112,13 @@
 
   it('lets changes in quick succession come together', async () => {
     const trace = await follow([reading(5, 'a'), reading(7, 'b'), reading(9, 'c')], 1, 100)
-    expect(trace.calls).toEqual(['read', 'follow 5'])
-    await vi.advanceTimersByTimeAsync(99)
-    expect(trace.calls).toHaveLength(2)
-    await vi.advanceTimersByTimeAsync(1)
-    expect(trace.calls).toEqual(['read', 'follow 5', 'follow 7'])
+    expect(trace.calls).toEqual(['read'])
+    for (const call of ['follow 5', 'follow 7']) {
+      await vi.advanceTimersByTimeAsync(99)
+      expect(trace.calls).not.toContain(call)
+      await vi.advanceTimersByTimeAsync(1)
+      expect(trace.calls.at(-1)).toBe(call)
+    }
   })
 
   it('takes rows but no proof before a write has shown how new the store is', async () => {
--- a/src/edge/__tests__/weightsMove.test.ts
+++ b/src/edge/__tests__/weightsMove.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { OrderOutcome } from '../types'
 import type { Upstream } from '../upstreamDirectory'
-import { createWeightsMove, type WeightsMove } from '../weightsMove'
+import { createWeightsMove, readProgress, type WeightsMove } from '../weightsMove'
 import { createEntry, createUpstreams } from './fixtures'
 
 function createEngines (versions: readonly number[]): Upstream[] {
@@ -106,4 +106,52 @@
     move.reported(engines[0]!, idle, 250)
     expect(names(move.nextSteps(engines, 250))).toEqual(['order e0'])
   })
+
+  // Answers a fleet in which each instance meets an engine every few seconds: it took engines that had long been loaded
+  // for those under order, and sent requests to others that were loading.
+  describe('what the holder of the lease tells', () => {
+    const upstreams = createEngines([1, 1, 1, 1, 1, 1, 1, 1, 1, 1])
+    const holder = createWeightsMove()
+    holder.want({ model: 'small', version: 2 }, NOW)
+    const loaded = createEngines([2, 2, 2, 2, 1, 1, 1, 1, 1, 1])
+    const progress = holder.progress(loaded, 0)
+
+    it('names the engines under order and new weights', () => {
+      expect(progress.underOrder).toEqual(['e4', 'e5', 'e6', 'e7'])
+      expect(progress.weights).toContainEqual({ upstream: 'e0', startedAt: 1, model: 'small', version: 2 })
+    })
+
+    it('repeats weights for a while only', () => {
+      expect(holder.progress(loaded, 999).weights).toHaveLength(10)
+      expect(holder.progress(loaded, 1000).weights).toHaveLength(0)
+    })
+
+    it('counts at the other instances for a while', () => {
+      const move = createWeightsMove()
+      move.want({ model: 'small', version: 2 }, NOW)
+      move.takeProgress(progress, upstreams, 0)
+      const under = (now: number): string[] => [...move.underOrder(upstreams, now)].map(({ entry }) => entry.identifier)
+      expect(under(999)).toEqual(['e4', 'e5', 'e6', 'e7'])
+      expect(upstreams.map(({ weights }) => weights.get('small'))).toEqual([2, 2, 2, 2, 1, 1, 1, 1, 1, 1])
+      expect(under(1000)).toEqual(['e4', 'e5', 'e6', 'e7'])
+      const later = createEngines([1, 1, 1, 1, 1, 1, 1, 1, 1, 1])
+      expect([...move.underOrder(later, 1000)].map(({ entry }) => entry.identifier)).toEqual(['e0', 'e1', 'e2', 'e3'])
+    })
+
+    it('says nothing of an engine that has restarted since', () => {
+      const move = createWeightsMove()
+      const restarted = createUpstreams([createEntry('e0', { startedAt: 9, weights: [{ model: 'small', version: 1 }] })])
+      move.takeProgress(progress, restarted, 0)
+      expect(restarted[0]!.weights.get('small')).toBe(1)
+    })
+
+    it.each([
+      { name: 'the whole', content: { ...progress }, isSound: true },
+      { name: 'no engines', content: { weights: [] }, isSound: false },
+      { name: 'engines without names', content: { underOrder: [1], weights: [] }, isSound: false },
+      { name: 'weights without a version', content: { underOrder: [], weights: [{ upstream: 'e0', startedAt: 1, model: 'small' }] }, isSound: false }
+    ])('is read or ignored: $name', ({ content, isSound }) => {
+      expect(readProgress(content) !== undefined).toBe(isSound)
+    })
+  })
 })
--- a/src/edge/boundedLog.ts
+++ b/src/edge/boundedLog.ts
@@ -28,6 +28,8 @@
   destination?: DestinationStream
   /** @default 500 */
   linesPerSecond?: number
+  /** Called for each line that is left out. */
+  onLeftOut?: () => void
 }
 
 export interface BoundedLog {
@@ -61,6 +63,7 @@
       }
       if (lines >= linesPerSecond * (ORDINARY.has(event) ? 1 - RESERVED_SHARE : 1)) {
         leftOut += 1
+        options.onLeftOut?.()
         return
       }
       lines += 1
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -3,28 +3,30 @@
 import { createBacklog, type Backlog } from './backlog'
 import { createBoundedLog } from './boundedLog'
 import { createCacheStoreIndex } from './cacheStoreIndex'
-import { startCacheStoreTask } from './cacheStoreTask'
+import { CACHE_TABLE, createCacheStoreReader } from './cacheStoreTable'
 import { startEdgeServer } from './edgeServer'
-import { EdgeEvent } from './events'
+import { EdgeEvent, type EdgeLog } from './events'
 import { createExchange, type Exchange } from './exchange'
 import type { ExchangeContext } from './exchangeContext'
 import { createFreshness } from './freshness'
 import { createInstanceList } from './instanceList'
-import { createPeerLinks, type AnswerQuestion, type PeerQuestion } from './peerLinks'
+import { createEdgeMetrics } from './metrics'
+import { createPeerBroadcast } from './peerBroadcast'
+import { createPeerLinks, PeerQuestion, type AnswerQuestion } from './peerLinks'
 import { createPrefixDemand } from './prefixDemand'
 import { createKeptParts } from './promptPlan'
 import { createQuotaShares } from './quotaShare'
 import { createRetryAllowance } from './retryAllowance'
 import { createRouteTable, type RouteTable } from './routeTable'
 import type { EdgeSettings } from './settings'
-import { followTable, type ContactGap } from './storeFollower'
+import { followTable, type ContactGap, type Follower } from './storeFollower'
 import { createStoreLease } from './storeLease'
 import { createTableRelay } from './tableRelay'
 import { createTokenGathering } from './tokenGathering'
 import type { Dialect, EngineControl, Instant, Peer, Store, StoreRecords, StoreRow, UpstreamEntry } from './types'
 import { createUpstreamConnections } from './upstreamConnections'
 import { createUpstreamDirectory, type DirectoryChange, type Upstream } from './upstreamDirectory'
-import { createWeightsMove } from './weightsMove'
+import { createWeightsMove, readProgress } from './weightsMove'
 import { startWeightsTask } from './weightsTask'
 
 /** Part of the revocation bound for which a call waits for changes; two of them and a time-out fit into the bound. */
@@ -32,11 +34,16 @@
 /** Milliseconds that a call waits for changes without a revocation bound, and for changes of upstreams. */
 const FOLLOW_MS = 2000
 /**
- * Milliseconds for each instance that reads the store between changes of the list and its next call: every change costs
- * a call of each of them. The longest leaves a leaving upstream known well within two seconds.
+ * Milliseconds for each instance that reads the store between changes of the list and its next call: upstreams write their
+ * entries about once a second, and every change costs a call of each reader. The longest leaves a leaving upstream known
+ * well within two seconds.
  */
-const SETTLE_MS = 12
-const LONGEST_SETTLE_MS = 1000
+const SETTLE_MS = 80
+const LONGEST_SETTLE_MS = 700
+/** The same for an instance that asks a relay. */
+const ASKED_SETTLE_MS = 20
+/** Milliseconds between changes of the cache store and the next call: parts come in all the time. */
+const CACHE_SETTLE_MS = 250
 /** Milliseconds between looks for silent upstreams and idle connections. */
 const SWEEP_MS = 100
 /** Milliseconds between writes of the log. */
@@ -74,16 +81,38 @@
   restarted: EdgeEvent.upstreamRestarted
 }
 
+function countBy (names: readonly string[]): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const name of names) counts.set(name, (counts.get(name) ?? 0) + 1)
+  return counts
+}
+
 /** Rejects when an address is taken. */
 export async function startEdge (options: EdgeOptions): Promise<Edge> {
-  const { settings, dialect, records, store, control } = options
+  const { settings, dialect, records, control } = options
   const { instance, limits } = settings
   const now = (): Instant => ({ steady: performance.now(), wall: Date.now() })
   const random = Math.random
   const incarnation = Date.now()
-  const { log, flush, close: closeLog } = createBoundedLog({
-    instance: instance.name, incarnation, now: () => performance.now(), wallClock: Date.now
+  const metrics = createEdgeMetrics({
+    exchanges: () => exchanges.size,
+    instances: () => instances.count(),
+    configurationVersion: () => table?.configuration.version ?? 0,
+    configurationAge: () => freshness.age(now()),
+    upstreams: () => countBy([...directory.all()].map(({ entry }) => entry.service))
   })
+  const { log: writeLine, flush, close: closeLog } = createBoundedLog({
+    instance: instance.name,
+    incarnation,
+    now: () => performance.now(),
+    wallClock: Date.now,
+    onLeftOut: metrics.lineLeftOut
+  })
+  const log: EdgeLog = (event, fields = {}) => {
+    metrics.observe(event, fields)
+    writeLine(event, fields)
+  }
+  const store = metrics.counted(options.store)
   const newestVersion = { value: 0 }
   const freshness = createFreshness(limits.revocation)
   const directory = createUpstreamDirectory()
@@ -94,6 +123,7 @@
   const exchanges = new Set<Exchange>()
   const backlogs = new Map<string, Backlog>()
   let table: RouteTable | undefined
+  let cacheFollower: Follower | undefined
   let listRead = false
   let stopping = false
   let refusing = false
@@ -104,7 +134,8 @@
 
   const answers: Readonly<Record<PeerQuestion, AnswerQuestion>> = {
     changes: async (question) => await relay.answer(question),
-    tokens: async (question) => await tokens.answer(question)
+    tokens: async (question) => await tokens.answer(question),
+    loads: async (question) => await loadNews.answer(question)
   }
   const links = await createPeerLinks({
     listen: settings.listen.peer,
@@ -114,11 +145,27 @@
       return await answer(question)
     },
     log,
+    onAnswered: ({ kind }, milliseconds) => { metrics.peerAnswered(String(kind), milliseconds) },
     now: () => performance.now()
   })
   const { name, dataCentre } = instance
   const peers = (): readonly Peer[] => instances.peers()
-  const relay = createTableRelay({ store, links, instance: name, dataCentre, peers, log, now })
+  const cacheStore = createCacheStoreReader(control.cacheEvents, () => table?.cacheStore?.endpoint)
+  const relay = createTableRelay({
+    store: {
+      read: async (source) => source === CACHE_TABLE ? await cacheStore.read() : await store.read(source),
+      follow: async (source, after, wait) => (
+        source === CACHE_TABLE ? await cacheStore.follow(after, wait) : await store.follow(source, after, wait)
+      )
+    },
+    links,
+    instance: name,
+    dataCentre,
+    peers,
+    restarting: [CACHE_TABLE],
+    log,
+    now
+  })
   const instances = createInstanceList({
     commit: store.commit,
     relay,
@@ -133,6 +180,17 @@
   const quotas = createQuotaShares({
     window: limits.quotaWindow, overage: limits.quotaOverage, slack: limits.quotaSlack, startedAt: performance.now()
   })
+  const loadNews = createPeerBroadcast({
+    links,
+    dataCentre,
+    peers,
+    kind: PeerQuestion.loads,
+    onNews (content) {
+      const progress = readProgress(content)
+      if (progress !== undefined) move.takeProgress(progress, directory.all(), performance.now())
+    },
+    onFault: reportFault
+  })
   const tokens = createTokenGathering({
     links,
     quotas,
@@ -146,6 +204,10 @@
   const server = await startEdgeServer({
     caller: settings.listen.caller,
     readiness: settings.listen.readiness,
+    metrics: settings.listen.metrics,
+    metricsPage: metrics.page,
+    metricsType: metrics.contentType,
+    onFault: reportFault,
     isReady,
     onRequest (request, response) {
       const exchange: Exchange = createExchange(context, request, response, () => { exchanges.delete(exchange) })
@@ -189,6 +251,19 @@
     log(EdgeEvent.fault, { reason: error instanceof Error ? error.stack : String(error) })
   }
 
+  function followCacheStore (): void {
+    cacheFollower ??= followTable({
+      ...shared,
+      newestVersion: undefined,
+      table: CACHE_TABLE,
+      relay: relay.table(CACHE_TABLE),
+      wait: FOLLOW_MS,
+      settle: () => CACHE_SETTLE_MS,
+      onRows: cacheIndex.replace,
+      onChanges: cacheIndex.update
+    })
+  }
+
   function takeConfiguration (value: Buffer, rowVersion: number): void {
     try {
       const configuration = records.configuration(value)
@@ -202,6 +277,7 @@
       }
       table = createRouteTable(configuration)
       server.setLimits(configuration.limits)
+      if (table.cacheStore !== undefined) followCacheStore()
       log(EdgeEvent.configurationAccepted, { configurationVersion: configuration.version, rowVersion })
     } catch (error) {
       if (!(error instanceof ConfigurationError)) throw error
@@ -252,7 +328,7 @@
     table: records.tables.upstreams,
     relay: relay.table(records.tables.upstreams),
     wait: FOLLOW_MS,
-    settle: () => Math.min(LONGEST_SETTLE_MS, relay.readers() * SETTLE_MS),
+    settle: () => relay.isReader() ? Math.min(LONGEST_SETTLE_MS, relay.readers() * SETTLE_MS) : ASKED_SETTLE_MS,
     onRows (rows, { afterOutage }) {
       listRead = true
       const entries = rows.flatMap((row) => readEntry(row) ?? [])
@@ -269,13 +345,11 @@
     directory,
     isStopping: () => stopping,
     peers: () => peers().map((peer) => peer.name),
+    publish: (progress) => { loadNews.send({ ...progress }) },
     log,
     now,
     random
   })
-  const cacheStoreTask = startCacheStoreTask({
-    index: cacheIndex, endpoint: () => table?.cacheStore?.endpoint, readEvents: control.cacheEvents, log
-  })
   const sweep = setInterval(() => {
     const present = now()
     for (const exchange of exchanges) exchange.check(present)
@@ -300,7 +374,7 @@
       refusing = true
       server.closeIdle()
       while (exchanges.size > 0 && performance.now() < end) await pause(DRAIN_POLL_MS)
-      for (const task of [operatorFollower, upstreamFollower, weightsTask, cacheStoreTask, instances]) task.stop()
+      for (const task of [operatorFollower, upstreamFollower, weightsTask, cacheFollower, instances]) task?.stop()
       clearInterval(sweep)
       clearInterval(flushTimer)
       server.close()
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -8,7 +8,7 @@
 import { decideShedding } from './loadShedding'
 import { orderUpstreams, type PlacementRequest } from './placement'
 import { directCache, urgencyOf, type PromptPlan } from './promptPlan'
-import { ExecutionStatus } from '../types'
+import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
 import { RepeatRule } from './types'
 import type { CallerRequest, EdgeCustomer, EdgeRoute, Instant } from './types'
 import { callUpstream, type UpstreamCall } from './upstreamCall'
@@ -67,6 +67,8 @@
   /** Attempts that may have run, and those that certainly did not. */
   counts: () => { runs: number, rejections: number }
   lastEvent: () => string | undefined
+  /** When the first byte of the answer that goes to the caller came. */
+  firstByteAt: () => MonotonicMilliseconds | undefined
 }
 
 interface Attempt {
@@ -105,6 +107,7 @@
   /** Plain calls all have one rank. */
   const rank = urgency ?? 0
   let holders = 1
+  let firstByteAt: MonotonicMilliseconds | undefined
 
   function executionSoFar (): ExecutionStatus {
     return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
@@ -194,6 +197,8 @@
       attempt: history.runs + history.rejections + 1,
       resumeAfter,
       scope: cache.cacheScope,
+      sharedPart: plan.lastShared,
+      keeps: cache.exportTo === undefined ? undefined : true,
       timeLeft: Math.round(left),
       wait: Math.round(wait),
       holders,
@@ -319,6 +324,7 @@
     current.lastByteAt = now
     if (!current.answered) {
       current.answered = true
+      firstByteAt ??= now
       backlog.answered(now)
       forgetUnread(current)
       observeWait(current.upstream, rank, now - current.startedAt, now)
@@ -382,6 +388,7 @@
     },
     resume: () => { attempt?.call.resume() },
     counts: () => ({ runs: history.runs, rejections: history.rejections }),
-    lastEvent: () => boundary?.lastEvent()
+    lastEvent: () => boundary?.lastEvent(),
+    firstByteAt: () => firstByteAt
   }
 }
--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -1,4 +1,4 @@
-/** The caller port and the readiness port of an edge daemon. */
+/** The ports of an edge daemon for callers, for readiness and for metrics. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Endpoint } from '../types'
 import type { CallerLimits } from './types'
@@ -17,8 +17,13 @@
 export interface EdgeServerOptions {
   caller: Endpoint
   readiness: Endpoint
+  metrics: Endpoint
   onRequest: (request: IncomingMessage, response: ServerResponse) => void
   isReady: () => boolean
+  /** The text of the metrics and its type. */
+  metricsPage: () => Promise<string>
+  metricsType: string
+  onFault: (error: unknown) => void
 }
 
 export interface EdgeServer {
@@ -50,7 +55,18 @@
     request.resume()
     response.writeHead(options.isReady() ? 200 : 503, { 'Content-Length': '0' }).end()
   })
-  await Promise.all([listen(callers, options.caller), listen(readiness, options.readiness)])
+  const metrics = createServer((request, response) => {
+    request.resume()
+    options.metricsPage().then((text) => {
+      response.writeHead(200, { 'Content-Type': options.metricsType }).end(text)
+    }, (error: unknown) => {
+      options.onFault(error)
+      response.writeHead(500, { 'Content-Length': '0' }).end()
+    })
+  })
+  await Promise.all([
+    listen(callers, options.caller), listen(readiness, options.readiness), listen(metrics, options.metrics)
+  ])
   return {
     setLimits ({ headerTimeout, idleTimeout }) {
       callers.headersTimeout = headerTimeout
@@ -60,10 +76,10 @@
       callers.closeIdleConnections()
     },
     close () {
-      callers.close()
-      callers.closeAllConnections()
-      readiness.close()
-      readiness.closeAllConnections()
+      for (const server of [callers, readiness, metrics]) {
+        server.close()
+        server.closeAllConnections()
+      }
     }
   }
 }
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -29,8 +29,6 @@
   weightsNamed: 'weights.named',
   weightsOrdered: 'weights.ordered',
   weightsOrderFailed: 'weights.order_failed',
-  cacheStoreLost: 'cache_store.lost',
-  cacheStoreRegained: 'cache_store.regained',
   leaseTaken: 'lease.taken',
   leaseLost: 'lease.lost'
 } as const
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -129,7 +129,9 @@
       const gathered = await tokens.gather(customer, cost, decision.missing)
       if (over) return false
       answers = gathered.answers
-      decision = quotas.admit({ ...request, given: gathered.units, mayOwe: answers === 0 }, context.now().steady)
+      // A request above what all instances can hold would never be admitted otherwise.
+      const mayOwe = answers === 0 || cost > quotas.capacity(customer, 1)
+      decision = quotas.admit({ ...request, given: gathered.units, mayOwe }, context.now().steady)
     }
     if (decision.admitted) {
       charged = cost
@@ -156,10 +158,13 @@
     const timeLeft = (): number => limit - (context.now().steady - started.steady)
     dispatch = createDispatch(context, job, answer, timeLeft, {
       succeeded (upstream, status) {
+        const firstByteAt = dispatch?.firstByteAt()
         log(EdgeEvent.requestFinished, {
           requestIdentifier: identifier,
+          service,
           upstream: upstream.entry.identifier,
           status,
+          firstByte: firstByteAt === undefined ? undefined : Math.round(firstByteAt - started.steady),
           duration: Math.round(context.now().steady - started.steady),
           ...dispatch?.counts()
         })
--- a/src/edge/instanceList.ts
+++ b/src/edge/instanceList.ts
@@ -13,6 +13,11 @@
 const INSTANCE_TABLE = 'waxwingspoke-instances'
 /** Milliseconds that a call waits; the list changes a few times a day. */
 const FOLLOW_MS = 25_000
+/**
+ * Milliseconds between a reading and the next call. Instances that start together change the list many times in a second,
+ * and each change costs a call of every instance that reads the store.
+ */
+const SETTLE_MS = 400
 /** Milliseconds between attempts to write the own row. */
 const WRITE_RETRY_MS = 500
 
@@ -38,11 +43,17 @@
   stop: () => void
 }
 
-export function createInstanceList (
-  options: Pick<FollowerOptions, 'newestVersion' | 'log' | 'now' | 'random'> & {
-    commit: Store['commit'], instance: string, dataCentre: string, endpoint: Endpoint, relay: TableRelay
-  }
-): InstanceList {
+export interface InstanceListOptions extends Pick<FollowerOptions, 'log' | 'now' | 'random'> {
+  newestVersion: { value: number }
+  commit: Store['commit']
+  relay: TableRelay
+  instance: string
+  dataCentre: string
+  /** Where other instances ask this one. */
+  endpoint: Endpoint
+}
+
+export function createInstanceList (options: InstanceListOptions): InstanceList {
   const { commit, newestVersion, instance, dataCentre, endpoint, log } = options
   const shares = createInstanceShares()
   shares.set(instance, dataCentre)
@@ -87,6 +98,7 @@
     table: INSTANCE_TABLE,
     relay: options.relay.table(INSTANCE_TABLE),
     wait: FOLLOW_MS,
+    settle: () => SETTLE_MS,
     onRows (rows) {
       shares.clear()
       listed.clear()
--- a/src/edge/peerLinks.ts
+++ b/src/edge/peerLinks.ts
@@ -20,7 +20,9 @@
   /** What changed in a table of the store. */
   changes: 'changes',
   /** Tokens of a customer's rate. */
-  tokens: 'tokens'
+  tokens: 'tokens',
+  /** News of how far a move to new weights is. */
+  loads: 'loads'
 } as const
 export type PeerQuestion = typeof PeerQuestion[keyof typeof PeerQuestion]
 
@@ -33,6 +35,8 @@
   listen: Endpoint
   answer: AnswerQuestion
   log: EdgeLog
+  /** Called with the milliseconds until an answer. */
+  onAnswered: (question: PeerValue, milliseconds: number) => void
   /** Milliseconds of the steady clock. */
   now: () => number
 }
@@ -53,6 +57,8 @@
 }
 
 interface Pending {
+  question: PeerValue
+  askedAt: number
   resolve: (answer: PeerValue) => void
   reject: (error: Error) => void
   timer: NodeJS.Timeout
@@ -140,6 +146,7 @@
       link.pending.delete(number)
       clearTimeout(pending.timer)
       noteAnswer(address)
+      options.onAnswered(pending.question, now() - pending.askedAt)
       if (content !== undefined) pending.resolve(content)
       else pending.reject(new PlatformUnavailableError(`peer ${address} refused: ${refusal}`))
     })
@@ -191,7 +198,7 @@
           const isSilent = link.unansweredSince !== undefined && now() - link.unansweredSince >= SILENT_MS
           if (isSilent) drop(address, link, 'the connection is silent')
         }, timeout)
-        link.pending.set(number, { resolve, reject, timer })
+        link.pending.set(number, { question, askedAt: now(), resolve, reject, timer })
         link.unansweredSince ??= now()
         send(link.socket, { number, content: question, refusal: undefined })
       })
--- a/src/edge/quotaShare.ts
+++ b/src/edge/quotaShare.ts
@@ -11,6 +11,13 @@
  * them, and answers that were counted as not run.
  */
 const CAPACITY_PART = 0.7
+/**
+ * Part of what a window permits beyond the rate that is spread over the window, the rest may be spent at once. A customer
+ * may use the whole of it in every window, also one whose requests come evenly.
+ */
+const SPREAD_PART = 0.5
+/** Units that may always be spent at once as far as the window permits: several of the largest requests. */
+const AT_ONCE: Readonly<Record<EdgeCustomer['unit'], number>> = { token: 65_536, request: 8 }
 /** What a starting instance may spend at once; what an earlier run of it spent is not known. */
 const START_PART = 0.12
 
@@ -72,13 +79,29 @@
     return overage * (customer.burst + customer.rate * window / 1000) + slack
   }
 
+  /** Units beyond the rate that all instances together let in within a window. */
+  function beyondRate (customer: EdgeCustomer): number {
+    return customer.burst + extraOf(customer) * CAPACITY_PART
+  }
+
+  /** Those of them that are spread over the window. */
+  function spreadOf (customer: EdgeCustomer): number {
+    const units = beyondRate(customer)
+    return Math.max(0, Math.min(units * SPREAD_PART, units - AT_ONCE[customer.unit]))
+  }
+
   function capacityOf (customer: EdgeCustomer, share: number): number {
-    return (customer.burst + extraOf(customer) * CAPACITY_PART) * share
+    return (beyondRate(customer) - spreadOf(customer)) * share
+  }
+
+  /** Units per second. */
+  function rateOf (customer: EdgeCustomer, share: number): number {
+    return (customer.rate + spreadOf(customer) / window * 1000) * share
   }
 
   /** The customer's bucket as of now. */
   function bucketOf (customer: EdgeCustomer, share: number, now: MonotonicMilliseconds): Bucket {
-    const rate = customer.rate * share
+    const rate = rateOf(customer, share)
     const capacity = capacityOf(customer, share)
     const allowanceAt = (): Allowance => ({ rate, capacity, until: Infinity })
     let bucket = buckets.get(customer.name)
@@ -103,7 +126,7 @@
       const needed = mayOwe ? Math.min(cost, capacityOf(customer, share)) : cost
       if (bucket.level < needed) {
         const missing = needed - bucket.level
-        const retryAfter = Math.min(LONGEST_RETRY_MS, missing / (customer.rate * share) * 1000)
+        const retryAfter = Math.min(LONGEST_RETRY_MS, missing / bucket.allowance.rate * 1000)
         return { admitted: false, missing, retryAfter }
       }
       chargeBucket(bucket, identifier, cost)
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -11,6 +11,7 @@
     readiness: Endpoint
     /** Where other instances ask. */
     peer: Endpoint
+    metrics: Endpoint
   }
   store: {
     endpoint: Endpoint
@@ -71,7 +72,8 @@
     listen: {
       caller: read('listen', 'caller', readers.endpoint),
       readiness: read('listen', 'readiness', readers.endpoint),
-      peer: read('listen', 'peer', readers.endpoint)
+      peer: read('listen', 'peer', readers.endpoint),
+      metrics: read('listen', 'metrics', readers.endpoint)
     },
     store: { endpoint: read('store', 'address', readers.endpoint) },
     limits: {
--- a/src/edge/storeFollower.ts
+++ b/src/edge/storeFollower.ts
@@ -26,10 +26,10 @@
   wait: number
   /**
    * Highest version of the store that a call of this instance has shown; an older answer comes from a stale replica. 0
-   * until a write has been acknowledged: a read alone may show an old state.
+   * until a write has been acknowledged: a read alone may show an old state. Undefined for a source without replicas.
    */
-  newestVersion: { value: number }
-  /** Milliseconds between changes and the next call, so that changes in quick succession come together. @default 0 */
+  newestVersion: { value: number } | undefined
+  /** Milliseconds between rows and the next call, so that changes in quick succession come together. @default 0 */
   settle?: () => number
   /** Takes in all rows. */
   onRows: (rows: readonly StoreRow[], gap: ContactGap) => void
@@ -84,10 +84,14 @@
     if (lost) log(EdgeEvent.storeRegained, { table, version: reading.version })
     lost = false
     if (reading.relayed !== undefined) {
-      newestVersion.value = Math.max(newestVersion.value, reading.version)
+      if (newestVersion !== undefined) newestVersion.value = Math.max(newestVersion.value, reading.version)
       prove(knownAt)
       return true
     }
+    if (newestVersion === undefined) {
+      prove(sentAt)
+      return true
+    }
     if (reading.version < newestVersion.value) return false
     if (newestVersion.value === 0) return true
     newestVersion.value = reading.version
@@ -119,9 +123,9 @@
       version = reading.version
       options.onRows(reading.rows, gap())
       relay.replaced(reading.rows, reading.version)
-      return 0
+      return options.settle?.() ?? 0
     }
-    const reading = await store.follow(table, version, newestVersion.value === 0 ? UNPROVED_WAIT_MS : wait)
+    const reading = await store.follow(table, version, newestVersion?.value === 0 ? UNPROVED_WAIT_MS : wait)
     contacted(sentAt, reading)
     if (reading.version > version) version = reading.version
     const { afterOutage } = gap()
--- a/src/edge/tableHistory.ts
+++ b/src/edge/tableHistory.ts
@@ -24,6 +24,8 @@
   replace: (rows: readonly StoreRow[], version: number) => void
   /** Takes in changed rows; `unseenSince` is an instant before all of them were written. */
   add: (rows: readonly StoreRow[], version: number, unseenSince: Instant | undefined) => void
+  /** Version up to which the rows are known. */
+  version: () => number
   /** Rows that changed after a version; undefined when some of them may be forgotten. */
   since: (version: number, now: Instant) => TableChanges | undefined
 }
@@ -61,6 +63,7 @@
       version = Math.max(version, newVersion)
       if (known.size > REMOVED_ROWS) forgetRemoved()
     },
+    version: () => version,
     since (after, now) {
       if (after < floor) return undefined
       const changes = [...known.values()].filter(({ row }) => row.version > after)
--- a/src/edge/tableRelay.ts
+++ b/src/edge/tableRelay.ts
@@ -34,12 +34,14 @@
 }
 
 export interface TableRelayOptions {
-  store: Store
+  store: Pick<Store, 'read' | 'follow'>
   links: Pick<PeerLinks, 'ask' | 'isUsable'>
   instance: string
   dataCentre: string
   /** The other instances. */
   peers: () => readonly Peer[]
+  /** Tables whose versions may start anew. @default none */
+  restarting?: readonly string[]
   log: EdgeLog
   now: () => Instant
 }
@@ -50,6 +52,8 @@
   table: (name: string) => RelayedTable
   /** Instances that read the store itself. */
   readers: () => number
+  /** Whether this instance is one of them. */
+  isReader: () => boolean
   /** Answers a peer's question about a table. */
   answer: (question: PeerValue) => Promise<PeerValue>
 }
@@ -92,7 +96,7 @@
 }
 
 export function createTableRelay (options: TableRelayOptions): TableRelay {
-  const { store, links, instance, dataCentre, log, now } = options
+  const { store, links, instance, dataCentre, restarting = [], log, now } = options
   const tables = new Map<string, KnownTable>()
   const pausedUntil = new Map<string, number>()
 
@@ -193,6 +197,7 @@
         lost () { table.isLost = true }
       }
     },
+    isReader: () => otherRelays() === undefined,
     readers () {
       const counts = new Map([[dataCentre, 1]])
       for (const peer of options.peers()) counts.set(peer.dataCentre, (counts.get(peer.dataCentre) ?? 0) + 1)
@@ -209,7 +214,8 @@
       if ((table.history.since(after, now())?.rows.length ?? 1) === 0) await pause(table, wait)
       const age = ageOf(table, longestAge)
       const changes = table.history.since(after, now())
-      if (changes === undefined) return { isForgotten: true }
+      const isOther = restarting.includes(name) && after > table.history.version()
+      if (changes === undefined || isOther) return { isForgotten: true }
       const { rows, version, unseenFor } = changes
       return { rows: encodeRows(rows), version, age, unseenFor, afterOutage: table.afterOutage }
     }
--- a/src/edge/tokenAsks.ts
+++ b/src/edge/tokenAsks.ts
@@ -8,7 +8,7 @@
 
 /** Rounds in which one request asks; each asks instances that were not asked before. */
 const ROUNDS = 3
-/** Instances asked in one round. */
+/** Instances asked in one round; the fewest in the first one, doubled in each later one. */
 const FEWEST_ASKED = 2
 const MOST_ASKED = 16
 /** Part of a share that an instance is expected to have. */
@@ -51,7 +51,7 @@
   const near = others.filter((peer) => peer.dataCentre === dataCentre)
   const candidates = [...near, ...others.filter((peer) => peer.dataCentre !== dataCentre)]
   const wanted = Math.ceil(missing / (capacity * EXPECTED_LEVEL))
-  const chosen = candidates.slice(0, Math.min(MOST_ASKED, Math.max(FEWEST_ASKED, wanted)))
+  const chosen = candidates.slice(0, Math.min(MOST_ASKED, Math.max(FEWEST_ASKED * 2 ** round, wanted)))
   return chosen.map((peer) => ({ peer, units: Math.min(missing, missing * SURPLUS / chosen.length) }))
 }
 
--- a/src/edge/types.ts
+++ b/src/edge/types.ts
@@ -278,8 +278,8 @@
 
 /** Calls to engines besides requests. */
 export interface EngineControl {
-  /** Events of a store of kept cache from a number on. */
-  cacheEvents: (endpoint: Endpoint, since: number) => Promise<CacheEvents>
+  /** Events of a store of kept cache from a number on; waits up to `wait` milliseconds for some. */
+  cacheEvents: (endpoint: Endpoint, since: number, wait: number) => Promise<CacheEvents>
   report: (upstream: UpstreamEntry) => Promise<EngineReport>
   orderWeights: (upstream: UpstreamEntry, order: WeightsOrder) => Promise<OrderOutcome>
 }
--- a/src/edge/weightsMove.ts
+++ b/src/edge/weightsMove.ts
@@ -17,6 +17,10 @@
 const REPORT_INTERVAL_MS = 200
 /** Names of weights remembered for one model; engines with older ones are far beyond their time. */
 const NAMES_REMEMBERED = 16
+/** Engine processes whose newest weights are remembered; more than the largest deployments have. */
+const ENGINES_REMEMBERED = 2000
+/** Milliseconds for which the word of the lease's holder counts; it speaks several times in this while engines load. */
+const PROGRESS_MS = 1000
 /** Milliseconds before an engine with a failed or conflicting order is looked at again. */
 const RETRY_MS = 600
 
@@ -44,7 +48,10 @@
   wanted: (model: string) => number | undefined
   /** Most milliseconds that weights newer than `version` may have been named for; 0 when it is the newest. */
   age: (model: string, version: number, now: Instant) => number
-  /** Engines that are under order now or next, by all that an instance without the lease can tell. */
+  /**
+   * Engines that are under order now or next: by what the holder of the lease said last, or else by all that an instance
+   * without the lease can tell.
+   */
   underOrder: (upstreams: Iterable<Upstream>, now: MonotonicMilliseconds) => ReadonlySet<Upstream>
   /** Whether some engine still has older weights. */
   isPending: (upstreams: Iterable<Upstream>) => boolean
@@ -57,6 +64,28 @@
   acceptedOrders: (upstream: Upstream) => number
   /** Forgets what this instance ordered, when it loses the lease. */
   reset: () => void
+  /** What the holder of the lease tells the others. */
+  progress: (upstreams: Iterable<Upstream>, now: MonotonicMilliseconds) => LoadProgress
+  /** Takes in what the holder of the lease said. */
+  takeProgress: (progress: LoadProgress, upstreams: Iterable<Upstream>, now: MonotonicMilliseconds) => void
+}
+
+/** How far the engines of a move are. */
+export interface LoadProgress {
+  /** Identifiers of the engines that are under order now or next. */
+  underOrder: readonly string[]
+  /** Engines whose weights were found a short time ago, with the start of the process that has them. */
+  weights: ReadonlyArray<ModelWeights & { upstream: string, startedAt: number }>
+}
+
+/** Undefined for what is no progress. */
+export function readProgress ({ underOrder, weights }: Readonly<Record<string, unknown>>): LoadProgress | undefined {
+  const isText = (value: unknown): value is string => typeof value === 'string'
+  if (!Array.isArray(underOrder) || !underOrder.every(isText) || !Array.isArray(weights)) return undefined
+  const isSound = (weights as Array<Partial<LoadProgress['weights'][number]>>).every((entry) => (
+    isText(entry?.upstream) && isText(entry.model) && Number.isFinite(entry.version) && Number.isFinite(entry.startedAt)
+  ))
+  return isSound ? { underOrder, weights: weights as LoadProgress['weights'] } : undefined
 }
 
 /** Engines that may be under order at the same time. */
@@ -90,6 +119,9 @@
   /** What was named when, by model, the oldest first. */
   const named = new Map<string, Array<{ version: number, after: Instant | undefined }>>()
   const loads = new Map<string, LoadState>()
+  /** When the weights of each engine were first seen. */
+  const found = new Map<string, { version: number, at: MonotonicMilliseconds }>()
+  let told: { underOrder: ReadonlySet<string>, at: MonotonicMilliseconds } | undefined
 
   /** Weights that the engine should load; undefined when it has the newest ones. */
   function behind (upstream: Upstream): ModelWeights | undefined {
@@ -112,6 +144,22 @@
     return state
   }
 
+  /** Weights of the engine that were found a short time ago. */
+  function newWeights ({ entry, weights }: Upstream, now: MonotonicMilliseconds): LoadProgress['weights'] {
+    const { identifier, startedAt } = entry
+    return [...weights].flatMap(([model, version]) => {
+      const subject = `${identifier}/${startedAt}/${model}`
+      const present = found.get(subject)
+      if (present?.version === version) {
+        return now - present.at < PROGRESS_MS ? [{ upstream: identifier, startedAt, model, version }] : []
+      }
+      found.set(subject, { version, at: now })
+      const oldest = found.keys().next().value
+      if (found.size > ENGINES_REMEMBERED && oldest !== undefined) found.delete(oldest)
+      return [{ upstream: identifier, startedAt, model, version }]
+    })
+  }
+
   function isLoading (state: LoadState, now: MonotonicMilliseconds): boolean {
     return state.orderedAt !== undefined && now - state.orderedAt < LOAD_LIMIT_MS
   }
@@ -130,6 +178,11 @@
     },
     underOrder (upstreams, now) {
       const engines = listEngines(upstreams)
+      if (told !== undefined && now - told.at < PROGRESS_MS) {
+        const { underOrder } = told
+        const isNamed = ({ entry }: Upstream): boolean => underOrder.has(entry.identifier)
+        return new Set(engines.filter((upstream) => isNamed(upstream) && behind(upstream) !== undefined))
+      }
       const waiting = engines.filter((upstream) => behind(upstream) !== undefined && isUsable(upstream, now))
       return new Set(inOrder(waiting, behind).slice(0, parallelLoads(engines, now)))
     },
@@ -187,6 +240,23 @@
       state.lookAgainAt = now + RETRY_MS
     },
     acceptedOrders: (upstream) => loads.get(upstream.entry.identifier)?.report?.orders ?? 0,
-    reset: () => { loads.clear() }
+    reset: () => { loads.clear() },
+    progress (upstreams, now) {
+      const engines = listEngines(upstreams)
+      const waiting = inOrder(engines, behind).filter((upstream) => behind(upstream) !== undefined)
+      return {
+        underOrder: waiting.slice(0, parallelLoads(engines, now)).map(({ entry }) => entry.identifier),
+        weights: engines.flatMap((upstream) => newWeights(upstream, now))
+      }
+    },
+    takeProgress ({ underOrder, weights }, upstreams, now) {
+      told = { underOrder: new Set(underOrder), at: now }
+      const known = new Map([...upstreams].map((upstream) => [upstream.entry.identifier, upstream]))
+      for (const { upstream: identifier, startedAt, model, version } of weights) {
+        const upstream = known.get(identifier)
+        // A restarted engine may have older weights than the process that the holder speaks of.
+        if (upstream?.entry.startedAt === startedAt) learnWeights(upstream, { model, version })
+      }
+    }
   }
 }
--- a/src/edge/weightsTask.ts
+++ b/src/edge/weightsTask.ts
@@ -4,13 +4,17 @@
 import type { StoreLease } from './storeLease'
 import type { EngineControl, Instant, Store } from './types'
 import type { UpstreamDirectory } from './upstreamDirectory'
-import type { WeightsMove, WeightsStep } from './weightsMove'
+import type { LoadProgress, WeightsMove, WeightsStep } from './weightsMove'
 
 /** Table with the lease; nobody follows it. */
 const LEASE_TABLE = 'waxwingspoke-lease'
 const LEASE_KEY = 'orders'
 /** Milliseconds between looks at whether there is something to do. */
 const TICK_MS = 100
+/** Milliseconds between words to the other instances while engines load; a load takes about four times as long. */
+const PUBLISH_MS = 250
+/** Milliseconds for which the others are told more after the last engine has the newest weights. */
+const PUBLISH_AFTER_MS = 1000
 /** Milliseconds between attempts to get the lease while another instance holds it. */
 const CLAIM_INTERVAL_MS = 1000
 /**
@@ -31,6 +35,8 @@
   isStopping: () => boolean
   /** Names of the other instances. */
   peers: () => readonly string[]
+  /** Tells the other instances how far the move is. */
+  publish: (progress: LoadProgress) => void
   log: EdgeLog
   now: () => Instant
   random: () => number
@@ -46,6 +52,8 @@
   let claimAt = -Infinity
   let held = false
   let wasPending = false
+  let pendingAt = -Infinity
+  let publishedAt = -Infinity
   const busy = new Set<string>()
 
   /** Milliseconds for those that are before this instance in the order of claims. */
@@ -107,11 +115,19 @@
     move.ordered(upstream, outcome, now().steady)
   }
 
+  function publish (pending: boolean, present: Instant): void {
+    if (pending) pendingAt = present.steady
+    if (present.steady - pendingAt > PUBLISH_AFTER_MS || present.steady - publishedAt < PUBLISH_MS) return
+    publishedAt = present.steady
+    options.publish(move.progress(directory.all(), present.steady))
+  }
+
   function tick (): void {
     const present = now()
     const pending = move.isPending(directory.all())
     if (pending && !wasPending) claimAt = Math.max(claimAt, present.steady + claimDelay())
     wasPending = pending
+    if (lease.token(present) !== undefined) publish(pending, present)
     if (!pending || options.isStopping()) return
     wantLease(present)
     const holds = lease.token(present) !== undefined
