Read scarce tables through relays only; settle after each reading of the store

Change: only relays read the cache store, the first reading included; the pause after a reading depends on whether a relay gave it.

--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -40,7 +40,7 @@
  */
 const SETTLE_MS = 80
 const LONGEST_SETTLE_MS = 700
-/** The same for an instance that asks a relay. */
+/** The same after the answer of a relay. */
 const ASKED_SETTLE_MS = 20
 /** Milliseconds between changes of the cache store and the next call: parts come in all the time. */
 const CACHE_SETTLE_MS = 250
@@ -162,7 +162,7 @@
     instance: name,
     dataCentre,
     peers,
-    restarting: [CACHE_TABLE],
+    scarce: [CACHE_TABLE],
     log,
     now
   })
@@ -328,7 +328,7 @@
     table: records.tables.upstreams,
     relay: relay.table(records.tables.upstreams),
     wait: FOLLOW_MS,
-    settle: () => relay.isReader() ? Math.min(LONGEST_SETTLE_MS, relay.readers() * SETTLE_MS) : ASKED_SETTLE_MS,
+    settle: (wasRelayed) => wasRelayed ? ASKED_SETTLE_MS : Math.min(LONGEST_SETTLE_MS, relay.readers() * SETTLE_MS),
     onRows (rows, { afterOutage }) {
       listRead = true
       const entries = rows.flatMap((row) => readEntry(row) ?? [])
--- a/src/edge/storeFollower.ts
+++ b/src/edge/storeFollower.ts
@@ -30,7 +30,7 @@
    */
   newestVersion: { value: number } | undefined
   /** Milliseconds between rows and the next call, so that changes in quick succession come together. @default 0 */
-  settle?: () => number
+  settle?: (wasRelayed: boolean) => number
   /** Takes in all rows. */
   onRows: (rows: readonly StoreRow[], gap: ContactGap) => void
   /** Takes in changed rows. */
@@ -123,7 +123,7 @@
       version = reading.version
       options.onRows(reading.rows, gap())
       relay.replaced(reading.rows, reading.version)
-      return options.settle?.() ?? 0
+      return options.settle?.(reading.relayed !== undefined) ?? 0
     }
     const reading = await store.follow(table, version, newestVersion?.value === 0 ? UNPROVED_WAIT_MS : wait)
     contacted(sentAt, reading)
@@ -132,7 +132,7 @@
     relay.changed(reading.rows, reading.version, unseenSince, afterOutage)
     if (reading.rows.length === 0) return 0
     options.onChanges(reading.rows, gap())
-    return options.settle?.() ?? 0
+    return options.settle?.(reading.relayed !== undefined) ?? 0
   }
 
   function failed (error: unknown): void {
--- a/src/edge/tableHistory.ts
+++ b/src/edge/tableHistory.ts
@@ -26,6 +26,8 @@
   add: (rows: readonly StoreRow[], version: number, unseenSince: Instant | undefined) => void
   /** Version up to which the rows are known. */
   version: () => number
+  /** The rows that are present. */
+  all: () => readonly StoreRow[]
   /** Rows that changed after a version; undefined when some of them may be forgotten. */
   since: (version: number, now: Instant) => TableChanges | undefined
 }
@@ -64,6 +66,7 @@
       if (known.size > REMOVED_ROWS) forgetRemoved()
     },
     version: () => version,
+    all: () => [...known.values()].flatMap(({ row }) => row.value === undefined ? [] : [row]),
     since (after, now) {
       if (after < floor) return undefined
       const changes = [...known.values()].filter(({ row }) => row.version > after)
--- a/src/edge/tableRelay.ts
+++ b/src/edge/tableRelay.ts
@@ -20,6 +20,8 @@
 const ASK_TIMEOUT_MS = 400
 /** Milliseconds besides two waits of its calls for which the store's last word to a relay is good enough for others. */
 const CONTACT_MARGIN_MS = 500
+/** Milliseconds that stand for the wait of a call that reads all rows, for the age that is good enough. */
+const SCARCE_READ_MS = 2000
 /** Milliseconds for which a relay is not asked after it could not tell what the store holds. */
 const REFUSAL_PAUSE_MS = 1000
 
@@ -40,8 +42,11 @@
   dataCentre: string
   /** The other instances. */
   peers: () => readonly Peer[]
-  /** Tables whose versions may start anew. @default none */
-  restarting?: readonly string[]
+  /**
+   * Tables of sources that take few calls at a time: only relays read them. Their versions may start anew.
+   * @default none
+   */
+  scarce?: readonly string[]
   log: EdgeLog
   now: () => Instant
 }
@@ -52,8 +57,6 @@
   table: (name: string) => RelayedTable
   /** Instances that read the store itself. */
   readers: () => number
-  /** Whether this instance is one of them. */
-  isReader: () => boolean
   /** Answers a peer's question about a table. */
   answer: (question: PeerValue) => Promise<PeerValue>
 }
@@ -96,7 +99,7 @@
 }
 
 export function createTableRelay (options: TableRelayOptions): TableRelay {
-  const { store, links, instance, dataCentre, restarting = [], log, now } = options
+  const { store, links, instance, dataCentre, scarce = [], log, now } = options
   const tables = new Map<string, KnownTable>()
   const pausedUntil = new Map<string, number>()
 
@@ -127,16 +130,38 @@
     return links.isUsable(endpoint) && (pausedUntil.get(name) ?? -Infinity) <= now().steady
   }
 
-  /** @param wait Milliseconds that a call to the store would wait */
-  async function ask (relay: Peer, table: string, after: number, wait: number): Promise<StoreReading> {
+  /**
+   * Rejects with `HistoryLostError` when the relay's history begins later.
+   * @param after undefined for all rows
+   * @param wait milliseconds that a call to the store would wait
+   */
+  async function ask (relay: Peer, table: string, after: number | undefined, wait: number): Promise<StoreReading> {
     const asked = Math.round(wait * ASKED_WAIT_SHARE)
     const longestAge = wait * RELAY_WAIT_SHARE * 2 + CONTACT_MARGIN_MS
     const question = { kind: PeerQuestion.changes, table, after, wait: asked, longestAge }
-    const answer = await links.ask(relay.endpoint, question, asked + ASK_TIMEOUT_MS)
-    if (answer.isForgotten === true) throw new HistoryLostError(`relay ${relay.name} has no history after version ${after}`)
+    let answer: PeerValue
+    try {
+      answer = await links.ask(relay.endpoint, question, asked + ASK_TIMEOUT_MS)
+    } catch (error) {
+      if (error instanceof PlatformUnavailableError) {
+        log(EdgeEvent.relayRefused, { peer: relay.name, table, reason: error.message })
+        pausedUntil.set(relay.name, now().steady + REFUSAL_PAUSE_MS)
+      }
+      throw error
+    }
+    if (answer.isForgotten === true) throw new HistoryLostError(`relay ${relay.name} has no history after that version`)
     return decodeReading(answer)
   }
 
+  /** Reads a table that only relays read. */
+  async function readScarce (table: string): Promise<StoreReading> {
+    const relays = otherRelays()
+    if (relays === undefined) return await store.read(table)
+    const relay = relays.find(isUsable)
+    if (relay === undefined) throw new PlatformUnavailableError(`no relay tells what table ${table} holds`)
+    return await ask(relay, table, undefined, SCARCE_READ_MS)
+  }
+
   async function pause (table: KnownTable, milliseconds: number): Promise<void> {
     await new Promise<void>((resolve) => {
       const timer = setTimeout(resolve, milliseconds)
@@ -161,18 +186,19 @@
 
   return {
     store: {
-      read: store.read,
+      read: async (table) => scarce.includes(table) ? await readScarce(table) : await store.read(table),
       async follow (table, after, wait) {
         const relays = otherRelays()
         if (relays === undefined) return await store.follow(table, after, Math.round(wait * RELAY_WAIT_SHARE))
         const relay = relays.find(isUsable)
-        if (relay === undefined) return await store.follow(table, after, wait)
+        if (relay === undefined) {
+          if (scarce.includes(table)) throw new PlatformUnavailableError(`no relay tells what table ${table} holds`)
+          return await store.follow(table, after, wait)
+        }
         try {
           return await ask(relay, table, after, wait)
         } catch (error) {
-          if (!(error instanceof PlatformUnavailableError)) throw error
-          log(EdgeEvent.relayRefused, { peer: relay.name, table, reason: error.message })
-          pausedUntil.set(relay.name, now().steady + REFUSAL_PAUSE_MS)
+          if (!(error instanceof PlatformUnavailableError) || scarce.includes(table)) throw error
           // No wait, to make up for the time that the question took.
           return await store.follow(table, after, 0)
         }
@@ -197,7 +223,6 @@
         lost () { table.isLost = true }
       }
     },
-    isReader: () => otherRelays() === undefined,
     readers () {
       const counts = new Map([[dataCentre, 1]])
       for (const peer of options.peers()) counts.set(peer.dataCentre, (counts.get(peer.dataCentre) ?? 0) + 1)
@@ -205,16 +230,19 @@
     },
     async answer (question) {
       const { table: name, after, wait, longestAge } = question
-      const isSound = typeof name === 'string' && typeof after === 'number' && typeof wait === 'number' &&
-        typeof longestAge === 'number'
+      const isSound = typeof name === 'string' && typeof wait === 'number' && typeof longestAge === 'number' &&
+        (typeof after === 'number' || after === undefined)
       if (!isSound) throw new PlatformUnavailableError('the question cannot be read')
       const table = tables.get(name)
       if (table === undefined) throw new PlatformUnavailableError(`table ${name} is not known here`)
-      ageOf(table, longestAge)
+      const earlierAge = ageOf(table, longestAge)
+      if (after === undefined) {
+        return { rows: encodeRows(table.history.all()), version: table.history.version(), age: earlierAge }
+      }
       if ((table.history.since(after, now())?.rows.length ?? 1) === 0) await pause(table, wait)
       const age = ageOf(table, longestAge)
       const changes = table.history.since(after, now())
-      const isOther = restarting.includes(name) && after > table.history.version()
+      const isOther = scarce.includes(name) && after > table.history.version()
       if (changes === undefined || isOther) return { isForgotten: true }
       const { rows, version, unseenFor } = changes
       return { rows: encodeRows(rows), version, age, unseenFor, afterOutage: table.afterOutage }
