Pass no length on with a stream

An engine answered a resumable stream with a Content-Length and no whole event; the head went to the caller, the stream went on at another engine, and the caller's side cut it at the first one's length.

Ruled out: a piece lost in the soak's proxy (the body had exactly the length of the first engine's answer); the boundary of events (it held the piece back).

Change: the head of a stream goes out without a length. The new case in edge.test.ts failed first.

--- a/src/edge/callerAnswer.ts
+++ b/src/edge/callerAnswer.ts
@@ -13,8 +13,8 @@
 export interface CallerAnswer {
   /** Gives the router's own answer, unless one has begun. */
   refuse: (refusal: Refusal) => void
-  /** Begins an upstream's answer. */
-  begin: (status: number, message: string | undefined, rawHeaders: readonly string[]) => void
+  /** Begins an upstream's answer. A stream gets no length, since another upstream may go on with it. */
+  begin: (status: number, message: string | undefined, rawHeaders: readonly string[], isStream?: boolean) => void
   /** Writes a piece; false when the caller does not keep up. */
   write: (bytes: Buffer) => boolean
   end: (bytes?: Buffer) => void
@@ -33,13 +33,19 @@
   mustClose: () => boolean
 }
 
+function withoutLength (raw: readonly string[]): string[] {
+  return raw.filter((_text, index) => raw[index - index % 2]!.toLowerCase() !== 'content-length')
+}
+
 export function createCallerAnswer ({ response, dialect, identifier, mustClose }: CallerAnswerOptions): CallerAnswer {
   let begun = false
   let over = false
 
-  function begin (status: number, message: string | undefined, rawHeaders: readonly string[]): void {
+  function begin (
+    status: number, message: string | undefined, rawHeaders: readonly string[], isStream: boolean = false
+  ): void {
     begun = true
-    const headers = dialect.callerHeaders(rawHeaders)
+    const headers = dialect.callerHeaders(isStream ? withoutLength(rawHeaders) : rawHeaders)
     if (mustClose()) headers.push('Connection', 'close')
     response.writeHead(status, message, headers)
   }
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -289,7 +289,7 @@
     current.head = head
     if (status !== 200 || history.repeat !== RepeatRule.stream || answer.hasBegun()) return
     boundary = createEventBoundary()
-    answer.begin(status, head.statusMessage, head.rawHeaders)
+    answer.begin(status, head.statusMessage, head.rawHeaders, true)
   }
 
   /** The upstream states that it has not run the request. */
