--- a/experiments/model/policies.ts
+++ b/experiments/model/policies.ts
@@ -1,6 +1,6 @@
 /** Routing policies under measurement. The shipped decisions come from src/; the others are baselines. */
 import { createBlockIndex } from '../../src/prefix/blockIndex'
-import { rankByRendezvous, rendezvousWeight } from '../../src/prefix/rendezvous'
+import { rankByRendezvous, rendezvousWeight } from '../../src/rendezvous'
 import { BLOCK_TOKENS, chooseUpstream } from '../../src/prefix/routing'
 import type { BlockIndex, RoutingCandidate, RoutingDecision, RoutingPolicy } from '../../src/prefix/types'
 import type { Engine } from './engine'
--- a/src/edge/__tests__/tableRelay.test.ts
+++ b/src/edge/__tests__/tableRelay.test.ts
@@ -1,6 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { HistoryLostError, PlatformUnavailableError } from '../../errors'
-import { rankByRendezvous } from '../../prefix/rendezvous'
+import { rankByRendezvous } from '../../rendezvous'
 import type { Endpoint } from '../../types'
 import type { PeerValue } from '../peerLinks'
 import { createTableRelay, type TableRelay } from '../tableRelay'
--- a/src/edge/peerBroadcast.ts
+++ b/src/edge/peerBroadcast.ts
@@ -3,7 +3,7 @@
  * is not repeated; the next one replaces it.
  */
 import { PlatformUnavailableError } from '../errors'
-import { rankByRendezvous } from '../prefix/rendezvous'
+import { rankByRendezvous } from '../rendezvous'
 import type { PeerLinks, PeerQuestion, PeerValue } from './peerLinks'
 import type { Peer } from './types'
 
--- a/src/edge/placement.ts
+++ b/src/edge/placement.ts
@@ -9,7 +9,7 @@
  * - An engine that is slow or crowded: requests move on in rank when its wait exceeds a fetch of the parts.
  * - Short calls of plain services: the least busy upstream, with a preference for the own data centre.
  */
-import { rendezvousWeight } from '../prefix/rendezvous'
+import { rendezvousWeight } from '../rendezvous'
 import type { MonotonicMilliseconds } from '../types'
 import { currentWait, type Upstream } from './upstreamDirectory'
 
--- a/src/edge/tableRelay.ts
+++ b/src/edge/tableRelay.ts
@@ -3,7 +3,7 @@
  * one of them what changed and how long ago the store itself said so. Whoever gets no good answer asks the store.
  */
 import { HistoryLostError, PlatformUnavailableError } from '../errors'
-import { rankByRendezvous } from '../prefix/rendezvous'
+import { rankByRendezvous } from '../rendezvous'
 import { EdgeEvent, type EdgeLog } from './events'
 import { elapsed } from './freshness'
 import { PeerQuestion, type PeerLinks, type PeerValue } from './peerLinks'
--- a/src/edge/weightsTask.ts
+++ b/src/edge/weightsTask.ts
@@ -1,6 +1,6 @@
 /** Gives engines the orders that bring them to new weights, under the lease. */
 import { EdgeEvent, reasonOf, type EdgeLog } from './events'
-import { rankByRendezvous } from '../prefix/rendezvous'
+import { rankByRendezvous } from '../rendezvous'
 import type { StoreLease } from './storeLease'
 import type { EngineControl, Instant, Store } from './types'
 import type { UpstreamDirectory } from './upstreamDirectory'
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,7 +1,7 @@
 /** Membership of the fleet of routers: who is known, who is alive, and which peers this instance connects to. */
 import type { Greeting } from '../peer/messages'
 import { InstanceState, type Endpoint, type Incarnation, type ListedInstance, type MonotonicMilliseconds } from '../types'
-import { rendezvousOrder } from './rendezvous'
+import { rankByRendezvous } from '../rendezvous'
 
 /** Milliseconds without a heartbeat after which a peer is suspected. */
 export const SUSPICION_MS = 3000
@@ -77,7 +77,7 @@
   }
 
   function relaysOf (dataCentre: string, candidates: readonly Member[]): readonly Member[] {
-    const names = rendezvousOrder(
+    const names = rankByRendezvous(
       dataCentre, candidates.filter(member => member.dataCentre === dataCentre).map(({ name }) => name)
     )
     return names.slice(0, RELAYS).map(name => candidates.find(member => member.name === name)!)
--- a/src/prefix/__tests__/routing.test.ts
+++ b/src/prefix/__tests__/routing.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { createBlockIndex } from '../blockIndex'
-import { rankByRendezvous } from '../rendezvous'
+import { rankByRendezvous } from '../../rendezvous'
 import { chooseUpstream } from '../routing'
 import type { RoutingCandidate } from '../types'
 
--- a/src/prefix/routing.ts
+++ b/src/prefix/routing.ts
@@ -4,7 +4,7 @@
  */
 import { BLOCK_BYTES, BYTES_PER_TOKEN } from '../constants'
 import type { MonotonicMilliseconds, RandomSource } from '../types'
-import { rendezvousWeight } from './rendezvous'
+import { rendezvousWeight } from '../rendezvous'
 import type { BlockIndex, RoutingCandidate, RoutingDecision, RoutingPolicy, RoutingRequest } from './types'
 
 /** Prompt tokens of one full block. */
