--- /dev/null
+++ b/playground/__tests__/soakChecks.test.ts
@@ -0,0 +1,65 @@
+import { describe, expect, it } from 'vitest'
+import { SOAK_CHECKS, type SeenRequest, type SeenRun, type SoakHistory } from '../soak/checks'
+
+const request = (values: Partial<SeenRequest> = {}): SeenRequest => ({
+  identifier: 'r1',
+  kind: 'safe',
+  key: 'k1',
+  instance: 'router-1#1',
+  startedAt: 1000,
+  endedAt: 1100,
+  status: 200,
+  complete: true,
+  body: 'whole',
+  echoed: 'r1',
+  left: false,
+  ...values
+})
+const run = (values: Partial<SeenRun> = {}): SeenRun => ({
+  identifier: 'r1', upstream: 'u1', startedAt: 1010, endedAt: 1090, key: 'k1', scope: 'small.1', tokens: 110, ...values
+})
+const history = (values: Partial<SoakHistory> = {}): SoakHistory => ({
+  requests: [request()],
+  runs: [run()],
+  orders: [{ upstream: 'e1#1', holder: 'router-1', token: 4 }, { upstream: 'e1#1', holder: 'router-2', token: 5 }],
+  revoked: new Map([['old', 1000]]),
+  quota: { key: 'k1', window: 8000, tokens: 200 },
+  stopped: new Map([['router-1#1', 1050]]),
+  isolated: new Set(['walled']),
+  configurations: [{ instance: 'router-1#1', at: 1, atLeast: 4 }, { instance: 'router-1#1', at: 2, atMost: 4 }],
+  wholeStream: 'stream',
+  wholeAnswer: 'whole',
+  ...values
+})
+
+describe('the checks of the soak', () => {
+  it('find nothing where all promises are kept', () => {
+    expect(Object.values(SOAK_CHECKS).flatMap((check) => check(history()))).toEqual([])
+  })
+
+  it.each<{ name: keyof typeof SOAK_CHECKS, broken: Partial<SoakHistory> }>([
+    { name: 'whole', broken: { requests: [request({ body: 'who' })] } },
+    { name: 'own', broken: { requests: [request({ echoed: 'r2' })] } },
+    { name: 'once', broken: { requests: [request({ kind: 'unsafe' })], runs: [run(), run({ upstream: 'u2' })] } },
+    { name: 'trueRefusals', broken: { requests: [request({ status: 503, body: '' })] } },
+    { name: 'quota', broken: { runs: [run(), run({ identifier: 'r2', startedAt: 9000 })] } },
+    { name: 'revoked', broken: { runs: [run({ key: 'old', startedAt: 6001 })] } },
+    { name: 'drain', broken: { requests: [request({ status: 0, complete: false, body: '' })] } },
+    {
+      name: 'configuration',
+      broken: { configurations: [{ instance: 'router-1#1', at: 1, atLeast: 4 }, { instance: 'router-1#1', at: 2, atMost: 3 }] }
+    },
+    {
+      name: 'oneGiver',
+      broken: { orders: [{ upstream: 'e1#1', holder: 'router-1', token: 4 }, { upstream: 'e2#1', holder: 'router-2', token: 4 }] }
+    },
+    {
+      name: 'oneGiver',
+      broken: { orders: [{ upstream: 'e1#1', holder: 'router-1', token: 5 }, { upstream: 'e1#1', holder: 'router-2', token: 4 }] }
+    },
+    { name: 'salts', broken: { runs: [run(), run({ identifier: 'r2', key: 'walled' })] } },
+    { name: 'afterLeaving', broken: { requests: [request({ left: true })], runs: [run({ endedAt: 2101 })] } }
+  ])('fail when the promise is broken: $name', ({ name, broken }) => {
+    expect(SOAK_CHECKS[name]!(history(broken))).toHaveLength(1)
+  })
+})
--- /dev/null
+++ b/playground/soak/checks.ts
@@ -0,0 +1,168 @@
+/** The promises that the soak checks, over what callers and upstreams saw. Each check returns its violations. */
+
+/** One request as its caller saw it. Times are in milliseconds of one steady clock. */
+export interface SeenRequest {
+  identifier: string
+  kind: 'stream' | 'safe' | 'unsafe'
+  key: string
+  /** Identity of the process that took it. */
+  instance: string
+  startedAt: number
+  endedAt: number
+  /** 0 when the connection broke before a status came. */
+  status: number
+  /** The answer ended as its framing says. */
+  complete: boolean
+  body: string
+  /** Identifier that the answer repeats. */
+  echoed: string | undefined
+  /** The caller broke off by itself. */
+  left: boolean
+}
+
+/** One run at an upstream. */
+export interface SeenRun {
+  identifier: string
+  upstream: string
+  startedAt: number
+  /** Undefined while it goes on. */
+  endedAt: number | undefined
+  /** Key that the request bears. */
+  key: string
+  scope: string | undefined
+  tokens: number
+}
+
+export interface SeenOrder {
+  /** Process that took the order; the orders of one process are in their order. */
+  upstream: string
+  holder: string
+  token: number
+}
+
+export interface SoakHistory {
+  requests: readonly SeenRequest[]
+  runs: readonly SeenRun[]
+  orders: readonly SeenOrder[]
+  /** When each key was taken away. */
+  revoked: ReadonlyMap<string, number>
+  /** Limits of the customer that has one: tokens in any window. */
+  quota: { key: string, window: number, tokens: number }
+  /** Instances that were asked to stop, by process identity. */
+  stopped: ReadonlyMap<string, number>
+  /** Keys of customers that share nothing with others. */
+  isolated: ReadonlySet<string>
+  /** What instances have shown of their configurations, in order of time. */
+  configurations: ReadonlyArray<{ instance: string, at: number, atLeast?: number, atMost?: number }>
+  wholeStream: string
+  wholeAnswer: string
+}
+
+/** Milliseconds within which a removed key stops working, as in the platform's settings. */
+export const REVOCATION_MS = 5000
+/** Milliseconds within which the run of a caller that has left ends: four pauses between events. */
+export const LEFT_LIMIT_MS = 1000
+/** Milliseconds before the end by force in which a stopping process may break off what it has taken. */
+export const GRACE_MS = 4000
+
+type Check = (history: SoakHistory) => string[]
+
+const wholeOf = ({ kind }: SeenRequest, history: SoakHistory): string => {
+  return kind === 'stream' ? history.wholeStream : history.wholeAnswer
+}
+
+function runsByIdentifier (history: SoakHistory): Map<string, SeenRun[]> {
+  const runs = new Map<string, SeenRun[]>()
+  for (const run of history.runs) runs.set(run.identifier, [...(runs.get(run.identifier) ?? []), run])
+  return runs
+}
+
+/** Statuses with which the router says that a request has not run. */
+const NOT_RUN_STATUSES = new Set([401, 404, 429, 503])
+
+export const SOAK_CHECKS: Readonly<Record<string, Check>> = {
+  whole: (history) => history.requests
+    .filter((request) => request.status === 200 && request.complete && request.body !== wholeOf(request, history))
+    .map(({ identifier, body }) => `${identifier} got an answer that is not whole: ${JSON.stringify(body.slice(-40))}`),
+
+  own: (history) => history.requests
+    .filter(({ status, identifier, echoed }) => status === 200 && echoed !== identifier)
+    .map(({ identifier, echoed }) => `${identifier} got the answer of ${String(echoed)}`),
+
+  once (history) {
+    const runs = runsByIdentifier(history)
+    return history.requests
+      .filter(({ kind, identifier }) => kind === 'unsafe' && (runs.get(identifier)?.length ?? 0) > 1)
+      .map(({ identifier }) => `${identifier} ran ${runs.get(identifier)!.length} times`)
+  },
+
+  trueRefusals (history) {
+    const runs = runsByIdentifier(history)
+    return history.requests
+      .filter(({ status, identifier }) => NOT_RUN_STATUSES.has(status) && runs.has(identifier))
+      .map(({ identifier, status }) => `${identifier} was refused with ${status} and ran`)
+  },
+
+  quota ({ runs, quota }) {
+    const own = runs.filter(({ key }) => key === quota.key).sort((one, other) => one.startedAt - other.startedAt)
+    return own.flatMap(({ startedAt }) => {
+      const inside = own.filter((run) => run.startedAt >= startedAt && run.startedAt < startedAt + quota.window)
+      const tokens = inside.reduce((sum, run) => sum + run.tokens, 0)
+      return tokens > quota.tokens ? [`${tokens} tokens ran in the window from ${Math.round(startedAt)}`] : []
+    })
+  },
+
+  revoked: ({ runs, revoked }) => runs
+    .filter(({ key, startedAt }) => startedAt > (revoked.get(key) ?? Infinity) + REVOCATION_MS)
+    .map(({ identifier, key }) => `${identifier} ran with key ${key} after it was taken away`),
+
+  drain: ({ requests, stopped }) => requests
+    .filter(({ instance, startedAt, endedAt, left, status, complete }) => {
+      const stoppedAt = stopped.get(instance)
+      // A request that had begun when the process was asked to stop gets its answer.
+      const isTaken = stoppedAt !== undefined && startedAt < stoppedAt && endedAt > stoppedAt
+      return isTaken && endedAt < stoppedAt + GRACE_MS && !left && status === 0 && !complete
+    })
+    .map(({ identifier, instance }) => `${identifier} was dropped by ${instance}, which was asked to stop`),
+
+  configuration ({ configurations }) {
+    const newest = new Map<string, number>()
+    return configurations.flatMap(({ instance, atLeast = 0, atMost = Infinity }) => {
+      const before = newest.get(instance) ?? 0
+      newest.set(instance, Math.max(before, atLeast))
+      return atMost < before ? [`${instance} went back from configuration ${before} to ${atMost}`] : []
+    })
+  },
+
+  oneGiver ({ orders }) {
+    const holders = new Map<number, string>()
+    const newest = new Map<string, number>()
+    return orders.flatMap(({ upstream, holder, token }) => {
+      const other = holders.get(token)
+      holders.set(token, holder)
+      const before = newest.get(upstream) ?? 0
+      newest.set(upstream, Math.max(before, token))
+      return [
+        ...(other !== undefined && other !== holder ? [`${other} and ${holder} gave orders under token ${token}`] : []),
+        ...(token < before ? [`${upstream} got an order under token ${token} after ${before}`] : [])
+      ]
+    })
+  },
+
+  salts ({ runs, isolated }) {
+    const keys = new Map<string, Set<string>>()
+    for (const { scope, key } of runs) {
+      if (scope !== undefined) keys.set(scope, (keys.get(scope) ?? new Set()).add(key))
+    }
+    return [...keys]
+      .filter(([, users]) => users.size > 1 && [...users].some((key) => isolated.has(key)))
+      .map(([scope, users]) => `scope ${scope} was shared by ${[...users].join(' and ')}`)
+  },
+
+  afterLeaving (history) {
+    const runs = runsByIdentifier(history)
+    return history.requests.filter(({ left }) => left).flatMap(({ identifier, endedAt }) => (runs.get(identifier) ?? [])
+      .filter((run) => (run.endedAt ?? Infinity) > endedAt + LEFT_LIMIT_MS && run.startedAt < endedAt + LEFT_LIMIT_MS)
+      .map(({ upstream }) => `${identifier} went on at ${upstream} after its caller had left`))
+  }
+}
--- /dev/null
+++ b/playground/soak/faults.ts
@@ -0,0 +1,108 @@
+/** Faults of the soak. Each begins at once and resolves when it is over; several overlap. */
+import { StoreFault } from '../../standins/fleet/store'
+import { UpstreamFault } from '../../standins/fleet/upstream'
+import { LinkFault } from './proxy'
+import type { RouterProcess, World } from './world'
+
+/** What a fault may use besides the world. */
+export interface FaultContext {
+  world: World
+  /** Uniform in [0, 1), from the seed. */
+  random: () => number
+  /** Resolves after about so many milliseconds, sooner when the run ends. */
+  pause: (milliseconds: number) => Promise<void>
+  /** Notes that a router was asked to stop. */
+  noteStop: (router: RouterProcess) => void
+  /** Notes that a router was ended by force; it owes its callers nothing more. */
+  noteKill: (router: RouterProcess) => void
+  noteRevoked: (key: string) => void
+}
+
+export type Fault = (context: FaultContext) => Promise<void>
+
+/**
+ * Without the reset of an answer that has no length: the system shows the proxy an ordinary end in its place, so that a
+ * reset would reach the router as a whole answer.
+ */
+const UPSTREAM_FAULTS = Object.values(UpstreamFault).filter((fault) => fault !== UpstreamFault.unframedReset)
+
+function pick<Item> (items: readonly Item[], random: () => number): Item {
+  return items[Math.floor(random() * items.length)]!
+}
+
+const running = ({ world }: FaultContext): RouterProcess[] => {
+  return [...world.routers.values()].filter(({ isRunning }) => isRunning)
+}
+
+async function restart (context: FaultContext, signal: NodeJS.Signals): Promise<void> {
+  const routers = running(context)
+  // One router stays, so that callers always have one.
+  if (routers.length < 3) return
+  const router = pick(routers, context.random)
+  if (signal === 'SIGTERM') context.noteStop(router)
+  else context.noteKill(router)
+  router.child.kill(signal)
+  await router.exited
+  await context.pause(200 + 800 * context.random())
+  await context.world.startRouter(router.name)
+}
+
+const link = (fault: LinkFault): Fault => async ({ world, random, pause }) => {
+  const proxies = [...world.storeProxies.values(), ...world.upstreams.map(({ proxy }) => proxy)]
+  const proxy = pick(proxies, random)
+  proxy.setFault(fault)
+  await pause(200 + 2500 * random())
+  proxy.setFault(LinkFault.none)
+}
+
+const store = (fault: StoreFault): Fault => async ({ world, random, pause }) => {
+  world.store.setFault(fault)
+  await pause(200 + 2500 * random())
+  world.store.setFault(StoreFault.none)
+}
+
+export const SOAK_FAULTS: Readonly<Record<string, Fault>> = {
+  kill: async (context) => { await restart(context, 'SIGKILL') },
+  stop: async (context) => { await restart(context, 'SIGTERM') },
+  async freeze (context) {
+    const { child } = pick(running(context), context.random)
+    child.kill('SIGSTOP')
+    await context.pause(100 + 6500 * context.random() ** 2)
+    child.kill('SIGCONT')
+  },
+  linkDelay: link(LinkFault.delay),
+  linkReset: link(LinkFault.reset),
+  linkSilence: link(LinkFault.silence),
+  linkCutRequests: link(LinkFault.cutRequests),
+  linkCutAnswers: link(LinkFault.cutAnswers),
+  storeSilent: store(StoreFault.silent),
+  storeBusy: store(StoreFault.busy),
+  storeReset: store(StoreFault.reset),
+  storeStale: store(StoreFault.stale),
+  storeLostWrites: store(StoreFault.lostWrites),
+  async storeHistory ({ world }) { world.store.dropHistory() },
+  async upstreamFaults ({ world, random }) {
+    const { standIn } = pick(world.upstreams, random)
+    standIn.fail(...Array.from({ length: 1 + Math.floor(4 * random()) }, () => pick(UPSTREAM_FAULTS, random)))
+  },
+  async upstreamRestart ({ world, random }) {
+    await world.restartUpstream(Math.floor(random() * world.upstreams.length))
+  },
+  async configurations ({ world, random, pause }) {
+    for (let left = 1 + Math.floor(4 * random()); left > 0; left -= 1) {
+      world.configure(world.keys())
+      await pause(150 * random())
+    }
+  },
+  async revocation ({ world, noteRevoked }) {
+    const before = world.keys()
+    world.configure([`guild-key-${world.version() + 1}`])
+    for (const key of before) noteRevoked(key)
+  },
+  async weights ({ world, random, pause }) {
+    world.nameWeights(world.version() + 1)
+    await pause(400 * random())
+    world.configure(world.keys())
+    if (random() < 0.5) world.nameWeights(world.version() + 1)
+  }
+}
--- /dev/null
+++ b/playground/soak/run.ts
@@ -0,0 +1,207 @@
+/** One seeded run of the soak: load, faults in random order, and the checks over what was seen. */
+import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
+import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
+import { until } from '../../platform/__tests__/edgeFixture'
+import { StoreFault } from '../../standins/fleet/store'
+import { eventText, PLAIN_ANSWER } from '../../standins/fleet/upstream'
+import { SOAK_CHECKS, type SeenOrder, type SeenRequest, type SeenRun, type SoakHistory } from './checks'
+import { SOAK_FAULTS, type FaultContext } from './faults'
+import { LinkFault } from './proxy'
+import { ISOLATED_KEY, LIMITED, STREAM_EVENTS, startWorld, type RouterProcess, type World } from './world'
+
+/** Callers; each has one request at a time. */
+const CALLERS = 12
+/** Longest pause in milliseconds between two faults, and between two requests of a caller. */
+const FAULT_PAUSE_MS = 700
+const CALLER_PAUSE_MS = 60
+/** Part of the streams whose callers leave. */
+const LEAVING_PART = 0.1
+/** Milliseconds after the last fault within which all routers are ready and serve again. */
+const RECOVERY_MS = 12_000
+/** Milliseconds for a router to end after the request to stop, beyond the grace period of its settings. */
+const STOP_LIMIT_MS = 9000
+const TOKENS = 110
+
+export interface SoakOptions {
+  seed: number
+  /** Seconds in which faults begin. */
+  seconds: number
+  /** Names of the faults that are used. */
+  faults: readonly string[]
+}
+
+export interface SoakOutcome {
+  seed: number
+  requests: number
+  served: number
+  faults: readonly string[]
+  violations: readonly string[]
+  /** Newest log lines of each router, for a run with violations. */
+  logs: ReadonlyMap<string, string>
+}
+
+const PATHS: Readonly<Record<SeenRequest['kind'], readonly string[]>> = {
+  stream: ['/sheet/1', '/chat/1'], safe: ['/lookup/1'], unsafe: ['/order/1']
+}
+
+function runsOf (world: World): SeenRun[] {
+  return [...world.upstreams, ...world.ended].flatMap(({ standIn }) => standIn.runs.map((run) => ({
+    identifier: run.identifier,
+    upstream: standIn.identifier,
+    startedAt: run.startedAt,
+    endedAt: run.endedAt,
+    key: String(run.headers.authorization ?? '').replace('Token ', ''),
+    scope: run.headers['cache-salt'] as string | undefined,
+    tokens: TOKENS
+  })))
+}
+
+function ordersOf (world: World): SeenOrder[] {
+  return [...world.upstreams, ...world.ended].flatMap(({ standIn, starts }) => standIn.orders.map((order) => ({
+    upstream: `${standIn.identifier}#${starts}`, holder: String(order.holder), token: Number(order.fencingToken)
+  })))
+}
+
+/** Rejects when a process cannot be started; broken promises are in the outcome. */
+export async function runSoak ({ seed, seconds, faults }: SoakOptions): Promise<SoakOutcome> {
+  const generator = xoroshiro128plus(seed)
+  const random = (): number => uniformFloat64(generator)
+  const world = await startWorld()
+  const requests: SeenRequest[] = []
+  const configurations: Array<SoakHistory['configurations'][number]> = []
+  const stopped = new Map<string, number>()
+  const revoked = new Map<string, number>()
+  const began: string[] = []
+  const violations: string[] = []
+  const progress = { isOver: false }
+  let count = 0
+
+  async function pause (milliseconds: number): Promise<void> {
+    await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
+  }
+
+  async function call (router: RouterProcess): Promise<void> {
+    count += 1
+    const identifier = `soak-${seed}-${count}`
+    const kind = (['stream', 'stream', 'safe', 'unsafe'] as const)[Math.floor(random() * 4)]!
+    const keys = ['bakery-key', LIMITED.key, ISOLATED_KEY, ...world.keys(), ...revoked.keys()]
+    const path = PATHS[kind][Math.floor(random() * PATHS[kind].length)]!
+    requests.push(await world.call(router, {
+      identifier,
+      kind,
+      path,
+      key: keys[Math.floor(random() * keys.length)]!,
+      scopePart: `part-${Math.floor(random() * 3)}`,
+      leaveAfter: kind === 'stream' && random() < LEAVING_PART ? 20 + 300 * random() : undefined
+    }))
+  }
+
+  /** Each configuration has a route that no older one has. */
+  async function lookAtConfiguration (router: RouterProcess): Promise<void> {
+    const version = world.version() - Math.floor(3 * random())
+    if (version < 1) return
+    count += 1
+    const { instance, startedAt, endedAt, status } = await world.call(router, {
+      identifier: `version-${seed}-${count}`, path: `/version-${version}/1`, kind: 'safe', key: 'none', scopePart: 'none'
+    })
+    if (status === 200) configurations.push({ instance, at: endedAt, atLeast: version })
+    if (status === 404) configurations.push({ instance, at: startedAt, atMost: version - 1 })
+  }
+
+  async function callOn (): Promise<void> {
+    while (!progress.isOver) {
+      const routers = [...world.routers.values()]
+      const router = routers[Math.floor(random() * routers.length)]!
+      await (random() < 0.15 ? lookAtConfiguration(router) : call(router))
+      await pause(CALLER_PAUSE_MS * random())
+    }
+  }
+
+  const context: FaultContext = {
+    world,
+    random,
+    pause,
+    noteStop ({ identity }) { if (!stopped.has(identity)) stopped.set(identity, performance.now()) },
+    noteKill ({ identity }) { stopped.set(identity, Infinity) },
+    noteRevoked: (key) => { revoked.set(key, performance.now()) }
+  }
+
+  async function breakThings (): Promise<void> {
+    const end = performance.now() + seconds * 1000
+    const open: Array<Promise<void>> = []
+    while (performance.now() < end) {
+      const name = faults[Math.floor(random() * faults.length)]!
+      began.push(name)
+      open.push(SOAK_FAULTS[name]!(context))
+      await pause(50 + FAULT_PAUSE_MS * random())
+    }
+    await Promise.all(open)
+    world.store.setFault(StoreFault.none)
+    for (const proxy of [...world.storeProxies.values(), ...world.upstreams.map((one) => one.proxy)]) {
+      proxy.setFault(LinkFault.none)
+    }
+  }
+
+  async function recover (): Promise<void> {
+    const served = async (router: RouterProcess): Promise<boolean> => {
+      count += 1
+      const seen = await world.call(router, {
+        identifier: `after-${seed}-${count}`, path: '/lookup/1', kind: 'safe', key: 'bakery-key', scopePart: 'none'
+      })
+      requests.push(seen)
+      return seen.status === 200
+    }
+    for (const router of world.routers.values()) {
+      try {
+        await until(async () => await world.isReady(router) && await served(router), RECOVERY_MS)
+      } catch (error) {
+        violations.push(`recovery: ${router.identity} does not serve: ${String(error)}`)
+      }
+    }
+  }
+
+  async function stopAll (): Promise<void> {
+    await Promise.all([...world.routers.values()].map(async (router) => {
+      context.noteStop(router)
+      router.child.kill('SIGTERM')
+      const isOut = await Promise.race([router.exited.then(() => true), pause(STOP_LIMIT_MS).then(() => false)])
+      if (!isOut) violations.push(`stop: ${router.identity} did not end in time`)
+    }))
+  }
+
+  try {
+    const callers = Array.from({ length: CALLERS }, callOn)
+    await breakThings()
+    await recover()
+    await stopAll()
+    progress.isOver = true
+    await Promise.all(callers)
+    const { rate, burst, overage, slack, windowSeconds, key } = LIMITED
+    const history: SoakHistory = {
+      requests,
+      runs: runsOf(world),
+      orders: ordersOf(world),
+      revoked,
+      quota: { key, window: windowSeconds * 1000, tokens: (rate * windowSeconds + burst) * (1 + overage) + slack },
+      stopped,
+      isolated: new Set([ISOLATED_KEY]),
+      configurations: configurations.sort((one, other) => one.at - other.at),
+      wholeStream: Array.from({ length: STREAM_EVENTS }, (_unused, index) => eventText(index + 1)).join(''),
+      wholeAnswer: PLAIN_ANSWER
+    }
+    for (const [name, check] of Object.entries(SOAK_CHECKS)) {
+      violations.push(...check(history).map((text) => `${name}: ${text}`))
+    }
+    return {
+      seed,
+      requests: requests.length,
+      served: requests.filter(({ status, complete }) => status === 200 && complete).length,
+      faults: began,
+      violations,
+      logs: new Map(world.started.map((router) => [router.identity, router.output()]))
+    }
+  } finally {
+    progress.isOver = true
+    await world.close()
+  }
+}
--- /dev/null
+++ b/playground/soak/world.ts
@@ -0,0 +1,339 @@
+/** The processes of one soak run: routers from the built program, and stand-ins of the platform behind fault proxies. */
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { Agent, request } from 'node:http'
+import { createServer } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { InternalError } from '../../src/errors'
+import { formatEndpoint } from '../../src/http/endpoint'
+import { renderSettings } from '../../src/edge/__tests__/fixtures'
+import type { Endpoint } from '../../src/types'
+import { until } from '../../platform/__tests__/edgeFixture'
+import { startStoreStandIn, type StoreStandIn } from '../../standins/fleet/store'
+import { startUpstreamStandIn, type UpstreamStandIn } from '../../standins/fleet/upstream'
+import type { SeenRequest } from './checks'
+import { startFaultProxy, type FaultProxy } from './proxy'
+
+const ROUTERS = ['router-1', 'router-2', 'router-3', 'router-4']
+const ENGINES = 3
+const SERVICES = 3
+/** Events of a stream, and milliseconds between them. */
+export const STREAM_EVENTS = 12
+const PACE_MS = 25
+/** The limited customer; each of its requests costs 110 tokens. */
+export const LIMITED = { key: 'mill-key', rate: 2000, burst: 2000, overage: 0.1, slack: 1000, windowSeconds: 8 }
+export const ISOLATED_KEY = 'forge-key'
+const READY_LIMIT_MS = 20_000
+
+const ROUTES = [
+  { name: 'sheet', prefix: '/sheet/', kind: 'streaming', service: 'engines', timeoutMs: 4000, maxAttempts: 1 },
+  { name: 'chat', prefix: '/chat/', kind: 'streaming', service: 'engines', timeoutMs: 4000, maxAttempts: 2, resumable: true },
+  { name: 'order', prefix: '/order/', kind: 'unsafe', service: 'orders', timeoutMs: 1500, maxAttempts: 1 },
+  { name: 'lookup', prefix: '/lookup/', kind: 'safe', service: 'orders', timeoutMs: 1500, maxAttempts: 2 }
+]
+
+export interface RouterProcess {
+  name: string
+  /** Name and number of the start. */
+  identity: string
+  caller: Endpoint
+  readiness: Endpoint
+  child: ChildProcess
+  exited: Promise<void>
+  isRunning: boolean
+  output: () => string
+}
+
+/** Ports below those that the system gives to outgoing connections, so that a router finds its own free after a restart. */
+const FIRST_PORT = 12_000
+const LAST_PORT = 30_000
+
+async function isFree (port: number): Promise<boolean> {
+  const server = createServer()
+  return await new Promise((resolve) => {
+    server.once('error', () => { resolve(false) })
+    server.listen(port, '127.0.0.1', () => { server.close(() => { resolve(true) }) })
+  })
+}
+
+async function freeEndpoint (): Promise<Endpoint> {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * (LAST_PORT - FIRST_PORT))
+    if (await isFree(port)) return { host: '127.0.0.1', port }
+  }
+}
+
+interface PlacedUpstream {
+  service: string
+  standIn: UpstreamStandIn
+  proxy: FaultProxy
+  starts: number
+}
+
+export interface World {
+  store: StoreStandIn
+  storeProxies: ReadonlyMap<string, FaultProxy>
+  upstreams: readonly PlacedUpstream[]
+  /** Stand-ins that have ended, for their journals. */
+  ended: readonly PlacedUpstream[]
+  /** The newest process of each router. */
+  routers: Map<string, RouterProcess>
+  /** All processes that were started. */
+  started: readonly RouterProcess[]
+  /** Version of the newest configuration. */
+  version: () => number
+  /** The keys of the customer whose keys change. */
+  keys: () => readonly string[]
+  /** Writes a configuration with one more version and these keys. */
+  configure: (keys: readonly string[]) => void
+  nameWeights: (version: number) => void
+  startRouter: (name: string) => Promise<RouterProcess>
+  isReady: (router: RouterProcess) => Promise<boolean>
+  /** Ends an upstream and starts another process of it at a new address. */
+  restartUpstream: (index: number) => Promise<void>
+  call: (router: RouterProcess, options: WorldCall) => Promise<SeenRequest>
+  close: () => Promise<void>
+}
+
+export interface WorldCall {
+  identifier: string
+  path: string
+  kind: SeenRequest['kind']
+  key: string
+  scopePart: string
+  /** Milliseconds after which the caller breaks off. */
+  leaveAfter?: number
+}
+
+export async function startWorld (): Promise<World> {
+  const directory = mkdtempSync(join(tmpdir(), 'waxwingspoke-soak-'))
+  const store = await startStoreStandIn()
+  const storeProxies = new Map<string, FaultProxy>()
+  const places = new Map<string, Record<'caller' | 'readiness' | 'peer' | 'metrics', Endpoint>>()
+  for (const name of ROUTERS) {
+    storeProxies.set(name, await startFaultProxy(store.endpoint))
+    places.set(name, {
+      caller: await freeEndpoint(),
+      readiness: await freeEndpoint(),
+      peer: await freeEndpoint(),
+      metrics: await freeEndpoint()
+    })
+  }
+  const upstreams: PlacedUpstream[] = []
+  const ended: PlacedUpstream[] = []
+  const routers = new Map<string, RouterProcess>()
+  const started: RouterProcess[] = []
+  const agent = new Agent({ keepAlive: true, maxSockets: 8 })
+  let version = 0
+  let keys: readonly string[] = []
+
+  async function placeUpstream (service: string, identifier: string, starts: number): Promise<PlacedUpstream> {
+    const weights = service === 'engines' ? 1 : 0
+    const standIn = await startUpstreamStandIn(identifier, { weights, events: STREAM_EVENTS, pace: PACE_MS })
+    const [host, port] = standIn.address.split(':') as [string, string]
+    const proxy = await startFaultProxy({ host, port: Number(port) })
+    store.put('servers', identifier, {
+      service,
+      address: formatEndpoint(proxy.endpoint),
+      zone: 'north',
+      version: 'v1',
+      slots: 8,
+      state: 'ready',
+      born: starts,
+      ...(weights > 0 ? { models: [{ name: 'small', version: weights, adapters: [] }] } : {})
+    })
+    return { service, standIn, proxy, starts }
+  }
+
+  function configure (next: readonly string[]): void {
+    keys = next
+    version += 1
+    const open = Array.from({ length: version }, (_unused, index) => ({
+      name: `version-${index + 1}`,
+      prefix: `/version-${index + 1}/`,
+      kind: 'safe',
+      service: 'orders',
+      timeoutMs: 1500,
+      maxAttempts: 2,
+      allowAnonymous: true
+    }))
+    const unlimited = { ratePerS: 0, burst: 0, unit: 'token_count' }
+    const { key, rate, burst } = LIMITED
+    store.put('op', 'config', {
+      version,
+      routes: [...ROUTES, ...open].map((route) => ({ host: 'shop.example', targetLatencyMs: 300, priority: 1, ...route })),
+      services: [{ name: 'engines', engine: { slots: 8, models: [{ name: 'small' }] } }, { name: 'orders' }],
+      tenants: [
+        { name: 'bakery', apiKeys: ['bakery-key'], ...unlimited },
+        { name: 'mill', apiKeys: [key], ratePerS: rate, burst, unit: 'token_count' },
+        { name: 'forge', apiKeys: [ISOLATED_KEY], isolated: true, ...unlimited },
+        { name: 'guild', apiKeys: next, ...unlimited }
+      ],
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
+    })
+  }
+
+  async function startRouter (name: string): Promise<RouterProcess> {
+    const { caller, readiness, peer, metrics } = places.get(name)!
+    const file = join(directory, `${name}.ini`)
+    writeFileSync(file, renderSettings({
+      nodeName: name,
+      'listenAddresses.front': formatEndpoint(caller),
+      'listenAddresses.ready': formatEndpoint(readiness),
+      ipAddress: peer.host,
+      'internalPortRange.0': String(peer.port),
+      'platform.address': formatEndpoint(storeProxies.get(name)!.endpoint),
+      'bounds.quotaSlack': String(LIMITED.slack),
+      'bounds.quotaOverage': String(LIMITED.overage),
+      'bounds.quotaWindowS': String(LIMITED.windowSeconds)
+    }).replace(/:9464$/m, `:${metrics.port}`))
+    const child = spawn(process.execPath, ['target/edge.cjs'], {
+      env: { PATH: process.env.PATH, WAXWINGSPOKE_SETTINGS: file }, stdio: ['ignore', 'pipe', 'pipe']
+    })
+    let output = ''
+    for (const stream of [child.stdout, child.stderr]) {
+      stream.on('data', (bytes: Buffer) => { output = (output + bytes.toString()).slice(-200_000) })
+    }
+    const identity = `${name}#${started.filter((one) => one.name === name).length + 1}`
+    const router: RouterProcess = {
+      name,
+      identity,
+      caller,
+      readiness,
+      child,
+      isRunning: true,
+      output: () => output,
+      exited: new Promise((resolve) => {
+        child.once('exit', () => {
+          router.isRunning = false
+          resolve()
+        })
+      })
+    }
+    started.push(router)
+    routers.set(name, router)
+    return router
+  }
+
+  async function isReady ({ readiness }: RouterProcess): Promise<boolean> {
+    return await new Promise((resolve) => {
+      const outgoing = request({ ...readiness, path: '/readiness', timeout: 500 }, (response) => {
+        response.resume()
+        resolve(response.statusCode === 200)
+      })
+      outgoing.on('timeout', () => { outgoing.destroy(new Error('no answer')) })
+      outgoing.on('error', () => { resolve(false) })
+      outgoing.end()
+    })
+  }
+
+  async function call (router: RouterProcess, options: WorldCall): Promise<SeenRequest> {
+    const { identifier, path, kind, key, scopePart, leaveAfter } = options
+    const seen: SeenRequest = {
+      identifier,
+      kind,
+      key,
+      instance: router.identity,
+      startedAt: performance.now(),
+      endedAt: 0,
+      status: 0,
+      complete: false,
+      body: '',
+      echoed: undefined,
+      left: false
+    }
+    const body = kind === 'unsafe' ? '{"item":"rye"}' : undefined
+    return await new Promise((resolve) => {
+      const end = (): void => {
+        seen.endedAt = performance.now()
+        resolve(seen)
+      }
+      const outgoing = request({
+        ...router.caller,
+        agent,
+        path,
+        method: body === undefined ? 'GET' : 'POST',
+        headers: {
+          Host: 'shop.example',
+          'Request-Id': identifier,
+          'Deadline-Milliseconds': '4000',
+          Authorization: `Token ${key}`,
+          ...(kind === 'stream' ? { Model: 'small' } : {}),
+          'Token-Usage': '100,10',
+          'Prompt-Prefix': `${scopePart}:50,own:50`,
+          ...(body === undefined ? {} : { 'Content-Length': String(body.length) })
+        }
+      }, (response) => {
+        seen.status = response.statusCode ?? 0
+        seen.echoed = response.headers['request-id'] as string | undefined
+        response.on('data', (bytes: Buffer) => { seen.body += bytes.toString() })
+        response.on('error', () => { seen.complete = false })
+        response.on('close', () => {
+          seen.complete = response.complete
+          end()
+        })
+      })
+      // Status 0 tells that the connection broke.
+      outgoing.on('error', () => { if (seen.status === 0) end() })
+      if (leaveAfter !== undefined) {
+        setTimeout(() => {
+          if (seen.endedAt !== 0) return
+          seen.left = true
+          outgoing.destroy(new Error('the caller left'))
+        }, leaveAfter)
+      }
+      outgoing.end(body)
+    })
+  }
+
+  configure(['guild-key-1'])
+  for (let index = 0; index < ENGINES; index += 1) upstreams.push(await placeUpstream('engines', `engine-${index}`, 1))
+  for (let index = 0; index < SERVICES; index += 1) upstreams.push(await placeUpstream('orders', `orders-${index}`, 1))
+  const world: World = {
+    store,
+    storeProxies,
+    upstreams,
+    ended,
+    routers,
+    started,
+    version: () => version,
+    keys: () => keys,
+    configure,
+    nameWeights: (next) => { store.put('op', 'version/small', { model: 'small', version: next }) },
+    startRouter,
+    isReady,
+    async restartUpstream (index) {
+      const before = upstreams[index]!
+      before.proxy.close()
+      await before.standIn.close()
+      ended.push(before)
+      upstreams[index] = await placeUpstream(before.service, before.standIn.identifier, before.starts + 1)
+    },
+    call,
+    async close () {
+      agent.destroy()
+      for (const { child, isRunning } of started) if (isRunning) child.kill('SIGKILL')
+      await Promise.all(started.map(async ({ exited }) => { await exited }))
+      for (const proxy of storeProxies.values()) proxy.close()
+      for (const { proxy, standIn } of upstreams) {
+        proxy.close()
+        await standIn.close()
+      }
+      await store.close()
+      rmSync(directory, { recursive: true })
+    }
+  }
+  for (const name of ROUTERS) await startRouter(name)
+  try {
+    await until(async () => {
+      const ready = await Promise.all([...routers.values()].map(isReady))
+      return ready.every(Boolean)
+    }, READY_LIMIT_MS)
+  } catch (cause) {
+    const output = started.map((router) => `${router.identity}: ${router.output().slice(-500)}`).join('\n')
+    await world.close()
+    throw new InternalError(`the routers did not get ready\n${output}`, { cause })
+  }
+  return world
+}
--- a/standins/fleet/upstream.ts
+++ b/standins/fleet/upstream.ts
@@ -40,6 +40,9 @@
   body: string
   /** The connection closed before the answer was complete. */
   cancelled: boolean
+  /** Milliseconds of the steady clock; the end is undefined while the run goes on. */
+  startedAt: number
+  endedAt: number | undefined
 }
 
 export interface UpstreamStandIn {
@@ -158,10 +161,20 @@
   ): void {
     const { method, url, headers } = request
     const record: UpstreamRun = {
-      identifier: String(headers['request-id']), method: method ?? '', path: url ?? '', headers, body, cancelled: false
+      identifier: String(headers['request-id']),
+      method: method ?? '',
+      path: url ?? '',
+      headers,
+      body,
+      cancelled: false,
+      startedAt: performance.now(),
+      endedAt: undefined
     }
     runs.push(record)
-    response.on('close', () => { record.cancelled = !response.writableFinished })
+    response.on('close', () => {
+      record.cancelled = !response.writableFinished
+      record.endedAt = performance.now()
+    })
     if (standIn.weights > 0) stream(request, response, fault)
     else setTimeout(() => { plain(request, response, fault) }, pace)
   }
