Check edge settings beforehand; close idle peer connections; answer a fault

Connections that peers opened and that carry no question for a minute are closed: peers that vanish without a word would have filled the 512 places in time. A fault while a customer's rate is checked is answered 503 in place of nothing.

--- a/src/cli/__tests__/program.test.ts
+++ b/src/cli/__tests__/program.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it, vi } from 'vitest'
 import { applyConfiguration } from '../../configuration/apply'
 import { readFleetConfiguration } from '../../configuration/fleetConfiguration'
+import { renderSettings } from '../../edge/__tests__/fixtures'
 import { createFakePlatform, type FakePlatform } from '../../platform/__tests__/fakePlatform'
 import type { Endpoint, KeyRecord } from '../../types'
 import { commandTable } from '../commandTable'
@@ -161,6 +162,16 @@
     expect(JSON.parse(terminal.errors()).error.findings).toMatchObject([{ line: 7 }, { line: 8, suggestion: 'version' }])
   })
 
+  it('checks the settings of an edge daemon and lists all findings', async () => {
+    const terminal = createTerminal()
+    terminal.files['edge.ini'] = renderSettings()
+    expect(await terminal.run('check', '--edge', 'edge.ini')).toBe(0)
+    expect(terminal.output()).toBe('edge.ini: valid settings\n')
+    terminal.files['edge.ini'] = renderSettings({ nodeName: '', 'bounds.leaseMs': 'soon' })
+    expect(await terminal.run('check', '--edge', 'edge.ini', '--json')).toBe(4)
+    expect(JSON.parse(terminal.errors()).error.findings).toMatchObject([{ key: 'instance.name' }, { key: 'limits.lease_ms' }])
+  })
+
   it('applies, and reports an instance that stays behind instead of claiming success', async () => {
     const terminal = await applied()
     terminal.files['fleet.ini'] = FLEET.replace('v1', 'v2')
--- a/src/cli/commandTable.ts
+++ b/src/cli/commandTable.ts
@@ -26,8 +26,11 @@
   name: 'check',
   description: 'Check a declarative file and list all errors',
   forms: [['check FILE', 'Check a declarative file and list all errors']],
-  options: [['--settings', 'The file holds the settings of a daemon']],
-  examples: ['check fleet.ini', 'check --settings router.ini'],
+  options: [
+    ['--settings', 'The file holds the settings of a daemon'],
+    ['--edge', 'The file holds the settings of an edge daemon']
+  ],
+  examples: ['check fleet.ini', 'check --settings router.ini', 'check --edge edge.ini'],
   run: runCheck
 }, {
   name: 'plan',
--- a/src/cli/commands/check.ts
+++ b/src/cli/commands/check.ts
@@ -1,13 +1,21 @@
-/** `check FILE`: reads a declarative file, or with `--settings` the settings of a daemon, and lists all errors. */
+/** `check FILE`: reads a declarative file, or with `--settings` or `--edge` the settings of a daemon, and lists all errors. */
 import { readSettings } from '../../configuration/settings'
+import { parseEdgeSettings } from '../../edge/settings'
 import type { CommandFunction } from '../context'
 import { noFurtherArguments, readConfigurationArgument, readTextFile, requiredArgument } from '../input'
 
+/** Reads the settings of the daemon that an option names; each throws with all findings. */
+const settingsReaders: Readonly<Record<string, (file: string, content: string) => unknown>> = {
+  settings: readSettings,
+  edge: (file, content) => parseEdgeSettings(content, file)
+}
+
 export const runCheck: CommandFunction = async (input) => {
-  if (input.options.settings === true) {
+  const option = Object.keys(settingsReaders).find((name) => input.options[name] === true)
+  if (option !== undefined) {
     const file = requiredArgument(input, 0, 'FILE')
     noFurtherArguments(input, 1)
-    readSettings(file, await readTextFile(input, file))
+    settingsReaders[option]!(file, await readTextFile(input, file))
     return { data: { valid: true }, text: `${file}: valid settings\n` }
   }
   const configuration = await readConfigurationArgument(input)
--- a/src/edge/__tests__/peerLinks.test.ts
+++ b/src/edge/__tests__/peerLinks.test.ts
@@ -25,11 +25,16 @@
 
 interface Started { links: PeerLinks, endpoint: Endpoint, events: string[] }
 
-async function start (answer: AnswerQuestion = async () => ({})): Promise<Started> {
+async function start (answer: AnswerQuestion = async () => ({}), idleLimit = 60_000): Promise<Started> {
   const endpoint = await freePort()
   const events: string[] = []
   const links = await createPeerLinks({
-    listen: endpoint, answer, log: (event) => { events.push(event) }, onAnswered: () => {}, now: () => performance.now()
+    listen: endpoint,
+    answer,
+    log: (event) => { events.push(event) },
+    onAnswered: () => {},
+    now: () => performance.now(),
+    idleLimit
   })
   open.push(links.close)
   return { links, endpoint, events }
@@ -105,6 +110,16 @@
     expect(events).toContain('peer.regained')
   })
 
+  it('that come after a connection was closed for want of questions open a new one', async () => {
+    const { endpoint } = await start(async () => ({ ok: true }), 50)
+    const { links, events } = await start()
+    for (let question = 0; question < 2; question += 1) {
+      expect(await links.ask(endpoint, {}, 1000)).toEqual({ ok: true })
+      await pause(150)
+    }
+    expect(events).toEqual([])
+  })
+
   it('that cannot be read end the connection and nothing else', async () => {
     const { endpoint, links } = await start(async () => ({ ok: true }))
     const socket = connect(endpoint.port, endpoint.host)
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -149,7 +149,10 @@
     job = { request, facts, route, customer, service, plan: planPrompt(facts, customer), body }
     const cost = customer === undefined || customer.rate === 0 ? 0 : costOf(facts, customer)
     if (customer === undefined || cost === 0) return send(job)
-    charge(customer, cost).then((isCharged) => { if (isCharged) send(job!) }, context.fault)
+    charge(customer, cost).then((isCharged) => { if (isCharged) send(job!) }, (error: unknown) => {
+      context.fault(error)
+      refuse({ status: 503, code: 'internal', message: 'the rate of the customer could not be checked' }, 'a fault')
+    })
   }
 
   function send (job: Job): void {
--- a/src/edge/peerLinks.ts
+++ b/src/edge/peerLinks.ts
@@ -13,6 +13,8 @@
 const SILENT_MS = 500
 /** Connections accepted at the same time; a data centre has far fewer instances. */
 const MOST_INCOMING = 512
+/** Milliseconds without a question after which an accepted connection is closed; its peer may be gone without a word. */
+const IDLE_LIMIT_MS = 60_000
 /** Bytes that may wait to be sent on one connection. */
 const SEND_LIMIT_BYTES = 2_097_152
 
@@ -39,6 +41,8 @@
   onAnswered: (question: PeerValue, milliseconds: number) => void
   /** Milliseconds of the steady clock. */
   now: () => number
+  /** Milliseconds without a question after which an accepted connection is closed. @default 60000 */
+  idleLimit?: number
 }
 
 export interface PeerLinks {
@@ -99,7 +103,7 @@
 
 /** Rejects when the address is taken. */
 export async function createPeerLinks (options: PeerLinksOptions): Promise<PeerLinks> {
-  const { listen, answer, log, now } = options
+  const { listen, answer, log, now, idleLimit = IDLE_LIMIT_MS } = options
   const links = new Map<string, Link>()
   const incoming = new Set<Socket>()
   const pauses = new Map<string, { until: number, length: number }>()
@@ -165,6 +169,7 @@
       return
     }
     incoming.add(socket)
+    socket.setTimeout(idleLimit, () => { socket.destroy() })
     // The peer notices the end of a connection by itself and asks again.
     socket.on('error', (error) => { log(EdgeEvent.peerConnectionEnded, { reason: error.message }) })
     socket.on('close', () => { incoming.delete(socket) })
