--- a/src/edge/cacheStoreIndex.ts
+++ b/src/edge/cacheStoreIndex.ts
@@ -15,7 +15,6 @@
   update: (rows: readonly StoreRow[]) => void
   /** Whether the store held the part at the last look. */
   holds: (scope: string, part: string) => boolean
-  size: () => number
 }
 
 export function createCacheStoreIndex (): CacheStoreIndex {
@@ -34,7 +33,6 @@
       update(rows)
     },
     update,
-    holds: (scope, part) => held.has(partKey(scope, part)),
-    size: () => held.size
+    holds: (scope, part) => held.has(partKey(scope, part))
   }
 }
