Forget questions that waited in vain; answer at once after a new start

And a peer that asked after the cache store had started anew waited for nothing first. Change: a question leaves the set when its wait ends; what waits is a metric. Figures: five waiting questions 5 before and 0 after their wait. New cases: three of tables that only relays read, one of a wait in vain.

--- a/src/edge/__tests__/metrics.test.ts
+++ b/src/edge/__tests__/metrics.test.ts
@@ -7,6 +7,7 @@
 const create = (): EdgeMetrics => createEdgeMetrics({
   exchanges: () => 3,
   instances: () => 9,
+  waitingQuestions: () => 4,
   configurationVersion: () => 17,
   configurationAge: () => Infinity,
   upstreams: () => new Map([['engines', 6]])
@@ -40,6 +41,7 @@
       'waxwingspoke_log_lines_left_out_total 1',
       'waxwingspoke_exchanges 3',
       'waxwingspoke_instances 9',
+      'waxwingspoke_waiting_questions 4',
       'waxwingspoke_configuration_version 17',
       'waxwingspoke_configuration_age_milliseconds +Inf',
       'waxwingspoke_upstreams{service="engines"} 6'
--- a/src/edge/__tests__/tableRelay.test.ts
+++ b/src/edge/__tests__/tableRelay.test.ts
@@ -18,7 +18,9 @@
 interface Instance { relay: TableRelay, waits: number[] }
 
 /** Instances of two data centres whose questions reach each other at once; calls to the store answer nothing new. */
-function createFleet (perDataCentre: number, fails: (name: string) => boolean = () => false): Map<string, Instance> {
+function createFleet (
+  perDataCentre: number, fails: (name: string) => boolean = () => false, scarce: readonly string[] = []
+): Map<string, Instance> {
   const peers = ['north', 'south'].flatMap((dataCentre) => Array.from({ length: perDataCentre }, (_unused, index): Peer => ({
     name: `${dataCentre}-${index}`, dataCentre, endpoint: { host: `${dataCentre}-${index}`, port: 1 }
   })))
@@ -46,6 +48,7 @@
       instance: name,
       dataCentre,
       peers: () => peers.filter((peer) => peer.name !== name),
+      scarce,
       log: () => {},
       now
     })
@@ -144,6 +147,48 @@
     await expect(follower(fleet).relay.store.follow(TABLE, 4, WAIT_MS)).rejects.toBeInstanceOf(HistoryLostError)
   })
 
+  // Guards against a relay whose memory grows with every question about a table that does not change.
+  it('leaves nothing at the relay of questions that waited in vain', async () => {
+    const fleet = createFleet(4)
+    prepare(fleet, 0)
+    const readings = Array.from({ length: 5 }, async () => await follower(fleet).relay.store.follow(TABLE, 6, WAIT_MS))
+    await vi.advanceTimersByTimeAsync(0)
+    const waiting = (): number => relayNames(4)
+      .reduce((sum, name) => sum + fleet.get(name)!.relay.waitingQuestions(), 0)
+    expect(waiting()).toBe(5)
+    await vi.advanceTimersByTimeAsync(WAIT_MS)
+    await Promise.all(readings)
+    expect(waiting()).toBe(0)
+  })
+
+  describe('of a source that takes few calls', () => {
+    it('is read by the others through a relay, as a whole and then its changes', async () => {
+      const fleet = createFleet(4, undefined, [TABLE])
+      prepare(fleet, 100)
+      const { relay, waits } = follower(fleet)
+      const whole = await relay.store.read(TABLE)
+      expect(whole).toMatchObject({ rows: [row('old', 4), row('new', 6)], version: 6, relayed: { age: 100 } })
+      expect(await relay.store.follow(TABLE, 5, WAIT_MS)).toMatchObject({ rows: [row('new', 6)] })
+      expect(waits).toEqual([])
+    })
+
+    it('is never read from the source by the others', async () => {
+      const fleet = createFleet(4, () => true, [TABLE])
+      const { relay, waits } = follower(fleet)
+      for (let call = 0; call < 3; call += 1) {
+        await expect(relay.store.follow(TABLE, 6, WAIT_MS)).rejects.toBeInstanceOf(PlatformUnavailableError)
+        await expect(relay.store.read(TABLE)).rejects.toBeInstanceOf(PlatformUnavailableError)
+      }
+      expect(waits).toEqual([])
+    })
+
+    it('is read as a whole after it has started anew', async () => {
+      const fleet = createFleet(4, undefined, [TABLE])
+      prepare(fleet, 0)
+      await expect(follower(fleet).relay.store.follow(TABLE, 900, 10)).rejects.toBeInstanceOf(HistoryLostError)
+    })
+  })
+
   it.each([
     { name: 'no table', question: { after: 1, wait: 1, longestAge: 1 } },
     { name: 'no version', question: { table: TABLE, wait: 1, longestAge: 1 } }
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -97,6 +97,7 @@
   const metrics = createEdgeMetrics({
     exchanges: () => exchanges.size,
     instances: () => instances.count(),
+    waitingQuestions: () => relay.waitingQuestions(),
     configurationVersion: () => table?.configuration.version ?? 0,
     configurationAge: () => freshness.age(now()),
     upstreams: () => countBy([...directory.all()].map(({ entry }) => entry.service))
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -14,6 +14,8 @@
 export interface MetricReadings {
   exchanges: () => number
   instances: () => number
+  /** Questions of peers that wait for a change of a table. */
+  waitingQuestions: () => number
   /** 0 while none is known. */
   configurationVersion: () => number
   /** Milliseconds since the configuration was last proved to be the newest one; Infinity without a proof. */
@@ -76,6 +78,7 @@
   })
   gauge('waxwingspoke_exchanges', 'Requests that are being answered', readings.exchanges)
   gauge('waxwingspoke_instances', 'Instances in the list, this one included', readings.instances)
+  gauge('waxwingspoke_waiting_questions', 'Questions of peers that wait for a change', readings.waitingQuestions)
   gauge('waxwingspoke_configuration_version', 'Version of the configuration in force', readings.configurationVersion)
   gauge(
     'waxwingspoke_configuration_age_milliseconds', 'Time since the configuration was proved to be the newest one',
--- a/src/edge/tableRelay.ts
+++ b/src/edge/tableRelay.ts
@@ -7,7 +7,7 @@
 import { EdgeEvent, type EdgeLog } from './events'
 import { elapsed } from './freshness'
 import { PeerQuestion, type PeerLinks, type PeerValue } from './peerLinks'
-import { createTableHistory, type TableHistory } from './tableHistory'
+import { createTableHistory, type TableChanges, type TableHistory } from './tableHistory'
 import type { Instant, Peer, Store, StoreReading, StoreRow } from './types'
 
 /** Relays of each data centre: one may be lost without more calls to the store. */
@@ -59,6 +59,8 @@
   readers: () => number
   /** Answers a peer's question about a table. */
   answer: (question: PeerValue) => Promise<PeerValue>
+  /** Questions of peers that wait for a change. */
+  waitingQuestions: () => number
 }
 
 interface KnownTable {
@@ -114,8 +116,7 @@
   }
 
   function wake (table: KnownTable): void {
-    for (const go of table.waiting) go()
-    table.waiting.clear()
+    for (const go of [...table.waiting]) go()
   }
 
   /** The relays of this data centre, in this instance's order; undefined when it is a relay itself. */
@@ -162,13 +163,16 @@
     return await ask(relay, table, undefined, SCARCE_READ_MS)
   }
 
-  async function pause (table: KnownTable, milliseconds: number): Promise<void> {
+  /** Resolves at the next change of the table, at the latest after so many milliseconds. */
+  async function pause ({ waiting }: KnownTable, milliseconds: number): Promise<void> {
     await new Promise<void>((resolve) => {
-      const timer = setTimeout(resolve, milliseconds)
-      table.waiting.add(() => {
+      const go = (): void => {
         clearTimeout(timer)
+        waiting.delete(go)
         resolve()
-      })
+      }
+      const timer = setTimeout(go, milliseconds)
+      waiting.add(go)
     })
   }
 
@@ -184,6 +188,12 @@
     return age
   }
 
+  /** Undefined when the peer has to read the whole table. */
+  function changesOf (name: string, { history }: KnownTable, after: number): TableChanges | undefined {
+    const startedAnew = scarce.includes(name) && after > history.version()
+    return startedAnew ? undefined : history.since(after, now())
+  }
+
   return {
     store: {
       read: async (table) => scarce.includes(table) ? await readScarce(table) : await store.read(table),
@@ -223,6 +233,7 @@
         lost () { table.isLost = true }
       }
     },
+    waitingQuestions: () => [...tables.values()].reduce((sum, { waiting }) => sum + waiting.size, 0),
     readers () {
       const counts = new Map([[dataCentre, 1]])
       for (const peer of options.peers()) counts.set(peer.dataCentre, (counts.get(peer.dataCentre) ?? 0) + 1)
@@ -235,17 +246,14 @@
       if (!isSound) throw new PlatformUnavailableError('the question cannot be read')
       const table = tables.get(name)
       if (table === undefined) throw new PlatformUnavailableError(`table ${name} is not known here`)
-      const earlierAge = ageOf(table, longestAge)
-      if (after === undefined) {
-        return { rows: encodeRows(table.history.all()), version: table.history.version(), age: earlierAge }
-      }
-      if ((table.history.since(after, now())?.rows.length ?? 1) === 0) await pause(table, wait)
       const age = ageOf(table, longestAge)
-      const changes = table.history.since(after, now())
-      const isOther = scarce.includes(name) && after > table.history.version()
-      if (changes === undefined || isOther) return { isForgotten: true }
+      if (after === undefined) return { rows: encodeRows(table.history.all()), version: table.history.version(), age }
+      if (changesOf(name, table, after)?.rows.length === 0) await pause(table, wait)
+      const laterAge = ageOf(table, longestAge)
+      const changes = changesOf(name, table, after)
+      if (changes === undefined) return { isForgotten: true }
       const { rows, version, unseenFor } = changes
-      return { rows: encodeRows(rows), version, age, unseenFor, afterOutage: table.afterOutage }
+      return { rows: encodeRows(rows), version, age: laterAge, unseenFor, afterOutage: table.afterOutage }
     }
   }
 }
