--- a/src/edge/__tests__/tokenGathering.test.ts
+++ b/src/edge/__tests__/tokenGathering.test.ts
@@ -8,7 +8,7 @@
 import { createCustomer } from './fixtures'
 
 const WINDOW_MS = 8000
-/** Tokens of one prompt of the grown fornada deployment's order sheets. */
+/** Tokens of one long prompt. */
 const PROMPT = 9200
 const limits = { window: WINDOW_MS, overage: 0.1, slack: 110_000, startedAt: 0 }
 const customer = createCustomer({ rate: 230_000, burst: 230_000 })
@@ -55,8 +55,8 @@
 }
 
 describe('units that move between 69 instances', () => {
-  // Answers a load in which one share refills one prompt in 2.8 s: 10% of the grown fornada deployment's requests were
-  // refused although their customers were inside their rates.
+  // Answers a load in which one share refills one prompt in 2.8 s: a tenth of a large fleet's requests was refused although
+  // their customers were inside their rates.
   it.each([
     { name: 'half of the rate', part: 0.5, admitted: 1 },
     { name: 'nine tenths of the rate', part: 0.9, admitted: 0.995 }
