Hold a move's share while the holder of the lease stands by it; judge the share that a new holder finds

Cause: the holder of the lease set a share once and went by it for 2 s only, since nothing but the word of others renewed it; its own requests were then on the old version while the move was reported as completed. A new holder took the time of the request as the time of the present share, so it set the next share at once without a judgement. A move also completed as soon as no request ran on the old version, so that a fault under all traffic had no time to show. Ruled out: a longer time for which news counts: it would keep others on a share that nobody stands by. Change: the holder renews its shares as often as it tells them. Who gets the lease keeps a share that was told within 2 s, and begins with none otherwise; its time at that share begins then. All traffic stays on the new version for a step before the end.

--- a/src/edge/__tests__/serviceMoves.test.ts
+++ b/src/edge/__tests__/serviceMoves.test.ts
@@ -91,6 +91,23 @@
     expect(complete![0] - full![0]).toBeGreaterThanOrEqual(DURATION_MS / 4)
   })
 
+  it('looks at the new version under all traffic for a while before the old one stops', () => {
+    const [full, complete] = play(() => ({ ...CALM, oldInFlight: 0 })).slice(-2)
+    expect(full![1]).toBe('share 1')
+    expect(complete![0] - full![0]).toBeGreaterThanOrEqual(1500)
+  })
+
+  it('takes a version back whose fault shows under all traffic only', () => {
+    let fullAt: number | undefined
+    const steps = play((now, share) => {
+      if (share === 1) fullAt ??= now
+      // The judgement comes within one and a half seconds.
+      const isSeen = fullAt !== undefined && now - fullAt >= 1500
+      return { ...CALM, oldInFlight: 0, clear: fullAt === undefined, fault: isSeen ? 'slow on route chat' : undefined }
+    })
+    expect(steps.at(-1)![1]).toBe('takeBack')
+  })
+
   it('a version whose fault shows at any share below all has met less than a tenth of the traffic', () => {
     for (const faultAt of [0.08, 0.25, 0.5]) {
       let at = 0
@@ -115,6 +132,49 @@
   })
 })
 
+describe('the holder of the lease', () => {
+  /** Milliseconds in which an instance without news of a share goes back to the old version. */
+  const WITHOUT_NEWS_MS = 2100
+
+  it('goes by the share that it set for as long as it stands by it', () => {
+    const moves = createMove()
+    moves.setShare('engines', 1, 0)
+    for (let now = 0; now <= 10_000; now += 250) {
+      moves.renew(now)
+      expect(namesFor(moves, 0.99, now)).toEqual(['new-1', 'new-2'])
+    }
+    expect(namesFor(moves, 0.99, 10_000 + WITHOUT_NEWS_MS)).toEqual(['old-1', 'old-2'])
+  })
+
+  it.each<[string, number, number, string[]]>([
+    ['judges a share of which it heard a moment ago before it sets the next one', 0.25, 10, ['share 0.5']],
+    ['takes the first share as long as the holder before it had to', 0.08, 10, ['share 0.25']],
+    ['begins with the first share when all have gone back to the old version', 0.5, WITHOUT_NEWS_MS, ['share 0.08', 'share 0.25']]
+  ])('that is new %s', (_title, toldShare, takesUpAt, expected) => {
+    const moves = createMove()
+    moves.takeNews(news(MoveState.running, toldShare), 0)
+    moves.takeUp('engines', takesUpAt)
+    const steps: string[] = []
+    const end = takesUpAt + DURATION_MS * 0.2
+    for (let now = takesUpAt; now <= end; now += 10) {
+      const step = moves.nextStep('engines', CALM, now)
+      if (step?.kind !== 'share') continue
+      if (step.share > 0.08) expect(now - takesUpAt).toBeGreaterThanOrEqual(1500)
+      moves.setShare('engines', step.share, now)
+      steps.push(`share ${step.share}`)
+    }
+    expect(steps.slice(0, expected.length)).toEqual(expected)
+  })
+
+  it('does not raise the share that others go by when it takes the move up', () => {
+    const moves = createMove()
+    moves.takeNews(news(MoveState.running, 0.5), 0)
+    moves.takeUp('engines', WITHOUT_NEWS_MS)
+    moves.renew(WITHOUT_NEWS_MS)
+    expect(moves.news()).toEqual([news(MoveState.running, 0)])
+  })
+})
+
 describe('the stored status', () => {
   it.each<[string, MoveState | undefined, number, boolean]>([
     ['completed for this request', MoveState.completed, 11, false],
--- a/src/edge/serviceMoves.ts
+++ b/src/edge/serviceMoves.ts
@@ -5,7 +5,9 @@
  * Load patterns:
  * - A version that fails or is slow at once, on one route, or under load: the share grows in steps while answers of both
  *   versions are compared, so that little traffic has met the fault by the time it shows.
- * - The holder of the lease is lost: without news all traffic goes back to the old version, which still runs.
+ * - A version that fails under all traffic only: the old version runs on until all answers have been judged for a while.
+ * - The holder of the lease is lost: without news all traffic goes back to the old version, which still runs. The next
+ *   holder judges the share that it finds for as long as if it had set it.
  * - The old upstreams stop when the move completes: their running requests end before.
  */
 import type { MonotonicMilliseconds } from '../types'
@@ -86,6 +88,13 @@
   permitted: (
     service: string, upstreams: readonly Upstream[], draw: number, now: MonotonicMilliseconds
   ) => readonly Upstream[]
+  /**
+   * This instance begins to carry the move out. It has not judged the present share yet, and when nobody has told it the
+   * share lately, all instances have gone back to the old version.
+   */
+  takeUp: (service: string, now: MonotonicMilliseconds) => void
+  /** The holder of the lease stands by its shares; called as often as it tells them to the others. */
+  renew: (now: MonotonicMilliseconds) => void
   /** What the holder of the lease does next; undefined while it waits. */
   nextStep: (service: string, facts: MoveFacts, now: MonotonicMilliseconds) => MoveStep | undefined
   /** The holder of the lease has set the share. */
@@ -133,9 +142,14 @@
     return Math.max(SHORTEST_STEP_MS, move.request.duration * part)
   }
 
+  /** The share by which this instance goes. */
+  function currentShare ({ share, toldAt }: Move, now: MonotonicMilliseconds): number {
+    return now - toldAt < NEWS_MS ? share : 0
+  }
+
   function stepAtFullShare (move: Move, { oldInFlight }: MoveFacts, atShare: number): MoveStep | undefined {
     const isDrained = oldInFlight === 0 || atShare >= move.request.duration * DRAIN_PART
-    return isDrained ? { kind: 'complete' } : undefined
+    return isDrained && atShare >= dwellTime(move) ? { kind: 'complete' } : undefined
   }
 
   return {
@@ -171,10 +185,16 @@
       const move = moves.get(service)
       if (move === undefined) return upstreams
       if (move.state === MoveState.takenBack) return upstreams.filter((upstream) => !isNew(upstream))
-      const share = now - move.toldAt < NEWS_MS ? move.share : 0
-      const goesToNew = move.state === MoveState.completed || draw < share
+      const goesToNew = move.state === MoveState.completed || draw < currentShare(move, now)
       return prefer(upstreams, (upstream) => isNew(upstream) === goesToNew)
     },
+    takeUp (service, now) {
+      const move = moves.get(service)
+      if (move !== undefined) Object.assign(move, { share: currentShare(move, now), shareSince: now })
+    },
+    renew (now) {
+      for (const move of moves.values()) move.toldAt = now
+    },
     nextStep (service, facts, now) {
       const move = moves.get(service)
       if (move === undefined || hasEnded(move)) return undefined
--- a/src/edge/serviceMovesTask.ts
+++ b/src/edge/serviceMovesTask.ts
@@ -103,6 +103,7 @@
     if (!moves.pending().includes(service)) return
     const judge = createRolloutJudge({ fromVersion: OLD_VERSION, toVersion: NEW_VERSION })
     led.set(service, { judge, statusVersion })
+    moves.takeUp(service, now().steady)
     await writeStatus(service, moves.endOf(service) ?? MoveState.running)
   }
 
@@ -168,6 +169,11 @@
     if (step !== undefined) await take(step, service, facts)
   }
 
+  function publish (present: number): void {
+    moves.renew(present)
+    moves.news().forEach(options.publish)
+  }
+
   function tick (): void {
     const present = now().steady
     const holds = lease.token() !== undefined
@@ -175,11 +181,13 @@
       led.clear()
       moves.reset()
     }
-    wasHeld = holds
     const pending = moves.pending()
+    // Before anything is told: nobody may go by a share that has lapsed.
+    if (holds && !wasHeld) for (const service of pending) moves.takeUp(service, present)
+    wasHeld = holds
     if (pending.length > 0) pendingAt = present
     if (!holds || options.isStopping()) return
-    if (present - pendingAt < PUBLISH_AFTER_MS) moves.news().forEach(options.publish)
+    if (present - pendingAt < PUBLISH_AFTER_MS) publish(present)
     if (present < retryAt || present - judgedAt < JUDGE_MS) return
     judgedAt = present
     for (const service of pending) {
