Heed what upstreams say of themselves, bound bytes without end, ask silent engines before their work is moved

Events of a stream were joined anew for each piece: an event of tiny pieces took seconds of the processor. - A caller that read slowly made its upstream count as silent: the stream was started again elsewhere. - Comments counted as progress, so that a stalled stream stayed until its time limit. - An engine with one request of an instance counted as lost after 0.7 s without a byte, also behind a queue: its work was started again elsewhere, twice at most, and the data centre was told to avoid it. In a large fleet that is the usual case. Ruled out: longer silence before an engine counts as lost, which would keep streams on dark engines as long. Change: the word that it leaves holds for the run of the upstream, whatever its entry says, and is told to all; a time without requests binds requests, reports and orders of the instance that got it, 300 s at most, and is what the caller is told. 2 MB of one answer and 16 MB of all are held, 256 KB of an event, 16 interim heads. Attempts whose caller reads slowly expect no byte. An engine is asked for a report after 0.35 s of silence; while its last sign of life counts it is not lost, and an attempt that makes no progress there does not make the instance avoid the engine.

--- a/src/edge/__tests__/eventBoundary.test.ts
+++ b/src/edge/__tests__/eventBoundary.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { createEventBoundary } from '../eventBoundary'
+import { createEventBoundary, EVENT_LIMIT_BYTES, hasContent } from '../eventBoundary'
 
 function feed (chunks: readonly string[]): { forwarded: string, rest: string, last: string | undefined } {
   const boundary = createEventBoundary()
@@ -34,4 +34,22 @@
     boundary.push(Buffer.alloc(1_048_577, 'x'))
     expect(boundary.overflowed()).toBe(true)
   })
+
+  it.each([
+    ['at the limit', EVENT_LIMIT_BYTES, false],
+    ['beyond it', EVENT_LIMIT_BYTES + 1, true]
+  ])('%s', (_title, bytes, overflowed) => {
+    const boundary = createEventBoundary()
+    for (let sent = 0; sent < bytes; sent += 65_536) boundary.push(Buffer.alloc(Math.min(65_536, bytes - sent), 'x'))
+    expect(boundary.overflowed()).toBe(overflowed)
+  })
+
+  it.each([
+    ['an event with content', 'id: 1\ndata: a\n\n', true],
+    ['a comment', ': still here\n\n', false],
+    ['an empty event', '\n\n', false],
+    ['a comment before an event', ': still here\n\nid: 1\ndata: a\n\n', true]
+  ])('%s', (_title, events, expected) => {
+    expect(hasContent(Buffer.from(events))).toBe(expected)
+  })
 })
--- a/src/edge/__tests__/upstreamDirectory.test.ts
+++ b/src/edge/__tests__/upstreamDirectory.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from 'vitest'
 import {
-  attemptBegan, attemptEnded, createUpstreamDirectory, currentWait, doubtUpstream, heardFrom, isSilent, learnWeights,
-  observeLeastWait, observeWait, pauseAfterFailure, pauseAfterRefusal, SILENCE_MS, type UpstreamDirectory
+  attemptBegan, attemptEnded, attemptHeld, attemptReleased, createUpstreamDirectory, currentWait, doubtUpstream,
+  gaveSignOfLife, heardFrom, isSilent, learnWeights, observeLeastWait, observeWait, pauseAfterFailure,
+  pauseAfterRefusal, SILENCE_MS, takeSilentEngines, type UpstreamDirectory
 } from '../upstreamDirectory'
 import { createEntry } from './fixtures'
 
@@ -108,6 +109,45 @@
     expect(isSilent(upstream, 99_000)).toBe(false)
   })
 
+  it('no byte is expected of answers that wait for slow callers', () => {
+    const upstream = createDirectory().get('a')!
+    attemptBegan(upstream, 0, 0)
+    attemptHeld(upstream)
+    expect(isSilent(upstream, 10_000)).toBe(false)
+    attemptBegan(upstream, 0, 10_000)
+    expect(isSilent(upstream, 10_001 + SILENCE_MS)).toBe(true)
+    attemptReleased(upstream, 12_000)
+    expect(isSilent(upstream, 12_000 + SILENCE_MS)).toBe(false)
+    expect(isSilent(upstream, 12_001 + SILENCE_MS)).toBe(true)
+  })
+
+  it.each<[string, number, number[]]>([
+    ['that gives none is silent in time', 0, [400]],
+    ['that gives them is never silent, and is asked seldom', 20, [400, 1600, 2800, 4000]]
+  ])('an engine that is asked for a sign of life and %s', (_title, delay, expected) => {
+    const directory = createDirectory()
+    const upstream = directory.get('a')!
+    const askedAt: number[] = []
+    let silentAt: number | undefined
+    attemptBegan(upstream, 0, 0)
+    for (let now = 0; now <= 4500 && silentAt === undefined; now += 100) {
+      if (isSilent(upstream, now)) silentAt = now
+      for (const asked of takeSilentEngines(directory.all(), now)) {
+        askedAt.push(now)
+        if (delay > 0) gaveSignOfLife(asked, now + delay)
+      }
+    }
+    expect(askedAt).toEqual(expected)
+    expect(silentAt).toBe(delay > 0 ? undefined : SILENCE_MS + 100)
+  })
+
+  it('a plain service is not asked for a sign of life', () => {
+    const directory = createUpstreamDirectory()
+    directory.replace([createEntry('plain', { weights: [] })], false, 0)
+    attemptBegan(directory.get('plain')!, 0, 0)
+    expect(takeSilentEngines(directory.all(), 5000)).toEqual([])
+  })
+
   it.each([
     ['longer than expected counts', 2000, 0, true],
     ['shorter than expected shows nothing', 100, 1000, false]
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -1,5 +1,6 @@
 /** Wires the parts of one edge daemon and owns its start and its end. */
 import { PeerProtocolError } from '../errors'
+import { createAnswerBuffers } from './answerBuffers'
 import { createBacklog, type Backlog } from './backlog'
 import { createBoundedLog } from './boundedLog'
 import { createCacheStores } from './cacheStores'
@@ -21,6 +22,7 @@
 import { createKeptParts } from './promptPlan'
 import { createQuotaShares } from './quotaShare'
 import { createRetryAllowance } from './retryAllowance'
+import { createSignsOfLife } from './signsOfLife'
 import { createServiceMoves, readMoveNews } from './serviceMoves'
 import { startServiceMovesTask } from './serviceMovesTask'
 import type { EdgeSettings } from './settings'
@@ -29,9 +31,10 @@
 import { FOLLOW_MS, followStoreTables } from './storeTables'
 import { createTableRelay } from './tableRelay'
 import { createTokenGathering } from './tokenGathering'
-import type { Dialect, EngineControl, Instant, Peer, Store, StoreRecords } from './types'
+import type { Dialect, EngineControl, Instant, Peer, Store, StoreRecords, UpstreamWord } from './types'
 import { createUpstreamConnections } from './upstreamConnections'
 import { createUpstreamDirectory, type Upstream } from './upstreamDirectory'
+import { createUpstreamWords } from './upstreamWords'
 import { createWeightsMove, readProgress } from './weightsMove'
 import { startWeightsTask } from './weightsTask'
 
@@ -122,6 +125,7 @@
     tokens: async (question) => await tokens.answer(question),
     weightsProgress: async (question) => await progressNews.answer(question),
     failures: async (question) => await failureWords.answer(question),
+    leaving: async (question) => await leavingNews.answer(question),
     engineLoads: async (question) => await engineLoads.answer(question),
     moves: async (question) => await moveNews.answer(question),
     moveCounts: async (question) => await movesTask.answer(question)
@@ -193,6 +197,15 @@
     onNews: (content) => { failureNews.take(content, performance.now()) },
     onFault: reportFault
   })
+  const leavingNews = createPeerBroadcast({
+    links,
+    dataCentre,
+    peers,
+    kind: PeerQuestion.leaving,
+    onNews: (content) => { words.take(content) },
+    onFault: reportFault
+  })
+  const words = createUpstreamWords({ send: leavingNews.send, directory, log })
   const engineLoads = createLoadExchange({
     links, instance: name, dataCentre, peers, directory, now: () => performance.now()
   })
@@ -261,6 +274,8 @@
     sampler,
     engineLoads,
     underOrder: () => underOrder,
+    answers: createAnswerBuffers(),
+    words,
     tellFailure: (upstream) => { failureNews.tell(upstream, performance.now()) },
     isStopping: () => stopping,
     isRefusing: () => refusing,
@@ -270,6 +285,10 @@
     random
   }
 
+  function noteWord (upstream: Upstream, word: UpstreamWord): void {
+    words.note(upstream, word, performance.now())
+  }
+
   function reportFault (error: unknown): void {
     log(EdgeEvent.fault, { reason: error instanceof Error ? error.stack : String(error) })
   }
@@ -322,12 +341,17 @@
     move,
     directory,
     isStopping: () => stopping,
+    onWord: noteWord,
     publish: (progress) => { progressNews.send({ ...progress }) },
     log,
     now
   })
+  const signsOfLife = createSignsOfLife({
+    control, upstreams: directory.all, onWord: noteWord, log, now: () => performance.now()
+  })
   const sweep = setInterval(() => {
     const present = now()
+    signsOfLife.ask()
     for (const exchange of exchanges) exchange.check(present)
     tables.note(directory.expire(present.steady))
     underOrder = move.underOrder(directory.all(), present.steady)
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -1,8 +1,9 @@
 /** Sends one admitted request to upstreams until one gives a whole answer or no further attempt may be made. */
 import type { IncomingMessage } from 'node:http'
+import { LONGEST_ANSWER_BYTES, type AnswerBuffer } from './answerBuffers'
 import { AttemptEnd, decideAfter, mayRepeat, type AttemptHistory } from './attemptDecision'
 import type { CallerAnswer } from './callerAnswer'
-import { createEventBoundary, type EventBoundary } from './eventBoundary'
+import { createEventBoundary, hasContent, type EventBoundary } from './eventBoundary'
 import { EdgeEvent } from './events'
 import type { ExchangeContext } from './exchangeContext'
 import { decideShedding } from './loadShedding'
@@ -13,8 +14,8 @@
 import type { CallerRequest, EdgeCustomer, EdgeRoute, Instant } from './types'
 import { callUpstream, type UpstreamCall } from './upstreamCall'
 import {
-  attemptBegan, attemptEnded, currentWait, heardFrom, isSilent, learnWeights, observeLeastWait, observeWait,
-  pauseAfterFailure, pauseAfterRefusal
+  attemptBegan, attemptEnded, attemptHeld, attemptReleased, currentWait, heardFrom, isSilent, learnWeights,
+  observeLeastWait, observeWait, pauseAfterFailure, pauseAfterRefusal
 } from './upstreamDirectory'
 import type { Upstream } from './upstreamDirectory'
 
@@ -24,13 +25,16 @@
 const CONNECT_SHARE = 0.25
 /** Part of the time left after which a repeatable call without an answer is repeated. */
 const REPEAT_SHARE = 0.5
-/** Milliseconds without a byte after which a resumable stream goes on elsewhere although its engine serves others. */
+/** Milliseconds without an event after which a resumable stream goes on elsewhere although its engine serves others. */
 const STUCK_STREAM_MS = 1500
 /** Milliseconds for which weights that were just named do not count against engines that still have older ones. */
 const OLD_WEIGHTS_GRACE_MS = 1200
 /** Part of the limit on old weights after which they are not used; the rest is time in the engine's queue. */
 const OLD_WEIGHTS_SHARE = 0.85
 
+/** Why an attempt is ended whose answer exceeds what is held of one, or of all. */
+const TOO_LONG = 'the answer is too long'
+
 /** Statuses that promise that a request has not run; an upstream's own are passed on only with that proof. */
 const PROMISING_STATUSES = new Set([408, 421, 429, 503])
 
@@ -75,13 +79,16 @@
   upstream: Upstream
   call: UpstreamCall
   startedAt: number
-  lastByteAt: number
+  /** When the last byte of a plain answer came, or the last event with content of a stream. */
+  lastProgressAt: number
   /** Undefined until the first byte of the answer's body. */
   firstByteAt: MonotonicMilliseconds | undefined
+  /** The caller does not keep up; nothing is read of the answer until it does. */
+  isHeld: boolean
   unreadTokens: number
   head: IncomingMessage | undefined
   /** Answer that is passed on only when it is complete. */
-  pieces: Buffer[]
+  buffer: AnswerBuffer
 }
 
 export function createDispatch (
@@ -127,12 +134,29 @@
     context.engineLoads.read()
   }
 
+  function hold (current: Attempt): void {
+    if (current.isHeld) return
+    current.isHeld = true
+    attemptHeld(current.upstream)
+    current.call.pause()
+  }
+
+  function release (current: Attempt): void {
+    if (!current.isHeld) return
+    const now = context.now().steady
+    current.isHeld = false
+    current.lastProgressAt = now
+    attemptReleased(current.upstream, now)
+  }
+
   function leave (current: Attempt): void {
     if (attempt !== current) return
     attempt = undefined
     const now = context.now().steady
     if (current.firstByteAt === undefined) observeLeastWait(current.upstream, rank, now - current.startedAt, now)
     forgetUnread(current)
+    current.buffer.drop()
+    release(current)
     attemptEnded(current.upstream)
   }
 
@@ -219,11 +243,12 @@
     const current: Attempt = {
       upstream,
       startedAt: now.steady,
-      lastByteAt: now.steady,
+      lastProgressAt: now.steady,
       firstByteAt: undefined,
+      isHeld: false,
       unreadTokens: plan.promptTokens,
       head: undefined,
-      pieces: [],
+      buffer: context.answers.open(),
       call: callUpstream({
         endpoint: upstream.entry.endpoint,
         agent: context.connections.agentFor(upstream, !mayRepeat(history)),
@@ -274,14 +299,15 @@
     giveUp(executionSoFar(), reason)
   }
 
-  function onFailure (current: Attempt, reason: string, sent: boolean): void {
+  /** @param isStuck the upstream lives, and only this attempt makes no progress */
+  function onFailure (current: Attempt, reason: string, sent: boolean, isStuck = false): void {
     const { upstream } = current
     const now = context.now().steady
     // Judged while the attempt is still in flight: without one no upstream counts as silent.
     const isUnreachable = !sent || isSilent(upstream, now)
     leave(current)
     log(EdgeEvent.attemptFailed, { requestIdentifier: identifier, upstream: upstream.entry.identifier, reason, sent })
-    pauseAfterFailure(upstream, now)
+    if (!isStuck) pauseAfterFailure(upstream, now)
     if (isUnreachable) context.tellFailure(upstream)
     context.connections.abandon(upstream)
     boundary?.dropRest()
@@ -296,18 +322,21 @@
   }
 
   /** Ends an attempt whose answer or silence shows that no whole answer will come. */
-  function abandon (current: Attempt, reason: string): void {
+  function abandon (current: Attempt, reason: string, isStuck = false): void {
     current.call.cancel()
-    onFailure(current, reason, true)
+    onFailure(current, reason, true, isStuck)
   }
 
   function onHead (current: Attempt, head: IncomingMessage): void {
     const now = context.now().steady
     const { upstream } = current
     heardFrom(upstream, now)
-    current.lastByteAt = now
+    current.lastProgressAt = now
     const status = head.statusCode ?? 0
     const stated = dialect.readAnswer(status, head.headers)
+    // At the upstream's address another one may answer.
+    const isOther = stated.misdirected && stated.answeredBy !== upstream.entry.identifier
+    if (!isOther) context.words.note(upstream, stated.word, now)
     if (stated.notRun) return onRejected(current, status, stated.answeredBy, stated.misdirected)
     if (stated.identifier !== identifier || !stated.signed) {
       return abandon(current, 'the answer belongs to another request or bears no signature')
@@ -316,6 +345,7 @@
       learnWeights(upstream, { model: facts.model, version: stated.weightsVersion })
     }
     current.head = head
+    if (Number(head.headers['content-length'] ?? 0) > LONGEST_ANSWER_BYTES) return abandon(current, TOO_LONG)
     if (status !== 200 || history.repeat !== RepeatRule.stream || answer.hasBegun()) return
     boundary = createEventBoundary()
     answer.begin(status, head.statusMessage, head.rawHeaders, true)
@@ -350,7 +380,6 @@
   function onData (current: Attempt, chunk: Buffer): void {
     const now = context.now().steady
     heardFrom(current.upstream, now)
-    current.lastByteAt = now
     if (current.firstByteAt === undefined) {
       current.firstByteAt = now
       firstByteAt ??= now
@@ -359,11 +388,13 @@
       observeWait(current.upstream, rank, now - current.startedAt, now)
     }
     if (!isStreamed(current)) {
-      current.pieces.push(chunk)
+      current.lastProgressAt = now
+      if (!current.buffer.push(chunk)) abandon(current, TOO_LONG)
       return
     }
     const events = boundary!.push(chunk)
-    if (events !== undefined && !answer.write(events)) current.call.pause()
+    if (events !== undefined && hasContent(events)) current.lastProgressAt = now
+    if (events !== undefined && !answer.write(events)) hold(current)
     if (boundary!.overflowed()) abandon(current, 'an event is too long')
   }
 
@@ -376,23 +407,24 @@
       answer.end()
       return outcome.succeeded(upstream, 200)
     }
+    const bytes = current.buffer.take()
     leave(current)
     arrived = true
     const status = head?.statusCode ?? 0
     countForMove(current, status >= 500)
     if (status >= 500 || PROMISING_STATUSES.has(status)) {
-      return next(AttemptEnd.failed, `the upstream answered ${status}`, () => { passOn(current, status) })
+      return next(AttemptEnd.failed, `the upstream answered ${status}`, () => { passOn(current, status, bytes) })
     }
-    passOn(current, status)
+    passOn(current, status, bytes)
   }
 
-  function passOn ({ head, pieces, upstream }: Attempt, status: number): void {
+  function passOn ({ head, upstream }: Attempt, status: number, bytes: Buffer): void {
     if (answer.hasBegun()) return outcome.brokenOff(`the upstream answered ${status} to a resumed stream`)
     if (PROMISING_STATUSES.has(status)) {
       return outcome.gaveUp(ExecutionStatus.unknown, `the upstream answered ${status} after it may have run the request`)
     }
     answer.begin(status, head?.statusMessage, head?.rawHeaders ?? [])
-    answer.end(Buffer.concat(pieces))
+    answer.end(bytes)
     outcome.succeeded(upstream, status)
   }
 
@@ -407,11 +439,13 @@
       context.engineLoads.refresh().catch(context.fault).then(() => { if (!cancelled) send() }).catch(context.fault)
     },
     check (now) {
-      if (attempt === undefined || !mayRepeat(history) || history.runs >= history.maximumAttempts) return
-      const quiet = now.steady - attempt.lastByteAt
+      if (attempt === undefined || attempt.isHeld) return
+      if (!mayRepeat(history) || history.runs >= history.maximumAttempts) return
+      const quiet = now.steady - attempt.lastProgressAt
       const limit = history.repeat === RepeatRule.safe ? timeLeft() * REPEAT_SHARE : STUCK_STREAM_MS
-      const isLost = isSilent(attempt.upstream, now.steady) && quiet > CONNECT_LIMIT_MS
-      if (quiet >= limit || isLost) abandon(attempt, `no byte for ${Math.round(quiet)} ms`)
+      const isQuiet = isSilent(attempt.upstream, now.steady)
+      const isLost = isQuiet && quiet > CONNECT_LIMIT_MS
+      if (quiet >= limit || isLost) abandon(attempt, `no progress for ${Math.round(quiet)} ms`, !isQuiet)
     },
     cancel () {
       cancelled = true
@@ -419,7 +453,11 @@
       attempt.call.cancel()
       leave(attempt)
     },
-    resume: () => { attempt?.call.resume() },
+    resume () {
+      if (attempt === undefined) return
+      release(attempt)
+      attempt.call.resume()
+    },
     counts: () => ({ runs: history.runs, rejections: history.rejections }),
     lastEvent: () => boundary?.lastEvent(),
     firstByteAt: () => firstByteAt
--- a/src/edge/eventBoundary.ts
+++ b/src/edge/eventBoundary.ts
@@ -1,11 +1,14 @@
 /** Splits a stream of server-sent events so that only whole events go to the caller. */
 
-/** Bytes of one event; more points to a broken upstream. */
-const EVENT_LIMIT_BYTES = 1_048_576
+import { createGrowingBytes } from './growingBytes'
+
+/** Bytes of one event; more points to a broken upstream, which may send them to all its requests at once. */
+export const EVENT_LIMIT_BYTES = 262_144
 
 const LINE_FEED = 0x0a
 const EVENT_END = Buffer.from('\n\n')
 const IDENTIFIER_FIELD = Buffer.from('id:')
+const CONTENT_FIELD = Buffer.from('data:')
 
 export interface EventBoundary {
   /** Returns the bytes up to the end of the last whole event; undefined when there is none yet. */
@@ -20,7 +23,10 @@
   overflowed: () => boolean
 }
 
-const EMPTY = Buffer.alloc(0)
+/** Whether any of the whole events bears content; comments and single bytes keep a stalled stream open for ever. */
+export function hasContent (events: Buffer): boolean {
+  return events.includes(CONTENT_FIELD)
+}
 
 /** The last line of the bytes that begins with `id:`. */
 function lastIdentifier (events: Buffer): string | undefined {
@@ -36,26 +42,38 @@
 }
 
 export function createEventBoundary (): EventBoundary {
-  let rest: Buffer = EMPTY
+  const rest = createGrowingBytes()
   let lastEvent: string | undefined
+
+  /** Position after the last whole event in the rest and the chunk together; 0 when there is none. */
+  function endOfEvents (chunk: Buffer): number {
+    const end = chunk.lastIndexOf(EVENT_END)
+    if (end >= 0) return rest.length() + end + EVENT_END.length
+    const crosses = chunk[0] === LINE_FEED && rest.view().at(-1) === LINE_FEED
+    return crosses ? rest.length() + 1 : 0
+  }
+
   return {
     push (chunk) {
-      const bytes = rest.length === 0 ? chunk : Buffer.concat([rest, chunk])
-      const end = bytes.lastIndexOf(EVENT_END)
-      if (end < 0) {
-        rest = bytes
+      const end = endOfEvents(chunk)
+      if (end === 0) {
+        rest.push(chunk)
         return undefined
       }
-      const events = bytes.subarray(0, end + EVENT_END.length)
-      rest = end + EVENT_END.length === bytes.length ? EMPTY : bytes.subarray(end + EVENT_END.length)
+      let bytes = chunk
+      if (rest.length() > 0) {
+        rest.push(chunk)
+        bytes = rest.view()
+        rest.clear()
+      }
+      if (end < bytes.length) rest.push(bytes.subarray(end))
+      const events = bytes.subarray(0, end)
       lastEvent = lastIdentifier(events) ?? lastEvent
       return events
     },
-    rest: () => rest,
+    rest: rest.view,
     lastEvent: () => lastEvent,
-    dropRest () {
-      rest = EMPTY
-    },
-    overflowed: () => rest.length > EVENT_LIMIT_BYTES
+    dropRest: rest.clear,
+    overflowed: () => rest.length() > EVENT_LIMIT_BYTES
   }
 }
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -17,6 +17,10 @@
   upstreamFound: 'upstream.found',
   upstreamLost: 'upstream.lost',
   upstreamLeaving: 'upstream.leaving',
+  /** An engine gave no sign of life. */
+  upstreamSilent: 'upstream.silent',
+  /** The upstream wants no requests for a while. */
+  upstreamRests: 'upstream.rests',
   upstreamRestarted: 'upstream.restarted',
   upstreamUnreadable: 'upstream.unreadable',
   /** Another instance could not reach the upstream. */
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -10,6 +10,7 @@
 import { chooseService } from './serviceChoice'
 import { ExecutionStatus } from '../types'
 import type { EdgeCustomer, EdgeRoute, Instant } from './types'
+import { availableAt } from './upstreamDirectory'
 
 /** Milliseconds until a caller may come back when nothing better is known; a few calls of a plain service. */
 const DEFAULT_RETRY_MS = 150
@@ -83,9 +84,12 @@
   /** Milliseconds until an upstream of the service is tried again. */
   function retryAfter (service: string): number {
     const now = context.now().steady
-    const until = Math.min(...directory.listed(service).map(({ pausedUntil }) => pausedUntil))
+    const listed = directory.listed(service)
+    const until = Math.min(...listed.map(availableAt))
     const wait = Number.isFinite(until) && until > now ? until - now : DEFAULT_RETRY_MS
-    return clampRetry(wait)
+    // A time that the upstreams have named themselves is no estimate.
+    const rest = Math.min(...listed.map(({ restsUntil }) => restsUntil - now))
+    return Math.max(clampRetry(wait), Number.isFinite(rest) ? rest : 0)
   }
 
   function refuseUnserved (service: string, execution: ExecutionStatus, reason: string, unknownStatus: number): void {
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -1,5 +1,6 @@
 /** What all exchanges of an instance share. */
 import type { RandomSource } from '../types'
+import type { AnswerBuffers } from './answerBuffers'
 import type { Backlog } from './backlog'
 import type { EdgeLog } from './events'
 import type { Freshness } from './freshness'
@@ -15,6 +16,7 @@
 import type { CacheStore, Dialect, Instant } from './types'
 import type { UpstreamConnections } from './upstreamConnections'
 import type { Upstream, UpstreamDirectory } from './upstreamDirectory'
+import type { UpstreamWords } from './upstreamWords'
 import type { WeightsMove } from './weightsMove'
 
 export interface ExchangeContext {
@@ -45,6 +47,9 @@
   engineLoads: Pick<LoadExchange, 'refresh' | 'sent' | 'read'>
   /** Engines that load weights now or next. */
   underOrder: () => ReadonlySet<Upstream>
+  /** Answers that are held until they are whole. */
+  answers: AnswerBuffers
+  words: Pick<UpstreamWords, 'note'>
   /** Tells the other instances of the data centre that an upstream cannot be reached. */
   tellFailure: (upstream: Upstream) => void
   isStopping: () => boolean
--- a/src/edge/peerLinks.ts
+++ b/src/edge/peerLinks.ts
@@ -27,6 +27,8 @@
   weightsProgress: 'weightsProgress',
   /** News of an upstream that cannot be reached. */
   failures: 'failures',
+  /** News of an upstream that leaves, by its own word. */
+  leaving: 'leaving',
   /** What instances have sent to engines. */
   engineLoads: 'engineLoads',
   /** News of a move of a service to a new version. */
--- a/src/edge/types.ts
+++ b/src/edge/types.ts
@@ -161,6 +161,14 @@
   resumeAfter: string | undefined
 }
 
+/** What an answer of an upstream says of the upstream itself. */
+export interface UpstreamWord {
+  /** It ends soon and takes no new requests. */
+  leaving: boolean
+  /** Milliseconds for which it wants no requests of this instance; undefined when it names none. */
+  restFor: number | undefined
+}
+
 /** What an answer of an upstream states besides its content. */
 export interface AnswerFacts {
   /** Identifier of the request that it answers. */
@@ -174,6 +182,7 @@
   /** Identifier of the upstream that rejected a misdirected request, when given. */
   answeredBy: string | undefined
   weightsVersion: number | undefined
+  word: UpstreamWord
 }
 
 /** Reads and writes headers in the manner of callers and upstreams. */
@@ -288,12 +297,15 @@
   events: readonly CacheEvent[]
 }
 
+/** Called with what any answer of an engine says of the engine itself, before the call ends. */
+export type OnWord = (word: UpstreamWord) => void
+
 /** Calls to engines besides requests. */
 export interface EngineControl {
   /** Events of a store of kept cache from a number on; waits up to `wait` milliseconds for some. */
   cacheEvents: (endpoint: Endpoint, since: number, wait: number) => Promise<CacheEvents>
-  report: (upstream: UpstreamEntry) => Promise<EngineReport>
-  orderWeights: (upstream: UpstreamEntry, order: WeightsOrder) => Promise<OrderOutcome>
+  report: (upstream: UpstreamEntry, onWord: OnWord) => Promise<EngineReport>
+  orderWeights: (upstream: UpstreamEntry, order: WeightsOrder, onWord: OnWord) => Promise<OrderOutcome>
 }
 
 /** Decodes what the platform's store holds. Functions return undefined for values that cannot be used. */
--- a/src/edge/upstreamCall.ts
+++ b/src/edge/upstreamCall.ts
@@ -8,6 +8,8 @@
  * together with the last bytes is reported as an ordinary end by the event loop, but shows in the next write.
  */
 const EMPTY_LINE = '\r\n'
+/** Interim answers before the final one; servers send one or two, an upstream in trouble may send them without end. */
+const MOST_INTERIM_ANSWERS = 16
 
 export interface UpstreamCallOptions {
   endpoint: Endpoint
@@ -87,6 +89,11 @@
     if (socket.connecting) socket.once('connect', onConnected)
     else onConnected()
   })
+  let interimAnswers = 0
+  outgoing.on('information', () => {
+    interimAnswers += 1
+    if (interimAnswers > MOST_INTERIM_ANSWERS) fail('too many interim answers')
+  })
   outgoing.on('error', (error) => { fail(error.message) })
   outgoing.on('close', () => { if (response === undefined) fail('the connection closed without an answer') })
   outgoing.on('response', (incoming) => {
--- a/src/edge/upstreamDirectory.ts
+++ b/src/edge/upstreamDirectory.ts
@@ -2,7 +2,7 @@
  * The upstreams that may be used: what they say of themselves in the list, weighed against what traffic shows. An entry
  * alone neither saves an upstream that does not answer nor condemns one that does.
  */
-import type { MonotonicMilliseconds } from '../types'
+import type { MonotonicMilliseconds, WallClockMilliseconds } from '../types'
 import { loadKeyOf } from './engineLoad'
 import type { ModelWeights, UpstreamEntry } from './types'
 
@@ -18,10 +18,24 @@
  * pause between events that callers accept.
  */
 export const SILENCE_MS = 700
+/**
+ * Milliseconds of that silence after which an engine is asked for a sign of life: one that only has a queue, or makes its
+ * events slowly, answers in a few round trips, before its work would be started again elsewhere.
+ */
+const ASK_AFTER_MS = 350
+/** Milliseconds for which a sign of life counts; an engine that stays silent is asked again before. */
+const SIGN_OF_LIFE_MS = 1500
 /** Milliseconds for which an entry that vanished during an outage is still used; live ones are back within two seconds. */
 const VANISHED_GRACE_MS = 1500
 /** Milliseconds for which an engine that refuses work while it should load weights is left alone; about one load. */
 const LOADING_PAUSE_MS = 1000
+/**
+ * Longest milliseconds for which an upstream gets nothing because it said so; one that names a longer time is taken for
+ * broken and tried again after it.
+ */
+const LONGEST_REST_MS = 300_000
+/** Runs of upstreams that said that they leave which are remembered; many more than leave at a time. */
+const LEAVING_RUNS = 1000
 /** Milliseconds for which an upstream that is full is left alone; a few calls of a plain service. */
 const FULL_PAUSE_MS = 60
 /**
@@ -52,6 +66,8 @@
   entry: UpstreamEntry
   /** Requests of this instance that run there. */
   inFlight: number
+  /** Those of them whose answers wait for a caller that reads slowly; no byte is expected of them. */
+  held: number
   /** Prompt tokens of requests of this instance without a first event yet. */
   unreadTokens: number
   /** Prompt tokens that all instances together have sent there and that were not read at `fleetLoadAt`. */
@@ -67,9 +83,17 @@
   waits: Map<number, ObservedWait>
   failures: number
   pausedUntil: MonotonicMilliseconds
+  /** Until when it wants no requests, by its own word. */
+  restsUntil: MonotonicMilliseconds
+  /** It said in an answer that it leaves, whatever its entry says. */
+  saidLeaving: boolean
   lastHeard: MonotonicMilliseconds
   /** Until when another instance's word counts that the upstream cannot be reached. */
   doubtedUntil: MonotonicMilliseconds
+  /** Until when its last sign of life counts. */
+  livesUntil: MonotonicMilliseconds
+  /** When the engine may be asked for a sign of life again. */
+  askAgainAt: MonotonicMilliseconds
   /** Since when requests are in flight without a byte from the upstream. */
   quietSince: MonotonicMilliseconds
   vanishedAt: MonotonicMilliseconds | undefined
@@ -87,6 +111,11 @@
   update: (entry: UpstreamEntry) => DirectoryChange[]
   /** Takes in a removed entry, or one that cannot be read. */
   remove: (identifier: string, afterOutage: boolean, now: MonotonicMilliseconds) => DirectoryChange[]
+  /**
+   * Takes in that one run of an upstream leaves, by its own word. It stays so when its entry is lost and comes again; a
+   * new run under the same identifier does not. False when that is known.
+   */
+  markLeaving: (identifier: string, startedAt: WallClockMilliseconds) => boolean
   /** Drops vanished entries whose grace has passed. */
   expire: (now: MonotonicMilliseconds) => DirectoryChange[]
   get: (identifier: string) => Upstream | undefined
@@ -102,11 +131,17 @@
 export function createUpstreamDirectory (): UpstreamDirectory {
   const upstreams = new Map<string, Upstream>()
   const services = new Map<string, Upstream[]>()
+  /** Runs that said that they leave, the oldest word first. */
+  const leavingRuns = new Set<string>()
+
+  function runOf (identifier: string, startedAt: WallClockMilliseconds): string {
+    return `${identifier}/${startedAt}`
+  }
 
   function index (): void {
     services.clear()
     for (const upstream of upstreams.values()) {
-      if (upstream.entry.leaving) continue
+      if (isLeaving(upstream)) continue
       const list = services.get(upstream.entry.service)
       if (list === undefined) services.set(upstream.entry.service, [upstream])
       else list.push(upstream)
@@ -117,10 +152,11 @@
     const present = upstreams.get(entry.identifier)
     if (present === undefined || present.entry.startedAt !== entry.startedAt) {
       const upstream = createUpstream(entry)
+      upstream.saidLeaving = leavingRuns.has(runOf(entry.identifier, entry.startedAt))
       upstreams.set(entry.identifier, upstream)
       return [{ kind: present === undefined ? 'found' : 'restarted', upstream }]
     }
-    const leaves = entry.leaving && !present.entry.leaving
+    const leaves = entry.leaving && !isLeaving(present)
     present.entry = entry
     present.vanishedAt = undefined
     for (const weights of entry.weights) learnWeights(present, weights)
@@ -130,7 +166,7 @@
   function drop (identifier: string, afterOutage: boolean, now: MonotonicMilliseconds): DirectoryChange[] {
     const upstream = upstreams.get(identifier)
     if (upstream === undefined) return []
-    if (afterOutage && !upstream.entry.leaving) {
+    if (afterOutage && !isLeaving(upstream)) {
       upstream.vanishedAt ??= now
       return []
     }
@@ -151,6 +187,20 @@
     },
     update: (entry) => finish(take(entry)),
     remove: (identifier, afterOutage, now) => finish(drop(identifier, afterOutage, now)),
+    markLeaving (identifier, startedAt) {
+      const run = runOf(identifier, startedAt)
+      const upstream = upstreams.get(identifier)
+      const isPresent = upstream?.entry.startedAt === startedAt
+      if (leavingRuns.has(run) || (isPresent && isLeaving(upstream))) return false
+      leavingRuns.add(run)
+      const oldest = leavingRuns.values().next().value
+      if (leavingRuns.size > LEAVING_RUNS && oldest !== undefined) leavingRuns.delete(oldest)
+      if (isPresent) {
+        upstream.saidLeaving = true
+        index()
+      }
+      return true
+    },
     expire (now) {
       const over = [...upstreams.values()].filter(({ vanishedAt }) => (
         vanishedAt !== undefined && now - vanishedAt >= VANISHED_GRACE_MS
@@ -169,6 +219,7 @@
   return {
     entry,
     inFlight: 0,
+    held: 0,
     unreadTokens: 0,
     fleetUnread: 0,
     fleetLoadAt: -Infinity,
@@ -178,8 +229,12 @@
     waits: new Map(),
     failures: 0,
     pausedUntil: -Infinity,
+    restsUntil: -Infinity,
+    saidLeaving: false,
     lastHeard: -Infinity,
     doubtedUntil: -Infinity,
+    livesUntil: -Infinity,
+    askAgainAt: -Infinity,
     quietSince: -Infinity,
     vanishedAt: undefined
   }
@@ -190,12 +245,42 @@
   if (version > (upstream.weights.get(model) ?? 0)) upstream.weights.set(model, version)
 }
 
+/** Milliseconds without a byte while some is expected. */
+function silence ({ inFlight, held, lastHeard, quietSince }: Upstream, now: MonotonicMilliseconds): number {
+  return inFlight > held ? now - Math.max(lastHeard, quietSince) : 0
+}
+
 export function isSilent (upstream: Upstream, now: MonotonicMilliseconds): boolean {
-  return upstream.inFlight > 0 && now - Math.max(upstream.lastHeard, upstream.quietSince) > SILENCE_MS
+  return silence(upstream, now) > SILENCE_MS && now >= upstream.livesUntil
+}
+
+/** Engines that should be asked for a sign of life; each is returned once in a while only. */
+export function takeSilentEngines (upstreams: Iterable<Upstream>, now: MonotonicMilliseconds): Upstream[] {
+  const silent = [...upstreams].filter((upstream) => (
+    upstream.weights.size > 0 && silence(upstream, now) >= ASK_AFTER_MS && now >= upstream.askAgainAt
+  ))
+  for (const upstream of silent) upstream.askAgainAt = now + SIGN_OF_LIFE_MS - ASK_AFTER_MS
+  return silent
+}
+
+/** The engine answered when it was asked for a sign of life. */
+export function gaveSignOfLife (upstream: Upstream, now: MonotonicMilliseconds): void {
+  heardFrom(upstream, now)
+  upstream.livesUntil = now + SIGN_OF_LIFE_MS
+}
+
+/** By its entry or by its own word. */
+export function isLeaving ({ entry, saidLeaving }: Upstream): boolean {
+  return entry.leaving || saidLeaving
+}
+
+/** When the upstream may be tried again after its failures and refusals. */
+export function availableAt ({ pausedUntil, restsUntil }: Upstream): MonotonicMilliseconds {
+  return Math.max(pausedUntil, restsUntil)
 }
 
 export function isUsable (upstream: Upstream, now: MonotonicMilliseconds): boolean {
-  return now >= upstream.pausedUntil && !isSilent(upstream, now)
+  return now >= availableAt(upstream) && !isSilent(upstream, now)
 }
 
 export function attemptBegan (upstream: Upstream, unreadTokens: number, now: MonotonicMilliseconds): void {
@@ -226,6 +311,17 @@
   upstream.inFlight -= 1
 }
 
+/** The caller does not keep up with the answer, so nothing more is read of it. */
+export function attemptHeld (upstream: Upstream): void {
+  upstream.held += 1
+}
+
+/** The answer is read again, or ended. */
+export function attemptReleased (upstream: Upstream, now: MonotonicMilliseconds): void {
+  upstream.held -= 1
+  upstream.quietSince = now
+}
+
 /** Any byte of an answer shows that the upstream lives. */
 export function heardFrom (upstream: Upstream, now: MonotonicMilliseconds): void {
   upstream.lastHeard = now
@@ -272,3 +368,8 @@
 export function pauseAfterRefusal (upstream: Upstream, loading: boolean, now: MonotonicMilliseconds): void {
   upstream.pausedUntil = Math.max(upstream.pausedUntil, now + (loading ? LOADING_PAUSE_MS : FULL_PAUSE_MS))
 }
+
+/** The upstream wants nothing from this instance for so many milliseconds. A shorter word does not end a longer one. */
+export function restUpstream (upstream: Upstream, milliseconds: number, now: MonotonicMilliseconds): void {
+  upstream.restsUntil = Math.max(upstream.restsUntil, now + Math.min(LONGEST_REST_MS, milliseconds))
+}
--- a/src/edge/weightsMove.ts
+++ b/src/edge/weightsMove.ts
@@ -1,6 +1,6 @@
 /** Decides which engine loads new weights next. */
 import type { MonotonicMilliseconds } from '../types'
-import { currentWait, isUsable, learnWeights, type Upstream } from './upstreamDirectory'
+import { currentWait, isLeaving, isUsable, learnWeights, type Upstream } from './upstreamDirectory'
 import { OrderOutcome } from './types'
 import { elapsed } from './freshness'
 import type { EngineReport, Instant, ModelWeights } from './types'
@@ -99,7 +99,7 @@
 }
 
 function listEngines (upstreams: Iterable<Upstream>): Upstream[] {
-  return [...upstreams].filter(({ weights, entry }) => weights.size > 0 && !entry.leaving)
+  return [...upstreams].filter((upstream) => upstream.weights.size > 0 && !isLeaving(upstream))
 }
 
 /**
@@ -126,7 +126,7 @@
 
   /** Weights that the engine should load; undefined when it has the newest ones. */
   function behind (upstream: Upstream): ModelWeights | undefined {
-    if (upstream.entry.leaving) return undefined
+    if (isLeaving(upstream)) return undefined
     for (const [model, version] of upstream.weights) {
       const target = targets.get(model)
       if (target !== undefined && version < target) return { model, version: target }
@@ -207,7 +207,7 @@
       let loading = waiting.filter(({ state }) => isLoading(state, now)).length
       const steps: WeightsStep[] = []
       for (const { upstream, wanted, state } of waiting) {
-        if (now < state.lookAgainAt) continue
+        if (now < Math.max(state.lookAgainAt, upstream.restsUntil)) continue
         const isStarted = isLoading(state, now)
         if (!isStarted && loading >= limit) continue
         if (!isStarted) loading += 1
--- a/src/edge/weightsTask.ts
+++ b/src/edge/weightsTask.ts
@@ -1,8 +1,8 @@
 /** Gives engines the orders that bring them to new weights, under the lease. */
 import { EdgeEvent, reasonOf, type EdgeLog } from './events'
 import type { LeaseTask } from './leaseTask'
-import type { EngineControl, Instant } from './types'
-import type { UpstreamDirectory } from './upstreamDirectory'
+import type { EngineControl, Instant, UpstreamWord } from './types'
+import type { Upstream, UpstreamDirectory } from './upstreamDirectory'
 import type { LoadProgress, WeightsMove, WeightsStep } from './weightsMove'
 
 /** Milliseconds between looks at whether there is something to do. */
@@ -19,6 +19,8 @@
   move: WeightsMove
   directory: UpstreamDirectory
   isStopping: () => boolean
+  /** Takes in what an answer of an engine says of the engine. */
+  onWord: (upstream: Upstream, word: UpstreamWord) => void
   /** Tells the other instances how far the move is. */
   publish: (progress: LoadProgress) => void
   log: EdgeLog
@@ -38,8 +40,9 @@
 
   async function perform ({ kind, upstream, wanted }: WeightsStep): Promise<void> {
     const { identifier } = upstream.entry
+    const onWord = (word: UpstreamWord): void => { options.onWord(upstream, word) }
     if (kind === 'report') {
-      move.reported(upstream, await control.report(upstream.entry), now().steady)
+      move.reported(upstream, await control.report(upstream.entry, onWord), now().steady)
       return
     }
     const fencingToken = lease.token()
@@ -47,7 +50,7 @@
     const expectedOrders = move.acceptedOrders(upstream)
     const outcome = await control.orderWeights(upstream.entry, {
       ...wanted, holder: instance, fencingToken, expectedOrders
-    }).catch((error: unknown) => {
+    }, onWord).catch((error: unknown) => {
       log(EdgeEvent.weightsOrderFailed, { upstream: identifier, ...wanted, reason: reasonOf(error) })
       return 'unknown' as const
     })
--- a/standins/fleet/upstream.ts
+++ b/standins/fleet/upstream.ts
@@ -27,6 +27,8 @@
   unframedReset: 'unframedReset',
   /** Answers nothing. */
   silent: 'silent',
+  /** Stalls within a stream and sends a comment now and then. */
+  comments: 'comments',
   /** Answers a long request before its body is in. */
   early: 'early'
 } as const
@@ -56,6 +58,12 @@
   fail: (...faults: UpstreamFault[]) => void
   /** Weights of the model `small`; 0 makes it a plain service. */
   weights: number
+  /** Headers of every answer, refusals, reports and answers to orders included. */
+  says: Record<string, string>
+  /** Refuses all requests without running them. */
+  isFull: boolean
+  /** Answers nothing at all any more, on open connections either. */
+  isDark: boolean
   /** Orders that were accepted. */
   orders: Array<Record<string, unknown>>
   close: () => Promise<void>
@@ -66,6 +74,8 @@
   events?: number
   /** Milliseconds between events, and before a plain answer. @default 5 */
   pace?: number
+  /** Bytes of a comment in each event. @default 0 */
+  padding?: number
   /** Weights of the model `small`; 0 makes it a plain service. @default 0 */
   weights?: number
   /** Faults of the next requests, one each; several stand-ins may share one list. @default [] */
@@ -79,19 +89,21 @@
 }
 
 export async function startUpstreamStandIn (
-  identifier: string, { events = 4, pace = 5, weights = 0, faults = [] }: UpstreamStandInOptions = {}
+  identifier: string, { events = 4, pace = 5, padding = 0, weights = 0, faults = [] }: UpstreamStandInOptions = {}
 ): Promise<UpstreamStandIn> {
   const runs: UpstreamRun[] = []
   const orders: Array<Record<string, unknown>> = []
+  const comment = padding === 0 ? '' : `: ${'.'.repeat(padding)}\n`
   let arrivals = 0
 
   function refuse (response: ServerResponse, status: number, headers: Record<string, string>): void {
-    response.writeHead(status, { ...headers, 'Content-Length': '0' }).end()
+    response.writeHead(status, { ...standIn.says, ...headers, 'Content-Length': '0' }).end()
   }
 
   function headersOf (request: IncomingMessage, fault: UpstreamFault | undefined): Record<string, string> {
     const own = String(request.headers['request-id'])
     return {
+      ...standIn.says,
       'Request-Id': fault === UpstreamFault.crossed ? 'another' : own,
       ...(fault === UpstreamFault.unsigned ? {} : { 'Response-Stamp': `stamp.${identifier}.${own}` }),
       ...(standIn.weights > 0 ? { 'Weight-Versions': String(standIn.weights) } : {})
@@ -109,7 +121,7 @@
       setTimeout(next, Math.max(0, dueAt - performance.now()))
     }
     const next = (): void => {
-      if (response.destroyed) return
+      if (response.destroyed || standIn.isDark) return
       number += 1
       const start = eventText(number).slice(0, 8)
       const endings: Partial<Record<UpstreamFault, () => void>> = {
@@ -118,13 +130,17 @@
           setTimeout(() => { response.socket?.resetAndDestroy() }, pace)
         },
         tornEvent: () => { response.end(start) },
+        comments () {
+          const timer = setInterval(() => { response.write(': still here\n\n') }, 200)
+          response.on('close', () => { clearInterval(timer) })
+        },
         silent: () => {}
       }
       const ending = fault === undefined || number <= Math.ceil(events / 2) ? undefined : endings[fault]
       if (ending !== undefined) ending()
       else if (number > events) response.end()
       else {
-        response.write(eventText(number))
+        response.write(comment + eventText(number))
         schedule()
       }
     }
@@ -195,10 +211,11 @@
   }
 
   const server = createServer((request, response) => {
+    if (standIn.isDark) return
     if (request.url === '/report') {
       const models = [{ name: 'small', version: standIn.weights, adapters: [] }]
       const text = JSON.stringify({ stage: 'both', models, busy: false, sequence: orders.length })
-      response.writeHead(200, { 'Content-Length': text.length }).end(text)
+      response.writeHead(200, { ...standIn.says, 'Content-Length': text.length }).end(text)
       return
     }
     const isOrder = request.url === '/order'
@@ -217,7 +234,7 @@
       if (isOrder) return order(response, body)
       const version = request.headers['expected-version']
       if (version !== undefined && Number(version) !== standIn.weights) return refuse(response, 421, {})
-      if (fault === UpstreamFault.full) return refuse(response, 503, { 'Not-Executed': '1' })
+      if (standIn.isFull || fault === UpstreamFault.full) return refuse(response, 503, { 'Not-Executed': '1' })
       run(request, response, body, fault)
     })
   })
@@ -230,6 +247,9 @@
     arrivals: () => arrivals,
     fail: (...next) => { faults.push(...next) },
     weights,
+    says: {},
+    isFull: false,
+    isDark: false,
     orders,
     async close () {
       server.closeAllConnections()
