Read the store through one hub of the whole fleet; ask others first at a start; leave the lease alone while its holder is heard

Cause: calls to the store are the largest price of a large fleet. Ruled out: longer waits (the proof of the configuration must stay younger than 0.9 of the revocation bound); fewer relays with each still reading the store (grows with data centres). Change: one order of all names chooses a hub, which alone reads the store, its deputy in another data centre, and two relays of each data centre; everyone asks only those before it in the order, so that no circle of waits can form from partial lists. An instance that starts writes its row, reads the list and asks others for all else. A relay tells how old the store's word was when the question came, so that the time of the wait is not counted twice. Renewing the lease needs no read, and nobody else reads it while the holder's news comes. Found on the way: at a start the first reading of the list failed ("Cannot access 'instances' before initialization") once the list went through the relays; a limit on the age that was too short for two steps.

--- a/src/edge/__tests__/storeLease.test.ts
+++ b/src/edge/__tests__/storeLease.test.ts
@@ -38,6 +38,22 @@
   })
 })
 
+describe('renewal', () => {
+  it.each([
+    ['needs no reading while the lease is held', at(2000), 9],
+    ['needs one when its time is over', at(2100), undefined],
+    ['needs one after a freeze that only the wall clock shows', { steady: 100, wall: 5000 }, undefined]
+  ])('%s', (_title, now, version) => {
+    const lease = createStoreLease('a', 5, DURATION)
+    claimAt(lease, row({ holder: 'b', incarnation: 1, expires: 4000 }), 50_000)
+    lease.granted(9, at(0))
+    // The row that was read before names another holder whose lease is not long over.
+    lease.observe(row({ holder: 'b', incarnation: 1, expires: 49_000 }, 7))
+    const claim = lease.claim(now)!
+    expect('version' in claim ? claim.version : undefined).toBe(version)
+  })
+})
+
 describe('token', () => {
   it.each([
     ['right after the grant', at(100), 9],
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -40,6 +40,8 @@
 
 /** Milliseconds between changes of a cache store and the next call: parts come in all the time. */
 const CACHE_SETTLE_MS = 500
+/** Milliseconds for which news of the holder of the lease shows that it is held; it speaks four times a second. */
+const HOLDER_NEWS_MS = 1000
 /** Milliseconds between looks for silent upstreams and idle connections. */
 const SWEEP_MS = 100
 /** Milliseconds between writes of the log. */
@@ -113,6 +115,8 @@
   let underOrder: ReadonlySet<Upstream> = new Set()
   const exchanges = new Set<Exchange>()
   const backlogs = new Map<string, Backlog>()
+  /** When the holder of the lease last told something. */
+  let holderHeardAt = -Infinity
   let stopping = false
   let refusing = false
 
@@ -142,7 +146,8 @@
     now: () => performance.now()
   })
   const { name, dataCentre } = instance
-  const peers = (): readonly Peer[] => instances.peers()
+  let listedPeers = (): readonly Peer[] => []
+  const peers = (): readonly Peer[] => listedPeers()
   const relay = createTableRelay({
     store: withCacheTables(store, control.cacheEvents),
     links,
@@ -175,6 +180,7 @@
     instance: name,
     dataCentre
   })
+  listedPeers = instances.peers
   const quotas = createQuotaShares({
     window: limits.quotaWindow, overage: limits.quotaOverage, slack: limits.quotaSlack, startedAt: performance.now()
   })
@@ -185,6 +191,7 @@
     kind: PeerQuestion.weightsProgress,
     onNews (content) {
       const progress = readProgress(content)
+      holderHeardAt = performance.now()
       if (progress !== undefined) move.takeProgress(progress, directory.all(), performance.now())
     },
     onFault: reportFault
@@ -216,6 +223,7 @@
     kind: PeerQuestion.moves,
     onNews (content) {
       const news = readMoveNews(content)
+      holderHeardAt = performance.now()
       if (news !== undefined) moves.takeNews(news, performance.now())
     },
     onFault: reportFault
@@ -302,6 +310,7 @@
     directory,
     weights: move,
     moves,
+    whenReady: instances.whenReady,
     onConfiguration (configuration) {
       server.setLimits(configuration.limits)
       cacheStores.configure(configuration.cacheStores)
@@ -313,6 +322,7 @@
     instance: name,
     store,
     lease: createStoreLease(name, incarnation, limits.lease),
+    isHeldByOther: () => performance.now() - holderHeardAt < HOLDER_NEWS_MS,
     isWanted: () => moves.pending().length > 0 || move.isPending(directory.all()),
     isStopping: () => stopping,
     peers: () => peers().map((peer) => peer.name),
--- a/src/edge/instanceList.ts
+++ b/src/edge/instanceList.ts
@@ -18,6 +18,8 @@
  * and each change costs a call of every instance that reads the store.
  */
 const SETTLE_MS = 400
+/** Milliseconds for which an instance that starts waits for the list, so that it can ask others for all else. */
+const START_LIMIT_MS = 500
 /** Milliseconds between attempts to write the own row. */
 const WRITE_RETRY_MS = 500
 
@@ -40,6 +42,8 @@
   share: () => number
   /** The other instances. */
   peers: () => readonly Peer[]
+  /** Calls the listener when the list has been read once, or after a while when it cannot be. */
+  whenReady: (listener: () => void) => void
   stop: () => void
 }
 
@@ -91,6 +95,15 @@
     log(EdgeEvent.instancesChanged, { count: shares.count(), share: shares.share(dataCentre) })
   }
 
+  let isReady = false
+  const waiting: Array<() => void> = []
+  const readyTimer = setTimeout(noteReady, START_LIMIT_MS)
+
+  function noteReady (): void {
+    isReady = true
+    for (const listener of waiting.splice(0)) listener()
+  }
+
   tryRegister()
   const follower: Follower = followTable({
     ...options,
@@ -105,6 +118,7 @@
       shares.set(instance, dataCentre)
       for (const row of rows) take(row)
       noteChange()
+      noteReady()
     },
     onChanges (rows) {
       for (const row of rows) take(row)
@@ -116,8 +130,13 @@
     count: shares.count,
     share: () => shares.share(dataCentre),
     peers: () => peers,
+    whenReady (listener) {
+      if (isReady) listener()
+      else waiting.push(listener)
+    },
     stop () {
       clearTimeout(timer)
+      clearTimeout(readyTimer)
       follower.stop()
     }
   }
--- a/src/edge/leaseTask.ts
+++ b/src/edge/leaseTask.ts
@@ -23,6 +23,8 @@
   instance: string
   store: Pick<Store, 'read' | 'commit'>
   lease: StoreLease
+  /** Another instance has told lately what it does under the lease. */
+  isHeldByOther: () => boolean
   /** Whether this instance knows of work under the lease. */
   isWanted: () => boolean
   isStopping: () => boolean
@@ -52,11 +54,15 @@
     return Math.min(LONGEST_CLAIM_DELAY_MS, rank * CLAIM_STEP_MS) + random() * CLAIM_STEP_MS
   }
 
-  async function claim (): Promise<void> {
+  async function readLease (): Promise<void> {
     const readAt = now()
     const reading = await store.read(LEASE_TABLE)
     lease.clock(reading.storeTime, readAt)
     lease.observe(reading.rows.find(({ key }) => key === LEASE_KEY))
+  }
+
+  async function claim (): Promise<void> {
+    if (lease.token(now()) === undefined) await readLease()
     const sentAt = now()
     const claim = lease.claim(sentAt)
     if (claim === undefined) return
@@ -88,7 +94,8 @@
 
   function tick (): void {
     const present = now()
-    const wanted = options.isWanted()
+    // The store need not be asked while the holder is heard of; those that wait for it then do so in turn.
+    const wanted = options.isWanted() && (wasHeld || !options.isHeldByOther())
     if (wanted && !wasWanted) claimAt = Math.max(claimAt, present.steady + claimDelay())
     wasWanted = wanted
     if (!wanted || options.isStopping()) return
--- a/src/edge/storeFollower.ts
+++ b/src/edge/storeFollower.ts
@@ -24,6 +24,8 @@
   relay: RelayedTable
   /** Milliseconds that a call waits for changes. */
   wait: number
+  /** Calls its argument when the first call to the store may be sent. @default at once */
+  whenReady?: (start: () => void) => void
   /**
    * Highest version of the store that a call of this instance has shown; an older answer comes from a stale replica. 0
    * until a write has been acknowledged: a read alone may show an old state. Undefined for a source without replicas.
@@ -153,7 +155,8 @@
     else timer = setTimeout(run, milliseconds)
   }
 
-  run()
+  if (options.whenReady === undefined) run()
+  else options.whenReady(run)
   return {
     stop () {
       stopped = true
--- a/src/edge/storeLease.ts
+++ b/src/edge/storeLease.ts
@@ -28,7 +28,8 @@
   /** Notes an answer's store time, for a call sent at `sentAt`. */
   clock: (storeTime: number, sentAt: Instant) => void
   /**
-   * Value for a write that is about to be sent, and the version that the row must have. While another instance holds the
+   * While this instance holds the lease, the value and version for its renewal need no new reading. Else as observed:
+   * value for a write that is about to be sent, and the version that the row must have. While another instance holds the
    * lease: milliseconds until it can be taken over if it is not renewed.
    */
   claim: (now: Instant) => { value: string, version: number } | { heldFor: number } | undefined
@@ -80,12 +81,14 @@
     claim (now) {
       const storeTime = latestStoreTime(now)
       if (storeTime === undefined) return undefined
+      const value: LeaseRecord = { holder, incarnation, expires: Math.ceil(storeTime + duration) }
+      const ownVersion = token(now)
+      if (ownVersion !== undefined) return { value: JSON.stringify(value), version: ownVersion }
       const record = row === undefined ? undefined : parseRecord(row)
       const isOwn = record?.holder === holder && record.incarnation === incarnation
       // The reading's own time is used here, not an extrapolation: it is never later than the store's clock.
       const takeoverAt = record === undefined || isOwn ? -Infinity : record.expires + duration * TAKEOVER_SHARE
       if (reference!.storeTime <= takeoverAt) return { heldFor: takeoverAt - reference!.storeTime }
-      const value: LeaseRecord = { holder, incarnation, expires: Math.ceil(storeTime + duration) }
       return { value: JSON.stringify(value), version: row?.version ?? 0 }
     },
     granted (version, sentAt) {
--- a/src/edge/storeTables.ts
+++ b/src/edge/storeTables.ts
@@ -15,9 +15,9 @@
 /** Milliseconds that a call waits for changes without a revocation bound, and for changes of upstreams. */
 export const FOLLOW_MS = 2000
 /**
- * Milliseconds for each instance that reads the store between changes of the list and its next call: upstreams write their
- * entries about once a second, and every change costs a call of each reader. The longest leaves a leaving upstream known
- * well within two seconds.
+ * Milliseconds between changes of the list and the next call of an instance that reads the store. Upstreams write their
+ * entries about once a second, and every change costs a call of each reader, so the time doubles up to the longest while
+ * the changes tell nothing of upstreams that come or go. A leaving upstream is known well within two seconds.
  */
 const SETTLE_MS = 80
 const LONGEST_SETTLE_MS = 700
@@ -35,13 +35,15 @@
   /** What all followers of this instance share. */
   shared: Pick<FollowerOptions, 'store' | 'newestVersion' | 'log' | 'now' | 'random'>
   records: StoreRecords
-  relay: Pick<TableRelay, 'table' | 'readers'>
+  relay: Pick<TableRelay, 'table'>
   /** Milliseconds after which a key that was taken away must not be used. */
   revocation: number
   freshness: Pick<Freshness, 'proved'>
   directory: UpstreamDirectory
   weights: Pick<WeightsMove, 'want'>
   moves: Pick<ServiceMoves, 'request'>
+  /** Calls its argument when the other instances are known, or cannot be found out soon. */
+  whenReady: (start: () => void) => void
   onConfiguration: (configuration: EdgeConfiguration) => void
   /** A move was asked for at an unknown time, so that it may have begun or ended. */
   onOldMove: (service: string) => void
@@ -63,6 +65,7 @@
   const { log, now } = shared
   let routes: RouteTable | undefined
   let listRead = false
+  let settle = SETTLE_MS
 
   function takeConfiguration (value: Buffer, rowVersion: number): void {
     try {
@@ -103,6 +106,7 @@
   }
 
   function note (changes: readonly DirectoryChange[]): void {
+    if (changes.length > 0) settle = SETTLE_MS
     for (const change of changes) {
       const { kind, upstream } = change
       const { identifier, service, startedAt, softwareVersion } = upstream.entry
@@ -123,8 +127,15 @@
     note(entry === undefined ? directory.remove(row.key, afterOutage, present) : directory.update(entry))
   }
 
+  function nextSettle (): number {
+    const present = settle
+    settle = Math.min(LONGEST_SETTLE_MS, settle * 2)
+    return present
+  }
+
   const operatorFollower = followTable({
     ...shared,
+    whenReady: options.whenReady,
     table: records.tables.operator,
     relay: relay.table(records.tables.operator),
     wait: Number.isFinite(revocation) ? Math.round(revocation * FOLLOW_SHARE) : FOLLOW_MS,
@@ -134,10 +145,11 @@
   })
   const upstreamFollower = followTable({
     ...shared,
+    whenReady: options.whenReady,
     table: records.tables.upstreams,
     relay: relay.table(records.tables.upstreams),
     wait: FOLLOW_MS,
-    settle: (wasRelayed) => wasRelayed ? ASKED_SETTLE_MS : Math.min(LONGEST_SETTLE_MS, relay.readers() * SETTLE_MS),
+    settle: (wasRelayed) => wasRelayed ? ASKED_SETTLE_MS : nextSettle(),
     onRows (rows, { afterOutage }) {
       listRead = true
       const entries = rows.flatMap((row) => readEntry(row) ?? [])
--- a/src/edge/tableRelay.ts
+++ b/src/edge/tableRelay.ts
@@ -1,27 +1,30 @@
 /**
- * Reads tables of the store once for several instances. A few relays of each data centre follow the store; the others ask
- * one of them what changed and how long ago the store itself said so. Whoever gets no good answer asks the store.
+ * Reads tables of the store once for all instances. Hubs follow the store; the others ask them or relays, which ask them,
+ * what changed and how long ago the store itself said so. Whoever gets no good answer asks the store.
  */
 import { HistoryLostError, PlatformUnavailableError } from '../errors'
-import { rankByRendezvous } from '../rendezvous'
 import { EdgeEvent, type EdgeLog } from './events'
 import { elapsed } from './freshness'
 import { PeerQuestion, type PeerLinks, type PeerValue } from './peerLinks'
+import { chooseRelays, type RelayChoice } from './relayChoice'
 import { createTableHistory, type TableChanges, type TableHistory } from './tableHistory'
 import type { Instant, Peer, Store, StoreReading, StoreRow } from './types'
 
-/** Relays of each data centre: one may be lost without more calls to the store. */
-const RELAYS = 2
 /** Part of the wait of a call to the store that a question to a relay waits, so that both ages together stay small. */
 const ASKED_WAIT_SHARE = 0.3
-/** Part of that wait that a relay's own call waits. */
-const RELAY_WAIT_SHARE = 0.6
+/** Part of that wait that the hub's own call waits. */
+const HUB_WAIT_SHARE = 0.5
+/**
+ * Largest age of the store's last word that is good enough for others, as a part of that wait: two calls of the hub, one
+ * of which is on its way, and the question of a relay.
+ */
+const LONGEST_AGE_SHARE = 2 * HUB_WAIT_SHARE + ASKED_WAIT_SHARE
 /** Milliseconds for the answer to a question besides its wait. */
 const ASK_TIMEOUT_MS = 400
-/** Milliseconds besides two waits of its calls for which the store's last word to a relay is good enough for others. */
+/** Milliseconds besides for which it is good enough; calls take a few of them. */
 const CONTACT_MARGIN_MS = 500
 /** Milliseconds that stand for the wait of a call that reads all rows, for the age that is good enough. */
-const SCARCE_READ_MS = 2000
+const READ_MS = 2000
 /** Milliseconds for which a relay is not asked after it could not tell what the store holds. */
 const REFUSAL_PAUSE_MS = 1000
 
@@ -55,8 +58,6 @@
   /** The store as followers should read it. */
   store: Pick<Store, 'read' | 'follow'>
   table: (name: string) => RelayedTable
-  /** Instances that read the store itself. */
-  readers: () => number
   /** Answers a peer's question about a table. */
   answer: (question: PeerValue) => Promise<PeerValue>
   /** Questions of peers that wait for a change. */
@@ -127,24 +128,22 @@
     for (const go of [...table.waiting]) go()
   }
 
-  let rankedPeers: readonly Peer[] | undefined
-  let ranked: readonly Peer[] | undefined
+  let chosenFrom: readonly Peer[] | undefined
+  let chosen: RelayChoice | undefined
 
-  /** The relays of this data centre, in this instance's order; undefined when it is a relay itself. */
-  function otherRelays (): readonly Peer[] | undefined {
+  function choice (): RelayChoice {
     const peers = options.peers()
-    if (peers !== rankedPeers) {
-      rankedPeers = peers
-      ranked = rankRelays(peers)
+    if (chosen === undefined || peers !== chosenFrom) {
+      chosenFrom = peers
+      chosen = chooseRelays(instance, dataCentre, peers)
     }
-    return ranked
+    return chosen
   }
 
-  function rankRelays (peers: readonly Peer[]): readonly Peer[] | undefined {
-    const near = peers.filter((peer) => peer.dataCentre === dataCentre)
-    const names = rankByRendezvous(dataCentre, [instance, ...near.map(({ name }) => name)]).slice(0, RELAYS)
-    if (names.includes(instance)) return undefined
-    return rankByRendezvous(instance, names).flatMap((name) => near.find((peer) => peer.name === name) ?? [])
+  /** The instances to ask about a table; undefined when this one reads it from its source. */
+  function sourcesOf (table: string): readonly Peer[] | undefined {
+    const { sources, isRelay } = choice()
+    return isScarce(table) && isRelay ? undefined : sources
   }
 
   function isUsable ({ name, endpoint }: Peer): boolean {
@@ -158,7 +157,7 @@
    */
   async function ask (relay: Peer, table: string, after: number | undefined, wait: number): Promise<StoreReading> {
     const asked = Math.round(wait * ASKED_WAIT_SHARE)
-    const longestAge = wait * RELAY_WAIT_SHARE * 2 + CONTACT_MARGIN_MS
+    const longestAge = wait * LONGEST_AGE_SHARE + CONTACT_MARGIN_MS
     const question = { kind: PeerQuestion.changes, table, after, wait: asked, longestAge }
     let answer: PeerValue
     try {
@@ -174,6 +173,18 @@
     return decodeReading(answer)
   }
 
+  /** Asks the store itself when the relay gives no good answer. */
+  async function askOr (
+    relay: Peer, table: string, after: number | undefined, wait: number, askStore: () => Promise<StoreReading>
+  ): Promise<StoreReading> {
+    try {
+      return await ask(relay, table, after, wait)
+    } catch (error) {
+      if (!(error instanceof PlatformUnavailableError) || isScarce(table)) throw error
+      return await askStore()
+    }
+  }
+
   function usableRelay (relays: readonly Peer[], table: string): Peer | undefined {
     const relay = relays.find(isUsable)
     if (relay === undefined && isScarce(table)) {
@@ -196,16 +207,17 @@
   }
 
   /**
-   * Milliseconds since the store's last word.
-   * @throws PlatformUnavailableError when it cannot be passed on
+   * Milliseconds between the store's last word and a question; 0 for a word after the question. The asker counts them
+   * back from when it sent the question, so that neither its wait nor a freeze of either makes the word look newer.
+   * @throws PlatformUnavailableError when the word is too old to be passed on
    */
-  function ageOf ({ contactAt, isLost }: KnownTable, longestAge: number): number {
+  function ageBefore (askedAt: Instant, { contactAt, isLost }: KnownTable, longestAge: number): number {
     const age = contactAt === undefined ? Infinity : elapsed(contactAt, now())
-    if (isLost || age > longestAge) {
+    if (contactAt === undefined || isLost || age > longestAge) {
       const last = Number.isFinite(age) ? `last reached ${Math.round(age)} ms ago` : 'never reached'
       throw new PlatformUnavailableError(`the store was ${last}`)
     }
-    return age
+    return Math.max(0, elapsed(contactAt, askedAt))
   }
 
   /** Undefined when the peer has to read the whole table. */
@@ -217,22 +229,18 @@
   return {
     store: {
       async read (table) {
-        const relays = isScarce(table) ? otherRelays() : undefined
+        const relays = sourcesOf(table)
         const relay = relays === undefined ? undefined : usableRelay(relays, table)
-        return relay === undefined ? await store.read(table) : await ask(relay, table, undefined, SCARCE_READ_MS)
+        if (relay === undefined) return await store.read(table)
+        return await askOr(relay, table, undefined, READ_MS, async () => await store.read(table))
       },
       async follow (table, after, wait) {
-        const relays = otherRelays()
-        if (relays === undefined) return await store.follow(table, after, Math.round(wait * RELAY_WAIT_SHARE))
+        const relays = sourcesOf(table)
+        if (relays === undefined) return await store.follow(table, after, Math.round(wait * HUB_WAIT_SHARE))
         const relay = usableRelay(relays, table)
         if (relay === undefined) return await store.follow(table, after, wait)
-        try {
-          return await ask(relay, table, after, wait)
-        } catch (error) {
-          if (!(error instanceof PlatformUnavailableError) || isScarce(table)) throw error
-          // No wait, to make up for the time that the question took.
-          return await store.follow(table, after, 0)
-        }
+        // No wait, to make up for the time that the question took.
+        return await askOr(relay, table, after, wait, async () => await store.follow(table, after, 0))
       }
     },
     table (name) {
@@ -255,25 +263,23 @@
       }
     },
     waitingQuestions: () => [...tables.values()].reduce((sum, { waiting }) => sum + waiting.size, 0),
-    readers () {
-      const counts = new Map([[dataCentre, 1]])
-      for (const peer of options.peers()) counts.set(peer.dataCentre, (counts.get(peer.dataCentre) ?? 0) + 1)
-      return [...counts.values()].reduce((sum, count) => sum + Math.min(RELAYS, count), 0)
-    },
     async answer (question) {
+      const askedAt = now()
       const { table: name, after, wait, longestAge } = question
       const isSound = typeof name === 'string' && typeof wait === 'number' && typeof longestAge === 'number' &&
         (typeof after === 'number' || after === undefined)
       if (!isSound) throw new PlatformUnavailableError('the question cannot be read')
       const table = tables.get(name)
       if (table === undefined) throw new PlatformUnavailableError(`table ${name} is not known here`)
-      const age = ageOf(table, longestAge)
+      // At the start of a fleet those that are asked are about to read the table themselves.
+      if (table.contactAt === undefined && !table.isLost) await pause(table, wait)
+      const age = ageBefore(askedAt, table, longestAge)
       if (after === undefined) {
         const newest = table.history.version()
         return { rows: encodeRows(table.history.all(), newest), version: newest, age }
       }
       if (changesOf(name, table, after)?.rows.length === 0) await pause(table, wait)
-      const laterAge = ageOf(table, longestAge)
+      const laterAge = ageBefore(askedAt, table, longestAge)
       const changes = changesOf(name, table, after)
       if (changes === undefined) return { isForgotten: true }
       const { rows, version, unseenFor } = changes
--- a/src/edge/types.ts
+++ b/src/edge/types.ts
@@ -217,7 +217,7 @@
 
 /** What a relay tells of a reading besides its rows. */
 export interface RelayedProof {
-  /** Milliseconds since the store itself showed that the rows are the newest ones. */
+  /** Milliseconds before the question at which the store itself showed that the rows are the newest ones. */
   age: number
   /** Milliseconds before the answer after which the rows were written; undefined when the relay does not know. */
   unseenFor: number | undefined
