--- a/src/edge/answerBuffers.ts
+++ b/src/edge/answerBuffers.ts
@@ -2,15 +2,16 @@
  * Holds answers that are passed on only when they are whole.
  *
  * Load pattern: an upstream in trouble sends bytes that are no answer until its connection is closed, to every request
- * that it has. One such answer must not take the instance's memory, nor may many of them at once.
+ * that it has, in pieces of any size. One such answer must not take the instance's memory or processor, nor may many of
+ * them at once: tiny pieces count for more than their bytes.
  */
 
-import { createGrowingBytes } from './growingBytes'
+import { costOfPiece, createGrowingBytes } from './growingBytes'
 
 /** Bytes of one answer; plain services answer with a few KB. */
-export const LONGEST_ANSWER_BYTES = 2_097_152
+export const LONGEST_ANSWER_BYTES = 1_048_576
 /** Bytes of all answers of an instance together; the smallest instances have 88 MB for everything. */
-export const MOST_ANSWER_BYTES = 16_777_216
+export const MOST_ANSWER_BYTES = 8_388_608
 
 export interface AnswerBuffer {
   /** False when the answer does not fit; nothing of it is held then. */
@@ -33,18 +34,19 @@
     const bytes = createGrowingBytes()
 
     function drop (): void {
-      total -= bytes.length()
+      total -= bytes.cost()
       bytes.clear()
     }
 
     return {
       push (chunk) {
-        if (bytes.length() + chunk.length > LONGEST_ANSWER_BYTES || total + chunk.length > MOST_ANSWER_BYTES) {
+        const cost = costOfPiece(chunk)
+        if (bytes.cost() + cost > LONGEST_ANSWER_BYTES || total + cost > MOST_ANSWER_BYTES) {
           drop()
           return false
         }
         bytes.push(chunk)
-        total += chunk.length
+        total += cost
         return true
       },
       take () {
--- a/src/edge/eventBoundary.ts
+++ b/src/edge/eventBoundary.ts
@@ -74,6 +74,6 @@
     rest: rest.view,
     lastEvent: () => lastEvent,
     dropRest: rest.clear,
-    overflowed: () => rest.length() > EVENT_LIMIT_BYTES
+    overflowed: () => rest.cost() > EVENT_LIMIT_BYTES
   }
 }
--- a/src/edge/growingBytes.ts
+++ b/src/edge/growingBytes.ts
@@ -4,10 +4,18 @@
  */
 
 const FIRST_CAPACITY_BYTES = 1024
+/** Bytes that a piece counts for at least; each costs the processor about as much as one of this size. */
+const LEAST_PIECE_BYTES = 64
+
+export function costOfPiece (piece: Buffer): number {
+  return Math.max(LEAST_PIECE_BYTES, piece.length)
+}
 
 export interface GrowingBytes {
   push: (piece: Buffer) => void
   length: () => number
+  /** The length, with tiny pieces counted for more. */
+  cost: () => number
   /** The bytes as they are now; valid until the next call. */
   view: () => Buffer
   clear: () => void
@@ -16,6 +24,7 @@
 export function createGrowingBytes (): GrowingBytes {
   let buffer: Buffer = Buffer.alloc(0)
   let length = 0
+  let cost = 0
 
   function reserve (needed: number): void {
     if (needed <= buffer.length) return
@@ -29,12 +38,15 @@
       reserve(length + piece.length)
       piece.copy(buffer, length)
       length += piece.length
+      cost += costOfPiece(piece)
     },
     length: () => length,
+    cost: () => cost,
     view: () => buffer.subarray(0, length),
     clear () {
       buffer = Buffer.alloc(0)
       length = 0
+      cost = 0
     }
   }
 }
