Leave resting engines without questions for a sign of life; let streams state any length

Found in the read-through. An engine that asked for a pause could still be asked for reports while it had requests of the instance in flight; the rule counts those. A stream that states a length of more than 1 MB was ended at its head, although streams are passed on event by event. Tests: upstreamWords.test.ts fails before for the first; the second by reading only.

--- a/src/edge/__tests__/upstreamWords.test.ts
+++ b/src/edge/__tests__/upstreamWords.test.ts
@@ -1,7 +1,9 @@
 import { describe, expect, it } from 'vitest'
 import type { PeerValue } from '../peerLinks'
 import type { UpstreamEntry } from '../types'
-import { availableAt, createUpstreamDirectory, isLeaving, type UpstreamDirectory } from '../upstreamDirectory'
+import {
+  attemptBegan, availableAt, createUpstreamDirectory, isLeaving, takeSilentEngines, type UpstreamDirectory
+} from '../upstreamDirectory'
 import { createUpstreamWords, type UpstreamWords } from '../upstreamWords'
 import { createWeightsMove } from '../weightsMove'
 import { createEntry } from './fixtures'
@@ -121,6 +123,10 @@
       move.nextSteps(directory.all(), now).map(({ upstream }) => upstream.entry.identifier)
     )
     expect(asked(1999)).not.toContain('a')
+    // Nor is it asked for a sign of life.
+    attemptBegan(directory.get('a')!, 0, 0)
+    expect(takeSilentEngines(directory.all(), 1999)).toEqual([])
+    expect(takeSilentEngines(directory.all(), 2000)).toEqual([directory.get('a')])
     expect(asked(2000)).toContain('a')
   })
 })
--- a/src/edge/answerBuffers.ts
+++ b/src/edge/answerBuffers.ts
@@ -5,7 +5,6 @@
  * that it has, in pieces of any size. One such answer must not take the instance's memory or processor, nor may many of
  * them at once: tiny pieces count for more than their bytes.
  */
-
 import { costOfPiece, createGrowingBytes } from './growingBytes'
 
 /** Bytes of one answer; plain services answer with a few KB. */
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -22,10 +22,10 @@
 import { createKeptParts } from './promptPlan'
 import { createQuotaShares } from './quotaShare'
 import { createRetryAllowance } from './retryAllowance'
-import { createSignsOfLife } from './signsOfLife'
 import { createServiceMoves, readMoveNews } from './serviceMoves'
 import { startServiceMovesTask } from './serviceMovesTask'
 import type { EdgeSettings } from './settings'
+import { createSignsOfLife } from './signsOfLife'
 import { followTable } from './storeFollower'
 import { createStoreLease } from './storeLease'
 import { FOLLOW_MS, followStoreTables } from './storeTables'
@@ -146,6 +146,7 @@
     now: () => performance.now()
   })
   const { name, dataCentre } = instance
+  // The list of instances is itself read through the relay, which needs it.
   let listedPeers = (): readonly Peer[] => []
   const peers = (): readonly Peer[] => listedPeers()
   const relay = createTableRelay({
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -345,8 +345,10 @@
       learnWeights(upstream, { model: facts.model, version: stated.weightsVersion })
     }
     current.head = head
-    if (Number(head.headers['content-length'] ?? 0) > LONGEST_ANSWER_BYTES) return abandon(current, TOO_LONG)
-    if (status !== 200 || history.repeat !== RepeatRule.stream || answer.hasBegun()) return
+    const isStream = status === 200 && history.repeat === RepeatRule.stream
+    const length = Number(head.headers['content-length'] ?? 0)
+    if (!isStream && length > LONGEST_ANSWER_BYTES) return abandon(current, TOO_LONG)
+    if (!isStream || answer.hasBegun()) return
     boundary = createEventBoundary()
     answer.begin(status, head.statusMessage, head.rawHeaders, true)
   }
--- a/src/edge/eventBoundary.ts
+++ b/src/edge/eventBoundary.ts
@@ -1,5 +1,4 @@
 /** Splits a stream of server-sent events so that only whole events go to the caller. */
-
 import { createGrowingBytes } from './growingBytes'
 
 /** Bytes of one event; more points to a broken upstream, which may send them to all its requests at once. */
--- a/src/edge/upstreamDirectory.ts
+++ b/src/edge/upstreamDirectory.ts
@@ -257,7 +257,8 @@
 /** Engines that should be asked for a sign of life; each is returned once in a while only. */
 export function takeSilentEngines (upstreams: Iterable<Upstream>, now: MonotonicMilliseconds): Upstream[] {
   const silent = [...upstreams].filter((upstream) => (
-    upstream.weights.size > 0 && silence(upstream, now) >= ASK_AFTER_MS && now >= upstream.askAgainAt
+    upstream.weights.size > 0 && silence(upstream, now) >= ASK_AFTER_MS &&
+    now >= Math.max(upstream.askAgainAt, upstream.restsUntil)
   ))
   for (const upstream of silent) upstream.askAgainAt = now + SIGN_OF_LIFE_MS - ASK_AFTER_MS
   return silent
