--- a/src/edge/__tests__/tableRelay.test.ts
+++ b/src/edge/__tests__/tableRelay.test.ts
@@ -153,6 +153,17 @@
     expect(waits).toEqual([0])
   })
 
+  it('is read through a relay that cannot tell what another table holds', async () => {
+    const fleet = createFleet(4, undefined, ['cache'])
+    prepare(fleet, 0)
+    const { relay, waits } = follower(fleet)
+    for (let call = 0; call < 2; call += 1) {
+      await expect(relay.store.follow('cache', 6, WAIT_MS)).rejects.toBeInstanceOf(PlatformUnavailableError)
+    }
+    expect(await relay.store.follow(TABLE, 5, WAIT_MS)).toMatchObject({ rows: [row('new', 6)] })
+    expect(waits).toEqual([])
+  })
+
   it('is read as a whole by one who is behind the history of the relay', async () => {
     const fleet = createFleet(4)
     prepare(fleet, 0)
--- a/src/edge/tableRelay.ts
+++ b/src/edge/tableRelay.ts
@@ -112,6 +112,7 @@
 export function createTableRelay (options: TableRelayOptions): TableRelay {
   const { store, links, instance, dataCentre, isScarce = () => false, log, now } = options
   const tables = new Map<string, KnownTable>()
+  /** By relay and table: one that cannot tell what a cache store holds may know all else. */
   const pausedUntil = new Map<string, number>()
 
   function known (name: string): KnownTable {
@@ -146,8 +147,8 @@
     return isScarce(table) && isRelay ? undefined : sources
   }
 
-  function isUsable ({ name, endpoint }: Peer): boolean {
-    return links.isUsable(endpoint) && (pausedUntil.get(name) ?? -Infinity) <= now().steady
+  function isUsable ({ name, endpoint }: Peer, table: string): boolean {
+    return links.isUsable(endpoint) && (pausedUntil.get(`${name}/${table}`) ?? -Infinity) <= now().steady
   }
 
   /**
@@ -165,7 +166,7 @@
     } catch (error) {
       if (error instanceof PlatformUnavailableError) {
         log(EdgeEvent.relayRefused, { peer: relay.name, table, reason: error.message })
-        pausedUntil.set(relay.name, now().steady + REFUSAL_PAUSE_MS)
+        pausedUntil.set(`${relay.name}/${table}`, now().steady + REFUSAL_PAUSE_MS)
       }
       throw error
     }
@@ -186,7 +187,7 @@
   }
 
   function usableRelay (relays: readonly Peer[], table: string): Peer | undefined {
-    const relay = relays.find(isUsable)
+    const relay = relays.find((one) => isUsable(one, table))
     if (relay === undefined && isScarce(table)) {
       throw new PlatformUnavailableError(`no relay tells what table ${table} holds`)
     }
