--- a/src/edge/relayChoice.ts
+++ b/src/edge/relayChoice.ts
@@ -12,9 +12,9 @@
 import { rankByRendezvous } from '../rendezvous'
 import type { Peer } from './types'
 
-/** Instances of each data centre that ask a hub. */
+/** Instances of each data centre that ask the hub. */
 const RELAYS = 2
-/** Orders all names; the ranks of hubs and of relays both follow from it. */
+/** Orders all names; the hub, its deputy and the relays follow from it. */
 const ORDER_KEY = 'relays'
 
 interface Place { dataCentre: string, names: string[] }
--- a/src/edge/tableRelay.ts
+++ b/src/edge/tableRelay.ts
@@ -1,5 +1,5 @@
 /**
- * Reads tables of the store once for all instances. Hubs follow the store; the others ask them or relays, which ask them,
+ * Reads tables of the store once for all instances. A hub follows the store; relays ask it, and the others ask the relays,
  * what changed and how long ago the store itself said so. Whoever gets no good answer asks the store.
  */
 import { HistoryLostError, PlatformUnavailableError } from '../errors'
