Log the request limits that upstreams name

Each instance now logs upstream.limited when an upstream names a limit or another one, upstream.limit_unreadable for a value that is no number, and the known limit in request.routed. Nothing decides by it yet.

--- a/src/edge/__tests__/upstreamHints.test.ts
+++ b/src/edge/__tests__/upstreamHints.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import type { PeerValue } from '../peerLinks'
-import type { UpstreamEntry } from '../types'
+import { createRequestLimits } from '../requestLimits'
+import { RequestLimitKind, type UpstreamEntry } from '../types'
 import {
   recordAttemptStart, availableAt, createUpstreamDirectory, isLeaving, takeDueLivenessChecks, type UpstreamDirectory
 } from '../upstreamDirectory'
@@ -8,7 +9,8 @@
 import { createWeightsRollout } from '../weightsRollout'
 import { createEntry } from './fixtures'
 
-const LEAVING_HINT = { leaving: true, backOffFor: undefined }
+const NO_LIMIT = { kind: RequestLimitKind.none }
+const LEAVING_HINT = { leaving: true, backOffFor: undefined, requestLimit: NO_LIMIT }
 
 interface Instance { directory: UpstreamDirectory, hints: UpstreamHints, sent: PeerValue[] }
 
@@ -16,7 +18,12 @@
   const directory = createUpstreamDirectory()
   directory.replace([createEntry('a'), createEntry('b')], false, 0)
   const sent: PeerValue[] = []
-  const hints = createUpstreamHints({ broadcast: (content) => { sent.push(content) }, directory, log: () => {} })
+  const hints = createUpstreamHints({
+    broadcast: (content) => { sent.push(content) },
+    directory,
+    requestLimits: createRequestLimits(() => {}),
+    log: () => {}
+  })
   return { directory, hints, sent }
 }
 
@@ -100,7 +107,7 @@
   ])('%s', (_title, times, expected) => {
     const { directory, hints } = createInstance()
     const upstream = directory.get('a')!
-    for (const backOffFor of times) hints.apply(upstream, { leaving: false, backOffFor }, 0)
+    for (const backOffFor of times) hints.apply(upstream, { leaving: false, backOffFor, requestLimit: NO_LIMIT }, 0)
     expect(Math.max(0, availableAt(upstream))).toBe(expected)
     if (expected > 0) expect(usable(directory, expected - 1)).toEqual(['b'])
     expect(usable(directory, expected)).toEqual(['a', 'b'])
@@ -108,7 +115,7 @@
 
   it('is used again at once after a restart', () => {
     const { directory, hints } = createInstance()
-    hints.apply(directory.get('a')!, { leaving: false, backOffFor: 30_000 }, 0)
+    hints.apply(directory.get('a')!, { leaving: false, backOffFor: 30_000, requestLimit: NO_LIMIT }, 0)
     directory.update(createEntry('a', { startedAt: 2 }))
     expect(new Set(usable(directory, 1))).toEqual(new Set(['a', 'b']))
   })
@@ -117,7 +124,7 @@
     const { directory, hints, sent } = createInstance()
     const rollout = createWeightsRollout()
     rollout.setTarget({ model: 'small', version: 2 }, undefined)
-    hints.apply(directory.get('a')!, { leaving: false, backOffFor: 2000 }, 0)
+    hints.apply(directory.get('a')!, { leaving: false, backOffFor: 2000, requestLimit: NO_LIMIT }, 0)
     expect(sent).toEqual([])
     const commandTargets = (now: number): string[] => (
       rollout.nextSteps(directory.all(), now).map(({ upstream }) => upstream.entry.identifier)
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -21,6 +21,7 @@
 import { createPrefixDemand } from './prefixDemand'
 import { createExportTracker } from './promptPlan'
 import { createQuotaShares } from './quotaShare'
+import { createRequestLimits } from './requestLimits'
 import { createRetryAllowance } from './retryAllowance'
 import { createServiceRollouts, parseRolloutUpdate } from './serviceRollouts'
 import { startServiceRolloutsTask } from './serviceRolloutsTask'
@@ -218,7 +219,8 @@
     onNotification: (content) => { upstreamHints.receive(content) },
     onFault: reportFault
   })
-  const upstreamHints = createUpstreamHints({ broadcast: leavingBroadcast.send, directory, log })
+  const requestLimits = createRequestLimits(log)
+  const upstreamHints = createUpstreamHints({ broadcast: leavingBroadcast.send, directory, requestLimits, log })
   const engineLoads = createLoadExchange({
     links, instance: name, dataCentre, peers, directory, now: () => performance.now()
   })
@@ -294,6 +296,7 @@
     loadingEngines: () => loadingEngines,
     responseBuffers: createResponseBuffers(),
     upstreamHints,
+    requestLimits,
     reportUnreachable: (upstream) => { failureReports.report(upstream, performance.now()) },
     isStopping: () => stopping,
     isRejecting: () => rejecting,
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -244,6 +244,7 @@
       keeps: cacheParameters.exportTo === undefined ? undefined : true,
       timeLeft: Math.round(remainingMs),
       wait: Math.round(wait),
+      requestLimit: context.requestLimits.limitOf(upstream),
       holders: replicas,
       configurationAge: Math.round(context.freshness.age(now))
     })
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -21,6 +21,10 @@
   upstreamSilent: 'upstream.silent',
   /** The upstream asked for no requests for some time. */
   upstreamBackingOff: 'upstream.rests',
+  /** The upstream named a limit of requests per second for all instances together, or another one than before. */
+  upstreamLimited: 'upstream.limited',
+  /** The upstream named a limit that cannot be parsed. */
+  upstreamLimitUnreadable: 'upstream.limit_unreadable',
   upstreamRestarted: 'upstream.restarted',
   upstreamUnreadable: 'upstream.unreadable',
   /** Another instance reported the upstream as unreachable. */
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -9,6 +9,7 @@
 import type { PrefixDemand } from './prefixDemand'
 import type { ExportTracker } from './promptPlan'
 import type { QuotaShares } from './quotaShare'
+import type { RequestLimits } from './requestLimits'
 import type { RetryAllowance } from './retryAllowance'
 import type { RouteTable } from './routeTable'
 import type { ServiceRollouts } from './serviceRollouts'
@@ -50,6 +51,7 @@
   /** Buffers of responses that are forwarded only when they are complete. */
   responseBuffers: ResponseBuffers
   upstreamHints: Pick<UpstreamHints, 'apply'>
+  requestLimits: Pick<RequestLimits, 'limitOf'>
   /** Notifies the other instances of the data centre that an upstream is unreachable. */
   reportUnreachable: (upstream: Upstream) => void
   isStopping: () => boolean
--- a/src/edge/types.ts
+++ b/src/edge/types.ts
@@ -161,12 +161,28 @@
   resumeAfter: string | undefined
 }
 
+export const RequestLimitKind = {
+  /** The response names no limit. */
+  none: 'none',
+  /** The upstream takes this many requests per second from all instances together, for as long as it says so. */
+  named: 'named',
+  /** The response has a limit that cannot be parsed. */
+  invalid: 'invalid'
+} as const
+export type RequestLimitKind = typeof RequestLimitKind[keyof typeof RequestLimitKind]
+
+export type RequestLimitHint =
+  | { kind: typeof RequestLimitKind.none }
+  | { kind: typeof RequestLimitKind.named, perSecond: number }
+  | { kind: typeof RequestLimitKind.invalid, text: string }
+
 /** Hints about the state of an upstream that it attaches to a response. */
 export interface UpstreamHint {
   /** The upstream is draining and takes no new requests. */
   leaving: boolean
   /** Time in milliseconds for which this instance should send no requests; undefined if not stated. */
   backOffFor: number | undefined
+  requestLimit: RequestLimitHint
 }
 
 /** Metadata of an upstream's response. */
--- a/src/edge/upstreamHints.ts
+++ b/src/edge/upstreamHints.ts
@@ -1,15 +1,17 @@
 /**
- * Applies the hints that upstreams give about themselves in responses: that they are leaving, or that they request a
- * back-off.
+ * Applies the hints that upstreams give about themselves in responses: that they are leaving, request a back-off, or
+ * take a limited number of requests.
  *
  * - The leaving hint applies to the run of the upstream that gave it, regardless of its entry, and is sent to all
  *   instances.
  * - A back-off applies only to the instance that received it.
+ * - A request limit is recorded.
  */
 import type { MonotonicMilliseconds } from '../types'
 import { EdgeEvent, type EdgeLog } from './events'
 import type { PeerBroadcast } from './peerBroadcast'
 import type { PeerValue } from './peerLinks'
+import type { RequestLimits } from './requestLimits'
 import type { UpstreamHint } from './types'
 import { backOffUpstream, type Upstream, type UpstreamDirectory } from './upstreamDirectory'
 
@@ -24,10 +26,13 @@
   /** Notifies all other instances. */
   broadcast: PeerBroadcast['send']
   directory: Pick<UpstreamDirectory, 'markLeaving'>
+  requestLimits: Pick<RequestLimits, 'recordHint'>
   log: EdgeLog
 }
 
-export function createUpstreamHints ({ broadcast, directory, log }: UpstreamHintsOptions): UpstreamHints {
+export function createUpstreamHints (
+  { broadcast, directory, requestLimits, log }: UpstreamHintsOptions
+): UpstreamHints {
   function recordLeaving (identifier: string, startedAt: number, isFromPeer: boolean): boolean {
     if (!directory.markLeaving(identifier, startedAt)) return false
     log(EdgeEvent.upstreamLeaving, { upstream: identifier, startedAt, source: isFromPeer ? 'peer' : 'answer' })
@@ -35,9 +40,10 @@
   }
 
   return {
-    apply (upstream, { leaving, backOffFor }, now) {
+    apply (upstream, { leaving, backOffFor, requestLimit }, now) {
       const { identifier, startedAt } = upstream.entry
       if (leaving && recordLeaving(identifier, startedAt, false)) broadcast({ upstream: identifier, startedAt })
+      requestLimits.recordHint(upstream, requestLimit)
       if (backOffFor === undefined) return
       backOffUpstream(upstream, backOffFor, now)
       log(EdgeEvent.upstreamBackingOff, { upstream: identifier, milliseconds: Math.round(upstream.backOffUntil - now) })
