--- a/standins/fleet/upstream.ts
+++ b/standins/fleet/upstream.ts
@@ -54,6 +54,8 @@
   runs: UpstreamRun[]
   /** Requests that arrived, run or not. */
   arrivals: () => number
+  /** Times, in milliseconds of the steady clock, of all requests that arrived, reports and orders included. */
+  arrivalTimes: number[]
   /** The next requests meet these faults, one each. */
   fail: (...faults: UpstreamFault[]) => void
   /** Weights of the model `small`; 0 makes it a plain service. */
@@ -93,6 +95,7 @@
 ): Promise<UpstreamStandIn> {
   const runs: UpstreamRun[] = []
   const orders: Array<Record<string, unknown>> = []
+  const arrivalTimes: number[] = []
   const comment = padding === 0 ? '' : `: ${'.'.repeat(padding)}\n`
   let arrivals = 0
 
@@ -212,6 +215,7 @@
 
   const server = createServer((request, response) => {
     if (standIn.isDark) return
+    arrivalTimes.push(performance.now())
     if (request.url === '/report') {
       const models = [{ name: 'small', version: standIn.weights, adapters: [] }]
       const text = JSON.stringify({ stage: 'both', models, busy: false, sequence: orders.length })
@@ -245,6 +249,7 @@
     address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
     runs,
     arrivals: () => arrivals,
+    arrivalTimes,
     fail: (...next) => { faults.push(...next) },
     weights,
     says: {},
