Keep all instances together within the request limit that an upstream names

What callers saw: nothing; an upstream that had named a limit for all instances together got up to several times as much.

It belongs to the statements of an upstream that bind the whole fleet: one instance hears it, all of them must act on it, and none can keep it alone.

Fix: a limit is told to all instances, and each request to the upstream needs a permit, which one instance of each data centre hands out for its part. Attempts, liveness checks, reports and commands count alike. Failure of that instance, cuts, and lists that differ leave the sum within one and a half times the limit; an instance that nobody asks falls back to the share of a single one.

Ruled out: fixed shares of each instance alone (195 idle instances with one unused permit each send 195 requests at once), and one allocator for the fleet (unreachable for a data centre that is cut off).

--- a/src/edge/__tests__/upstreamHints.test.ts
+++ b/src/edge/__tests__/upstreamHints.test.ts
@@ -21,7 +21,7 @@
   const hints = createUpstreamHints({
     broadcast: (content) => { sent.push(content) },
     directory,
-    requestLimits: createRequestLimits(() => {}),
+    requestLimits: createRequestLimits({ broadcast: () => {}, log: () => {} }),
     log: () => {}
   })
   return { directory, hints, sent }
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -16,13 +16,14 @@
 import { createEdgeMetrics } from './metrics'
 import { createLoadExchange } from './loadExchange'
 import { createRolloutSampler } from './rolloutSampler'
-import { createPeerBroadcast } from './peerBroadcast'
-import { createPeerLinks, PeerRequestKind, type HandlePeerRequest } from './peerLinks'
+import { createPeerBroadcast, type PeerBroadcast } from './peerBroadcast'
+import { createPeerLinks, PeerRequestKind, type HandlePeerRequest, type PeerValue } from './peerLinks'
 import { createPrefixDemand } from './prefixDemand'
 import { createExportTracker } from './promptPlan'
 import { createQuotaShares } from './quotaShare'
 import { createRequestLimits } from './requestLimits'
 import { createRetryAllowance } from './retryAllowance'
+import { createSendPermits } from './sendPermits'
 import { createServiceRollouts, parseRolloutUpdate } from './serviceRollouts'
 import { startServiceRolloutsTask } from './serviceRolloutsTask'
 import type { EdgeSettings } from './settings'
@@ -136,6 +137,8 @@
     weightsProgress: async (query) => await weightsProgressBroadcast.handleRequest(query),
     failures: async (query) => await failureBroadcast.handleRequest(query),
     leaving: async (query) => await leavingBroadcast.handleRequest(query),
+    limits: async (query) => await limitBroadcast.handleRequest(query),
+    permits: async (query) => await sendPermits.handleRequest(query),
     engineLoads: async (query) => await engineLoads.handleRequest(query),
     moves: async (query) => await rolloutBroadcast.handleRequest(query),
     moveCounts: async (query) => await serviceRolloutTask.handleRequest(query)
@@ -191,50 +194,40 @@
   const quotas = createQuotaShares({
     window: limits.quotaWindow, overage: limits.quotaOverage, slack: limits.quotaSlack, startedAt: performance.now()
   })
-  const weightsProgressBroadcast = createPeerBroadcast({
-    links,
-    dataCentre,
-    peers,
-    kind: PeerRequestKind.weightsProgress,
-    onNotification (content) {
-      const progress = parseProgress(content)
-      leaseHolderSeenAt = performance.now()
-      if (progress !== undefined) weightsRollout.applyProgress(progress, directory.all(), performance.now())
-    },
-    onFault: reportFault
+  const createBroadcast = (
+    kind: PeerRequestKind, onNotification: (content: PeerValue) => void
+  ): PeerBroadcast => createPeerBroadcast({ links, dataCentre, peers, kind, onNotification, onFault: reportFault })
+  const weightsProgressBroadcast = createBroadcast(PeerRequestKind.weightsProgress, (content) => {
+    const progress = parseProgress(content)
+    leaseHolderSeenAt = performance.now()
+    if (progress !== undefined) weightsRollout.applyProgress(progress, directory.all(), performance.now())
   })
-  const failureBroadcast = createPeerBroadcast({
-    links,
-    dataCentre,
-    peers,
-    kind: PeerRequestKind.failures,
-    onNotification: (content) => { failureReports.receive(content, performance.now()) },
-    onFault: reportFault
+  const failureBroadcast = createBroadcast(PeerRequestKind.failures, (content) => {
+    failureReports.receive(content, performance.now())
   })
-  const leavingBroadcast = createPeerBroadcast({
+  const leavingBroadcast = createBroadcast(PeerRequestKind.leaving, (content) => { upstreamHints.receive(content) })
+  const limitBroadcast = createBroadcast(PeerRequestKind.requestLimits, (content) => {
+    requestLimits.receive(content, performance.now())
+  })
+  const requestLimits = createRequestLimits({ broadcast: limitBroadcast.send, log })
+  const sendPermits = createSendPermits({
     links,
+    instance: name,
     dataCentre,
     peers,
-    kind: PeerRequestKind.leaving,
-    onNotification: (content) => { upstreamHints.receive(content) },
-    onFault: reportFault
+    share: () => instances.share(),
+    limits: requestLimits,
+    now: () => performance.now(),
+    random
   })
-  const requestLimits = createRequestLimits(log)
   const upstreamHints = createUpstreamHints({ broadcast: leavingBroadcast.send, directory, requestLimits, log })
   const engineLoads = createLoadExchange({
     links, instance: name, dataCentre, peers, directory, now: () => performance.now()
   })
-  const rolloutBroadcast = createPeerBroadcast({
-    links,
-    dataCentre,
-    peers,
-    kind: PeerRequestKind.serviceRollouts,
-    onNotification (content) {
-      const notification = parseRolloutUpdate(content)
-      leaseHolderSeenAt = performance.now()
-      if (notification !== undefined) serviceRollouts.applyUpdate(notification, performance.now())
-    },
-    onFault: reportFault
+  const rolloutBroadcast = createBroadcast(PeerRequestKind.serviceRollouts, (content) => {
+    const notification = parseRolloutUpdate(content)
+    leaseHolderSeenAt = performance.now()
+    if (notification !== undefined) serviceRollouts.applyUpdate(notification, performance.now())
   })
   const failureReports = createFailureReports({
     broadcast: failureBroadcast.sendWithinDataCentre, directory, log, random
@@ -297,6 +290,7 @@
     responseBuffers: createResponseBuffers(),
     upstreamHints,
     requestLimits,
+    sendPermits,
     reportUnreachable: (upstream) => { failureReports.report(upstream, performance.now()) },
     isStopping: () => stopping,
     isRejecting: () => rejecting,
@@ -360,6 +354,7 @@
   const weightsRolloutTask = startWeightsTask({
     instance: name,
     control,
+    permits: sendPermits,
     lease,
     rollout: weightsRollout,
     directory,
@@ -370,7 +365,12 @@
     now
   })
   const livenessChecks = createLivenessChecks({
-    control, upstreams: directory.all, onHint: applyUpstreamHint, log, now: () => performance.now()
+    control,
+    permits: sendPermits,
+    upstreams: directory.all,
+    onHint: applyUpstreamHint,
+    log,
+    now: () => performance.now()
   })
   const sweep = setInterval(() => {
     const instant = now()
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -5,16 +5,17 @@
 import type { CallerResponse } from './callerResponse'
 import { createEventBoundary, hasData, type EventBoundary } from './eventBoundary'
 import { EdgeEvent } from './events'
-import type { ExchangeContext } from './exchangeContext'
+import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import { decideShedding } from './loadShedding'
-import { rankUpstreams, type PlacementRequest } from './placement'
-import { planCache, urgencyOf, type PromptPlan } from './promptPlan'
+import { planCache, urgencyOf } from './promptPlan'
+import type { PacerDecision } from './requestPacer'
+import { createTargetSelection, urgencyRank, type Target } from './targetSelection'
 import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
-import { RepeatRule, type CallerRequest, type EdgeCustomer, type EdgeRoute, type Instant } from './types'
+import { RepeatRule, RequestLimitKind, type Instant } from './types'
 import { callUpstream, type UpstreamCall } from './upstreamCall'
 import {
   recordAttemptStart, recordAttemptEnd, recordReadPaused, recordReadResumed, currentWait, recordActivity, isSilent,
-  recordWeights, observeMinimumWait, observeWait, pauseAfterFailure, pauseAfterRejection, type Upstream
+  isUsable, recordWeights, observeMinimumWait, observeWait, pauseAfterFailure, pauseAfterRejection, type Upstream
 } from './upstreamDirectory'
 
 /** Connect timeout in milliseconds; allows several round trips between data centres. */
@@ -28,10 +29,6 @@
  * still serves other requests.
  */
 const STALLED_STREAM_MS = 1500
-/** Grace period in milliseconds after a new weights version was announced; until then older weights rank equally. */
-const OUTDATED_WEIGHTS_GRACE_MS = 1200
-/** Share of the outdated weights limit after which an engine is not used; the rest is reserved for its queue. */
-const OUTDATED_WEIGHTS_SHARE = 0.85
 
 /** Reason in the log for a response that exceeds the buffer limit of one response or of all responses. */
 const RESPONSE_TOO_LONG = 'the answer is too long'
@@ -42,17 +39,6 @@
  */
 const NOT_EXECUTED_STATUSES = new Set([408, 421, 429, 503])
 
-/** A request that was admitted, with its route and service. */
-export interface AdmittedRequest {
-  request: IncomingMessage
-  callerRequest: CallerRequest
-  route: EdgeRoute
-  customer: EdgeCustomer | undefined
-  service: string
-  plan: PromptPlan
-  body: Buffer | undefined
-}
-
 /** Callbacks for the result of a dispatch; exactly one of them is called, once. */
 export interface DispatchCallbacks {
   onSuccess: (upstream: Upstream, status: number) => void
@@ -112,7 +98,7 @@
     rejections: 0,
     responseStarted: false
   }
-  const tried = new Set<string>()
+  const targets = createTargetSelection(context, admittedRequest, timeLeft)
   /** Whether an upstream has received the request, regardless of whether it ran it. */
   let reachedUpstream = false
   let attempt: Attempt | undefined
@@ -121,13 +107,11 @@
   let eventBoundary: EventBoundary | undefined
   const urgency = urgencyOf(route, customer)
   const backlog = context.backlog(`${service}/${urgency ?? ''}`)
-  /** Requests without an urgency share one rank. */
-  const rank = urgency ?? 0
-  /** Number of engines that should hold the shared prefix. */
-  let replicas = 1
-  /** Random number that keeps all attempts on the same version of a service during a service rollout. */
-  const versionDraw = context.random()
+  const rank = urgencyRank(urgency)
+  /** Drawn once, so that further selections do not make it more likely that the request is rejected. */
+  const sheddingDraw = context.random()
   let firstByteAt: MonotonicMilliseconds | undefined
+  let permitTimer: NodeJS.Timeout | undefined
 
   function currentExecutionStatus (): ExecutionStatus {
     return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
@@ -170,30 +154,6 @@
     recordAttemptEnd(current.upstream)
   }
 
-  /** Returns the longest time in milliseconds for which newer weights than the upstream's may have been announced. */
-  function outdatedWeightsAge (upstream: Upstream): number {
-    const loaded = callerRequest.model === undefined ? undefined : upstream.weights.get(callerRequest.model)
-    return loaded === undefined ? 0 : context.weightsRollout.supersededFor(callerRequest.model!, loaded, context.now())
-  }
-
-  function selectUpstream (now: number): Upstream | undefined {
-    const maximumAge = context.outdatedWeightsLimit * OUTDATED_WEIGHTS_SHARE
-    const candidates = directory.usable(service, now).filter((upstream) => (
-      !tried.has(upstream.entry.identifier) && outdatedWeightsAge(upstream) < maximumAge
-    ))
-    const placement: PlacementRequest = {
-      prefixKey: plan.prefixKey,
-      sharedTokens: plan.sharedTokens,
-      dataCentre: context.dataCentre,
-      urgency: rank,
-      replicas,
-      draw: context.random(),
-      loadingEngines: context.loadingEngines(),
-      hasOutdatedWeights: (upstream) => outdatedWeightsAge(upstream) > OUTDATED_WEIGHTS_GRACE_MS
-    }
-    return rankUpstreams(placement, context.serviceRollouts.eligible(service, candidates, versionDraw, now), now)[0]
-  }
-
   /** Checks the key again, because it may have been withdrawn since the request was admitted. */
   function isStillAuthorized (now: Instant): boolean {
     if (customer === undefined) return true
@@ -204,15 +164,46 @@
   function startAttempt (): void {
     const now = context.now()
     if (!isStillAuthorized(now)) return fail(currentExecutionStatus(), 'the key could not be revalidated')
-    const upstream = selectUpstream(now.steady)
-    if (upstream === undefined) return fail(currentExecutionStatus(), 'no upstream is usable')
-    const wait = currentWait(upstream, rank, now.steady)
+    const target = targets.select(now)
+    if (target === undefined) return fail(currentExecutionStatus(), targets.failureReason())
     if (history.repeat === RepeatRule.stream && history.runs === 0) {
       const expectedWait = backlog.expectedWait(now.steady)
-      const shedding = decideShedding(expectedWait, route.latencyTarget, context.random())
+      const shedding = decideShedding(expectedWait, route.latencyTarget, sheddingDraw)
       if (shedding.shed) return callbacks.onShed(expectedWait, shedding.retryAfter)
     }
-    tried.add(upstream.entry.identifier)
+    if (!context.sendPermits.isNeeded(target.upstream.entry)) return sendTo(target.upstream, now)
+    context.sendPermits.acquire(target.upstream.entry, target.maximumPermitWait)
+      .then((decision) => { handlePermit(target, decision) })
+      .catch((error: unknown) => {
+        context.reportFault(error)
+        if (!cancelled && attempt === undefined) fail(currentExecutionStatus(), 'the permit could not be requested')
+      })
+  }
+
+  function handlePermit ({ upstream }: Target, { granted, wait }: PacerDecision): void {
+    if (cancelled) return
+    if (granted) {
+      permitTimer = setTimeout(() => { sendWithPermit(upstream) }, wait)
+      return
+    }
+    log(EdgeEvent.permitDenied, {
+      requestIdentifier: identifier, upstream: upstream.entry.identifier, wait: Math.round(wait)
+    })
+    targets.recordDenial(upstream, wait, context.now().steady)
+    startAttempt()
+  }
+
+  /** Sends the request unless the upstream has become unusable during the wait for the permit. */
+  function sendWithPermit (upstream: Upstream): void {
+    const now = context.now()
+    const isCurrent = directory.listed(service).includes(upstream) && isUsable(upstream, now.steady)
+    if (!isCurrent || !isStillAuthorized(now)) return startAttempt()
+    sendTo(upstream, now)
+  }
+
+  function sendTo (upstream: Upstream, now: Instant): void {
+    const wait = currentWait(upstream, rank, now.steady)
+    targets.markTried(upstream)
     const remainingMs = timeLeft()
     const cacheParameters = planCache({
       plan,
@@ -244,8 +235,8 @@
       keeps: cacheParameters.exportTo === undefined ? undefined : true,
       timeLeft: Math.round(remainingMs),
       wait: Math.round(wait),
-      requestLimit: context.requestLimits.limitOf(upstream),
-      holders: replicas,
+      requestLimit: context.requestLimits.limitOf(upstream.entry),
+      holders: targets.replicas(),
       configurationAge: Math.round(context.freshness.age(now))
     })
     history.runs += 1
@@ -359,6 +350,9 @@
     if (metadata.identifier !== identifier || !metadata.signed) {
       return abortAttempt(current, 'the response belongs to another request or is not signed')
     }
+    if (metadata.upstreamHint.requestLimit.kind === RequestLimitKind.none) {
+      context.requestLimits.applyAbsence(upstream.entry, current.startedAt)
+    }
     if (metadata.weightsVersion !== undefined && callerRequest.model !== undefined) {
       recordWeights(upstream, { model: callerRequest.model, version: metadata.weightsVersion })
     }
@@ -449,12 +443,7 @@
 
   return {
     send () {
-      if (plan.prefixKey !== undefined) {
-        const ownTokens = Math.max(0, plan.promptTokens - plan.sharedTokens)
-        replicas = context.prefixDemand.replicasFor(
-          plan.prefixKey, ownTokens, context.instanceCount(), context.now().steady
-        )
-      }
+      targets.start(context.now().steady)
       context.retryAllowance.recordRequest(service, context.now().steady)
       if (plan.promptTokens === 0) return startAttempt()
       context.engineLoads.refresh().catch(context.reportFault)
@@ -471,6 +460,7 @@
     },
     cancel () {
       cancelled = true
+      clearTimeout(permitTimer)
       if (attempt === undefined) return
       attempt.call.cancel()
       detachAttempt(attempt)
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -10,6 +10,8 @@
   requestFinished: 'request.finished',
   requestCancelled: 'request.cancelled',
   responseAborted: 'request.broken_off',
+  /** A request was not sent to an upstream because of the upstream's request limit. */
+  permitDenied: 'permit.denied',
   attemptFailed: 'attempt.failed',
   attemptRejected: 'attempt.rejected',
   configurationAccepted: 'configuration.accepted',
@@ -23,6 +25,8 @@
   upstreamBackingOff: 'upstream.rests',
   /** The upstream named a limit of requests per second for all instances together, or another one than before. */
   upstreamLimited: 'upstream.limited',
+  /** The upstream completed a request without naming a limit any more. */
+  upstreamLimitEnded: 'upstream.limit_ended',
   /** The upstream named a limit that cannot be parsed. */
   upstreamLimitUnreadable: 'upstream.limit_unreadable',
   upstreamRestarted: 'upstream.restarted',
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -2,9 +2,9 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { admit, AdmissionRejection } from './admission'
 import { countHeaderBytes, createCallerResponse, hasBody, readBody, type Rejection } from './callerResponse'
-import { createDispatch, type Dispatch, type AdmittedRequest } from './dispatch'
+import { createDispatch, type Dispatch } from './dispatch'
 import { EdgeEvent } from './events'
-import type { ExchangeContext } from './exchangeContext'
+import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import { planPrompt } from './promptPlan'
 import { costOf } from './quotaShare'
 import { chooseService } from './serviceChoice'
@@ -88,7 +88,11 @@
   function estimateRetryAfter (service: string): number {
     const now = context.now().steady
     const listed = directory.listed(service)
-    const until = Math.min(...listed.map(availableAt))
+    const until = Math.min(...listed.map((upstream) => (
+      context.sendPermits.isNeeded(upstream.entry)
+        ? Math.max(availableAt(upstream), upstream.nextPermitAt)
+        : availableAt(upstream)
+    )))
     const wait = Number.isFinite(until) && until > now ? until - now : DEFAULT_RETRY_MS
     // Back-off times requested by the upstreams themselves are exact and therefore not clamped.
     const backOff = Math.min(...listed.map(({ backOffUntil }) => backOffUntil - now))
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -1,4 +1,5 @@
-/** Dependencies that all exchanges of an instance share. */
+/** Dependencies that all exchanges of an instance share, and the request that one of them handles. */
+import type { IncomingMessage } from 'node:http'
 import type { RandomSource } from '../types'
 import type { ResponseBuffers } from './responseBuffers'
 import type { Backlog } from './backlog'
@@ -7,14 +8,15 @@
 import type { LoadExchange } from './loadExchange'
 import type { RolloutSampler } from './rolloutSampler'
 import type { PrefixDemand } from './prefixDemand'
-import type { ExportTracker } from './promptPlan'
+import type { ExportTracker, PromptPlan } from './promptPlan'
 import type { QuotaShares } from './quotaShare'
 import type { RequestLimits } from './requestLimits'
 import type { RetryAllowance } from './retryAllowance'
 import type { RouteTable } from './routeTable'
+import type { SendPermits } from './sendPermits'
 import type { ServiceRollouts } from './serviceRollouts'
 import type { TokenTransfers } from './tokenTransfers'
-import type { CacheStore, Dialect, Instant } from './types'
+import type { CacheStore, CallerRequest, Dialect, EdgeCustomer, EdgeRoute, Instant } from './types'
 import type { UpstreamConnections } from './upstreamConnections'
 import type { Upstream, UpstreamDirectory } from './upstreamDirectory'
 import type { UpstreamHints } from './upstreamHints'
@@ -51,7 +53,9 @@
   /** Buffers of responses that are forwarded only when they are complete. */
   responseBuffers: ResponseBuffers
   upstreamHints: Pick<UpstreamHints, 'apply'>
-  requestLimits: Pick<RequestLimits, 'limitOf'>
+  requestLimits: Pick<RequestLimits, 'limitOf' | 'applyAbsence'>
+  /** Permits to send requests to upstreams that have named a limit. */
+  sendPermits: Pick<SendPermits, 'isNeeded' | 'acquire'>
   /** Notifies the other instances of the data centre that an upstream is unreachable. */
   reportUnreachable: (upstream: Upstream) => void
   isStopping: () => boolean
@@ -63,3 +67,14 @@
   now: () => Instant
   random: RandomSource
 }
+
+/** A request that was admitted, with its route and service. */
+export interface AdmittedRequest {
+  request: IncomingMessage
+  callerRequest: CallerRequest
+  route: EdgeRoute
+  customer: EdgeCustomer | undefined
+  service: string
+  plan: PromptPlan
+  body: Buffer | undefined
+}
--- a/src/edge/livenessChecks.ts
+++ b/src/edge/livenessChecks.ts
@@ -5,12 +5,21 @@
  * engine stays silent for longer than the time after which a lost engine is detected. Treating it as lost would send
  * the prompt to the next queue, make the whole data centre avoid the engine, and prefill the prompt twice.
  */
+import { OverloadedError } from '../errors'
 import { EdgeEvent, errorMessage, type EdgeLog } from './events'
+import type { SendPermits } from './sendPermits'
 import type { EngineControl, UpstreamHint } from './types'
 import { recordLivenessResponse, takeDueLivenessChecks, type Upstream } from './upstreamDirectory'
 
+/**
+ * Longest time in milliseconds that a check waits for a permit; with the wait, it still ends before the silence of the
+ * engine counts as a failure.
+ */
+const MAX_PERMIT_WAIT_MS = 200
+
 export interface LivenessChecksOptions {
   control: Pick<EngineControl, 'report'>
+  permits: Pick<SendPermits, 'waitFor'>
   upstreams: () => Iterable<Upstream>
   onHint: (upstream: Upstream, hint: UpstreamHint) => void
   log: EdgeLog
@@ -23,13 +32,18 @@
   runDue: () => void
 }
 
-export function createLivenessChecks ({ control, upstreams, onHint, log, now }: LivenessChecksOptions): LivenessChecks {
+export function createLivenessChecks (
+  { control, permits, upstreams, onHint, log, now }: LivenessChecksOptions
+): LivenessChecks {
   function check (upstream: Upstream): void {
     let hasResponded = false
-    control.report(upstream.entry, (hint) => {
-      hasResponded = true
-      recordLivenessResponse(upstream, now())
-      onHint(upstream, hint)
+    permits.waitFor(upstream.entry, MAX_PERMIT_WAIT_MS).then(async (isPermitted) => {
+      if (!isPermitted) throw new OverloadedError('the request limit of the engine permits no check')
+      await control.report(upstream.entry, (hint) => {
+        hasResponded = true
+        recordLivenessResponse(upstream, now())
+        onHint(upstream, hint)
+      })
     }).catch((error: unknown) => {
       // A response that is not a valid report still proves that the engine is alive.
       if (
--- a/src/edge/peerLinks.ts
+++ b/src/edge/peerLinks.ts
@@ -32,6 +32,10 @@
   failures: 'failures',
   /** Notification of an upstream that announced that it is leaving. */
   leaving: 'leaving',
+  /** Notification of the request limit of an upstream. */
+  requestLimits: 'limits',
+  /** Permit to send a request to an upstream that has named a limit. */
+  sendPermits: 'permits',
   /** Prompt tokens that instances have sent to engines. */
   engineLoads: 'engineLoads',
   /** Notification of a service rollout to a new version. */
--- a/src/edge/requestLimits.ts
+++ b/src/edge/requestLimits.ts
@@ -1,46 +1,124 @@
-/** Records the request limits that runs of upstreams have named. A limit applies to all instances together. */
+/**
+ * Records the request limits that runs of upstreams have named, and makes them known to all instances.
+ *
+ * - A limit applies to one run of an upstream, and to the requests of all instances together.
+ * - It ends when the run answers a request that was sent after the limit was last known to be in force, and names none.
+ *   Answers to earlier requests may have been on their way when the limit began.
+ * - It does not expire: without an answer nothing shows that it has ended.
+ */
+import type { MonotonicMilliseconds } from '../types'
 import { EdgeEvent, type EdgeLog } from './events'
-import { RequestLimitKind, type RequestLimitHint } from './types'
-import type { Upstream } from './upstreamDirectory'
+import type { PeerBroadcast } from './peerBroadcast'
+import type { PeerValue } from './peerLinks'
+import { RequestLimitKind, type RequestLimitHint, type UpstreamRun } from './types'
 
-/** Number of runs whose limits are remembered; many more than are limited at a time. */
-const MAX_LIMITED_RUNS = 1000
+/** Number of runs that are remembered; many more than are limited at a time. */
+const MAX_RUNS = 1000
 /** Longest logged part of a limit that cannot be parsed. */
 const MAX_LOGGED_CHARACTERS = 40
+/**
+ * Milliseconds after which a limit that is still named is announced again, for instances that have started or were
+ * unreachable.
+ */
+const ANNOUNCE_INTERVAL_MS = 2000
+/** Milliseconds between log lines on unparsable limits of one run. */
+const UNREADABLE_LOG_INTERVAL_MS = 5000
+
+interface NamedLimit {
+  perSecond: number
+  /** When a response or another instance last stated that the limit is in force. */
+  confirmedAt: MonotonicMilliseconds
+  /** When this or another instance last announced it. */
+  announcedAt: MonotonicMilliseconds
+}
 
 export interface RequestLimits {
-  /** Records the limit that a response of the upstream names, if any. */
-  recordHint: (upstream: Upstream, hint: RequestLimitHint) => void
-  /** Returns the limit in requests per second; undefined if the run has named none. */
-  limitOf: (upstream: Upstream) => number | undefined
+  /** Applies the limit in any response of a run, if it names one. */
+  applyHint: (run: UpstreamRun, hint: RequestLimitHint, now: MonotonicMilliseconds) => void
+  /**
+   * Ends the limit of a run that has completed a request without naming one.
+   * @param sentAt when that request was sent
+   */
+  applyAbsence: (run: UpstreamRun, sentAt: MonotonicMilliseconds) => void
+  /** Applies an announcement of another instance. */
+  receive: (content: PeerValue, now: MonotonicMilliseconds) => void
+  /** Returns the limit in requests per second; undefined if none is in force. */
+  limitOf: (run: UpstreamRun) => number | undefined
+}
+
+export interface RequestLimitsOptions {
+  /** Notifies all other instances. */
+  broadcast: PeerBroadcast['send']
+  log: EdgeLog
 }
 
-function runKey ({ entry: { identifier, startedAt } }: Upstream): string {
+/** Identifies a run among all runs of all upstreams. */
+export function runKey ({ identifier, startedAt }: UpstreamRun): string {
   return `${identifier}/${startedAt}`
 }
 
-export function createRequestLimits (log: EdgeLog): RequestLimits {
-  /** Requests per second by run, the run recorded longest ago first. */
-  const limits = new Map<string, number>()
-
-  function recordLimit (upstream: Upstream, perSecond: number): void {
-    const key = runKey(upstream)
-    if (limits.get(key) === perSecond) return
-    limits.delete(key)
-    limits.set(key, perSecond)
-    const oldest = limits.keys().next().value
-    if (limits.size > MAX_LIMITED_RUNS && oldest !== undefined) limits.delete(oldest)
-    log(EdgeEvent.upstreamLimited, { upstream: upstream.entry.identifier, perSecond })
+/** Adds an entry to a map in order of insertion, and removes the oldest one if there are too many. */
+export function setBounded<Value> (map: Map<string, Value>, key: string, value: Value): void {
+  map.set(key, value)
+  const oldest = map.keys().next().value
+  if (map.size > MAX_RUNS && oldest !== undefined) map.delete(oldest)
+}
+
+export function createRequestLimits ({ broadcast, log }: RequestLimitsOptions): RequestLimits {
+  const limits = new Map<string, NamedLimit>()
+  const unreadableLoggedAt = new Map<string, MonotonicMilliseconds>()
+
+  /** Returns the recorded limit, after logging it if it is new or has changed. */
+  function record (run: UpstreamRun, perSecond: number, now: MonotonicMilliseconds, isFromPeer: boolean): NamedLimit {
+    const key = runKey(run)
+    const limit = limits.get(key) ?? { perSecond: -1, confirmedAt: now, announcedAt: -Infinity }
+    if (limit.perSecond !== perSecond) {
+      log(EdgeEvent.upstreamLimited, { upstream: run.identifier, perSecond, source: isFromPeer ? 'peer' : 'answer' })
+      // A changed limit is announced at once.
+      limit.announcedAt = -Infinity
+    }
+    limit.perSecond = perSecond
+    limit.confirmedAt = now
+    setBounded(limits, key, limit)
+    return limit
+  }
+
+  function end (run: UpstreamRun, isFromPeer: boolean): void {
+    limits.delete(runKey(run))
+    log(EdgeEvent.upstreamLimitEnded, { upstream: run.identifier, source: isFromPeer ? 'peer' : 'answer' })
+  }
+
+  function logUnreadable (run: UpstreamRun, text: string, now: MonotonicMilliseconds): void {
+    if (now - (unreadableLoggedAt.get(runKey(run)) ?? -Infinity) < UNREADABLE_LOG_INTERVAL_MS) return
+    setBounded(unreadableLoggedAt, runKey(run), now)
+    log(EdgeEvent.upstreamLimitUnreadable, { upstream: run.identifier, limit: text.slice(0, MAX_LOGGED_CHARACTERS) })
   }
 
   return {
-    recordHint (upstream, hint) {
-      if (hint.kind === RequestLimitKind.named) return recordLimit(upstream, hint.perSecond)
-      if (hint.kind === RequestLimitKind.invalid) {
-        const limit = hint.text.slice(0, MAX_LOGGED_CHARACTERS)
-        log(EdgeEvent.upstreamLimitUnreadable, { upstream: upstream.entry.identifier, limit })
+    applyHint (run, hint, now) {
+      if (hint.kind === RequestLimitKind.invalid) logUnreadable(run, hint.text, now)
+      if (hint.kind !== RequestLimitKind.named) return
+      const limit = record(run, hint.perSecond, now, false)
+      if (now - limit.announcedAt < ANNOUNCE_INTERVAL_MS) return
+      limit.announcedAt = now
+      const { identifier, startedAt } = run
+      broadcast({ upstream: identifier, startedAt, perSecond: hint.perSecond })
+    },
+    applyAbsence (run, sentAt) {
+      const limit = limits.get(runKey(run))
+      if (limit === undefined || sentAt <= limit.confirmedAt) return
+      end(run, false)
+      broadcast({ upstream: run.identifier, startedAt: run.startedAt, ended: true })
+    },
+    receive ({ upstream, startedAt, perSecond, ended }, now) {
+      if (typeof upstream !== 'string' || typeof startedAt !== 'number') return
+      const run = { identifier: upstream, startedAt }
+      if (ended === true) {
+        if (limits.has(runKey(run))) end(run, true)
+        return
       }
+      if (typeof perSecond === 'number' && perSecond >= 0) record(run, perSecond, now, true).announcedAt = now
     },
-    limitOf: (upstream) => limits.get(runKey(upstream))
+    limitOf: (run) => limits.get(runKey(run))?.perSecond
   }
 }
--- /dev/null
+++ b/src/edge/sendPermits.ts
@@ -0,0 +1,169 @@
+/**
+ * Keeps the requests of all instances within the limits that upstreams have named. Each request to such an upstream
+ * needs a permit.
+ *
+ * - Data centres divide a limit equally, so that they need not reach each other.
+ * - In each data centre one instance, the allocator of the upstream, hands out the permits of its part. All instances
+ *   find it by rendezvous hashing.
+ * - An instance that cannot reach the allocator asks the standby, which hands out half as many: while some instances
+ *   reach the allocator and others do not, the data centre exceeds its part by half at most.
+ * - An instance that reaches neither uses the share of a single instance, and so does an allocator or standby that
+ *   nobody asks: it may be cut off from the others.
+ * - A part that is large for every single instance is divided without requests between instances.
+ */
+import { PlatformUnavailableError } from '../errors'
+import { rankByRendezvous } from '../rendezvous'
+import type { MonotonicMilliseconds, RandomSource } from '../types'
+import { requestIfReachable, PeerRequestKind, type PeerLinks, type PeerValue } from './peerLinks'
+import { runKey, setBounded, type RequestLimits } from './requestLimits'
+import {
+  changeInterval, createRequestPacer, restartIfIdle, takeSlot, type PacerDecision, type RequestPacer
+} from './requestPacer'
+import type { Peer, UpstreamRun } from './types'
+
+/** Timeout in milliseconds for the response of an allocator; several round trips within a data centre. */
+const RESPONSE_TIMEOUT_MS = 30
+/** Requests per second of one instance from which its part of a limit is used without an allocator. */
+const MIN_INDEPENDENT_RATE = 20
+/**
+ * Requests per second that are sent even if the limit is lower or zero. Without any, nothing would show that the limit
+ * has ended.
+ */
+const MIN_RATE = 0.2
+
+/** Milliseconds after a request of another instance for which this one hands out permits to several instances. */
+const SERVING_MS = 5000
+
+const PermitRole = {
+  allocator: 'allocator',
+  standby: 'standby',
+  /** Uses its own part and hands out no permits. */
+  independent: 'independent'
+} as const
+type PermitRole = typeof PermitRole[keyof typeof PermitRole]
+
+interface Allocation {
+  pacer: RequestPacer
+  /** When another instance last asked this one for a permit. */
+  askedAt: MonotonicMilliseconds
+}
+
+export interface SendPermitsOptions {
+  links: Pick<PeerLinks, 'request' | 'isUsable'>
+  instance: string
+  dataCentre: string
+  /** The other instances. */
+  peers: () => readonly Peer[]
+  /** This instance's share, between 0 and 1, of fleet-wide limits. */
+  share: () => number
+  limits: Pick<RequestLimits, 'limitOf'>
+  /** Monotonic clock in milliseconds. */
+  now: () => number
+  random: RandomSource
+}
+
+export interface SendPermits {
+  /** Whether requests to the run need a permit. */
+  isNeeded: (run: UpstreamRun) => boolean
+  /**
+   * Takes a permit to send one request to the run.
+   * @param maximumWait longest time in milliseconds after which the permit may become valid
+   * @returns whether a permit was taken, and the time in milliseconds until it is valid or the next one is free
+   */
+  acquire: (run: UpstreamRun, maximumWait: number) => Promise<PacerDecision>
+  /** Takes a permit and resolves once it is valid; resolves to false if none was available. */
+  waitFor: (run: UpstreamRun, maximumWait: number) => Promise<boolean>
+  /** Handles the request of another instance for a permit. */
+  handleRequest: (request: PeerValue) => Promise<PeerValue>
+}
+
+function isNonNegative (value: unknown): value is number {
+  return typeof value === 'number' && value >= 0
+}
+
+export function createSendPermits (options: SendPermitsOptions): SendPermits {
+  const { links, instance, dataCentre, limits, now, random } = options
+  const allocations = new Map<string, Allocation>()
+
+  const rateByRole: Readonly<Record<PermitRole, (perSecond: number) => number>> = {
+    allocator: (perSecond) => perSecond / dataCentreCount(),
+    standby: (perSecond) => perSecond / dataCentreCount() / 2,
+    independent: (perSecond) => perSecond * options.share()
+  }
+
+  function dataCentreCount (): number {
+    return new Set([dataCentre, ...options.peers().map((peer) => peer.dataCentre)]).size
+  }
+
+  function localPeers (): Peer[] {
+    return options.peers().filter((peer) => peer.dataCentre === dataCentre)
+  }
+
+  /** Returns the allocator and the standby of a run; undefined represents this instance. */
+  function allocatorsOf (run: UpstreamRun): Array<Peer | undefined> {
+    const local = new Map(localPeers().map((peer) => [peer.name, peer]))
+    return rankByRendezvous(`permits of ${run.identifier}`, [instance, ...local.keys()])
+      .slice(0, 2).map((name) => local.get(name))
+  }
+
+  function takePermit (
+    run: UpstreamRun, role: PermitRole, perSecond: number, maximumWait: number, isAsked: boolean
+  ): PacerDecision {
+    const present = now()
+    const key = runKey(run)
+    const known = allocations.get(key)
+    const askedAt = isAsked ? present : known?.askedAt ?? -Infinity
+    const isServing = present - askedAt < SERVING_MS || localPeers().length === 0
+    const actualRole = isServing ? role : PermitRole.independent
+    const interval = 1000 / rateByRole[actualRole](Math.max(MIN_RATE, perSecond))
+    const pacer = known?.pacer ?? createRequestPacer(interval, random, present)
+    setBounded(allocations, key, { pacer, askedAt })
+    changeInterval(pacer, interval, present)
+    if (actualRole === PermitRole.independent) restartIfIdle(pacer, random, present)
+    return takeSlot(pacer, maximumWait, present)
+  }
+
+  async function requestPermit (
+    peer: Peer, { identifier, startedAt }: UpstreamRun, perSecond: number, maximumWait: number
+  ): Promise<PacerDecision | undefined> {
+    const request = { kind: PeerRequestKind.sendPermits, upstream: identifier, startedAt, perSecond, maximumWait }
+    const { granted, wait } = await requestIfReachable(links, peer.endpoint, request, RESPONSE_TIMEOUT_MS) ?? {}
+    return typeof granted === 'boolean' && isNonNegative(wait) ? { granted, wait } : undefined
+  }
+
+  async function acquire (run: UpstreamRun, maximumWait: number): Promise<PacerDecision> {
+    const perSecond = limits.limitOf(run)
+    if (perSecond === undefined) return { granted: true, wait: 0 }
+    if (perSecond * options.share() < MIN_INDEPENDENT_RATE) {
+      const roles = [PermitRole.allocator, PermitRole.standby]
+      for (const [index, peer] of allocatorsOf(run).entries()) {
+        if (peer === undefined) return takePermit(run, roles[index]!, perSecond, maximumWait, false)
+        if (!links.isUsable(peer.endpoint)) continue
+        const decision = await requestPermit(peer, run, perSecond, maximumWait)
+        if (decision !== undefined) return decision
+      }
+    }
+    return takePermit(run, PermitRole.independent, perSecond, maximumWait, false)
+  }
+
+  return {
+    isNeeded: (run) => limits.limitOf(run) !== undefined,
+    acquire,
+    async waitFor (run, maximumWait) {
+      const { granted, wait } = await acquire(run, maximumWait)
+      if (granted && wait > 0) await new Promise((resolve) => { setTimeout(resolve, wait) })
+      return granted
+    },
+    async handleRequest ({ upstream, startedAt, perSecond, maximumWait }) {
+      const isValid = typeof upstream === 'string' && typeof startedAt === 'number'
+      if (!isValid || !isNonNegative(perSecond) || !isNonNegative(maximumWait)) {
+        throw new PlatformUnavailableError('request for a permit is malformed')
+      }
+      const run = { identifier: upstream, startedAt }
+      // Instances with different lists may ask an instance that is not the allocator by its own list.
+      const isAllocator = allocatorsOf(run)[0] === undefined
+      const role = isAllocator ? PermitRole.allocator : PermitRole.standby
+      return { ...takePermit(run, role, limits.limitOf(run) ?? perSecond, maximumWait, true) }
+    }
+  }
+}
--- /dev/null
+++ b/src/edge/targetSelection.ts
@@ -0,0 +1,117 @@
+/** Selects the upstream for each attempt of a request. */
+import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
+import { rankUpstreams } from './placement'
+import { urgencyOf } from './promptPlan'
+import type { MonotonicMilliseconds } from '../types'
+import type { Instant } from './types'
+import type { Upstream } from './upstreamDirectory'
+
+/** Grace period in milliseconds after a new weights version was announced; until then older weights rank equally. */
+const OUTDATED_WEIGHTS_GRACE_MS = 1200
+/** Share of the outdated weights limit after which an engine is not used; the rest is reserved for its queue. */
+const OUTDATED_WEIGHTS_SHARE = 0.85
+/**
+ * Share of the time to the latency target for which a request may wait for a permit while all upstreams have named
+ * request limits; the rest is left for the upstream. Less urgent requests wait for a fraction of it, so that the most
+ * urgent ones get the permits when there are too few.
+ */
+const PERMIT_WAIT_SHARE = 0.5
+/** Permits that may be denied before the request fails; each denial costs a round trip between instances. */
+const MAX_PERMIT_DENIALS = 3
+
+export interface Target {
+  upstream: Upstream
+  /** Longest time in milliseconds that the request waits for a permit of the upstream. */
+  maximumPermitWait: number
+}
+
+export interface TargetSelection {
+  /** Records the demand for the shared prefix; called once, before the first selection. */
+  start: (now: MonotonicMilliseconds) => void
+  /** Returns undefined if no upstream may get the request now. */
+  select: (now: Instant) => Target | undefined
+  /** Excludes the upstream from further selections. */
+  markTried: (upstream: Upstream) => void
+  /** Records that the upstream has no permit within the permitted wait; its next one is free in `wait` milliseconds. */
+  recordDenial: (upstream: Upstream, wait: number, now: MonotonicMilliseconds) => void
+  /** Returns why no upstream was selected, for the log. */
+  failureReason: () => string
+  /** Returns the number of engines that should hold the shared prefix. */
+  replicas: () => number
+}
+
+/** Requests without an urgency share one rank. */
+export function urgencyRank (urgency: number | undefined): number {
+  return urgency ?? 0
+}
+
+/** @param timeLeft returns the remaining time of the request in milliseconds */
+export function createTargetSelection (
+  context: ExchangeContext, admittedRequest: AdmittedRequest, timeLeft: () => number
+): TargetSelection {
+  const { callerRequest: { model }, route, customer, service, plan } = admittedRequest
+  const rank = urgencyRank(urgencyOf(route, customer))
+  const tried = new Set<string>()
+  /** Random number that keeps all attempts on the same version of a service during a service rollout. */
+  const versionDraw = context.random()
+  let replicas = 1
+  let denials = 0
+
+  /** Returns the longest time in milliseconds for which newer weights than the upstream's may have been announced. */
+  function outdatedWeightsAge (upstream: Upstream, now: Instant): number {
+    const loaded = model === undefined ? undefined : upstream.weights.get(model)
+    return loaded === undefined ? 0 : context.weightsRollout.supersededFor(model!, loaded, now)
+  }
+
+  function needsPermit ({ entry }: Upstream): boolean {
+    return context.sendPermits.isNeeded(entry)
+  }
+
+  function longestPermitWait (): number {
+    return Math.min(timeLeft(), route.latencyTarget) * PERMIT_WAIT_SHARE / (1 + rank)
+  }
+
+  return {
+    start (now) {
+      if (plan.prefixKey === undefined) return
+      const ownTokens = Math.max(0, plan.promptTokens - plan.sharedTokens)
+      replicas = context.prefixDemand.replicasFor(plan.prefixKey, ownTokens, context.instanceCount(), now)
+    },
+    select (now) {
+      if (denials >= MAX_PERMIT_DENIALS) return undefined
+      const maximumAge = context.outdatedWeightsLimit * OUTDATED_WEIGHTS_SHARE
+      const usable = context.directory.usable(service, now.steady).filter((upstream) => (
+        !tried.has(upstream.entry.identifier) && outdatedWeightsAge(upstream, now) < maximumAge
+      ))
+      // The version is chosen first: a request limit on one version must not move its traffic to the other one.
+      const eligible = context.serviceRollouts.eligible(service, usable, versionDraw, now.steady)
+      // A request does not wait for a permit while another upstream takes it at once.
+      const maximumPermitWait = eligible.every(needsPermit) ? longestPermitWait() : 0
+      const candidates = eligible.filter((upstream) => (
+        !needsPermit(upstream) || upstream.nextPermitAt - now.steady <= maximumPermitWait
+      ))
+      const [upstream] = rankUpstreams({
+        prefixKey: plan.prefixKey,
+        sharedTokens: plan.sharedTokens,
+        dataCentre: context.dataCentre,
+        urgency: rank,
+        replicas,
+        draw: context.random(),
+        loadingEngines: context.loadingEngines(),
+        hasOutdatedWeights: (candidate) => outdatedWeightsAge(candidate, now) > OUTDATED_WEIGHTS_GRACE_MS
+      }, candidates, now.steady)
+      return upstream === undefined ? undefined : { upstream, maximumPermitWait }
+    },
+    markTried (upstream) { tried.add(upstream.entry.identifier) },
+    recordDenial (upstream, wait, now) {
+      denials += 1
+      upstream.nextPermitAt = now + wait
+    },
+    failureReason: () => (
+      context.directory.listed(service).some(needsPermit)
+        ? 'no upstream is usable within its request limit'
+        : 'no upstream is usable'
+    ),
+    replicas: () => replicas
+  }
+}
--- a/src/edge/types.ts
+++ b/src/edge/types.ts
@@ -107,9 +107,14 @@
   state: ServiceRolloutState
 }
 
-/** An upstream as registered in the store. */
-export interface UpstreamEntry {
+/** Identifies one process of an upstream among the successive ones with the same identifier. */
+export interface UpstreamRun {
   identifier: string
+  startedAt: WallClockMilliseconds
+}
+
+/** An upstream as registered in the store. */
+export interface UpstreamEntry extends UpstreamRun {
   service: string
   /** Software version; empty if the upstream does not state one. */
   softwareVersion: string
@@ -117,8 +122,6 @@
   dataCentre: string
   slots: number
   leaving: boolean
-  /** Start time of the upstream process; distinguishes successive processes with the same identifier. */
-  startedAt: WallClockMilliseconds
   weights: readonly ModelWeights[]
 }
 
--- a/src/edge/upstreamDirectory.ts
+++ b/src/edge/upstreamDirectory.ts
@@ -85,6 +85,8 @@
   pausedUntil: MonotonicMilliseconds
   /** End of the back-off that the upstream requested. */
   backOffUntil: MonotonicMilliseconds
+  /** When a permit to send it a request is available again, as last heard; not in use while it names no limit. */
+  nextPermitAt: MonotonicMilliseconds
   /** Whether the upstream announced in a response that it is leaving, regardless of its entry. */
   announcedLeaving: boolean
   lastActivityAt: MonotonicMilliseconds
@@ -235,6 +237,7 @@
     failures: 0,
     pausedUntil: -Infinity,
     backOffUntil: -Infinity,
+    nextPermitAt: -Infinity,
     announcedLeaving: false,
     lastActivityAt: -Infinity,
     suspectedUntil: -Infinity,
--- a/src/edge/upstreamHints.ts
+++ b/src/edge/upstreamHints.ts
@@ -5,7 +5,7 @@
  * - The leaving hint applies to the run of the upstream that gave it, regardless of its entry, and is sent to all
  *   instances.
  * - A back-off applies only to the instance that received it.
- * - A request limit is recorded.
+ * - A request limit applies to the requests of all instances together.
  */
 import type { MonotonicMilliseconds } from '../types'
 import { EdgeEvent, type EdgeLog } from './events'
@@ -26,7 +26,7 @@
   /** Notifies all other instances. */
   broadcast: PeerBroadcast['send']
   directory: Pick<UpstreamDirectory, 'markLeaving'>
-  requestLimits: Pick<RequestLimits, 'recordHint'>
+  requestLimits: Pick<RequestLimits, 'applyHint'>
   log: EdgeLog
 }
 
@@ -43,7 +43,7 @@
     apply (upstream, { leaving, backOffFor, requestLimit }, now) {
       const { identifier, startedAt } = upstream.entry
       if (leaving && recordLeaving(identifier, startedAt, false)) broadcast({ upstream: identifier, startedAt })
-      requestLimits.recordHint(upstream, requestLimit)
+      requestLimits.applyHint(upstream.entry, requestLimit, now)
       if (backOffFor === undefined) return
       backOffUpstream(upstream, backOffFor, now)
       log(EdgeEvent.upstreamBackingOff, { upstream: identifier, milliseconds: Math.round(upstream.backOffUntil - now) })
--- a/src/edge/weightsRolloutTask.ts
+++ b/src/edge/weightsRolloutTask.ts
@@ -1,6 +1,7 @@
 /** Sends engines the commands to load new weights while this instance holds the lease. */
 import { EdgeEvent, errorMessage, type EdgeLog } from './events'
 import type { LeaseTask } from './leaseTask'
+import type { SendPermits } from './sendPermits'
 import type { EngineControl, Instant, UpstreamHint } from './types'
 import type { Upstream, UpstreamDirectory } from './upstreamDirectory'
 import type { LoadProgress, WeightsRollout, WeightsStep } from './weightsRollout'
@@ -12,9 +13,16 @@
 /** Time in milliseconds for which progress is still published after the last engine has the newest weights. */
 const PUBLISH_AFTER_MS = 1000
 
+/**
+ * Longest time in milliseconds that a report or command waits for a permit, so that it gets one ahead of the requests of
+ * callers.
+ */
+const MAX_PERMIT_WAIT_MS = 2000
+
 export interface WeightsTaskOptions {
   instance: string
   control: EngineControl
+  permits: Pick<SendPermits, 'waitFor'>
   lease: Pick<LeaseTask, 'token'>
   rollout: WeightsRollout
   directory: UpstreamDirectory
@@ -32,7 +40,7 @@
 }
 
 export function startWeightsTask (options: WeightsTaskOptions): WeightsTask {
-  const { instance, control, lease, rollout, directory, log, now } = options
+  const { instance, control, permits, lease, rollout, directory, log, now } = options
   let wasHeld = false
   let pendingAt = -Infinity
   let publishedAt = -Infinity
@@ -41,6 +49,7 @@
   async function perform ({ kind, upstream, target }: WeightsStep): Promise<void> {
     const { identifier } = upstream.entry
     const onHint = (hint: UpstreamHint): void => { options.onUpstreamHint(upstream, hint) }
+    if (!await permits.waitFor(upstream.entry, MAX_PERMIT_WAIT_MS)) return
     if (kind === 'report') {
       rollout.recordReport(upstream, await control.report(upstream.entry, onHint), now().steady)
       return
