Judge a slow version by its running requests

Cause: an attempt was counted in a rollout only when it ended. Streams on a slow version are the last to end, and those that the caller or the time limit ends were never counted, so that the fastest attempts spoke for the version. The times between events were not counted at all, and the old version's times only from the request of the rollout on.

--- a/src/edge/__tests__/eventBoundary.test.ts
+++ b/src/edge/__tests__/eventBoundary.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { createEventBoundary, MAX_EVENT_BYTES, hasData } from '../eventBoundary'
+import { createEventBoundary, MAX_EVENT_BYTES, countData } from '../eventBoundary'
 
 function feed (chunks: readonly string[]): { forwarded: string, partialEvent: string, last: string | undefined } {
   const boundary = createEventBoundary()
@@ -45,11 +45,12 @@
   })
 
   it.each([
-    ['an event with content', 'id: 1\ndata: a\n\n', true],
-    ['a comment', ': still here\n\n', false],
-    ['an empty event', '\n\n', false],
-    ['a comment before an event', ': still here\n\nid: 1\ndata: a\n\n', true]
+    ['an event with content', 'id: 1\ndata: a\n\n', 1],
+    ['a comment', ': still here\n\n', 0],
+    ['an empty event', '\n\n', 0],
+    ['a comment before an event', ': still here\n\nid: 1\ndata: a\n\n', 1],
+    ['two events at once', 'data: a\n\ndata: b\n\n', 2]
   ])('%s', (_title, events, expected) => {
-    expect(hasData(Buffer.from(events))).toBe(expected)
+    expect(countData(Buffer.from(events))).toBe(expected)
   })
 })
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -118,7 +118,7 @@
   const connections = createUpstreamConnections(() => performance.now())
   const weightsRollout = createWeightsRollout()
   const serviceRollouts = createServiceRollouts()
-  const rolloutSampler = createRolloutSampler()
+  const rolloutSampler = createRolloutSampler(serviceRollouts.isRollingOut)
   let loadingEngines: ReadonlySet<Upstream> = new Set()
   const exchanges = new Set<Exchange>()
   const backlogs = new Map<string, Backlog>()
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -3,12 +3,13 @@
 import { MAX_RESPONSE_BYTES, type ResponseBuffer } from './responseBuffers'
 import { AttemptOutcome, decideNextStep, mayRepeat, type AttemptHistory } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
-import { createEventBoundary, hasData, type EventBoundary } from './eventBoundary'
+import { countData, createEventBoundary, type EventBoundary } from './eventBoundary'
 import { EdgeEvent } from './events'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import { decideShedding } from './loadShedding'
 import { planCache, urgencyOf } from './promptPlan'
 import type { PacerDecision } from './requestPacer'
+import type { AttemptSample } from './rolloutSampler'
 import { createTargetSelection, urgencyRank, type Target } from './targetSelection'
 import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
 import { RepeatRule, RequestLimitKind, type Instant } from './types'
@@ -54,8 +55,11 @@
   send: () => void
   /** Aborts an attempt that makes no progress; called several times per second. */
   check: (now: Instant) => void
-  /** Cancels the current attempt after the caller disconnected or the request timed out. */
-  cancel: () => void
+  /**
+   * Cancels the current attempt.
+   * @param isOverdue the request timed out; otherwise the caller disconnected
+   */
+  cancel: (isOverdue: boolean) => void
   /** Resumes reading the response once the caller's connection has drained. */
   resume: () => void
   /** Returns the number of attempts that may have run and of those that were certainly not run. */
@@ -69,6 +73,7 @@
 interface Attempt {
   upstream: Upstream
   call: UpstreamCall
+  sample: AttemptSample
   startedAt: number
   /** Time of the last byte of a plain response, or of the last event with data of a stream. */
   lastProgressAt: number
@@ -129,6 +134,7 @@
   function pauseResponse (current: Attempt): void {
     if (current.isPaused) return
     current.isPaused = true
+    current.sample.ignorePace()
     recordReadPaused(current.upstream)
     current.call.pause()
   }
@@ -244,6 +250,9 @@
     backlog.requestStarted()
     const current: Attempt = {
       upstream,
+      sample: context.rolloutSampler.startAttempt({
+        service, route: route.name, isNew: () => context.serviceRollouts.hasTargetVersion(upstream)
+      }, now.steady),
       startedAt: now.steady,
       lastProgressAt: now.steady,
       firstByteAt: undefined,
@@ -282,18 +291,6 @@
     return !reachedUpstream || context.retryAllowance.tryRetry(service, context.share(), context.now().steady)
   }
 
-  /** Records an attempt that ran as a sample for the evaluation of a service rollout. */
-  function recordRolloutSample ({ upstream, startedAt, firstByteAt }: Attempt, failed: boolean): void {
-    if (!context.serviceRollouts.isRollingOut(service)) return
-    context.rolloutSampler.record({
-      service,
-      route: route.name,
-      isNew: context.serviceRollouts.hasTargetVersion(upstream),
-      failed,
-      firstByte: firstByteAt === undefined ? undefined : firstByteAt - startedAt
-    })
-  }
-
   /**
    * Continues after an attempt that ended without a complete response.
    * @param forward forwards the upstream's error response if the request is not retried
@@ -322,7 +319,7 @@
     eventBoundary?.discardPartialEvent()
     reachedUpstream ||= sent
     if (sent) {
-      recordRolloutSample(current, true)
+      current.sample.recordEnd(true, context.now().steady)
       return continueAfter(AttemptOutcome.unknown, reason)
     }
     history.runs -= 1
@@ -398,6 +395,7 @@
       firstByteAt ??= now
       backlog.firstByteReceived(now)
       releasePendingPrefill(current)
+      current.sample.recordFirstByte(now)
       observeWait(current.upstream, rank, now - current.startedAt, now)
     }
     if (!isStreamed(current)) {
@@ -406,7 +404,11 @@
       return
     }
     const events = eventBoundary!.push(chunk)
-    if (events !== undefined && hasData(events)) current.lastProgressAt = now
+    const eventCount = events === undefined ? 0 : countData(events)
+    if (eventCount > 0) {
+      current.lastProgressAt = now
+      current.sample.recordEvents(eventCount, now)
+    }
     if (events !== undefined && !callerResponse.write(events)) pauseResponse(current)
     if (eventBoundary!.isOversized()) abortAttempt(current, 'an event is too long')
   }
@@ -416,7 +418,7 @@
     if (isStreamed(current)) {
       if (eventBoundary!.partialEvent().length > 0) return onAttemptFailed(current, 'the stream ended within an event', true)
       detachAttempt(current)
-      recordRolloutSample(current, false)
+      current.sample.recordEnd(false, context.now().steady)
       callerResponse.end()
       return callbacks.onSuccess(upstream, 200)
     }
@@ -424,7 +426,7 @@
     detachAttempt(current)
     reachedUpstream = true
     const status = head?.statusCode ?? 0
-    recordRolloutSample(current, status >= 500)
+    current.sample.recordEnd(status >= 500, context.now().steady)
     if (status >= 500 || NOT_EXECUTED_STATUSES.has(status)) {
       return continueAfter(AttemptOutcome.failed, `the upstream answered ${status}`, () => { forwardResponse(current, status, bytes) })
     }
@@ -451,6 +453,7 @@
     },
     check (now) {
       if (attempt === undefined || attempt.isPaused) return
+      attempt.sample.recordRunning(now.steady)
       if (!mayRepeat(history) || history.runs >= history.maximumAttempts) return
       const idleMs = now.steady - attempt.lastProgressAt
       const limitMs = history.repeat === RepeatRule.safe ? timeLeft() * RETRY_TIME_SHARE : STALLED_STREAM_MS
@@ -458,10 +461,11 @@
       const isUnresponsive = isUpstreamSilent && idleMs > CONNECT_TIMEOUT_MS
       if (idleMs >= limitMs || isUnresponsive) abortAttempt(attempt, `no progress for ${Math.round(idleMs)} ms`, !isUpstreamSilent)
     },
-    cancel () {
+    cancel (isOverdue) {
       cancelled = true
       clearTimeout(permitTimer)
       if (attempt === undefined) return
+      if (isOverdue) attempt.sample.recordEnd(true, context.now().steady)
       attempt.call.cancel()
       detachAttempt(attempt)
     },
--- a/src/edge/eventBoundary.ts
+++ b/src/edge/eventBoundary.ts
@@ -23,11 +23,15 @@
 }
 
 /**
- * Whether any of the complete events has a data field. Comments do not count as progress, because they could keep a
+ * Returns the number of data fields in complete events. Comments do not count as progress, because they could keep a
  * stalled stream open indefinitely.
  */
-export function hasData (events: Buffer): boolean {
-  return events.includes(DATA_FIELD)
+export function countData (events: Buffer): number {
+  let count = 0
+  for (let position = events.indexOf(DATA_FIELD); position >= 0; position = events.indexOf(DATA_FIELD, position + 1)) {
+    count += 1
+  }
+  return count
 }
 
 /** Returns the value of the last line that starts with `id:`. */
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -110,7 +110,7 @@
   }
 
   function onTimeout (service: string): void {
-    dispatch?.cancel()
+    dispatch?.cancel(true)
     const reason = 'the time limit passed'
     if (callerResponse.hasStarted()) return abort(reason)
     const hasRun = (dispatch?.counts().runs ?? 0) > 0
@@ -119,7 +119,7 @@
 
   function onCallerDisconnected (): void {
     if (isFinished) return
-    dispatch?.cancel()
+    dispatch?.cancel(false)
     log(EdgeEvent.requestCancelled, { requestIdentifier: identifier, ...dispatch?.counts() })
     finish()
   }
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -45,8 +45,8 @@
   /** Time in milliseconds after which no request may start on weights older than the newest announced version. */
   outdatedWeightsLimit: number
   weightsRollout: Pick<WeightsRollout, 'target' | 'supersededFor'>
-  serviceRollouts: Pick<ServiceRollouts, 'eligible' | 'isRollingOut' | 'hasTargetVersion'>
-  rolloutSampler: Pick<RolloutSampler, 'record'>
+  serviceRollouts: Pick<ServiceRollouts, 'eligible' | 'hasTargetVersion'>
+  rolloutSampler: Pick<RolloutSampler, 'startAttempt'>
   engineLoads: Pick<LoadExchange, 'refresh' | 'promptSent' | 'prefillEnded'>
   /** Engines that are loading weights or will load them next. */
   loadingEngines: () => ReadonlySet<Upstream>
--- a/src/edge/requestLimits.ts
+++ b/src/edge/requestLimits.ts
@@ -7,13 +7,14 @@
  * - It does not expire: without an answer nothing shows that it has ended.
  */
 import type { MonotonicMilliseconds } from '../types'
+import { setBounded } from './boundedMap'
 import { EdgeEvent, type EdgeLog } from './events'
 import type { PeerBroadcast } from './peerBroadcast'
 import type { PeerValue } from './peerLinks'
 import { RequestLimitKind, type RequestLimitHint, type UpstreamRun } from './types'
 
 /** Number of runs that are remembered; many more than are limited at a time. */
-const MAX_RUNS = 1000
+export const MAX_LIMITED_RUNS = 1000
 /** Longest logged part of a limit that cannot be parsed. */
 const MAX_LOGGED_CHARACTERS = 40
 /**
@@ -57,13 +58,6 @@
   return `${identifier}/${startedAt}`
 }
 
-/** Adds an entry to a map in order of insertion, and removes the oldest one if there are too many. */
-export function setBounded<Value> (map: Map<string, Value>, key: string, value: Value): void {
-  map.set(key, value)
-  const oldest = map.keys().next().value
-  if (map.size > MAX_RUNS && oldest !== undefined) map.delete(oldest)
-}
-
 export function createRequestLimits ({ broadcast, log }: RequestLimitsOptions): RequestLimits {
   const limits = new Map<string, NamedLimit>()
   const unreadableLoggedAt = new Map<string, MonotonicMilliseconds>()
@@ -79,7 +73,7 @@
     }
     limit.perSecond = perSecond
     limit.confirmedAt = now
-    setBounded(limits, key, limit)
+    setBounded(limits, key, limit, MAX_LIMITED_RUNS)
     return limit
   }
 
@@ -90,7 +84,7 @@
 
   function logUnreadable (run: UpstreamRun, text: string, now: MonotonicMilliseconds): void {
     if (now - (unreadableLoggedAt.get(runKey(run)) ?? -Infinity) < UNREADABLE_LOG_INTERVAL_MS) return
-    setBounded(unreadableLoggedAt, runKey(run), now)
+    setBounded(unreadableLoggedAt, runKey(run), now, MAX_LIMITED_RUNS)
     log(EdgeEvent.upstreamLimitUnreadable, { upstream: run.identifier, limit: text.slice(0, MAX_LOGGED_CHARACTERS) })
   }
 
--- a/src/edge/sendPermits.ts
+++ b/src/edge/sendPermits.ts
@@ -14,8 +14,9 @@
 import { PlatformUnavailableError } from '../errors'
 import { rankByRendezvous } from '../rendezvous'
 import type { MonotonicMilliseconds, RandomSource } from '../types'
+import { setBounded } from './boundedMap'
 import { requestIfReachable, PeerRequestKind, type PeerLinks, type PeerValue } from './peerLinks'
-import { runKey, setBounded, type RequestLimits } from './requestLimits'
+import { MAX_LIMITED_RUNS, runKey, type RequestLimits } from './requestLimits'
 import {
   changeInterval, createRequestPacer, restartIfIdle, takeSlot, type PacerDecision, type RequestPacer
 } from './requestPacer'
@@ -117,7 +118,7 @@
     const actualRole = isServing ? role : PermitRole.independent
     const interval = 1000 / rateByRole[actualRole](Math.max(MIN_RATE, perSecond))
     const pacer = known?.pacer ?? createRequestPacer(interval, random, present)
-    setBounded(allocations, key, { pacer, askedAt })
+    setBounded(allocations, key, { pacer, askedAt }, MAX_LIMITED_RUNS)
     changeInterval(pacer, interval, present)
     if (actualRole === PermitRole.independent) restartIfIdle(pacer, random, present)
     return takeSlot(pacer, maximumWait, present)
