--- a/playground/__tests__/soakChecks.test.ts
+++ b/playground/__tests__/soakChecks.test.ts
@@ -16,12 +16,14 @@
   ...values
 })
 const run = (values: Partial<SeenRun> = {}): SeenRun => ({
-  identifier: 'r1', upstream: 'u1', startedAt: 1010, endedAt: 1090, key: 'k1', scope: 'small.1', tokens: 110, ...values
+  identifier: 'r1', upstream: 'u1', process: 'u1#1', startedAt: 1010, endedAt: 1090, key: 'k1', scope: 'small.1', tokens: 110, ...values
 })
 const history = (values: Partial<SoakHistory> = {}): SoakHistory => ({
   requests: [request()],
   runs: [run()],
   orders: [{ upstream: 'e1#1', holder: 'router-1', token: 4 }, { upstream: 'e1#1', holder: 'router-2', token: 5 }],
+  limits: [{ process: 'u1#1', perSecond: 1, from: 0, until: 20_000 }],
+  disturbances: [],
   revoked: new Map([['old', 1000]]),
   quota: { key: 'k1', window: 8000, tokens: 200 },
   stopped: new Map([['router-1#1', 1050]]),
@@ -32,6 +34,13 @@
   ...values
 })
 
+/** 12 requests in a second at an upstream that takes one per second, after its instance was told. */
+const late = Array.from({ length: 12 }, (_unused, index) => ({ identifier: `late-${index}`, startedAt: 5000 + 80 * index }))
+const BEYOND_LIMIT: Partial<SoakHistory> = {
+  requests: [request(), ...late.map((values) => request({ ...values, endedAt: 6000 }))],
+  runs: [run(), ...late.map((values) => run({ ...values, key: 'other' }))]
+}
+
 describe('the checks of the soak', () => {
   it('find nothing where all promises are kept', () => {
     expect(Object.values(SOAK_CHECKS).flatMap((check) => check(history()))).toEqual([])
@@ -46,6 +55,13 @@
     expect(SOAK_CHECKS.whole!(history({ requests }))).toHaveLength(violations)
   })
 
+  it.each<[string, Partial<SoakHistory>]>([
+    ['the upstream', { disturbances: [{ subject: 'u1#1', from: 4500, until: 4800 }] }],
+    ['the instance', { disturbances: [{ subject: 'router-1#1', from: 100, until: 200 }] }]
+  ])('excuse requests beyond a limit when %s was disturbed', (_title, values) => {
+    expect(SOAK_CHECKS.requestLimits!(history({ ...BEYOND_LIMIT, ...values }))).toEqual([])
+  })
+
   it.each<{ name: keyof typeof SOAK_CHECKS, broken: Partial<SoakHistory> }>([
     { name: 'whole', broken: { requests: [request({ body: 'who' })] } },
     { name: 'own', broken: { requests: [request({ echoed: 'r2' })] } },
@@ -53,6 +69,7 @@
     { name: 'trueRefusals', broken: { requests: [request({ status: 503, body: '' })] } },
     { name: 'quota', broken: { runs: [run(), run({ identifier: 'r2', startedAt: 9000 })] } },
     { name: 'revoked', broken: { runs: [run({ key: 'old', startedAt: 6001 })] } },
+    { name: 'requestLimits', broken: BEYOND_LIMIT },
     { name: 'drain', broken: { requests: [request({ status: 0, complete: false, body: '' })] } },
     {
       name: 'configuration',
--- a/playground/soak/checks.ts
+++ b/playground/soak/checks.ts
@@ -26,6 +26,8 @@
 export interface SeenRun {
   identifier: string
   upstream: string
+  /** Process of the upstream that ran it. */
+  process: string
   startedAt: number
   /** Undefined while it goes on. */
   endedAt: number | undefined
@@ -35,6 +37,23 @@
   tokens: number
 }
 
+/** Time in which a process of an upstream named a limit of requests per second. */
+export interface NamedLimit {
+  /** Process of the upstream, as in `SeenRun`. */
+  process: string
+  perSecond: number
+  from: number
+  until: number
+}
+
+/** Time in which the connections to a process of an upstream, or an instance, were disturbed. */
+export interface Disturbance {
+  /** Process of the upstream, or identity of the instance. */
+  subject: string
+  from: number
+  until: number
+}
+
 export interface SeenOrder {
   /** Process that took the order; the orders of one process are in their order. */
   upstream: string
@@ -46,6 +65,8 @@
   requests: readonly SeenRequest[]
   runs: readonly SeenRun[]
   orders: readonly SeenOrder[]
+  limits: readonly NamedLimit[]
+  disturbances: readonly Disturbance[]
   /** When each key was taken away. */
   revoked: ReadonlyMap<string, number>
   /** Limits of the customer that has one: tokens in any window. */
@@ -67,6 +88,14 @@
 /** Milliseconds before the end by force in which a stopping process may break off what it has taken. */
 export const GRACE_MS = 4000
 
+/** Milliseconds after which a limit that an upstream has named binds, and in a window of which it is checked. */
+export const LIMIT_NOTICE_MS = 3000
+const LIMIT_WINDOW_MS = 4000
+/** Milliseconds after an answer with a limit from which its instance is held to it. */
+const LIMIT_TOLD_MS = 500
+/** Milliseconds after a disturbance in which requests may still arrive late. */
+const DISTURBED_MS = 1000
+
 type Check = (history: SoakHistory) => string[]
 
 const wholeOf = ({ kind }: SeenRequest, history: SoakHistory): string => {
@@ -121,6 +150,37 @@
     .filter(({ key, startedAt }) => startedAt > (revoked.get(key) ?? Infinity) + REVOCATION_MS)
     .map(({ identifier, key }) => `${identifier} ran with key ${key} after it was taken away`),
 
+  requestLimits ({ requests, runs, limits, disturbances }) {
+    const byIdentifier = new Map(requests.map((request) => [request.identifier, request]))
+    const isDisturbed = (subject: string | undefined, from: number, until: number): boolean => disturbances.some(
+      (one) => one.subject === subject && one.from < until && one.until + DISTURBED_MS > from
+    )
+    return limits.flatMap(({ process, perSecond, from, until }) => {
+      const allowed = perSecond * 1.5 * LIMIT_WINDOW_MS / 1000 + 5
+      const limitedRuns = runs.filter((run) => (
+        run.process === process && run.startedAt >= from && run.startedAt < until
+      ))
+      const toldAt = new Map<string, number>()
+      for (const { identifier } of limitedRuns) {
+        const request = byIdentifier.get(identifier)
+        if (request?.status !== 200 || !request.complete) continue
+        toldAt.set(request.instance, Math.min(toldAt.get(request.instance) ?? Infinity, request.endedAt))
+      }
+      const counted = limitedRuns.filter(({ identifier, startedAt }) => {
+        const instance = byIdentifier.get(identifier)?.instance
+        const isTold = startedAt > (toldAt.get(instance ?? '') ?? Infinity) + LIMIT_TOLD_MS
+        return startedAt >= from + LIMIT_NOTICE_MS && isTold && !isDisturbed(instance, from, until)
+      }).map(({ startedAt }) => startedAt)
+      return counted.flatMap((start) => {
+        const end = start + LIMIT_WINDOW_MS
+        const count = counted.filter((time) => time >= start && time < end).length
+        return count > allowed && !isDisturbed(process, start, end)
+          ? [`${process} got ${count} requests in the window from ${Math.round(start)}, ${allowed} are allowed`]
+          : []
+      })
+    })
+  },
+
   drain: ({ requests, stopped }) => requests
     .filter(({ instance, startedAt, endedAt, left, status, complete }) => {
       const stoppedAt = stopped.get(instance)
--- a/playground/soak/faults.ts
+++ b/playground/soak/faults.ts
@@ -1,8 +1,9 @@
 /** Faults of the soak. Each begins at once and resolves when it is over; several overlap. */
 import { StoreFault } from '../../standins/fleet/store'
 import { UpstreamFault } from '../../standins/fleet/upstream'
+import type { Disturbance, NamedLimit } from './checks'
 import { LinkFault } from './proxy'
-import type { RouterProcess, World } from './world'
+import { processOf, type RouterProcess, type World } from './world'
 
 /** What a fault may use besides the world. */
 export interface FaultContext {
@@ -16,6 +17,10 @@
   /** Notes that a router was ended by force; it owes its callers nothing more. */
   noteKill: (router: RouterProcess) => void
   noteRevoked: (key: string) => void
+  /** Notes that a process of an upstream named a limit until now. */
+  noteLimit: (limit: NamedLimit) => void
+  /** Notes that something was disturbed until now. */
+  noteDisturbance: (disturbance: Disturbance) => void
 }
 
 export type Fault = (context: FaultContext) => Promise<void>
@@ -47,12 +52,15 @@
   await context.world.startRouter(router.name)
 }
 
-const link = (fault: LinkFault): Fault => async ({ world, random, pause }) => {
-  const proxies = [...world.storeProxies.values(), ...world.upstreams.map(({ proxy }) => proxy)]
-  const proxy = pick(proxies, random)
+const link = (fault: LinkFault): Fault => async ({ world, random, pause, noteDisturbance }) => {
+  const upstreams = world.upstreams.map((upstream) => ({ proxy: upstream.proxy, subject: processOf(upstream) }))
+  const stores = [...world.storeProxies.values()].map((proxy) => ({ proxy, subject: 'store' }))
+  const { proxy, subject } = pick([...stores, ...upstreams], random)
+  const from = performance.now()
   proxy.setFault(fault)
   await pause(200 + 2500 * random())
   proxy.setFault(LinkFault.none)
+  noteDisturbance({ subject, from, until: performance.now() })
 }
 
 const store = (fault: StoreFault): Fault => async ({ world, random, pause }) => {
@@ -65,10 +73,12 @@
   kill: async (context) => { await restart(context, 'SIGKILL') },
   stop: async (context) => { await restart(context, 'SIGTERM') },
   async freeze (context) {
-    const { child } = pick(running(context), context.random)
+    const { child, identity } = pick(running(context), context.random)
+    const from = performance.now()
     child.kill('SIGSTOP')
     await context.pause(100 + 6500 * context.random() ** 2)
     child.kill('SIGCONT')
+    context.noteDisturbance({ subject: identity, from, until: performance.now() })
   },
   linkDelay: link(LinkFault.delay),
   linkReset: link(LinkFault.reset),
@@ -85,6 +95,16 @@
     const { standIn } = pick(world.upstreams, random)
     standIn.fail(...Array.from({ length: 1 + Math.floor(4 * random()) }, () => pick(UPSTREAM_FAULTS, random)))
   },
+  async requestLimit ({ world, random, pause, noteLimit }) {
+    const upstream = pick(world.upstreams, random)
+    const perSecond = pick([0.5, 1, 2], random)
+    if (upstream.standIn.says['Server-Limit'] !== undefined) return
+    const from = performance.now()
+    upstream.standIn.says = { 'Server-Limit': String(perSecond) }
+    await pause(8000 + 4000 * random())
+    upstream.standIn.says = {}
+    noteLimit({ process: processOf(upstream), perSecond, from, until: performance.now() })
+  },
   async upstreamRestart ({ world, random }) {
     await world.restartUpstream(Math.floor(random() * world.upstreams.length))
   },
--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -4,10 +4,10 @@
 import { until } from '../../platform/__tests__/edgeFixture'
 import { StoreFault } from '../../standins/fleet/store'
 import { eventText, PLAIN_ANSWER } from '../../standins/fleet/upstream'
-import { SOAK_CHECKS, type SeenOrder, type SeenRequest, type SeenRun, type SoakHistory } from './checks'
+import { SOAK_CHECKS, type Disturbance, type NamedLimit, type SeenOrder, type SeenRequest, type SeenRun, type SoakHistory } from './checks'
 import { SOAK_FAULTS, type FaultContext } from './faults'
 import { LinkFault } from './proxy'
-import { ISOLATED_KEY, LIMITED, STREAM_EVENTS, startWorld, type RouterProcess, type World } from './world'
+import { ISOLATED_KEY, LIMITED, STREAM_EVENTS, processOf, startWorld, type RouterProcess, type World } from './world'
 
 /** Callers; each has one request at a time. */
 const CALLERS = 12
@@ -45,9 +45,10 @@
 }
 
 function runsOf (world: World): SeenRun[] {
-  return [...world.upstreams, ...world.ended].flatMap(({ standIn }) => standIn.runs.map((run) => ({
+  return [...world.upstreams, ...world.ended].flatMap((placed) => placed.standIn.runs.map((run) => ({
     identifier: run.identifier,
-    upstream: standIn.identifier,
+    upstream: placed.standIn.identifier,
+    process: processOf(placed),
     startedAt: run.startedAt,
     endedAt: run.endedAt,
     key: String(run.headers.authorization ?? '').replace('Token ', ''),
@@ -57,8 +58,8 @@
 }
 
 function ordersOf (world: World): SeenOrder[] {
-  return [...world.upstreams, ...world.ended].flatMap(({ standIn, starts }) => standIn.orders.map((order) => ({
-    upstream: `${standIn.identifier}#${starts}`, holder: String(order.holder), token: Number(order.fencingToken)
+  return [...world.upstreams, ...world.ended].flatMap((placed) => placed.standIn.orders.map((order) => ({
+    upstream: processOf(placed), holder: String(order.holder), token: Number(order.fencingToken)
   })))
 }
 
@@ -71,6 +72,8 @@
   const configurations: Array<SoakHistory['configurations'][number]> = []
   const stopped = new Map<string, number>()
   const revoked = new Map<string, number>()
+  const limits: NamedLimit[] = []
+  const disturbances: Disturbance[] = []
   const began: string[] = []
   const violations: string[] = []
   const progress = { isOver: false }
@@ -123,7 +126,9 @@
     pause,
     noteStop ({ identity }) { if (!stopped.has(identity)) stopped.set(identity, performance.now()) },
     noteKill ({ identity }) { stopped.set(identity, Infinity) },
-    noteRevoked: (key) => { revoked.set(key, performance.now()) }
+    noteRevoked: (key) => { revoked.set(key, performance.now()) },
+    noteLimit: (limit) => { limits.push(limit) },
+    noteDisturbance: (disturbance) => { disturbances.push(disturbance) }
   }
 
   async function breakThings (): Promise<void> {
@@ -181,6 +186,8 @@
       requests,
       runs: runsOf(world),
       orders: ordersOf(world),
+      limits,
+      disturbances,
       revoked,
       quota: { key, window: windowSeconds * 1000, tokens: (rate * windowSeconds + burst) * (1 + overage) + slack },
       stopped,
--- a/playground/soak/world.ts
+++ b/playground/soak/world.ts
@@ -52,6 +52,11 @@
   starts: number
 }
 
+/** Identifies one process of an upstream: its name and number of the start. */
+export function processOf ({ standIn, starts }: Pick<PlacedUpstream, 'standIn' | 'starts'>): string {
+  return `${standIn.identifier}#${starts}`
+}
+
 export interface World {
   store: StoreStandIn
   storeProxies: ReadonlyMap<string, FaultProxy>
