Learn of new instances although a call for changes of the list was lost

All shares depend on the same list, so quotas and retries could exceed theirs as well.

Cause: one instance had read the list as the only one at its start, another with two of four. The store was silent when they asked for changes, and the call waited 12.5 s for its answer: the lists changed only after 10.4 and 13.9 s.

Fix: calls for changes of the list wait 4 s in place of 25, which only the hub sends to the store (one call more in two seconds for the fleet). Messages on request limits state their sender, who counts as an instance until the list shows it.

--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -12,7 +12,8 @@
   { seed: 101, cause: 'a resumed stream was cut at the length of its first engine\'s answer' },
   { seed: 102, cause: 'as seed 100; and the proxy lost bytes in the middle of a connection after a cut' },
   { seed: 216, cause: 'the proxy passed a reset on as an ordinary end' },
-  { seed: 218, cause: 'as seed 100' }
+  { seed: 218, cause: 'as seed 100' },
+  { seed: 2306, cause: 'instances with lists of one and two instances each used most of a request limit' }
 ]
 
 const program = cac('soak')
--- a/src/edge/__tests__/sendPermits.test.ts
+++ b/src/edge/__tests__/sendPermits.test.ts
@@ -44,6 +44,7 @@
       instance: name,
       dataCentre,
       peers: () => peers.filter((peer) => peer.name !== name),
+      sender: () => ({ name }),
       share: () => 1 / dataCentres / perDataCentre,
       limits: { limitOf: () => limit },
       now: () => now,
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -138,7 +138,10 @@
     failures: async (query) => await failureBroadcast.handleRequest(query),
     leaving: async (query) => await leavingBroadcast.handleRequest(query),
     limits: async (query) => await limitBroadcast.handleRequest(query),
-    permits: async (query) => await sendPermits.handleRequest(query),
+    async permits (query) {
+      instances.observe(query.sender)
+      return await sendPermits.handleRequest(query)
+    },
     engineLoads: async (query) => await engineLoads.handleRequest(query),
     moves: async (query) => await rolloutBroadcast.handleRequest(query),
     moveCounts: async (query) => await serviceRolloutTask.handleRequest(query)
@@ -207,14 +210,18 @@
   })
   const leavingBroadcast = createBroadcast(PeerRequestKind.leaving, (content) => { upstreamHints.receive(content) })
   const limitBroadcast = createBroadcast(PeerRequestKind.requestLimits, (content) => {
+    instances.observe(content.sender)
     requestLimits.receive(content, performance.now())
   })
-  const requestLimits = createRequestLimits({ broadcast: limitBroadcast.send, log })
+  const requestLimits = createRequestLimits({
+    broadcast: (content) => { limitBroadcast.send({ ...content, sender: instances.sender() }) }, log
+  })
   const sendPermits = createSendPermits({
     links,
     instance: name,
     dataCentre,
     peers,
+    sender: instances.sender,
     share: () => instances.share(),
     limits: requestLimits,
     now: () => performance.now(),
--- a/src/edge/instanceList.ts
+++ b/src/edge/instanceList.ts
@@ -7,12 +7,16 @@
 import type { Endpoint } from '../types'
 import { followTable, type Follower, type FollowerOptions } from './storeFollower'
 import { createInstanceShares } from './instanceShares'
+import type { PeerValue } from './peerLinks'
 import type { TableRelay } from './tableRelay'
 import type { Peer, Store, StoreRow } from './types'
 
 const INSTANCE_TABLE = 'waxwingspoke-instances'
-/** Time in milliseconds that a call waits for changes; the list changes a few times per day. */
-const FOLLOW_MS = 25_000
+/**
+ * Time in milliseconds that a call waits for changes. The list changes a few times per day, but a lost response hides
+ * changes for as long, and all shares depend on them.
+ */
+const FOLLOW_MS = 4000
 /**
  * Delay in milliseconds between received rows and the next call. Instances that start together change the list many
  * times per second, and each change costs a call of every instance that reads the store.
@@ -26,12 +30,25 @@
 /** Delay in milliseconds before a failed write of this instance's row is retried. */
 const WRITE_RETRY_MS = 500
 
+/** Fields of an instance in its row and in messages to others. */
+export interface InstanceFields {
+  dataCentre: string
+  /** `HOST:PORT` at which other instances reach it. */
+  peer: string
+}
+
+/** Returns undefined if the fields do not describe an instance. */
+function parsePeer (
+  name: string, { dataCentre, peer }: Partial<Record<keyof InstanceFields, unknown>>
+): Peer | undefined {
+  const endpoint = typeof peer === 'string' ? parseEndpoint(peer) : undefined
+  return typeof dataCentre === 'string' && endpoint !== undefined ? { name, dataCentre, endpoint } : undefined
+}
+
 /** Returns undefined for a row that was not written by an instance of the router. */
 function readPeer (name: string, value: Buffer): Peer | undefined {
   try {
-    const { dataCentre, peer } = JSON.parse(value.toString('utf8')) as { dataCentre?: unknown, peer?: unknown }
-    const endpoint = typeof peer === 'string' ? parseEndpoint(peer) : undefined
-    return typeof dataCentre === 'string' && endpoint !== undefined ? { name, dataCentre, endpoint } : undefined
+    return parsePeer(name, JSON.parse(value.toString('utf8')) as Record<string, unknown>)
   } catch {
     // Only instances of the router write to this table; a row that cannot be parsed is ignored.
     return undefined
@@ -45,6 +62,10 @@
   share: () => number
   /** Returns the other instances. */
   peers: () => readonly Peer[]
+  /** Returns what messages to other instances state of this one. */
+  sender: () => PeerValue
+  /** Counts the sender of a message, which the list may not contain yet, until all rows are read again. */
+  observe: (sender: unknown) => void
   /** Calls the listener once the list has been read, or after a timeout if it cannot be read. */
   whenReady: (listener: () => void) => void
   stop: () => void
@@ -62,6 +83,7 @@
 
 export function createInstanceList (options: InstanceListOptions): InstanceList {
   const { commit, newestVersion, instance, dataCentre, endpoint, log } = options
+  const ownFields: InstanceFields = { dataCentre, peer: formatEndpoint(endpoint) }
   const shares = createInstanceShares()
   shares.set(instance, dataCentre)
   const listed = new Map<string, Peer>()
@@ -69,7 +91,7 @@
   let timer: NodeJS.Timeout | undefined
 
   async function register (): Promise<void> {
-    const writes = [{ key: instance, value: JSON.stringify({ dataCentre, peer: formatEndpoint(endpoint) }) }]
+    const writes = [{ key: instance, value: JSON.stringify(ownFields) }]
     const result = await commit({ table: INSTANCE_TABLE, conditions: [], writes, removals: [] })
     if (result.committed) newestVersion.value = Math.max(newestVersion.value, result.version)
   }
@@ -133,6 +155,16 @@
     count: shares.count,
     share: () => shares.share(dataCentre),
     peers: () => peers,
+    sender: () => ({ name: instance, ...ownFields }),
+    observe (sender) {
+      const { name, ...fields } = (sender ?? {}) as Record<string, unknown>
+      if (typeof name !== 'string' || name === instance || listed.has(name)) return
+      const peer = parsePeer(name, fields)
+      if (peer === undefined) return
+      shares.set(name, peer.dataCentre)
+      listed.set(name, peer)
+      handleChange()
+    },
     whenReady (listener) {
       if (isReady) listener()
       else waiting.push(listener)
--- a/src/edge/sendPermits.ts
+++ b/src/edge/sendPermits.ts
@@ -55,6 +55,8 @@
   dataCentre: string
   /** The other instances. */
   peers: () => readonly Peer[]
+  /** Returns what messages to other instances state of this one. */
+  sender: () => PeerValue
   /** This instance's share, between 0 and 1, of fleet-wide limits. */
   share: () => number
   limits: Pick<RequestLimits, 'limitOf'>
@@ -127,7 +129,14 @@
   async function requestPermit (
     peer: Peer, { identifier, startedAt }: UpstreamRun, perSecond: number, maximumWait: number
   ): Promise<PacerDecision | undefined> {
-    const request = { kind: PeerRequestKind.sendPermits, upstream: identifier, startedAt, perSecond, maximumWait }
+    const request = {
+      kind: PeerRequestKind.sendPermits,
+      sender: options.sender(),
+      upstream: identifier,
+      startedAt,
+      perSecond,
+      maximumWait
+    }
     const { granted, wait } = await requestIfReachable(links, peer.endpoint, request, RESPONSE_TIMEOUT_MS) ?? {}
     return typeof granted === 'boolean' && isNonNegative(wait) ? { granted, wait } : undefined
   }
