Finish running answers after a second stop signal

What callers saw: an answer that ran when a router was asked to stop twice was cut off at once.

Cause: stop() returned at once when it was already running, and the entry point exits when it resolves.

Fix: all calls of stop() share one promise.

--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -13,6 +13,7 @@
   { seed: 102, cause: 'as seed 100; and the proxy lost bytes in the middle of a connection after a cut' },
   { seed: 216, cause: 'the proxy passed a reset on as an ordinary end' },
   { seed: 218, cause: 'as seed 100' },
+  { seed: 3100, cause: 'a second stop signal ended a router at once' },
   { seed: 2306, cause: 'instances with lists of one and two instances each used most of a request limit' }
 ]
 
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -71,7 +71,7 @@
 }
 
 export interface Edge {
-  /** Stops gracefully; resolves when the process may exit. */
+  /** Stops gracefully; resolves when the process may exit, also if called again. */
   stop: () => Promise<void>
   /** Logs the outcome of reloading the settings. */
   reloaded: (outcome: string) => void
@@ -395,26 +395,31 @@
     await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
   }
 
+  async function stop (): Promise<void> {
+    stopping = true
+    log(EdgeEvent.stopping, { exchanges: exchanges.size })
+    const end = performance.now() + limits.grace - STOP_MARGIN_MS
+    await delay(Math.min(STOP_ACCEPT_MS, limits.grace / 2))
+    rejecting = true
+    server.closeIdle()
+    while (exchanges.size > 0 && performance.now() < end) await delay(DRAIN_POLL_MS)
+    for (const task of [
+      tables, lease, weightsRolloutTask, serviceRolloutTask, engineLoads, cacheStores, instances
+    ]) task.stop()
+    clearInterval(sweep)
+    clearInterval(flushTimer)
+    server.close()
+    links.close()
+    store.close()
+    log(EdgeEvent.stopped, { exchanges: exchanges.size })
+    closeLog()
+  }
+
+  let stopped: Promise<void> | undefined
   return {
     async stop () {
-      if (stopping) return
-      stopping = true
-      log(EdgeEvent.stopping, { exchanges: exchanges.size })
-      const end = performance.now() + limits.grace - STOP_MARGIN_MS
-      await delay(Math.min(STOP_ACCEPT_MS, limits.grace / 2))
-      rejecting = true
-      server.closeIdle()
-      while (exchanges.size > 0 && performance.now() < end) await delay(DRAIN_POLL_MS)
-      for (const task of [
-        tables, lease, weightsRolloutTask, serviceRolloutTask, engineLoads, cacheStores, instances
-      ]) task.stop()
-      clearInterval(sweep)
-      clearInterval(flushTimer)
-      server.close()
-      links.close()
-      store.close()
-      log(EdgeEvent.stopped, { exchanges: exchanges.size })
-      closeLog()
+      stopped ??= stop()
+      await stopped
     },
     reloaded: (outcome) => { log(EdgeEvent.reloaded, { outcome }) },
     fault (error) {
