Keep a request limit until the upstream completes a request without naming it

A failure without the header no longer ends a limit, the runs heard of longest ago are forgotten first, and instances that know of no limit look nothing up.

--- a/src/edge/__tests__/requestLimits.test.ts
+++ b/src/edge/__tests__/requestLimits.test.ts
@@ -89,8 +89,12 @@
 
   it('is forgotten for the runs heard of longest ago when too many have one', () => {
     const { limits } = createInstance()
-    for (let index = 0; index <= 1000; index += 1) limits.applyHint({ identifier: `run-${index}`, startedAt: 1 }, NAMED, index)
-    expect(limits.limitOf({ identifier: 'run-0', startedAt: 1 })).toBeUndefined()
+    const nameLimit = (index: number): void => { limits.applyHint({ identifier: `run-${index}`, startedAt: 1 }, NAMED, index) }
+    for (let index = 0; index < 1000; index += 1) nameLimit(index)
+    nameLimit(0)
+    nameLimit(1000)
+    expect(limits.limitOf({ identifier: 'run-0', startedAt: 1 })).toBe(3)
+    expect(limits.limitOf({ identifier: 'run-1', startedAt: 1 })).toBeUndefined()
     expect(limits.limitOf({ identifier: 'run-1000', startedAt: 1 })).toBe(3)
   })
 })
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -347,7 +347,8 @@
     if (metadata.identifier !== identifier || !metadata.signed) {
       return abortAttempt(current, 'the response belongs to another request or is not signed')
     }
-    if (metadata.upstreamHint.requestLimit.kind === RequestLimitKind.none) {
+    const isSuccess = status >= 200 && status < 300
+    if (isSuccess && metadata.upstreamHint.requestLimit.kind === RequestLimitKind.none) {
       context.requestLimits.applyAbsence(upstream.entry, current.startedAt)
     }
     if (metadata.weightsVersion !== undefined && callerRequest.model !== undefined) {
--- a/src/edge/requestLimits.ts
+++ b/src/edge/requestLimits.ts
@@ -2,8 +2,8 @@
  * Records the request limits that runs of upstreams have named, and makes them known to all instances.
  *
  * - A limit applies to one run of an upstream, and to the requests of all instances together.
- * - It ends when the run answers a request that was sent after the limit was last known to be in force, and names none.
- *   Answers to earlier requests may have been on their way when the limit began.
+ * - It ends when the run completes a request that was sent after the limit was last known to be in force, and names
+ *   none. Answers to earlier requests may have been on their way when the limit began.
  * - It does not expire: without an answer nothing shows that it has ended.
  */
 import type { MonotonicMilliseconds } from '../types'
@@ -113,6 +113,6 @@
       }
       if (typeof perSecond === 'number' && perSecond >= 0) record(run, perSecond, now, true).announcedAt = now
     },
-    limitOf: (run) => limits.get(runKey(run))?.perSecond
+    limitOf: (run) => limits.size === 0 ? undefined : limits.get(runKey(run))?.perSecond
   }
 }
