Use an upstream without a limit after three permits were denied

Callers would have got a 503 although an upstream was free, if three limited ones were preferred to it. Found in a read-through; the cases of targetSelection.test.ts with one free upstream and the same four denials failed before.

--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -16,7 +16,7 @@
  * urgent ones get the permits when there are too few.
  */
 const PERMIT_WAIT_SHARE = 0.5
-/** Permits that may be denied before the request fails; each denial costs a round trip between instances. */
+/** Permits that may be denied before no more are asked for; each denial costs a round trip between instances. */
 const MAX_PERMIT_DENIALS = 3
 
 export interface Target {
@@ -78,7 +78,6 @@
       replicas = context.prefixDemand.replicasFor(plan.prefixKey, ownTokens, context.instanceCount(), now)
     },
     select (now) {
-      if (denials >= MAX_PERMIT_DENIALS) return undefined
       const maximumAge = context.outdatedWeightsLimit * OUTDATED_WEIGHTS_SHARE
       const usable = context.directory.usable(service, now.steady).filter((upstream) => (
         !tried.has(upstream.entry.identifier) && outdatedWeightsAge(upstream, now) < maximumAge
@@ -88,7 +87,8 @@
       // A request does not wait for a permit while another upstream takes it at once.
       const maximumPermitWait = eligible.every(needsPermit) ? longestPermitWait() : 0
       const candidates = eligible.filter((upstream) => (
-        !needsPermit(upstream) || upstream.nextPermitAt - now.steady <= maximumPermitWait
+        !needsPermit(upstream) ||
+        (denials < MAX_PERMIT_DENIALS && upstream.nextPermitAt - now.steady <= maximumPermitWait)
       ))
       const [upstream] = rankUpstreams({
         prefixKey: plan.prefixKey,
