--- a/src/edge/instanceList.ts
+++ b/src/edge/instanceList.ts
@@ -62,7 +62,7 @@
   share: () => number
   /** Returns the other instances. */
   peers: () => readonly Peer[]
-  /** Returns what messages to other instances state of this one. */
+  /** Returns the fields that identify this instance in messages to others. */
   sender: () => PeerValue
   /** Counts the sender of a message, which the list may not contain yet, until all rows are read again. */
   observe: (sender: unknown) => void
--- a/src/edge/requestPacer.ts
+++ b/src/edge/requestPacer.ts
@@ -6,7 +6,6 @@
 
 /** Milliseconds of unused slots that may be made up for; absorbs late timers. */
 const CREDIT_MS = 250
-
 /** Precision of timers in milliseconds; a slot that starts within it has started. */
 const TIMER_PRECISION_MS = 1
 
--- a/src/edge/sendPermits.ts
+++ b/src/edge/sendPermits.ts
@@ -9,7 +9,7 @@
  *   reach the allocator and others do not, the data centre exceeds its part by half at most.
  * - An instance that reaches neither uses the share of a single instance, and so does an allocator or standby that
  *   nobody asks: it may be cut off from the others.
- * - A part that is large for every single instance is divided without requests between instances.
+ * - A limit of many requests per second for each instance is divided by their shares, without such requests.
  */
 import { PlatformUnavailableError } from '../errors'
 import { rankByRendezvous } from '../rendezvous'
@@ -31,7 +31,6 @@
  * has ended.
  */
 const MIN_RATE = 0.2
-
 /** Milliseconds after a request of another instance for which this one hands out permits to several instances. */
 const SERVING_MS = 5000
 
@@ -55,7 +54,7 @@
   dataCentre: string
   /** The other instances. */
   peers: () => readonly Peer[]
-  /** Returns what messages to other instances state of this one. */
+  /** Returns the fields that identify this instance in messages to others. */
   sender: () => PeerValue
   /** This instance's share, between 0 and 1, of fleet-wide limits. */
   share: () => number
