Check a step of a weights rollout again after the wait for its permit

An engine that announced that it is leaving while a report or command waited for a permit still got it, and superseded weights were loaded. Liveness checks had the same gap and are skipped for an engine that is leaving.

--- a/src/edge/livenessChecks.ts
+++ b/src/edge/livenessChecks.ts
@@ -9,7 +9,7 @@
 import { EdgeEvent, errorMessage, type EdgeLog } from './events'
 import type { SendPermits } from './sendPermits'
 import type { EngineControl, UpstreamHint } from './types'
-import { recordLivenessResponse, takeDueLivenessChecks, type Upstream } from './upstreamDirectory'
+import { isLeaving, recordLivenessResponse, takeDueLivenessChecks, type Upstream } from './upstreamDirectory'
 
 /**
  * Longest time in milliseconds that a check waits for a permit; with the wait, it still ends before the silence of the
@@ -39,6 +39,8 @@
     let hasResponded = false
     permits.waitFor(upstream.entry, MAX_PERMIT_WAIT_MS).then(async (isPermitted) => {
       if (!isPermitted) throw new OverloadedError('the request limit of the engine permits no check')
+      // The engine may have announced that it is leaving during the wait for the permit.
+      if (isLeaving(upstream)) return
       await control.report(upstream.entry, (hint) => {
         hasResponded = true
         recordLivenessResponse(upstream, now())
--- a/src/edge/weightsRolloutTask.ts
+++ b/src/edge/weightsRolloutTask.ts
@@ -2,8 +2,8 @@
 import { EdgeEvent, errorMessage, type EdgeLog } from './events'
 import type { LeaseTask } from './leaseTask'
 import type { SendPermits } from './sendPermits'
-import type { EngineControl, Instant, UpstreamHint } from './types'
-import type { Upstream, UpstreamDirectory } from './upstreamDirectory'
+import type { EngineControl, Instant, ModelWeights, UpstreamHint } from './types'
+import { isLeaving, type Upstream, type UpstreamDirectory } from './upstreamDirectory'
 import type { LoadProgress, WeightsRollout, WeightsStep } from './weightsRollout'
 
 /** Interval in milliseconds at which the task checks for steps to perform. */
@@ -46,10 +46,16 @@
   let publishedAt = -Infinity
   const busy = new Set<string>()
 
+  /** Whether a step is still to be performed after the wait for its permit. */
+  function isStillDue (upstream: Upstream, { model, version }: ModelWeights): boolean {
+    return directory.get(upstream.entry.identifier) === upstream && !isLeaving(upstream) &&
+      rollout.target(model) === version && !options.isStopping()
+  }
+
   async function perform ({ kind, upstream, target }: WeightsStep): Promise<void> {
     const { identifier } = upstream.entry
     const onHint = (hint: UpstreamHint): void => { options.onUpstreamHint(upstream, hint) }
-    if (!await permits.waitFor(upstream.entry, MAX_PERMIT_WAIT_MS)) return
+    if (!await permits.waitFor(upstream.entry, MAX_PERMIT_WAIT_MS) || !isStillDue(upstream, target)) return
     if (kind === 'report') {
       rollout.recordReport(upstream, await control.report(upstream.entry, onHint), now().steady)
       return
