Ask for a permit again after a second at most

After a denial under a low limit an instance avoided the upstream for up to 15 s, although the limit had been raised or another instance handed out the permits by then. Found in a read-through; the new case of targetSelection.test.ts failed before.

--- a/src/edge/__tests__/targetSelection.test.ts
+++ b/src/edge/__tests__/targetSelection.test.ts
@@ -73,6 +73,12 @@
     expect(createSelection(limited, priority).targets.select(NOW)?.maximumPermitWait).toBe(expected)
   })
 
+  it('tries an upstream again after a second at most, since its limit may have been raised', () => {
+    const { targets, directory } = createSelection(NAMES)
+    targets.recordDenial(directory.get('a')!, 15_000, 0)
+    expect(directory.get('a')!.nextPermitAt).toBe(1000)
+  })
+
   it('passes over upstreams whose next permit is too far away', () => {
     const { targets, directory } = createSelection(NAMES)
     for (const name of NAMES.slice(1)) directory.get(name)!.nextPermitAt = LATENCY_TARGET / 2 + 1
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -18,6 +18,8 @@
 const PERMIT_WAIT_SHARE = 0.5
 /** Permits that may be denied before no more are asked for; each denial costs a round trip between instances. */
 const MAX_PERMIT_DENIALS = 3
+/** Longest time in milliseconds that a denial is relied on; the limit or the instance that denied it may change. */
+const MAX_DENIAL_MS = 1000
 
 export interface Target {
   upstream: Upstream
@@ -105,7 +107,7 @@
     markTried (upstream) { tried.add(upstream.entry.identifier) },
     recordDenial (upstream, wait, now) {
       denials += 1
-      upstream.nextPermitAt = now + wait
+      upstream.nextPermitAt = now + Math.min(MAX_DENIAL_MS, wait)
     },
     failureReason: () => (
       context.directory.listed(service).some(needsPermit)
