Forget the sender of a message that the list of instances never shows

A late message from a removed instance made it count until all rows were read again, which may be never, and lowered the shares of all others.

--- a/src/edge/instanceList.ts
+++ b/src/edge/instanceList.ts
@@ -27,6 +27,11 @@
  * peers.
  */
 const START_TIMEOUT_MS = 500
+/**
+ * Time in milliseconds for which the sender of a message counts as an instance although the list does not contain it;
+ * longer than it takes to read the list. The message may be from an instance that has been removed.
+ */
+const OBSERVED_MS = 10_000
 /** Delay in milliseconds before a failed write of this instance's row is retried. */
 const WRITE_RETRY_MS = 500
 
@@ -64,7 +69,7 @@
   peers: () => readonly Peer[]
   /** Returns the fields that identify this instance in messages to others. */
   sender: () => PeerValue
-  /** Counts the sender of a message, which the list may not contain yet, until all rows are read again. */
+  /** Counts the sender of a message, which the list may not contain yet, for some seconds. */
   observe: (sender: unknown) => void
   /** Calls the listener once the list has been read, or after a timeout if it cannot be read. */
   whenReady: (listener: () => void) => void
@@ -87,6 +92,8 @@
   const shares = createInstanceShares()
   shares.set(instance, dataCentre)
   const listed = new Map<string, Peer>()
+  /** Timers of the instances that count only because they have sent a message. */
+  const observed = new Map<string, NodeJS.Timeout>()
   let peers: readonly Peer[] = []
   let timer: NodeJS.Timeout | undefined
 
@@ -103,16 +110,25 @@
     })
   }
 
+  function stopObserving (name: string): void {
+    clearTimeout(observed.get(name))
+    observed.delete(name)
+  }
+
+  function remove (name: string): void {
+    stopObserving(name)
+    shares.delete(name)
+    listed.delete(name)
+  }
+
   function applyRow ({ key, value }: StoreRow): void {
     if (key === instance) return
+    stopObserving(key)
     const peer = value === undefined ? undefined : readPeer(key, value)
     if (peer !== undefined) {
       shares.set(key, peer.dataCentre)
       listed.set(key, peer)
-    } else {
-      shares.delete(key)
-      listed.delete(key)
-    }
+    } else remove(key)
   }
 
   function handleChange (): void {
@@ -138,8 +154,8 @@
     wait: FOLLOW_MS,
     settleDelay: () => SETTLE_MS,
     onRows (rows) {
+      for (const name of [...listed.keys()]) remove(name)
       shares.clear()
-      listed.clear()
       shares.set(instance, dataCentre)
       for (const row of rows) applyRow(row)
       handleChange()
@@ -158,9 +174,16 @@
     sender: () => ({ name: instance, ...ownFields }),
     observe (sender) {
       const { name, ...fields } = (sender ?? {}) as Record<string, unknown>
-      if (typeof name !== 'string' || name === instance || listed.has(name)) return
+      if (typeof name !== 'string' || name === instance) return
+      const isKnown = listed.has(name)
       const peer = parsePeer(name, fields)
-      if (peer === undefined) return
+      if (peer === undefined || (isKnown && !observed.has(name))) return
+      stopObserving(name)
+      observed.set(name, setTimeout(() => {
+        remove(name)
+        handleChange()
+      }, OBSERVED_MS))
+      if (isKnown) return
       shares.set(name, peer.dataCentre)
       listed.set(name, peer)
       handleChange()
@@ -172,6 +195,7 @@
     stop () {
       clearTimeout(timer)
       clearTimeout(readyTimer)
+      for (const pending of observed.values()) clearTimeout(pending)
       follower.stop()
     }
   }
