--- a/src/edge/failureReports.ts
+++ b/src/edge/failureReports.ts
@@ -3,6 +3,7 @@
  * so reports stay within one.
  */
 import type { MonotonicMilliseconds, RandomSource } from '../types'
+import { setBounded } from './boundedMap'
 import { EdgeEvent, type EdgeLog } from './events'
 import type { PeerBroadcast } from './peerBroadcast'
 import type { PeerValue } from './peerLinks'
@@ -36,10 +37,7 @@
     report ({ entry: { identifier, startedAt } }, now) {
       if (now - (reportedAt.get(identifier) ?? -Infinity) < MIN_SUSPICION_MS) return
       if (![...directory.all()].some(({ lastActivityAt }) => now - lastActivityAt < OWN_NETWORK_SILENCE_MS)) return
-      reportedAt.delete(identifier)
-      reportedAt.set(identifier, now)
-      const oldest = reportedAt.keys().next().value
-      if (reportedAt.size > MAX_TRACKED_REPORTS && oldest !== undefined) reportedAt.delete(oldest)
+      setBounded(reportedAt, identifier, now, MAX_TRACKED_REPORTS)
       broadcast({ upstream: identifier, startedAt })
     },
     receive ({ upstream: identifier, startedAt }, now) {
--- a/src/edge/sendPermits.ts
+++ b/src/edge/sendPermits.ts
@@ -109,9 +109,9 @@
   }
 
   function takePermit (
-    run: UpstreamRun, role: PermitRole, perSecond: number, maximumWait: number, isAsked: boolean
+    run: UpstreamRun, role: PermitRole, perSecond: number, maximumWait: number, isAsked: boolean,
+    present: MonotonicMilliseconds
   ): PacerDecision {
-    const present = now()
     const key = runKey(run)
     const known = allocations.get(key)
     const askedAt = isAsked ? present : known?.askedAt ?? -Infinity
@@ -146,13 +146,13 @@
     if (perSecond * options.share() < MIN_INDEPENDENT_RATE) {
       const roles = [PermitRole.allocator, PermitRole.standby]
       for (const [index, peer] of allocatorsOf(run).entries()) {
-        if (peer === undefined) return takePermit(run, roles[index]!, perSecond, maximumWait, false)
+        if (peer === undefined) return takePermit(run, roles[index]!, perSecond, maximumWait, false, now())
         if (!links.isUsable(peer.endpoint)) continue
         const decision = await requestPermit(peer, run, perSecond, maximumWait)
         if (decision !== undefined) return decision
       }
     }
-    return takePermit(run, PermitRole.independent, perSecond, maximumWait, false)
+    return takePermit(run, PermitRole.independent, perSecond, maximumWait, false, now())
   }
 
   return {
@@ -172,7 +172,7 @@
       // Instances with different lists may ask an instance that is not the allocator by its own list.
       const isAllocator = allocatorsOf(run)[0] === undefined
       const role = isAllocator ? PermitRole.allocator : PermitRole.standby
-      return { ...takePermit(run, role, limits.limitOf(run) ?? perSecond, maximumWait, true) }
+      return { ...takePermit(run, role, limits.limitOf(run) ?? perSecond, maximumWait, true, now()) }
     }
   }
 }
