Log prompt parts, progress and content of failed attempts

Cause: the log cannot tell whether crashes go with one part of the prompt, with repeats of one request, or with load. Change: attempt.failed has all shared parts, whether the answer had begun, and a hash of customer, path and body.

--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -1,6 +1,7 @@
 /** Sends an admitted request to upstreams until one returns a complete response or no further attempt is permitted. */
 import type { IncomingMessage } from 'node:http'
-import { MAX_RESPONSE_BYTES, type ResponseBuffer } from './responseBuffers'
+import { MAX_RESPONSE_BYTES } from './responseBuffers'
+import { createAttemptAccounting, type Attempt } from './attempt'
 import { AttemptOutcome, decideNextStep, mayRepeat, type AttemptHistory } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
 import { countData, createEventBoundary, type EventBoundary } from './eventBoundary'
@@ -9,14 +10,14 @@
 import { decideShedding } from './loadShedding'
 import { planCache, urgencyOf } from './promptPlan'
 import type { PacerDecision } from './requestPacer'
-import type { AttemptSample } from './rolloutSampler'
 import { createTargetSelection, urgencyRank, type Target } from './targetSelection'
+import { fingerprintOf } from '../request/fingerprint'
 import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
 import { RepeatRule, RequestLimitKind, type Instant } from './types'
-import { callUpstream, type UpstreamCall } from './upstreamCall'
+import { callUpstream } from './upstreamCall'
 import {
-  recordAttemptStart, recordAttemptEnd, recordReadPaused, recordReadResumed, currentWait, recordActivity, isSilent,
-  isUsable, recordWeights, observeMinimumWait, observeWait, pauseAfterFailure, pauseAfterRejection, type Upstream
+  currentWait, recordActivity, isSilent, isUsable, recordWeights, observeWait, pauseAfterFailure, pauseAfterRejection,
+  type Upstream
 } from './upstreamDirectory'
 
 /** Connect timeout in milliseconds; allows several round trips between data centres. */
@@ -70,24 +71,6 @@
   firstByteAt: () => MonotonicMilliseconds | undefined
 }
 
-interface Attempt {
-  upstream: Upstream
-  call: UpstreamCall
-  sample: AttemptSample
-  startedAt: number
-  /** Time of the last byte of a plain response, or of the last event with data of a stream. */
-  lastProgressAt: number
-  /** Time of the first byte of the response body. */
-  firstByteAt: MonotonicMilliseconds | undefined
-  /** Whether reading is paused because the caller reads too slowly. */
-  isPaused: boolean
-  /** Prompt tokens pending prefill at the upstream. */
-  pendingPrefillTokens: number
-  head: IncomingMessage | undefined
-  /** Buffer of a response that is forwarded only when it is complete. */
-  buffer: ResponseBuffer
-}
-
 export function createDispatch (
   context: ExchangeContext, admittedRequest: AdmittedRequest, callerResponse: CallerResponse, timeLeft: () => number,
   callbacks: DispatchCallbacks
@@ -113,6 +96,7 @@
   const urgency = urgencyOf(route, customer)
   const backlog = context.backlog(`${service}/${urgency ?? ''}`)
   const rank = urgencyRank(urgency)
+  const accounting = createAttemptAccounting(context.engineLoads, backlog, rank)
   /** Drawn once, so that further selections do not make it more likely that the request is rejected. */
   const sheddingDraw = context.random()
   let firstByteAt: MonotonicMilliseconds | undefined
@@ -122,42 +106,11 @@
     return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
   }
 
-  /** Removes the prompt from the tokens pending prefill, after its prefill or at the end of the attempt. */
-  function releasePendingPrefill (current: Attempt): void {
-    if (current.firstByteAt === undefined) backlog.requestEnded()
-    if (current.pendingPrefillTokens === 0) return
-    current.upstream.pendingPrefillTokens -= current.pendingPrefillTokens
-    current.pendingPrefillTokens = 0
-    context.engineLoads.prefillEnded()
-  }
-
-  function pauseResponse (current: Attempt): void {
-    if (current.isPaused) return
-    current.isPaused = true
-    current.sample.ignorePace()
-    recordReadPaused(current.upstream)
-    current.call.pause()
-  }
-
-  /** Records that the response is read again. */
-  function markResumed (current: Attempt): void {
-    if (!current.isPaused) return
-    const now = context.now().steady
-    current.isPaused = false
-    current.lastProgressAt = now
-    recordReadResumed(current.upstream, now)
-  }
-
   /** Removes the current attempt and undoes its accounting at the upstream. */
   function detachAttempt (current: Attempt): void {
     if (attempt !== current) return
     attempt = undefined
-    const now = context.now().steady
-    if (current.firstByteAt === undefined) observeMinimumWait(current.upstream, rank, now - current.startedAt, now)
-    releasePendingPrefill(current)
-    current.buffer.discard()
-    markResumed(current)
-    recordAttemptEnd(current.upstream)
+    accounting.end(current, context.now().steady)
   }
 
   /** Checks the key again, because it may have been withdrawn since the request was admitted. */
@@ -246,8 +199,7 @@
       configurationAge: Math.round(context.freshness.age(now))
     })
     history.runs += 1
-    recordAttemptStart(upstream, plan.promptTokens, now.steady)
-    backlog.requestStarted()
+    accounting.start(upstream, plan.promptTokens, now.steady)
     const current: Attempt = {
       upstream,
       sample: context.rolloutSampler.startAttempt({
@@ -312,7 +264,15 @@
     // Evaluated before the attempt is detached: an upstream without requests in flight never counts as silent.
     const isUnreachable = !sent || isSilent(upstream, now)
     detachAttempt(current)
-    log(EdgeEvent.attemptFailed, { requestIdentifier: identifier, upstream: upstream.entry.identifier, reason, sent })
+    log(EdgeEvent.attemptFailed, {
+      requestIdentifier: identifier,
+      upstream: upstream.entry.identifier,
+      reason,
+      sent,
+      hasBegun: current.firstByteAt !== undefined,
+      parts: plan.sharedSegments,
+      content: fingerprintOf(customer?.name ?? '', request.url!, body ?? '')
+    })
     if (!isStalled) pauseAfterFailure(upstream, now)
     if (isUnreachable) context.reportUnreachable(upstream)
     context.connections.closeIdle(upstream)
@@ -395,7 +355,7 @@
       current.firstByteAt = now
       firstByteAt ??= now
       backlog.firstByteReceived(now)
-      releasePendingPrefill(current)
+      accounting.releasePendingPrefill(current)
       current.sample.recordFirstByte(now)
       observeWait(current.upstream, rank, now - current.startedAt, now)
     }
@@ -410,7 +370,7 @@
       current.lastProgressAt = now
       current.sample.recordEvents(eventCount, now)
     }
-    if (events !== undefined && !callerResponse.write(events)) pauseResponse(current)
+    if (events !== undefined && !callerResponse.write(events)) accounting.pause(current)
     if (eventBoundary!.isOversized()) abortAttempt(current, 'an event is too long')
   }
 
@@ -472,7 +432,7 @@
     },
     resume () {
       if (attempt === undefined) return
-      markResumed(attempt)
+      accounting.resume(attempt, context.now().steady)
       attempt.call.resume()
     },
     counts: () => ({ runs: history.runs, rejections: history.rejections }),
