--- a/standins/fleet/upstream.ts
+++ b/standins/fleet/upstream.ts
@@ -1,6 +1,6 @@
 /** Stand-in of an engine or a plain service behind the edge, with a journal of what ran and faults for the next requests. */
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import type { AddressInfo, Socket } from 'node:net'
 
 export const UpstreamFault = {
   /** Refuses without running. */
@@ -68,6 +68,14 @@
   isDark: boolean
   /** Orders that were accepted. */
   orders: Array<Record<string, unknown>>
+  /** Whether a request crashes the upstream when it begins to answer it. */
+  crashesOn: (run: UpstreamRun) => boolean
+  /** Resets all connections and accepts none until the restart. */
+  crash: () => void
+  /** Times of the crashes in milliseconds of the steady clock. */
+  crashTimes: number[]
+  /** Called when the upstream accepts connections again after a crash. */
+  onRestart: () => void
   close: () => Promise<void>
 }
 
@@ -80,6 +88,8 @@
   padding?: number
   /** Weights of the model `small`; 0 makes it a plain service. @default 0 */
   weights?: number
+  /** Milliseconds from a crash to the restart. @default 500 */
+  restartAfter?: number
   /** Faults of the next requests, one each; several stand-ins may share one list. @default [] */
   faults?: UpstreamFault[]
 }
@@ -93,7 +103,8 @@
 }
 
 export async function startUpstreamStandIn (
-  identifier: string, { events = 4, pace = 5, padding = 0, weights = 0, faults = [] }: UpstreamStandInOptions = {}
+  identifier: string,
+  { events = 4, pace = 5, padding = 0, weights = 0, restartAfter = 500, faults = [] }: UpstreamStandInOptions = {}
 ): Promise<UpstreamStandIn> {
   const runs: UpstreamRun[] = []
   const orders: Array<Record<string, unknown>> = []
@@ -203,7 +214,10 @@
       record.cancelled = !response.writableFinished
       record.endedAt = performance.now()
     })
-    if (standIn.weights > 0) stream(request, response, fault)
+    if (standIn.crashesOn(record)) {
+      if (standIn.weights > 0) response.writeHead(200, headersOf(request, fault)).flushHeaders()
+      setTimeout(standIn.crash, pace)
+    } else if (standIn.weights > 0) stream(request, response, fault)
     else setTimeout(() => { plain(request, response, fault) }, pace)
   }
 
@@ -244,11 +258,18 @@
       run(request, response, body, fault)
     })
   })
+  const sockets = new Set<Socket>()
+  server.on('connection', (socket) => {
+    sockets.add(socket)
+    socket.on('close', () => { sockets.delete(socket) })
+  })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  const { port } = server.address() as AddressInfo
+  let restartTimer: NodeJS.Timeout | undefined
 
   const standIn: UpstreamStandIn = {
     identifier,
-    address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
+    address: `127.0.0.1:${port}`,
     runs,
     arrivals: () => arrivals,
     arrivalTimes,
@@ -258,7 +279,18 @@
     isFull: false,
     isDark: false,
     orders,
+    crashesOn: () => false,
+    crash () {
+      if (!server.listening) return
+      standIn.crashTimes.push(performance.now())
+      for (const socket of sockets) socket.resetAndDestroy()
+      server.close()
+      restartTimer = setTimeout(() => { server.listen(port, '127.0.0.1', () => { standIn.onRestart() }) }, restartAfter)
+    },
+    crashTimes: [],
+    onRestart: () => {},
     async close () {
+      clearTimeout(restartTimer)
       server.closeAllConnections()
       await new Promise((resolve) => { server.close(resolve) })
     }
