Attribute crashes of upstreams to prompt parts and to whole requests

What callers saw: requests with one prompt part crashed engine after engine.

Cause: no instance attributed a crash to what was in flight, so each next request with the part went to the next engine. The same holds for one request that comes again with the same content, at plain services too.

Why the fix works: an instance that loses its connections to an upstream and is then refused there reports the traits of the requests not begun; all instances add up all reports. An answer clears a trait of all crashes before it, which keeps popular parts from being charged; the trait that is in flight at all of its crashes is convicted after three, of several such traits the most specific one after four. Convictions are announced again every second, so that starts and cuts lose none.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -4,7 +4,7 @@
 
 /** Decisions of the edge; its other modules own sockets, timers and tasks. */
 const edgeDecisions = [
-  'admission', 'attemptDecision', 'backlog', 'cacheStoreIndex', 'engineLoad', 'eventBoundary', 'freshness', 'instanceShares', 'loadShedding', 'rolloutSampler', 'placement', 'prefixDemand', 'promptPlan', 'quotaShare',
+  'admission', 'attemptDecision', 'backlog', 'cacheStoreIndex', 'crashGuard', 'requestTraits', 'engineLoad', 'eventBoundary', 'freshness', 'instanceShares', 'loadShedding', 'rolloutSampler', 'placement', 'prefixDemand', 'promptPlan', 'quotaShare',
   'requestLimits', 'requestPacer', 'retryAllowance', 'routeTable', 'serviceChoice', 'serviceRollouts', 'storeLease', 'tableHistory', 'targetSelection', 'tokenRequests', 'upstreamDirectory', 'weightsRollout'
 ].map((name) => `src/edge/${name}.ts`)
 
@@ -23,7 +23,7 @@
   },
   {
     // Decision modules stay free of sockets, logs and adapters so that tests and experiments can drive them directly.
-    files: ['src/{quota,fairness,prefix,rollout,customer,membership}/*.ts', 'src/request/*.ts', 'src/upstream/registry.ts', ...edgeDecisions],
+    files: ['src/{quota,fairness,prefix,rollout,customer,membership}/*.ts', 'src/request/*.ts', 'src/upstream/{registry,crashAttribution}.ts', ...edgeDecisions],
     rules: {
       'no-restricted-imports': ['error', {
         paths: adapterImports,
--- /dev/null
+++ b/src/edge/__tests__/crashReports.test.ts
@@ -0,0 +1,190 @@
+import { describe, expect, it } from 'vitest'
+import { createCrashAttribution, CrashVerdictKind, type RefusedVerdict } from '../../upstream/crashAttribution'
+import { createCrashReports, type CrashReports } from '../crashReports'
+import type { EdgeEvent } from '../events'
+import type { PeerValue } from '../peerLinks'
+import { traitsOf, type RequestTraits } from '../requestTraits'
+import type { UpstreamEntry } from '../types'
+
+/** Milliseconds between checks. */
+const CHECK_MS = 100
+
+interface Fleet {
+  instances: CrashReports[]
+  events: EdgeEvent[]
+  /** Number of messages that were sent. */
+  messages: () => number
+  /** Instances whose messages are lost in both directions. */
+  cutOff: Set<number>
+  addInstance: () => CrashReports
+  /** Runs the checks of all instances for some time. */
+  pass: (milliseconds: number) => Promise<void>
+  now: () => number
+}
+
+function createFleet (size: number, isRefused: () => boolean = () => true): Fleet {
+  const names = Array.from({ length: size }, (_item, index) => `router-${index}`)
+  const instances: CrashReports[] = []
+  const events: EdgeEvent[] = []
+  const cutOff = new Set<number>()
+  let messages = 0
+  let now = 0
+
+  function addInstance (): CrashReports {
+    const index = instances.length
+    if (index >= names.length) names.push(`router-${index}`)
+    const reports = createCrashReports({
+      attribution: createCrashAttribution(),
+      broadcast (content: PeerValue) {
+        messages += 1
+        for (const [other, receiver] of instances.entries()) {
+          if (other !== index && !cutOff.has(index) && !cutOff.has(other)) receiver.receive(content, now)
+        }
+      },
+      instance: names[index]!,
+      peers: () => names.filter((name) => name !== names[index]),
+      probe: async () => isRefused(),
+      log: (event) => { events.push(event) },
+      onFault (error) { throw error }
+    })
+    instances.push(reports)
+    return reports
+  }
+  for (let index = 0; index < size; index += 1) addInstance()
+
+  return {
+    instances,
+    events,
+    messages: () => messages,
+    cutOff,
+    addInstance,
+    async pass (milliseconds) {
+      for (const end = now + milliseconds; now < end; now += CHECK_MS) {
+        for (const reports of instances) reports.check(now)
+        // Probes resolve between checks.
+        await new Promise((resolve) => { setImmediate(resolve) })
+      }
+    },
+    now: () => now
+  }
+}
+
+let promptCount = 0
+
+/** Creates a request with these shared parts and a content of its own. */
+function prompt (...parts: string[]): RequestTraits {
+  promptCount += 1
+  const promptSegments = [...parts, 'own'].map((identifier) => ({ identifier, tokens: 10 }))
+  return traitsOf({
+    callerRequest: { model: 'small', promptSegments },
+    customer: 'shop',
+    method: 'POST',
+    path: '/',
+    body: Buffer.from(String(promptCount))
+  })
+}
+
+function engine (index: number): UpstreamEntry {
+  return {
+    identifier: `engine-${index}`,
+    startedAt: 1,
+    service: 'engines',
+    softwareVersion: '',
+    endpoint: { host: '127.0.0.1', port: 1 },
+    dataCentre: 'north',
+    slots: 1,
+    leaving: false,
+    weights: []
+  }
+}
+
+/** Crashes one engine after the other; each instance has one request there. */
+async function crashEngines (
+  fleet: Fleet, count: number, request: (engine: number, instance: number) => RequestTraits
+): Promise<void> {
+  for (let index = 0; index < count; index += 1) {
+    for (const [instance, reports] of fleet.instances.entries()) {
+      reports.recordLoss(engine(index), request(index, instance), fleet.now())
+    }
+    await fleet.pass(1000)
+  }
+}
+
+function verdicts (fleet: Fleet, traits: RequestTraits): string[] {
+  return fleet.instances.map((reports) => reports.verdict(traits, fleet.now()).kind)
+}
+
+const { clear, refused } = CrashVerdictKind
+
+describe('crash reports', () => {
+  it('adds up crashes that different instances have seen', async () => {
+    const fleet = createFleet(3)
+    await crashEngines(fleet, 3, (index, instance) => (
+      index === instance ? prompt('dead') : prompt(`other-${index}-${instance}`)
+    ))
+    expect(verdicts(fleet, prompt('dead'))).toEqual([refused, refused, refused])
+    expect(verdicts(fleet, prompt('other-0-1'))).toEqual([clear, clear, clear])
+  })
+
+  it('does not count lost connections to an upstream that accepts new ones', async () => {
+    const fleet = createFleet(3, () => false)
+    await crashEngines(fleet, 6, () => prompt('popular'))
+    expect(verdicts(fleet, prompt('popular'))).toEqual([clear, clear, clear])
+    expect(fleet.events).toEqual([])
+    expect(fleet.messages()).toBe(0)
+  })
+
+  it('clears a part at all instances if one of them has seen it answered', async () => {
+    const fleet = createFleet(3)
+    for (let round = 0; round < 4; round += 1) {
+      fleet.instances[2]!.recordAnswer(prompt('popular'), fleet.now())
+      fleet.instances[0]!.recordLoss(engine(round), prompt('popular', `book-${round}`), fleet.now())
+      await fleet.pass(1000)
+    }
+    expect(verdicts(fleet, prompt('popular'))).toEqual([clear, clear, clear])
+    await fleet.pass(5000)
+    const before = fleet.messages()
+    await fleet.pass(5000)
+    expect(fleet.messages()).toBe(before)
+  })
+
+  it('tells convictions to instances that start or were cut off', async () => {
+    const fleet = createFleet(3)
+    fleet.cutOff.add(2)
+    await crashEngines(fleet, 3, (_index, instance) => instance === 2 ? prompt() : prompt('dead'))
+    expect(verdicts(fleet, prompt('dead'))).toEqual([refused, refused, clear])
+    fleet.cutOff.clear()
+    fleet.addInstance()
+    await fleet.pass(1500)
+    expect(verdicts(fleet, prompt('dead'))).toEqual([refused, refused, refused, refused])
+  })
+
+  it('lets one instance try a convicted part, and serves it everywhere after an answer', async () => {
+    const fleet = createFleet(4)
+    await crashEngines(fleet, 3, (index, instance) => prompt('dead', `book-${index}-${instance}`))
+    expect(verdicts(fleet, prompt('dead'))).toEqual([refused, refused, refused, refused])
+    await fleet.pass(60_000)
+    const attempts = [0, 1, 2].flatMap(() => fleet.instances.map((reports) => {
+      const traits = prompt('dead')
+      const verdict = reports.verdict(traits, fleet.now()) as RefusedVerdict
+      return { reports, isTrial: reports.tryTrial(traits, verdict, fleet.now()) }
+    }))
+    const trials = attempts.filter(({ isTrial }) => isTrial)
+    expect(trials).toHaveLength(1)
+    await fleet.pass(1000)
+    trials[0]!.reports.recordAnswer(prompt('dead'), fleet.now())
+    await fleet.pass(200)
+    expect(verdicts(fleet, prompt('dead'))).toEqual([clear, clear, clear, clear])
+  })
+
+  it.each<[string, PeerValue]>([
+    ['no lists', { crashes: 1, sound: 'x', convictions: null }],
+    ['lists of other values', { crashes: [null, { run: 1 }], sound: [1, { trait: 2 }], convictions: [{ trait: 'x' }, 5] }],
+    ['values out of range', { crashes: [{ run: 'a', traits: [{ trait: 1, depth: 'x' }] }], sound: [{ trait: 'x', age: -1 }] }]
+  ])('ignores malformed notifications: %s', (_title, content) => {
+    const { instances: [reports] } = createFleet(1)
+    reports!.receive(content, 0)
+    reports!.check(1000)
+    expect(reports!.verdict(prompt('x'), 1000).kind).toBe(clear)
+  })
+})
--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -24,6 +24,8 @@
   /** Prompt tokens pending prefill at the upstream. */
   pendingPrefillTokens: number
   head: IncomingMessage | undefined
+  /** Whether the upstream has shown that it survives the request. */
+  isSurvived: boolean
   /** Buffer of a response that is forwarded only when it is complete. */
   buffer: ResponseBuffer
 }
--- a/src/edge/backlog.ts
+++ b/src/edge/backlog.ts
@@ -48,3 +48,13 @@
     }
   }
 }
+
+/** Returns a function that returns the backlog of a key, which it creates at the first call. */
+export function createBacklogs (): (key: string) => Backlog {
+  const backlogs = new Map<string, Backlog>()
+  return (key) => {
+    const backlog = backlogs.get(key) ?? createBacklog()
+    backlogs.set(key, backlog)
+    return backlog
+  }
+}
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -1,19 +1,21 @@
 /** Composes an edge daemon from its modules and manages its start and shutdown. */
 import { PeerProtocolError } from '../errors'
 import { createResponseBuffers } from './responseBuffers'
-import { createBacklog, type Backlog } from './backlog'
+import { createBacklogs } from './backlog'
 import { createBoundedLog } from './boundedLog'
 import { createCacheStores } from './cacheStores'
 import { cacheTableName, isCacheTable, withCacheTables } from './cacheStoreTable'
+import { createCrashReports } from './crashReports'
 import { createEdgeServer } from './edgeServer'
 import { EdgeEvent, type EdgeLog } from './events'
 import { createExchange, type Exchange } from './exchange'
 import type { ExchangeContext } from './exchangeContext'
 import { createFailureReports } from './failureReports'
 import { createFreshness } from './freshness'
+import { stopGracefully } from './gracefulStop'
 import { createInstanceList } from './instanceList'
 import { startLeaseTask } from './leaseTask'
-import { createEdgeMetrics } from './metrics'
+import { countBy, createEdgeMetrics } from './metrics'
 import { createLoadExchange } from './loadExchange'
 import { createRolloutSampler } from './rolloutSampler'
 import { createPeerBroadcast, type PeerBroadcast } from './peerBroadcast'
@@ -33,6 +35,7 @@
 import { FOLLOW_MS, followStoreTables } from './storeTables'
 import { createTableRelay } from './tableRelay'
 import { createTokenTransfers } from './tokenTransfers'
+import { createCrashAttribution } from '../upstream/crashAttribution'
 import type { Dialect, EngineControl, Instant, Peer, Store, StoreRecordCodec, UpstreamHint } from './types'
 import { createUpstreamConnections } from './upstreamConnections'
 import { createUpstreamDirectory, type Upstream } from './upstreamDirectory'
@@ -51,17 +54,6 @@
 const SWEEP_MS = 100
 /** Interval in milliseconds between writes of the log. */
 const LOG_FLUSH_MS = 500
-/**
- * Time in milliseconds after the stop signal for which requests are still accepted. The load balancer removes the
- * instance after two failed readiness checks, one per second. Requests that start later might not complete within the
- * grace period.
- */
-const STOP_ACCEPT_MS = 2700
-/** Time in milliseconds before the forced termination at which the process exits by itself. */
-const STOP_MARGIN_MS = 500
-/** Interval in milliseconds between checks whether all exchanges have finished. */
-const DRAIN_POLL_MS = 50
-
 export interface EdgeOptions {
   settings: EdgeSettings
   dialect: Dialect
@@ -79,12 +71,6 @@
   fault: (error: unknown) => void
 }
 
-function countBy (names: readonly string[]): Map<string, number> {
-  const counts = new Map<string, number>()
-  for (const name of names) counts.set(name, (counts.get(name) ?? 0) + 1)
-  return counts
-}
-
 /** Starts an edge daemon. Rejects if an address is already in use. */
 export async function startEdge (options: EdgeOptions): Promise<Edge> {
   const { settings, dialect, records, control } = options
@@ -121,7 +107,6 @@
   const rolloutSampler = createRolloutSampler(serviceRollouts.isRollingOut)
   let loadingEngines: ReadonlySet<Upstream> = new Set()
   const exchanges = new Set<Exchange>()
-  const backlogs = new Map<string, Backlog>()
   /** Time of the last notification of the lease holder. */
   let leaseHolderSeenAt = -Infinity
   let stopping = false
@@ -138,6 +123,7 @@
     failures: async (query) => await failureBroadcast.handleRequest(query),
     leaving: async (query) => await leavingBroadcast.handleRequest(query),
     limits: async (query) => await limitBroadcast.handleRequest(query),
+    crashes: async (query) => await crashBroadcast.handleRequest(query),
     async permits (query) {
       instances.observe(query.sender)
       return await sendPermits.handleRequest(query)
@@ -216,6 +202,17 @@
   const requestLimits = createRequestLimits({
     broadcast: (content) => { limitBroadcast.send({ ...content, sender: instances.sender() }) }, log
   })
+  const crashBroadcast = createBroadcast(PeerRequestKind.crashes, (content) => {
+    crashReports.receive(content, performance.now())
+  })
+  const crashReports = createCrashReports({
+    attribution: createCrashAttribution(),
+    broadcast: crashBroadcast.send,
+    instance: name,
+    peers: () => peers().map((peer) => peer.name),
+    log,
+    onFault: reportFault
+  })
   const sendPermits = createSendPermits({
     links,
     instance: name,
@@ -278,13 +275,7 @@
     exportTracker: createExportTracker(cacheStores.holds),
     cacheStoreFor: cacheStores.storeFor,
     prefixDemand: createPrefixDemand(),
-    backlog (name) {
-      const existing = backlogs.get(name)
-      if (existing !== undefined) return existing
-      const backlog = createBacklog()
-      backlogs.set(name, backlog)
-      return backlog
-    },
+    backlog: createBacklogs(),
     dataCentre,
     outdatedWeightsLimit: limits.oldWeights,
     instanceCount: () => instances.count(),
@@ -298,6 +289,7 @@
     upstreamHints,
     requestLimits,
     sendPermits,
+    crashReports,
     reportUnreachable: (upstream) => { failureReports.report(upstream, performance.now()) },
     isStopping: () => stopping,
     isRejecting: () => rejecting,
@@ -382,6 +374,7 @@
   const sweep = setInterval(() => {
     const instant = now()
     livenessChecks.runDue()
+    crashReports.check(instant.steady)
     for (const exchange of exchanges) exchange.check(instant)
     tables.handleDirectoryChanges(directory.expire(instant.steady))
     loadingEngines = weightsRollout.loadingEngines(directory.all(), instant.steady)
@@ -391,27 +384,27 @@
   await server.listen()
   log(EdgeEvent.started, { dataCentre })
 
-  async function delay (milliseconds: number): Promise<void> {
-    await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
-  }
-
   async function stop (): Promise<void> {
-    stopping = true
-    log(EdgeEvent.stopping, { exchanges: exchanges.size })
-    const end = performance.now() + limits.grace - STOP_MARGIN_MS
-    await delay(Math.min(STOP_ACCEPT_MS, limits.grace / 2))
-    rejecting = true
-    server.closeIdle()
-    while (exchanges.size > 0 && performance.now() < end) await delay(DRAIN_POLL_MS)
-    for (const task of [
-      tables, lease, weightsRolloutTask, serviceRolloutTask, engineLoads, cacheStores, instances
-    ]) task.stop()
-    clearInterval(sweep)
-    clearInterval(flushTimer)
-    server.close()
-    links.close()
-    store.close()
-    log(EdgeEvent.stopped, { exchanges: exchanges.size })
+    await stopGracefully({
+      grace: limits.grace,
+      exchanges,
+      log,
+      onStopping () { stopping = true },
+      rejectRequests () {
+        rejecting = true
+        server.closeIdle()
+      },
+      close () {
+        for (const task of [
+          tables, lease, weightsRolloutTask, serviceRolloutTask, engineLoads, cacheStores, instances
+        ]) task.stop()
+        clearInterval(sweep)
+        clearInterval(flushTimer)
+        server.close()
+        links.close()
+        store.close()
+      }
+    })
     closeLog()
   }
 
--- /dev/null
+++ b/src/edge/crashGuard.ts
@@ -0,0 +1,67 @@
+/** Applies the verdicts on crashes of upstreams to one request. */
+import type { MonotonicMilliseconds } from '../types'
+import { CrashVerdictKind, type RefusedVerdict } from '../upstream/crashAttribution'
+import type { Attempt } from './attempt'
+import type { CrashReports } from './crashReports'
+import { traitsOf, type TraitSource } from './requestTraits'
+
+/** Milliseconds from the first byte of a response after which its request did not crash the upstream. */
+const SURVIVAL_MS = 500
+
+export interface CrashGuard {
+  /**
+   * Returns why the request must not be sent to an upstream; undefined if it may. The request may become the single one
+   * that is tried while such requests are rejected.
+   * @param hasRun whether an upstream may have run it before; such a request is not tried again
+   */
+  findConviction: (hasRun: boolean, now: MonotonicMilliseconds) => RefusedVerdict | undefined
+  /** Whether a request that waits at an upstream must be withdrawn. */
+  mustWithdraw: (attempt: Attempt, now: MonotonicMilliseconds) => boolean
+  /** Returns the trait for which the request may be the cause of crashes; undefined if there is none. */
+  suspectTrait: (now: MonotonicMilliseconds) => string | undefined
+  /** Records that the connection of an attempt broke. */
+  recordLoss: (attempt: Attempt, now: MonotonicMilliseconds) => void
+  /** Records a part of the response. */
+  recordProgress: (attempt: Attempt, now: MonotonicMilliseconds) => void
+  /** Records a complete response. */
+  recordAnswer: (attempt: Attempt, now: MonotonicMilliseconds) => void
+  /** Returns the traits of the request, for the log. */
+  traits: () => readonly string[]
+}
+
+export function createCrashGuard (
+  reports: Pick<CrashReports, 'verdict' | 'tryTrial' | 'recordLoss' | 'recordAnswer'>, source: TraitSource
+): CrashGuard {
+  const traits = traitsOf(source)
+  let isTrial = false
+
+  function recordAnswer (attempt: Attempt, now: MonotonicMilliseconds): void {
+    if (attempt.isSurvived) return
+    attempt.isSurvived = true
+    reports.recordAnswer(traits, now)
+  }
+
+  return {
+    findConviction (hasRun, now) {
+      const verdict = reports.verdict(traits, now)
+      if (verdict.kind !== CrashVerdictKind.refused || isTrial) return undefined
+      isTrial = !hasRun && reports.tryTrial(traits, verdict, now)
+      return isTrial ? undefined : verdict
+    },
+    mustWithdraw: ({ firstByteAt }, now) => (
+      firstByteAt === undefined && !isTrial && reports.verdict(traits, now).kind === CrashVerdictKind.refused
+    ),
+    suspectTrait (now) {
+      const verdict = reports.verdict(traits, now)
+      return verdict.kind === CrashVerdictKind.clear ? undefined : verdict.trait
+    },
+    recordLoss ({ upstream, isSurvived }, now) {
+      if (!isSurvived) reports.recordLoss(upstream.entry, traits, now)
+    },
+    recordProgress (attempt, now) {
+      if (attempt.firstByteAt !== undefined && now - attempt.firstByteAt >= SURVIVAL_MS) recordAnswer(attempt, now)
+    },
+    recordAnswer,
+    traits: traits.all
+  }
+}
--- /dev/null
+++ b/src/edge/crashReports.ts
@@ -0,0 +1,217 @@
+/**
+ * Finds out which lost connections were crashes of upstreams, exchanges them with the other instances, and applies the
+ * verdicts of the attribution to requests.
+ *
+ * Each instance sees only its own requests in flight at a crash, so all instances add up the reports of all. A trait that
+ * some instance knows to be sound is cleared by a message that only goes out while the trait is charged.
+ */
+import { setBounded } from '../boundedMap'
+import { isConnectionRefused } from '../http/listeningProbe'
+import { rankByRendezvous } from '../rendezvous'
+import type { Endpoint, MonotonicMilliseconds } from '../types'
+import {
+  CrashVerdictKind, type ClearedTraits, type Conviction, type CrashAttribution, type CrashVerdict, type RefusedVerdict,
+  type TraitDepths
+} from '../upstream/crashAttribution'
+import { EdgeEvent, type EdgeLog } from './events'
+import type { PeerBroadcast } from './peerBroadcast'
+import type { PeerValue } from './peerLinks'
+import { runKey } from './requestLimits'
+import type { RequestTraits } from './requestTraits'
+import type { UpstreamEntry } from './types'
+
+/** Milliseconds between announcements of the convictions, for instances that have started or were unreachable. */
+const ANNOUNCE_INTERVAL_MS = 1000
+/** Milliseconds for which the outcome of a probe of a run is remembered. */
+const LOSS_MEMORY_MS = 5000
+/** Number of runs whose lost connections are remembered; more than crash at a time. */
+const MAX_TRACKED_RUNS = 1000
+
+const LossState = {
+  /** Not known yet whether the upstream has crashed. */
+  unconfirmed: 'unconfirmed',
+  probing: 'probing',
+  crashed: 'crashed',
+  /** The upstream accepts connections. */
+  alive: 'alive'
+} as const
+type LossState = typeof LossState[keyof typeof LossState]
+
+/** Lost connections to one run of an upstream. */
+interface Loss {
+  entry: UpstreamEntry
+  at: MonotonicMilliseconds
+  state: LossState
+  /** Traits of the requests that were in flight on these connections, and are not reported yet. */
+  traits: Map<string, number>
+}
+
+/** A crash as told to other instances. */
+interface CrashReport {
+  run: string
+  traits: TraitDepths
+}
+
+export interface CrashReports {
+  /** Returns whether a request may run. */
+  verdict: (traits: RequestTraits, now: MonotonicMilliseconds) => CrashVerdict
+  /** Whether a refused request may run all the same, as a trial. It must not be repeated. */
+  tryTrial: (traits: RequestTraits, verdict: RefusedVerdict, now: MonotonicMilliseconds) => boolean
+  /** Records that the connection of an attempt broke before the upstream had shown that it survives the request. */
+  recordLoss: (entry: UpstreamEntry, traits: RequestTraits, now: MonotonicMilliseconds) => void
+  /** Records that an upstream has answered a request and lived on. */
+  recordAnswer: (traits: RequestTraits, now: MonotonicMilliseconds) => void
+  /** Applies a notification of another instance. */
+  receive: (content: PeerValue, now: MonotonicMilliseconds) => void
+  /** Probes, judges and reports; called several times per second. */
+  check: (now: MonotonicMilliseconds) => void
+}
+
+export interface CrashReportsOptions {
+  attribution: CrashAttribution
+  /** Notifies all other instances. */
+  broadcast: PeerBroadcast['send']
+  instance: string
+  /** Names of the other instances. */
+  peers: () => readonly string[]
+  /** Resolves to whether the endpoint refuses connections. */
+  probe?: (endpoint: Endpoint) => Promise<boolean>
+  log: EdgeLog
+  onFault: (error: unknown) => void
+}
+
+type Fields = Readonly<Record<string, unknown>>
+
+function listOf (value: unknown): Fields[] {
+  return Array.isArray(value) ? value.map((item) => (item ?? {}) as Fields) : []
+}
+
+function parseConvictions (value: unknown): Conviction[] {
+  return listOf(value).flatMap(({ trait, age, trials, trialIn }) => {
+    const isValid = typeof trait === 'string' && [age, trials, trialIn].every(Number.isFinite)
+    return isValid ? [{ trait, age, trials, trialIn } as Conviction] : []
+  })
+}
+
+function parseTraits (value: unknown): TraitDepths {
+  return new Map(listOf(value).flatMap(({ trait, depth }) => (
+    typeof trait === 'string' && typeof depth === 'number' ? [[trait, depth]] : []
+  )))
+}
+
+function parseCrashes (value: unknown): CrashReport[] {
+  return listOf(value).flatMap(({ run, traits }) => (
+    typeof run === 'string' ? [{ run, traits: parseTraits(traits) }] : []
+  ))
+}
+
+function parseAnswers (value: unknown): Array<{ trait: string, age: number }> {
+  return listOf(value).flatMap(({ trait, age }) => (
+    typeof trait === 'string' && typeof age === 'number' && age >= 0 ? [{ trait, age }] : []
+  ))
+}
+
+export function createCrashReports (options: CrashReportsOptions): CrashReports {
+  const { attribution, broadcast, instance, peers, probe = isConnectionRefused, log, onFault } = options
+  const losses = new Map<string, Loss>()
+  /** Traits that the other instances have charged although an upstream has answered them. */
+  const soundTraits = new Set<string>()
+  let announcedAt = -Infinity
+
+  function startProbe (loss: Loss): void {
+    loss.state = LossState.probing
+    probe(loss.entry.endpoint).then((isRefused) => {
+      loss.state = isRefused ? LossState.crashed : LossState.alive
+      if (!isRefused) return loss.traits.clear()
+      const { identifier, service, startedAt } = loss.entry
+      log(EdgeEvent.upstreamCrashed, { upstream: identifier, service, startedAt, traits: [...loss.traits.keys()] })
+    }).catch(onFault)
+  }
+
+  /** Records the crashes that are not reported yet, and returns them. */
+  function takeCrashes (now: MonotonicMilliseconds): CrashReport[] {
+    const crashed = [...losses].filter(([, { state, traits }]) => state === LossState.crashed && traits.size > 0)
+    return crashed.map(([run, loss]) => {
+      const traits = attribution.chargeable(loss.traits, now)
+      loss.traits.clear()
+      attribution.recordCrash(run, traits, now)
+      return { run, traits }
+    }).filter(({ traits }) => traits.size > 0)
+  }
+
+  function applyConviction (conviction: Conviction, now: MonotonicMilliseconds): void {
+    const { trait } = conviction
+    const isKnown = attribution.isConvicted(trait)
+    if (!attribution.applyConviction(conviction, now)) soundTraits.add(trait)
+    else if (!isKnown) log(EdgeEvent.crashCauseFound, { trait, source: 'peer' })
+  }
+
+  function logCleared ({ convicted }: ClearedTraits, source: 'answer' | 'peer'): void {
+    for (const trait of convicted) log(EdgeEvent.crashCauseCleared, { trait, source })
+  }
+
+  return {
+    verdict: (traits, now) => (
+      attribution.hasCharges() ? attribution.verdict(traits.all(), now) : { kind: CrashVerdictKind.clear }
+    ),
+    tryTrial (traits, { trait, isTrialDue }, now) {
+      // One instance makes the trial for the whole fleet.
+      if (!isTrialDue || rankByRendezvous(trait, [instance, ...peers()])[0] !== instance) return false
+      attribution.startTrial(traits.all(), now)
+      announcedAt = -Infinity
+      log(EdgeEvent.crashTrialStarted, { trait })
+      return true
+    },
+    recordLoss (entry, traits, now) {
+      const key = runKey(entry)
+      const loss: Loss = losses.get(key) ?? { entry, at: now, state: LossState.unconfirmed, traits: new Map() }
+      const depths = new Map(traits.all().map((trait, depth) => [trait, depth]))
+      for (const [trait, depth] of attribution.chargeable(depths, now)) loss.traits.set(trait, depth)
+      setBounded(losses, key, loss, MAX_TRACKED_RUNS)
+    },
+    recordAnswer (traits, now) {
+      const answered = attribution.hasCharges() ? traits.all() : traits.parts
+      const cleared = attribution.recordAnswer(answered, now)
+      logCleared(cleared, 'answer')
+      for (const trait of [...cleared.charged, ...cleared.convicted]) soundTraits.add(trait)
+    },
+    receive ({ crashes, sound, convictions }, now) {
+      for (const { trait, age } of parseAnswers(sound)) {
+        logCleared(attribution.recordAnswer([trait], now - age), 'peer')
+        soundTraits.delete(trait)
+      }
+      for (const { run, traits } of parseCrashes(crashes)) {
+        const chargeable = attribution.chargeable(traits, now)
+        for (const trait of traits.keys()) {
+          if (!chargeable.has(trait)) soundTraits.add(trait)
+        }
+        attribution.recordCrash(run, chargeable, now)
+      }
+      const received = parseConvictions(convictions)
+      for (const conviction of received) applyConviction(conviction, now)
+      if (received.length >= attribution.convictions(now).length) announcedAt = now
+    },
+    check (now) {
+      for (const [key, loss] of losses) {
+        if (loss.state === LossState.unconfirmed) startProbe(loss)
+        else if (loss.state === LossState.alive || now - loss.at >= LOSS_MEMORY_MS) losses.delete(key)
+      }
+      const crashes = takeCrashes(now)
+      const causes = attribution.judge(now)
+      for (const trait of causes) log(EdgeEvent.crashCauseFound, { trait, source: 'crashes' })
+      const isAnnouncementDue = causes.length > 0 || now - announcedAt >= ANNOUNCE_INTERVAL_MS
+      const convictions = isAnnouncementDue ? attribution.convictions(now) : []
+      if (crashes.length + soundTraits.size + convictions.length === 0) return
+      if (isAnnouncementDue) announcedAt = now
+      const sound = [...soundTraits].map((trait) => ({ trait, age: now - attribution.lastAnswer(trait) }))
+      broadcast({
+        crashes: crashes.map(({ run, traits }) => ({
+          run, traits: [...traits].map(([trait, depth]) => ({ trait, depth }))
+        })),
+        sound,
+        convictions
+      })
+      soundTraits.clear()
+    }
+  }
+}
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -4,6 +4,7 @@
 import { createAttemptAccounting, type Attempt } from './attempt'
 import { AttemptOutcome, decideNextStep, mayRepeat, type AttemptHistory } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
+import { createCrashGuard } from './crashGuard'
 import { countData, createEventBoundary, type EventBoundary } from './eventBoundary'
 import { EdgeEvent } from './events'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
@@ -11,7 +12,6 @@
 import { planCache, urgencyOf } from './promptPlan'
 import type { PacerDecision } from './requestPacer'
 import { createTargetSelection, urgencyRank, type Target } from './targetSelection'
-import { fingerprintOf } from '../request/fingerprint'
 import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
 import { RepeatRule, RequestLimitKind, type Instant } from './types'
 import { callUpstream } from './upstreamCall'
@@ -34,6 +34,8 @@
 
 /** Reason in the log for a response that exceeds the buffer limit of one response or of all responses. */
 const RESPONSE_TOO_LONG = 'the answer is too long'
+/** Reason in the log for a request that was stopped because such requests crash upstreams. */
+const CRASHES_UPSTREAMS = 'such requests crash upstreams'
 
 /**
  * Statuses that tell the caller that the request was not executed. Those of an upstream are not forwarded, because it
@@ -46,6 +48,11 @@
   onSuccess: (upstream: Upstream, status: number) => void
   /** The request was rejected because the engines are overloaded; nothing was sent to an upstream. */
   onShed: (wait: number, retryAfter: number) => void
+  /**
+   * The request was rejected because upstreams crash when they answer such requests; nothing was sent to an upstream.
+   * @param trait what the request has in common with those that crashed upstreams
+   */
+  onConvicted: (trait: string, retryAfter: number) => void
   /** The request failed before any part of a response was sent to the caller. */
   onFailure: (execution: ExecutionStatus, reason: string) => void
   /** The request failed after part of a response was sent to the caller. */
@@ -97,6 +104,9 @@
   const backlog = context.backlog(`${service}/${urgency ?? ''}`)
   const rank = urgencyRank(urgency)
   const accounting = createAttemptAccounting(context.engineLoads, backlog, rank)
+  const crashGuard = createCrashGuard(context.crashReports, {
+    callerRequest, customer: customer?.name, method: request.method!, path: request.url!, body
+  })
   /** Drawn once, so that further selections do not make it more likely that the request is rejected. */
   const sheddingDraw = context.random()
   let firstByteAt: MonotonicMilliseconds | undefined
@@ -120,10 +130,20 @@
     return currentCustomer?.name === customer.name && context.freshness.permitsKeys(now)
   }
 
+  /** Rejects the request if upstreams crash when they answer such requests; returns whether it did. */
+  function rejectConvicted (now: MonotonicMilliseconds): boolean {
+    const conviction = crashGuard.findConviction(history.runs > 0, now)
+    if (conviction === undefined) return false
+    if (history.runs === 0) callbacks.onConvicted(conviction.trait, conviction.retryAfter)
+    else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS)
+    return true
+  }
+
   function startAttempt (): void {
     const now = context.now()
     if (!isStillAuthorized(now)) return fail(currentExecutionStatus(), 'the key could not be revalidated')
-    const target = targets.select(now)
+    if (rejectConvicted(now.steady)) return
+    const target = targets.select(now, crashGuard.suspectTrait(now.steady))
     if (target === undefined) return fail(currentExecutionStatus(), targets.failureReason())
     if (history.repeat === RepeatRule.stream && history.runs === 0) {
       const expectedWait = backlog.expectedWait(now.steady)
@@ -156,7 +176,8 @@
   function sendWithPermit (upstream: Upstream): void {
     const now = context.now()
     const isCurrent = directory.listed(service).includes(upstream) && isUsable(upstream, now.steady)
-    if (!isCurrent || !isStillAuthorized(now)) return startAttempt()
+    const isConvicted = crashGuard.findConviction(true, now.steady) !== undefined
+    if (!isCurrent || isConvicted || !isStillAuthorized(now)) return startAttempt()
     sendTo(upstream, now)
   }
 
@@ -211,6 +232,7 @@
       isPaused: false,
       pendingPrefillTokens: plan.promptTokens,
       head: undefined,
+      isSurvived: false,
       buffer: context.responseBuffers.open(),
       call: callUpstream({
         endpoint: upstream.entry.endpoint,
@@ -224,7 +246,10 @@
         onHead: (head) => { onHead(current, head) },
         onData: (chunk) => { onData(current, chunk) },
         onEnd: () => { onEnd(current) },
-        onFailure: (reason, sent) => { onAttemptFailed(current, reason, sent) }
+        onFailure (reason, sent) {
+          if (sent) crashGuard.recordLoss(current, context.now().steady)
+          onAttemptFailed(current, reason, sent)
+        }
       })
     }
     attempt = current
@@ -249,7 +274,10 @@
    */
   function continueAfter (attemptOutcome: AttemptOutcome, reason: string, forward?: () => void): void {
     const step = decideNextStep(attemptOutcome, { ...history, responseStarted: callerResponse.hasStarted() })
-    if (step.kind === 'retry' && mayRetry()) return startAttempt()
+    // The upstream may have crashed because of this request, and the next one might as well.
+    const isDangerous = attemptOutcome !== AttemptOutcome.notRun &&
+      crashGuard.suspectTrait(context.now().steady) !== undefined
+    if (step.kind === 'retry' && !isDangerous && mayRetry()) return startAttempt()
     if (forward !== undefined) return forward()
     fail(currentExecutionStatus(), reason)
   }
@@ -270,8 +298,7 @@
       reason,
       sent,
       hasBegun: current.firstByteAt !== undefined,
-      parts: plan.sharedSegments,
-      content: fingerprintOf(customer?.name ?? '', request.url!, body ?? '')
+      traits: crashGuard.traits()
     })
     if (!isStalled) pauseAfterFailure(upstream, now)
     if (isUnreachable) context.reportUnreachable(upstream)
@@ -359,6 +386,7 @@
       current.sample.recordFirstByte(now)
       observeWait(current.upstream, rank, now - current.startedAt, now)
     }
+    crashGuard.recordProgress(current, now)
     if (!isStreamed(current)) {
       current.lastProgressAt = now
       if (!current.buffer.push(chunk)) abortAttempt(current, RESPONSE_TOO_LONG)
@@ -379,7 +407,9 @@
     if (isStreamed(current)) {
       if (eventBoundary!.partialEvent().length > 0) return onAttemptFailed(current, 'the stream ended within an event', true)
       detachAttempt(current)
-      current.sample.recordEnd(false, context.now().steady)
+      const now = context.now().steady
+      current.sample.recordEnd(false, now)
+      crashGuard.recordAnswer(current, now)
       callerResponse.end()
       return callbacks.onSuccess(upstream, 200)
     }
@@ -387,7 +417,9 @@
     detachAttempt(current)
     reachedUpstream = true
     const status = head?.statusCode ?? 0
-    current.sample.recordEnd(status >= 500, context.now().steady)
+    const now = context.now().steady
+    current.sample.recordEnd(status >= 500, now)
+    if (status < 500) crashGuard.recordAnswer(current, now)
     if (status >= 500 || NOT_EXECUTED_STATUSES.has(status)) {
       return continueAfter(AttemptOutcome.failed, `the upstream answered ${status}`, () => { forwardResponse(current, status, bytes) })
     }
@@ -406,14 +438,17 @@
 
   return {
     send () {
-      targets.start(context.now().steady)
-      context.retryAllowance.recordRequest(service, context.now().steady)
+      const now = context.now().steady
+      if (rejectConvicted(now)) return
+      targets.start(now)
+      context.retryAllowance.recordRequest(service, now)
       if (plan.promptTokens === 0) return startAttempt()
       context.engineLoads.refresh().catch(context.reportFault)
         .then(() => { if (!cancelled) startAttempt() }).catch(context.reportFault)
     },
     check (now) {
       if (attempt === undefined || attempt.isPaused) return
+      if (crashGuard.mustWithdraw(attempt, now.steady)) return abortAttempt(attempt, CRASHES_UPSTREAMS, true)
       attempt.sample.recordRunning(now.steady)
       if (!mayRepeat(history) || history.runs >= history.maximumAttempts) return
       const idleMs = now.steady - attempt.lastProgressAt
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -33,6 +33,14 @@
   upstreamUnreadable: 'upstream.unreadable',
   /** Another instance reported the upstream as unreachable. */
   upstreamSuspected: 'upstream.doubted',
+  /** An upstream crashed with requests in flight. */
+  upstreamCrashed: 'upstream.crashed',
+  /** Requests with this trait are rejected, because upstreams crash when they answer them. */
+  crashCauseFound: 'crash_cause.found',
+  /** A request with the trait was answered; such requests are served again. */
+  crashCauseCleared: 'crash_cause.cleared',
+  /** One request with the trait is sent, to find out whether upstreams still crash. */
+  crashTrialStarted: 'crash_cause.tried',
   instancesChanged: 'instances.changed',
   peerLost: 'peer.lost',
   peerRegained: 'peer.regained',
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -200,6 +200,10 @@
         const reason = `expected wait of ${Math.round(wait)} ms`
         reject({ status: 503, code: 'overloaded', message, retryAfter: clampRetryAfter(retryAfter) }, reason)
       },
+      onConvicted (trait, retryAfter) {
+        const message = 'upstreams crash when they answer such requests'
+        reject({ status: 503, code: 'crashes_upstreams', message, retryAfter }, `crashes are attributed to ${trait}`)
+      },
       onFailure: (execution, reason) => { rejectUnserved(service, execution, reason, 502) },
       onAborted: abort
     })
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -3,6 +3,7 @@
 import type { RandomSource } from '../types'
 import type { ResponseBuffers } from './responseBuffers'
 import type { Backlog } from './backlog'
+import type { CrashReports } from './crashReports'
 import type { EdgeLog } from './events'
 import type { Freshness } from './freshness'
 import type { LoadExchange } from './loadExchange'
@@ -56,6 +57,7 @@
   requestLimits: Pick<RequestLimits, 'limitOf' | 'applyAbsence'>
   /** Permits to send requests to upstreams that have named a limit. */
   sendPermits: Pick<SendPermits, 'isNeeded' | 'acquire'>
+  crashReports: Pick<CrashReports, 'verdict' | 'tryTrial' | 'recordLoss' | 'recordAnswer'>
   /** Notifies the other instances of the data centre that an upstream is unreachable. */
   reportUnreachable: (upstream: Upstream) => void
   isStopping: () => boolean
--- a/src/edge/failureReports.ts
+++ b/src/edge/failureReports.ts
@@ -3,7 +3,7 @@
  * so reports stay within one.
  */
 import type { MonotonicMilliseconds, RandomSource } from '../types'
-import { setBounded } from './boundedMap'
+import { setBounded } from '../boundedMap'
 import { EdgeEvent, type EdgeLog } from './events'
 import type { PeerBroadcast } from './peerBroadcast'
 import type { PeerValue } from './peerLinks'
--- /dev/null
+++ b/src/edge/gracefulStop.ts
@@ -0,0 +1,43 @@
+/** Stops an edge daemon: takes no new requests, waits for those in progress, then closes everything. */
+import { EdgeEvent, type EdgeLog } from './events'
+
+/**
+ * Time in milliseconds after the stop signal for which requests are still accepted. The load balancer removes the
+ * instance after two failed readiness checks, one per second. Requests that start later might not complete within the
+ * grace period.
+ */
+const STOP_ACCEPT_MS = 2700
+/** Time in milliseconds before the forced termination at which the process exits by itself. */
+const STOP_MARGIN_MS = 500
+/** Interval in milliseconds between checks whether all exchanges have finished. */
+const DRAIN_POLL_MS = 50
+
+export interface GracefulStopOptions {
+  /** Milliseconds from the stop signal until the process is terminated by force. */
+  grace: number
+  /** Exchanges in progress. */
+  exchanges: ReadonlySet<unknown>
+  log: EdgeLog
+  /** Called at once. */
+  onStopping: () => void
+  /** Called when no further requests are accepted. */
+  rejectRequests: () => void
+  /** Closes all tasks, connections and servers. */
+  close: () => void
+}
+
+async function delay (milliseconds: number): Promise<void> {
+  await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
+}
+
+export async function stopGracefully (options: GracefulStopOptions): Promise<void> {
+  const { grace, exchanges, log } = options
+  options.onStopping()
+  log(EdgeEvent.stopping, { exchanges: exchanges.size })
+  const end = performance.now() + grace - STOP_MARGIN_MS
+  await delay(Math.min(STOP_ACCEPT_MS, grace / 2))
+  options.rejectRequests()
+  while (exchanges.size > 0 && performance.now() < end) await delay(DRAIN_POLL_MS)
+  options.close()
+  log(EdgeEvent.stopped, { exchanges: exchanges.size })
+}
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -38,6 +38,13 @@
   names: () => readonly string[]
 }
 
+/** Returns how often each name occurs. */
+export function countBy (names: readonly string[]): Map<string, number> {
+  const counts = new Map<string, number>()
+  for (const name of names) counts.set(name, (counts.get(name) ?? 0) + 1)
+  return counts
+}
+
 export function createEdgeMetrics (sources: MetricSources): EdgeMetrics {
   const registry = new Registry()
   const registers = [registry]
--- a/src/edge/peerLinks.ts
+++ b/src/edge/peerLinks.ts
@@ -30,6 +30,8 @@
   weightsProgress: 'weightsProgress',
   /** Notification of an unreachable upstream. */
   failures: 'failures',
+  /** Notification of crashes of upstreams, and of what requests they are attributed to. */
+  crashes: 'crashes',
   /** Notification of an upstream that announced that it is leaving. */
   leaving: 'leaving',
   /** Notification of the request limit of an upstream. */
--- a/src/edge/promptPlan.ts
+++ b/src/edge/promptPlan.ts
@@ -18,8 +18,6 @@
   prefixKey: string | undefined
   /** Identifier of the last shared segment. */
   lastSharedSegment: string | undefined
-  /** Identifiers of all shared segments, in prompt order. */
-  sharedSegments: readonly string[]
   sharedTokens: number
   promptTokens: number
 }
@@ -31,7 +29,6 @@
   return {
     prefixKey: lastSegment === undefined ? undefined : `${isolationPrefix}:${lastSegment.identifier}`,
     lastSharedSegment: lastSegment?.identifier,
-    sharedSegments: sharedSegments.map(({ identifier }) => identifier),
     sharedTokens: sharedSegments.reduce((sum, segment) => sum + segment.tokens, 0),
     promptTokens: request.tokens?.prompt ?? 0
   }
--- a/src/edge/requestLimits.ts
+++ b/src/edge/requestLimits.ts
@@ -7,7 +7,7 @@
  * - It does not expire: without an answer nothing shows that it has ended.
  */
 import type { MonotonicMilliseconds } from '../types'
-import { setBounded } from './boundedMap'
+import { setBounded } from '../boundedMap'
 import { EdgeEvent, type EdgeLog } from './events'
 import type { PeerBroadcast } from './peerBroadcast'
 import type { PeerValue } from './peerLinks'
--- a/src/edge/rolloutSampler.ts
+++ b/src/edge/rolloutSampler.ts
@@ -2,7 +2,7 @@
 import { emptySample } from '../rollout/emptySample'
 import type { RolloutSample } from '../rollout/types'
 import type { MonotonicMilliseconds } from '../types'
-import { setBounded } from './boundedMap'
+import { setBounded } from '../boundedMap'
 
 /** Version names in samples. Upstreams of the old version may run different versions. */
 export const OLD_VERSION = 'old'
--- a/src/edge/sendPermits.ts
+++ b/src/edge/sendPermits.ts
@@ -14,7 +14,7 @@
 import { PlatformUnavailableError } from '../errors'
 import { rankByRendezvous } from '../rendezvous'
 import type { MonotonicMilliseconds, RandomSource } from '../types'
-import { setBounded } from './boundedMap'
+import { setBounded } from '../boundedMap'
 import { requestIfReachable, PeerRequestKind, type PeerLinks, type PeerValue } from './peerLinks'
 import { MAX_LIMITED_RUNS, runKey, type RequestLimits } from './requestLimits'
 import {
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -2,6 +2,7 @@
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import { rankUpstreams } from './placement'
 import { urgencyOf } from './promptPlan'
+import { rankByRendezvous } from '../rendezvous'
 import type { MonotonicMilliseconds } from '../types'
 import type { Instant } from './types'
 import type { Upstream } from './upstreamDirectory'
@@ -30,8 +31,12 @@
 export interface TargetSelection {
   /** Records the demand for the shared prefix; called once, before the first selection. */
   start: (now: MonotonicMilliseconds) => void
-  /** Returns undefined if no upstream may get the request now. */
-  select: (now: Instant) => Target | undefined
+  /**
+   * Returns undefined if no upstream may get the request now.
+   * @param suspectTrait trait of the request that may crash upstreams; all instances send such requests to the same
+   * upstream, so that one crash at a time results
+   */
+  select: (now: Instant, suspectTrait?: string) => Target | undefined
   /** Excludes the upstream from further selections. */
   markTried: (upstream: Upstream) => void
   /** Records that the upstream has no permit within the permitted wait; its next one is free in `wait` milliseconds. */
@@ -79,7 +84,7 @@
       const ownTokens = Math.max(0, plan.promptTokens - plan.sharedTokens)
       replicas = context.prefixDemand.replicasFor(plan.prefixKey, ownTokens, context.instanceCount(), now)
     },
-    select (now) {
+    select (now, suspectTrait) {
       const maximumAge = context.outdatedWeightsLimit * OUTDATED_WEIGHTS_SHARE
       const usable = context.directory.usable(service, now.steady).filter((upstream) => (
         !tried.has(upstream.entry.identifier) && outdatedWeightsAge(upstream, now) < maximumAge
@@ -92,6 +97,11 @@
         !needsPermit(upstream) ||
         (denials < MAX_PERMIT_DENIALS && upstream.nextPermitAt - now.steady <= maximumPermitWait)
       ))
+      if (suspectTrait !== undefined) {
+        const [first] = rankByRendezvous(suspectTrait, candidates.map(({ entry }) => entry.identifier))
+        const upstream = candidates.find(({ entry }) => entry.identifier === first)
+        return upstream === undefined ? undefined : { upstream, maximumPermitWait }
+      }
       const [upstream] = rankUpstreams({
         prefixKey: plan.prefixKey,
         sharedTokens: plan.sharedTokens,
