Accept a rejection only with the identifier of the request

What callers saw: 503, which states that the request has not run, for a request that an upstream was running, when the upstream sent the rejection of an earlier request once more on a kept connection. Only requests that may be repeated use kept connections, so none that may not was run twice.

Cause: the rejection was handled before the identifier was compared.

Why the fix works: a rejection with another identifier counts as a failed attempt of unknown outcome. One without an identifier is accepted only as the first response of its connection. The stand-in echoes the identifier, as the protocol says.

--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -330,8 +330,11 @@
     // Another upstream may respond at the address of the selected one.
     const isOtherUpstream = metadata.misdirected && metadata.answeredBy !== upstream.entry.identifier
     if (!isOtherUpstream) context.upstreamHints.apply(upstream, metadata.upstreamHint, now)
-    if (metadata.notRun) return onRejected(current, status, metadata.answeredBy, metadata.misdirected)
-    if (metadata.identifier !== identifier || !metadata.signed) {
+    // A rejection without an identifier may repeat that of an earlier request on the connection.
+    const isOwn = metadata.identifier === identifier ||
+      (metadata.notRun && metadata.identifier === undefined && !current.call.isConnectionReused())
+    if (isOwn && metadata.notRun) return onRejected(current, status, metadata.answeredBy, metadata.misdirected)
+    if (!isOwn || !metadata.signed) {
       return abortAttempt(current, 'the response belongs to another request or is not signed')
     }
     const isSuccess = status >= 200 && status < 300
--- a/src/edge/upstreamCall.ts
+++ b/src/edge/upstreamCall.ts
@@ -35,6 +35,8 @@
 }
 
 export interface UpstreamCall {
+  /** Whether the connection has carried other requests before. */
+  isConnectionReused: () => boolean
   pause: () => void
   resume: () => void
   /** Cancels the attempt and closes its connection. */
@@ -119,6 +121,7 @@
   upstreamRequest.end(options.body)
 
   return {
+    isConnectionReused: () => upstreamRequest.reusedSocket,
     pause: () => { response?.pause() },
     resume: () => { response?.resume() },
     cancel () {
--- a/standins/fleet/upstream.ts
+++ b/standins/fleet/upstream.ts
@@ -113,7 +113,10 @@
   let arrivals = 0
 
   function refuse (response: ServerResponse, status: number, headers: Record<string, string>): void {
-    response.writeHead(status, { ...standIn.says, ...headers, 'Content-Length': '0' }).end()
+    const identifier = response.req.headers['request-id']
+    response.writeHead(status, {
+      ...standIn.says, ...headers, ...(identifier === undefined ? {} : { 'Request-Id': identifier }), 'Content-Length': '0'
+    }).end()
   }
 
   function headersOf (request: IncomingMessage, fault: UpstreamFault | undefined): Record<string, string> {
