Do not repeat a request that may have crashed two engines

Streams that may be resumed were repeated at the next engine at once, before any crash was confirmed.

Cause: the verdict of the attribution came up to 0.4 s after a crash, while a prompt crashes the next engine after 0.14 s; and crashes less than 300 ms apart counted as one, since their times were those of the reports.

Why the fix works: a broken connection is probed at once and the crash reported with its own time, so that only crashes within 100 ms count once; a repeat needs traits without a charge from another upstream.

--- a/src/edge/__tests__/crashReports.test.ts
+++ b/src/edge/__tests__/crashReports.test.ts
@@ -44,6 +44,7 @@
       instance: names[index]!,
       peers: () => names.filter((name) => name !== names[index]),
       probe: async () => isRefused(),
+      now: () => now,
       log: (event) => { events.push(event) },
       onFault (error) { throw error }
     })
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -210,6 +210,7 @@
     broadcast: crashBroadcast.send,
     instance: name,
     peers: () => peers().map((peer) => peer.name),
+    now: () => performance.now(),
     log,
     onFault: reportFault
   })
--- a/src/edge/crashGuard.ts
+++ b/src/edge/crashGuard.ts
@@ -2,8 +2,9 @@
 import type { MonotonicMilliseconds } from '../types'
 import { CrashVerdictKind, type RefusedVerdict } from '../upstream/crashAttribution'
 import type { Attempt } from './attempt'
-import type { CrashReports } from './crashReports'
+import type { ExchangeContext } from './exchangeContext'
 import { traitsOf, type TraitSource } from './requestTraits'
+import type { UpstreamRun } from './types'
 
 /** Milliseconds from the first byte of a response after which its request did not crash the upstream. */
 const SURVIVAL_MS = 500
@@ -19,6 +20,8 @@
   mustWithdraw: (attempt: Attempt, now: MonotonicMilliseconds) => boolean
   /** Returns the trait for which the request may be the cause of crashes; undefined if there is none. */
   suspectTrait: (now: MonotonicMilliseconds) => string | undefined
+  /** Whether the next upstream might crash, too, if the request were repeated after a failure. */
+  mayCrashAgain: (now: MonotonicMilliseconds) => boolean
   /** Records that the connection of an attempt broke. */
   recordLoss: (attempt: Attempt, now: MonotonicMilliseconds) => void
   /** Records a part of the response. */
@@ -30,10 +33,17 @@
 }
 
 export function createCrashGuard (
-  reports: Pick<CrashReports, 'verdict' | 'tryTrial' | 'recordLoss' | 'recordAnswer'>, source: TraitSource
+  reports: ExchangeContext['crashReports'], source: TraitSource
 ): CrashGuard {
   const traits = traitsOf(source)
   let isTrial = false
+  /** Run to which the connection was lost last, before it had shown that it survives the request. */
+  let lostRun: UpstreamRun | undefined
+
+  function suspectTrait (now: MonotonicMilliseconds): string | undefined {
+    const verdict = reports.verdict(traits, now)
+    return verdict.kind === CrashVerdictKind.clear ? undefined : verdict.trait
+  }
 
   function recordAnswer (attempt: Attempt, now: MonotonicMilliseconds): void {
     if (attempt.isSurvived) return
@@ -51,12 +61,15 @@
     mustWithdraw: ({ firstByteAt }, now) => (
       firstByteAt === undefined && !isTrial && reports.verdict(traits, now).kind === CrashVerdictKind.refused
     ),
-    suspectTrait (now) {
-      const verdict = reports.verdict(traits, now)
-      return verdict.kind === CrashVerdictKind.clear ? undefined : verdict.trait
-    },
+    suspectTrait,
+    // The crash that this request may just have caused is not recorded yet.
+    mayCrashAgain: (now) => (
+      suspectTrait(now) !== undefined || (lostRun !== undefined && reports.isChargedElsewhere(traits, lostRun))
+    ),
     recordLoss ({ upstream, isSurvived }, now) {
-      if (!isSurvived) reports.recordLoss(upstream.entry, traits, now)
+      if (isSurvived) return
+      lostRun = upstream.entry
+      reports.recordLoss(upstream.entry, traits, now)
     },
     recordProgress (attempt, now) {
       if (attempt.firstByteAt !== undefined && now - attempt.firstByteAt >= SURVIVAL_MS) recordAnswer(attempt, now)
--- a/src/edge/crashReports.ts
+++ b/src/edge/crashReports.ts
@@ -18,7 +18,7 @@
 import type { PeerValue } from './peerLinks'
 import { runKey } from './requestLimits'
 import type { RequestTraits } from './requestTraits'
-import type { UpstreamEntry } from './types'
+import type { UpstreamEntry, UpstreamRun } from './types'
 
 /** Milliseconds between announcements of the convictions, for instances that have started or were unreachable. */
 const ANNOUNCE_INTERVAL_MS = 1000
@@ -29,7 +29,6 @@
 
 const LossState = {
   /** Not known yet whether the upstream has crashed. */
-  unconfirmed: 'unconfirmed',
   probing: 'probing',
   crashed: 'crashed',
   /** The upstream accepts connections. */
@@ -49,12 +48,19 @@
 /** A crash as told to other instances. */
 interface CrashReport {
   run: string
+  /** Milliseconds since the crash. */
+  age: number
   traits: TraitDepths
 }
 
 export interface CrashReports {
   /** Returns whether a request may run. */
   verdict: (traits: RequestTraits, now: MonotonicMilliseconds) => CrashVerdict
+  /**
+   * Whether another run than the given one has crashed with such requests.
+   * @param lostRun run to which the connection was lost
+   */
+  isChargedElsewhere: (traits: RequestTraits, lostRun: UpstreamRun) => boolean
   /** Whether a refused request may run all the same, as a trial. It must not be repeated. */
   tryTrial: (traits: RequestTraits, verdict: RefusedVerdict, now: MonotonicMilliseconds) => boolean
   /** Records that the connection of an attempt broke before the upstream had shown that it survives the request. */
@@ -76,6 +82,8 @@
   peers: () => readonly string[]
   /** Resolves to whether the endpoint refuses connections. */
   probe?: (endpoint: Endpoint) => Promise<boolean>
+  /** Monotonic clock in milliseconds. */
+  now: () => number
   log: EdgeLog
   onFault: (error: unknown) => void
 }
@@ -86,6 +94,10 @@
   return Array.isArray(value) ? value.map((item) => (item ?? {}) as Fields) : []
 }
 
+function isAge (value: unknown): value is number {
+  return typeof value === 'number' && value >= 0
+}
+
 function parseConvictions (value: unknown): Conviction[] {
   return listOf(value).flatMap(({ trait, age, trials, trialIn }) => {
     const isValid = typeof trait === 'string' && [age, trials, trialIn].every(Number.isFinite)
@@ -100,45 +112,66 @@
 }
 
 function parseCrashes (value: unknown): CrashReport[] {
-  return listOf(value).flatMap(({ run, traits }) => (
-    typeof run === 'string' ? [{ run, traits: parseTraits(traits) }] : []
+  return listOf(value).flatMap(({ run, age, traits }) => (
+    typeof run === 'string' && isAge(age) ? [{ run, age, traits: parseTraits(traits) }] : []
   ))
 }
 
 function parseAnswers (value: unknown): Array<{ trait: string, age: number }> {
   return listOf(value).flatMap(({ trait, age }) => (
-    typeof trait === 'string' && typeof age === 'number' && age >= 0 ? [{ trait, age }] : []
+    typeof trait === 'string' && isAge(age) ? [{ trait, age }] : []
   ))
 }
 
 export function createCrashReports (options: CrashReportsOptions): CrashReports {
-  const { attribution, broadcast, instance, peers, probe = isConnectionRefused, log, onFault } = options
+  const { attribution, broadcast, instance, peers, probe = isConnectionRefused, now, log, onFault } = options
   const losses = new Map<string, Loss>()
   /** Traits that the other instances have charged although an upstream has answered them. */
   const soundTraits = new Set<string>()
   let announcedAt = -Infinity
 
   function startProbe (loss: Loss): void {
-    loss.state = LossState.probing
     probe(loss.entry.endpoint).then((isRefused) => {
       loss.state = isRefused ? LossState.crashed : LossState.alive
       if (!isRefused) return loss.traits.clear()
       const { identifier, service, startedAt } = loss.entry
       log(EdgeEvent.upstreamCrashed, { upstream: identifier, service, startedAt, traits: [...loss.traits.keys()] })
+      // The others must know before they repeat their requests elsewhere.
+      report(now())
     }).catch(onFault)
   }
 
   /** Records the crashes that are not reported yet, and returns them. */
-  function takeCrashes (now: MonotonicMilliseconds): CrashReport[] {
+  function takeCrashes (present: MonotonicMilliseconds): CrashReport[] {
     const crashed = [...losses].filter(([, { state, traits }]) => state === LossState.crashed && traits.size > 0)
-    return crashed.map(([run, loss]) => {
-      const traits = attribution.chargeable(loss.traits, now)
-      loss.traits.clear()
-      attribution.recordCrash(run, traits, now)
-      return { run, traits }
+    return crashed.map(([run, { at, traits: pending }]) => {
+      const traits = attribution.chargeable(pending, at)
+      pending.clear()
+      attribution.recordCrash(run, traits, at)
+      return { run, age: present - at, traits }
     }).filter(({ traits }) => traits.size > 0)
   }
 
+  /** Judges the crashes, and tells the other instances what is new. */
+  function report (present: MonotonicMilliseconds): void {
+    const crashes = takeCrashes(present)
+    const causes = attribution.judge(present)
+    for (const trait of causes) log(EdgeEvent.crashCauseFound, { trait, source: 'crashes' })
+    const isAnnouncementDue = causes.length > 0 || present - announcedAt >= ANNOUNCE_INTERVAL_MS
+    const convictions = isAnnouncementDue ? attribution.convictions(present) : []
+    if (crashes.length + soundTraits.size + convictions.length === 0) return
+    if (isAnnouncementDue) announcedAt = present
+    const sound = [...soundTraits].map((trait) => ({ trait, age: present - attribution.lastAnswer(trait) }))
+    soundTraits.clear()
+    broadcast({
+      crashes: crashes.map(({ run, age, traits }) => ({
+        run, age, traits: [...traits].map(([trait, depth]) => ({ trait, depth }))
+      })),
+      sound,
+      convictions
+    })
+  }
+
   function applyConviction (conviction: Conviction, now: MonotonicMilliseconds): void {
     const { trait } = conviction
     const isKnown = attribution.isConvicted(trait)
@@ -151,8 +184,11 @@
   }
 
   return {
-    verdict: (traits, now) => (
-      attribution.hasCharges() ? attribution.verdict(traits.all(), now) : { kind: CrashVerdictKind.clear }
+    verdict: (traits, present) => (
+      attribution.hasCharges() ? attribution.verdict(traits.all(), present) : { kind: CrashVerdictKind.clear }
+    ),
+    isChargedElsewhere: (traits, lostRun) => (
+      attribution.hasCharges() && attribution.isChargedElsewhere(traits.all(), runKey(lostRun))
     ),
     tryTrial (traits, { trait, isTrialDue }, now) {
       // One instance makes the trial for the whole fleet.
@@ -164,10 +200,14 @@
     },
     recordLoss (entry, traits, now) {
       const key = runKey(entry)
-      const loss: Loss = losses.get(key) ?? { entry, at: now, state: LossState.unconfirmed, traits: new Map() }
+      const known = losses.get(key)
+      const isProbed = known !== undefined && known.state !== LossState.alive
+      const loss: Loss = isProbed ? known : { entry, at: now, state: LossState.probing, traits: new Map() }
       const depths = new Map(traits.all().map((trait, depth) => [trait, depth]))
       for (const [trait, depth] of attribution.chargeable(depths, now)) loss.traits.set(trait, depth)
+      if (isProbed || loss.traits.size === 0) return
       setBounded(losses, key, loss, MAX_TRACKED_RUNS)
+      startProbe(loss)
     },
     recordAnswer (traits, now) {
       const answered = attribution.hasCharges() ? traits.all() : traits.parts
@@ -180,38 +220,23 @@
         logCleared(attribution.recordAnswer([trait], now - age), 'peer')
         soundTraits.delete(trait)
       }
-      for (const { run, traits } of parseCrashes(crashes)) {
-        const chargeable = attribution.chargeable(traits, now)
+      for (const { run, age, traits } of parseCrashes(crashes)) {
+        const chargeable = attribution.chargeable(traits, now - age)
         for (const trait of traits.keys()) {
           if (!chargeable.has(trait)) soundTraits.add(trait)
         }
-        attribution.recordCrash(run, chargeable, now)
+        attribution.recordCrash(run, chargeable, now - age)
       }
       const received = parseConvictions(convictions)
       for (const conviction of received) applyConviction(conviction, now)
       if (received.length >= attribution.convictions(now).length) announcedAt = now
     },
-    check (now) {
-      for (const [key, loss] of losses) {
-        if (loss.state === LossState.unconfirmed) startProbe(loss)
-        else if (loss.state === LossState.alive || now - loss.at >= LOSS_MEMORY_MS) losses.delete(key)
+    check (present) {
+      for (const [key, { state, at }] of losses) {
+        const isOver = state === LossState.alive || (state === LossState.crashed && present - at >= LOSS_MEMORY_MS)
+        if (isOver) losses.delete(key)
       }
-      const crashes = takeCrashes(now)
-      const causes = attribution.judge(now)
-      for (const trait of causes) log(EdgeEvent.crashCauseFound, { trait, source: 'crashes' })
-      const isAnnouncementDue = causes.length > 0 || now - announcedAt >= ANNOUNCE_INTERVAL_MS
-      const convictions = isAnnouncementDue ? attribution.convictions(now) : []
-      if (crashes.length + soundTraits.size + convictions.length === 0) return
-      if (isAnnouncementDue) announcedAt = now
-      const sound = [...soundTraits].map((trait) => ({ trait, age: now - attribution.lastAnswer(trait) }))
-      broadcast({
-        crashes: crashes.map(({ run, traits }) => ({
-          run, traits: [...traits].map(([trait, depth]) => ({ trait, depth }))
-        })),
-        sound,
-        convictions
-      })
-      soundTraits.clear()
+      report(present)
     }
   }
 }
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -275,8 +275,7 @@
   function continueAfter (attemptOutcome: AttemptOutcome, reason: string, forward?: () => void): void {
     const step = decideNextStep(attemptOutcome, { ...history, responseStarted: callerResponse.hasStarted() })
     // The upstream may have crashed because of this request, and the next one might as well.
-    const isDangerous = attemptOutcome !== AttemptOutcome.notRun &&
-      crashGuard.suspectTrait(context.now().steady) !== undefined
+    const isDangerous = attemptOutcome !== AttemptOutcome.notRun && crashGuard.mayCrashAgain(context.now().steady)
     if (step.kind === 'retry' && !isDangerous && mayRetry()) return startAttempt()
     if (forward !== undefined) return forward()
     fail(currentExecutionStatus(), reason)
--- a/src/upstream/__tests__/crashAttribution.test.ts
+++ b/src/upstream/__tests__/crashAttribution.test.ts
@@ -42,7 +42,7 @@
     ['the common part of three crashes', crashes([0, 1000, 2000], (index) => [['dead'], [`other${index}`]]), ['dead']],
     [
       'three crashes at the same moment count once',
-      crashes([0, 100, 200], () => [['popular']]), []
+      crashes([0, 40, 80], () => [['popular']]), []
     ],
     ['the common part of crashes in quick succession', crashes(range(20, 100), () => [['dead']]), ['dead']],
     [
--- a/src/upstream/crashAttribution.ts
+++ b/src/upstream/crashAttribution.ts
@@ -23,7 +23,7 @@
 /** Number of crashes from which a trait is suspect. */
 const SUSPICION_CRASHES = 2
 /** Crashes within this many milliseconds count once. */
-const COINCIDENCE_MS = 300
+const COINCIDENCE_MS = 100
 /** Milliseconds after a crash for which reports of other instances are awaited before it is judged. */
 const SETTLE_MS = 250
 /** Milliseconds after an answer within which its traits are not charged with crashes. */
@@ -89,10 +89,12 @@
 
 export interface CrashAttribution {
   verdict: (traits: readonly string[], now: MonotonicMilliseconds) => CrashVerdict
-  /** Returns the traits that a crash is charged to, without those that were answered a short time ago. */
-  chargeable: (traits: TraitDepths, now: MonotonicMilliseconds) => Map<string, number>
+  /** Returns the traits that a crash is charged to, without those that were answered a short time before. */
+  chargeable: (traits: TraitDepths, crashedAt: MonotonicMilliseconds) => Map<string, number>
   /** Records the crash of a run, or further traits that were in flight there. Repeated calls have no effect. */
-  recordCrash: (run: string, traits: TraitDepths, now: MonotonicMilliseconds) => void
+  recordCrash: (run: string, traits: TraitDepths, at: MonotonicMilliseconds) => void
+  /** Whether any of the traits is charged with the crash of another run. */
+  isChargedElsewhere: (traits: readonly string[], run: string) => boolean
   /**
    * Clears traits that an upstream answered at the given time. Returns those that had been charged, and those that were
    * convicted.
@@ -113,6 +115,7 @@
 }
 
 interface Crash {
+  run: string
   at: MonotonicMilliseconds
   traits: Map<string, number>
   isJudged: boolean
@@ -259,10 +262,12 @@
         ? { kind: CrashVerdictKind.clear }
         : { kind: CrashVerdictKind.suspect, trait: suspect }
     },
-    chargeable: (traits, now) => new Map([...traits].filter(([trait]) => now - lastAnswer(trait) >= SOUND_MS)),
-    recordCrash (run, traits, now) {
+    chargeable: (traits, crashedAt) => (
+      new Map([...traits].filter(([trait]) => crashedAt - lastAnswer(trait) >= SOUND_MS))
+    ),
+    recordCrash (run, traits, at) {
       const known = crashes.get(run)
-      const crash = known ?? { at: now, traits: new Map<string, number>(), isJudged: false }
+      const crash = known ?? { run, at, traits: new Map<string, number>(), isJudged: false }
       const added = [...traits.keys()]
         .filter((trait) => !crash.traits.has(trait) && crash.at - lastAnswer(trait) >= SOUND_MS)
         .slice(0, MAX_TRAITS_PER_CRASH - crash.traits.size)
@@ -279,6 +284,9 @@
       const oldest = crashes.keys().next().value
       if (crashes.size > MAX_CRASHES && oldest !== undefined) removeCrash(oldest)
     },
+    isChargedElsewhere: (traits, run) => (
+      traits.some((trait) => charges.get(trait)?.crashes.some((crash) => crash.run !== run))
+    ),
     recordAnswer (traits, at) {
       for (const trait of traits) setBounded(answeredAt, trait, Math.max(at, lastAnswer(trait)), MAX_SOUND_TRAITS)
       if (charges.size === 0 && convicted.size === 0) return NOTHING_CLEARED
