Soak: series of crashes that no request causes

A new fault restarts three to five upstreams at short intervals, and a new check finds requests that were refused because of crashes that they did not cause.

--- a/playground/__tests__/soakChecks.test.ts
+++ b/playground/__tests__/soakChecks.test.ts
@@ -67,6 +67,10 @@
     { name: 'own', broken: { requests: [request({ echoed: 'r2' })] } },
     { name: 'once', broken: { requests: [request({ kind: 'unsafe' })], runs: [run(), run({ upstream: 'u2' })] } },
     { name: 'trueRefusals', broken: { requests: [request({ status: 503, body: '' })] } },
+    {
+      name: 'noConvictions',
+      broken: { requests: [request({ status: 503, body: '{"error":{"code":"crashes_upstreams"}}' })], runs: [] }
+    },
     { name: 'quota', broken: { runs: [run(), run({ identifier: 'r2', startedAt: 9000 })] } },
     { name: 'revoked', broken: { runs: [run({ key: 'old', startedAt: 6001 })] } },
     { name: 'requestLimits', broken: BEYOND_LIMIT },
--- a/playground/soak/checks.ts
+++ b/playground/soak/checks.ts
@@ -137,6 +137,11 @@
       .map(({ identifier, status }) => `${identifier} was refused with ${status} and ran`)
   },
 
+  // No request of the soak crashes upstreams.
+  noConvictions: ({ requests }) => requests
+    .filter(({ status, body }) => status === 503 && body.includes('crashes_upstreams'))
+    .map(({ identifier }) => `${identifier} was refused because of crashes that it did not cause`),
+
   quota ({ runs, quota }) {
     const own = runs.filter(({ key }) => key === quota.key).sort((one, other) => one.startedAt - other.startedAt)
     return own.flatMap(({ startedAt }) => {
--- a/playground/soak/faults.ts
+++ b/playground/soak/faults.ts
@@ -108,6 +108,13 @@
   async upstreamRestart ({ world, random }) {
     await world.restartUpstream(Math.floor(random() * world.upstreams.length))
   },
+  /** Crashes that no request causes, at short intervals. */
+  async upstreamCrashes ({ world, random, pause }) {
+    for (let left = 3 + Math.floor(3 * random()); left > 0; left -= 1) {
+      await world.restartUpstream(Math.floor(random() * world.upstreams.length))
+      await pause(300 * random())
+    }
+  },
   async configurations ({ world, random, pause }) {
     for (let left = 1 + Math.floor(4 * random()); left > 0; left -= 1) {
       world.configure(world.keys())
