Do not pass on a stream as complete that ended with its connection before its first event

What callers saw: 200 and an empty, complete stream, when an engine closed the connection of an answer without a length before its first event, as one that crashes may do.

Cause: the end of the connection counted as the end of the stream whatever had come before, and as proof that the engine survives the request.

Why the fix works: such an end is a failed attempt, which is resumed elsewhere where that is permitted, and a broken connection for the attribution of crashes; so is an end within an event. The verdict of the attribution is renamed, since serve's ledger has a type of the same name.

--- a/src/edge/__tests__/crashReports.test.ts
+++ b/src/edge/__tests__/crashReports.test.ts
@@ -1,5 +1,5 @@
 import { describe, expect, it } from 'vitest'
-import { createCrashAttribution, CrashVerdictKind, type RefusedVerdict } from '../../upstream/crashAttribution'
+import { createCrashAttribution, TraitVerdictKind, type RefusedVerdict } from '../../upstream/crashAttribution'
 import { createCrashReports, type CrashReports } from '../crashReports'
 import type { EdgeEvent } from '../events'
 import type { PeerValue } from '../peerLinks'
@@ -115,7 +115,7 @@
   return fleet.instances.map((reports) => reports.verdict(traits, fleet.now()).kind)
 }
 
-const { clear, refused } = CrashVerdictKind
+const { clear, refused } = TraitVerdictKind
 
 describe('crash reports', () => {
   it('adds up crashes that different instances have seen', async () => {
--- a/src/edge/crashGuard.ts
+++ b/src/edge/crashGuard.ts
@@ -1,6 +1,6 @@
 /** Applies the verdicts on crashes of upstreams to one request. */
 import type { MonotonicMilliseconds } from '../types'
-import { CrashVerdictKind, type RefusedVerdict } from '../upstream/crashAttribution'
+import { TraitVerdictKind, type RefusedVerdict } from '../upstream/crashAttribution'
 import type { Attempt } from './attempt'
 import type { ExchangeContext } from './exchangeContext'
 import { traitsOf, type TraitSource } from './requestTraits'
@@ -42,7 +42,7 @@
 
   function suspectTrait (now: MonotonicMilliseconds): string | undefined {
     const verdict = reports.verdict(traits, now)
-    return verdict.kind === CrashVerdictKind.clear ? undefined : verdict.trait
+    return verdict.kind === TraitVerdictKind.clear ? undefined : verdict.trait
   }
 
   function recordAnswer (attempt: Attempt, now: MonotonicMilliseconds): void {
@@ -54,12 +54,12 @@
   return {
     findConviction (hasRun, now) {
       const verdict = reports.verdict(traits, now)
-      if (verdict.kind !== CrashVerdictKind.refused || isTrial) return undefined
+      if (verdict.kind !== TraitVerdictKind.refused || isTrial) return undefined
       isTrial = !hasRun && reports.tryTrial(traits, verdict, now)
       return isTrial ? undefined : verdict
     },
     mustWithdraw: ({ firstByteAt }, now) => (
-      firstByteAt === undefined && !isTrial && reports.verdict(traits, now).kind === CrashVerdictKind.refused
+      firstByteAt === undefined && !isTrial && reports.verdict(traits, now).kind === TraitVerdictKind.refused
     ),
     suspectTrait,
     // The crash that this request may just have caused is not recorded yet.
--- a/src/edge/crashReports.ts
+++ b/src/edge/crashReports.ts
@@ -10,7 +10,7 @@
 import { rankByRendezvous } from '../rendezvous'
 import type { Endpoint, MonotonicMilliseconds } from '../types'
 import {
-  CrashVerdictKind, type ClearedTraits, type Conviction, type CrashAttribution, type CrashVerdict, type RefusedVerdict,
+  TraitVerdictKind, type ClearedTraits, type Conviction, type CrashAttribution, type TraitVerdict, type RefusedVerdict,
   type TraitDepths
 } from '../upstream/crashAttribution'
 import { EdgeEvent, type EdgeLog } from './events'
@@ -55,7 +55,7 @@
 
 export interface CrashReports {
   /** Returns whether a request may run. */
-  verdict: (traits: RequestTraits, now: MonotonicMilliseconds) => CrashVerdict
+  verdict: (traits: RequestTraits, now: MonotonicMilliseconds) => TraitVerdict
   /**
    * Whether another run than the given one has crashed with such requests.
    * @param lostRun run to which the connection was lost
@@ -185,7 +185,7 @@
 
   return {
     verdict: (traits, present) => (
-      attribution.hasCharges() ? attribution.verdict(traits.all(), present) : { kind: CrashVerdictKind.clear }
+      attribution.hasCharges() ? attribution.verdict(traits.all(), present) : { kind: TraitVerdictKind.clear }
     ),
     isChargedElsewhere: (traits, lostRun) => (
       attribution.hasCharges() && attribution.isChargedElsewhere(traits.all(), runKey(lostRun))
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -14,7 +14,7 @@
 import { createTargetSelection, urgencyRank, type Target } from './targetSelection'
 import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
 import { RepeatRule, RequestLimitKind, type Instant } from './types'
-import { callUpstream } from './upstreamCall'
+import { callUpstream, isFramed } from './upstreamCall'
 import {
   currentWait, recordActivity, isSilent, isUsable, recordWeights, observeWait, pauseAfterFailure, pauseAfterRejection,
   type Upstream
@@ -291,13 +291,10 @@
     // Evaluated before the attempt is detached: an upstream without requests in flight never counts as silent.
     const isUnreachable = !sent || isSilent(upstream, now)
     detachAttempt(current)
+    const hasBegun = current.firstByteAt !== undefined
+    const traits = crashGuard.traits()
     log(EdgeEvent.attemptFailed, {
-      requestIdentifier: identifier,
-      upstream: upstream.entry.identifier,
-      reason,
-      sent,
-      hasBegun: current.firstByteAt !== undefined,
-      traits: crashGuard.traits()
+      requestIdentifier: identifier, upstream: upstream.entry.identifier, reason, sent, hasBegun, traits
     })
     if (!isStalled) pauseAfterFailure(upstream, now)
     if (isUnreachable) context.reportUnreachable(upstream)
@@ -407,7 +404,12 @@
   function onEnd (current: Attempt): void {
     const { head, upstream } = current
     if (isStreamed(current)) {
-      if (eventBoundary!.partialEvent().length > 0) return onAttemptFailed(current, 'the stream ended within an event', true)
+      // An upstream that crashes may close its connections without resetting them.
+      const isEmpty = current.firstByteAt === undefined && !isFramed(head!)
+      if (isEmpty || eventBoundary!.partialEvent().length > 0) {
+        crashGuard.recordLoss(current, context.now().steady)
+        return onAttemptFailed(current, isEmpty ? 'the stream has no event' : 'the stream ended within an event', true)
+      }
       detachAttempt(current)
       const now = context.now().steady
       current.sample.recordEnd(false, now)
--- a/src/edge/upstreamCall.ts
+++ b/src/edge/upstreamCall.ts
@@ -43,6 +43,11 @@
   cancel: () => void
 }
 
+/** Whether the end of a response can be told from its framing; otherwise it ends with its connection. */
+export function isFramed ({ headers }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 export function callUpstream (options: UpstreamCallOptions, events: UpstreamCallEvents): UpstreamCall {
   let isEnded = false
   let isConnected = false
@@ -102,15 +107,14 @@
   upstreamRequest.on('response', (incoming) => {
     if (isEnded) return
     response = incoming
-    const isFramed = incoming.headers['content-length'] !== undefined ||
-      incoming.headers['transfer-encoding'] !== undefined
-    if (!isFramed && connection !== undefined) detectResetAtEnd(connection)
+    const hasFraming = isFramed(incoming)
+    if (!hasFraming && connection !== undefined) detectResetAtEnd(connection)
     incoming.on('data', (chunk: Buffer) => { if (!isEnded) events.onData(chunk) })
     incoming.on('error', (error) => { fail(error.message) })
     incoming.on('close', () => { if (!incoming.readableEnded) fail('the answer broke off') })
     incoming.on('end', () => {
       if (!incoming.complete) return
-      if (isFramed) return end()
+      if (hasFraming) return end()
       setImmediate(() => {
         if (connection?.errored == null) end()
         else fail('the connection was reset within a response without a length')
--- a/src/upstream/__tests__/crashAttribution.test.ts
+++ b/src/upstream/__tests__/crashAttribution.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { createCrashAttribution, CrashVerdictKind, type CrashAttribution } from '../crashAttribution'
+import { createCrashAttribution, TraitVerdictKind, type CrashAttribution } from '../crashAttribution'
 
 /** Milliseconds within which the reports of all instances on a crash arrive. */
 const SETTLED_MS = 300
@@ -98,9 +98,9 @@
   it('marks a trait as suspect from the second crash on', () => {
     const attribution = createCrashAttribution()
     play(attribution, crashes([0], () => [['dead']]))
-    expect(attribution.verdict(['dead'], 900).kind).toBe(CrashVerdictKind.clear)
+    expect(attribution.verdict(['dead'], 900).kind).toBe(TraitVerdictKind.clear)
     play(attribution, [{ at: 900, answer: [] }, ...crashes([1000], () => [['dead']])])
-    expect(attribution.verdict(['sound', 'dead'], 2000)).toEqual({ kind: CrashVerdictKind.suspect, trait: 'dead' })
+    expect(attribution.verdict(['sound', 'dead'], 2000)).toEqual({ kind: TraitVerdictKind.suspect, trait: 'dead' })
   })
 
   it('waits for the reports of other instances before it judges a crash', () => {
@@ -122,13 +122,13 @@
     const attribution = createCrashAttribution()
     play(attribution, crashes([0, 1000, 2000], () => [['dead']]))
     const refused = attribution.verdict(['dead'], 3000)
-    expect(refused).toMatchObject({ kind: CrashVerdictKind.refused, isTrialDue: false })
+    expect(refused).toMatchObject({ kind: TraitVerdictKind.refused, isTrialDue: false })
     const later = 3000 + TRIAL_MS
     expect(attribution.verdict(['dead'], later)).toMatchObject({ isTrialDue: true })
     attribution.startTrial(['dead'], later)
     expect(attribution.verdict(['dead'], later + TRIAL_MS)).toMatchObject({ isTrialDue: false })
     expect(attribution.recordAnswer(['dead'], later + TRIAL_MS).convicted).toEqual(['dead'])
-    expect(attribution.verdict(['dead'], later + TRIAL_MS).kind).toBe(CrashVerdictKind.clear)
+    expect(attribution.verdict(['dead'], later + TRIAL_MS).kind).toBe(TraitVerdictKind.clear)
   })
 
   it('adopts the convictions of another instance unless it has seen an answer since', () => {
@@ -138,8 +138,8 @@
     const [conviction] = first.convictions(4000)
     expect(second.applyConviction(conviction!, 4000)).toBe(true)
     expect(third.applyConviction(conviction!, 4000)).toBe(false)
-    expect(second.verdict(['dead'], 4000).kind).toBe(CrashVerdictKind.refused)
-    expect(third.verdict(['dead'], 4000).kind).toBe(CrashVerdictKind.clear)
+    expect(second.verdict(['dead'], 4000).kind).toBe(TraitVerdictKind.refused)
+    expect(third.verdict(['dead'], 4000).kind).toBe(TraitVerdictKind.clear)
   })
 
   it('never convicts a trait that is answered between its crashes, whatever else crashes', () => {
@@ -167,6 +167,6 @@
       const traits = new Map(Array.from({ length: 1000 }, (_item, index) => [`${run}/${index}`, 0]))
       attribution.recordCrash(`run-${run}`, traits, 40_000 + run)
     }
-    expect(attribution.verdict(['0/0'], 50_000).kind).toBe(CrashVerdictKind.clear)
+    expect(attribution.verdict(['0/0'], 50_000).kind).toBe(TraitVerdictKind.clear)
   })
 })
--- a/src/upstream/crashAttribution.ts
+++ b/src/upstream/crashAttribution.ts
@@ -41,16 +41,16 @@
 /** Number of traits that are remembered as sound; the part of the traffic between two answers with a trait. */
 const MAX_SOUND_TRAITS = 20_000
 
-export const CrashVerdictKind = {
+export const TraitVerdictKind = {
   clear: 'clear',
   /** Possibly the cause of several crashes; may run, but not again after a failure. */
   suspect: 'suspect',
   refused: 'refused'
 } as const
-export type CrashVerdictKind = typeof CrashVerdictKind[keyof typeof CrashVerdictKind]
+export type TraitVerdictKind = typeof TraitVerdictKind[keyof typeof TraitVerdictKind]
 
 export interface RefusedVerdict {
-  kind: typeof CrashVerdictKind.refused
+  kind: typeof TraitVerdictKind.refused
   trait: string
   /** Milliseconds until a request with the trait may be served again. */
   retryAfter: number
@@ -58,9 +58,9 @@
   isTrialDue: boolean
 }
 
-export type CrashVerdict =
-  | { kind: typeof CrashVerdictKind.clear }
-  | { kind: typeof CrashVerdictKind.suspect, trait: string }
+export type TraitVerdict =
+  | { kind: typeof TraitVerdictKind.clear }
+  | { kind: typeof TraitVerdictKind.suspect, trait: string }
   | RefusedVerdict
 
 /** A conviction as told to other instances. */
@@ -88,7 +88,7 @@
 const NOTHING_CLEARED: ClearedTraits = { charged: [], convicted: [] }
 
 export interface CrashAttribution {
-  verdict: (traits: readonly string[], now: MonotonicMilliseconds) => CrashVerdict
+  verdict: (traits: readonly string[], now: MonotonicMilliseconds) => TraitVerdict
   /** Returns the traits that a crash is charged to, without those that were answered a short time before. */
   chargeable: (traits: TraitDepths, crashedAt: MonotonicMilliseconds) => Map<string, number>
   /** Records the crash of a run, or further traits that were in flight there. Repeated calls have no effect. */
@@ -247,7 +247,7 @@
 
   return {
     verdict (traits, now) {
-      if (charges.size === 0 && convicted.size === 0) return { kind: CrashVerdictKind.clear }
+      if (charges.size === 0 && convicted.size === 0) return { kind: TraitVerdictKind.clear }
       const found = traits.filter((trait) => convicted.has(trait))
       for (const trait of found) convicted.get(trait)!.requestedAt = now
       const [latest] = found.sort((left, right) => convicted.get(right)!.nextTrialAt - convicted.get(left)!.nextTrialAt)
@@ -255,12 +255,12 @@
         const wait = convicted.get(latest)!.nextTrialAt - now
         const isTrialDue = wait <= 0
         const retryAfter = isTrialDue ? TRIAL_RETRY_MS : wait
-        return { kind: CrashVerdictKind.refused, trait: latest, retryAfter, isTrialDue }
+        return { kind: TraitVerdictKind.refused, trait: latest, retryAfter, isTrialDue }
       }
       const suspect = traits.find((trait) => (charges.get(trait)?.count ?? 0) >= SUSPICION_CRASHES)
       return suspect === undefined
-        ? { kind: CrashVerdictKind.clear }
-        : { kind: CrashVerdictKind.suspect, trait: suspect }
+        ? { kind: TraitVerdictKind.clear }
+        : { kind: TraitVerdictKind.suspect, trait: suspect }
     },
     chargeable: (traits, crashedAt) => (
       new Map([...traits].filter(([trait]) => crashedAt - lastAnswer(trait) >= SOUND_MS))
