Try a convicted trait again soon if its trial reached no upstream

Cause: a trial counted when it was permitted. If the request was then shed or found no upstream, the next one came eight minutes later, and a sound trait that was convicted stayed refused for as long. Change: a trial without an outcome is made up for after 10 s; only a broken connection defers the next one. Tests: crashAttribution.test.ts, crashGuard.test.ts.

--- a/src/edge/__tests__/crashGuard.test.ts
+++ b/src/edge/__tests__/crashGuard.test.ts
@@ -80,3 +80,43 @@
     expect(guard.mayCrashAgain(50)).toBe(false)
   })
 })
+
+describe('a request with a trait that is convicted', () => {
+  const TRIAL_MS = 60_000
+
+  /** Returns reports with a conviction at 3 s. */
+  async function createConvicted (): Promise<CrashReports> {
+    const reports = createReports()
+    for (const [index, content] of ['a', 'b', 'c', 'd'].entries()) {
+      createGuard(reports, content).recordLoss(attemptAt(index), index * 500)
+      await passProbe()
+    }
+    reports.check(3000)
+    return reports
+  }
+
+  it('is rejected, and withdrawn where it waits at an upstream', async () => {
+    const reports = await createConvicted()
+    const guard = createGuard(reports, 'e')
+    expect(guard.findConviction(false, 3000)).toMatchObject({ trait: 'part/small/dead', retryAfter: TRIAL_MS })
+    expect(guard.mustWithdraw(attemptAt(5), 3000)).toBe(true)
+    expect(guard.mustWithdraw(attemptAt(5, { firstByteAt: 2900 }), 3000)).toBe(false)
+  })
+
+  it('is tried once after a while, and not again for longer if the connection breaks', async () => {
+    const reports = await createConvicted()
+    const now = 3000 + TRIAL_MS
+    const trial = createGuard(reports, 'e')
+    expect(trial.findConviction(false, now)).toBeUndefined()
+    expect(trial.mustWithdraw(attemptAt(5), now)).toBe(false)
+    expect(createGuard(reports, 'f').findConviction(false, now)).toBeDefined()
+    trial.recordLoss(attemptAt(5), now + 100)
+    expect(trial.mayCrashAgain(now + 100)).toBe(true)
+    expect(createGuard(reports, 'g').findConviction(false, now + TRIAL_MS)).toBeDefined()
+  })
+
+  it('is not tried if an upstream may have run it', async () => {
+    const reports = await createConvicted()
+    expect(createGuard(reports, 'e').findConviction(true, 3000 + TRIAL_MS)).toBeDefined()
+  })
+})
--- a/src/edge/crashGuard.ts
+++ b/src/edge/crashGuard.ts
@@ -69,6 +69,7 @@
     recordLoss ({ upstream, isSurvived }, now) {
       if (isSurvived) return
       lostRun = upstream.entry
+      if (isTrial) reports.failTrial(traits, now)
       reports.recordLoss(upstream.entry, traits, now)
     },
     recordProgress (attempt, now) {
--- a/src/edge/crashReports.ts
+++ b/src/edge/crashReports.ts
@@ -63,6 +63,8 @@
   isChargedElsewhere: (traits: RequestTraits, lostRun: UpstreamRun) => boolean
   /** Whether a refused request may run all the same, as a trial. It must not be repeated. */
   tryTrial: (traits: RequestTraits, verdict: RefusedVerdict, now: MonotonicMilliseconds) => boolean
+  /** Records that the connection of a trial broke. */
+  failTrial: (traits: RequestTraits, now: MonotonicMilliseconds) => void
   /** Records that the connection of an attempt broke before the upstream had shown that it survives the request. */
   recordLoss: (entry: UpstreamEntry, traits: RequestTraits, now: MonotonicMilliseconds) => void
   /** Records that an upstream has answered a request and lived on. */
@@ -198,6 +200,10 @@
       log(EdgeEvent.crashTrialStarted, { trait })
       return true
     },
+    failTrial (traits, now) {
+      attribution.failTrial(traits.all(), now)
+      announcedAt = -Infinity
+    },
     recordLoss (entry, traits, now) {
       const key = runKey(entry)
       const known = losses.get(key)
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -57,7 +57,7 @@
   requestLimits: Pick<RequestLimits, 'limitOf' | 'applyAbsence'>
   /** Permits to send requests to upstreams that have named a limit. */
   sendPermits: Pick<SendPermits, 'isNeeded' | 'acquire'>
-  crashReports: Pick<CrashReports, 'verdict' | 'isChargedElsewhere' | 'tryTrial' | 'recordLoss' | 'recordAnswer'>
+  crashReports: Omit<CrashReports, 'receive' | 'check'>
   /** Notifies the other instances of the data centre that an upstream is unreachable. */
   reportUnreachable: (upstream: Upstream) => void
   isStopping: () => boolean
--- a/src/upstream/__tests__/crashAttribution.test.ts
+++ b/src/upstream/__tests__/crashAttribution.test.ts
@@ -126,6 +126,10 @@
     const later = 3000 + TRIAL_MS
     expect(attribution.verdict(['dead'], later)).toMatchObject({ isTrialDue: true })
     attribution.startTrial(['dead'], later)
+    expect(attribution.verdict(['dead'], later + 1000)).toMatchObject({ isTrialDue: false })
+    // A trial that reached no upstream is made up for soon.
+    expect(attribution.verdict(['dead'], later + TRIAL_MS)).toMatchObject({ isTrialDue: true })
+    attribution.failTrial(['dead'], later)
     expect(attribution.verdict(['dead'], later + TRIAL_MS)).toMatchObject({ isTrialDue: false })
     expect(attribution.recordAnswer(['dead'], later + TRIAL_MS).convicted).toEqual(['dead'])
     expect(attribution.verdict(['dead'], later + TRIAL_MS).kind).toBe(TraitVerdictKind.clear)
--- a/src/upstream/crashAttribution.ts
+++ b/src/upstream/crashAttribution.ts
@@ -33,7 +33,7 @@
 const TRIAL_BACKOFF = 8
 /** Milliseconds without a request after which a conviction is forgotten. */
 const CONVICTION_MEMORY_MS = 3_600_000
-/** Retry-after in milliseconds while a trial is due or running. */
+/** Milliseconds for which the outcome of a trial is awaited; also the retry-after while one is due. */
 const TRIAL_RETRY_MS = 10_000
 const MAX_CRASHES = 100
 const MAX_TRAITS_PER_CRASH = 500
@@ -68,7 +68,7 @@
   trait: string
   /** Milliseconds since the conviction. */
   age: number
-  /** Number of trials so far. */
+  /** Number of failed trials so far. */
   trials: number
   /** Milliseconds until the next trial. */
   trialIn: number
@@ -104,8 +104,10 @@
   lastAnswer: (trait: string) => MonotonicMilliseconds
   /** Judges the crashes whose reports have arrived. Returns the traits that are newly convicted. */
   judge: (now: MonotonicMilliseconds) => string[]
-  /** Counts a trial of all convicted traits of a request, so that the next one comes later. */
+  /** Records that a request with these traits is tried; without an outcome, another one may be tried soon. */
   startTrial: (traits: readonly string[], now: MonotonicMilliseconds) => void
+  /** Records that the connection of a trial broke, so that the next trial comes later. */
+  failTrial: (traits: readonly string[], now: MonotonicMilliseconds) => void
   isConvicted: (trait: string) => boolean
   convictions: (now: MonotonicMilliseconds) => Conviction[]
   /** Applies a conviction of another instance; returns false if the trait was answered after it. */
@@ -245,6 +247,10 @@
     }, MAX_CONVICTIONS)
   }
 
+  function convictionsOf (traits: readonly string[]): ConvictedTrait[] {
+    return traits.flatMap((trait) => convicted.get(trait) ?? [])
+  }
+
   return {
     verdict (traits, now) {
       if (charges.size === 0 && convicted.size === 0) return { kind: TraitVerdictKind.clear }
@@ -317,9 +323,10 @@
       return causes
     },
     startTrial (traits, now) {
-      for (const trait of traits) {
-        const conviction = convicted.get(trait)
-        if (conviction === undefined) continue
+      for (const conviction of convictionsOf(traits)) conviction.nextTrialAt = now + TRIAL_RETRY_MS
+    },
+    failTrial (traits, now) {
+      for (const conviction of convictionsOf(traits)) {
         conviction.trials += 1
         conviction.nextTrialAt = now + FIRST_TRIAL_MS * TRIAL_BACKOFF ** conviction.trials
       }
