--- a/src/edge/crashReports.ts
+++ b/src/edge/crashReports.ts
@@ -126,7 +126,7 @@
 }
 
 export function createCrashReports (options: CrashReportsOptions): CrashReports {
-  const { attribution, broadcast, instance, peers, probe = isConnectionRefused, now, log, onFault } = options
+  const { attribution, broadcast, instance, peers, probe = isConnectionRefused, log, onFault } = options
   const losses = new Map<string, Loss>()
   /** Traits that the other instances have charged although an upstream has answered them. */
   const soundTraits = new Set<string>()
@@ -139,31 +139,31 @@
       const { identifier, service, startedAt } = loss.entry
       log(EdgeEvent.upstreamCrashed, { upstream: identifier, service, startedAt, traits: [...loss.traits.keys()] })
       // The others must know before they repeat their requests elsewhere.
-      report(now())
+      report(options.now())
     }).catch(onFault)
   }
 
   /** Records the crashes that are not reported yet, and returns them. */
-  function takeCrashes (present: MonotonicMilliseconds): CrashReport[] {
+  function takeCrashes (now: MonotonicMilliseconds): CrashReport[] {
     const crashed = [...losses].filter(([, { state, traits }]) => state === LossState.crashed && traits.size > 0)
     return crashed.map(([run, { at, traits: pending }]) => {
       const traits = attribution.chargeable(pending, at)
       pending.clear()
       attribution.recordCrash(run, traits, at)
-      return { run, age: present - at, traits }
+      return { run, age: now - at, traits }
     }).filter(({ traits }) => traits.size > 0)
   }
 
   /** Judges the crashes, and tells the other instances what is new. */
-  function report (present: MonotonicMilliseconds): void {
-    const crashes = takeCrashes(present)
-    const causes = attribution.judge(present)
+  function report (now: MonotonicMilliseconds): void {
+    const crashes = takeCrashes(now)
+    const causes = attribution.judge(now)
     for (const trait of causes) log(EdgeEvent.crashCauseFound, { trait, source: 'crashes' })
-    const isAnnouncementDue = causes.length > 0 || present - announcedAt >= ANNOUNCE_INTERVAL_MS
-    const convictions = isAnnouncementDue ? attribution.convictions(present) : []
+    const isAnnouncementDue = causes.length > 0 || now - announcedAt >= ANNOUNCE_INTERVAL_MS
+    const convictions = isAnnouncementDue ? attribution.convictions(now) : []
     if (crashes.length + soundTraits.size + convictions.length === 0) return
-    if (isAnnouncementDue) announcedAt = present
-    const sound = [...soundTraits].map((trait) => ({ trait, age: present - attribution.lastAnswer(trait) }))
+    if (isAnnouncementDue) announcedAt = now
+    const sound = [...soundTraits].map((trait) => ({ trait, age: now - attribution.lastAnswer(trait) }))
     soundTraits.clear()
     broadcast({
       crashes: crashes.map(({ run, age, traits }) => ({
@@ -186,8 +186,8 @@
   }
 
   return {
-    verdict: (traits, present) => (
-      attribution.hasCharges() ? attribution.verdict(traits.all(), present) : { kind: TraitVerdictKind.clear }
+    verdict: (traits, now) => (
+      attribution.hasCharges() ? attribution.verdict(traits.all(), now) : { kind: TraitVerdictKind.clear }
     ),
     isChargedElsewhere: (traits, lostRun) => (
       attribution.hasCharges() && attribution.isChargedElsewhere(traits.all(), runKey(lostRun))
@@ -237,12 +237,12 @@
       for (const conviction of received) applyConviction(conviction, now)
       if (received.length >= attribution.convictions(now).length) announcedAt = now
     },
-    check (present) {
+    check (now) {
       for (const [key, { state, at }] of losses) {
-        const isOver = state === LossState.alive || (state === LossState.crashed && present - at >= LOSS_MEMORY_MS)
+        const isOver = state === LossState.alive || (state === LossState.crashed && now - at >= LOSS_MEMORY_MS)
         if (isOver) losses.delete(key)
       }
-      report(present)
+      report(now)
     }
   }
 }
--- a/src/upstream/crashAttribution.ts
+++ b/src/upstream/crashAttribution.ts
@@ -38,7 +38,7 @@
 const MAX_CRASHES = 100
 const MAX_TRAITS_PER_CRASH = 500
 const MAX_CONVICTIONS = 1000
-/** Number of traits that are remembered as sound; the part of the traffic between two answers with a trait. */
+/** Number of traits whose last answer is remembered. */
 const MAX_SOUND_TRAITS = 20_000
 
 export const TraitVerdictKind = {
