Log what counts towards a conviction, and losses that are not taken for crashes

New: crash_cause.suspected with crashes and counted ones, upstream.loss_dropped, suspectTrait in request.routed. The case of upstreams that accept connections again now expects one dropped loss for each (18) where it expected no event at all; that nothing is sent or charged is checked as before.

--- a/src/edge/__tests__/crashReports.test.ts
+++ b/src/edge/__tests__/crashReports.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { createCrashAttribution, TraitVerdictKind, type RefusedVerdict } from '../../upstream/crashAttribution'
 import { createCrashReports, type CrashReports } from '../crashReports'
-import type { EdgeEvent } from '../events'
+import { EdgeEvent } from '../events'
 import type { PeerValue } from '../peerLinks'
 import { traitsOf, type RequestTraits } from '../requestTraits'
 import type { UpstreamEntry } from '../types'
@@ -131,7 +131,7 @@
     const fleet = createFleet(3, () => false)
     await crashEngines(fleet, 6, () => prompt('popular'))
     expect(verdicts(fleet, prompt('popular'))).toEqual([clear, clear, clear])
-    expect(fleet.events).toEqual([])
+    expect(fleet.events).toEqual(Array(18).fill(EdgeEvent.lossDropped))
     expect(fleet.messages()).toBe(0)
   })
 
--- a/src/edge/crashReports.ts
+++ b/src/edge/crashReports.ts
@@ -26,6 +26,8 @@
 const LOSS_MEMORY_MS = 5000
 /** Number of runs whose lost connections are remembered; more than crash at a time. */
 const MAX_TRACKED_RUNS = 1000
+/** Number of suspect traits in one log line; all requests of a batch may be suspect. */
+const MAX_LOGGED_SUSPECTS = 10
 
 const LossState = {
   /** Not known yet whether the upstream has crashed. */
@@ -130,13 +132,18 @@
   const losses = new Map<string, Loss>()
   /** Traits that the other instances have charged although an upstream has answered them. */
   const soundTraits = new Set<string>()
+  /** Number of crashes with which each suspect trait was logged last. */
+  let loggedCrashes: ReadonlyMap<string, number> = new Map()
   let announcedAt = -Infinity
 
   function startProbe (loss: Loss): void {
     probe(loss.entry.endpoint).then((isRefused) => {
       loss.state = isRefused ? LossState.crashed : LossState.alive
-      if (!isRefused) return loss.traits.clear()
       const { identifier, service, startedAt } = loss.entry
+      if (!isRefused) {
+        log(EdgeEvent.lossDropped, { upstream: identifier, service, startedAt, traits: [...loss.traits.keys()] })
+        return loss.traits.clear()
+      }
       log(EdgeEvent.upstreamCrashed, { upstream: identifier, service, startedAt, traits: [...loss.traits.keys()] })
       // The others must know before they repeat their requests elsewhere.
       report(options.now())
@@ -154,9 +161,18 @@
     }).filter(({ traits }) => traits.size > 0)
   }
 
+  function logSuspects (): void {
+    const suspects = attribution.suspects()
+    const grown = suspects.filter(({ trait, crashes }) => crashes > (loggedCrashes.get(trait) ?? 0))
+    loggedCrashes = new Map(suspects.map(({ trait, crashes }) => [trait, crashes]))
+    if (grown.length === 0) return
+    log(EdgeEvent.crashCauseSuspected, { count: grown.length, traits: grown.slice(0, MAX_LOGGED_SUSPECTS) })
+  }
+
   /** Judges the crashes, and tells the other instances what is new. */
   function report (now: MonotonicMilliseconds): void {
     const crashes = takeCrashes(now)
+    logSuspects()
     const causes = attribution.judge(now)
     for (const trait of causes) log(EdgeEvent.crashCauseFound, { trait, source: 'crashes' })
     const isAnnouncementDue = causes.length > 0 || now - announcedAt >= ANNOUNCE_INTERVAL_MS
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -216,6 +216,7 @@
       timeLeft: Math.round(remainingMs),
       wait: Math.round(wait),
       requestLimit: context.requestLimits.limitOf(upstream.entry),
+      suspectTrait: crashGuard.suspectTrait(now.steady),
       holders: targets.replicas(),
       configurationAge: Math.round(context.freshness.age(now))
     })
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -35,6 +35,10 @@
   upstreamSuspected: 'upstream.doubted',
   /** An upstream crashed with requests in flight. */
   upstreamCrashed: 'upstream.crashed',
+  /** A lost connection was not taken for a crash, because the upstream still accepts connections or does not respond. */
+  lossDropped: 'upstream.loss_dropped',
+  /** Several upstreams have crashed with these traits in flight, or further ones have. */
+  crashCauseSuspected: 'crash_cause.suspected',
   /** Requests with this trait are rejected, because upstreams crash when they answer them. */
   crashCauseFound: 'crash_cause.found',
   /** A request with the trait was answered; such requests are served again. */
--- a/src/upstream/crashAttribution.ts
+++ b/src/upstream/crashAttribution.ts
@@ -80,6 +80,15 @@
  */
 export type TraitDepths = ReadonlyMap<string, number>
 
+/** What a trait is charged with. */
+export interface TraitCharge {
+  trait: string
+  /** Number of crashes, those that a convicted trait explains included. */
+  crashes: number
+  /** Number of these that count towards a conviction. */
+  counted: number
+}
+
 export interface ClearedTraits {
   charged: readonly string[]
   convicted: readonly string[]
@@ -109,6 +118,8 @@
   /** Records that the connection of a trial broke, so that the next trial comes later. */
   failTrial: (traits: readonly string[], now: MonotonicMilliseconds) => void
   isConvicted: (trait: string) => boolean
+  /** Returns the traits that were in flight at several crashes. */
+  suspects: () => TraitCharge[]
   convictions: (now: MonotonicMilliseconds) => Conviction[]
   /** Applies a conviction of another instance; returns false if the trait was answered after it. */
   applyConviction: (conviction: Conviction, now: MonotonicMilliseconds) => boolean
@@ -332,6 +343,10 @@
       }
     },
     isConvicted: (trait) => convicted.has(trait),
+    suspects: () => (
+      [...charges].filter(([, charge]) => charge.crashes.length >= SUSPICION_CRASHES)
+        .map(([trait, charge]) => ({ trait, crashes: charge.crashes.length, counted: charge.count }))
+    ),
     convictions: (now) => [...convicted].map(([trait, { since, trials, nextTrialAt }]) => (
       { trait, age: now - since, trials, trialIn: nextTrialAt - now }
     )),
