Send requests that may crash upstreams one at a time

Cause: the three crashes came within 0.125 s and counted as two, since crashes within 100 ms count once; two do not convict. And a content that was suspect was still sent by all instances at once, four times in 0.18 s, before the first outcome was known. Now a trait that was in flight at two crashes, at the same moment or not, is sent by one request at a time, and a crash during such a trial convicts it: chance does not explain it.

--- a/src/edge/__tests__/crashGuard.test.ts
+++ b/src/edge/__tests__/crashGuard.test.ts
@@ -3,6 +3,14 @@
 import type { Attempt } from '../attempt'
 import { createCrashGuard, type CrashGuard } from '../crashGuard'
 import { createCrashReports, type CrashReports } from '../crashReports'
+import type { TrialPermits } from '../trialPermits'
+
+/** Hands out every permit. */
+const trialPermits: TrialPermits = {
+  endTrials () {},
+  waitFor: async () => ({ release () {} }),
+  handleRequest: async () => ({})
+}
 
 function createReports (): CrashReports {
   return createCrashReports({
@@ -11,6 +19,7 @@
     instance: 'router-1',
     peers: () => [],
     probe: async () => true,
+    onTrialsFailed () {},
     now: () => 0,
     log: () => {},
     onFault (error) { throw error }
@@ -18,7 +27,7 @@
 }
 
 function createGuard (reports: CrashReports, content: string): CrashGuard {
-  return createCrashGuard(reports, {
+  return createCrashGuard({ crashReports: reports, trialPermits, now: () => ({ steady: 0, wall: 0 }) }, {
     callerRequest: {
       model: 'small', promptSegments: ['first', 'dead', content].map((identifier) => ({ identifier, tokens: 10 }))
     },
--- a/src/edge/__tests__/crashReports.test.ts
+++ b/src/edge/__tests__/crashReports.test.ts
@@ -44,6 +44,7 @@
       instance: names[index]!,
       peers: () => names.filter((name) => name !== names[index]),
       probe: async () => isRefused(),
+      onTrialsFailed () {},
       now: () => now,
       log: (event) => { events.push(event) },
       onFault (error) { throw error }
@@ -105,7 +106,7 @@
 ): Promise<void> {
   for (let index = 0; index < count; index += 1) {
     for (const [instance, reports] of fleet.instances.entries()) {
-      reports.recordLoss(engine(index), request(index, instance), fleet.now())
+      reports.recordLoss(engine(index), request(index, instance), [], fleet.now())
     }
     await fleet.pass(1000)
   }
@@ -139,7 +140,7 @@
     const fleet = createFleet(3)
     for (let round = 0; round < 4; round += 1) {
       fleet.instances[2]!.recordAnswer(prompt('popular'), fleet.now())
-      fleet.instances[0]!.recordLoss(engine(round), prompt('popular', `book-${round}`), fleet.now())
+      fleet.instances[0]!.recordLoss(engine(round), prompt('popular', `book-${round}`), [], fleet.now())
       await fleet.pass(1000)
     }
     expect(verdicts(fleet, prompt('popular'))).toEqual([clear, clear, clear])
--- a/src/edge/admission.ts
+++ b/src/edge/admission.ts
@@ -51,3 +51,12 @@
   }
   return { admitted: true, route, customer }
 }
+
+/** Whether the key of an admitted request is still valid; it may have been withdrawn since. */
+export function isStillAuthorized (
+  table: RouteTable | undefined, freshness: Freshness, key: string | undefined, customer: EdgeCustomer | undefined,
+  now: Instant
+): boolean {
+  if (customer === undefined) return true
+  return table?.customerOfKey(key ?? '')?.name === customer.name && freshness.permitsKeys(now)
+}
--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -5,6 +5,16 @@
 /** Rejections by upstreams after which a request fails. Each one costs a round trip and upstream processing time. */
 const MAX_REJECTIONS = 3
 
+/** Share of the remaining time without progress after which a request that is safe to repeat is retried. */
+const RETRY_TIME_SHARE = 0.5
+/**
+ * Time in milliseconds without an event after which a resumable stream is resumed at another engine, even if its engine
+ * still serves other requests.
+ */
+const STALLED_STREAM_MS = 1500
+/** Time in milliseconds without progress after which a request at a silent upstream is repeated elsewhere. */
+const SILENT_UPSTREAM_MS = 400
+
 export const AttemptOutcome = {
   /** The upstream stated that it did not run the request, or no byte of the request was sent. */
   notRun: 'notRun',
@@ -40,6 +50,16 @@
   return history.repeat === RepeatRule.safe || (history.repeat === RepeatRule.stream && history.resumable)
 }
 
+/**
+ * Whether an attempt is given up so that the request, which may be repeated, can be sent to another upstream.
+ * @param idle milliseconds without progress
+ * @param timeLeft milliseconds until the request times out
+ */
+export function isStalled (repeat: RepeatRule, idle: number, timeLeft: number, isUpstreamSilent: boolean): boolean {
+  const limit = repeat === RepeatRule.safe ? timeLeft * RETRY_TIME_SHARE : STALLED_STREAM_MS
+  return idle >= limit || (isUpstreamSilent && idle > SILENT_UPSTREAM_MS)
+}
+
 function executionStatus (history: AttemptHistory): ExecutionStatus {
   return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
 }
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -5,7 +5,7 @@
 import { createBoundedLog } from './boundedLog'
 import { createCacheStores } from './cacheStores'
 import { cacheTableName, isCacheTable, withCacheTables } from './cacheStoreTable'
-import { createCrashReports } from './crashReports'
+import { createCrashHandling } from './crashHandling'
 import { createEdgeServer } from './edgeServer'
 import { EdgeEvent, type EdgeLog } from './events'
 import { createExchange, type Exchange } from './exchange'
@@ -35,7 +35,6 @@
 import { FOLLOW_MS, followStoreTables } from './storeTables'
 import { createTableRelay } from './tableRelay'
 import { createTokenTransfers } from './tokenTransfers'
-import { createCrashAttribution } from '../upstream/crashAttribution'
 import type { Dialect, EngineControl, Instant, Peer, Store, StoreRecordCodec, UpstreamHint } from './types'
 import { createUpstreamConnections } from './upstreamConnections'
 import { createUpstreamDirectory, type Upstream } from './upstreamDirectory'
@@ -123,11 +122,12 @@
     failures: async (query) => await failureBroadcast.handleRequest(query),
     leaving: async (query) => await leavingBroadcast.handleRequest(query),
     limits: async (query) => await limitBroadcast.handleRequest(query),
-    crashes: async (query) => await crashBroadcast.handleRequest(query),
+    crashes: async (query) => await handleCrashNotification(query),
     async permits (query) {
       instances.observe(query.sender)
       return await sendPermits.handleRequest(query)
     },
+    trials: async (query) => await trialPermits.handleRequest(query),
     engineLoads: async (query) => await engineLoads.handleRequest(query),
     moves: async (query) => await rolloutBroadcast.handleRequest(query),
     moveCounts: async (query) => await serviceRolloutTask.handleRequest(query)
@@ -202,17 +202,8 @@
   const requestLimits = createRequestLimits({
     broadcast: (content) => { limitBroadcast.send({ ...content, sender: instances.sender() }) }, log
   })
-  const crashBroadcast = createBroadcast(PeerRequestKind.crashes, (content) => {
-    crashReports.receive(content, performance.now())
-  })
-  const crashReports = createCrashReports({
-    attribution: createCrashAttribution(),
-    broadcast: crashBroadcast.send,
-    instance: name,
-    peers: () => peers().map((peer) => peer.name),
-    now: () => performance.now(),
-    log,
-    onFault: reportFault
+  const { crashReports, trialPermits, handleCrashNotification } = createCrashHandling({
+    links, instance: name, dataCentre, peers, log, now: () => performance.now(), onFault: reportFault
   })
   const sendPermits = createSendPermits({
     links,
@@ -290,6 +281,7 @@
     upstreamHints,
     requestLimits,
     sendPermits,
+    trialPermits,
     crashReports,
     reportUnreachable: (upstream) => { failureReports.report(upstream, performance.now()) },
     isStopping: () => stopping,
--- a/src/edge/crashGuard.ts
+++ b/src/edge/crashGuard.ts
@@ -4,10 +4,15 @@
 import type { Attempt } from './attempt'
 import type { ExchangeContext } from './exchangeContext'
 import { traitsOf, type TraitSource } from './requestTraits'
+import type { TrialPermit } from './trialPermits'
 import type { UpstreamRun } from './types'
 
 /** Milliseconds from the first byte of a response after which its request did not crash the upstream. */
 const SURVIVAL_MS = 500
+/** Milliseconds after a lost connection within which it turns out whether the upstream has crashed. */
+const LOSS_HOLD_MS = 5000
+/** Milliseconds after the end of a request whose outcome is unknown within which its upstream may still crash. */
+const UNKNOWN_HOLD_MS = 1000
 
 export interface CrashGuard {
   /**
@@ -16,6 +21,21 @@
    * @param hasRun whether an upstream may have run it before; such a request is not tried again
    */
   findConviction: (hasRun: boolean, now: MonotonicMilliseconds) => RefusedVerdict | undefined
+  /**
+   * Returns a suspect trait for which the request has no permit to be the only one in flight; undefined if there is
+   * none.
+   */
+  missingPermit: (now: MonotonicMilliseconds) => string | undefined
+  /**
+   * Waits for the permit, or for the outcome of the request that has it. Resolves to false if neither came in time.
+   * @param maximumWait milliseconds
+   */
+  waitForPermit: (trait: string, maximumWait: number) => Promise<boolean>
+  /**
+   * Returns the permits, once the request has ended.
+   * @param hasRun whether an upstream may have run it
+   */
+  releasePermits: (hasRun: boolean) => void
   /** Whether a request that waits at an upstream must be withdrawn. */
   mustWithdraw: (attempt: Attempt, now: MonotonicMilliseconds) => boolean
   /** Returns the trait for which the request may be the cause of crashes; undefined if there is none. */
@@ -33,9 +53,14 @@
 }
 
 export function createCrashGuard (
-  reports: ExchangeContext['crashReports'], source: TraitSource
+  context: Pick<ExchangeContext, 'crashReports' | 'trialPermits' | 'now'>, source: TraitSource
 ): CrashGuard {
+  const { crashReports: reports, trialPermits } = context
   const traits = traitsOf(source)
+  const permits = new Map<string, TrialPermit>()
+  let isEnded = false
+  /** Whether an upstream has survived the request. */
+  let hasSurvivor = false
   let isTrial = false
   /** Run to which the connection was lost last, before it had shown that it survives the request. */
   let lostRun: UpstreamRun | undefined
@@ -48,9 +73,20 @@
   function recordAnswer (attempt: Attempt, now: MonotonicMilliseconds): void {
     if (attempt.isSurvived) return
     attempt.isSurvived = true
+    hasSurvivor = true
     reports.recordAnswer(traits, now)
   }
 
+  function missingPermit (now: MonotonicMilliseconds): string | undefined {
+    const verdict = reports.verdict(traits, now)
+    return verdict.kind === TraitVerdictKind.suspect && !permits.has(verdict.trait) ? verdict.trait : undefined
+  }
+
+  function keepPermit (trait: string, permit: TrialPermit): void {
+    if (isEnded) permit.release(0)
+    else permits.set(trait, permit)
+  }
+
   return {
     findConviction (hasRun, now) {
       const verdict = reports.verdict(traits, now)
@@ -58,6 +94,19 @@
       isTrial = !hasRun && reports.tryTrial(traits, verdict, now)
       return isTrial ? undefined : verdict
     },
+    missingPermit,
+    async waitForPermit (trait, maximumWait) {
+      const isNeeded = (): boolean => !isEnded && missingPermit(context.now().steady) === trait
+      const permit = await trialPermits.waitFor(trait, maximumWait, isNeeded)
+      if (permit !== undefined) keepPermit(trait, permit)
+      return !isNeeded()
+    },
+    releasePermits (hasRun) {
+      isEnded = true
+      const holdFor = lostRun === undefined ? UNKNOWN_HOLD_MS : LOSS_HOLD_MS
+      for (const permit of permits.values()) permit.release(hasRun && !hasSurvivor ? holdFor : 0)
+      permits.clear()
+    },
     mustWithdraw: ({ firstByteAt }, now) => (
       firstByteAt === undefined && !isTrial && reports.verdict(traits, now).kind === TraitVerdictKind.refused
     ),
@@ -70,7 +119,7 @@
       if (isSurvived) return
       lostRun = upstream.entry
       if (isTrial) reports.failTrial(traits, now)
-      reports.recordLoss(upstream.entry, traits, now)
+      reports.recordLoss(upstream.entry, traits, [...permits.keys()], now)
     },
     recordProgress (attempt, now) {
       if (attempt.firstByteAt !== undefined && now - attempt.firstByteAt >= SURVIVAL_MS) recordAnswer(attempt, now)
--- a/src/edge/crashReports.ts
+++ b/src/edge/crashReports.ts
@@ -45,6 +45,8 @@
   state: LossState
   /** Traits of the requests that were in flight on these connections, and are not reported yet. */
   traits: Map<string, number>
+  /** Suspect traits of which the only request in flight was there. */
+  trials: Set<string>
 }
 
 /** A crash as told to other instances. */
@@ -53,6 +55,7 @@
   /** Milliseconds since the crash. */
   age: number
   traits: TraitDepths
+  trials: string[]
 }
 
 export interface CrashReports {
@@ -67,8 +70,13 @@
   tryTrial: (traits: RequestTraits, verdict: RefusedVerdict, now: MonotonicMilliseconds) => boolean
   /** Records that the connection of a trial broke. */
   failTrial: (traits: RequestTraits, now: MonotonicMilliseconds) => void
-  /** Records that the connection of an attempt broke before the upstream had shown that it survives the request. */
-  recordLoss: (entry: UpstreamEntry, traits: RequestTraits, now: MonotonicMilliseconds) => void
+  /**
+   * Records that the connection of an attempt broke before the upstream had shown that it survives the request.
+   * @param trials suspect traits for which the request was the only one in flight
+   */
+  recordLoss: (
+    entry: UpstreamEntry, traits: RequestTraits, trials: readonly string[], now: MonotonicMilliseconds
+  ) => void
   /** Records that an upstream has answered a request and lived on. */
   recordAnswer: (traits: RequestTraits, now: MonotonicMilliseconds) => void
   /** Applies a notification of another instance. */
@@ -86,6 +94,8 @@
   peers: () => readonly string[]
   /** Resolves to whether the endpoint refuses connections. */
   probe?: (endpoint: Endpoint) => Promise<boolean>
+  /** Called when upstreams have crashed during trials of these traits. */
+  onTrialsFailed: (traits: readonly string[]) => void
   /** Monotonic clock in milliseconds. */
   now: () => number
   log: EdgeLog
@@ -115,9 +125,13 @@
   )))
 }
 
+function parseTexts (value: unknown): string[] {
+  return Array.isArray(value) ? value.filter((item) => typeof item === 'string') : []
+}
+
 function parseCrashes (value: unknown): CrashReport[] {
-  return listOf(value).flatMap(({ run, age, traits }) => (
-    typeof run === 'string' && isAge(age) ? [{ run, age, traits: parseTraits(traits) }] : []
+  return listOf(value).flatMap(({ run, age, traits, trials }) => (
+    typeof run === 'string' && isAge(age) ? [{ run, age, traits: parseTraits(traits), trials: parseTexts(trials) }] : []
   ))
 }
 
@@ -153,11 +167,13 @@
   /** Records the crashes that are not reported yet, and returns them. */
   function takeCrashes (now: MonotonicMilliseconds): CrashReport[] {
     const crashed = [...losses].filter(([, { state, traits }]) => state === LossState.crashed && traits.size > 0)
-    return crashed.map(([run, { at, traits: pending }]) => {
+    return crashed.map(([run, { at, traits: pending, trials: pendingTrials }]) => {
       const traits = attribution.chargeable(pending, at)
+      const trials = [...pendingTrials]
       pending.clear()
-      attribution.recordCrash(run, traits, at)
-      return { run, age: now - at, traits }
+      attribution.recordCrash(run, traits, at, trials)
+      options.onTrialsFailed(trials)
+      return { run, age: now - at, traits, trials }
     }).filter(({ traits }) => traits.size > 0)
   }
 
@@ -182,8 +198,8 @@
     const sound = [...soundTraits].map((trait) => ({ trait, age: now - attribution.lastAnswer(trait) }))
     soundTraits.clear()
     broadcast({
-      crashes: crashes.map(({ run, age, traits }) => ({
-        run, age, traits: [...traits].map(([trait, depth]) => ({ trait, depth }))
+      crashes: crashes.map(({ run, age, traits, trials }) => ({
+        run, age, trials, traits: [...traits].map(([trait, depth]) => ({ trait, depth }))
       })),
       sound,
       convictions
@@ -220,11 +236,16 @@
       attribution.failTrial(traits.all(), now)
       announcedAt = -Infinity
     },
-    recordLoss (entry, traits, now) {
+    recordLoss (entry, traits, trials, now) {
       const key = runKey(entry)
       const known = losses.get(key)
       const isProbed = known !== undefined && known.state !== LossState.alive
-      const loss: Loss = isProbed ? known : { entry, at: now, state: LossState.probing, traits: new Map() }
+      const loss: Loss = isProbed
+        ? known
+        : {
+            entry, at: now, state: LossState.probing, traits: new Map(), trials: new Set()
+          }
+      for (const trait of trials) loss.trials.add(trait)
       const depths = new Map(traits.all().map((trait, depth) => [trait, depth]))
       for (const [trait, depth] of attribution.chargeable(depths, now)) loss.traits.set(trait, depth)
       if (isProbed || loss.traits.size === 0) return
@@ -242,12 +263,13 @@
         logCleared(attribution.recordAnswer([trait], now - age), 'peer')
         soundTraits.delete(trait)
       }
-      for (const { run, age, traits } of parseCrashes(crashes)) {
+      for (const { run, age, traits, trials } of parseCrashes(crashes)) {
         const chargeable = attribution.chargeable(traits, now - age)
         for (const trait of traits.keys()) {
           if (!chargeable.has(trait)) soundTraits.add(trait)
         }
-        attribution.recordCrash(run, chargeable, now - age)
+        attribution.recordCrash(run, chargeable, now - age, trials)
+        options.onTrialsFailed(trials)
       }
       const received = parseConvictions(convictions)
       for (const conviction of received) applyConviction(conviction, now)
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -1,13 +1,15 @@
 /** Sends an admitted request to upstreams until one returns a complete response or no further attempt is permitted. */
 import type { IncomingMessage } from 'node:http'
 import { MAX_RESPONSE_BYTES } from './responseBuffers'
+import { isStillAuthorized } from './admission'
 import { createAttemptAccounting, type Attempt } from './attempt'
-import { AttemptOutcome, decideNextStep, mayRepeat, type AttemptHistory } from './attemptDecision'
+import { AttemptOutcome, decideNextStep, isStalled, mayRepeat, type AttemptHistory } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
 import { createCrashGuard } from './crashGuard'
 import { countData, createEventBoundary, type EventBoundary } from './eventBoundary'
 import { EdgeEvent } from './events'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
+import type { Dispatch, DispatchCallbacks } from './dispatchTypes'
 import { decideShedding } from './loadShedding'
 import { planCache, urgencyOf } from './promptPlan'
 import type { PacerDecision } from './requestPacer'
@@ -24,13 +26,10 @@
 const CONNECT_TIMEOUT_MS = 400
 /** Share of the remaining time that connecting may take, so that there is time left for another upstream. */
 const CONNECT_TIME_SHARE = 0.25
-/** Share of the remaining time without progress after which a request that is safe to repeat is retried. */
-const RETRY_TIME_SHARE = 0.5
-/**
- * Time in milliseconds without an event after which a resumable stream is resumed at another engine, even if its engine
- * still serves other requests.
- */
-const STALLED_STREAM_MS = 1500
+/** Share of the time to the latency target for which a request waits while another one is tried; about one response. */
+const TRIAL_WAIT_SHARE = 0.5
+/** Retry-after in milliseconds of a request that waited for a trial in vain. */
+const TRIAL_RETRY_MS = 300
 
 /** Reason in the log for a response that exceeds the buffer limit of one response or of all responses. */
 const RESPONSE_TOO_LONG = 'the answer is too long'
@@ -43,41 +42,6 @@
  */
 const NOT_EXECUTED_STATUSES = new Set([408, 421, 429, 503])
 
-/** Callbacks for the result of a dispatch; exactly one of them is called, once. */
-export interface DispatchCallbacks {
-  onSuccess: (upstream: Upstream, status: number) => void
-  /** The request was rejected because the engines are overloaded; nothing was sent to an upstream. */
-  onShed: (wait: number, retryAfter: number) => void
-  /**
-   * The request was rejected because upstreams crash when they answer such requests; nothing was sent to an upstream.
-   * @param trait what the request has in common with those that crashed upstreams
-   */
-  onConvicted: (trait: string, retryAfter: number) => void
-  /** The request failed before any part of a response was sent to the caller. */
-  onFailure: (execution: ExecutionStatus, reason: string) => void
-  /** The request failed after part of a response was sent to the caller. */
-  onAborted: (reason: string) => void
-}
-
-export interface Dispatch {
-  send: () => void
-  /** Aborts an attempt that makes no progress; called several times per second. */
-  check: (now: Instant) => void
-  /**
-   * Cancels the current attempt.
-   * @param isOverdue the request timed out; otherwise the caller disconnected
-   */
-  cancel: (isOverdue: boolean) => void
-  /** Resumes reading the response once the caller's connection has drained. */
-  resume: () => void
-  /** Returns the number of attempts that may have run and of those that were certainly not run. */
-  counts: () => { runs: number, rejections: number }
-  /** Returns the identifier of the last complete event that was forwarded. */
-  lastEvent: () => string | undefined
-  /** Returns the time of the first byte of a response body. */
-  firstByteAt: () => MonotonicMilliseconds | undefined
-}
-
 export function createDispatch (
   context: ExchangeContext, admittedRequest: AdmittedRequest, callerResponse: CallerResponse, timeLeft: () => number,
   callbacks: DispatchCallbacks
@@ -103,8 +67,11 @@
   const urgency = urgencyOf(route, customer)
   const backlog = context.backlog(`${service}/${urgency ?? ''}`)
   const rank = urgencyRank(urgency)
+  const isAuthorized = (now: Instant): boolean => (
+    isStillAuthorized(context.routeTable(), context.freshness, callerRequest.key, customer, now)
+  )
   const accounting = createAttemptAccounting(context.engineLoads, backlog, rank)
-  const crashGuard = createCrashGuard(context.crashReports, {
+  const crashGuard = createCrashGuard(context, {
     callerRequest, customer: customer?.name, method: request.method!, path: request.url!, body
   })
   /** Drawn once, so that further selections do not make it more likely that the request is rejected. */
@@ -123,13 +90,6 @@
     accounting.end(current, context.now().steady)
   }
 
-  /** Checks the key again, because it may have been withdrawn since the request was admitted. */
-  function isStillAuthorized (now: Instant): boolean {
-    if (customer === undefined) return true
-    const currentCustomer = context.routeTable()?.customerOfKey(callerRequest.key ?? '')
-    return currentCustomer?.name === customer.name && context.freshness.permitsKeys(now)
-  }
-
   /** Rejects the request if upstreams crash when they answer such requests; returns whether it did. */
   function rejectConvicted (now: MonotonicMilliseconds): boolean {
     const conviction = crashGuard.findConviction(history.runs > 0, now)
@@ -141,8 +101,10 @@
 
   function startAttempt (): void {
     const now = context.now()
-    if (!isStillAuthorized(now)) return fail(currentExecutionStatus(), 'the key could not be revalidated')
+    if (!isAuthorized(now)) return fail(currentExecutionStatus(), 'the key could not be revalidated')
     if (rejectConvicted(now.steady)) return
+    const suspect = crashGuard.missingPermit(now.steady)
+    if (suspect !== undefined) return waitForTrial(suspect)
     const target = targets.select(now, crashGuard.suspectTrait(now.steady))
     if (target === undefined) return fail(currentExecutionStatus(), targets.failureReason())
     if (history.repeat === RepeatRule.stream && history.runs === 0) {
@@ -153,10 +115,24 @@
     if (!context.sendPermits.isNeeded(target.upstream.entry)) return sendTo(target.upstream, now)
     context.sendPermits.acquire(target.upstream.entry, target.maximumPermitWait)
       .then((decision) => { handlePermit(target, decision) })
-      .catch((error: unknown) => {
-        context.reportFault(error)
-        if (!cancelled && attempt === undefined) fail(currentExecutionStatus(), 'the permit could not be requested')
+      .catch(failOnFault)
+  }
+
+  function failOnFault (error: unknown): void {
+    context.reportFault(error)
+    if (!cancelled && attempt === undefined) fail(currentExecutionStatus(), 'the permit could not be requested')
+  }
+
+  /** Waits until no other request with a suspect trait is in flight; rejects the request if that takes too long. */
+  function waitForTrial (trait: string): void {
+    crashGuard.waitForPermit(trait, Math.min(timeLeft(), route.latencyTarget) * TRIAL_WAIT_SHARE)
+      .then((isPermitted) => {
+        if (cancelled) return
+        if (isPermitted) startAttempt()
+        else if (history.runs === 0) callbacks.onSuspected(trait, TRIAL_RETRY_MS)
+        else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS)
       })
+      .catch(failOnFault)
   }
 
   function handlePermit ({ upstream }: Target, { granted, wait }: PacerDecision): void {
@@ -176,8 +152,9 @@
   function sendWithPermit (upstream: Upstream): void {
     const now = context.now()
     const isCurrent = directory.listed(service).includes(upstream) && isUsable(upstream, now.steady)
-    const isConvicted = crashGuard.findConviction(true, now.steady) !== undefined
-    if (!isCurrent || isConvicted || !isStillAuthorized(now)) return startAttempt()
+    const isDangerous = crashGuard.findConviction(true, now.steady) !== undefined ||
+      crashGuard.missingPermit(now.steady) !== undefined
+    if (!isCurrent || isDangerous || !isAuthorized(now)) return startAttempt()
     sendTo(upstream, now)
   }
 
@@ -457,10 +434,9 @@
       attempt.sample.recordRunning(now.steady)
       if (!mayRepeat(history) || history.runs >= history.maximumAttempts) return
       const idleMs = now.steady - attempt.lastProgressAt
-      const limitMs = history.repeat === RepeatRule.safe ? timeLeft() * RETRY_TIME_SHARE : STALLED_STREAM_MS
       const isUpstreamSilent = isSilent(attempt.upstream, now.steady)
-      const isUnresponsive = isUpstreamSilent && idleMs > CONNECT_TIMEOUT_MS
-      if (idleMs >= limitMs || isUnresponsive) abortAttempt(attempt, `no progress for ${Math.round(idleMs)} ms`, !isUpstreamSilent)
+      if (!isStalled(history.repeat, idleMs, timeLeft(), isUpstreamSilent)) return
+      abortAttempt(attempt, `no progress for ${Math.round(idleMs)} ms`, !isUpstreamSilent)
     },
     cancel (isOverdue) {
       cancelled = true
@@ -470,6 +446,9 @@
       attempt.call.cancel()
       detachAttempt(attempt)
     },
+    release () {
+      crashGuard.releasePermits(history.runs > 0)
+    },
     resume () {
       if (attempt === undefined) return
       accounting.resume(attempt, context.now().steady)
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -2,7 +2,8 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { admit, AdmissionRejection } from './admission'
 import { countHeaderBytes, createCallerResponse, hasBody, readBody, type Rejection } from './callerResponse'
-import { createDispatch, type Dispatch } from './dispatch'
+import { createDispatch } from './dispatch'
+import type { Dispatch } from './dispatchTypes'
 import { EdgeEvent } from './events'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import { planPrompt } from './promptPlan'
@@ -52,6 +53,7 @@
     if (isFinished) return
     isFinished = true
     clearTimeout(timeoutTimer)
+    dispatch?.release()
     const customer = admittedRequest?.customer
     if (chargedCost > 0 && customer !== undefined) {
       context.quotas.settle(customer.name, identifier, chargedCost, (dispatch?.counts().runs ?? 0) > 0)
@@ -204,6 +206,10 @@
         const message = 'upstreams crash when they answer such requests'
         reject({ status: 503, code: 'crashes_upstreams', message, retryAfter }, `crashes are attributed to ${trait}`)
       },
+      onSuspected (trait, retryAfter) {
+        const message = 'upstreams may crash when they answer such requests, and another one is being tried'
+        reject({ status: 503, code: 'trial_pending', message, retryAfter }, `crashes may be caused by ${trait}`)
+      },
       onFailure: (execution, reason) => { rejectUnserved(service, execution, reason, 502) },
       onAborted: abort
     })
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -17,6 +17,7 @@
 import type { SendPermits } from './sendPermits'
 import type { ServiceRollouts } from './serviceRollouts'
 import type { TokenTransfers } from './tokenTransfers'
+import type { TrialPermits } from './trialPermits'
 import type { CacheStore, CallerRequest, Dialect, EdgeCustomer, EdgeRoute, Instant } from './types'
 import type { UpstreamConnections } from './upstreamConnections'
 import type { Upstream, UpstreamDirectory } from './upstreamDirectory'
@@ -57,6 +58,8 @@
   requestLimits: Pick<RequestLimits, 'limitOf' | 'applyAbsence'>
   /** Permits to send requests to upstreams that have named a limit. */
   sendPermits: Pick<SendPermits, 'isNeeded' | 'acquire'>
+  /** Permits to send requests that may crash upstreams. */
+  trialPermits: Pick<TrialPermits, 'waitFor'>
   crashReports: Omit<CrashReports, 'receive' | 'check'>
   /** Notifies the other instances of the data centre that an upstream is unreachable. */
   reportUnreachable: (upstream: Upstream) => void
--- a/src/edge/peerLinks.ts
+++ b/src/edge/peerLinks.ts
@@ -38,6 +38,8 @@
   requestLimits: 'limits',
   /** Permit to send a request to an upstream that has named a limit. */
   sendPermits: 'permits',
+  /** Permit to send a request that may crash upstreams. */
+  trialPermits: 'trials',
   /** Prompt tokens that instances have sent to engines. */
   engineLoads: 'engineLoads',
   /** Notification of a service rollout to a new version. */
--- a/src/upstream/__tests__/crashAttribution.test.ts
+++ b/src/upstream/__tests__/crashAttribution.test.ts
@@ -9,7 +9,7 @@
 
 type Step =
   /** A crash with the traits of the requests in flight, each listed in prompt order. */
-  | { at: number, crash: string[][] }
+  | { at: number, crash: string[][], trials?: string[] }
   | { at: number, answer: string[] }
 
 function play (attribution: CrashAttribution, steps: readonly Step[]): void {
@@ -18,7 +18,7 @@
     else {
       for (const traits of step.crash) {
         const depths = new Map(traits.map((trait, depth) => [trait, depth]))
-        attribution.recordCrash(`run-${index}`, attribution.chargeable(depths, step.at), step.at)
+        attribution.recordCrash(`run-${index}`, attribution.chargeable(depths, step.at), step.at, step.trials)
       }
     }
     // Judged several times per second until the next step.
@@ -44,6 +44,18 @@
       'three crashes at the same moment count once',
       crashes([0, 40, 80], () => [['popular']]), []
     ],
+    [
+      'three crashes at the same moment, and one during a trial',
+      [...crashes([0, 40, 80], () => [['dead']]), { at: 5000, crash: [['dead'], ['popular']], trials: ['dead'] }], ['dead']
+    ],
+    [
+      'a crash during a trial convicts no other part',
+      [...crashes([0, 40, 80], () => [['popular']]), { at: 5000, crash: [['popular'], ['tried']], trials: ['tried'] }], []
+    ],
+    [
+      'two crashes convict nothing, even if one of them came during a trial',
+      [...crashes([0], () => [['dead']]), { at: 5000, crash: [['dead']], trials: ['dead'] }], []
+    ],
     ['the common part of crashes in quick succession', crashes(range(20, 100), () => [['dead']]), ['dead']],
     [
       'an answer clears a part of the crashes before it',
@@ -103,6 +115,14 @@
     expect(attribution.verdict(['sound', 'dead'], 2000)).toEqual({ kind: TraitVerdictKind.suspect, trait: 'dead' })
   })
 
+  it('marks a trait as suspect after crashes at the same moment, until it is answered', () => {
+    const attribution = createCrashAttribution()
+    play(attribution, crashes([0, 40], () => [['popular']]))
+    expect(attribution.verdict(['popular'], 1000)).toEqual({ kind: TraitVerdictKind.suspect, trait: 'popular' })
+    attribution.recordAnswer(['popular'], 1200)
+    expect(attribution.verdict(['popular'], 1300).kind).toBe(TraitVerdictKind.clear)
+  })
+
   it('waits for the reports of other instances before it judges a crash', () => {
     const attribution = createCrashAttribution()
     play(attribution, crashes([0, 1000], () => [['dead'], ['bystander']]))
--- a/src/upstream/crashAttribution.ts
+++ b/src/upstream/crashAttribution.ts
@@ -6,7 +6,10 @@
  * - An upstream crashes with many requests in its batch, and one of them is the cause. Each trait whose request had not
  *   shown yet that the upstream survives it is charged with the crash.
  * - Most traits are sound and are answered elsewhere all the time. An answer clears a trait of all crashes before it.
- * - A rack loses power: the crashes come at the same moment and count once.
+ * - A rack loses power: the crashes come at the same moment and count once. The traits that were in flight are suspect all
+ *   the same, because a request that is sent several times at once looks like that, too.
+ * - A suspect trait is sent by one request at a time, its trial. Nothing but chance makes an upstream crash during a trial
+ *   of a sound trait, so it convicts a trait that several crashes at the same moment made suspect.
  * - A sound trait is in flight at several crashes that another trait causes: a trait is not convicted while another one
  *   was in flight at all of these crashes and at more, nor for crashes that a convicted trait explains.
  * - A deadly part follows a sound one, and no other request has that one at the moment: of traits that were in flight at
@@ -20,7 +23,7 @@
 
 /** Number of crashes that convict a trait. With several traits in flight at the same crashes, one more is needed. */
 const CONVICTION_CRASHES = 3
-/** Number of crashes from which a trait is suspect. */
+/** Number of crashes from which a trait is suspect, even if they came at the same moment. */
 const SUSPICION_CRASHES = 2
 /** Crashes within this many milliseconds count once. */
 const COINCIDENCE_MS = 100
@@ -43,7 +46,7 @@
 
 export const TraitVerdictKind = {
   clear: 'clear',
-  /** Possibly the cause of several crashes; may run, but not again after a failure. */
+  /** Possibly the cause of several crashes; may run as the only such request, and not again after a failure. */
   suspect: 'suspect',
   refused: 'refused'
 } as const
@@ -100,8 +103,11 @@
   verdict: (traits: readonly string[], now: MonotonicMilliseconds) => TraitVerdict
   /** Returns the traits that a crash is charged to, without those that were answered a short time before. */
   chargeable: (traits: TraitDepths, crashedAt: MonotonicMilliseconds) => Map<string, number>
-  /** Records the crash of a run, or further traits that were in flight there. Repeated calls have no effect. */
-  recordCrash: (run: string, traits: TraitDepths, at: MonotonicMilliseconds) => void
+  /**
+   * Records the crash of a run, or further traits that were in flight there. Repeated calls have no effect.
+   * @param trials suspect traits of which the only request in flight was there
+   */
+  recordCrash: (run: string, traits: TraitDepths, at: MonotonicMilliseconds, trials?: readonly string[]) => void
   /** Whether any of the traits is charged with the crash of another run. */
   isChargedElsewhere: (traits: readonly string[], run: string) => boolean
   /**
@@ -131,12 +137,14 @@
   run: string
   at: MonotonicMilliseconds
   traits: Map<string, number>
+  /** Suspect traits of which the only request in flight was there. */
+  trials: Set<string>
   isJudged: boolean
 }
 
 interface Charge {
   crashes: Crash[]
-  /** Number of distinct crashes among them that no convicted trait explains. */
+  /** Number of crashes among them that no convicted trait explains. */
   count: number
 }
 
@@ -187,7 +195,7 @@
     for (const trait of traits) {
       const charge = charges.get(trait)
       if (charge === undefined) continue
-      charge.count = countDistinct(charge.crashes.filter((crash) => isUnexplained(crash, trait)))
+      charge.count = charge.crashes.filter((crash) => isUnexplained(crash, trait)).length
     }
   }
 
@@ -240,7 +248,8 @@
     const charged = settledCrashes(trait, now)
     const count = countDistinct(charged)
     if (undecided.has(trait) && count > 0) return Judgement.convicted
-    if (count < CONVICTION_CRASHES) return Judgement.none
+    const isConfirmed = charged.length >= CONVICTION_CRASHES && charged.some(({ trials }) => trials.has(trait))
+    if (count < CONVICTION_CRASHES && !isConfirmed) return Judgement.none
     const { traits } = charged[0]!
     const rivals = [...traits.keys()].filter((other) => {
       const charge = other === trait ? undefined : charges.get(other)
@@ -282,9 +291,10 @@
     chargeable: (traits, crashedAt) => (
       new Map([...traits].filter(([trait]) => crashedAt - lastAnswer(trait) >= SOUND_MS))
     ),
-    recordCrash (run, traits, at) {
+    recordCrash (run, traits, at, trials = []) {
       const known = crashes.get(run)
-      const crash = known ?? { run, at, traits: new Map<string, number>(), isJudged: false }
+      const crash = known ?? { run, at, traits: new Map<string, number>(), trials: new Set<string>(), isJudged: false }
+      for (const trait of trials.filter((trial) => traits.has(trial))) crash.trials.add(trait)
       const added = [...traits.keys()]
         .filter((trait) => !crash.traits.has(trait) && crash.at - lastAnswer(trait) >= SOUND_MS)
         .slice(0, MAX_TRAITS_PER_CRASH - crash.traits.size)
@@ -345,7 +355,9 @@
     isConvicted: (trait) => convicted.has(trait),
     suspects: () => (
       [...charges].filter(([, charge]) => charge.crashes.length >= SUSPICION_CRASHES)
-        .map(([trait, charge]) => ({ trait, crashes: charge.crashes.length, counted: charge.count }))
+        .map(([trait, { crashes: all }]) => (
+          { trait, crashes: all.length, counted: countDistinct(all.filter((crash) => isUnexplained(crash, trait))) }
+        ))
     ),
     convictions: (now) => [...convicted].map(([trait, { since, trials, nextTrialAt }]) => (
       { trait, age: now - since, trials, trialIn: nextTrialAt - now }
