Count crashes in the order in which they happened

A report that came after those on later crashes stood last in the charges of its traits. Crashes are counted in that order, so earlier ones after it were taken for crashes at the same moment: three reports in reverse order counted once, and the trait was convicted later than it could be. New case in crashAttribution.test.ts, failed before.

--- a/src/upstream/__tests__/crashAttribution.test.ts
+++ b/src/upstream/__tests__/crashAttribution.test.ts
@@ -115,6 +115,13 @@
     expect(attribution.verdict(['sound', 'dead'], 2000)).toEqual({ kind: TraitVerdictKind.suspect, trait: 'dead' })
   })
 
+  it('counts crashes whose reports arrive after those on later crashes', () => {
+    const attribution = createCrashAttribution()
+    for (const at of [2000, 1000, 0]) attribution.recordCrash(`run-${at}`, new Map([['dead', 0]]), at)
+    attribution.judge(3000)
+    expect(attribution.convictions(3000).map(({ trait }) => trait)).toEqual(['dead'])
+  })
+
   it('marks a trait as suspect after crashes at the same moment, until it is answered', () => {
     const attribution = createCrashAttribution()
     play(attribution, crashes([0, 40], () => [['popular']]))
--- a/src/upstream/crashAttribution.ts
+++ b/src/upstream/crashAttribution.ts
@@ -175,6 +175,11 @@
   return count
 }
 
+/** Reports on a crash may arrive after those on later ones. */
+function insertInOrder (crashes: Crash[], crash: Crash): void {
+  crashes.splice(crashes.findLastIndex(({ at }) => at <= crash.at) + 1, 0, crash)
+}
+
 export function createCrashAttribution (): CrashAttribution {
   /** By run, oldest first. */
   const crashes = new Map<string, Crash>()
@@ -305,7 +310,7 @@
         crash.traits.set(trait, traits.get(trait)!)
         const charge = charges.get(trait)
         if (charge === undefined) charges.set(trait, { crashes: [crash], count: 0 })
-        else charge.crashes.push(crash)
+        else insertInOrder(charge.crashes, crash)
       }
       updateCounts(added)
       const oldest = crashes.keys().next().value
