Recognize crashes of upstreams whose port does not refuse connections at once

Callers saw one request crash services for as long as it came, and sound ones beside it fail. Cause: after a lost connection a single probe was sent; if it was accepted, or nothing responded, the loss was dropped for good. Now an accepted connection must stay open, a reset one is probed again, and an open loss is still taken for a crash if the list shows another run in its place or another instance has seen the crash. The case of upstreams that accept connections waits a second longer, since a loss is dropped later; what it checks is the same.

--- a/src/edge/__tests__/crashGuard.test.ts
+++ b/src/edge/__tests__/crashGuard.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import { ListenerState } from '../../http/listeningProbe'
 import { createCrashAttribution } from '../../upstream/crashAttribution'
 import type { Attempt } from '../attempt'
 import { createCrashGuard, type CrashGuard } from '../crashGuard'
@@ -18,7 +19,8 @@
     broadcast: () => {},
     instance: 'router-1',
     peers: () => [],
-    probe: async () => true,
+    directory: { get: () => undefined },
+    probe: async () => ListenerState.closed,
     onTrialsFailed () {},
     now: () => 0,
     log: () => {},
--- a/src/edge/__tests__/crashReports.test.ts
+++ b/src/edge/__tests__/crashReports.test.ts
@@ -1,10 +1,12 @@
 import { describe, expect, it } from 'vitest'
+import { ListenerState } from '../../http/listeningProbe'
 import { createCrashAttribution, TraitVerdictKind, type RefusedVerdict } from '../../upstream/crashAttribution'
 import { createCrashReports, type CrashReports } from '../crashReports'
 import { EdgeEvent } from '../events'
 import type { PeerValue } from '../peerLinks'
 import { traitsOf, type RequestTraits } from '../requestTraits'
 import type { UpstreamEntry } from '../types'
+import type { Upstream } from '../upstreamDirectory'
 
 /** Milliseconds between checks. */
 const CHECK_MS = 100
@@ -16,17 +18,25 @@
   messages: () => number
   /** Instances whose messages are lost in both directions. */
   cutOff: Set<number>
+  /** Upstreams that are not listed any more. */
+  gone: Set<string>
+  /** When upstreams last responded. */
+  activity: Map<string, number>
   addInstance: () => CrashReports
   /** Runs the checks of all instances for some time. */
   pass: (milliseconds: number) => Promise<void>
   now: () => number
 }
 
-function createFleet (size: number, isRefused: () => boolean = () => true): Fleet {
+const closed = (): ListenerState => ListenerState.closed
+
+function createFleet (size: number, listenerOf: (instance: number) => ListenerState = closed): Fleet {
   const names = Array.from({ length: size }, (_item, index) => `router-${index}`)
   const instances: CrashReports[] = []
   const events: EdgeEvent[] = []
   const cutOff = new Set<number>()
+  const gone = new Set<string>()
+  const activity = new Map<string, number>()
   let messages = 0
   let now = 0
 
@@ -43,7 +53,15 @@
       },
       instance: names[index]!,
       peers: () => names.filter((name) => name !== names[index]),
-      probe: async () => isRefused(),
+      directory: {
+        get (identifier) {
+          const lastActivityAt = activity.get(identifier) ?? -Infinity
+          return gone.has(identifier)
+            ? undefined
+            : { entry: { startedAt: 1 }, announcedLeaving: false, lastActivityAt } as unknown as Upstream
+        }
+      },
+      probe: async () => listenerOf(index),
       onTrialsFailed () {},
       now: () => now,
       log: (event) => { events.push(event) },
@@ -59,6 +77,8 @@
     events,
     messages: () => messages,
     cutOff,
+    gone,
+    activity,
     addInstance,
     async pass (milliseconds) {
       for (const end = now + milliseconds; now < end; now += CHECK_MS) {
@@ -129,13 +149,55 @@
   })
 
   it('does not count lost connections to an upstream that accepts new ones', async () => {
-    const fleet = createFleet(3, () => false)
+    const fleet = createFleet(3, () => ListenerState.open)
     await crashEngines(fleet, 6, () => prompt('popular'))
+    await fleet.pass(1000)
     expect(verdicts(fleet, prompt('popular'))).toEqual([clear, clear, clear])
     expect(fleet.events).toEqual(Array(18).fill(EdgeEvent.lossDropped))
     expect(fleet.messages()).toBe(0)
   })
 
+  it.each<[string, ListenerState, number, boolean]>([
+    ['whose port is taken over at once', ListenerState.open, 1000, true],
+    ['that accepts connections, and leaves the list much later', ListenerState.open, 3000, false],
+    ['whose host does not respond any more', ListenerState.unknown, 6000, true],
+    ['whose host does not respond, and leaves the list much later', ListenerState.unknown, 12_000, false]
+  ])('counts the crash of an upstream by the list: %s', async (_title, listener, after, isCounted) => {
+    const fleet = createFleet(2, () => listener)
+    for (let index = 0; index < 3; index += 1) {
+      fleet.instances[0]!.recordLoss(engine(index), prompt('dead'), [], fleet.now())
+      await fleet.pass(after)
+      fleet.gone.add(`engine-${index}`)
+      await fleet.pass(500)
+    }
+    expect(verdicts(fleet, prompt('dead'))).toEqual(isCounted ? [refused, refused] : [clear, clear])
+  })
+
+  it('does not count the end of an upstream that was leaving, or has responded since the loss', async () => {
+    const fleet = createFleet(1, () => ListenerState.unknown)
+    for (let index = 0; index < 3; index += 1) {
+      fleet.instances[0]!.recordLoss({ ...engine(index), leaving: true }, prompt('dead'), [], fleet.now())
+      fleet.instances[0]!.recordLoss(engine(index + 3), prompt('dead'), [], fleet.now())
+      await fleet.pass(500)
+      fleet.activity.set(`engine-${index + 3}`, fleet.now())
+      await fleet.pass(500)
+      fleet.gone.add(`engine-${index}`).add(`engine-${index + 3}`)
+      await fleet.pass(500)
+    }
+    expect(verdicts(fleet, prompt('dead'))).toEqual([clear])
+  })
+
+  it('takes a loss for a crash if another instance has seen the crash', async () => {
+    const fleet = createFleet(2, (instance) => instance === 0 ? ListenerState.closed : ListenerState.open)
+    for (let index = 0; index < 3; index += 1) {
+      fleet.instances[1]!.recordLoss(engine(index), prompt('dead'), [], fleet.now())
+      await fleet.pass(100)
+      fleet.instances[0]!.recordLoss(engine(index), prompt(`other-${index}`), [], fleet.now())
+      await fleet.pass(1000)
+    }
+    expect(verdicts(fleet, prompt('dead'))).toEqual([refused, refused])
+  })
+
   it('clears a part at all instances if one of them has seen it answered', async () => {
     const fleet = createFleet(3)
     for (let round = 0; round < 4; round += 1) {
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -203,7 +203,7 @@
     broadcast: (content) => { limitBroadcast.send({ ...content, sender: instances.sender() }) }, log
   })
   const { crashReports, trialPermits, handleCrashNotification } = createCrashHandling({
-    links, instance: name, dataCentre, peers, log, now: () => performance.now(), onFault: reportFault
+    links, instance: name, dataCentre, peers, directory, log, now: () => performance.now(), onFault: reportFault
   })
   const sendPermits = createSendPermits({
     links,
--- a/src/edge/crashHandling.ts
+++ b/src/edge/crashHandling.ts
@@ -6,6 +6,7 @@
 import { PeerRequestKind, type HandlePeerRequest, type PeerLinks } from './peerLinks'
 import { createTrialPermits, type TrialPermits } from './trialPermits'
 import type { Peer } from './types'
+import type { UpstreamDirectory } from './upstreamDirectory'
 
 export interface CrashHandlingOptions {
   links: Pick<PeerLinks, 'request' | 'isUsable'>
@@ -13,6 +14,7 @@
   dataCentre: string
   /** The other instances. */
   peers: () => readonly Peer[]
+  directory: Pick<UpstreamDirectory, 'get'>
   log: EdgeLog
   /** Monotonic clock in milliseconds. */
   now: () => number
--- a/src/edge/crashReports.ts
+++ b/src/edge/crashReports.ts
@@ -6,7 +6,7 @@
  * some instance knows to be sound is cleared by a message that only goes out while the trait is charged.
  */
 import { setBounded } from '../boundedMap'
-import { isConnectionRefused } from '../http/listeningProbe'
+import { ListenerState, probeListener } from '../http/listeningProbe'
 import { rankByRendezvous } from '../rendezvous'
 import type { Endpoint, MonotonicMilliseconds } from '../types'
 import {
@@ -19,11 +19,20 @@
 import { runKey } from './requestLimits'
 import type { RequestTraits } from './requestTraits'
 import type { UpstreamEntry, UpstreamRun } from './types'
+import type { UpstreamDirectory } from './upstreamDirectory'
 
 /** Milliseconds between announcements of the convictions, for instances that have started or were unreachable. */
 const ANNOUNCE_INTERVAL_MS = 1000
-/** Milliseconds for which the outcome of a probe of a run is remembered. */
-const LOSS_MEMORY_MS = 5000
+/** Milliseconds for which further losses of a run that has crashed belong to the same crash. */
+const CRASH_MERGE_MS = 5000
+/**
+ * Milliseconds after a loss within which another run that replaces an upstream shows that it has crashed: one that accepted
+ * connections all the while, and one of which nothing was known. A host that is gone leaves the list after several seconds.
+ */
+const OPEN_REPLACEMENT_MS = 1500
+const UNKNOWN_REPLACEMENT_MS = 8000
+/** Milliseconds after a loss in which bytes that were sent before it may still be read. */
+const LATE_BYTES_MS = 100
 /** Number of runs whose lost connections are remembered; more than crash at a time. */
 const MAX_TRACKED_RUNS = 1000
 /** Number of suspect traits in one log line; all requests of a batch may be suspect. */
@@ -33,14 +42,32 @@
   /** Not known yet whether the upstream has crashed. */
   probing: 'probing',
   crashed: 'crashed',
-  /** The upstream accepts connections. */
-  alive: 'alive'
+  /** The upstream, or another run in its place, accepts connections. */
+  open: 'open',
+  /** The upstream does not respond. */
+  unknown: 'unknown'
 } as const
 type LossState = typeof LossState[keyof typeof LossState]
 
+const STATE_BY_LISTENER: Readonly<Record<ListenerState, LossState>> = {
+  [ListenerState.open]: LossState.open,
+  [ListenerState.closed]: LossState.crashed,
+  [ListenerState.unknown]: LossState.unknown
+}
+
+/** Milliseconds for which a loss in each state is remembered; while it is probed, until the outcome. */
+const MEMORY_BY_STATE: Readonly<Record<LossState, number>> = {
+  [LossState.probing]: Infinity,
+  [LossState.crashed]: CRASH_MERGE_MS,
+  [LossState.open]: OPEN_REPLACEMENT_MS,
+  [LossState.unknown]: UNKNOWN_REPLACEMENT_MS
+}
+
 /** Lost connections to one run of an upstream. */
 interface Loss {
   entry: UpstreamEntry
+  /** Whether the upstream was leaving, so that its end is no crash. */
+  isPlanned: boolean
   at: MonotonicMilliseconds
   state: LossState
   /** Traits of the requests that were in flight on these connections, and are not reported yet. */
@@ -92,8 +119,8 @@
   instance: string
   /** Names of the other instances. */
   peers: () => readonly string[]
-  /** Resolves to whether the endpoint refuses connections. */
-  probe?: (endpoint: Endpoint) => Promise<boolean>
+  directory: Pick<UpstreamDirectory, 'get'>
+  probe?: (endpoint: Endpoint) => Promise<ListenerState>
   /** Called when upstreams have crashed during trials of these traits. */
   onTrialsFailed: (traits: readonly string[]) => void
   /** Monotonic clock in milliseconds. */
@@ -142,7 +169,7 @@
 }
 
 export function createCrashReports (options: CrashReportsOptions): CrashReports {
-  const { attribution, broadcast, instance, peers, probe = isConnectionRefused, log, onFault } = options
+  const { attribution, broadcast, instance, peers, directory, probe = probeListener, log, onFault } = options
   const losses = new Map<string, Loss>()
   /** Traits that the other instances have charged although an upstream has answered them. */
   const soundTraits = new Set<string>()
@@ -151,19 +178,49 @@
   let announcedAt = -Infinity
 
   function startProbe (loss: Loss): void {
-    probe(loss.entry.endpoint).then((isRefused) => {
-      loss.state = isRefused ? LossState.crashed : LossState.alive
-      const { identifier, service, startedAt } = loss.entry
-      if (!isRefused) {
-        log(EdgeEvent.lossDropped, { upstream: identifier, service, startedAt, traits: [...loss.traits.keys()] })
-        return loss.traits.clear()
-      }
-      log(EdgeEvent.upstreamCrashed, { upstream: identifier, service, startedAt, traits: [...loss.traits.keys()] })
-      // The others must know before they repeat their requests elsewhere.
-      report(options.now())
+    probe(loss.entry.endpoint).then((listener) => {
+      if (loss.state !== LossState.probing) return
+      if (listener === ListenerState.closed) recordEnd(loss, options.now())
+      else loss.state = STATE_BY_LISTENER[listener]
     }).catch(onFault)
   }
 
+  function fieldsOf ({ entry: { identifier, service, startedAt }, traits }: Loss): Readonly<Record<string, unknown>> {
+    return { upstream: identifier, service, startedAt, traits: [...traits.keys()] }
+  }
+
+  /** Records that the upstream has crashed. */
+  function recordEnd (loss: Loss, now: MonotonicMilliseconds): void {
+    loss.state = LossState.crashed
+    log(EdgeEvent.upstreamCrashed, fieldsOf(loss))
+    // The others must know before they repeat their requests elsewhere.
+    report(now)
+  }
+
+  function isListed ({ identifier, startedAt }: UpstreamEntry): boolean {
+    return directory.get(identifier)?.entry.startedAt === startedAt
+  }
+
+  /** Whether the upstream has left the list or has been replaced since the loss, without having planned to. */
+  function isReplaced ({ entry, state, isPlanned }: Loss): boolean {
+    const isOpen = state === LossState.open || state === LossState.unknown
+    return isOpen && !isPlanned && !isListed(entry)
+  }
+
+  /** Whether the upstream has responded since the loss. */
+  function hasResponded ({ entry, state, at }: Loss): boolean {
+    const lastActivityAt = directory.get(entry.identifier)?.lastActivityAt ?? -Infinity
+    return state === LossState.unknown && lastActivityAt > at + LATE_BYTES_MS
+  }
+
+  function dropOldLosses (now: MonotonicMilliseconds): void {
+    for (const [key, loss] of losses) {
+      if (now - loss.at < MEMORY_BY_STATE[loss.state] && !hasResponded(loss)) continue
+      losses.delete(key)
+      if (loss.state !== LossState.crashed) log(EdgeEvent.lossDropped, fieldsOf(loss))
+    }
+  }
+
   /** Records the crashes that are not reported yet, and returns them. */
   function takeCrashes (now: MonotonicMilliseconds): CrashReport[] {
     const crashed = [...losses].filter(([, { state, traits }]) => state === LossState.crashed && traits.size > 0)
@@ -239,18 +296,24 @@
     recordLoss (entry, traits, trials, now) {
       const key = runKey(entry)
       const known = losses.get(key)
-      const isProbed = known !== undefined && known.state !== LossState.alive
+      const isProbed = known !== undefined && known.state !== LossState.open
       const loss: Loss = isProbed
         ? known
         : {
-            entry, at: now, state: LossState.probing, traits: new Map(), trials: new Set()
+            entry,
+            isPlanned: entry.leaving || !isListed(entry) || directory.get(entry.identifier)!.announcedLeaving,
+            at: now,
+            state: LossState.probing,
+            traits: new Map(),
+            trials: new Set()
           }
       for (const trait of trials) loss.trials.add(trait)
       const depths = new Map(traits.all().map((trait, depth) => [trait, depth]))
       for (const [trait, depth] of attribution.chargeable(depths, now)) loss.traits.set(trait, depth)
       if (isProbed || loss.traits.size === 0) return
       setBounded(losses, key, loss, MAX_TRACKED_RUNS)
-      startProbe(loss)
+      if (attribution.hasCrash(key)) recordEnd(loss, now)
+      else startProbe(loss)
     },
     recordAnswer (traits, now) {
       const answered = attribution.hasCharges() ? traits.all() : traits.parts
@@ -270,16 +333,18 @@
         }
         attribution.recordCrash(run, chargeable, now - age, trials)
         options.onTrialsFailed(trials)
+        const loss = losses.get(run)
+        if (loss !== undefined && loss.state !== LossState.crashed) recordEnd(loss, now)
       }
       const received = parseConvictions(convictions)
       for (const conviction of received) applyConviction(conviction, now)
       if (received.length >= attribution.convictions(now).length) announcedAt = now
     },
     check (now) {
-      for (const [key, { state, at }] of losses) {
-        const isOver = state === LossState.alive || (state === LossState.crashed && now - at >= LOSS_MEMORY_MS)
-        if (isOver) losses.delete(key)
+      for (const loss of losses.values()) {
+        if (isReplaced(loss)) recordEnd(loss, now)
       }
+      dropOldLosses(now)
       report(now)
     }
   }
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -35,7 +35,7 @@
   upstreamSuspected: 'upstream.doubted',
   /** An upstream crashed with requests in flight. */
   upstreamCrashed: 'upstream.crashed',
-  /** A lost connection was not taken for a crash, because the upstream still accepts connections or does not respond. */
+  /** A lost connection was not taken for a crash, because nothing showed that the run has ended. */
   lossDropped: 'upstream.loss_dropped',
   /** Several upstreams have crashed with these traits in flight, or further ones have. */
   crashCauseSuspected: 'crash_cause.suspected',
--- a/src/upstream/crashAttribution.ts
+++ b/src/upstream/crashAttribution.ts
@@ -108,6 +108,8 @@
    * @param trials suspect traits of which the only request in flight was there
    */
   recordCrash: (run: string, traits: TraitDepths, at: MonotonicMilliseconds, trials?: readonly string[]) => void
+  /** Whether the crash of a run is recorded. */
+  hasCrash: (run: string) => boolean
   /** Whether any of the traits is charged with the crash of another run. */
   isChargedElsewhere: (traits: readonly string[], run: string) => boolean
   /**
@@ -316,6 +318,7 @@
       const oldest = crashes.keys().next().value
       if (crashes.size > MAX_CRASHES && oldest !== undefined) removeCrash(oldest)
     },
+    hasCrash: (run) => crashes.has(run),
     isChargedElsewhere: (traits, run) => (
       traits.some((trait) => charges.get(trait)?.crashes.some((crash) => crash.run !== run))
     ),
--- a/standins/fleet/upstream.ts
+++ b/standins/fleet/upstream.ts
@@ -88,8 +88,10 @@
   padding?: number
   /** Weights of the model `small`; 0 makes it a plain service. @default 0 */
   weights?: number
-  /** Milliseconds from a crash to the restart. @default 500 */
+  /** Milliseconds from a crash to the restart; with 0, the port is never closed. @default 500 */
   restartAfter?: number
+  /** Milliseconds from a crash for which new connections are accepted and reset. @default 0 */
+  closesPortAfter?: number
   /** Faults of the next requests, one each; several stand-ins may share one list. @default [] */
   faults?: UpstreamFault[]
 }
@@ -104,8 +106,11 @@
 
 export async function startUpstreamStandIn (
   identifier: string,
-  { events = 4, pace = 5, padding = 0, weights = 0, restartAfter = 500, faults = [] }: UpstreamStandInOptions = {}
+  options: UpstreamStandInOptions = {}
 ): Promise<UpstreamStandIn> {
+  const {
+    events = 4, pace = 5, padding = 0, weights = 0, restartAfter = 500, closesPortAfter = 0, faults = []
+  } = options
   const runs: UpstreamRun[] = []
   const orders: Array<Record<string, unknown>> = []
   const arrivalTimes: number[] = []
@@ -262,7 +267,12 @@
     })
   })
   const sockets = new Set<Socket>()
+  let isCrashing = false
   server.on('connection', (socket) => {
+    if (isCrashing) {
+      socket.resetAndDestroy()
+      return
+    }
     sockets.add(socket)
     socket.on('close', () => { sockets.delete(socket) })
   })
@@ -284,11 +294,23 @@
     orders,
     crashesOn: () => false,
     crash () {
-      if (!server.listening) return
+      if (!server.listening || isCrashing) return
       standIn.crashTimes.push(performance.now())
       for (const socket of sockets) socket.resetAndDestroy()
-      server.close()
-      restartTimer = setTimeout(() => { server.listen(port, '127.0.0.1', () => { standIn.onRestart() }) }, restartAfter)
+      if (restartAfter === 0) {
+        standIn.onRestart()
+        return
+      }
+      isCrashing = true
+      const closePort = (): void => {
+        server.close()
+        isCrashing = false
+      }
+      if (closesPortAfter === 0) closePort()
+      else setTimeout(closePort, closesPortAfter)
+      restartTimer = setTimeout(
+        () => { server.listen(port, '127.0.0.1', () => { standIn.onRestart() }) }, closesPortAfter + restartAfter
+      )
     },
     crashTimes: [],
     onRestart: () => {},
