Fetch crashes that an instance has missed from other instances

Cause: reports of crashes go out once; only convictions were told again. So evidence that is split over several instances never adds up if one report is lost, and a suspicion is unknown to whoever starts. Now each instance asks another one every 2 s, and three at its start, for the crashes that it does not know of. A conviction of a trial counts once, when it is new, so that an old report does not end a running trial.

--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -122,12 +122,13 @@
     failures: async (query) => await failureBroadcast.handleRequest(query),
     leaving: async (query) => await leavingBroadcast.handleRequest(query),
     limits: async (query) => await limitBroadcast.handleRequest(query),
-    crashes: async (query) => await handleCrashNotification(query),
+    crashes: async (query) => await crashHandling.requestHandlers.crashes(query),
+    missedCrashes: async (query) => await crashHandling.requestHandlers.missedCrashes(query),
     async permits (query) {
       instances.observe(query.sender)
       return await sendPermits.handleRequest(query)
     },
-    trials: async (query) => await trialPermits.handleRequest(query),
+    trials: async (query) => await crashHandling.requestHandlers.trials(query),
     engineLoads: async (query) => await engineLoads.handleRequest(query),
     moves: async (query) => await rolloutBroadcast.handleRequest(query),
     moveCounts: async (query) => await serviceRolloutTask.handleRequest(query)
@@ -202,8 +203,8 @@
   const requestLimits = createRequestLimits({
     broadcast: (content) => { limitBroadcast.send({ ...content, sender: instances.sender() }) }, log
   })
-  const { crashReports, trialPermits, handleCrashNotification } = createCrashHandling({
-    links, instance: name, dataCentre, peers, directory, log, now: () => performance.now(), onFault: reportFault
+  const crashHandling = createCrashHandling({
+    links, instance: name, dataCentre, peers, directory, log, now: () => performance.now(), random, onFault: reportFault
   })
   const sendPermits = createSendPermits({
     links,
@@ -281,8 +282,8 @@
     upstreamHints,
     requestLimits,
     sendPermits,
-    trialPermits,
-    crashReports,
+    trialPermits: crashHandling.trialPermits,
+    crashReports: crashHandling.crashReports,
     reportUnreachable: (upstream) => { failureReports.report(upstream, performance.now()) },
     isStopping: () => stopping,
     isRejecting: () => rejecting,
@@ -367,7 +368,7 @@
   const sweep = setInterval(() => {
     const instant = now()
     livenessChecks.runDue()
-    crashReports.check(instant.steady)
+    crashHandling.check(instant.steady)
     for (const exchange of exchanges) exchange.check(instant)
     tables.handleDirectoryChanges(directory.expire(instant.steady))
     loadingEngines = weightsRollout.loadingEngines(directory.all(), instant.steady)
--- a/src/edge/crashHandling.ts
+++ b/src/edge/crashHandling.ts
@@ -1,6 +1,8 @@
 /** Composes what instances exchange on crashes of upstreams. */
+import type { MonotonicMilliseconds, RandomSource } from '../types'
 import { createCrashAttribution } from '../upstream/crashAttribution'
 import { createCrashReports, type CrashReports } from './crashReports'
+import { createCrashSync } from './crashSync'
 import type { EdgeLog } from './events'
 import { createPeerBroadcast } from './peerBroadcast'
 import { PeerRequestKind, type HandlePeerRequest, type PeerLinks } from './peerLinks'
@@ -18,17 +20,24 @@
   log: EdgeLog
   /** Monotonic clock in milliseconds. */
   now: () => number
+  random: RandomSource
   onFault: (error: unknown) => void
 }
 
+type CrashRequestKind =
+  | typeof PeerRequestKind.crashes | typeof PeerRequestKind.crashSync | typeof PeerRequestKind.trialPermits
+
 export interface CrashHandling {
   crashReports: CrashReports
   trialPermits: TrialPermits
-  handleCrashNotification: HandlePeerRequest
+  /** Probes, judges, reports and fetches what is due; called several times per second. */
+  check: (now: MonotonicMilliseconds) => void
+  requestHandlers: Readonly<Record<CrashRequestKind, HandlePeerRequest>>
 }
 
 export function createCrashHandling (options: CrashHandlingOptions): CrashHandling {
   const { peers, now } = options
+  const attribution = createCrashAttribution()
   const trialPermits = createTrialPermits(options)
   const broadcast = createPeerBroadcast({
     ...options,
@@ -37,10 +46,23 @@
   })
   const crashReports = createCrashReports({
     ...options,
-    attribution: createCrashAttribution(),
+    attribution,
     broadcast: broadcast.send,
     peers: () => peers().map(({ name }) => name),
     onTrialsFailed: trialPermits.endTrials
   })
-  return { crashReports, trialPermits, handleCrashNotification: broadcast.handleRequest }
+  const sync = createCrashSync({ ...options, attribution, crashReports })
+  return {
+    crashReports,
+    trialPermits,
+    check (present) {
+      crashReports.check(present)
+      sync.check(present)
+    },
+    requestHandlers: {
+      [PeerRequestKind.crashes]: broadcast.handleRequest,
+      [PeerRequestKind.crashSync]: sync.handleRequest,
+      [PeerRequestKind.trialPermits]: trialPermits.handleRequest
+    }
+  }
 }
--- a/src/edge/crashReports.ts
+++ b/src/edge/crashReports.ts
@@ -228,8 +228,7 @@
       const traits = attribution.chargeable(pending, at)
       const trials = [...pendingTrials]
       pending.clear()
-      attribution.recordCrash(run, traits, at, trials)
-      options.onTrialsFailed(trials)
+      options.onTrialsFailed(attribution.recordCrash(run, traits, at, trials))
       return { run, age: now - at, traits, trials }
     }).filter(({ traits }) => traits.size > 0)
   }
@@ -331,8 +330,8 @@
         for (const trait of traits.keys()) {
           if (!chargeable.has(trait)) soundTraits.add(trait)
         }
-        attribution.recordCrash(run, chargeable, now - age, trials)
-        options.onTrialsFailed(trials)
+        const newTrials = attribution.recordCrash(run, chargeable, now - age, trials)
+        if (age < CRASH_MERGE_MS) options.onTrialsFailed(newTrials)
         const loss = losses.get(run)
         if (loss !== undefined && loss.state !== LossState.crashed) recordEnd(loss, now)
       }
--- a/src/edge/peerLinks.ts
+++ b/src/edge/peerLinks.ts
@@ -32,6 +32,8 @@
   failures: 'failures',
   /** Notification of crashes of upstreams, and of what requests they are attributed to. */
   crashes: 'crashes',
+  /** Crashes and convictions that an instance has missed. */
+  crashSync: 'missedCrashes',
   /** Notification of an upstream that announced that it is leaving. */
   leaving: 'leaving',
   /** Notification of the request limit of an upstream. */
--- a/src/upstream/crashAttribution.ts
+++ b/src/upstream/crashAttribution.ts
@@ -83,6 +83,15 @@
  */
 export type TraitDepths = ReadonlyMap<string, number>
 
+/** A crash as told to other instances. */
+export interface ChargedCrash {
+  run: string
+  at: MonotonicMilliseconds
+  traits: TraitDepths
+  /** Suspect traits of which the only request in flight was there. */
+  trials: readonly string[]
+}
+
 /** What a trait is charged with. */
 export interface TraitCharge {
   trait: string
@@ -106,8 +115,13 @@
   /**
    * Records the crash of a run, or further traits that were in flight there. Repeated calls have no effect.
    * @param trials suspect traits of which the only request in flight was there
+   * @returns the trials that were not recorded yet
    */
-  recordCrash: (run: string, traits: TraitDepths, at: MonotonicMilliseconds, trials?: readonly string[]) => void
+  recordCrash: (run: string, traits: TraitDepths, at: MonotonicMilliseconds, trials?: readonly string[]) => string[]
+  /** Returns the runs whose crashes are recorded. */
+  knownRuns: () => string[]
+  /** Returns the crashes with the traits that are charged with them, the newest first. */
+  charged: () => ChargedCrash[]
   /** Whether the crash of a run is recorded. */
   hasCrash: (run: string) => boolean
   /** Whether any of the traits is charged with the crash of another run. */
@@ -301,13 +315,14 @@
     recordCrash (run, traits, at, trials = []) {
       const known = crashes.get(run)
       const crash = known ?? { run, at, traits: new Map<string, number>(), trials: new Set<string>(), isJudged: false }
-      for (const trait of trials.filter((trial) => traits.has(trial))) crash.trials.add(trait)
+      const newTrials = trials.filter((trait) => traits.has(trait) && !crash.trials.has(trait))
+      for (const trait of newTrials) crash.trials.add(trait)
       const added = [...traits.keys()]
         .filter((trait) => !crash.traits.has(trait) && crash.at - lastAnswer(trait) >= SOUND_MS)
         .slice(0, MAX_TRAITS_PER_CRASH - crash.traits.size)
-      if (added.length === 0) return
+      if (added.length + newTrials.length > 0) crash.isJudged = false
+      if (added.length === 0) return newTrials
       crashes.set(run, crash)
-      crash.isJudged = false
       for (const trait of added) {
         crash.traits.set(trait, traits.get(trait)!)
         const charge = charges.get(trait)
@@ -317,7 +332,14 @@
       updateCounts(added)
       const oldest = crashes.keys().next().value
       if (crashes.size > MAX_CRASHES && oldest !== undefined) removeCrash(oldest)
+      return newTrials
     },
+    knownRuns: () => [...crashes.keys()],
+    charged: () => [...crashes.values()].reverse().map((crash) => ({
+      ...crash,
+      traits: new Map([...crash.traits].filter(([trait]) => charges.get(trait)?.crashes.includes(crash))),
+      trials: [...crash.trials]
+    })).filter(({ traits }) => traits.size > 0),
     hasCrash: (run) => crashes.has(run),
     isChargedElsewhere: (traits, run) => (
       traits.some((trait) => charges.get(trait)?.crashes.some((crash) => crash.run !== run))
