Do not take a response that may be a rejection for a proof that an upstream survives

Any complete response below 500 cleared its request of crashes for 10 s, also 408, 421 and 429 without the mark of a rejection: an upstream that throttles such requests would make the fleet send them on to the others. Only found by reading; no run shows harm. Cases in attemptDecision.test.ts; the old condition was true for 408, 421 and 429.

--- a/src/edge/__tests__/attemptDecision.test.ts
+++ b/src/edge/__tests__/attemptDecision.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { ExecutionStatus } from '../../types'
-import { AttemptOutcome, decideNextStep, type AttemptHistory } from '../attemptDecision'
+import { AttemptOutcome, decideNextStep, provesSurvival, type AttemptHistory } from '../attemptDecision'
 import { RepeatRule } from '../types'
 
 const history: AttemptHistory = {
@@ -26,3 +26,11 @@
     expect(decideNextStep(outcome, { ...history, ...overrides })).toEqual(expected)
   })
 })
+
+describe('a complete response', () => {
+  it.each([
+    [200, true], [404, true], [408, false], [421, false], [429, false], [500, false], [503, false], [504, false]
+  ])('with status %i shows that the upstream survived the request: %s', (status, expected) => {
+    expect(provesSurvival(status)).toBe(expected)
+  })
+})
--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -15,6 +15,12 @@
 /** Time in milliseconds without progress after which a request at a silent upstream is repeated elsewhere. */
 const SILENT_UPSTREAM_MS = 400
 
+/**
+ * Statuses that tell the caller that the request was not executed. Those of an upstream are not forwarded, because it
+ * may have run the request.
+ */
+export const NOT_EXECUTED_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503])
+
 export const AttemptOutcome = {
   /** The upstream stated that it did not run the request, or no byte of the request was sent. */
   notRun: 'notRun',
@@ -60,6 +66,11 @@
   return idle >= limit || (isUpstreamSilent && idle > SILENT_UPSTREAM_MS)
 }
 
+/** Whether a complete response shows that the upstream has run the request and lived on. */
+export function provesSurvival (status: number): boolean {
+  return status < 500 && !NOT_EXECUTED_STATUSES.has(status)
+}
+
 function executionStatus (history: AttemptHistory): ExecutionStatus {
   return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
 }
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -3,7 +3,9 @@
 import { MAX_RESPONSE_BYTES } from './responseBuffers'
 import { isStillAuthorized } from './admission'
 import { createAttemptAccounting, type Attempt } from './attempt'
-import { AttemptOutcome, decideNextStep, isStalled, mayRepeat, type AttemptHistory } from './attemptDecision'
+import {
+  AttemptOutcome, decideNextStep, isStalled, mayRepeat, NOT_EXECUTED_STATUSES, provesSurvival, type AttemptHistory
+} from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
 import { createCrashGuard } from './crashGuard'
 import { countData, createEventBoundary, type EventBoundary } from './eventBoundary'
@@ -36,12 +38,6 @@
 /** Reason in the log for a request that was stopped because such requests crash upstreams. */
 const CRASHES_UPSTREAMS = 'such requests crash upstreams'
 
-/**
- * Statuses that tell the caller that the request was not executed. Those of an upstream are not forwarded, because it
- * may have run the request.
- */
-const NOT_EXECUTED_STATUSES = new Set([408, 421, 429, 503])
-
 export function createDispatch (
   context: ExchangeContext, admittedRequest: AdmittedRequest, callerResponse: CallerResponse, timeLeft: () => number,
   callbacks: DispatchCallbacks
@@ -401,7 +397,7 @@
     const status = head?.statusCode ?? 0
     const now = context.now().steady
     current.sample.recordEnd(status >= 500, now)
-    if (status < 500) crashGuard.recordAnswer(current, now)
+    if (provesSurvival(status)) crashGuard.recordAnswer(current, now)
     if (status >= 500 || NOT_EXECUTED_STATUSES.has(status)) {
       return continueAfter(AttemptOutcome.failed, `the upstream answered ${status}`, () => { forwardResponse(current, status, bytes) })
     }
