--- a/src/edge/crashGuard.ts
+++ b/src/edge/crashGuard.ts
@@ -26,6 +26,8 @@
    * none.
    */
   missingPermit: (now: MonotonicMilliseconds) => string | undefined
+  /** Whether the request must not be sent as it is, because of a conviction or a missing permit. */
+  isBlocked: (now: MonotonicMilliseconds) => boolean
   /**
    * Waits for the permit, or for the outcome of the request that has it. Resolves to false if neither came in time.
    * @param maximumWait milliseconds
@@ -94,6 +96,10 @@
       isTrial = !hasRun && reports.tryTrial(traits, verdict, now)
       return isTrial ? undefined : verdict
     },
+    isBlocked (now) {
+      const isConvicted = reports.verdict(traits, now).kind === TraitVerdictKind.refused && !isTrial
+      return isConvicted || missingPermit(now) !== undefined
+    },
     missingPermit,
     async waitForPermit (trait, maximumWait) {
       const isNeeded = (): boolean => !isEnded && missingPermit(context.now().steady) === trait
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -148,9 +148,7 @@
   function sendWithPermit (upstream: Upstream): void {
     const now = context.now()
     const isCurrent = directory.listed(service).includes(upstream) && isUsable(upstream, now.steady)
-    const isDangerous = crashGuard.findConviction(true, now.steady) !== undefined ||
-      crashGuard.missingPermit(now.steady) !== undefined
-    if (!isCurrent || isDangerous || !isAuthorized(now)) return startAttempt()
+    if (!isCurrent || crashGuard.isBlocked(now.steady) || !isAuthorized(now)) return startAttempt()
     sendTo(upstream, now)
   }
 
