Reject a message between instances that is too long instead of ending the process

Callers saw processes end again and again (calls that reset, status 0), where another writer had left 20 odd entries of 64 kB among the upstreams, the operator's rows or the instances. Cause: a relay sends a whole table in one message of 1 MiB at most; encoding a longer one throws in a callback that nothing catches, and the process exits.

--- a/src/edge/__tests__/peerLinks.test.ts
+++ b/src/edge/__tests__/peerLinks.test.ts
@@ -46,6 +46,31 @@
   await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
 }
 
+describe('a message that is too long', () => {
+  const LONG_TEXT = 'x'.repeat(1_100_000)
+
+  it.each<[string, number, number]>([
+    ['request', 1_100_000, 0],
+    ['response', 0, 1_100_000]
+  ])('fails its request, and no other one: %s', async (_title, requestLength, responseLength) => {
+    const { endpoint } = await startLinks(async ({ length }) => ({ text: LONG_TEXT.slice(0, length as number) }))
+    const { links } = await startLinks()
+    const request = { text: LONG_TEXT.slice(0, requestLength), length: responseLength }
+    const [long, short] = await Promise.allSettled([
+      links.request(endpoint, request, 1000), links.request(endpoint, { length: 1 }, 1000)
+    ])
+    expect(long).toMatchObject({ status: 'rejected', reason: expect.any(PlatformUnavailableError) as unknown })
+    expect(short).toMatchObject({ status: 'fulfilled', value: { text: 'x' } })
+  })
+
+  it('is logged if it is a notification', async () => {
+    const { endpoint } = await startLinks()
+    const { links, events } = await startLinks()
+    links.notify(endpoint, { text: LONG_TEXT })
+    expect(events).toEqual(['peer.word_refused'])
+  })
+})
+
 describe('requests between instances', () => {
   it('are matched to responses by number, regardless of their order', async () => {
     const { endpoint } = await startLinks(async ({ delay, text }) => {
--- a/src/edge/peerLinks.ts
+++ b/src/edge/peerLinks.ts
@@ -70,8 +70,8 @@
 
 export interface PeerLinks {
   /**
-   * Rejects with `PlatformUnavailableError` when no response arrived within `timeout` milliseconds or the peer rejected
-   * the request.
+   * Rejects with `PlatformUnavailableError` when no response arrived within `timeout` milliseconds, the peer rejected
+   * the request, or the request or the response is too long for a message.
    */
   request: (peer: Endpoint, request: PeerValue, timeout: number) => Promise<PeerValue>
   /** Sends a notification, which gets no response and may be lost. */
@@ -158,12 +158,19 @@
   const backOffs = new Map<string, { until: number, length: number }>()
   let lastNumber = 0
 
-  function send (socket: Socket, message: Envelope): void {
+  /** Returns why the message cannot be sent at all; undefined if it can. */
+  function send (socket: Socket, message: Envelope): string | undefined {
     if (socket.writableLength > MAX_SEND_BUFFER_BYTES) {
       socket.destroy(new OverloadedError('peer reads too slowly: send buffer limit exceeded'))
-      return
+      return undefined
+    }
+    try {
+      socket.write(encodeValue(message, 'peer message'))
+      return undefined
+    } catch (error) {
+      if (error instanceof PeerProtocolError) return error.message
+      throw error
     }
-    socket.write(encodeValue(message, 'peer message'))
   }
 
   function recordFailure (address: string, reason: string): void {
@@ -234,7 +241,9 @@
         return
       }
       const respond = (message: Omit<Envelope, 'number'>): void => {
-        if (!socket.destroyed) send(socket, { number, ...message })
+        if (socket.destroyed) return
+        const failure = send(socket, { number, ...message })
+        if (failure !== undefined) send(socket, { number, content: undefined, refusal: failure })
       }
       handleRequest(content).then(
         (response) => { respond({ content: response, refusal: undefined }) },
@@ -264,13 +273,21 @@
         }, timeout)
         connection.pending.set(number, { request, sentAt: now(), resolve, reject, timer })
         connection.unansweredSince ??= now()
-        send(connection.socket, { number, content: request, refusal: undefined })
+        const failure = send(connection.socket, { number, content: request, refusal: undefined })
+        if (failure === undefined) return
+        connection.pending.delete(number)
+        if (connection.pending.size === 0) connection.unansweredSince = undefined
+        clearTimeout(timer)
+        reject(new PlatformUnavailableError(`peer ${address}: ${failure}`))
       })
     },
     notify (peer, notification) {
       const address = formatEndpoint(peer)
       const connection = connections.get(address) ?? openConnection(address, peer)
-      send(connection.socket, { number: NOTIFICATION_NUMBER, content: notification, refusal: undefined })
+      const failure = send(connection.socket, {
+        number: NOTIFICATION_NUMBER, content: notification, refusal: undefined
+      })
+      if (failure !== undefined) log(EdgeEvent.peerNotificationRejected, { reason: failure })
     },
     isUsable: (peer) => (backOffs.get(formatEndpoint(peer))?.until ?? -Infinity) <= now(),
     close () {
