--- a/src/edge/__tests__/storeLease.test.ts
+++ b/src/edge/__tests__/storeLease.test.ts
@@ -22,7 +22,9 @@
     ['a lease of another instance that expired before the takeover delay', row({ holder: 'b', incarnation: 1, expires: 4000 }), 6401, 7],
     ['the lease of this instance', row({ holder: 'a', incarnation: 5, expires: 4000 }), 3000, 7],
     ['an unexpired lease of an earlier process of this instance', row({ holder: 'a', incarnation: 4, expires: 4000 }), 3000, undefined],
-    ['a row that cannot be parsed', row('{'), 1000, 7]
+    ['a row that cannot be parsed', row('{'), 1000, 7],
+    ['a lease without an end', row('{"holder":"b","incarnation":1,"expires":1e400}'), 1000, 7],
+    ['a lease that ends later than any instance sets', row({ holder: 'b', incarnation: 1, expires: 90_000 }), 1000, 7]
   ])('%s', (_title, present, storeTime, version) => {
     const claim = claimAt(createStoreLease('a', 5, DURATION), present, storeTime)!
     expect('version' in claim ? claim.version : undefined).toBe(version)
--- a/src/edge/storeLease.ts
+++ b/src/edge/storeLease.ts
@@ -88,7 +88,9 @@
       const value: LeaseRecord = { holder, incarnation, expires: Math.ceil(storeTime + duration) }
       const currentToken = fencingToken(now)
       if (currentToken !== undefined) return { value: JSON.stringify(value), version: currentToken }
-      const record = row === undefined ? undefined : parseRecord(row)
+      const parsed = row === undefined ? undefined : parseRecord(row)
+      // Only another writer sets a later end; such a row would hold the lease forever.
+      const record = parsed !== undefined && parsed.expires <= storeTime + 2 * duration ? parsed : undefined
       const isOwnRecord = record?.holder === holder && record.incarnation === incarnation
       // Uses the observed store time rather than an extrapolation, because it is never ahead of the store's clock.
       const takeoverAt = record === undefined || isOwnRecord
