Answer all requests in a planned stop, and pass on none that comes late

Callers: in a planned stop, a request whose body was complete only after the instance had ceased to accept requests was passed on all the same, and every request that was left at the end of the grace period was cut without an answer, those that must not be repeated among them. Cause: only the head of a request was checked against the stop, and the end closed all connections. Late requests on new connections were refused before (edge.test.ts). The rejection by an upstream moved to upstreamDirectory.ts, with five cases in place of two.

--- a/src/edge/__tests__/upstreamDirectory.test.ts
+++ b/src/edge/__tests__/upstreamDirectory.test.ts
@@ -2,7 +2,8 @@
 import {
   recordAttemptStart, recordAttemptEnd, recordReadPaused, recordReadResumed, createUpstreamDirectory, currentWait,
   suspectUpstream, recordLivenessResponse, recordActivity, isSilent, recordWeights, observeMinimumWait, observeWait,
-  pauseAfterFailure, pauseAfterRejection, SILENCE_TIMEOUT_MS, takeDueLivenessChecks, type UpstreamDirectory
+  pauseAfterFailure, recordRejection, SILENCE_TIMEOUT_MS, takeDueLivenessChecks, type UpstreamDirectory,
+  type UpstreamRejection
 } from '../upstreamDirectory'
 import { createEntry } from './fixtures'
 
@@ -91,10 +92,18 @@
     expect(upstream.pausedUntil).toBe(650)
   })
 
-  it.each([[true, 1000], [false, 60]])('a rejection (loading: %s) pauses for %i ms', (loading, pause) => {
+  it.each<[string, Partial<UpstreamRejection>, number, boolean, number | undefined]>([
+    ['a full one', {}, 60, false, undefined],
+    ['one with older weights', { targetVersion: () => 5 }, 1000, true, undefined],
+    ['one that already has the newest weights', { targetVersion: () => 5, misdirected: true }, -Infinity, true, 5],
+    ['another one at its address', { misdirected: true, answeredBy: 'b' }, 1000, false, undefined],
+    ['another one, with older weights', { misdirected: true, answeredBy: 'b', targetVersion: () => 5 }, 1000, true, undefined]
+  ])('a rejection pauses an upstream: %s', (_title, values, pausedUntil, isBehind, version) => {
     const upstream = createDirectory().get('a')!
-    pauseAfterRejection(upstream, loading, 0)
-    expect(upstream.pausedUntil).toBe(pause)
+    const rejection = { model: 'tiny', misdirected: false, answeredBy: undefined, targetVersion: () => undefined, ...values }
+    expect(recordRejection(upstream, rejection, 0)).toBe(isBehind)
+    expect(upstream.pausedUntil).toBe(pausedUntil)
+    expect(upstream.weights.get('tiny')).toBe(version)
   })
 
   it('treats an upstream with requests in flight and no byte as silent, but not an idle one', () => {
--- a/src/edge/admission.ts
+++ b/src/edge/admission.ts
@@ -1,4 +1,5 @@
 /** Decides whether a request may be forwarded, based on the current configuration and its age. */
+import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import type { Freshness } from './freshness'
 import type { RouteTable } from './routeTable'
 import type { CallerRequest, EdgeCustomer, EdgeRoute, Instant } from './types'
@@ -54,9 +55,10 @@
 
 /** Whether the key of an admitted request is still valid; it may have been withdrawn since. */
 export function isStillAuthorized (
-  table: RouteTable | undefined, freshness: Freshness, key: string | undefined, customer: EdgeCustomer | undefined,
-  now: Instant
+  { routeTable, freshness }: Pick<ExchangeContext, 'routeTable' | 'freshness'>,
+  { callerRequest, customer }: Pick<AdmittedRequest, 'callerRequest' | 'customer'>, now: Instant
 ): boolean {
   if (customer === undefined) return true
-  return table?.customerOfKey(key ?? '')?.name === customer.name && freshness.permitsKeys(now)
+  const currentCustomer = routeTable()?.customerOfKey(callerRequest.key ?? '')
+  return currentCustomer?.name === customer.name && freshness.permitsKeys(now)
 }
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -20,7 +20,7 @@
 import { RepeatRule, RequestLimitKind, type Instant } from './types'
 import { callUpstream, isFramed } from './upstreamCall'
 import {
-  currentWait, recordActivity, isSilent, isUsable, recordWeights, observeWait, pauseAfterFailure, pauseAfterRejection,
+  currentWait, recordActivity, isSilent, isUsable, recordWeights, observeWait, pauseAfterFailure, recordRejection,
   type Upstream
 } from './upstreamDirectory'
 
@@ -35,6 +35,9 @@
 
 /** Reason in the log for a response that exceeds the buffer limit of one response or of all responses. */
 const RESPONSE_TOO_LONG = 'the answer is too long'
+const KEY_WITHDRAWN = 'the key could not be revalidated'
+/** Reason in the log for a request that was not sent to an upstream before the instance stops. */
+const STOPPING = 'the instance is stopping'
 /** Reason in the log for a request that was stopped because such requests crash upstreams. */
 const CRASHES_UPSTREAMS = 'such requests crash upstreams'
 
@@ -63,9 +66,6 @@
   const urgency = urgencyOf(route, customer)
   const backlog = context.backlog(`${service}/${urgency ?? ''}`)
   const rank = urgencyRank(urgency)
-  const isAuthorized = (now: Instant): boolean => (
-    isStillAuthorized(context.routeTable(), context.freshness, callerRequest.key, customer, now)
-  )
   const accounting = createAttemptAccounting(context.engineLoads, backlog, rank)
   const crashGuard = createCrashGuard(context, {
     callerRequest, customer: customer?.name, method: request.method!, path: request.url!, body
@@ -95,9 +95,15 @@
     return true
   }
 
+  /** Whether the first attempt would start after the instance has ceased to accept requests. */
+  function isTooLate (): boolean {
+    return context.isRejecting() && history.runs === 0
+  }
+
   function startAttempt (): void {
     const now = context.now()
-    if (!isAuthorized(now)) return fail(currentExecutionStatus(), 'the key could not be revalidated')
+    if (!isStillAuthorized(context, admittedRequest, now)) return fail(currentExecutionStatus(), KEY_WITHDRAWN)
+    if (isTooLate()) return fail(ExecutionStatus.notRun, STOPPING)
     if (rejectConvicted(now.steady)) return
     const suspect = crashGuard.missingPermit(now.steady)
     if (suspect !== undefined) return waitForTrial(suspect)
@@ -148,7 +154,8 @@
   function sendWithPermit (upstream: Upstream): void {
     const now = context.now()
     const isCurrent = directory.listed(service).includes(upstream) && isUsable(upstream, now.steady)
-    if (!isCurrent || crashGuard.isBlocked(now.steady) || !isAuthorized(now)) return startAttempt()
+    const isAuthorized = isStillAuthorized(context, admittedRequest, now)
+    if (!isCurrent || crashGuard.isBlocked(now.steady) || isTooLate() || !isAuthorized) return startAttempt()
     sendTo(upstream, now)
   }
 
@@ -327,12 +334,9 @@
     detachAttempt(current)
     reachedUpstream = true
     const { upstream } = current
-    const now = context.now().steady
-    const target = callerRequest.model === undefined ? undefined : context.weightsRollout.target(callerRequest.model)
-    const isBehind = target !== undefined && (upstream.weights.get(callerRequest.model!) ?? 0) < target
-    const isOther = misdirected && answeredBy !== undefined && answeredBy !== upstream.entry.identifier
-    if (misdirected && !isOther && isBehind) recordWeights(upstream, { model: callerRequest.model!, version: target })
-    else pauseAfterRejection(upstream, isBehind || isOther, now)
+    const isBehind = recordRejection(upstream, {
+      model: callerRequest.model, misdirected, answeredBy, targetVersion: context.weightsRollout.target
+    }, context.now().steady)
     log(EdgeEvent.attemptRejected, {
       requestIdentifier: identifier, upstream: upstream.entry.identifier, status, answeredBy, isBehind
     })
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -27,6 +27,8 @@
   start: () => void
   /** Aborts an attempt that makes no progress; called several times per second. */
   check: (now: Instant) => void
+  /** Ends the exchange, because the instance exits. */
+  close: () => void
 }
 
 /**
@@ -237,6 +239,14 @@
         reject({ status: 413, code: 'request_too_large', message: 'the body is too long' }, 'the body is too long')
       })
     },
-    check: (now) => { if (!isFinished) dispatch?.check(now) }
+    check: (now) => { if (!isFinished) dispatch?.check(now) },
+    close () {
+      if (isFinished) return
+      dispatch?.cancel(false)
+      const reason = 'the instance exits'
+      if (callerResponse.hasStarted()) return abort(reason)
+      if ((dispatch?.counts().runs ?? 0) === 0) return reject(AdmissionRejection.stopping, reason)
+      reject({ status: 502, code: 'upstream_failed', message: 'the request was sent on and its outcome is not known' }, reason)
+    }
   }
 }
--- a/src/edge/gracefulStop.ts
+++ b/src/edge/gracefulStop.ts
@@ -1,5 +1,6 @@
-/** Stops an edge daemon: takes no new requests, waits for those in progress, then closes everything. */
+/** Stops an edge daemon: takes no new requests, waits for those in progress, ends those that are left, then closes everything. */
 import { EdgeEvent, type EdgeLog } from './events'
+import type { Exchange } from './exchange'
 
 /**
  * Time in milliseconds after the stop signal for which requests are still accepted. The load balancer removes the
@@ -7,8 +8,10 @@
  * grace period.
  */
 const STOP_ACCEPT_MS = 2700
-/** Time in milliseconds before the forced termination at which the process exits by itself. */
+/** Time in milliseconds before the forced termination at which the exchanges in progress are ended. */
 const STOP_MARGIN_MS = 500
+/** Time in milliseconds that their final responses take to be sent. */
+const FLUSH_MS = 100
 /** Interval in milliseconds between checks whether all exchanges have finished. */
 const DRAIN_POLL_MS = 50
 
@@ -16,7 +19,7 @@
   /** Milliseconds from the stop signal until the process is terminated by force. */
   grace: number
   /** Exchanges in progress. */
-  exchanges: ReadonlySet<unknown>
+  exchanges: ReadonlySet<Pick<Exchange, 'close'>>
   log: EdgeLog
   /** Called at once. */
   onStopping: () => void
@@ -38,6 +41,9 @@
   await delay(Math.min(STOP_ACCEPT_MS, grace / 2))
   options.rejectRequests()
   while (exchanges.size > 0 && performance.now() < end) await delay(DRAIN_POLL_MS)
+  const unfinished = [...exchanges]
+  for (const exchange of unfinished) exchange.close()
+  if (unfinished.length > 0) await delay(FLUSH_MS)
   options.close()
-  log(EdgeEvent.stopped, { exchanges: exchanges.size })
+  log(EdgeEvent.stopped, { exchanges: unfinished.length })
 }
--- a/src/edge/upstreamDirectory.ts
+++ b/src/edge/upstreamDirectory.ts
@@ -380,9 +380,34 @@
   upstream.suspectedUntil = now + MIN_SUSPICION_MS + draw * (MAX_SUSPICION_MS - MIN_SUSPICION_MS)
 }
 
-/** Pauses an upstream that rejected a request without running it. */
-export function pauseAfterRejection (upstream: Upstream, loading: boolean, now: MonotonicMilliseconds): void {
-  upstream.pausedUntil = Math.max(upstream.pausedUntil, now + (loading ? LOADING_PAUSE_MS : FULL_PAUSE_MS))
+/** A response that states that the upstream has not run the request. */
+export interface UpstreamRejection {
+  /** Model of the request. */
+  model: string | undefined
+  /** Whether the request did not match the upstream or its weights. */
+  misdirected: boolean
+  /** Identifier of the upstream that responded. */
+  answeredBy: string | undefined
+  /** Returns the version of a model's weights that all engines should have. */
+  targetVersion: (model: string) => number | undefined
+}
+
+/**
+ * Pauses an upstream that rejected a request, unless the rejection shows that it already has the newest weights.
+ * @returns whether its known weights are behind
+ */
+export function recordRejection (
+  upstream: Upstream, { model, misdirected, answeredBy, targetVersion }: UpstreamRejection, now: MonotonicMilliseconds
+): boolean {
+  const target = model === undefined ? undefined : targetVersion(model)
+  const isBehind = target !== undefined && (upstream.weights.get(model!) ?? 0) < target
+  const isOther = misdirected && answeredBy !== undefined && answeredBy !== upstream.entry.identifier
+  if (misdirected && !isOther && isBehind) recordWeights(upstream, { model: model!, version: target })
+  else {
+    const pause = isBehind || isOther ? LOADING_PAUSE_MS : FULL_PAUSE_MS
+    upstream.pausedUntil = Math.max(upstream.pausedUntil, now + pause)
+  }
+  return isBehind
 }
 
 /** Backs off for as long as the upstream requested. A shorter request does not end a longer back-off. */
