--- a/src/edge/crashReports.ts
+++ b/src/edge/crashReports.ts
@@ -175,6 +175,8 @@
   const soundTraits = new Set<string>()
   /** Number of crashes with which each suspect trait was logged last. */
   let loggedCrashes: ReadonlyMap<string, number> = new Map()
+  /** Whether crashes were recorded since then. */
+  let hasNewCrashes = false
   let announcedAt = -Infinity
 
   function startProbe (loss: Loss): void {
@@ -221,6 +223,13 @@
     }
   }
 
+  function recordCrash ({ run, age, traits, trials }: CrashReport, now: MonotonicMilliseconds): void {
+    const newTrials = attribution.recordCrash(run, traits, now - age, trials)
+    hasNewCrashes = true
+    // The permits for trials that ended long ago have been handed out to others since.
+    if (age < CRASH_MERGE_MS) options.onTrialsFailed(newTrials)
+  }
+
   /** Records the crashes that are not reported yet, and returns them. */
   function takeCrashes (now: MonotonicMilliseconds): CrashReport[] {
     const crashed = [...losses].filter(([, { state, traits }]) => state === LossState.crashed && traits.size > 0)
@@ -228,12 +237,14 @@
       const traits = attribution.chargeable(pending, at)
       const trials = [...pendingTrials]
       pending.clear()
-      options.onTrialsFailed(attribution.recordCrash(run, traits, at, trials))
+      recordCrash({ run, age: now - at, traits, trials }, now)
       return { run, age: now - at, traits, trials }
     }).filter(({ traits }) => traits.size > 0)
   }
 
   function logSuspects (): void {
+    if (!hasNewCrashes) return
+    hasNewCrashes = false
     const suspects = attribution.suspects()
     const grown = suspects.filter(({ trait, crashes }) => crashes > (loggedCrashes.get(trait) ?? 0))
     loggedCrashes = new Map(suspects.map(({ trait, crashes }) => [trait, crashes]))
@@ -330,8 +341,7 @@
         for (const trait of traits.keys()) {
           if (!chargeable.has(trait)) soundTraits.add(trait)
         }
-        const newTrials = attribution.recordCrash(run, chargeable, now - age, trials)
-        if (age < CRASH_MERGE_MS) options.onTrialsFailed(newTrials)
+        recordCrash({ run, age, traits: chargeable, trials }, now)
         const loss = losses.get(run)
         if (loss !== undefined && loss.state !== LossState.crashed) recordEnd(loss, now)
       }
