Soak: requests that crash each service that runs them

A path becomes deadly for 9 to 12 s, for requests that may be repeated and for those that may not, beside all other faults.

--- a/playground/__tests__/soakChecks.test.ts
+++ b/playground/__tests__/soakChecks.test.ts
@@ -13,10 +13,11 @@
   body: 'whole',
   echoed: 'r1',
   left: false,
+  path: '/lookup/1',
   ...values
 })
 const run = (values: Partial<SeenRun> = {}): SeenRun => ({
-  identifier: 'r1', upstream: 'u1', process: 'u1#1', startedAt: 1010, endedAt: 1090, key: 'k1', scope: 'small.1', tokens: 110, ...values
+  identifier: 'r1', upstream: 'u1', process: 'u1#1', startedAt: 1010, endedAt: 1090, key: 'k1', scope: 'small.1', tokens: 110, path: '/lookup/1', ...values
 })
 const history = (values: Partial<SoakHistory> = {}): SoakHistory => ({
   requests: [request()],
@@ -29,6 +30,7 @@
   stopped: new Map([['router-1#1', 1050]]),
   isolated: new Set(['walled']),
   configurations: [{ instance: 'router-1#1', at: 1, atLeast: 4 }, { instance: 'router-1#1', at: 2, atMost: 4 }],
+  crashes: new Map([['/lookup/dead', [0, 10, 20]]]),
   wholeStream: 'stream',
   wholeAnswer: 'whole',
   ...values
@@ -41,6 +43,10 @@
   runs: [run(), ...late.map((values) => run({ ...values, key: 'other' }))]
 }
 
+function deadlyRuns (count: number, startedAt: number): SeenRun[] {
+  return Array.from({ length: count }, () => run({ path: '/lookup/dead', startedAt }))
+}
+
 describe('the checks of the soak', () => {
   it('find nothing where all promises are kept', () => {
     expect(Object.values(SOAK_CHECKS).flatMap((check) => check(history()))).toEqual([])
@@ -62,6 +68,16 @@
     expect(SOAK_CHECKS.requestLimits!(history({ ...BEYOND_LIMIT, ...values }))).toEqual([])
   })
 
+  it.each<[string, Partial<SoakHistory>]>([
+    ['as many as are allowed', { runs: deadlyRuns(3, 3021) }],
+    ['while instances are told', { runs: deadlyRuns(9, 3000) }],
+    ['after a disturbance of the instance', {
+      runs: deadlyRuns(9, 3021), disturbances: [{ subject: 'router-1#1', from: 100, until: 200 }]
+    }]
+  ])('excuse deadly requests: %s', (_title, values) => {
+    expect(SOAK_CHECKS.deadlyRequests!(history(values))).toEqual([])
+  })
+
   it.each<{ name: keyof typeof SOAK_CHECKS, broken: Partial<SoakHistory> }>([
     { name: 'whole', broken: { requests: [request({ body: 'who' })] } },
     { name: 'own', broken: { requests: [request({ echoed: 'r2' })] } },
@@ -71,6 +87,7 @@
       name: 'noConvictions',
       broken: { requests: [request({ status: 503, body: '{"error":{"code":"crashes_upstreams"}}' })], runs: [] }
     },
+    { name: 'deadlyRequests', broken: { runs: deadlyRuns(4, 3021) } },
     { name: 'quota', broken: { runs: [run(), run({ identifier: 'r2', startedAt: 9000 })] } },
     { name: 'revoked', broken: { runs: [run({ key: 'old', startedAt: 6001 })] } },
     { name: 'requestLimits', broken: BEYOND_LIMIT },
--- a/playground/soak/checks.ts
+++ b/playground/soak/checks.ts
@@ -20,6 +20,7 @@
   echoed: string | undefined
   /** The caller broke off by itself. */
   left: boolean
+  path: string
 }
 
 /** One run at an upstream. */
@@ -35,6 +36,7 @@
   key: string
   scope: string | undefined
   tokens: number
+  path: string
 }
 
 /** Time in which a process of an upstream named a limit of requests per second. */
@@ -77,6 +79,8 @@
   isolated: ReadonlySet<string>
   /** What instances have shown of their configurations, in order of time. */
   configurations: ReadonlyArray<{ instance: string, at: number, atLeast?: number, atMost?: number }>
+  /** When upstreams crashed because of each deadly path, in order of time. */
+  crashes: ReadonlyMap<string, readonly number[]>
   wholeStream: string
   wholeAnswer: string
 }
@@ -93,6 +97,10 @@
 const LIMIT_WINDOW_MS = 4000
 /** Milliseconds after an answer with a limit from which its instance is held to it. */
 const LIMIT_TOLD_MS = 500
+/** Crashes after which a request is known to be deadly, milliseconds until all instances know, and requests after that. */
+const DEADLY_CRASHES = 3
+const DEADLY_NOTICE_MS = 3000
+const MAX_DEADLY_REQUESTS = 3
 /** Milliseconds after a disturbance in which requests may still arrive late. */
 const DISTURBED_MS = 1000
 
@@ -137,11 +145,26 @@
       .map(({ identifier, status }) => `${identifier} was refused with ${status} and ran`)
   },
 
-  // No request of the soak crashes upstreams.
-  noConvictions: ({ requests }) => requests
-    .filter(({ status, body }) => status === 503 && body.includes('crashes_upstreams'))
+  noConvictions: ({ requests, crashes }) => requests
+    .filter(({ status, body, path }) => status === 503 && body.includes('crashes_upstreams') && !crashes.has(path))
     .map(({ identifier }) => `${identifier} was refused because of crashes that it did not cause`),
 
+  deadlyRequests ({ requests, runs, disturbances, crashes }) {
+    const instances = new Map(requests.map(({ identifier, instance }) => [identifier, instance]))
+    const isInTouch = (instance: string | undefined, at: number): boolean => !disturbances.some((one) => (
+      one.subject === instance && one.from < at && one.until + DEADLY_NOTICE_MS > at
+    ))
+    return [...crashes].flatMap(([path, times]) => {
+      const knownAt = (times[DEADLY_CRASHES - 1] ?? Infinity) + DEADLY_NOTICE_MS
+      const late = runs.filter((run) => (
+        run.path === path && run.startedAt > knownAt && isInTouch(instances.get(run.identifier), run.startedAt)
+      ))
+      return late.length > MAX_DEADLY_REQUESTS
+        ? [`${path} ran ${late.length} times later than ${DEADLY_NOTICE_MS} ms after its third crash, ${MAX_DEADLY_REQUESTS} are allowed`]
+        : []
+    })
+  },
+
   quota ({ runs, quota }) {
     const own = runs.filter(({ key }) => key === quota.key).sort((one, other) => one.startedAt - other.startedAt)
     return own.flatMap(({ startedAt }) => {
--- a/playground/soak/faults.ts
+++ b/playground/soak/faults.ts
@@ -17,6 +17,8 @@
   /** Notes that a router was ended by force; it owes its callers nothing more. */
   noteKill: (router: RouterProcess) => void
   noteRevoked: (key: string) => void
+  /** Notes that requests with this path crash the services that run them. */
+  noteDeadly: (path: string) => void
   /** Notes that a process of an upstream named a limit until now. */
   noteLimit: (limit: NamedLimit) => void
   /** Notes that something was disturbed until now. */
@@ -49,7 +51,9 @@
   router.child.kill(signal)
   await router.exited
   await context.pause(200 + 800 * context.random())
-  await context.world.startRouter(router.name)
+  const { identity } = await context.world.startRouter(router.name)
+  const now = performance.now()
+  context.noteDisturbance({ subject: identity, from: now, until: now })
 }
 
 const link = (fault: LinkFault): Fault => async ({ world, random, pause, noteDisturbance }) => {
@@ -115,6 +119,14 @@
       await pause(300 * random())
     }
   },
+  /** A request that crashes the services that run it, and comes again and again. */
+  async deadlyRequest ({ world, random, pause, noteDeadly }) {
+    const path = `/${pick(['lookup', 'order'], random)}/deadly-${Math.floor(1e9 * random())}`
+    noteDeadly(path)
+    world.deadlyPaths.add(path)
+    await pause(9000 + 3000 * random())
+    world.deadlyPaths.delete(path)
+  },
   async configurations ({ world, random, pause }) {
     for (let left = 1 + Math.floor(4 * random()); left > 0; left -= 1) {
       world.configure(world.keys())
--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -21,6 +21,7 @@
 program.option('--seed <number>', 'First seed; a fresh one without it')
 program.option('--seeds <count>', 'Number of runs', { default: 1 })
 program.option('--seconds <seconds>', 'Seconds of faults in each run', { default: 10 })
+program.option('--routers <count>', 'Number of routers', { default: 4 })
 program.option('--fault <name>', `Only this fault: ${Object.keys(SOAK_FAULTS).join(', ')}`)
 program.option('--logs <directory>', 'Where the logs of a run with violations go', { default: 'soak-logs' })
 program.help()
@@ -41,7 +42,7 @@
   let failed = 0
   for (const seed of seeds) {
     const faults = only === undefined ? Object.keys(SOAK_FAULTS) : [only]
-    const outcome = await runSoak({ seed, seconds: Number(options.seconds), faults })
+    const outcome = await runSoak({ seed, seconds: Number(options.seconds), faults, routers: Number(options.routers) })
     const { requests, served, violations, logs } = outcome
     process.stdout.write(
       `seed ${seed}: ${outcome.faults.length} faults, ${served} of ${requests} requests served, ${violations.length} violations\n`
--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -21,6 +21,8 @@
 /** Milliseconds for a router to end after the request to stop, beyond the grace period of its settings. */
 const STOP_LIMIT_MS = 9000
 const TOKENS = 110
+/** Part of the requests that are deadly while there is a deadly path. */
+const DEADLY_PART = 0.05
 
 export interface SoakOptions {
   seed: number
@@ -28,6 +30,8 @@
   seconds: number
   /** Names of the faults that are used. */
   faults: readonly string[]
+  /** Number of routers. @default 4 */
+  routers?: number
 }
 
 export interface SoakOutcome {
@@ -53,7 +57,8 @@
     endedAt: run.endedAt,
     key: String(run.headers.authorization ?? '').replace('Token ', ''),
     scope: run.headers['cache-salt'] as string | undefined,
-    tokens: TOKENS
+    tokens: TOKENS,
+    path: run.path
   })))
 }
 
@@ -64,14 +69,15 @@
 }
 
 /** Rejects when a process cannot be started; broken promises are in the outcome. */
-export async function runSoak ({ seed, seconds, faults }: SoakOptions): Promise<SoakOutcome> {
+export async function runSoak ({ seed, seconds, faults, routers: routerCount = 4 }: SoakOptions): Promise<SoakOutcome> {
   const generator = xoroshiro128plus(seed)
   const random = (): number => uniformFloat64(generator)
-  const world = await startWorld()
+  const world = await startWorld(routerCount)
   const requests: SeenRequest[] = []
   const configurations: Array<SoakHistory['configurations'][number]> = []
   const stopped = new Map<string, number>()
   const revoked = new Map<string, number>()
+  const deadlyPaths = new Set<string>()
   const limits: NamedLimit[] = []
   const disturbances: Disturbance[] = []
   const began: string[] = []
@@ -111,11 +117,21 @@
     if (status === 404) configurations.push({ instance, at: startedAt, atMost: version - 1 })
   }
 
+  async function callDeadly (router: RouterProcess, path: string): Promise<void> {
+    count += 1
+    const kind = path.startsWith(PATHS.unsafe[0]!.slice(0, -1)) ? 'unsafe' : 'safe'
+    requests.push(await world.call(router, {
+      identifier: `deadly-${seed}-${count}`, path, kind, key: 'bakery-key', scopePart: 'none'
+    }))
+  }
+
   async function callOn (): Promise<void> {
     while (!progress.isOver) {
       const routers = [...world.routers.values()]
       const router = routers[Math.floor(random() * routers.length)]!
-      await (random() < 0.15 ? lookAtConfiguration(router) : call(router))
+      const [deadlyPath] = world.deadlyPaths
+      if (deadlyPath !== undefined && random() < DEADLY_PART) await callDeadly(router, deadlyPath)
+      else await (random() < 0.15 ? lookAtConfiguration(router) : call(router))
       await pause(CALLER_PAUSE_MS * random())
     }
   }
@@ -126,6 +142,7 @@
     pause,
     noteStop ({ identity }) { if (!stopped.has(identity)) stopped.set(identity, performance.now()) },
     noteKill ({ identity }) { stopped.set(identity, Infinity) },
+    noteDeadly: (path) => { deadlyPaths.add(path) },
     noteRevoked: (key) => { revoked.set(key, performance.now()) },
     noteLimit: (limit) => { limits.push(limit) },
     noteDisturbance: (disturbance) => { disturbances.push(disturbance) }
@@ -193,6 +210,7 @@
       stopped,
       isolated: new Set([ISOLATED_KEY]),
       configurations: configurations.sort((one, other) => one.at - other.at),
+      crashes: new Map([...deadlyPaths].map((path) => [path, world.deadlyCrashes.get(path) ?? []])),
       wholeStream: Array.from({ length: STREAM_EVENTS }, (_unused, index) => eventText(index + 1)).join(''),
       wholeAnswer: PLAIN_ANSWER
     }
--- a/playground/soak/world.ts
+++ b/playground/soak/world.ts
@@ -15,7 +15,6 @@
 import type { SeenRequest } from './checks'
 import { startFaultProxy, type FaultProxy } from './proxy'
 
-const ROUTERS = ['router-1', 'router-2', 'router-3', 'router-4']
 const ENGINES = 3
 const SERVICES = 3
 /** Events of a stream, and milliseconds between them. */
@@ -78,6 +77,10 @@
   isReady: (router: RouterProcess) => Promise<boolean>
   /** Ends an upstream and starts another process of it at a new address. */
   restartUpstream: (index: number) => Promise<void>
+  /** Paths of requests that crash the services that run them, and that callers send. */
+  deadlyPaths: Set<string>
+  /** Times of these crashes by path. */
+  deadlyCrashes: ReadonlyMap<string, number[]>
   call: (router: RouterProcess, options: WorldCall) => Promise<SeenRequest>
   close: () => Promise<void>
 }
@@ -92,12 +95,14 @@
   leaveAfter?: number
 }
 
-export async function startWorld (): Promise<World> {
+/** @param routerCount number of routers */
+export async function startWorld (routerCount: number): Promise<World> {
+  const names = Array.from({ length: routerCount }, (_unused, index) => `router-${index + 1}`)
   const directory = mkdtempSync(join(tmpdir(), 'waxwingspoke-soak-'))
   const store = await startStoreStandIn()
   const storeProxies = new Map<string, FaultProxy>()
   const places = new Map<string, Record<'caller' | 'readiness' | 'peer' | 'metrics', Endpoint>>()
-  for (const name of ROUTERS) {
+  for (const name of names) {
     storeProxies.set(name, await startFaultProxy(store.endpoint))
     places.set(name, {
       caller: await freeEndpoint(),
@@ -111,6 +116,10 @@
   const routers = new Map<string, RouterProcess>()
   const started: RouterProcess[] = []
   const agent = new Agent({ keepAlive: true, maxSockets: 8 })
+  const deadlyPaths = new Set<string>()
+  const deadlyCrashes = new Map<string, number[]>()
+  const crashing = new Set<PlacedUpstream>()
+  const crashErrors: unknown[] = []
   let version = 0
   let keys: readonly string[] = []
 
@@ -129,7 +138,30 @@
       born: starts,
       ...(weights > 0 ? { models: [{ name: 'small', version: weights, adapters: [] }] } : {})
     })
-    return { service, standIn, proxy, starts }
+    const placed = { service, standIn, proxy, starts }
+    standIn.crashesOn = ({ path }) => {
+      if (deadlyPaths.has(path) && !crashing.has(placed)) crash(placed, path)
+      return false
+    }
+    return placed
+  }
+
+  /** Ends an upstream because of a request, and restarts it. */
+  function crash (placed: PlacedUpstream, path: string): void {
+    const index = upstreams.indexOf(placed)
+    if (index < 0) return
+    crashing.add(placed)
+    deadlyCrashes.set(path, [...(deadlyCrashes.get(path) ?? []), performance.now()])
+    restart(index).catch((error: unknown) => { crashErrors.push(error) })
+  }
+
+  async function restart (index: number): Promise<void> {
+    const before = upstreams[index]!
+    before.proxy.close()
+    await before.standIn.close()
+    ended.push(before)
+    if (upstreams[index] !== before) return
+    upstreams[index] = await placeUpstream(before.service, before.standIn.identifier, before.starts + 1)
   }
 
   function configure (next: readonly string[]): void {
@@ -227,7 +259,8 @@
       complete: false,
       body: '',
       echoed: undefined,
-      left: false
+      left: false,
+      path
     }
     const body = kind === 'unsafe' ? '{"item":"rye"}' : undefined
     return await new Promise((resolve) => {
@@ -289,13 +322,9 @@
     nameWeights: (next) => { store.put('op', 'version/small', { model: 'small', version: next }) },
     startRouter,
     isReady,
-    async restartUpstream (index) {
-      const before = upstreams[index]!
-      before.proxy.close()
-      await before.standIn.close()
-      ended.push(before)
-      upstreams[index] = await placeUpstream(before.service, before.standIn.identifier, before.starts + 1)
-    },
+    restartUpstream: restart,
+    deadlyPaths,
+    deadlyCrashes,
     call,
     async close () {
       agent.destroy()
@@ -308,9 +337,10 @@
       }
       await store.close()
       rmSync(directory, { recursive: true })
+      if (crashErrors.length > 0) throw new InternalError('an upstream could not be restarted', { cause: crashErrors[0] })
     }
   }
-  for (const name of ROUTERS) await startRouter(name)
+  for (const name of names) await startRouter(name)
   try {
     await until(async () => {
       const ready = await Promise.all([...routers.values()].map(isReady))
