--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -23,6 +23,8 @@
 const TOKENS = 110
 /** Part of the requests that are deadly while there is a deadly path. */
 const DEADLY_PART = 0.05
+/** Part of these that are sent to all routers at once. */
+const DEADLY_BURST_PART = 0.5
 
 export interface SoakOptions {
   seed: number
@@ -117,11 +119,15 @@
     if (status === 404) configurations.push({ instance, at: startedAt, atMost: version - 1 })
   }
 
+  /** Sends a deadly request to one router, or copies of it to all of them at once. */
   async function callDeadly (router: RouterProcess, path: string): Promise<void> {
-    count += 1
     const kind = path.startsWith(PATHS.unsafe[0]!.slice(0, -1)) ? 'unsafe' : 'safe'
-    requests.push(await world.call(router, {
-      identifier: `deadly-${seed}-${count}`, path, kind, key: 'bakery-key', scopePart: 'none'
+    const targets = random() < DEADLY_BURST_PART ? [...world.routers.values()] : [router]
+    await Promise.all(targets.map(async (target) => {
+      count += 1
+      requests.push(await world.call(target, {
+        identifier: `deadly-${seed}-${count}`, path, kind, key: 'bakery-key', scopePart: 'none'
+      }))
     }))
   }
 
--- a/playground/soak/world.ts
+++ b/playground/soak/world.ts
@@ -24,6 +24,8 @@
 export const LIMITED = { key: 'mill-key', rate: 2000, burst: 2000, overage: 0.1, slack: 1000, windowSeconds: 8 }
 export const ISOLATED_KEY = 'forge-key'
 const READY_LIMIT_MS = 20_000
+/** Milliseconds from a crash that a request causes to the start of the next process. */
+const CRASH_RESTART_MS = 2500
 
 const ROUTES = [
   { name: 'sheet', prefix: '/sheet/', kind: 'streaming', service: 'engines', timeoutMs: 4000, maxAttempts: 1 },
@@ -120,6 +122,7 @@
   const deadlyCrashes = new Map<string, number[]>()
   const crashing = new Set<PlacedUpstream>()
   const crashErrors: unknown[] = []
+  let isClosed = false
   let version = 0
   let keys: readonly string[] = []
 
@@ -152,15 +155,17 @@
     if (index < 0) return
     crashing.add(placed)
     deadlyCrashes.set(path, [...(deadlyCrashes.get(path) ?? []), performance.now()])
-    restart(index).catch((error: unknown) => { crashErrors.push(error) })
+    restart(index, CRASH_RESTART_MS).catch((error: unknown) => { crashErrors.push(error) })
   }
 
-  async function restart (index: number): Promise<void> {
+  /** @param delay milliseconds until the next process starts */
+  async function restart (index: number, delay: number): Promise<void> {
     const before = upstreams[index]!
     before.proxy.close()
     await before.standIn.close()
     ended.push(before)
-    if (upstreams[index] !== before) return
+    if (delay > 0) await new Promise((resolve) => { setTimeout(resolve, delay) })
+    if (isClosed || upstreams[index] !== before) return
     upstreams[index] = await placeUpstream(before.service, before.standIn.identifier, before.starts + 1)
   }
 
@@ -322,11 +327,12 @@
     nameWeights: (next) => { store.put('op', 'version/small', { model: 'small', version: next }) },
     startRouter,
     isReady,
-    restartUpstream: restart,
+    restartUpstream: async (index) => { await restart(index, 0) },
     deadlyPaths,
     deadlyCrashes,
     call,
     async close () {
+      isClosed = true
       agent.destroy()
       for (const { child, isRunning } of started) if (isRunning) child.kill('SIGKILL')
       await Promise.all(started.map(async ({ exited }) => { await exited }))
