--- a/playground/soak/world.ts
+++ b/playground/soak/world.ts
@@ -163,7 +163,8 @@
     const before = upstreams[index]!
     before.proxy.close()
     await before.standIn.close()
-    ended.push(before)
+    // Another fault may have restarted it already.
+    if (!ended.includes(before)) ended.push(before)
     if (delay > 0) await new Promise((resolve) => { setTimeout(resolve, delay) })
     if (isClosed || upstreams[index] !== before) return
     upstreams[index] = await placeUpstream(before.service, before.standIn.identifier, before.starts + 1)
