Hold a permit for each suspect trait of a request

A request asked for the permit of its first suspect part only. Two requests with different suspect parts before the same deadly one would have been tried at the same time. The verdict now names the suspect traits with the most crashes, three at most, and the request needs a permit for each. Found in the read-through; the case in crashGuard.test.ts asks for three where the code before asked for one. Where a test expected the trait of the verdict, it now expects all of them.

--- a/src/edge/__tests__/crashGuard.test.ts
+++ b/src/edge/__tests__/crashGuard.test.ts
@@ -6,10 +6,12 @@
 import { createCrashReports, type CrashReports } from '../crashReports'
 import type { TrialPermits } from '../trialPermits'
 
+/** Number of permits that were returned. */
+let released = 0
 /** Hands out every permit. */
 const trialPermits: TrialPermits = {
   endTrials () {},
-  waitFor: async () => ({ release () {} }),
+  waitFor: async () => ({ release () { released += 1 } }),
   handleRequest: async () => ({})
 }
 
@@ -131,3 +133,26 @@
     expect(createGuard(reports, 'e').findConviction(true, 3000 + TRIAL_MS)).toBeDefined()
   })
 })
+
+describe('a request with several suspect traits', () => {
+  it('needs a permit for each of them, and returns them at its end', async () => {
+    const reports = createReports()
+    for (const [index, content] of ['a', 'a'].entries()) {
+      createGuard(reports, content).recordLoss(attemptAt(index), index * 40)
+      await passProbe()
+    }
+    const guard = createGuard(reports, 'a')
+    const asked: string[] = []
+    for (let trait = guard.missingPermit(500); trait !== undefined; trait = guard.missingPermit(500)) {
+      asked.push(trait)
+      expect(guard.isBlocked(500)).toBe(true)
+      expect(await guard.waitForPermit(trait, 100)).toBe(true)
+    }
+    expect(asked).toHaveLength(3)
+    expect(asked).toContain('part/small/dead')
+    expect(guard.isBlocked(500)).toBe(false)
+    const before = released
+    guard.releasePermits(false)
+    expect(released - before).toBe(3)
+  })
+})
--- a/src/edge/crashGuard.ts
+++ b/src/edge/crashGuard.ts
@@ -69,7 +69,8 @@
 
   function suspectTrait (now: MonotonicMilliseconds): string | undefined {
     const verdict = reports.verdict(traits, now)
-    return verdict.kind === TraitVerdictKind.clear ? undefined : verdict.trait
+    if (verdict.kind === TraitVerdictKind.clear) return undefined
+    return verdict.kind === TraitVerdictKind.suspect ? verdict.traits[0] : verdict.trait
   }
 
   function recordAnswer (attempt: Attempt, now: MonotonicMilliseconds): void {
@@ -81,7 +82,9 @@
 
   function missingPermit (now: MonotonicMilliseconds): string | undefined {
     const verdict = reports.verdict(traits, now)
-    return verdict.kind === TraitVerdictKind.suspect && !permits.has(verdict.trait) ? verdict.trait : undefined
+    return verdict.kind === TraitVerdictKind.suspect
+      ? verdict.traits.find((trait) => !permits.has(trait))
+      : undefined
   }
 
   function keepPermit (trait: string, permit: TrialPermit): void {
--- a/src/upstream/__tests__/crashAttribution.test.ts
+++ b/src/upstream/__tests__/crashAttribution.test.ts
@@ -112,7 +112,7 @@
     play(attribution, crashes([0], () => [['dead']]))
     expect(attribution.verdict(['dead'], 900).kind).toBe(TraitVerdictKind.clear)
     play(attribution, [{ at: 900, answer: [] }, ...crashes([1000], () => [['dead']])])
-    expect(attribution.verdict(['sound', 'dead'], 2000)).toEqual({ kind: TraitVerdictKind.suspect, trait: 'dead' })
+    expect(attribution.verdict(['sound', 'dead'], 2000)).toEqual({ kind: TraitVerdictKind.suspect, traits: ['dead'] })
   })
 
   it('counts crashes whose reports arrive after those on later crashes', () => {
@@ -125,11 +125,19 @@
   it('marks a trait as suspect after crashes at the same moment, until it is answered', () => {
     const attribution = createCrashAttribution()
     play(attribution, crashes([0, 40], () => [['popular']]))
-    expect(attribution.verdict(['popular'], 1000)).toEqual({ kind: TraitVerdictKind.suspect, trait: 'popular' })
+    expect(attribution.verdict(['popular'], 1000)).toEqual({ kind: TraitVerdictKind.suspect, traits: ['popular'] })
     attribution.recordAnswer(['popular'], 1200)
     expect(attribution.verdict(['popular'], 1300).kind).toBe(TraitVerdictKind.clear)
   })
 
+  it('names the suspect traits of a request, those with the most crashes first', () => {
+    const attribution = createCrashAttribution()
+    const inFlight = [['once', 'twice', 'often'], ['twice', 'often'], ['often', 'twice-too'], ['twice-too']]
+    play(attribution, crashes([0, 30, 60, 90], (index) => [inFlight[index]!]))
+    const { kind, ...verdict } = attribution.verdict(['once', 'twice', 'often', 'twice-too'], 1000)
+    expect([kind, verdict]).toEqual([TraitVerdictKind.suspect, { traits: ['often', 'twice', 'twice-too'] }])
+  })
+
   it('waits for the reports of other instances before it judges a crash', () => {
     const attribution = createCrashAttribution()
     play(attribution, crashes([0, 1000], () => [['dead'], ['bystander']]))
--- a/src/upstream/crashAttribution.ts
+++ b/src/upstream/crashAttribution.ts
@@ -25,6 +25,8 @@
 const CONVICTION_CRASHES = 3
 /** Number of crashes from which a trait is suspect, even if they came at the same moment. */
 const SUSPICION_CRASHES = 2
+/** Number of suspect traits of one request that are told; each takes a round trip before the request may run. */
+const MAX_SUSPECTS = 3
 /** Crashes within this many milliseconds count once. */
 const COINCIDENCE_MS = 100
 /** Milliseconds after a crash for which reports of other instances are awaited before it is judged. */
@@ -61,9 +63,15 @@
   isTrialDue: boolean
 }
 
+export interface SuspectVerdict {
+  kind: typeof TraitVerdictKind.suspect
+  /** The suspect traits with the most crashes, in this order. */
+  traits: readonly string[]
+}
+
 export type TraitVerdict =
   | { kind: typeof TraitVerdictKind.clear }
-  | { kind: typeof TraitVerdictKind.suspect, trait: string }
+  | SuspectVerdict
   | RefusedVerdict
 
 /** A conviction as told to other instances. */
@@ -304,10 +312,12 @@
         const retryAfter = isTrialDue ? TRIAL_RETRY_MS : wait
         return { kind: TraitVerdictKind.refused, trait: latest, retryAfter, isTrialDue }
       }
-      const suspect = traits.find((trait) => (charges.get(trait)?.count ?? 0) >= SUSPICION_CRASHES)
-      return suspect === undefined
+      const crashCount = (trait: string): number => charges.get(trait)?.count ?? 0
+      const suspects = traits.filter((trait) => crashCount(trait) >= SUSPICION_CRASHES)
+        .sort((left, right) => crashCount(right) - crashCount(left)).slice(0, MAX_SUSPECTS)
+      return suspects.length === 0
         ? { kind: TraitVerdictKind.clear }
-        : { kind: TraitVerdictKind.suspect, trait: suspect }
+        : { kind: TraitVerdictKind.suspect, traits: suspects }
     },
     chargeable: (traits, crashedAt) => (
       new Map([...traits].filter(([trait]) => crashedAt - lastAnswer(trait) >= SOUND_MS))
