Complete the traits of a crash that several instances have reported

An instance that knew of a crash by its own report did not fetch the traits of other reports on it that were lost. Instances now tell which traits they know of each crash, as a digest, for a minute. Found in the read-through; the new case in crashSync.test.ts fails before (no instance refuses), passes.

--- a/src/edge/__tests__/crashSync.test.ts
+++ b/src/edge/__tests__/crashSync.test.ts
@@ -98,6 +98,27 @@
     expect(verdicts(fleet, 'dead')).toEqual([expected, expected, expected])
   })
 
+  it('are completed, if each instance knows other traits of them', async () => {
+    const fleet = createFleet(3)
+    for (const witness of [0, 1, 2]) {
+      for (const [index, { attribution }] of fleet.instances.entries()) {
+        const trait = index === witness ? 'dead' : `other-${witness}-${index}`
+        attribution.recordCrash(`run-${witness}`, new Map([[trait, 0]]), fleet.now())
+      }
+      await fleet.pass(500)
+    }
+    await fleet.pass(10_000)
+    expect(verdicts(fleet, 'dead')).toEqual([refused, refused, refused])
+  })
+
+  it.each<[string, unknown]>([
+    ['no list', 'x'], ['a list of other values', [5, [1, 2], ['run', 'x'], null]]
+  ])('are sent in response to a malformed request: %s', async (_title, known) => {
+    const fleet = createFleet(1)
+    fleet.instances[0]!.attribution.recordCrash('run', new Map([['dead', 0]]), 0)
+    expect(await fleet.instances[0]!.sync.handleRequest({ known })).toMatchObject({ crashes: [{ run: 'run' }] })
+  })
+
   it('are fetched with what happened during a trial', async () => {
     const fleet = createFleet(2)
     for (const at of [0, 20]) fleet.instances[0]!.attribution.recordCrash(`run-${at}`, new Map([['dead', 0]]), at)
--- a/src/edge/crashSync.ts
+++ b/src/edge/crashSync.ts
@@ -3,7 +3,8 @@
  * neither an instance that starts later nor one that is unreachable for a moment.
  */
 import type { MonotonicMilliseconds, RandomSource } from '../types'
-import type { CrashAttribution } from '../upstream/crashAttribution'
+import { rendezvousWeight } from '../rendezvous'
+import type { CrashAttribution, TraitDepths } from '../upstream/crashAttribution'
 import type { CrashReports } from './crashReports'
 import { requestIfReachable, PeerRequestKind, type PeerLinks, type PeerValue } from './peerLinks'
 import type { Peer } from './types'
@@ -14,13 +15,28 @@
 const FIRST_PEERS = 3
 /** Timeout in milliseconds for the response of a peer. */
 const RESPONSE_TIMEOUT_MS = 200
+/** Milliseconds for which instances complete each other's traits of a crash; most reports arrive much earlier. */
+const RECENT_MS = 60_000
 /** Traits in one response, with which it stays far below the longest message. */
 const MAX_TRAITS = 2000
 
+/** Identifies a set of traits, regardless of their order. */
+function digestOf (traits: TraitDepths): number {
+  return [...traits.keys()].reduce((digest, trait) => digest ^ rendezvousWeight('traits', trait), 0)
+}
+
+/** Parses pairs of a run and the digest of its traits; others are ignored. */
+function parseDigests (value: unknown): Map<string, number> {
+  const pairs = Array.isArray(value) ? value.filter(Array.isArray) as unknown[][] : []
+  return new Map(pairs.flatMap(([run, digest]) => (
+    typeof run === 'string' && typeof digest === 'number' ? [[run, digest]] : []
+  )))
+}
+
 export interface CrashSync {
   /** Asks a peer if that is due; called several times per second. */
   check: (now: MonotonicMilliseconds) => void
-  /** Returns the crashes that a peer does not know, and all convictions. */
+  /** Returns the crashes of which a peer does not know, or not all traits, and all convictions. */
   handleRequest: (request: PeerValue) => Promise<PeerValue>
 }
 
@@ -41,7 +57,8 @@
   let nextAt = -Infinity
 
   async function fetchFrom ({ endpoint }: Peer): Promise<void> {
-    const request = { kind: PeerRequestKind.crashSync, known: attribution.knownRuns() }
+    const known = attribution.charged().map(({ run, traits }) => [run, digestOf(traits)])
+    const request = { kind: PeerRequestKind.crashSync, known }
     const response = await requestIfReachable(links, endpoint, request, RESPONSE_TIMEOUT_MS)
     if (response !== undefined) crashReports.receive(response, now())
   }
@@ -61,10 +78,12 @@
     },
     async handleRequest ({ known }) {
       const present = now()
-      const knownRuns = new Set(Array.isArray(known) ? known : [])
+      const knownDigests = parseDigests(known)
       let count = 0
-      const crashes = attribution.charged().filter(({ run, traits }) => {
-        if (knownRuns.has(run)) return false
+      const crashes = attribution.charged().filter(({ run, at, traits }) => {
+        const digest = knownDigests.get(run)
+        const isKnown = digest !== undefined && (digest === digestOf(traits) || present - at > RECENT_MS)
+        if (isKnown) return false
         count += traits.size
         return count <= MAX_TRAITS
       })
--- a/src/edge/gracefulStop.ts
+++ b/src/edge/gracefulStop.ts
@@ -1,4 +1,7 @@
-/** Stops an edge daemon: takes no new requests, waits for those in progress, ends those that are left, then closes everything. */
+/**
+ * Stops an edge daemon: takes no new requests, waits for those in progress, ends those that are left, then closes
+ * everything.
+ */
 import { EdgeEvent, type EdgeLog } from './events'
 import type { Exchange } from './exchange'
 
--- a/src/upstream/crashAttribution.ts
+++ b/src/upstream/crashAttribution.ts
@@ -126,8 +126,6 @@
    * @returns the trials that were not recorded yet
    */
   recordCrash: (run: string, traits: TraitDepths, at: MonotonicMilliseconds, trials?: readonly string[]) => string[]
-  /** Returns the runs whose crashes are recorded. */
-  knownRuns: () => string[]
   /** Returns the crashes with the traits that are charged with them, the newest first. */
   charged: () => ChargedCrash[]
   /** Whether the crash of a run is recorded. */
@@ -344,7 +342,6 @@
       if (crashes.size > MAX_CRASHES && oldest !== undefined) removeCrash(oldest)
       return newTrials
     },
-    knownRuns: () => [...crashes.keys()],
     charged: () => [...crashes.values()].reverse().map((crash) => ({
       ...crash,
       traits: new Map([...crash.traits].filter(([trait]) => charges.get(trait)?.crashes.includes(crash))),
