--- a/standins/fleet/upstream.ts
+++ b/standins/fleet/upstream.ts
@@ -280,6 +280,20 @@
   const { port } = server.address() as AddressInfo
   let restartTimer: NodeJS.Timeout | undefined
 
+  /** Accepts connections again, at another port if some other socket of the machine has taken this one meanwhile. */
+  function restart (): void {
+    const onTaken = (error: NodeJS.ErrnoException): void => {
+      if (error.code !== 'EADDRINUSE') throw error
+      server.listen(0, '127.0.0.1')
+    }
+    server.once('error', onTaken)
+    server.listen(Number(standIn.address.split(':')[1]), '127.0.0.1', () => {
+      server.off('error', onTaken)
+      standIn.address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+      standIn.onRestart()
+    })
+  }
+
   const standIn: UpstreamStandIn = {
     identifier,
     address: `127.0.0.1:${port}`,
@@ -308,9 +322,7 @@
       }
       if (closesPortAfter === 0) closePort()
       else setTimeout(closePort, closesPortAfter)
-      restartTimer = setTimeout(
-        () => { server.listen(port, '127.0.0.1', () => { standIn.onRestart() }) }, closesPortAfter + restartAfter
-      )
+      restartTimer = setTimeout(restart, closesPortAfter + restartAfter)
     },
     crashTimes: [],
     onRestart: () => {},
