--- a/playground/soak/world.ts
+++ b/playground/soak/world.ts
@@ -138,6 +138,8 @@
       version: 'v1',
       slots: 8,
       state: 'ready',
+      coldRemainingMs: 0,
+      sequence: 1,
       born: starts,
       ...(weights > 0 ? { models: [{ name: 'small', version: weights, adapters: [] }] } : {})
     })
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -10,6 +10,7 @@
 import { createCrashGuard } from './crashGuard'
 import { countData, createEventBoundary, type EventBoundary } from './eventBoundary'
 import { EdgeEvent } from './events'
+import { createFaultContainment } from './faultContainment'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import type { Dispatch, DispatchCallbacks } from './dispatchTypes'
 import { decideShedding } from './loadShedding'
@@ -74,6 +75,7 @@
   const sheddingDraw = context.random()
   let firstByteAt: MonotonicMilliseconds | undefined
   let permitTimer: NodeJS.Timeout | undefined
+  const contain = createFaultContainment(callbacks.onFault)
 
   function currentExecutionStatus (): ExecutionStatus {
     return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
@@ -117,12 +119,7 @@
     if (!context.sendPermits.isNeeded(target.upstream.entry)) return sendTo(target.upstream, now)
     context.sendPermits.acquire(target.upstream.entry, target.maximumPermitWait)
       .then((decision) => { handlePermit(target, decision) })
-      .catch(failOnFault)
-  }
-
-  function failOnFault (error: unknown): void {
-    context.reportFault(error)
-    if (!cancelled && attempt === undefined) fail(currentExecutionStatus(), 'the permit could not be requested')
+      .catch(callbacks.onFault)
   }
 
   /** Waits until no other request with a suspect trait is in flight; rejects the request if that takes too long. */
@@ -134,13 +131,13 @@
         else if (history.runs === 0) callbacks.onSuspected(trait, TRIAL_RETRY_MS)
         else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS)
       })
-      .catch(failOnFault)
+      .catch(callbacks.onFault)
   }
 
   function handlePermit ({ upstream }: Target, { granted, wait }: PacerDecision): void {
     if (cancelled) return
     if (granted) {
-      permitTimer = setTimeout(() => { sendWithPermit(upstream) }, wait)
+      permitTimer = setTimeout(contain(() => { sendWithPermit(upstream) }), wait)
       return
     }
     log(EdgeEvent.permitDenied, {
@@ -181,6 +178,24 @@
       resumeAfter,
       ...cacheParameters
     })
+    // The call comes before its accounting, which would have to be undone if the call could not be created.
+    const call = callUpstream({
+      endpoint: upstream.entry.endpoint,
+      agent: context.connections.agentFor(upstream, !mayRepeat(history)),
+      method: request.method!,
+      path: request.url!,
+      headers,
+      body,
+      connectTimeout: Math.min(CONNECT_TIMEOUT_MS, remainingMs * CONNECT_TIME_SHARE)
+    }, {
+      onHead: contain((head) => { onHead(current, head) }),
+      onData: contain((chunk) => { onData(current, chunk) }),
+      onEnd: contain(() => { onEnd(current) }),
+      onFailure: contain((reason, sent) => {
+        if (sent) crashGuard.recordLoss(current, context.now().steady)
+        onAttemptFailed(current, reason, sent)
+      })
+    })
     log(EdgeEvent.requestRouted, {
       requestIdentifier: identifier,
       upstream: upstream.entry.identifier,
@@ -213,23 +228,7 @@
       head: undefined,
       isSurvived: false,
       buffer: context.responseBuffers.open(),
-      call: callUpstream({
-        endpoint: upstream.entry.endpoint,
-        agent: context.connections.agentFor(upstream, !mayRepeat(history)),
-        method: request.method!,
-        path: request.url!,
-        headers,
-        body,
-        connectTimeout: Math.min(CONNECT_TIMEOUT_MS, remainingMs * CONNECT_TIME_SHARE)
-      }, {
-        onHead: (head) => { onHead(current, head) },
-        onData: (chunk) => { onData(current, chunk) },
-        onEnd: () => { onEnd(current) },
-        onFailure (reason, sent) {
-          if (sent) crashGuard.recordLoss(current, context.now().steady)
-          onAttemptFailed(current, reason, sent)
-        }
-      })
+      call
     }
     attempt = current
     if (plan.promptTokens > 0) context.engineLoads.promptSent()
@@ -424,7 +423,7 @@
       context.retryAllowance.recordRequest(service, now)
       if (plan.promptTokens === 0) return startAttempt()
       context.engineLoads.refresh().catch(context.reportFault)
-        .then(() => { if (!cancelled) startAttempt() }).catch(context.reportFault)
+        .then(() => { if (!cancelled) startAttempt() }).catch(callbacks.onFault)
     },
     check (now) {
       if (attempt === undefined || attempt.isPaused) return
--- a/src/edge/dispatchTypes.ts
+++ b/src/edge/dispatchTypes.ts
@@ -22,6 +22,8 @@
   onFailure: (execution: ExecutionStatus, reason: string) => void
   /** The request failed after part of a response was sent to the caller. */
   onAborted: (reason: string) => void
+  /** An error of the program interrupted the request; its attempt, if any, has not been cancelled. */
+  onFault: (error: unknown) => void
 }
 
 export interface Dispatch {
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -5,6 +5,7 @@
 import { createDispatch } from './dispatch'
 import type { Dispatch } from './dispatchTypes'
 import { EdgeEvent } from './events'
+import { createFaultContainment } from './faultContainment'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import { planPrompt } from './promptPlan'
 import { costOf } from './quotaShare'
@@ -50,6 +51,7 @@
   let timeoutTimer: NodeJS.Timeout | undefined
   let chargedCost = 0
   let isFinished = false
+  const contain = createFaultContainment(endAfterFault)
 
   function finish (): void {
     if (isFinished) return
@@ -88,6 +90,18 @@
     finish()
   }
 
+  /** Ends the request after an error of the program, with a refusal if nothing was sent to an upstream. */
+  function endAfterFault (error: unknown): void {
+    context.reportFault(error)
+    if (isFinished) return
+    const reason = 'a fault of the instance'
+    dispatch?.cancel(false)
+    if (callerResponse.hasStarted()) return abort(reason)
+    const message = 'the instance could not process the request'
+    if ((dispatch?.counts().runs ?? 0) > 0) return reject({ status: 502, code: 'internal', message }, reason)
+    reject({ status: 503, code: 'internal', message, retryAfter: DEFAULT_RETRY_MS }, reason)
+  }
+
   /** Estimates the time in milliseconds until an upstream of the service is available again. */
   function estimateRetryAfter (service: string): number {
     const now = context.now().steady
@@ -135,7 +149,7 @@
   function rejectAfterBody (rejection: Rejection): void {
     if (!hasBody(request)) return reject(rejection, 'admission')
     request.resume()
-    request.on('end', () => { if (!isFinished) reject(rejection, 'admission') })
+    request.on('end', contain(() => { if (!isFinished) reject(rejection, 'admission') }))
   }
 
   /**
@@ -175,10 +189,7 @@
     if (customer === undefined || cost === 0) return dispatchRequest(admittedRequest)
     chargeQuota(customer, cost).then((isCharged) => {
       if (isCharged) dispatchRequest(admittedRequest!)
-    }, (error: unknown) => {
-      context.reportFault(error)
-      reject({ status: 503, code: 'internal', message: 'the rate of the customer could not be checked' }, 'a fault')
-    })
+    }).catch(endAfterFault)
   }
 
   function dispatchRequest (admitted: AdmittedRequest): void {
@@ -213,40 +224,44 @@
         reject({ status: 503, code: 'trial_pending', message, retryAfter }, `crashes may be caused by ${trait}`)
       },
       onFailure: (execution, reason) => { rejectUnserved(service, execution, reason, 502) },
-      onAborted: abort
+      onAborted: abort,
+      onFault: endAfterFault
     })
-    if (Number.isFinite(limitMs)) timeoutTimer = setTimeout(() => { onTimeout(service) }, Math.max(0, timeLeft()))
+    const onLimit = contain(() => { onTimeout(service) })
+    if (Number.isFinite(limitMs)) timeoutTimer = setTimeout(onLimit, Math.max(0, timeLeft()))
     dispatch.send()
   }
 
+  function start (): void {
+    response.on('close', contain(() => { if (!response.writableFinished) onCallerDisconnected() }))
+    callerResponse.onDrain(contain(() => { dispatch?.resume() }))
+    if (context.isRejecting()) return rejectAfterBody(AdmissionRejection.stopping)
+    const { host } = request.headers
+    const admission = admit(
+      context.routeTable(), context.freshness, host, request.url ?? '', callerRequest, startedAt
+    )
+    if (!admission.admitted) return rejectAfterBody(admission.rejection)
+    const { route, customer } = admission
+    const { headerBytes, bodyBytes } = context.routeTable()!.configuration.limits
+    if (countHeaderBytes(request) > headerBytes) return rejectAfterBody(AdmissionRejection.headerTooLarge)
+    if (!hasBody(request)) return processRequest(route, customer, undefined)
+    readBody(request, bodyBytes, contain((body: Buffer) => {
+      if (!isFinished) processRequest(route, customer, body)
+    }), contain(() => {
+      reject({ status: 413, code: 'request_too_large', message: 'the body is too long' }, 'the body is too long')
+    }))
+  }
+
   return {
-    start () {
-      response.on('close', () => { if (!response.writableFinished) onCallerDisconnected() })
-      callerResponse.onDrain(() => { dispatch?.resume() })
-      if (context.isRejecting()) return rejectAfterBody(AdmissionRejection.stopping)
-      const { host } = request.headers
-      const admission = admit(
-        context.routeTable(), context.freshness, host, request.url ?? '', callerRequest, startedAt
-      )
-      if (!admission.admitted) return rejectAfterBody(admission.rejection)
-      const { route, customer } = admission
-      const { headerBytes, bodyBytes } = context.routeTable()!.configuration.limits
-      if (countHeaderBytes(request) > headerBytes) return rejectAfterBody(AdmissionRejection.headerTooLarge)
-      if (!hasBody(request)) return processRequest(route, customer, undefined)
-      readBody(request, bodyBytes, (body) => {
-        if (!isFinished) processRequest(route, customer, body)
-      }, () => {
-        reject({ status: 413, code: 'request_too_large', message: 'the body is too long' }, 'the body is too long')
-      })
-    },
-    check: (now) => { if (!isFinished) dispatch?.check(now) },
-    close () {
+    start: contain(start),
+    check: contain((now: Instant) => { if (!isFinished) dispatch?.check(now) }),
+    close: contain(() => {
       if (isFinished) return
       dispatch?.cancel(false)
       const reason = 'the instance exits'
       if (callerResponse.hasStarted()) return abort(reason)
       if ((dispatch?.counts().runs ?? 0) === 0) return reject(AdmissionRejection.stopping, reason)
       reject({ status: 502, code: 'upstream_failed', message: 'the request was sent on and its outcome is not known' }, reason)
-    }
+    })
   }
 }
