--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -6,6 +6,7 @@
 import {
   AttemptOutcome, decideNextStep, isStalled, mayRepeat, NOT_EXECUTED_STATUSES, provesSurvival, type AttemptHistory
 } from './attemptDecision'
+import { composeAttemptRequest } from './attemptRequest'
 import type { CallerResponse } from './callerResponse'
 import { createCrashGuard } from './crashGuard'
 import { countData, createEventBoundary, type EventBoundary } from './eventBoundary'
@@ -14,9 +15,10 @@
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import type { Dispatch, DispatchCallbacks } from './dispatchTypes'
 import { decideShedding } from './loadShedding'
-import { planCache, urgencyOf } from './promptPlan'
+import { urgencyOf } from './promptPlan'
 import type { PacerDecision } from './requestPacer'
 import { createTargetSelection, urgencyRank, type Target } from './targetSelection'
+import { isFinalResponseHead } from '../http/headText'
 import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
 import { RepeatRule, RequestLimitKind, type Instant } from './types'
 import { callUpstream, isFramed } from './upstreamCall'
@@ -160,24 +162,9 @@
     const wait = currentWait(upstream, rank, now.steady)
     targets.markTried(upstream)
     const remainingMs = timeLeft()
-    const cacheParameters = planCache({
-      plan,
-      customer,
-      model: callerRequest.model,
-      upstream,
-      storeFor: context.cacheStoreFor,
-      exportTracker: context.exportTracker,
-      uniqueScope: identifier
+    const { headers, resumeAfter, cache } = composeAttemptRequest(context, admittedRequest, {
+      upstream, timeLeft: remainingMs, urgency, lastEvent: eventBoundary?.lastEvent()
     }, now.steady)
-    const resumeAfter = eventBoundary?.lastEvent() ?? (route.resumable ? callerRequest.resumeAfter : undefined)
-    const headers = dialect.upstreamHeaders(request.rawHeaders, body?.length, {
-      timeLeft: remainingMs,
-      upstream: upstream.entry.identifier,
-      customer: customer?.name,
-      urgency,
-      resumeAfter,
-      ...cacheParameters
-    })
     // The call comes before its accounting, which would have to be undone if the call could not be created.
     const call = callUpstream({
       endpoint: upstream.entry.endpoint,
@@ -203,9 +190,9 @@
       customer: customer?.name,
       attempt: history.runs + history.rejections + 1,
       resumeAfter,
-      scope: cacheParameters.cacheScope,
+      scope: cache.cacheScope,
       sharedPart: plan.lastSharedSegment,
-      keeps: cacheParameters.exportTo === undefined ? undefined : true,
+      keeps: cache.exportTo === undefined ? undefined : true,
       timeLeft: Math.round(remainingMs),
       wait: Math.round(wait),
       requestLimit: context.requestLimits.limitOf(upstream.entry),
@@ -300,6 +287,9 @@
     recordActivity(upstream, now)
     current.lastProgressAt = now
     const status = head.statusCode ?? 0
+    if (!isFinalResponseHead(status, head.statusMessage ?? '', head.rawHeaders)) {
+      return abortAttempt(current, 'the response head is malformed')
+    }
     const metadata = dialect.readResponse(status, head.headers)
     // Another upstream may respond at the address of the selected one.
     const isOtherUpstream = metadata.misdirected && metadata.answeredBy !== upstream.entry.identifier
--- a/src/http/headText.ts
+++ b/src/http/headText.ts
@@ -1,6 +1,8 @@
 /** Rules for the texts in the head of an HTTP/1.1 message (RFC 9110, sections 5.5 and 5.6.2; RFC 9112, sections 3 and 4). */
 
+const HEADER_NAME = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/
 const PLAIN_VALUE = /^[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?$/
+const REASON_PHRASE = /^[\t\x20-\x7e\x80-\xff]*$/
 const BEYOND_LATIN1 = /[^\x00-\xff]/ // eslint-disable-line no-control-regex
 
 /** Whether a header carries the text unchanged: printable ASCII characters without surrounding spaces. */
@@ -15,3 +17,19 @@
 export function encodeHeaderValue (text: string): string {
   return BEYOND_LATIN1.test(text) ? Buffer.from(text, 'utf8').toString('latin1') : text
 }
+
+/**
+ * Whether the head is that of a final response. Parsers accept any three digits as a status, and control characters in
+ * the reason phrase; a server can send neither.
+ */
+export function isFinalResponseHead (status: number, reasonPhrase: string, rawHeaders: readonly string[]): boolean {
+  return status >= 200 && status <= 599 && REASON_PHRASE.test(reasonPhrase) && areHeaderNames(rawHeaders)
+}
+
+/** Parsers accept empty names and names that contain spaces. */
+function areHeaderNames (rawHeaders: readonly string[]): boolean {
+  for (let index = 0; index < rawHeaders.length; index += 2) {
+    if (!HEADER_NAME.test(rawHeaders[index]!)) return false
+  }
+  return true
+}
