--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -70,7 +70,7 @@
   fault: (error: unknown) => void
 }
 
-/** Starts an edge daemon. Rejects if an address is already in use. */
+/** Starts an edge daemon. Resolves once it listens; waits for addresses that are taken. */
 export async function startEdge (options: EdgeOptions): Promise<Edge> {
   const { settings, dialect, records, control } = options
   const { instance, limits } = settings
@@ -96,6 +96,7 @@
     metrics.observe(event, fields)
     writeLogLine(event, fields)
   }
+  const flushTimer = setInterval(flush, LOG_FLUSH_MS)
   const store = metrics.withCallCounts(options.store)
   const newestVersion = { value: 0 }
   const freshness = createFreshness(limits.revocation)
@@ -108,11 +109,13 @@
   const exchanges = new Set<Exchange>()
   /** Time of the last notification of the lease holder. */
   let leaseHolderSeenAt = -Infinity
+  let isListening = false
   let stopping = false
   let rejecting = false
 
   function isReady (): boolean {
-    return !stopping && tables.routes() !== undefined && tables.isListRead() && freshness.permitsKeys(now())
+    const isServing = isListening && !stopping
+    return isServing && tables.routes() !== undefined && tables.isListRead() && freshness.permitsKeys(now())
   }
 
   const queryHandlers: Readonly<Record<PeerRequestKind, HandlePeerRequest>> = {
@@ -247,6 +250,7 @@
     renderMetrics: metrics.render,
     metricsContentType: metrics.contentType,
     onFault: reportFault,
+    log,
     isReady,
     onRequest (request, response) {
       const exchange: Exchange = createExchange(context, request, response, () => { exchanges.delete(exchange) })
@@ -374,8 +378,8 @@
     loadingEngines = weightsRollout.loadingEngines(directory.all(), instant.steady)
     connections.closeExpired()
   }, SWEEP_MS)
-  const flushTimer = setInterval(flush, LOG_FLUSH_MS)
   await server.listen()
+  isListening = true
   log(EdgeEvent.started, { dataCentre })
 
   async function stop (): Promise<void> {
--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -2,6 +2,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import { MAX_TIMER_MS } from '../constants'
 import type { Endpoint } from '../types'
+import type { EdgeLog } from './events'
+import { openListener, type Listener } from './listener'
 import type { CallerLimits } from './types'
 
 /** Interval in milliseconds between checks for slow headers and bodies. */
@@ -25,10 +27,14 @@
   renderMetrics: () => Promise<string>
   metricsContentType: string
   onFault: (error: unknown) => void
+  log: EdgeLog
 }
 
 export interface EdgeServer {
-  /** Rejects if an address is already in use. */
+  /**
+   * Resolves once the daemon listens for callers and readiness checks; waits for addresses that are taken. Metrics are
+   * served as soon as their address is free.
+   */
   listen: () => Promise<void>
   setLimits: (limits: CallerLimits) => void
   /** Closes idle connections. Running exchanges continue, and new connections are still accepted. */
@@ -41,13 +47,6 @@
   return Math.min(MAX_TIMER_MS, Math.max(0, milliseconds))
 }
 
-async function listen (server: Server, endpoint: Endpoint): Promise<void> {
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen({ host: endpoint.host, port: endpoint.port, backlog: LISTEN_BACKLOG }, resolve)
-  })
-}
-
 export function createEdgeServer (options: EdgeServerOptions): EdgeServer {
   const callers = createServer({
     connectionsCheckingInterval: CONNECTION_CHECK_MS,
@@ -71,11 +70,18 @@
       response.writeHead(500, { 'Content-Length': '0' }).end()
     })
   })
+  const listeners: Listener[] = []
+
+  async function open (server: Server, endpoint: Endpoint): Promise<void> {
+    const listener = openListener(server, { endpoint, backlog: LISTEN_BACKLOG, log: options.log })
+    listeners.push(listener)
+    await listener.opened
+  }
+
   return {
     async listen () {
-      await Promise.all([
-        listen(callers, options.caller), listen(readiness, options.readiness), listen(metrics, options.metrics)
-      ])
+      open(metrics, options.metrics).catch(options.onFault)
+      await Promise.all([open(callers, options.caller), open(readiness, options.readiness)])
     },
     setLimits ({ headerTimeout, idleTimeout }) {
       callers.headersTimeout = clampTimer(headerTimeout)
@@ -85,10 +91,8 @@
       callers.closeIdleConnections()
     },
     close () {
-      for (const server of [callers, readiness, metrics]) {
-        server.close()
-        server.closeAllConnections()
-      }
+      for (const listener of listeners) listener.close()
+      for (const server of [callers, readiness, metrics]) server.closeAllConnections()
     }
   }
 }
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -5,6 +5,10 @@
   stopped: 'edge.stopped',
   reloaded: 'edge.reloaded',
   fault: 'edge.fault',
+  /** An address at which the daemon listens is taken; it waits until it is free. */
+  listenerWaiting: 'listener.waiting',
+  /** A connection could not be accepted. */
+  listenerFailed: 'listener.failed',
   requestRouted: 'request.routed',
   requestRejected: 'request.refused',
   requestFinished: 'request.finished',
--- a/src/edge/peerLinks.ts
+++ b/src/edge/peerLinks.ts
@@ -5,6 +5,7 @@
 import { createValueReader, decodeValue, encodeValue } from '../peer/framing'
 import type { Endpoint } from '../types'
 import { EdgeEvent, errorMessage, type EdgeLog } from './events'
+import { openListener } from './listener'
 
 /** Milliseconds for which a peer is not used after it failed; doubles up to the longest pause. */
 const FIRST_PAUSE_MS = 500
@@ -150,7 +151,7 @@
   })
 }
 
-/** Rejects when the address is in use. */
+/** Resolves once the instance listens; waits for an address that is taken. */
 export async function createPeerLinks (options: PeerLinksOptions): Promise<PeerLinks> {
   const { listen, handleRequest, log, now, idleTimeout = IDLE_TIMEOUT_MS } = options
   const connections = new Map<string, Connection>()
@@ -251,10 +252,8 @@
       )
     })
   })
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(listen.port, listen.host, resolve)
-  })
+  const listener = openListener(server, { endpoint: listen, log })
+  await listener.opened
 
   return {
     async request (peer, request, timeout) {
@@ -291,7 +290,7 @@
     },
     isUsable: (peer) => (backOffs.get(formatEndpoint(peer))?.until ?? -Infinity) <= now(),
     close () {
-      server.close()
+      listener.close()
       for (const socket of incomingSockets) socket.destroy()
       for (const [address, connection] of connections) closeConnection(address, connection, 'this instance is stopping')
     }
