Wait at a silent upstream while no other one can take over

Cause: an attempt without progress was given up before it was known where the request could go on. With all other upstreams silent, tried or paused, or with the retry allowance used up, nothing was left. Besides, the head of a stream was forwarded before its first event, after which a failed request can get neither an answer nor a refusal.

The dispatch now checks, without taking anything, that the request would go on: time, key, suspected crashes, allowance, and an upstream that is not quiet itself. Otherwise it waits and checks again. Requests move as soon as before where one can take over, so lost upstreams cost the same. The head of a stream waits for its first event.

--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -30,6 +30,22 @@
   buffer: ResponseBuffer
 }
 
+/** @param promptTokens prompt tokens that are now pending prefill at the upstream */
+export function createAttempt (
+  parts: Pick<Attempt, 'upstream' | 'call' | 'sample' | 'buffer'>, promptTokens: number, now: MonotonicMilliseconds
+): Attempt {
+  return {
+    ...parts,
+    startedAt: now,
+    lastProgressAt: now,
+    firstByteAt: undefined,
+    isPaused: false,
+    pendingPrefillTokens: promptTokens,
+    head: undefined,
+    isSurvived: false
+  }
+}
+
 export interface AttemptAccounting {
   /** @param promptTokens prompt tokens that are now pending prefill at the upstream */
   start: (upstream: Upstream, promptTokens: number, now: MonotonicMilliseconds) => void
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import { MAX_RESPONSE_BYTES } from './responseBuffers'
 import { isStillAuthorized } from './admission'
-import { createAttemptAccounting, type Attempt } from './attempt'
+import { createAttempt, createAttemptAccounting, type Attempt } from './attempt'
 import {
   AttemptOutcome, decideNextStep, isStalled, mayRepeat, NOT_EXECUTED_STATUSES, provesSurvival, type AttemptHistory
 } from './attemptDecision'
@@ -202,21 +202,11 @@
     })
     history.runs += 1
     accounting.start(upstream, plan.promptTokens, now.steady)
-    const current: Attempt = {
-      upstream,
-      sample: context.rolloutSampler.startAttempt({
-        service, route: route.name, isNew: () => context.serviceRollouts.hasTargetVersion(upstream)
-      }, now.steady),
-      startedAt: now.steady,
-      lastProgressAt: now.steady,
-      firstByteAt: undefined,
-      isPaused: false,
-      pendingPrefillTokens: plan.promptTokens,
-      head: undefined,
-      isSurvived: false,
-      buffer: context.responseBuffers.open(),
-      call
-    }
+    const sample = context.rolloutSampler.startAttempt({
+      service, route: route.name, isNew: () => context.serviceRollouts.hasTargetVersion(upstream)
+    }, now.steady)
+    const buffer = context.responseBuffers.open()
+    const current = createAttempt({ upstream, call, sample, buffer }, plan.promptTokens, now.steady)
     attempt = current
     if (plan.promptTokens > 0) context.engineLoads.promptSent()
   }
@@ -233,6 +223,13 @@
     return !reachedUpstream || context.retryAllowance.tryRetry(service, context.share(), context.now().steady)
   }
 
+  /** Whether the request would go on at another upstream if its attempt were given up now. */
+  function canMove (now: Instant): boolean {
+    return timeLeft() > 0 && isStillAuthorized(context, admittedRequest, now) &&
+      !crashGuard.mayCrashAgain(now.steady) &&
+      context.retryAllowance.canRetry(service, context.share(), now.steady) && targets.canMove(now)
+  }
+
   /**
    * Continues after an attempt that ended without a complete response.
    * @param forward forwards the upstream's error response if the request is not retried
@@ -312,9 +309,13 @@
     const isStream = status === 200 && history.repeat === RepeatRule.stream
     const length = Number(head.headers['content-length'] ?? 0)
     if (!isStream && length > MAX_RESPONSE_BYTES) return abortAttempt(current, RESPONSE_TOO_LONG)
-    if (!isStream || callerResponse.hasStarted()) return
-    eventBoundary = createEventBoundary(mayRepeat(history))
-    callerResponse.writeHead(status, head.statusMessage, head.rawHeaders, true)
+    if (isStream) eventBoundary ??= createEventBoundary(mayRepeat(history))
+  }
+
+  /** Forwards the head of a stream. It waits for the first event: until then, the request can still be refused. */
+  function startStream ({ head }: Attempt): void {
+    if (callerResponse.hasStarted()) return
+    callerResponse.writeHead(200, head!.statusMessage, head!.rawHeaders, true)
   }
 
   /** Handles a response that states that the upstream has not run the request. */
@@ -363,7 +364,10 @@
       current.lastProgressAt = now
       current.sample.recordEvents(eventCount, now)
     }
-    if (events !== undefined && !callerResponse.write(events)) accounting.pause(current)
+    if (events !== undefined) {
+      startStream(current)
+      if (!callerResponse.write(events)) accounting.pause(current)
+    }
     if (eventBoundary!.isOversized()) abortAttempt(current, 'an event is too long')
   }
 
@@ -380,6 +384,7 @@
       const now = context.now().steady
       current.sample.recordEnd(false, now)
       crashGuard.recordAnswer(current, now)
+      startStream(current)
       callerResponse.end()
       return callbacks.onSuccess(upstream, 200)
     }
@@ -423,7 +428,7 @@
       if (!mayRepeat(history) || history.runs >= history.maximumAttempts) return
       const idleMs = now.steady - attempt.lastProgressAt
       const isUpstreamSilent = isSilent(attempt.upstream, now.steady)
-      if (!isStalled(history.repeat, idleMs, timeLeft(), isUpstreamSilent)) return
+      if (!isStalled(history.repeat, idleMs, timeLeft(), isUpstreamSilent) || !canMove(now)) return
       abortAttempt(attempt, `no progress for ${Math.round(idleMs)} ms`, !isUpstreamSilent)
     },
     cancel (isOverdue) {
--- a/src/edge/retryAllowance.ts
+++ b/src/edge/retryAllowance.ts
@@ -20,6 +20,8 @@
 
 export interface RetryAllowance {
   recordRequest: (service: string, now: MonotonicMilliseconds) => void
+  /** Whether `tryRetry` would return true. */
+  canRetry: (service: string, share: number, now: MonotonicMilliseconds) => boolean
   /**
    * Takes one retry from the allowance; returns false when it is exhausted.
    * @param share this instance's share, between 0 and 1, of the additional retries
@@ -41,16 +43,21 @@
     return slices
   }
 
+  function canRetry (service: string, share: number, now: MonotonicMilliseconds): boolean {
+    const slices = currentSlices(service, now)
+    const requests = slices.reduce((sum, slice) => sum + slice.requests, 0)
+    const retries = slices.reduce((sum, slice) => sum + slice.retries, 0)
+    return retries + 1 <= USABLE_SHARE * (ratio * requests + extra * share)
+  }
+
   return {
     recordRequest (service, now) {
       currentSlices(service, now).at(-1)!.requests += 1
     },
+    canRetry,
     tryRetry (service, share, now) {
-      const slices = currentSlices(service, now)
-      const requests = slices.reduce((sum, slice) => sum + slice.requests, 0)
-      const retries = slices.reduce((sum, slice) => sum + slice.retries, 0)
-      if (retries + 1 > USABLE_SHARE * (ratio * requests + extra * share)) return false
-      slices.at(-1)!.retries += 1
+      if (!canRetry(service, share, now)) return false
+      currentSlices(service, now).at(-1)!.retries += 1
       return true
     }
   }
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -5,7 +5,7 @@
 import { rankByRendezvous } from '../rendezvous'
 import type { MonotonicMilliseconds } from '../types'
 import type { Instant } from './types'
-import type { Upstream } from './upstreamDirectory'
+import { isQuiet, type Upstream } from './upstreamDirectory'
 
 /** Grace period in milliseconds after a new weights version was announced; until then older weights rank equally. */
 const OUTDATED_WEIGHTS_GRACE_MS = 1200
@@ -37,6 +37,11 @@
    * upstream, so that one crash at a time results
    */
   select: (now: Instant, suspectTrait?: string) => Target | undefined
+  /**
+   * Whether the request, which waits at an upstream that makes no progress, could go on at another one now. One that is
+   * quiet as well may have the same trouble.
+   */
+  canMove: (now: Instant) => boolean
   /** Excludes the upstream from further selections. */
   markTried: (upstream: Upstream) => void
   /** Records that the upstream has no permit within the permitted wait; its next one is free in `wait` milliseconds. */
@@ -78,6 +83,23 @@
     return Math.min(timeLeft(), route.latencyTarget) * PERMIT_WAIT_SHARE / (1 + rank)
   }
 
+  /** Returns the upstreams that may get the request, and the longest time in milliseconds that it waits for a permit. */
+  function findCandidates (now: Instant): { candidates: readonly Upstream[], maximumPermitWait: number } {
+    const maximumAge = context.outdatedWeightsLimit * OUTDATED_WEIGHTS_SHARE
+    const usable = context.directory.usable(service, now.steady).filter((upstream) => (
+      !tried.has(upstream.entry.identifier) && outdatedWeightsAge(upstream, now) < maximumAge
+    ))
+    // The version is chosen first: a request limit on one version must not move its traffic to the other one.
+    const eligible = context.serviceRollouts.eligible(service, usable, versionDraw, now.steady)
+    // A request does not wait for a permit while another upstream takes it at once.
+    const maximumPermitWait = eligible.every(needsPermit) ? longestPermitWait() : 0
+    const candidates = eligible.filter((upstream) => (
+      !needsPermit(upstream) ||
+      (denials < MAX_PERMIT_DENIALS && upstream.nextPermitAt - now.steady <= maximumPermitWait)
+    ))
+    return { candidates, maximumPermitWait }
+  }
+
   return {
     start (now) {
       if (plan.prefixKey === undefined) return
@@ -85,18 +107,9 @@
       replicas = context.prefixDemand.replicasFor(plan.prefixKey, ownTokens, context.instanceCount(), now)
     },
     select (now, suspectTrait) {
-      const maximumAge = context.outdatedWeightsLimit * OUTDATED_WEIGHTS_SHARE
-      const usable = context.directory.usable(service, now.steady).filter((upstream) => (
-        !tried.has(upstream.entry.identifier) && outdatedWeightsAge(upstream, now) < maximumAge
-      ))
-      // The version is chosen first: a request limit on one version must not move its traffic to the other one.
-      const eligible = context.serviceRollouts.eligible(service, usable, versionDraw, now.steady)
-      // A request does not wait for a permit while another upstream takes it at once.
-      const maximumPermitWait = eligible.every(needsPermit) ? longestPermitWait() : 0
-      const candidates = eligible.filter((upstream) => (
-        !needsPermit(upstream) ||
-        (denials < MAX_PERMIT_DENIALS && upstream.nextPermitAt - now.steady <= maximumPermitWait)
-      ))
+      const { candidates: all, maximumPermitWait } = findCandidates(now)
+      const awake = tried.size === 0 ? all : all.filter((upstream) => !isQuiet(upstream, now.steady))
+      const candidates = awake.length > 0 ? awake : all
       if (suspectTrait !== undefined) {
         const [first] = rankByRendezvous(suspectTrait, candidates.map(({ entry }) => entry.identifier))
         const upstream = candidates.find(({ entry }) => entry.identifier === first)
@@ -114,6 +127,7 @@
       }, candidates, now.steady)
       return upstream === undefined ? undefined : { upstream, maximumPermitWait }
     },
+    canMove: (now) => findCandidates(now).candidates.some((upstream) => !isQuiet(upstream, now.steady)),
     markTried (upstream) { tried.add(upstream.entry.identifier) },
     recordDenial (upstream, wait, now) {
       denials += 1
--- a/src/edge/upstreamDirectory.ts
+++ b/src/edge/upstreamDirectory.ts
@@ -264,6 +264,11 @@
   return silenceDuration(upstream, now) > SILENCE_TIMEOUT_MS && now >= upstream.aliveUntil
 }
 
+/** Whether no byte has arrived for a while although one is expected, and no liveness response explains it. */
+export function isQuiet (upstream: Upstream, now: MonotonicMilliseconds): boolean {
+  return silenceDuration(upstream, now) >= LIVENESS_CHECK_AFTER_MS && now >= upstream.aliveUntil
+}
+
 /** Returns the engines that are due for a liveness check and schedules the next check of each. */
 export function takeDueLivenessChecks (upstreams: Iterable<Upstream>, now: MonotonicMilliseconds): Upstream[] {
   const targets = [...upstreams].filter((upstream) => (
