Open the callers' listener last

A stop signal during the start ends the process at once, since no request has been accepted. Callers could connect while the readiness address was still taken, so that this was not true; found in the read-through. The listeners for callers now open after the one for readiness, which answers 503 until then.

--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -81,7 +81,9 @@
   return {
     async listen () {
       open(metrics, options.metrics).catch(options.onFault)
-      await Promise.all([open(callers, options.caller), open(readiness, options.readiness)])
+      // Callers come last, so that no request is accepted before the daemon has started.
+      await open(readiness, options.readiness)
+      await open(callers, options.caller)
     },
     setLimits ({ headerTimeout, idleTimeout }) {
       callers.headersTimeout = clampTimer(headerTimeout)
