--- a/src/edge/__tests__/retryAllowance.test.ts
+++ b/src/edge/__tests__/retryAllowance.test.ts
@@ -14,6 +14,13 @@
     expect(retries).toBe(expected)
   })
 
+  it('tells whether a retry would be granted without taking it', () => {
+    const allowance = createRetryAllowance({ window: 10_000, ratio: 0, extra: 2 })
+    for (let index = 0; index < 5; index += 1) expect(allowance.canRetry('engines', 1, 0)).toBe(true)
+    expect(allowance.tryRetry('engines', 1, 0)).toBe(true)
+    expect(allowance.canRetry('engines', 1, 0)).toBe(false)
+  })
+
   it('counts retries per service and window', () => {
     const allowance = createRetryAllowance({ window: 10_000, ratio: 0, extra: 2 })
     expect(allowance.tryRetry('engines', 1, 0)).toBe(true)
--- a/src/edge/__tests__/targetSelection.test.ts
+++ b/src/edge/__tests__/targetSelection.test.ts
@@ -2,7 +2,7 @@
 import type { AdmittedRequest, ExchangeContext } from '../exchangeContext'
 import { createTargetSelection, type TargetSelection } from '../targetSelection'
 import { RepeatRule } from '../types'
-import { createUpstreamDirectory, type UpstreamDirectory } from '../upstreamDirectory'
+import { createUpstreamDirectory, recordAttemptStart, type UpstreamDirectory } from '../upstreamDirectory'
 import { createEntry, createRoute } from './fixtures'
 
 const NAMES = ['a', 'b', 'c', 'd', 'e']
@@ -85,3 +85,23 @@
     expect(targets.select(NOW)?.upstream.entry.identifier).toBe('a')
   })
 })
+
+describe('a request that makes no progress', () => {
+  /** Milliseconds without a byte after which an upstream counts as quiet. */
+  const QUIET = { steady: 350, wall: 350 }
+
+  it.each<[string, readonly string[], readonly string[], boolean]>([
+    ['could move to an upstream that is not quiet', NAMES.slice(0, 4), [], true],
+    ['could not move while all others are quiet as well', NAMES, [], false],
+    ['could move to a quiet upstream that has shown to be alive', NAMES, ['e'], true]
+  ])('%s', (_title, quiet, alive, expected) => {
+    const { targets, directory } = createSelection([])
+    targets.markTried(directory.get('a')!)
+    for (const name of quiet) recordAttemptStart(directory.get(name)!, 0, 0)
+    for (const name of alive) directory.get(name)!.aliveUntil = QUIET.steady + 1
+    expect(targets.canMove(QUIET)).toBe(expected)
+    const target = targets.select(QUIET)?.upstream.entry.identifier
+    if (expected) expect(target).toBe('e')
+    else expect(target).not.toBe('a')
+  })
+})
