--- a/playground/soak/world.ts
+++ b/playground/soak/world.ts
@@ -9,6 +9,7 @@
 import { renderSettings } from '../../src/edge/__tests__/fixtures'
 import type { Endpoint } from '../../src/types'
 import { until } from '../../platform/__tests__/edgeFixture'
+import { daemonArguments } from '../../standins/daemonArguments'
 import { startStoreStandIn, type StoreStandIn } from '../../standins/fleet/store'
 import { startUpstreamStandIn, type UpstreamStandIn } from '../../standins/fleet/upstream'
 import { freeEndpoint } from '../../standins/freeEndpoint'
@@ -214,7 +215,7 @@
       'bounds.quotaOverage': String(LIMITED.overage),
       'bounds.quotaWindowS': String(LIMITED.windowSeconds)
     }).replace(/:9464$/m, `:${metrics.port}`))
-    const child = spawn(process.execPath, ['target/edge.cjs'], {
+    const child = spawn(process.execPath, daemonArguments(), {
       env: { PATH: process.env.PATH, WAXWINGSPOKE_SETTINGS: file }, stdio: ['ignore', 'pipe', 'pipe']
     })
     let output = ''
