Wait for unsent answers before a planned stop ends the process

Callers that read slowly got a part of their answer when the instance that answered them was stopped.

Cause: a request counted as finished once its answer was handed to Node.js. The process ended with the bytes that the operating system had not taken yet; before that, closeIdleConnections() destroyed the connection, since Node.js calls it idle when its last response has ended, sent or not.

A stop now also waits until no connection of a caller holds unsent bytes, at most until the end of the grace period, and closes idle connections early only when none does.

--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -386,6 +386,7 @@
     await stopGracefully({
       grace: limits.grace,
       exchanges,
+      hasUnsentBytes: server.hasUnsentBytes,
       log,
       onStopping () { stopping = true },
       rejectRequests () {
--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -1,5 +1,6 @@
 /** HTTP servers of an edge daemon for callers, readiness checks and metrics. */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { MAX_TIMER_MS } from '../constants'
 import type { Endpoint } from '../types'
 import type { EdgeLog } from './events'
@@ -37,8 +38,13 @@
    */
   listen: () => Promise<void>
   setLimits: (limits: CallerLimits) => void
-  /** Closes idle connections. Running exchanges continue, and new connections are still accepted. */
+  /**
+   * Closes idle connections, or none while a response waits to be sent. Running exchanges continue, and new connections
+   * are still accepted.
+   */
   closeIdle: () => void
+  /** Whether responses to callers wait in the process, because the callers read slowly. */
+  hasUnsentBytes: () => boolean
   close: () => void
 }
 
@@ -71,6 +77,15 @@
     })
   })
   const listeners: Listener[] = []
+  const connections = new Set<Socket>()
+  callers.on('connection', (socket: Socket) => {
+    connections.add(socket)
+    socket.on('close', () => { connections.delete(socket) })
+  })
+
+  function hasUnsentBytes (): boolean {
+    return [...connections].some(({ writableLength }) => writableLength > 0)
+  }
 
   async function open (server: Server, endpoint: Endpoint): Promise<void> {
     const listener = openListener(server, { endpoint, backlog: LISTEN_BACKLOG, log: options.log })
@@ -90,8 +105,10 @@
       callers.keepAliveTimeout = clampTimer(idleTimeout + KEEP_ALIVE_MARGIN_MS)
     },
     closeIdle () {
-      callers.closeIdleConnections()
+      // Node.js counts connections as idle although their last response has not been sent, and would cut it off.
+      if (!hasUnsentBytes()) callers.closeIdleConnections()
     },
+    hasUnsentBytes,
     close () {
       for (const listener of listeners) listener.close()
       for (const server of [callers, readiness, metrics]) server.closeAllConnections()
--- a/src/edge/gracefulStop.ts
+++ b/src/edge/gracefulStop.ts
@@ -1,6 +1,6 @@
 /**
- * Stops an edge daemon: takes no new requests, waits for those in progress, ends those that are left, then closes
- * everything.
+ * Stops an edge daemon: takes no new requests, waits for those in progress and for their responses to be sent, ends
+ * those that are left, then closes everything.
  */
 import { EdgeEvent, type EdgeLog } from './events'
 import type { Exchange } from './exchange'
@@ -15,7 +15,7 @@
 const STOP_MARGIN_MS = 500
 /** Time in milliseconds that their final responses take to be sent. */
 const FLUSH_MS = 100
-/** Interval in milliseconds between checks whether all exchanges have finished. */
+/** Interval in milliseconds between checks whether all exchanges have finished and their responses are sent. */
 const DRAIN_POLL_MS = 50
 
 export interface GracefulStopOptions {
@@ -23,6 +23,8 @@
   grace: number
   /** Exchanges in progress. */
   exchanges: ReadonlySet<Pick<Exchange, 'close'>>
+  /** Whether the process holds parts of responses that the operating system has not taken yet; they end with it. */
+  hasUnsentBytes: () => boolean
   log: EdgeLog
   /** Called at once. */
   onStopping: () => void
@@ -43,7 +45,8 @@
   const end = performance.now() + grace - STOP_MARGIN_MS
   await delay(Math.min(STOP_ACCEPT_MS, grace / 2))
   options.rejectRequests()
-  while (exchanges.size > 0 && performance.now() < end) await delay(DRAIN_POLL_MS)
+  const isBusy = (): boolean => exchanges.size > 0 || options.hasUnsentBytes()
+  while (isBusy() && performance.now() < end) await delay(DRAIN_POLL_MS)
   const unfinished = [...exchanges]
   for (const exchange of unfinished) exchange.close()
   if (unfinished.length > 0) await delay(FLUSH_MS)
--- a/standins/fleet/upstream.ts
+++ b/standins/fleet/upstream.ts
@@ -86,6 +86,8 @@
   pace?: number
   /** Bytes of a comment in each event. @default 0 */
   padding?: number
+  /** Body of a plain answer. @default PLAIN_ANSWER */
+  answer?: string
   /** Weights of the model `small`; 0 makes it a plain service. @default 0 */
   weights?: number
   /** Milliseconds from a crash to the restart; with 0, the port is never closed. @default 500 */
@@ -109,7 +111,8 @@
   options: UpstreamStandInOptions = {}
 ): Promise<UpstreamStandIn> {
   const {
-    events = 4, pace = 5, padding = 0, weights = 0, restartAfter = 500, closesPortAfter = 0, faults = []
+    events = 4, pace = 5, padding = 0, answer = PLAIN_ANSWER, weights = 0, restartAfter = 500, closesPortAfter = 0,
+    faults = []
   } = options
   const runs: UpstreamRun[] = []
   const orders: Array<Record<string, unknown>> = []
@@ -173,7 +176,7 @@
 
   function plain (request: IncomingMessage, response: ServerResponse, fault: UpstreamFault | undefined): void {
     const headers = headersOf(request, fault)
-    const length = { 'Content-Length': String(PLAIN_ANSWER.length) }
+    const length = { 'Content-Length': String(answer.length) }
     const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`).join('')
     const unframedHead = `HTTP/1.1 200 OK\r\n${lines}Connection: close\r\n\r\n`
     const answers: Partial<Record<UpstreamFault, () => void>> = {
@@ -182,25 +185,25 @@
       answerLost: () => { request.socket.resetAndDestroy() },
       cut () {
         response.writeHead(200, { ...headers, ...length })
-        response.write(PLAIN_ANSWER.slice(0, 5))
+        response.write(answer.slice(0, 5))
         setTimeout(() => { request.socket.resetAndDestroy() }, pace)
       },
       extra () {
-        response.writeHead(200, { ...headers, ...length }).end(PLAIN_ANSWER)
+        response.writeHead(200, { ...headers, ...length }).end(answer)
         const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${headers['Request-Id']}\r\nResponse-Stamp: x\r\nContent-Length: 5\r\n\r\nextra`
         setTimeout(() => { request.socket.write(head) }, pace)
       },
-      unframed: () => { request.socket.end(`${unframedHead}${PLAIN_ANSWER}`) },
+      unframed: () => { request.socket.end(`${unframedHead}${answer}`) },
       unframedReset () {
         // The reset arrives together with the bytes before it.
-        request.socket.write(`${unframedHead}${PLAIN_ANSWER.slice(0, 5)}`)
+        request.socket.write(`${unframedHead}${answer.slice(0, 5)}`)
         request.socket.resetAndDestroy()
       },
       silent: () => {}
     }
     const handler = fault === undefined ? undefined : answers[fault]
     if (handler !== undefined) return handler()
-    response.writeHead(200, { ...headers, ...length }).end(PLAIN_ANSWER)
+    response.writeHead(200, { ...headers, ...length }).end(answer)
   }
 
   function run (
