Charge requests with the crashes of upstreams that fall silent

Cause: a request was charged only when its connection broke. One that timed out, was moved, or whose caller left while its upstream was silent was not compared with the run that ended.

A new run in the list shows a crash; a byte from the upstream shows that there was none, and its removal from the list shows nothing, since it may be cut off. What a request is charged with is looked at before it is moved, so that it isn't given up at one upstream and then not sent to another.

--- a/src/edge/__tests__/crashGuard.test.ts
+++ b/src/edge/__tests__/crashGuard.test.ts
@@ -84,6 +84,19 @@
     expect(guard.mayCrashAgain(700)).toBe(false)
   })
 
+  // Guards against a request given up at a silent upstream that is then not sent to another one.
+  it('is ruled out before the attempt is given up if another upstream has crashed with it', async () => {
+    const reports = createReports()
+    createGuard(reports, 'a').recordLoss(attemptAt(1), 0)
+    await passProbe()
+    const guard = createGuard(reports, 'b')
+    expect(guard.mayCrashAgain(50)).toBe(false)
+    expect(guard.mayCrashAgain(50, attemptAt(2))).toBe(true)
+    expect(guard.mayCrashAgain(50, attemptAt(2, { isSurvived: true }))).toBe(false)
+    guard.recordSilence(attemptAt(2), 50)
+    expect(guard.mayCrashAgain(50)).toBe(true)
+  })
+
   it('does not charge a request that the upstream had survived', async () => {
     const reports = createReports()
     createGuard(reports, 'a').recordLoss(attemptAt(1, { isSurvived: true }), 0)
--- a/src/edge/__tests__/crashReports.test.ts
+++ b/src/edge/__tests__/crashReports.test.ts
@@ -20,6 +20,8 @@
   cutOff: Set<number>
   /** Upstreams that are not listed any more. */
   gone: Set<string>
+  /** Upstreams of which another run is listed. */
+  replaced: Set<string>
   /** When upstreams last responded. */
   activity: Map<string, number>
   addInstance: () => CrashReports
@@ -36,6 +38,7 @@
   const events: EdgeEvent[] = []
   const cutOff = new Set<number>()
   const gone = new Set<string>()
+  const replaced = new Set<string>()
   const activity = new Map<string, number>()
   let messages = 0
   let now = 0
@@ -56,9 +59,10 @@
       directory: {
         get (identifier) {
           const lastActivityAt = activity.get(identifier) ?? -Infinity
+          const startedAt = replaced.has(identifier) ? 2 : 1
           return gone.has(identifier)
             ? undefined
-            : { entry: { startedAt: 1 }, announcedLeaving: false, lastActivityAt } as unknown as Upstream
+            : { entry: { startedAt }, announcedLeaving: false, lastActivityAt } as unknown as Upstream
         }
       },
       probe: async () => listenerOf(index),
@@ -78,6 +82,7 @@
     messages: () => messages,
     cutOff,
     gone,
+    replaced,
     activity,
     addInstance,
     async pass (milliseconds) {
@@ -132,6 +137,19 @@
   }
 }
 
+/** What becomes of an upstream that fell silent. */
+interface SilenceCase {
+  /** Whether another run is listed already when the silence is recorded. */
+  startsReplaced?: boolean
+  isLeaving?: boolean
+  /** Milliseconds from the silence to its ending. @default 3000 */
+  after?: number
+  ending?: (fleet: Fleet, upstream: string) => void
+  /** Called half a second after the ending. */
+  later?: (fleet: Fleet, upstream: string) => void
+  isCounted: boolean
+}
+
 function verdicts (fleet: Fleet, traits: RequestTraits): string[] {
   return fleet.instances.map((reports) => reports.verdict(traits, fleet.now()).kind)
 }
@@ -187,6 +205,48 @@
     expect(verdicts(fleet, prompt('dead'))).toEqual([clear])
   })
 
+  // Guards against requests that crash upstreams without a reset and are never refused (BUDGET).
+  it.each<[string, SilenceCase]>([
+    ['by the next run', { ending: (fleet, name) => { fleet.replaced.add(name) }, isCounted: true }],
+    ['by the next run, listed before', { startsReplaced: true, isCounted: true }],
+    ['not by the next run much later', { after: 12_000, ending: (fleet, name) => { fleet.replaced.add(name) }, isCounted: false }],
+    ['not by its removal from the list, since it may be cut off', { ending: (fleet, name) => { fleet.gone.add(name) }, isCounted: false }],
+    ['not if it responds', {
+      ending (fleet, name) { fleet.activity.set(name, fleet.now()) },
+      later: (fleet, name) => { fleet.replaced.add(name) },
+      isCounted: false
+    }],
+    ['not if it was leaving', { isLeaving: true, ending: (fleet, name) => { fleet.replaced.add(name) }, isCounted: false }]
+  ])('counts the crash of a silent upstream: %s', async (_title, silence) => {
+    const fleet = createFleet(2)
+    for (let index = 0; index < 3; index += 1) {
+      const name = `engine-${index}`
+      const upstream = {
+        entry: { ...engine(index), leaving: silence.isLeaving ?? false }, announcedLeaving: false
+      } as unknown as Upstream
+      if (silence.startsReplaced === true) fleet.replaced.add(name)
+      fleet.instances[0]!.recordSilence(upstream, prompt('dead'), [], fleet.now())
+      await fleet.pass(silence.after ?? 3000)
+      silence.ending?.(fleet, name)
+      await fleet.pass(500)
+      silence.later?.(fleet, name)
+      await fleet.pass(500)
+    }
+    expect(verdicts(fleet, prompt('dead'))).toEqual(silence.isCounted ? [refused, refused] : [clear, clear])
+  })
+
+  it('probes an upstream whose connection breaks after a silence, and charges the requests of both', async () => {
+    const fleet = createFleet(2)
+    for (let index = 0; index < 3; index += 1) {
+      const upstream = { entry: engine(index), announcedLeaving: false } as unknown as Upstream
+      fleet.instances[0]!.recordSilence(upstream, prompt('dead'), [], fleet.now())
+      await fleet.pass(500)
+      fleet.instances[0]!.recordLoss(engine(index), prompt(`other-${index}`), [], fleet.now())
+      await fleet.pass(1000)
+    }
+    expect(verdicts(fleet, prompt('dead'))).toEqual([refused, refused])
+  })
+
   it('takes a loss for a crash if another instance has seen the crash', async () => {
     const fleet = createFleet(2, (instance) => instance === 0 ? ListenerState.closed : ListenerState.open)
     for (let index = 0; index < 3; index += 1) {
--- a/src/edge/crashGuard.ts
+++ b/src/edge/crashGuard.ts
@@ -42,10 +42,15 @@
   mustWithdraw: (attempt: Attempt, now: MonotonicMilliseconds) => boolean
   /** Returns the trait for which the request may be the cause of crashes; undefined if there is none. */
   suspectTrait: (now: MonotonicMilliseconds) => string | undefined
-  /** Whether the next upstream might crash, too, if the request were repeated after a failure. */
-  mayCrashAgain: (now: MonotonicMilliseconds) => boolean
+  /**
+   * Whether the next upstream might crash, too, if the request were repeated after a failure.
+   * @param attempt attempt that would fail; by default, the one that was lost last
+   */
+  mayCrashAgain: (now: MonotonicMilliseconds, attempt?: Attempt) => boolean
   /** Records that the connection of an attempt broke. */
   recordLoss: (attempt: Attempt, now: MonotonicMilliseconds) => void
+  /** Records that an attempt ended while its upstream was silent, which may have crashed without a sign. */
+  recordSilence: (attempt: Attempt, now: MonotonicMilliseconds) => void
   /** Records a part of the response. */
   recordProgress: (attempt: Attempt, now: MonotonicMilliseconds) => void
   /** Records a complete response. */
@@ -121,15 +126,22 @@
     ),
     suspectTrait,
     // The crash that this request may just have caused is not recorded yet.
-    mayCrashAgain: (now) => (
-      suspectTrait(now) !== undefined || (lostRun !== undefined && reports.isChargedElsewhere(traits, lostRun))
-    ),
+    mayCrashAgain (now, attempt) {
+      const run = attempt === undefined || attempt.isSurvived ? lostRun : attempt.upstream.entry
+      return suspectTrait(now) !== undefined || (run !== undefined && reports.isChargedElsewhere(traits, run))
+    },
     recordLoss ({ upstream, isSurvived }, now) {
       if (isSurvived) return
       lostRun = upstream.entry
       if (isTrial) reports.failTrial(traits, now)
       reports.recordLoss(upstream.entry, traits, [...permits.keys()], now)
     },
+    recordSilence ({ upstream, isSurvived }, now) {
+      if (isSurvived) return
+      lostRun = upstream.entry
+      if (isTrial) reports.failTrial(traits, now)
+      reports.recordSilence(upstream, traits, [...permits.keys()], now)
+    },
     recordProgress (attempt, now) {
       if (attempt.firstByteAt !== undefined && now - attempt.firstByteAt >= SURVIVAL_MS) recordAnswer(attempt, now)
     },
--- a/src/edge/crashReports.ts
+++ b/src/edge/crashReports.ts
@@ -19,7 +19,7 @@
 import { runKey } from './requestLimits'
 import type { RequestTraits } from './requestTraits'
 import type { UpstreamEntry, UpstreamRun } from './types'
-import type { UpstreamDirectory } from './upstreamDirectory'
+import { isLeaving, type Upstream, type UpstreamDirectory } from './upstreamDirectory'
 
 /** Milliseconds between announcements of the convictions, for instances that have started or were unreachable. */
 const ANNOUNCE_INTERVAL_MS = 1000
@@ -63,11 +63,13 @@
   [LossState.unknown]: UNKNOWN_REPLACEMENT_MS
 }
 
-/** Lost connections to one run of an upstream. */
+/** Lost connections to one run of an upstream, or connections on which it fell silent. */
 interface Loss {
   entry: UpstreamEntry
   /** Whether the upstream was leaving, so that its end is no crash. */
   isPlanned: boolean
+  /** Whether it only fell silent. It may be cut off, so only another run in its place shows that it has crashed. */
+  isSilence: boolean
   at: MonotonicMilliseconds
   state: LossState
   /** Traits of the requests that were in flight on these connections, and are not reported yet. */
@@ -104,6 +106,13 @@
   recordLoss: (
     entry: UpstreamEntry, traits: RequestTraits, trials: readonly string[], now: MonotonicMilliseconds
   ) => void
+  /**
+   * Records that an attempt ended while its upstream was silent and had not shown that it survives the request.
+   * @param trials suspect traits for which the request was the only one in flight
+   */
+  recordSilence: (
+    upstream: Upstream, traits: RequestTraits, trials: readonly string[], now: MonotonicMilliseconds
+  ) => void
   /** Records that an upstream has answered a request and lived on. */
   recordAnswer: (traits: RequestTraits, now: MonotonicMilliseconds) => void
   /** Applies a notification of another instance. */
@@ -204,9 +213,10 @@
   }
 
   /** Whether the upstream has left the list or has been replaced since the loss, without having planned to. */
-  function isReplaced ({ entry, state, isPlanned }: Loss): boolean {
+  function isReplaced ({ entry, state, isPlanned, isSilence }: Loss): boolean {
     const isOpen = state === LossState.open || state === LossState.unknown
-    return isOpen && !isPlanned && !isListed(entry)
+    const isCutOff = isSilence && directory.get(entry.identifier) === undefined
+    return isOpen && !isPlanned && !isCutOff && !isListed(entry)
   }
 
   /** Whether the upstream has responded since the loss. */
@@ -215,6 +225,32 @@
     return state === LossState.unknown && lastActivityAt > at + LATE_BYTES_MS
   }
 
+  /**
+   * Adds a request to the present loss of the run, or to a new one. Returns the new one; undefined if there is none.
+   * A connection that breaks after a silence is a new loss, which also has the requests of the silence.
+   */
+  function addRequest (
+    start: Omit<Loss, 'traits' | 'trials'>, traits: RequestTraits, trials: readonly string[]
+  ): Loss | undefined {
+    const key = runKey(start.entry)
+    const present = losses.get(key)
+    const isSilenceEnd = present?.isSilence === true && !start.isSilence
+    const isPresent = present !== undefined && present.state !== LossState.open && !isSilenceEnd
+    const loss: Loss = isPresent
+      ? present
+      : {
+          ...start,
+          traits: new Map(isSilenceEnd ? present.traits : []),
+          trials: new Set(isSilenceEnd ? present.trials : [])
+        }
+    for (const trait of trials) loss.trials.add(trait)
+    const depths = new Map(traits.all().map((trait, depth) => [trait, depth]))
+    for (const [trait, depth] of attribution.chargeable(depths, start.at)) loss.traits.set(trait, depth)
+    if (isPresent || loss.traits.size === 0) return undefined
+    setBounded(losses, key, loss, MAX_TRACKED_RUNS)
+    return loss
+  }
+
   function dropOldLosses (now: MonotonicMilliseconds): void {
     for (const [key, loss] of losses) {
       if (now - loss.at < MEMORY_BY_STATE[loss.state] && !hasResponded(loss)) continue
@@ -304,27 +340,18 @@
       announcedAt = -Infinity
     },
     recordLoss (entry, traits, trials, now) {
-      const key = runKey(entry)
-      const known = losses.get(key)
-      const isProbed = known !== undefined && known.state !== LossState.open
-      const loss: Loss = isProbed
-        ? known
-        : {
-            entry,
-            isPlanned: entry.leaving || !isListed(entry) || directory.get(entry.identifier)!.announcedLeaving,
-            at: now,
-            state: LossState.probing,
-            traits: new Map(),
-            trials: new Set()
-          }
-      for (const trait of trials) loss.trials.add(trait)
-      const depths = new Map(traits.all().map((trait, depth) => [trait, depth]))
-      for (const [trait, depth] of attribution.chargeable(depths, now)) loss.traits.set(trait, depth)
-      if (isProbed || loss.traits.size === 0) return
-      setBounded(losses, key, loss, MAX_TRACKED_RUNS)
-      if (attribution.hasCrash(key)) recordEnd(loss, now)
+      const isPlanned = entry.leaving || !isListed(entry) || directory.get(entry.identifier)!.announcedLeaving
+      const loss = addRequest({ entry, isPlanned, isSilence: false, at: now, state: LossState.probing }, traits, trials)
+      if (loss === undefined) return
+      if (attribution.hasCrash(runKey(entry))) recordEnd(loss, now)
       else startProbe(loss)
     },
+    recordSilence (upstream, traits, trials, now) {
+      const { entry } = upstream
+      const isPlanned = isLeaving(upstream)
+      const loss = addRequest({ entry, isPlanned, isSilence: true, at: now, state: LossState.unknown }, traits, trials)
+      if (loss !== undefined && attribution.hasCrash(runKey(entry))) recordEnd(loss, now)
+    },
     recordAnswer (traits, now) {
       const answered = attribution.hasCharges() ? traits.all() : traits.parts
       const cleared = attribution.recordAnswer(answered, now)
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -23,8 +23,8 @@
 import { RepeatRule, RequestLimitKind, type Instant } from './types'
 import { callUpstream, isFramed } from './upstreamCall'
 import {
-  currentWait, recordActivity, isSilent, isUsable, recordWeights, observeWait, pauseAfterFailure, recordRejection,
-  type Upstream
+  currentWait, recordActivity, isQuiet, isSilent, isUsable, recordWeights, observeWait, pauseAfterFailure,
+  recordRejection, type Upstream
 } from './upstreamDirectory'
 
 /** Connect timeout in milliseconds; allows several round trips between data centres. */
@@ -224,9 +224,9 @@
   }
 
   /** Whether the request would go on at another upstream if its attempt were given up now. */
-  function canMove (now: Instant): boolean {
+  function canMove (current: Attempt, now: Instant): boolean {
     return timeLeft() > 0 && isStillAuthorized(context, admittedRequest, now) &&
-      !crashGuard.mayCrashAgain(now.steady) &&
+      !crashGuard.mayCrashAgain(now.steady, current) &&
       context.retryAllowance.canRetry(service, context.share(), now.steady) && targets.canMove(now)
   }
 
@@ -428,14 +428,17 @@
       if (!mayRepeat(history) || history.runs >= history.maximumAttempts) return
       const idleMs = now.steady - attempt.lastProgressAt
       const isUpstreamSilent = isSilent(attempt.upstream, now.steady)
-      if (!isStalled(history.repeat, idleMs, timeLeft(), isUpstreamSilent) || !canMove(now)) return
+      if (!isStalled(history.repeat, idleMs, timeLeft(), isUpstreamSilent) || !canMove(attempt, now)) return
+      if (isUpstreamSilent) crashGuard.recordSilence(attempt, now.steady)
       abortAttempt(attempt, `no progress for ${Math.round(idleMs)} ms`, !isUpstreamSilent)
     },
     cancel (isOverdue) {
       cancelled = true
       clearTimeout(permitTimer)
       if (attempt === undefined) return
-      if (isOverdue) attempt.sample.recordEnd(true, context.now().steady)
+      const now = context.now().steady
+      if (isQuiet(attempt.upstream, now)) crashGuard.recordSilence(attempt, now)
+      if (isOverdue) attempt.sample.recordEnd(true, now)
       attempt.call.cancel()
       detachAttempt(attempt)
     },
--- a/standins/fleet/upstream.ts
+++ b/standins/fleet/upstream.ts
@@ -94,6 +94,8 @@
   restartAfter?: number
   /** Milliseconds from a crash for which new connections are accepted and reset. @default 0 */
   closesPortAfter?: number
+  /** Whether a crash resets no connection: they stay open without an answer, as does the port. @default false */
+  crashesSilently?: boolean
   /** Faults of the next requests, one each; several stand-ins may share one list. @default [] */
   faults?: UpstreamFault[]
 }
@@ -112,14 +114,21 @@
 ): Promise<UpstreamStandIn> {
   const {
     events = 4, pace = 5, padding = 0, answer = PLAIN_ANSWER, weights = 0, restartAfter = 500, closesPortAfter = 0,
-    faults = []
+    crashesSilently = false, faults = []
   } = options
   const runs: UpstreamRun[] = []
   const orders: Array<Record<string, unknown>> = []
   const arrivalTimes: number[] = []
   const comment = padding === 0 ? '' : `: ${'.'.repeat(padding)}\n`
+  /** Connections on which nothing is answered since a silent crash, even after the restart. */
+  const hungSockets = new Set<Socket>()
   let arrivals = 0
 
+  /** Whether nothing is answered on the connection of the request. */
+  function isSilent ({ socket }: IncomingMessage): boolean {
+    return standIn.isDark || hungSockets.has(socket)
+  }
+
   function refuse (response: ServerResponse, status: number, headers: Record<string, string>): void {
     const identifier = response.req.headers['request-id']
     response.writeHead(status, {
@@ -148,7 +157,7 @@
       setTimeout(next, Math.max(0, dueAt - performance.now()))
     }
     const next = (): void => {
-      if (response.destroyed || standIn.isDark) return
+      if (response.destroyed || isSilent(request)) return
       number += 1
       const start = eventText(number).slice(0, 8)
       const endings: Partial<Record<UpstreamFault, () => void>> = {
@@ -202,6 +211,7 @@
       silent: () => {}
     }
     const handler = fault === undefined ? undefined : answers[fault]
+    if (isSilent(request)) return
     if (handler !== undefined) return handler()
     response.writeHead(200, { ...headers, ...length }).end(answer)
   }
@@ -241,7 +251,7 @@
   }
 
   const server = createServer((request, response) => {
-    if (standIn.isDark) return
+    if (isSilent(request)) return
     arrivalTimes.push(performance.now())
     if (request.url === '/report') {
       const models = [{ name: 'small', version: standIn.weights, adapters: [] }]
@@ -271,12 +281,14 @@
   })
   const sockets = new Set<Socket>()
   let isCrashing = false
+  let isHung = false
   server.on('connection', (socket) => {
     if (isCrashing) {
       socket.resetAndDestroy()
       return
     }
     sockets.add(socket)
+    if (isHung) hungSockets.add(socket)
     socket.on('close', () => { sockets.delete(socket) })
   })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
@@ -311,8 +323,17 @@
     orders,
     crashesOn: () => false,
     crash () {
-      if (!server.listening || isCrashing) return
+      if (!server.listening || isCrashing || isHung) return
       standIn.crashTimes.push(performance.now())
+      if (crashesSilently) {
+        isHung = true
+        for (const socket of sockets) hungSockets.add(socket)
+        restartTimer = setTimeout(() => {
+          isHung = false
+          standIn.onRestart()
+        }, restartAfter)
+        return
+      }
       for (const socket of sockets) socket.resetAndDestroy()
       if (restartAfter === 0) {
         standIn.onRestart()
