End requests at upstreams whose next run is listed

Callers waited until the time limit, 4 s in the test, for the answer of an upstream that had crashed without resetting its connections.

Cause: only silence of the upstream ended an attempt, and only of a request that could be repeated elsewhere; that the list had another run was not looked at. The next run did not get the request either, since upstreams that had been tried were excluded by their identifier.

Only a newer run counts, so that an old row of the list ends nothing.

--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -24,7 +24,7 @@
 import { callUpstream, isFramed } from './upstreamCall'
 import {
   currentWait, recordActivity, isQuiet, isSilent, isUsable, recordWeights, observeWait, pauseAfterFailure,
-  recordRejection, type Upstream
+  recordRejection, SILENCE_TIMEOUT_MS, type Upstream
 } from './upstreamDirectory'
 
 /** Connect timeout in milliseconds; allows several round trips between data centres. */
@@ -425,8 +425,12 @@
       if (attempt === undefined || attempt.isPaused) return
       if (crashGuard.mustWithdraw(attempt, now.steady)) return abortAttempt(attempt, CRASHES_UPSTREAMS, true)
       attempt.sample.recordRunning(now.steady)
-      if (!mayRepeat(history) || history.runs >= history.maximumAttempts) return
       const idleMs = now.steady - attempt.lastProgressAt
+      if (idleMs > SILENCE_TIMEOUT_MS && directory.hasNewerRun(attempt.upstream.entry)) {
+        crashGuard.recordSilence(attempt, now.steady)
+        return abortAttempt(attempt, 'another run has replaced the upstream', true)
+      }
+      if (!mayRepeat(history) || history.runs >= history.maximumAttempts) return
       const isUpstreamSilent = isSilent(attempt.upstream, now.steady)
       if (!isStalled(history.repeat, idleMs, timeLeft(), isUpstreamSilent) || !canMove(attempt, now)) return
       if (isUpstreamSilent) crashGuard.recordSilence(attempt, now.steady)
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -2,6 +2,7 @@
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import { rankUpstreams } from './placement'
 import { urgencyOf } from './promptPlan'
+import { runKey } from './requestLimits'
 import { rankByRendezvous } from '../rendezvous'
 import type { MonotonicMilliseconds } from '../types'
 import type { Instant } from './types'
@@ -42,7 +43,7 @@
    * quiet as well may have the same trouble.
    */
   canMove: (now: Instant) => boolean
-  /** Excludes the upstream from further selections. */
+  /** Excludes this run of the upstream from further selections. */
   markTried: (upstream: Upstream) => void
   /** Records that the upstream has no permit within the permitted wait; its next one is free in `wait` milliseconds. */
   recordDenial: (upstream: Upstream, wait: number, now: MonotonicMilliseconds) => void
@@ -63,6 +64,7 @@
 ): TargetSelection {
   const { callerRequest: { model }, route, customer, service, plan } = admittedRequest
   const rank = urgencyRank(urgencyOf(route, customer))
+  /** Runs that got the request; the next run of an upstream may get it, too. */
   const tried = new Set<string>()
   /** Random number that keeps all attempts on the same version of a service during a service rollout. */
   const versionDraw = context.random()
@@ -87,7 +89,7 @@
   function findCandidates (now: Instant): { candidates: readonly Upstream[], maximumPermitWait: number } {
     const maximumAge = context.outdatedWeightsLimit * OUTDATED_WEIGHTS_SHARE
     const usable = context.directory.usable(service, now.steady).filter((upstream) => (
-      !tried.has(upstream.entry.identifier) && outdatedWeightsAge(upstream, now) < maximumAge
+      !tried.has(runKey(upstream.entry)) && outdatedWeightsAge(upstream, now) < maximumAge
     ))
     // The version is chosen first: a request limit on one version must not move its traffic to the other one.
     const eligible = context.serviceRollouts.eligible(service, usable, versionDraw, now.steady)
@@ -128,7 +130,7 @@
       return upstream === undefined ? undefined : { upstream, maximumPermitWait }
     },
     canMove: (now) => findCandidates(now).candidates.some((upstream) => !isQuiet(upstream, now.steady)),
-    markTried (upstream) { tried.add(upstream.entry.identifier) },
+    markTried (upstream) { tried.add(runKey(upstream.entry)) },
     recordDenial (upstream, wait, now) {
       denials += 1
       upstream.nextPermitAt = now + Math.min(MAX_DENIAL_MS, wait)
--- a/src/edge/upstreamDirectory.ts
+++ b/src/edge/upstreamDirectory.ts
@@ -4,7 +4,7 @@
  */
 import type { MonotonicMilliseconds, WallClockMilliseconds } from '../types'
 import { loadKeyOf } from './engineLoad'
-import type { ModelWeights, UpstreamEntry } from './types'
+import type { ModelWeights, UpstreamEntry, UpstreamRun } from './types'
 
 /**
  * Milliseconds for which an upstream is avoided after its first failure in a row; doubles with each further one. A
@@ -122,6 +122,8 @@
   /** Removes missing entries whose grace period has ended. */
   expire: (now: MonotonicMilliseconds) => DirectoryChange[]
   get: (identifier: string) => Upstream | undefined
+  /** Whether a newer run of the upstream is listed, so that the given one no longer responds. */
+  hasNewerRun: (entry: UpstreamRun) => boolean
   /** Returns the entries of a service that accept new requests, regardless of what their traffic shows. */
   listed: (service: string) => readonly Upstream[]
   /** Returns all entries of a service, including leaving ones. */
@@ -215,6 +217,7 @@
         : reindexAfter(expired.flatMap(({ entry }) => removeEntry(entry.identifier, false, now)))
     },
     get: (identifier) => upstreams.get(identifier),
+    hasNewerRun: ({ identifier, startedAt }) => (upstreams.get(identifier)?.entry.startedAt ?? -Infinity) > startedAt,
     listed: (service) => services.get(service) ?? [],
     ofService: (service) => [...upstreams.values()].filter(({ entry }) => entry.service === service),
     usable: (service, now) => (services.get(service) ?? []).filter((upstream) => isUsable(upstream, now)),
