Judge only attempts at silent upstreams as possible crashes before they move

Cause: the check that comes before the move took each attempt for a possible crash, whether its upstream was silent or not.

The attempt is passed to that check only if its upstream is silent. Tests of src/edge, silentUpstreams.test.ts and unseenCrashes.test.ts pass (576).

--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -223,10 +223,13 @@
     return !reachedUpstream || context.retryAllowance.tryRetry(service, context.share(), context.now().steady)
   }
 
-  /** Whether the request would go on at another upstream if its attempt were given up now. */
-  function canMove (current: Attempt, now: Instant): boolean {
+  /**
+   * Whether the request would go on at another upstream if its attempt were given up now.
+   * @param silenced the attempt, if its upstream is silent and may have crashed
+   */
+  function canMove (now: Instant, silenced: Attempt | undefined): boolean {
     return timeLeft() > 0 && isStillAuthorized(context, admittedRequest, now) &&
-      !crashGuard.mayCrashAgain(now.steady, current) &&
+      !crashGuard.mayCrashAgain(now.steady, silenced) &&
       context.retryAllowance.canRetry(service, context.share(), now.steady) && targets.canMove(now)
   }
 
@@ -432,7 +435,8 @@
       }
       if (!mayRepeat(history) || history.runs >= history.maximumAttempts) return
       const isUpstreamSilent = isSilent(attempt.upstream, now.steady)
-      if (!isStalled(history.repeat, idleMs, timeLeft(), isUpstreamSilent) || !canMove(attempt, now)) return
+      if (!isStalled(history.repeat, idleMs, timeLeft(), isUpstreamSilent)) return
+      if (!canMove(now, isUpstreamSilent ? attempt : undefined)) return
       if (isUpstreamSilent) crashGuard.recordSilence(attempt, now.steady)
       abortAttempt(attempt, `no progress for ${Math.round(idleMs)} ms`, !isUpstreamSilent)
     },
