--- /dev/null
+++ b/src/edge/attemptPreparation.ts
@@ -0,0 +1,131 @@
+/** Prepares the next attempt of a request: checks that it may be sent, selects the upstream and gets the permits. */
+import { isStillAuthorized } from './admission'
+import type { Backlog } from './backlog'
+import type { CrashGuard } from './crashGuard'
+import { EdgeEvent } from './events'
+import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
+import { createFaultContainment } from './faultContainment'
+import { decideShedding } from './loadShedding'
+import type { PacerDecision } from './requestPacer'
+import type { Target, TargetSelection } from './targetSelection'
+import { RepeatRule, type Instant } from './types'
+import { isUsable, type Upstream } from './upstreamDirectory'
+import type { RefusedVerdict } from '../upstream/crashAttribution'
+
+/** Share of the time to the latency target for which a request waits while another one is tried; about one response. */
+const TRIAL_WAIT_SHARE = 0.5
+
+/** Reason in the log for a request whose customer may no longer be served. */
+const KEY_WITHDRAWN = 'the key could not be revalidated'
+/** Reason in the log for a request that was not sent to an upstream before the instance stops. */
+const STOPPING = 'the instance is stopping'
+
+/** One of them is called once for each preparation that is not cancelled, except for `onFault`. */
+export interface PreparationCallbacks {
+  onReady: (upstream: Upstream, now: Instant) => void
+  /** No upstream may get the request now. */
+  onUnavailable: (reason: string) => void
+  /** Upstreams crash when they answer such requests. */
+  onConvicted: (verdict: RefusedVerdict) => void
+  /** Upstreams may crash when they answer such requests, and the outcome of another one did not come in time. */
+  onSuspected: (trait: string) => void
+  /** The engines are overloaded. */
+  onShed: (expectedWait: number, retryAfter: number) => void
+  onFault: (error: unknown) => void
+}
+
+export interface PreparationOptions {
+  admittedRequest: AdmittedRequest
+  targets: TargetSelection
+  crashGuard: CrashGuard
+  backlog: Backlog
+  /** Returns the remaining time of the request in milliseconds. */
+  timeLeft: () => number
+  /** Whether an upstream may have run the request. */
+  hasRun: () => boolean
+}
+
+export interface AttemptPreparation {
+  start: () => void
+  /** Ends a preparation in progress; no callback is called for it any more. */
+  cancel: () => void
+}
+
+export function createAttemptPreparation (
+  context: ExchangeContext, { admittedRequest, targets, crashGuard, backlog, timeLeft, hasRun }: PreparationOptions,
+  callbacks: PreparationCallbacks
+): AttemptPreparation {
+  const { route, service, callerRequest } = admittedRequest
+  /** Drawn once, so that further selections do not make it more likely that the request is rejected. */
+  const sheddingDraw = context.random()
+  const contain = createFaultContainment(callbacks.onFault)
+  let isCancelled = false
+  let permitTimer: NodeJS.Timeout | undefined
+
+  /** Whether the first attempt would start after the instance has ceased to accept requests. */
+  function isTooLate (): boolean {
+    return context.isRejecting() && !hasRun()
+  }
+
+  function start (): void {
+    const now = context.now()
+    if (!isStillAuthorized(context, admittedRequest, now)) return callbacks.onUnavailable(KEY_WITHDRAWN)
+    if (isTooLate()) return callbacks.onUnavailable(STOPPING)
+    const conviction = crashGuard.findConviction(hasRun(), now.steady)
+    if (conviction !== undefined) return callbacks.onConvicted(conviction)
+    const suspect = crashGuard.missingPermit(now.steady)
+    if (suspect !== undefined) return waitForTrial(suspect)
+    const target = targets.select(now, crashGuard.suspectTrait(now.steady))
+    if (target === undefined) return callbacks.onUnavailable(targets.failureReason())
+    if (route.repeat === RepeatRule.stream && !hasRun()) {
+      const expectedWait = backlog.expectedWait(now.steady)
+      const shedding = decideShedding(expectedWait, route.latencyTarget, sheddingDraw)
+      if (shedding.shed) return callbacks.onShed(expectedWait, shedding.retryAfter)
+    }
+    if (!context.sendPermits.isNeeded(target.upstream.entry)) return callbacks.onReady(target.upstream, now)
+    context.sendPermits.acquire(target.upstream.entry, target.maximumPermitWait)
+      .then((decision) => { handlePermit(target, decision) })
+      .catch(callbacks.onFault)
+  }
+
+  /** Waits until no other request with a suspect trait is in flight. */
+  function waitForTrial (trait: string): void {
+    crashGuard.waitForPermit(trait, Math.min(timeLeft(), route.latencyTarget) * TRIAL_WAIT_SHARE)
+      .then((isPermitted) => {
+        if (isCancelled) return
+        if (isPermitted) start()
+        else callbacks.onSuspected(trait)
+      })
+      .catch(callbacks.onFault)
+  }
+
+  function handlePermit ({ upstream }: Target, { granted, wait }: PacerDecision): void {
+    if (isCancelled) return
+    if (granted) {
+      permitTimer = setTimeout(contain(() => { sendWithPermit(upstream) }), wait)
+      return
+    }
+    context.log(EdgeEvent.permitDenied, {
+      requestIdentifier: callerRequest.identifier ?? '', upstream: upstream.entry.identifier, wait: Math.round(wait)
+    })
+    targets.recordDenial(upstream, wait, context.now().steady)
+    start()
+  }
+
+  /** Continues unless the upstream has become unusable during the wait for the permit. */
+  function sendWithPermit (upstream: Upstream): void {
+    const now = context.now()
+    const isCurrent = context.directory.listed(service).includes(upstream) && isUsable(upstream, now.steady)
+    const isAuthorized = isStillAuthorized(context, admittedRequest, now)
+    if (!isCurrent || crashGuard.isBlocked(now.steady) || isTooLate() || !isAuthorized) return start()
+    callbacks.onReady(upstream, now)
+  }
+
+  return {
+    start,
+    cancel () {
+      isCancelled = true
+      clearTimeout(permitTimer)
+    }
+  }
+}
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -3,6 +3,7 @@
 import { MAX_RESPONSE_BYTES } from './responseBuffers'
 import { isStillAuthorized } from './admission'
 import { createAttempt, createAttemptAccounting, type Attempt } from './attempt'
+import { createAttemptPreparation } from './attemptPreparation'
 import {
   AttemptOutcome, decideNextStep, isStalled, mayRepeat, NOT_EXECUTED_STATUSES, provesSurvival, type AttemptHistory
 } from './attemptDecision'
@@ -13,17 +14,16 @@
 import { EdgeEvent } from './events'
 import { createFaultContainment } from './faultContainment'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
-import type { Dispatch, DispatchCallbacks } from './dispatchTypes'
-import { decideShedding } from './loadShedding'
+import type { AttemptFailure, Dispatch, DispatchCallbacks } from './dispatchTypes'
 import { urgencyOf } from './promptPlan'
-import type { PacerDecision } from './requestPacer'
-import { createTargetSelection, urgencyRank, type Target } from './targetSelection'
+import { createTargetSelection, urgencyRank } from './targetSelection'
 import { isFinalResponseHead } from '../http/headText'
 import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
+import type { RefusedVerdict } from '../upstream/crashAttribution'
 import { RepeatRule, RequestLimitKind, type Instant } from './types'
 import { callUpstream, isFramed } from './upstreamCall'
 import {
-  currentWait, recordActivity, isQuiet, isSilent, isUsable, recordWeights, observeWait, pauseAfterFailure,
+  currentWait, recordActivity, isQuiet, isSilent, recordWeights, observeWait, pauseAfterFailure,
   recordRejection, SILENCE_TIMEOUT_MS, type Upstream
 } from './upstreamDirectory'
 
@@ -31,16 +31,11 @@
 const CONNECT_TIMEOUT_MS = 400
 /** Share of the remaining time that connecting may take, so that there is time left for another upstream. */
 const CONNECT_TIME_SHARE = 0.25
-/** Share of the time to the latency target for which a request waits while another one is tried; about one response. */
-const TRIAL_WAIT_SHARE = 0.5
 /** Retry-after in milliseconds of a request that waited for a trial in vain. */
 const TRIAL_RETRY_MS = 300
 
 /** Reason in the log for a response that exceeds the buffer limit of one response or of all responses. */
 const RESPONSE_TOO_LONG = 'the answer is too long'
-const KEY_WITHDRAWN = 'the key could not be revalidated'
-/** Reason in the log for a request that was not sent to an upstream before the instance stops. */
-const STOPPING = 'the instance is stopping'
 /** Reason in the log for a request that was stopped because such requests crash upstreams. */
 const CRASHES_UPSTREAMS = 'such requests crash upstreams'
 
@@ -73,11 +68,21 @@
   const crashGuard = createCrashGuard(context, {
     callerRequest, customer: customer?.name, method: request.method!, path: request.url!, body
   })
-  /** Drawn once, so that further selections do not make it more likely that the request is rejected. */
-  const sheddingDraw = context.random()
   let firstByteAt: MonotonicMilliseconds | undefined
-  let permitTimer: NodeJS.Timeout | undefined
   const contain = createFaultContainment(callbacks.onFault)
+  const preparation = createAttemptPreparation(context, {
+    admittedRequest, targets, crashGuard, backlog, timeLeft, hasRun: () => history.runs > 0
+  }, {
+    onReady: sendTo,
+    onUnavailable (reason) { fail(currentExecutionStatus(), reason) },
+    onConvicted: rejectConvicted,
+    onSuspected (trait) {
+      if (history.runs === 0) callbacks.onSuspected(trait, TRIAL_RETRY_MS)
+      else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS)
+    },
+    onShed: callbacks.onShed,
+    onFault: callbacks.onFault
+  })
 
   function currentExecutionStatus (): ExecutionStatus {
     return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
@@ -90,72 +95,10 @@
     accounting.end(current, context.now().steady)
   }
 
-  /** Rejects the request if upstreams crash when they answer such requests; returns whether it did. */
-  function rejectConvicted (now: MonotonicMilliseconds): boolean {
-    const conviction = crashGuard.findConviction(history.runs > 0, now)
-    if (conviction === undefined) return false
-    if (history.runs === 0) callbacks.onConvicted(conviction.trait, conviction.retryAfter)
+  /** Rejects the request because upstreams crash when they answer such requests. */
+  function rejectConvicted ({ trait, retryAfter }: RefusedVerdict): void {
+    if (history.runs === 0) callbacks.onConvicted(trait, retryAfter)
     else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS)
-    return true
-  }
-
-  /** Whether the first attempt would start after the instance has ceased to accept requests. */
-  function isTooLate (): boolean {
-    return context.isRejecting() && history.runs === 0
-  }
-
-  function startAttempt (): void {
-    const now = context.now()
-    if (!isStillAuthorized(context, admittedRequest, now)) return fail(currentExecutionStatus(), KEY_WITHDRAWN)
-    if (isTooLate()) return fail(ExecutionStatus.notRun, STOPPING)
-    if (rejectConvicted(now.steady)) return
-    const suspect = crashGuard.missingPermit(now.steady)
-    if (suspect !== undefined) return waitForTrial(suspect)
-    const target = targets.select(now, crashGuard.suspectTrait(now.steady))
-    if (target === undefined) return fail(currentExecutionStatus(), targets.failureReason())
-    if (history.repeat === RepeatRule.stream && history.runs === 0) {
-      const expectedWait = backlog.expectedWait(now.steady)
-      const shedding = decideShedding(expectedWait, route.latencyTarget, sheddingDraw)
-      if (shedding.shed) return callbacks.onShed(expectedWait, shedding.retryAfter)
-    }
-    if (!context.sendPermits.isNeeded(target.upstream.entry)) return sendTo(target.upstream, now)
-    context.sendPermits.acquire(target.upstream.entry, target.maximumPermitWait)
-      .then((decision) => { handlePermit(target, decision) })
-      .catch(callbacks.onFault)
-  }
-
-  /** Waits until no other request with a suspect trait is in flight; rejects the request if that takes too long. */
-  function waitForTrial (trait: string): void {
-    crashGuard.waitForPermit(trait, Math.min(timeLeft(), route.latencyTarget) * TRIAL_WAIT_SHARE)
-      .then((isPermitted) => {
-        if (cancelled) return
-        if (isPermitted) startAttempt()
-        else if (history.runs === 0) callbacks.onSuspected(trait, TRIAL_RETRY_MS)
-        else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS)
-      })
-      .catch(callbacks.onFault)
-  }
-
-  function handlePermit ({ upstream }: Target, { granted, wait }: PacerDecision): void {
-    if (cancelled) return
-    if (granted) {
-      permitTimer = setTimeout(contain(() => { sendWithPermit(upstream) }), wait)
-      return
-    }
-    log(EdgeEvent.permitDenied, {
-      requestIdentifier: identifier, upstream: upstream.entry.identifier, wait: Math.round(wait)
-    })
-    targets.recordDenial(upstream, wait, context.now().steady)
-    startAttempt()
-  }
-
-  /** Sends the request unless the upstream has become unusable during the wait for the permit. */
-  function sendWithPermit (upstream: Upstream): void {
-    const now = context.now()
-    const isCurrent = directory.listed(service).includes(upstream) && isUsable(upstream, now.steady)
-    const isAuthorized = isStillAuthorized(context, admittedRequest, now)
-    if (!isCurrent || crashGuard.isBlocked(now.steady) || isTooLate() || !isAuthorized) return startAttempt()
-    sendTo(upstream, now)
   }
 
   function sendTo (upstream: Upstream, now: Instant): void {
@@ -180,7 +123,7 @@
       onEnd: contain(() => { onEnd(current) }),
       onFailure: contain((reason, sent) => {
         if (sent) crashGuard.recordLoss(current, context.now().steady)
-        onAttemptFailed(current, reason, sent)
+        onAttemptFailed(current, { reason, sent })
       })
     })
     log(EdgeEvent.requestRouted, {
@@ -241,16 +184,12 @@
     const step = decideNextStep(attemptOutcome, { ...history, responseStarted: callerResponse.hasStarted() })
     // The upstream may have crashed because of this request, and the next one might as well.
     const isDangerous = attemptOutcome !== AttemptOutcome.notRun && crashGuard.mayCrashAgain(context.now().steady)
-    if (step.kind === 'retry' && !isDangerous && mayRetry()) return startAttempt()
+    if (step.kind === 'retry' && !isDangerous && mayRetry()) return preparation.start()
     if (forward !== undefined) return forward()
     fail(currentExecutionStatus(), reason)
   }
 
-  /**
-   * @param sent whether any byte of the request was sent
-   * @param isStalled whether the upstream is alive and only this attempt makes no progress
-   */
-  function onAttemptFailed (current: Attempt, reason: string, sent: boolean, isStalled = false): void {
+  function onAttemptFailed (current: Attempt, { reason, sent, isStalled, isGivenUp }: AttemptFailure): void {
     const { upstream } = current
     const now = context.now().steady
     // Evaluated before the attempt is detached: an upstream without requests in flight never counts as silent.
@@ -259,9 +198,16 @@
     const hasBegun = current.firstByteAt !== undefined
     const traits = crashGuard.traits()
     log(EdgeEvent.attemptFailed, {
-      requestIdentifier: identifier, upstream: upstream.entry.identifier, reason, sent, hasBegun, traits
+      requestIdentifier: identifier,
+      upstream: upstream.entry.identifier,
+      reason,
+      sent,
+      isGivenUp,
+      hasBegun,
+      timeLeft: Math.round(timeLeft()),
+      traits
     })
-    if (!isStalled) pauseAfterFailure(upstream, now)
+    if (isStalled !== true) pauseAfterFailure(upstream, now)
     if (isUnreachable) context.reportUnreachable(upstream)
     context.connections.closeIdle(upstream)
     eventBoundary?.discardPartialEvent()
@@ -278,7 +224,7 @@
   /** Aborts an attempt that cannot yield a complete response, because of an invalid response or missing progress. */
   function abortAttempt (current: Attempt, reason: string, isStalled = false): void {
     current.call.cancel()
-    onAttemptFailed(current, reason, true, isStalled)
+    onAttemptFailed(current, { reason, sent: true, isStalled, isGivenUp: true })
   }
 
   function onHead (current: Attempt, head: IncomingMessage): void {
@@ -381,7 +327,8 @@
       const isEmpty = current.firstByteAt === undefined && !isFramed(head!)
       if (isEmpty || eventBoundary!.partialEvent().length > 0) {
         crashGuard.recordLoss(current, context.now().steady)
-        return onAttemptFailed(current, isEmpty ? 'the stream has no event' : 'the stream ended within an event', true)
+        const reason = isEmpty ? 'the stream has no event' : 'the stream ended within an event'
+        return onAttemptFailed(current, { reason, sent: true })
       }
       detachAttempt(current)
       const now = context.now().steady
@@ -417,12 +364,13 @@
   return {
     send () {
       const now = context.now().steady
-      if (rejectConvicted(now)) return
+      const conviction = crashGuard.findConviction(false, now)
+      if (conviction !== undefined) return rejectConvicted(conviction)
       targets.start(now)
       context.retryAllowance.recordRequest(service, now)
-      if (plan.promptTokens === 0) return startAttempt()
+      if (plan.promptTokens === 0) return preparation.start()
       context.engineLoads.refresh().catch(context.reportFault)
-        .then(() => { if (!cancelled) startAttempt() }).catch(callbacks.onFault)
+        .then(() => { if (!cancelled) preparation.start() }).catch(callbacks.onFault)
     },
     check (now) {
       if (attempt === undefined || attempt.isPaused) return
@@ -442,7 +390,7 @@
     },
     cancel (isOverdue) {
       cancelled = true
-      clearTimeout(permitTimer)
+      preparation.cancel()
       if (attempt === undefined) return
       const now = context.now().steady
       if (isQuiet(attempt.upstream, now)) crashGuard.recordSilence(attempt, now)
--- a/src/edge/dispatchTypes.ts
+++ b/src/edge/dispatchTypes.ts
@@ -26,6 +26,17 @@
   onFault: (error: unknown) => void
 }
 
+/** How an attempt ended without a complete response. */
+export interface AttemptFailure {
+  reason: string
+  /** Whether any byte of the request was sent. */
+  sent: boolean
+  /** Whether the upstream is alive and only this attempt makes no progress. */
+  isStalled?: boolean
+  /** Whether this instance ended the attempt, and not the upstream. */
+  isGivenUp?: boolean
+}
+
 export interface Dispatch {
   send: () => void
   /** Aborts an attempt that makes no progress; called several times per second. */
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -51,6 +51,8 @@
   let dispatch: Dispatch | undefined
   let admittedRequest: AdmittedRequest | undefined
   let timeoutTimer: NodeJS.Timeout | undefined
+  /** Returns the remaining time of the request in milliseconds, once it has been admitted. */
+  let timeLeft: (() => number) | undefined
   let chargedCost = 0
   let isFinished = false
   const contain = createFaultContainment(endAfterFault)
@@ -67,6 +69,14 @@
     onFinished()
   }
 
+  /** Returns the configuration in force and its age in milliseconds, for the log. */
+  function describeConfiguration (): { configurationVersion: number | undefined, configurationAge: number } {
+    return {
+      configurationVersion: context.routeTable()?.configuration.version,
+      configurationAge: Math.round(context.freshness.age(context.now()))
+    }
+  }
+
   function reject (rejection: Rejection, reason: string): void {
     log(EdgeEvent.requestRejected, {
       requestIdentifier: identifier,
@@ -77,8 +87,7 @@
       customer: admittedRequest?.customer?.name,
       service: admittedRequest?.service,
       ...dispatch?.counts(),
-      configurationVersion: context.routeTable()?.configuration.version,
-      configurationAge: Math.round(context.freshness.age(context.now()))
+      ...describeConfiguration()
     })
     callerResponse.reject(rejection)
     finish()
@@ -86,7 +95,12 @@
 
   function abort (reason: string): void {
     log(EdgeEvent.responseAborted, {
-      requestIdentifier: identifier, reason, lastEvent: dispatch?.lastEvent(), ...dispatch?.counts()
+      requestIdentifier: identifier,
+      reason,
+      lastEvent: dispatch?.lastEvent(),
+      timeLeft: timeLeft === undefined ? undefined : Math.round(timeLeft()),
+      ...dispatch?.counts(),
+      ...describeConfiguration()
     })
     callerResponse.abort()
     finish()
@@ -198,8 +212,9 @@
     const { route, service } = admitted
     const routeTimeout = route.timeout > 0 ? route.timeout : MAX_TIMER_MS
     const limitMs = Math.min(MAX_TIMER_MS, routeTimeout, callerRequest.callerTimeout ?? MAX_TIMER_MS)
-    const timeLeft = (): number => limitMs - (context.now().steady - startedAt.steady)
-    dispatch = createDispatch(context, admitted, callerResponse, timeLeft, {
+    const remainingTime = (): number => limitMs - (context.now().steady - startedAt.steady)
+    timeLeft = remainingTime
+    dispatch = createDispatch(context, admitted, callerResponse, remainingTime, {
       onSuccess (upstream, status) {
         const firstByteAt = dispatch?.firstByteAt()
         log(EdgeEvent.requestFinished, {
@@ -230,7 +245,7 @@
       onAborted: abort,
       onFault: endAfterFault
     })
-    timeoutTimer = setTimeout(contain(() => { onTimeout(service) }), Math.max(0, timeLeft()))
+    timeoutTimer = setTimeout(contain(() => { onTimeout(service) }), Math.max(0, remainingTime()))
     dispatch.send()
   }
 
