Keep an attempt at a silent upstream until another one has accepted the request

Cause: the attempt at an upstream without progress was cancelled as soon as another upstream could take the request over. That one turned it away (full, other weights, no permit, connection reset), and the request had nothing left, although the first upstream went on some hundred milliseconds later.

Now the request is sent to the other upstream while the first attempt goes on. It replaces the first attempt when the other upstream answers, or 200 ms after that one has received the request without turning it away, so that two upstreams never work on one stream for 400 ms. If it is turned away, the first attempt stays, and after a pause an upstream that was full may get the request again. If the first attempt makes progress meanwhile, the second one is cancelled.

Each step after the hand-over that can fail (refusal, reset, denied permit, withdrawn key, conviction) leaves the first attempt in place.

--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -14,6 +14,11 @@
 const STALLED_STREAM_MS = 1500
 /** Time in milliseconds without progress after which a request at a silent upstream is repeated elsewhere. */
 const SILENT_UPSTREAM_MS = 400
+/**
+ * Time in milliseconds without a refusal after which an upstream has accepted a request; refusals take a round trip. Two
+ * upstreams must not work on one stream for longer than 400 ms.
+ */
+const ACCEPTANCE_MS = 200
 
 /**
  * Statuses that tell the caller that the request was not executed. Those of an upstream are not forwarded, because it
@@ -66,6 +71,19 @@
   return idle >= limit || (isUpstreamSilent && idle > SILENT_UPSTREAM_MS)
 }
 
+/** Whether the request may be sent to a further upstream while its attempt makes no progress. */
+export function mayTakeOver (history: AttemptHistory): boolean {
+  return mayRepeat(history) && history.runs < history.maximumAttempts && history.rejections < MAX_REJECTIONS
+}
+
+/**
+ * Whether the next upstream counts as having accepted the request, without having answered yet.
+ * @param sinceSent milliseconds since the attempt there started
+ */
+export function isAccepted (isConnected: boolean, sinceSent: number): boolean {
+  return isConnected && sinceSent >= ACCEPTANCE_MS
+}
+
 /** Whether a complete response shows that the upstream has run the request and lived on. */
 export function provesSurvival (status: number): boolean {
   return status < 500 && !NOT_EXECUTED_STATUSES.has(status)
--- /dev/null
+++ b/src/edge/attemptOpening.ts
@@ -0,0 +1,75 @@
+/** Sends one attempt of a request to an upstream and logs it. */
+import { createAttempt, type Attempt } from './attempt'
+import { mayRepeat, type AttemptHistory } from './attemptDecision'
+import { composeAttemptRequest } from './attemptRequest'
+import { EdgeEvent } from './events'
+import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
+import { urgencyRank } from './targetSelection'
+import type { Instant } from './types'
+import { callUpstream, type UpstreamCallEvents } from './upstreamCall'
+import { currentWait, type Upstream } from './upstreamDirectory'
+
+/** Connect timeout in milliseconds; allows several round trips between data centres. */
+const CONNECT_TIMEOUT_MS = 400
+/** Share of the remaining time that connecting may take, so that there is time left for another upstream. */
+const CONNECT_TIME_SHARE = 0.25
+
+export interface AttemptOpeningOptions {
+  upstream: Upstream
+  urgency: number | undefined
+  /** Attempts before this one. */
+  history: AttemptHistory
+  /** Remaining time of the request in milliseconds. */
+  timeLeft: number
+  /** Identifier of the last event that the caller has received in this exchange. */
+  lastEvent: string | undefined
+  /** Trait of the request that may crash upstreams, for the log. */
+  suspectTrait: string | undefined
+  /** Number of engines that should hold the shared prefix, for the log. */
+  replicas: number
+  /** Identifier of the upstream of the attempt that this one takes over, for the log. */
+  replaces: string | undefined
+}
+
+export function openAttempt (
+  context: ExchangeContext, admittedRequest: AdmittedRequest, options: AttemptOpeningOptions,
+  events: UpstreamCallEvents, now: Instant
+): Attempt {
+  const { request, callerRequest, route, customer, service, plan, body } = admittedRequest
+  const { upstream, urgency, history, timeLeft, lastEvent } = options
+  const { headers, resumeAfter, cache } = composeAttemptRequest(context, admittedRequest, {
+    upstream, timeLeft, urgency, lastEvent
+  }, now.steady)
+  const call = callUpstream({
+    endpoint: upstream.entry.endpoint,
+    agent: context.connections.agentFor(upstream, !mayRepeat(history)),
+    method: request.method!,
+    path: request.url!,
+    headers,
+    body,
+    connectTimeout: Math.min(CONNECT_TIMEOUT_MS, timeLeft * CONNECT_TIME_SHARE)
+  }, events)
+  context.log(EdgeEvent.requestRouted, {
+    requestIdentifier: callerRequest.identifier ?? '',
+    upstream: upstream.entry.identifier,
+    service,
+    customer: customer?.name,
+    attempt: history.runs + history.rejections + 1,
+    replaces: options.replaces,
+    resumeAfter,
+    scope: cache.cacheScope,
+    sharedPart: plan.lastSharedSegment,
+    keeps: cache.exportTo === undefined ? undefined : true,
+    timeLeft: Math.round(timeLeft),
+    wait: Math.round(currentWait(upstream, urgencyRank(urgency), now.steady)),
+    requestLimit: context.requestLimits.limitOf(upstream.entry),
+    suspectTrait: options.suspectTrait,
+    holders: options.replicas,
+    configurationAge: Math.round(context.freshness.age(now))
+  })
+  const sample = context.rolloutSampler.startAttempt({
+    service, route: route.name, isNew: () => context.serviceRollouts.hasTargetVersion(upstream)
+  }, now.steady)
+  const buffer = context.responseBuffers.open()
+  return createAttempt({ upstream, call, sample, buffer }, plan.promptTokens, now.steady)
+}
--- a/src/edge/attemptPreparation.ts
+++ b/src/edge/attemptPreparation.ts
@@ -47,6 +47,8 @@
 
 export interface AttemptPreparation {
   start: () => void
+  /** Whether a preparation waits for a permit. */
+  isInProgress: () => boolean
   /** Ends a preparation in progress; no callback is called for it any more. */
   cancel: () => void
 }
@@ -60,6 +62,7 @@
   const sheddingDraw = context.random()
   const contain = createFaultContainment(callbacks.onFault)
   let isCancelled = false
+  let isInProgress = false
   let permitTimer: NodeJS.Timeout | undefined
 
   /** Whether the first attempt would start after the instance has ceased to accept requests. */
@@ -67,23 +70,34 @@
     return context.isRejecting() && !hasRun()
   }
 
+  function conclude (report: () => void): void {
+    isInProgress = false
+    report()
+  }
+
+  function reportUnavailable (reason: string): void {
+    conclude(() => { callbacks.onUnavailable(reason) })
+  }
+
   function start (): void {
     const now = context.now()
-    if (!isStillAuthorized(context, admittedRequest, now)) return callbacks.onUnavailable(KEY_WITHDRAWN)
-    if (isTooLate()) return callbacks.onUnavailable(STOPPING)
+    isInProgress = true
+    if (!isStillAuthorized(context, admittedRequest, now)) return reportUnavailable(KEY_WITHDRAWN)
+    if (isTooLate()) return reportUnavailable(STOPPING)
     const conviction = crashGuard.findConviction(hasRun(), now.steady)
-    if (conviction !== undefined) return callbacks.onConvicted(conviction)
+    if (conviction !== undefined) return conclude(() => { callbacks.onConvicted(conviction) })
     const suspect = crashGuard.missingPermit(now.steady)
     if (suspect !== undefined) return waitForTrial(suspect)
     const target = targets.select(now, crashGuard.suspectTrait(now.steady))
-    if (target === undefined) return callbacks.onUnavailable(targets.failureReason())
+    if (target === undefined) return reportUnavailable(targets.failureReason())
     if (route.repeat === RepeatRule.stream && !hasRun()) {
       const expectedWait = backlog.expectedWait(now.steady)
       const shedding = decideShedding(expectedWait, route.latencyTarget, sheddingDraw)
-      if (shedding.shed) return callbacks.onShed(expectedWait, shedding.retryAfter)
+      if (shedding.shed) return conclude(() => { callbacks.onShed(expectedWait, shedding.retryAfter) })
     }
-    if (!context.sendPermits.isNeeded(target.upstream.entry)) return callbacks.onReady(target.upstream, now)
-    context.sendPermits.acquire(target.upstream.entry, target.maximumPermitWait)
+    const { upstream } = target
+    if (!context.sendPermits.isNeeded(upstream.entry)) return conclude(() => { callbacks.onReady(upstream, now) })
+    context.sendPermits.acquire(upstream.entry, target.maximumPermitWait)
       .then((decision) => { handlePermit(target, decision) })
       .catch(callbacks.onFault)
   }
@@ -94,7 +108,7 @@
       .then((isPermitted) => {
         if (isCancelled) return
         if (isPermitted) start()
-        else callbacks.onSuspected(trait)
+        else conclude(() => { callbacks.onSuspected(trait) })
       })
       .catch(callbacks.onFault)
   }
@@ -118,13 +132,15 @@
     const isCurrent = context.directory.listed(service).includes(upstream) && isUsable(upstream, now.steady)
     const isAuthorized = isStillAuthorized(context, admittedRequest, now)
     if (!isCurrent || crashGuard.isBlocked(now.steady) || isTooLate() || !isAuthorized) return start()
-    callbacks.onReady(upstream, now)
+    conclude(() => { callbacks.onReady(upstream, now) })
   }
 
   return {
     start,
+    isInProgress: () => isInProgress,
     cancel () {
       isCancelled = true
+      isInProgress = false
       clearTimeout(permitTimer)
     }
   }
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -2,12 +2,13 @@
 import type { IncomingMessage } from 'node:http'
 import { MAX_RESPONSE_BYTES } from './responseBuffers'
 import { isStillAuthorized } from './admission'
-import { createAttempt, createAttemptAccounting, type Attempt } from './attempt'
+import { createAttemptAccounting, type Attempt } from './attempt'
+import { openAttempt } from './attemptOpening'
 import { createAttemptPreparation } from './attemptPreparation'
 import {
-  AttemptOutcome, decideNextStep, isStalled, mayRepeat, NOT_EXECUTED_STATUSES, provesSurvival, type AttemptHistory
+  AttemptOutcome, decideNextStep, isAccepted, isStalled, mayTakeOver, mayRepeat, NOT_EXECUTED_STATUSES, provesSurvival,
+  type AttemptHistory
 } from './attemptDecision'
-import { composeAttemptRequest } from './attemptRequest'
 import type { CallerResponse } from './callerResponse'
 import { createCrashGuard } from './crashGuard'
 import { countData, createEventBoundary, type EventBoundary } from './eventBoundary'
@@ -21,16 +22,12 @@
 import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
 import type { RefusedVerdict } from '../upstream/crashAttribution'
 import { RepeatRule, RequestLimitKind, type Instant } from './types'
-import { callUpstream, isFramed } from './upstreamCall'
+import { isFramed } from './upstreamCall'
 import {
-  currentWait, recordActivity, isQuiet, isSilent, recordWeights, observeWait, pauseAfterFailure,
+  recordActivity, isQuiet, isSilent, recordWeights, observeWait, pauseAfterFailure,
   recordRejection, SILENCE_TIMEOUT_MS, type Upstream
 } from './upstreamDirectory'
 
-/** Connect timeout in milliseconds; allows several round trips between data centres. */
-const CONNECT_TIMEOUT_MS = 400
-/** Share of the remaining time that connecting may take, so that there is time left for another upstream. */
-const CONNECT_TIME_SHARE = 0.25
 /** Retry-after in milliseconds of a request that waited for a trial in vain. */
 const TRIAL_RETRY_MS = 300
 
@@ -58,6 +55,8 @@
   /** Whether an upstream has received the request, regardless of whether it ran it. */
   let reachedUpstream = false
   let attempt: Attempt | undefined
+  /** Attempt at another upstream that replaces the present one as soon as it is accepted there. */
+  let successor: Attempt | undefined
   /** Whether the caller disconnected or the request timed out. */
   let cancelled = false
   let eventBoundary: EventBoundary | undefined
@@ -73,7 +72,7 @@
   const preparation = createAttemptPreparation(context, {
     admittedRequest, targets, crashGuard, backlog, timeLeft, hasRun: () => history.runs > 0
   }, {
-    onReady: sendTo,
+    onReady (upstream, now) { if (!isProgressing(now)) sendTo(upstream, now) },
     onUnavailable (reason) { fail(currentExecutionStatus(), reason) },
     onConvicted: rejectConvicted,
     onSuspected (trait) {
@@ -88,35 +87,53 @@
     return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
   }
 
-  /** Removes the current attempt and undoes its accounting at the upstream. */
+  /** Removes an attempt and undoes its accounting at the upstream. A successor takes its place. */
   function detachAttempt (current: Attempt): void {
-    if (attempt !== current) return
-    attempt = undefined
+    if (current !== attempt && current !== successor) return
+    if (current === attempt) {
+      attempt = successor
+      eventBoundary?.discardPartialEvent()
+    }
+    successor = undefined
     accounting.end(current, context.now().steady)
   }
 
-  /** Rejects the request because upstreams crash when they answer such requests. */
+  function cancelAttempt (current: Attempt): void {
+    current.call.cancel()
+    detachAttempt(current)
+  }
+
+  /** Cancels what is in progress besides the attempt that goes on or has ended the request. */
+  function endTakeover (): void {
+    if (successor === undefined) return
+    log(EdgeEvent.takeoverCancelled, { requestIdentifier: identifier, upstream: successor.upstream.entry.identifier })
+    cancelAttempt(successor)
+  }
+
+  /** Ends all work on the request, which has got its final response. */
+  function settle (): void {
+    preparation.cancel()
+    endTakeover()
+  }
+
+  /** Rejects the request because upstreams crash when they answer such requests, unless an attempt is in progress. */
   function rejectConvicted ({ trait, retryAfter }: RefusedVerdict): void {
     if (history.runs === 0) callbacks.onConvicted(trait, retryAfter)
     else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS)
   }
 
   function sendTo (upstream: Upstream, now: Instant): void {
-    const wait = currentWait(upstream, rank, now.steady)
     targets.markTried(upstream)
-    const remainingMs = timeLeft()
-    const { headers, resumeAfter, cache } = composeAttemptRequest(context, admittedRequest, {
-      upstream, timeLeft: remainingMs, urgency, lastEvent: eventBoundary?.lastEvent()
-    }, now.steady)
-    // The call comes before its accounting, which would have to be undone if the call could not be created.
-    const call = callUpstream({
-      endpoint: upstream.entry.endpoint,
-      agent: context.connections.agentFor(upstream, !mayRepeat(history)),
-      method: request.method!,
-      path: request.url!,
-      headers,
-      body,
-      connectTimeout: Math.min(CONNECT_TIMEOUT_MS, remainingMs * CONNECT_TIME_SHARE)
+    // The attempt comes before its accounting, which would have to be undone if it could not be created.
+    const current = openAttempt(context, admittedRequest, {
+      upstream,
+      urgency,
+      history,
+      timeLeft: timeLeft(),
+      lastEvent: eventBoundary?.lastEvent(),
+      suspectTrait: crashGuard.suspectTrait(now.steady),
+      replicas: targets.replicas(),
+      replaces: attempt?.upstream.entry.identifier
     }, {
       onHead: contain((head) => { onHead(current, head) }),
       onData: contain((chunk) => { onData(current, chunk) }),
@@ -125,37 +142,18 @@
         if (sent) crashGuard.recordLoss(current, context.now().steady)
         onAttemptFailed(current, { reason, sent })
       })
-    })
-    log(EdgeEvent.requestRouted, {
-      requestIdentifier: identifier,
-      upstream: upstream.entry.identifier,
-      service,
-      customer: customer?.name,
-      attempt: history.runs + history.rejections + 1,
-      resumeAfter,
-      scope: cache.cacheScope,
-      sharedPart: plan.lastSharedSegment,
-      keeps: cache.exportTo === undefined ? undefined : true,
-      timeLeft: Math.round(remainingMs),
-      wait: Math.round(wait),
-      requestLimit: context.requestLimits.limitOf(upstream.entry),
-      suspectTrait: crashGuard.suspectTrait(now.steady),
-      holders: targets.replicas(),
-      configurationAge: Math.round(context.freshness.age(now))
-    })
+    }, now)
     history.runs += 1
     accounting.start(upstream, plan.promptTokens, now.steady)
-    const sample = context.rolloutSampler.startAttempt({
-      service, route: route.name, isNew: () => context.serviceRollouts.hasTargetVersion(upstream)
-    }, now.steady)
-    const buffer = context.responseBuffers.open()
-    const current = createAttempt({ upstream, call, sample, buffer }, plan.promptTokens, now.steady)
-    attempt = current
+    if (attempt === undefined) attempt = current
+    else successor = current
     if (plan.promptTokens > 0) context.engineLoads.promptSent()
   }
 
-  /** Reports that the request failed. */
+  /** Reports that the request failed, unless an attempt is still in progress. */
   function fail (execution: ExecutionStatus, reason: string): void {
+    if (attempt !== undefined) return
+    settle()
     if (callerResponse.hasStarted()) callbacks.onAborted(reason)
     else callbacks.onFailure(execution, reason)
   }
@@ -176,15 +174,65 @@
       context.retryAllowance.canRetry(service, context.share(), now.steady) && targets.canMove(now)
   }
 
+  /** Whether the attempt in progress is not stalled, or no longer. */
+  function isProgressing (now: Instant): boolean {
+    return attempt !== undefined && !isStalledAt(attempt, now)
+  }
+
+  function isStalledAt ({ upstream, lastProgressAt }: Attempt, now: Instant): boolean {
+    return isStalled(history.repeat, now.steady - lastProgressAt, timeLeft(), isSilent(upstream, now.steady))
+  }
+
+  /**
+   * Sends the request to another upstream if the attempt makes no progress. The attempt goes on until it is accepted
+   * there: it may be turned away, and the present upstream may only have paused.
+   */
+  function takeOver (current: Attempt, now: Instant): void {
+    if (successor !== undefined || preparation.isInProgress()) return
+    if (!mayTakeOver(history) || !isStalledAt(current, now)) return
+    const isUpstreamSilent = isSilent(current.upstream, now.steady)
+    if (!canMove(now, isUpstreamSilent ? current : undefined)) return
+    reachedUpstream = true
+    if (!mayRetry()) return
+    if (isUpstreamSilent) {
+      crashGuard.recordSilence(current, now.steady)
+      context.reportUnreachable(current.upstream)
+    }
+    preparation.start()
+  }
+
+  /** Gives up the attempt, because its successor was accepted. */
+  function replaceAttempt (current: Attempt, now: Instant): void {
+    const idleMs = Math.round(now.steady - current.lastProgressAt)
+    abortAttempt(current, `no progress for ${idleMs} ms`, !isSilent(current.upstream, now.steady))
+  }
+
+  /** Ends an attempt that can no longer succeed; returns whether it did. */
+  function endHopeless (current: Attempt, now: MonotonicMilliseconds): boolean {
+    if (crashGuard.mustWithdraw(current, now)) {
+      abortAttempt(current, CRASHES_UPSTREAMS, true)
+      return true
+    }
+    const isIdle = now - current.lastProgressAt > SILENCE_TIMEOUT_MS
+    if (!isIdle || !directory.hasNewerRun(current.upstream.entry)) return false
+    crashGuard.recordSilence(current, now)
+    abortAttempt(current, 'another run has replaced the upstream', true)
+    return true
+  }
+
   /**
    * Continues after an attempt that ended without a complete response.
    * @param forward forwards the upstream's error response if the request is not retried
    */
   function continueAfter (attemptOutcome: AttemptOutcome, reason: string, forward?: () => void): void {
+    if (attempt !== undefined) return takeOver(attempt, context.now())
     const step = decideNextStep(attemptOutcome, { ...history, responseStarted: callerResponse.hasStarted() })
     // The upstream may have crashed because of this request, and the next one might as well.
     const isDangerous = attemptOutcome !== AttemptOutcome.notRun && crashGuard.mayCrashAgain(context.now().steady)
-    if (step.kind === 'retry' && !isDangerous && mayRetry()) return preparation.start()
+    const mayContinue = step.kind === 'retry' && !isDangerous
+    // A takeover that waits for its permit has taken a retry from the allowance already.
+    if (mayContinue && preparation.isInProgress()) return
+    if (mayContinue && mayRetry()) return preparation.start()
     if (forward !== undefined) return forward()
     fail(currentExecutionStatus(), reason)
   }
@@ -210,7 +258,6 @@
     if (isStalled !== true) pauseAfterFailure(upstream, now)
     if (isUnreachable) context.reportUnreachable(upstream)
     context.connections.closeIdle(upstream)
-    eventBoundary?.discardPartialEvent()
     reachedUpstream ||= sent
     if (sent) {
       current.sample.recordEnd(true, context.now().steady)
@@ -259,6 +306,9 @@
     const length = Number(head.headers['content-length'] ?? 0)
     if (!isStream && length > MAX_RESPONSE_BYTES) return abortAttempt(current, RESPONSE_TOO_LONG)
     if (isStream) eventBoundary ??= createEventBoundary(mayRepeat(history))
+    if (current === attempt) return endTakeover()
+    if (isStream || !callerResponse.hasStarted()) return replaceAttempt(attempt!, context.now())
+    abortAttempt(current, `the upstream answered ${status} to a resumed stream`, true)
   }
 
   /** Forwards the head of a stream. It waits for the first event: until then, the request can still be refused. */
@@ -269,8 +319,7 @@
 
   /** Handles a response that states that the upstream has not run the request. */
   function onRejected (current: Attempt, status: number, answeredBy: string | undefined, misdirected: boolean): void {
-    current.call.cancel()
-    detachAttempt(current)
+    cancelAttempt(current)
     reachedUpstream = true
     const { upstream } = current
     const isBehind = recordRejection(upstream, {
@@ -281,6 +330,7 @@
     })
     history.runs -= 1
     history.rejections += 1
+    if (attempt !== undefined) targets.markTurnedAway(upstream, history.rejections, context.now().steady)
     continueAfter(AttemptOutcome.notRun, `the upstream answered ${status} without running the request`)
   }
 
@@ -303,6 +353,7 @@
     crashGuard.recordProgress(current, now)
     if (!isStreamed(current)) {
       current.lastProgressAt = now
+      endTakeover()
       if (!current.buffer.push(chunk)) abortAttempt(current, RESPONSE_TOO_LONG)
       return
     }
@@ -312,6 +363,7 @@
     if (eventCount > 0) {
       current.lastProgressAt = now
       current.sample.recordEvents(eventCount, now)
+      endTakeover()
     }
     if (events !== undefined) {
       startStream(current)
@@ -330,6 +382,7 @@
         const reason = isEmpty ? 'the stream has no event' : 'the stream ended within an event'
         return onAttemptFailed(current, { reason, sent: true })
       }
+      settle()
       detachAttempt(current)
       const now = context.now().steady
       current.sample.recordEnd(false, now)
@@ -352,6 +405,7 @@
   }
 
   function forwardResponse ({ head, upstream }: Attempt, status: number, bytes: Buffer): void {
+    settle()
     if (callerResponse.hasStarted()) return callbacks.onAborted(`the upstream answered ${status} to a resumed stream`)
     if (NOT_EXECUTED_STATUSES.has(status)) {
       return callbacks.onFailure(ExecutionStatus.unknown, `the upstream answered ${status} after it may have run the request`)
@@ -374,29 +428,23 @@
     },
     check (now) {
       if (attempt === undefined || attempt.isPaused) return
-      if (crashGuard.mustWithdraw(attempt, now.steady)) return abortAttempt(attempt, CRASHES_UPSTREAMS, true)
+      if (successor !== undefined) endHopeless(successor, now.steady)
+      if (endHopeless(attempt, now.steady)) return
       attempt.sample.recordRunning(now.steady)
-      const idleMs = now.steady - attempt.lastProgressAt
-      if (idleMs > SILENCE_TIMEOUT_MS && directory.hasNewerRun(attempt.upstream.entry)) {
-        crashGuard.recordSilence(attempt, now.steady)
-        return abortAttempt(attempt, 'another run has replaced the upstream', true)
-      }
-      if (!mayRepeat(history) || history.runs >= history.maximumAttempts) return
-      const isUpstreamSilent = isSilent(attempt.upstream, now.steady)
-      if (!isStalled(history.repeat, idleMs, timeLeft(), isUpstreamSilent)) return
-      if (!canMove(now, isUpstreamSilent ? attempt : undefined)) return
-      if (isUpstreamSilent) crashGuard.recordSilence(attempt, now.steady)
-      abortAttempt(attempt, `no progress for ${Math.round(idleMs)} ms`, !isUpstreamSilent)
+      if (successor === undefined) return takeOver(attempt, now)
+      const { call, startedAt } = successor
+      if (isAccepted(call.isConnected(), now.steady - startedAt)) replaceAttempt(attempt, now)
     },
     cancel (isOverdue) {
       cancelled = true
       preparation.cancel()
-      if (attempt === undefined) return
       const now = context.now().steady
-      if (isQuiet(attempt.upstream, now)) crashGuard.recordSilence(attempt, now)
-      if (isOverdue) attempt.sample.recordEnd(true, now)
-      attempt.call.cancel()
-      detachAttempt(attempt)
+      for (const current of [successor, attempt]) {
+        if (current === undefined) continue
+        if (isQuiet(current.upstream, now)) crashGuard.recordSilence(current, now)
+        if (isOverdue) current.sample.recordEnd(true, now)
+        cancelAttempt(current)
+      }
     },
     release () {
       crashGuard.releasePermits(history.runs > 0)
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -18,6 +18,8 @@
   permitDenied: 'permit.denied',
   attemptFailed: 'attempt.failed',
   attemptRejected: 'attempt.rejected',
+  /** The attempt that was to take over a request was cancelled, because the one before made progress. */
+  takeoverCancelled: 'attempt.cancelled',
   configurationAccepted: 'configuration.accepted',
   configurationIgnored: 'configuration.ignored',
   upstreamFound: 'upstream.found',
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -20,6 +20,11 @@
 const PERMIT_WAIT_SHARE = 0.5
 /** Permits that may be denied before no more are asked for; each denial costs a round trip between instances. */
 const MAX_PERMIT_DENIALS = 3
+/**
+ * Milliseconds after which an upstream that turned a request away may get it again; doubles with each time. Slots of an
+ * engine become free within a few hundred milliseconds.
+ */
+const TURNED_AWAY_PAUSE_MS = 250
 /** Longest time in milliseconds that a denial is relied on; the limit or the instance that denied it may change. */
 const MAX_DENIAL_MS = 1000
 
@@ -45,6 +50,11 @@
   canMove: (now: Instant) => boolean
   /** Excludes this run of the upstream from further selections. */
   markTried: (upstream: Upstream) => void
+  /**
+   * Permits this run of the upstream again after a pause, because it turned the request away.
+   * @param rejections number of times that the request has been turned away
+   */
+  markTurnedAway: (upstream: Upstream, rejections: number, now: MonotonicMilliseconds) => void
   /** Records that the upstream has no permit within the permitted wait; its next one is free in `wait` milliseconds. */
   recordDenial: (upstream: Upstream, wait: number, now: MonotonicMilliseconds) => void
   /** Returns why no upstream was selected, for the log. */
@@ -64,8 +74,8 @@
 ): TargetSelection {
   const { callerRequest: { model }, route, customer, service, plan } = admittedRequest
   const rank = urgencyRank(urgencyOf(route, customer))
-  /** Runs that got the request; the next run of an upstream may get it, too. */
-  const tried = new Set<string>()
+  /** Runs that got the request, and until when they are excluded; the next run of an upstream may get it, too. */
+  const tried = new Map<string, MonotonicMilliseconds>()
   /** Random number that keeps all attempts on the same version of a service during a service rollout. */
   const versionDraw = context.random()
   let replicas = 1
@@ -89,7 +99,7 @@
   function findCandidates (now: Instant): { candidates: readonly Upstream[], maximumPermitWait: number } {
     const maximumAge = context.outdatedWeightsLimit * OUTDATED_WEIGHTS_SHARE
     const usable = context.directory.usable(service, now.steady).filter((upstream) => (
-      !tried.has(runKey(upstream.entry)) && outdatedWeightsAge(upstream, now) < maximumAge
+      now.steady >= (tried.get(runKey(upstream.entry)) ?? -Infinity) && outdatedWeightsAge(upstream, now) < maximumAge
     ))
     // The version is chosen first: a request limit on one version must not move its traffic to the other one.
     const eligible = context.serviceRollouts.eligible(service, usable, versionDraw, now.steady)
@@ -130,7 +140,10 @@
       return upstream === undefined ? undefined : { upstream, maximumPermitWait }
     },
     canMove: (now) => findCandidates(now).candidates.some((upstream) => !isQuiet(upstream, now.steady)),
-    markTried (upstream) { tried.add(runKey(upstream.entry)) },
+    markTried (upstream) { tried.set(runKey(upstream.entry), Infinity) },
+    markTurnedAway (upstream, rejections, now) {
+      tried.set(runKey(upstream.entry), now + TURNED_AWAY_PAUSE_MS * 2 ** (rejections - 1))
+    },
     recordDenial (upstream, wait, now) {
       denials += 1
       upstream.nextPermitAt = now + Math.min(MAX_DENIAL_MS, wait)
--- a/src/edge/upstreamCall.ts
+++ b/src/edge/upstreamCall.ts
@@ -37,6 +37,8 @@
 export interface UpstreamCall {
   /** Whether the connection has carried other requests before. */
   isConnectionReused: () => boolean
+  /** Whether the connection is open, so that the upstream may have received the request. */
+  isConnected: () => boolean
   pause: () => void
   resume: () => void
   /** Cancels the attempt and closes its connection. */
@@ -126,6 +128,7 @@
 
   return {
     isConnectionReused: () => upstreamRequest.reusedSocket,
+    isConnected: () => isConnected,
     pause: () => { response?.pause() },
     resume: () => { response?.resume() },
     cancel () {
