Let a begun stream wait for an upstream that can take it before it is cut

Callers saw a begun stream cut as soon as its upstream had broken off and every other one turned it away for a moment, with seconds of its time left. Now a begun stream, which can be neither answered nor refused any more, waits for 1.5 s at most in all, within its attempts, its three refusals and its time; upstreams that had it before may get it again. Requests that have not begun end at once as before, with a refusal or 502.

--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -71,8 +71,8 @@
   return idle >= limit || (isUpstreamSilent && idle > SILENT_UPSTREAM_MS)
 }
 
-/** Whether the request may be sent to a further upstream while its attempt makes no progress. */
-export function mayTakeOver (history: AttemptHistory): boolean {
+/** Whether the request may be sent to a further upstream. */
+export function maySendAgain (history: AttemptHistory): boolean {
   return mayRepeat(history) && history.runs < history.maximumAttempts && history.rejections < MAX_REJECTIONS
 }
 
--- a/src/edge/attemptPreparation.ts
+++ b/src/edge/attemptPreparation.ts
@@ -8,6 +8,7 @@
 import { decideShedding } from './loadShedding'
 import type { PacerDecision } from './requestPacer'
 import type { Target, TargetSelection } from './targetSelection'
+import type { MonotonicMilliseconds } from '../types'
 import { RepeatRule, type Instant } from './types'
 import { isUsable, type Upstream } from './upstreamDirectory'
 import type { RefusedVerdict } from '../upstream/crashAttribution'
@@ -15,6 +16,14 @@
 /** Share of the time to the latency target for which a request waits while another one is tried; about one response. */
 const TRIAL_WAIT_SHARE = 0.5
 
+/**
+ * Longest time in milliseconds that a request waits in all until an upstream can take it; callers give up a stream two
+ * seconds after its last event.
+ */
+const MAX_UPSTREAM_WAIT_MS = 1500
+/** Interval in milliseconds between looks for an upstream. */
+const WAIT_POLL_MS = 50
+
 /** Reason in the log for a request whose customer may no longer be served. */
 const KEY_WITHDRAWN = 'the key could not be revalidated'
 /** Reason in the log for a request that was not sent to an upstream before the instance stops. */
@@ -43,27 +52,31 @@
   timeLeft: () => number
   /** Whether an upstream may have run the request. */
   hasRun: () => boolean
+  /** Whether the request waits until an upstream can take it, because it can no longer be refused. */
+  mayWait: (now: MonotonicMilliseconds) => boolean
 }
 
 export interface AttemptPreparation {
   start: () => void
-  /** Whether a preparation waits for a permit. */
+  /** Whether a preparation waits for a permit or an upstream. */
   isInProgress: () => boolean
   /** Ends a preparation in progress; no callback is called for it any more. */
   cancel: () => void
 }
 
 export function createAttemptPreparation (
-  context: ExchangeContext, { admittedRequest, targets, crashGuard, backlog, timeLeft, hasRun }: PreparationOptions,
+  context: ExchangeContext, options: PreparationOptions,
   callbacks: PreparationCallbacks
 ): AttemptPreparation {
+  const { admittedRequest, targets, crashGuard, backlog, timeLeft, hasRun } = options
   const { route, service, callerRequest } = admittedRequest
   /** Drawn once, so that further selections do not make it more likely that the request is rejected. */
   const sheddingDraw = context.random()
   const contain = createFaultContainment(callbacks.onFault)
   let isCancelled = false
   let isInProgress = false
-  let permitTimer: NodeJS.Timeout | undefined
+  let waitUntil: MonotonicMilliseconds | undefined
+  let timer: NodeJS.Timeout | undefined
 
   /** Whether the first attempt would start after the instance has ceased to accept requests. */
   function isTooLate (): boolean {
@@ -89,7 +102,7 @@
     const suspect = crashGuard.missingPermit(now.steady)
     if (suspect !== undefined) return waitForTrial(suspect)
     const target = targets.select(now, crashGuard.suspectTrait(now.steady))
-    if (target === undefined) return reportUnavailable(targets.failureReason())
+    if (target === undefined) return waitForUpstream(now.steady)
     if (route.repeat === RepeatRule.stream && !hasRun()) {
       const expectedWait = backlog.expectedWait(now.steady)
       const shedding = decideShedding(expectedWait, route.latencyTarget, sheddingDraw)
@@ -102,6 +115,19 @@
       .catch(callbacks.onFault)
   }
 
+  /** Looks for an upstream again later, if the request may wait. */
+  function waitForUpstream (now: MonotonicMilliseconds): void {
+    const isListed = context.directory.listed(service).length > 0
+    const mayWait = isListed && now < (waitUntil ?? Infinity) && options.mayWait(now)
+    if (!mayWait) return reportUnavailable(targets.failureReason())
+    waitUntil ??= now + MAX_UPSTREAM_WAIT_MS
+    targets.permitAgain()
+    timer = setTimeout(contain(() => {
+      if (options.mayWait(context.now().steady)) start()
+      else reportUnavailable(targets.failureReason())
+    }), WAIT_POLL_MS)
+  }
+
   /** Waits until no other request with a suspect trait is in flight. */
   function waitForTrial (trait: string): void {
     crashGuard.waitForPermit(trait, Math.min(timeLeft(), route.latencyTarget) * TRIAL_WAIT_SHARE)
@@ -116,7 +142,7 @@
   function handlePermit ({ upstream }: Target, { granted, wait }: PacerDecision): void {
     if (isCancelled) return
     if (granted) {
-      permitTimer = setTimeout(contain(() => { sendWithPermit(upstream) }), wait)
+      timer = setTimeout(contain(() => { sendWithPermit(upstream) }), wait)
       return
     }
     context.log(EdgeEvent.permitDenied, {
@@ -141,7 +167,7 @@
     cancel () {
       isCancelled = true
       isInProgress = false
-      clearTimeout(permitTimer)
+      clearTimeout(timer)
     }
   }
 }
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -6,7 +6,7 @@
 import { openAttempt } from './attemptOpening'
 import { createAttemptPreparation } from './attemptPreparation'
 import {
-  AttemptOutcome, decideNextStep, isAccepted, isStalled, mayTakeOver, mayRepeat, NOT_EXECUTED_STATUSES, provesSurvival,
+  AttemptOutcome, decideNextStep, isAccepted, isStalled, maySendAgain, mayRepeat, NOT_EXECUTED_STATUSES, provesSurvival,
   type AttemptHistory
 } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
@@ -70,7 +70,7 @@
   let firstByteAt: MonotonicMilliseconds | undefined
   const contain = createFaultContainment(callbacks.onFault)
   const preparation = createAttemptPreparation(context, {
-    admittedRequest, targets, crashGuard, backlog, timeLeft, hasRun: () => history.runs > 0
+    admittedRequest, targets, crashGuard, backlog, timeLeft, hasRun: () => history.runs > 0, mayWait
   }, {
     onReady (upstream, now) { if (!isProgressing(now)) sendTo(upstream, now) },
     onUnavailable (reason) { fail(currentExecutionStatus(), reason) },
@@ -83,6 +83,12 @@
     onFault: callbacks.onFault
   })
 
+  /** Whether a begun stream, which can only be resumed or cut, waits for an upstream. */
+  function mayWait (now: MonotonicMilliseconds): boolean {
+    return attempt === undefined && callerResponse.hasStarted() && maySendAgain(history) &&
+      !crashGuard.mayCrashAgain(now)
+  }
+
   function currentExecutionStatus (): ExecutionStatus {
     return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
   }
@@ -189,7 +195,7 @@
    */
   function takeOver (current: Attempt, now: Instant): void {
     if (successor !== undefined || preparation.isInProgress()) return
-    if (!mayTakeOver(history) || !isStalledAt(current, now)) return
+    if (!maySendAgain(history) || !isStalledAt(current, now)) return
     const isUpstreamSilent = isSilent(current.upstream, now.steady)
     if (!canMove(now, isUpstreamSilent ? current : undefined)) return
     reachedUpstream = true
@@ -330,7 +336,7 @@
     })
     history.runs -= 1
     history.rejections += 1
-    if (attempt !== undefined) targets.markTurnedAway(upstream, history.rejections, context.now().steady)
+    if (history.runs > 0) targets.markTurnedAway(upstream, history.rejections, context.now().steady)
     continueAfter(AttemptOutcome.notRun, `the upstream answered ${status} without running the request`)
   }
 
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -55,6 +55,8 @@
    * @param rejections number of times that the request has been turned away
    */
   markTurnedAway: (upstream: Upstream, rejections: number, now: MonotonicMilliseconds) => void
+  /** Permits all upstreams again that may have run the request; it goes on where it can. */
+  permitAgain: () => void
   /** Records that the upstream has no permit within the permitted wait; its next one is free in `wait` milliseconds. */
   recordDenial: (upstream: Upstream, wait: number, now: MonotonicMilliseconds) => void
   /** Returns why no upstream was selected, for the log. */
@@ -144,6 +146,9 @@
     markTurnedAway (upstream, rejections, now) {
       tried.set(runKey(upstream.entry), now + TURNED_AWAY_PAUSE_MS * 2 ** (rejections - 1))
     },
+    permitAgain () {
+      for (const [run, excludedUntil] of tried) if (excludedUntil === Infinity) tried.delete(run)
+    },
     recordDenial (upstream, wait, now) {
       denials += 1
       upstream.nextPermitAt = now + Math.min(MAX_DENIAL_MS, wait)
