--- a/src/edge/__tests__/attemptDecision.test.ts
+++ b/src/edge/__tests__/attemptDecision.test.ts
@@ -1,6 +1,8 @@
 import { describe, expect, it } from 'vitest'
 import { ExecutionStatus } from '../../types'
-import { AttemptOutcome, decideNextStep, provesSurvival, type AttemptHistory } from '../attemptDecision'
+import {
+  AttemptOutcome, decideNextStep, isAccepted, maySendAgain, provesSurvival, type AttemptHistory
+} from '../attemptDecision'
 import { RepeatRule } from '../types'
 
 const history: AttemptHistory = {
@@ -34,3 +36,22 @@
     expect(provesSurvival(status)).toBe(expected)
   })
 })
+
+describe('a request without progress', () => {
+  it.each<[string, Partial<AttemptHistory>, boolean]>([
+    ['may be sent again if it is safe', { runs: 1 }, true],
+    ['may be sent again if its stream may be resumed', { repeat: RepeatRule.stream, resumable: true, runs: 1 }, true],
+    ['stays where it is if its stream may not be resumed', { repeat: RepeatRule.stream, runs: 1 }, false],
+    ['stays where it is if it is not safe', { repeat: RepeatRule.unsafe, runs: 1 }, false],
+    ['stays where it is after the attempts of its route', { runs: 2 }, false],
+    ['stays where it is after three refusals', { runs: 1, rejections: 3 }, false]
+  ])('%s', (_title, overrides, expected) => {
+    expect(maySendAgain({ ...history, ...overrides })).toBe(expected)
+  })
+
+  it.each([
+    [false, 1000, false], [true, 199, false], [true, 200, true]
+  ])('counts as accepted by an upstream that is connected (%s) for %i ms: %s', (isConnected, sinceSent, expected) => {
+    expect(isAccepted(isConnected, sinceSent)).toBe(expected)
+  })
+})
--- a/src/edge/__tests__/targetSelection.test.ts
+++ b/src/edge/__tests__/targetSelection.test.ts
@@ -105,3 +105,30 @@
     else expect(target).not.toBe('a')
   })
 })
+
+describe('an upstream that had the request', () => {
+  const A = 'a'
+  it.each<[string, (targets: TargetSelection, directory: UpstreamDirectory) => void, number, boolean]>([
+    ['is excluded', () => {}, 60_000, false],
+    ['is excluded for a pause after it turned the request away', (targets, directory) => {
+      targets.markTurnedAway(directory.get(A)!, 1, 0)
+    }, 249, false],
+    ['may get it again after the pause', (targets, directory) => {
+      targets.markTurnedAway(directory.get(A)!, 1, 0)
+    }, 250, true],
+    ['is excluded for longer each time', (targets, directory) => {
+      targets.markTurnedAway(directory.get(A)!, 2, 0)
+    }, 499, false],
+    ['may get it again if the request can go on nowhere else', (targets) => { targets.permitAgain() }, 0, true],
+    ['stays excluded for its pause then', (targets, directory) => {
+      targets.markTurnedAway(directory.get(A)!, 1, 0)
+      targets.permitAgain()
+    }, 249, false]
+  ])('%s', (_title, change, steady, expected) => {
+    const { targets, directory } = createSelection([])
+    for (const name of NAMES) targets.markTried(directory.get(name)!)
+    change(targets, directory)
+    for (const name of NAMES.slice(1)) targets.markTried(directory.get(name)!)
+    expect(targets.select({ steady, wall: steady })?.upstream.entry.identifier).toBe(expected ? A : undefined)
+  })
+})
