Keep a caller's connection for as long as its response announced

A change of the configuration that lowered the idle timeout during a request closed the connection earlier than the response had announced, so that the caller's next request on it got no answer. The timer now covers the announced timeout, with a margin that does not depend on the version of Node.js.

--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -13,6 +13,8 @@
 const REQUEST_TIMEOUT_MS = 60_000
 /** Added to the configured idle timeout, so that callers stop using a connection before it is closed. */
 const KEEP_ALIVE_MARGIN_MS = 1000
+/** Time in milliseconds for which a connection is kept longer than announced; covers the way of a request. */
+const CLOSE_MARGIN_MS = 1000
 /** Maximum length of the queue of pending connections; all callers of a zone may connect at once. */
 const LISTEN_BACKLOG = 1024
 /** Header limit of the HTTP parser in bytes. The limit of the configuration is checked per request. */
@@ -61,6 +63,7 @@
     noDelay: true
   }, (request, response) => {
     response.sendDate = false
+    keepAsAnnounced(request, response, callers.keepAliveTimeout)
     options.onRequest(request, response)
   })
   const readiness = createServer((request, response) => {
@@ -76,6 +79,18 @@
       response.writeHead(500, { 'Content-Length': '0' }).end()
     })
   })
+  /**
+   * Keeps the connection for as long as its response announced. Node.js announces the timeout in force when the request
+   * began, but starts the timer with the one in force when the response has been sent.
+   */
+  function keepAsAnnounced ({ socket }: IncomingMessage, response: ServerResponse, announced: number): void {
+    response.on('finish', () => {
+      // Without a timer, the connection is about to close, or another response is being sent on it.
+      const isIdle = (socket.timeout ?? 0) > 0
+      if (isIdle) socket.setTimeout(clampTimer(Math.max(announced, callers.keepAliveTimeout) + CLOSE_MARGIN_MS))
+    })
+  }
+
   const listeners: Listener[] = []
   const connections = new Set<Socket>()
   callers.on('connection', (socket: Socket) => {
