Read what has arrived before an idle connection of a caller is closed

A process that was busy called its timers before it read its sockets, and closed connections whose next request had arrived within their time. The case failed before.

--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -91,6 +91,11 @@
     })
   }
 
+  callers.on('timeout', (socket: Socket) => {
+    const { bytesRead } = socket
+    // After the process was busy, timers come before the bytes that have arrived meanwhile; these are read first.
+    setImmediate(() => { if (socket.bytesRead === bytesRead) socket.destroy() })
+  })
   const listeners: Listener[] = []
   const connections = new Set<Socket>()
   callers.on('connection', (socket: Socket) => {
