Read the requests that have arrived before a planned stop closes connections

The steps of a stop follow timers, which a process that was busy calls before it reads its sockets. Connections with requests that had arrived by then were reset. The case failed before.

--- a/src/edge/gracefulStop.ts
+++ b/src/edge/gracefulStop.ts
@@ -34,8 +34,11 @@
   close: () => void
 }
 
+/** Resolves once the time has passed and the requests that have arrived by then have been read. */
 async function delay (milliseconds: number): Promise<void> {
   await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
+  // In a process that was busy, timers come before the sockets. A connection closed with unread bytes is reset.
+  await new Promise((resolve) => { setImmediate(resolve) })
 }
 
 export async function stopGracefully (options: GracefulStopOptions): Promise<void> {
