--- a/src/edge/types.ts
+++ b/src/edge/types.ts
@@ -107,9 +107,13 @@
   state: ServiceRolloutState
 }
 
+/** Start of a run whose entry does not state it; such an entry does not tell whether the upstream has restarted. */
+export const UNKNOWN_START: WallClockMilliseconds = 0
+
 /** Identifies one process of an upstream among the successive ones with the same identifier. */
 export interface UpstreamRun {
   identifier: string
+  /** `UNKNOWN_START` if the entry does not state it. */
   startedAt: WallClockMilliseconds
 }
 
--- a/src/edge/upstreamDirectory.ts
+++ b/src/edge/upstreamDirectory.ts
@@ -4,7 +4,7 @@
  */
 import type { MonotonicMilliseconds, WallClockMilliseconds } from '../types'
 import { loadKeyOf } from './engineLoad'
-import type { ModelWeights, UpstreamEntry, UpstreamRun } from './types'
+import { UNKNOWN_START, type ModelWeights, type UpstreamEntry, type UpstreamRun } from './types'
 
 /**
  * Milliseconds for which an upstream is avoided after its first failure in a row; doubles with each further one. A
@@ -155,14 +155,14 @@
 
   function applyEntry (entry: UpstreamEntry): DirectoryChange[] {
     const present = upstreams.get(entry.identifier)
-    if (present === undefined || present.entry.startedAt !== entry.startedAt) {
+    if (present === undefined || isOtherRun(present.entry, entry)) {
       const upstream = createUpstream(entry)
       upstream.announcedLeaving = leavingRuns.has(runKey(entry.identifier, entry.startedAt))
       upstreams.set(entry.identifier, upstream)
       return [{ kind: present === undefined ? 'found' : 'restarted', upstream }]
     }
     const isNewlyLeaving = entry.leaving && !isLeaving(present)
-    present.entry = entry
+    present.entry = { ...entry, startedAt: isStartKnown(entry) ? entry.startedAt : present.entry.startedAt }
     present.missingSince = undefined
     for (const weights of entry.weights) recordWeights(present, weights)
     return isNewlyLeaving ? [{ kind: 'leaving', upstream: present }] : []
@@ -217,7 +217,10 @@
         : reindexAfter(expired.flatMap(({ entry }) => removeEntry(entry.identifier, false, now)))
     },
     get: (identifier) => upstreams.get(identifier),
-    hasNewerRun: ({ identifier, startedAt }) => (upstreams.get(identifier)?.entry.startedAt ?? -Infinity) > startedAt,
+    hasNewerRun (run) {
+      const present = upstreams.get(run.identifier)?.entry
+      return present !== undefined && isOtherRun(run, present) && present.startedAt > run.startedAt
+    },
     listed: (service) => services.get(service) ?? [],
     ofService: (service) => [...upstreams.values()].filter(({ entry }) => entry.service === service),
     usable: (service, now) => (services.get(service) ?? []).filter((upstream) => isUsable(upstream, now)),
@@ -225,6 +228,15 @@
   }
 }
 
+function isStartKnown ({ startedAt }: UpstreamRun): boolean {
+  return startedAt !== UNKNOWN_START
+}
+
+/** Whether two entries under one identifier are certainly of different runs. */
+function isOtherRun (one: UpstreamRun, other: UpstreamRun): boolean {
+  return isStartKnown(one) && isStartKnown(other) && one.startedAt !== other.startedAt
+}
+
 function createUpstream (entry: UpstreamEntry): Upstream {
   return {
     entry,
