Read what has arrived at a busy process before its upstreams are judged as silent

The periodic check is a timer, and timers come before sockets. After the process was busy, streams whose next event had arrived were cancelled and repeated elsewhere.

--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -369,7 +369,12 @@
     log,
     now: () => performance.now()
   })
-  const sweep = setInterval(() => {
+  let pendingSweep: NodeJS.Immediate | undefined
+  // After the process was busy, timers come before the bytes that have arrived meanwhile. These are read first, so that
+  // their upstreams do not count as silent.
+  const sweepTimer = setInterval(() => { pendingSweep = setImmediate(sweep) }, SWEEP_MS)
+
+  function sweep (): void {
     const instant = now()
     livenessChecks.runDue()
     crashHandling.check(instant.steady)
@@ -377,7 +382,8 @@
     tables.handleDirectoryChanges(directory.expire(instant.steady))
     loadingEngines = weightsRollout.loadingEngines(directory.all(), instant.steady)
     connections.closeExpired()
-  }, SWEEP_MS)
+  }
+
   await server.listen()
   isListening = true
   log(EdgeEvent.started, { dataCentre })
@@ -397,8 +403,8 @@
         for (const task of [
           tables, lease, weightsRolloutTask, serviceRolloutTask, engineLoads, cacheStores, instances
         ]) task.stop()
-        clearInterval(sweep)
-        clearInterval(flushTimer)
+        for (const timer of [sweepTimer, flushTimer]) clearInterval(timer)
+        clearImmediate(pendingSweep)
         server.close()
         links.close()
         store.close()
