Read the answers that have arrived at a busy process before a request times out

Callers got 504, or a cut stream, although the whole answer had arrived within the time limit of the request: after the process was busy, its timers come before its sockets. The case of busyProcess.test.ts failed before.

--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -245,7 +245,9 @@
       onAborted: abort,
       onFault: endAfterFault
     })
-    timeoutTimer = setTimeout(contain(() => { onTimeout(service) }), Math.max(0, remainingTime()))
+    // After the process was busy, timers come before the answers that have arrived meanwhile; these are read first.
+    const endIfUnanswered = contain(() => { if (!isFinished) onTimeout(service) })
+    timeoutTimer = setTimeout(() => { setImmediate(endIfUnanswered) }, Math.max(0, remainingTime()))
     dispatch.send()
   }
 
