Keep a request able to go on after a takeover that fails late or is cancelled

Cause: a cancelled attempt still counted against the attempts of the route, so that nothing could follow it, and the successor took the place of an attempt that had just been answered. Now a request may run once more for each attempt that this instance cancelled, beyond the attempts of its route only at upstreams that have had it; a failure of either attempt leaves the other one in place; safe requests keep both attempts until one answers; the 200 ms count from the connection; a final response ends the takeover first.

--- a/src/edge/__tests__/attemptDecision.test.ts
+++ b/src/edge/__tests__/attemptDecision.test.ts
@@ -6,7 +6,13 @@
 import { RepeatRule } from '../types'
 
 const history: AttemptHistory = {
-  repeat: RepeatRule.safe, resumable: false, maximumAttempts: 2, runs: 0, rejections: 0, responseStarted: false
+  repeat: RepeatRule.safe,
+  resumable: false,
+  maximumAttempts: 2,
+  runs: 0,
+  rejections: 0,
+  cancellations: 0,
+  responseStarted: false
 }
 
 describe('decideAfter', () => {
@@ -44,14 +50,20 @@
     ['stays where it is if its stream may not be resumed', { repeat: RepeatRule.stream, runs: 1 }, false],
     ['stays where it is if it is not safe', { repeat: RepeatRule.unsafe, runs: 1 }, false],
     ['stays where it is after the attempts of its route', { runs: 2 }, false],
+    ['may be sent once more for an attempt that was cancelled', { runs: 2, cancellations: 1 }, true],
+    ['stays where it is after that', { runs: 3, cancellations: 1 }, false],
+    ['stays where it is after two such runs', { runs: 4, cancellations: 9 }, false],
     ['stays where it is after three refusals', { runs: 1, rejections: 3 }, false]
   ])('%s', (_title, overrides, expected) => {
     expect(maySendAgain({ ...history, ...overrides })).toBe(expected)
   })
 
-  it.each([
-    [false, 1000, false], [true, 199, false], [true, 200, true]
-  ])('counts as accepted by an upstream that is connected (%s) for %i ms: %s', (isConnected, sinceSent, expected) => {
-    expect(isAccepted(isConnected, sinceSent)).toBe(expected)
+  it.each<[string, RepeatRule, number | undefined, boolean]>([
+    ['is not accepted before the upstream has received it', RepeatRule.stream, undefined, false],
+    ['is not accepted while a refusal may follow', RepeatRule.stream, 801, false],
+    ['is accepted 200 ms after the upstream has received it', RepeatRule.stream, 800, true],
+    ['stays at both upstreams if it is safe', RepeatRule.safe, 0, false]
+  ])('%s', (_title, repeat, connectedAt, expected) => {
+    expect(isAccepted(repeat, connectedAt, 1000)).toBe(expected)
   })
 })
--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -15,6 +15,8 @@
   call: UpstreamCall
   sample: AttemptSample
   startedAt: number
+  /** Time when the connection was open and the request was sent. */
+  connectedAt: MonotonicMilliseconds | undefined
   /** Time of the last byte of a plain response, or of the last event with data of a stream. */
   lastProgressAt: number
   /** Time of the first byte of the response body. */
@@ -37,6 +39,7 @@
   return {
     ...parts,
     startedAt: now,
+    connectedAt: undefined,
     lastProgressAt: now,
     firstByteAt: undefined,
     isPaused: false,
--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -1,10 +1,13 @@
 /** Decides how a request continues after an attempt that ended without a complete response. */
-import { ExecutionStatus } from '../types'
-import { RepeatRule } from './types'
+import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
+import { RepeatRule, type EdgeRoute } from './types'
 
 /** Rejections by upstreams after which a request fails. Each one costs a round trip and upstream processing time. */
 const MAX_REJECTIONS = 3
 
+/** Runs beyond the attempts of the route, at upstreams that have had the request. */
+const MAX_REPEATED_RUNS = 2
+
 /** Share of the remaining time without progress after which a request that is safe to repeat is retried. */
 const RETRY_TIME_SHARE = 0.5
 /**
@@ -44,10 +47,21 @@
   runs: number
   /** Number of attempts that were certainly not run. */
   rejections: number
+  /**
+   * Number of attempts that this instance cancelled in favour of another one. The request may be sent once more for each
+   * of them, but beyond `maximumAttempts` only to upstreams that have had it.
+   */
+  cancellations: number
   /** Whether part of a response has been sent to the caller. */
   responseStarted: boolean
 }
 
+export function createAttemptHistory (
+  { repeat, resumable, maximumAttempts }: Pick<EdgeRoute, 'repeat' | 'resumable' | 'maximumAttempts'>
+): AttemptHistory {
+  return { repeat, resumable, maximumAttempts, runs: 0, rejections: 0, cancellations: 0, responseStarted: false }
+}
+
 export type NextStep =
   | { kind: 'retry' }
   /** Forwards the upstream's response to the caller. */
@@ -71,25 +85,40 @@
   return idle >= limit || (isUpstreamSilent && idle > SILENT_UPSTREAM_MS)
 }
 
-/** Whether the request may be sent to a further upstream. */
+/** Whether the request may run once more. */
+function mayRunAgain (history: AttemptHistory): boolean {
+  const { runs, maximumAttempts, cancellations } = history
+  return mayRepeat(history) && runs < maximumAttempts + Math.min(MAX_REPEATED_RUNS, cancellations)
+}
+
+/** Whether the request may be sent to an upstream once more. */
 export function maySendAgain (history: AttemptHistory): boolean {
-  return mayRepeat(history) && history.runs < history.maximumAttempts && history.rejections < MAX_REJECTIONS
+  return mayRunAgain(history) && history.rejections < MAX_REJECTIONS
+}
+
+/** Whether the response of an upstream reports a failure, or leaves open whether it has run the request. */
+export function isFailure (status: number): boolean {
+  return status >= 500 || NOT_EXECUTED_STATUSES.has(status)
 }
 
 /**
- * Whether the next upstream counts as having accepted the request, without having answered yet.
- * @param sinceSent milliseconds since the attempt there started
+ * Whether the next upstream counts as having accepted the request, without having answered yet. Safe requests may run at
+ * two upstreams until one of them answers.
+ * @param connectedAt when the upstream received the request; undefined if it has not
  */
-export function isAccepted (isConnected: boolean, sinceSent: number): boolean {
-  return isConnected && sinceSent >= ACCEPTANCE_MS
+export function isAccepted (
+  repeat: RepeatRule, connectedAt: MonotonicMilliseconds | undefined, now: MonotonicMilliseconds
+): boolean {
+  return repeat === RepeatRule.stream && connectedAt !== undefined && now - connectedAt >= ACCEPTANCE_MS
 }
 
 /** Whether a complete response shows that the upstream has run the request and lived on. */
 export function provesSurvival (status: number): boolean {
-  return status < 500 && !NOT_EXECUTED_STATUSES.has(status)
+  return !isFailure(status)
 }
 
-function executionStatus (history: AttemptHistory): ExecutionStatus {
+/** What can be said about the execution of a request that has failed. */
+export function executionStatus (history: AttemptHistory): ExecutionStatus {
   return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
 }
 
@@ -98,12 +127,12 @@
     history.rejections < MAX_REJECTIONS ? { kind: 'retry' } : { kind: 'giveUp', execution: executionStatus(history) }
   ),
   [AttemptOutcome.unknown]: (history) => (
-    mayRepeat(history) && history.runs < history.maximumAttempts
+    mayRunAgain(history)
       ? { kind: 'retry' }
       : { kind: 'giveUp', execution: ExecutionStatus.unknown }
   ),
   [AttemptOutcome.failed]: (history) => (
-    mayRepeat(history) && history.runs < history.maximumAttempts ? { kind: 'retry' } : { kind: 'answer' }
+    mayRunAgain(history) ? { kind: 'retry' } : { kind: 'answer' }
   )
 }
 
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -6,8 +6,8 @@
 import { openAttempt } from './attemptOpening'
 import { createAttemptPreparation } from './attemptPreparation'
 import {
-  AttemptOutcome, decideNextStep, isAccepted, isStalled, maySendAgain, mayRepeat, NOT_EXECUTED_STATUSES, provesSurvival,
-  type AttemptHistory
+  AttemptOutcome, createAttemptHistory, decideNextStep, executionStatus, isAccepted, isFailure, isStalled, maySendAgain,
+  mayRepeat, NOT_EXECUTED_STATUSES, provesSurvival
 } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
 import { createCrashGuard } from './crashGuard'
@@ -43,14 +43,7 @@
   const { dialect, directory, log } = context
   const { request, callerRequest, route, customer, service, plan, body } = admittedRequest
   const identifier = callerRequest.identifier ?? ''
-  const history: AttemptHistory = {
-    repeat: route.repeat,
-    resumable: route.resumable,
-    maximumAttempts: route.maximumAttempts,
-    runs: 0,
-    rejections: 0,
-    responseStarted: false
-  }
+  const history = createAttemptHistory(route)
   const targets = createTargetSelection(context, admittedRequest, timeLeft)
   /** Whether an upstream has received the request, regardless of whether it ran it. */
   let reachedUpstream = false
@@ -73,7 +66,7 @@
     admittedRequest, targets, crashGuard, backlog, timeLeft, hasRun: () => history.runs > 0, mayWait
   }, {
     onReady (upstream, now) { if (!isProgressing(now)) sendTo(upstream, now) },
-    onUnavailable (reason) { fail(currentExecutionStatus(), reason) },
+    onUnavailable (reason) { fail(executionStatus(history), reason) },
     onConvicted: rejectConvicted,
     onSuspected (trait) {
       if (history.runs === 0) callbacks.onSuspected(trait, TRIAL_RETRY_MS)
@@ -83,14 +76,10 @@
     onFault: callbacks.onFault
   })
 
-  /** Whether a begun stream, which can only be resumed or cut, waits for an upstream. */
+  /** Whether the request waits for an upstream: its stream has begun, or this instance gave up an attempt that went on. */
   function mayWait (now: MonotonicMilliseconds): boolean {
-    return attempt === undefined && callerResponse.hasStarted() && maySendAgain(history) &&
-      !crashGuard.mayCrashAgain(now)
-  }
-
-  function currentExecutionStatus (): ExecutionStatus {
-    return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
+    const isOwed = callerResponse.hasStarted() || history.cancellations > 0
+    return attempt === undefined && isOwed && maySendAgain(history) && !crashGuard.mayCrashAgain(now)
   }
 
   /** Removes an attempt and undoes its accounting at the upstream. A successor takes its place. */
@@ -112,8 +101,17 @@
   /** Cancels what is in progress besides the attempt that goes on or has ended the request. */
   function endTakeover (): void {
     if (successor === undefined) return
-    log(EdgeEvent.takeoverCancelled, { requestIdentifier: identifier, upstream: successor.upstream.entry.identifier })
+    const { upstream, connectedAt } = successor
+    log(EdgeEvent.takeoverCancelled, { requestIdentifier: identifier, upstream: upstream.entry.identifier })
     cancelAttempt(successor)
+    if (connectedAt === undefined) takeBackRun(upstream)
+    else history.cancellations += 1
+  }
+
+  /** Records that the request was not sent to the upstream after all. */
+  function takeBackRun (upstream: Upstream): void {
+    history.runs -= 1
+    targets.markUnsent(upstream)
   }
 
   /** Ends all work on the request, which has got its final response. */
@@ -141,6 +139,7 @@
       replicas: targets.replicas(),
       replaces: attempt?.upstream.entry.identifier
     }, {
+      onConnected () { current.connectedAt = context.now().steady },
       onHead: contain((head) => { onHead(current, head) }),
       onData: contain((chunk) => { onData(current, chunk) }),
       onEnd: contain(() => { onEnd(current) }),
@@ -196,6 +195,7 @@
   function takeOver (current: Attempt, now: Instant): void {
     if (successor !== undefined || preparation.isInProgress()) return
     if (!maySendAgain(history) || !isStalledAt(current, now)) return
+    targets.restrictToFormer(history.runs >= history.maximumAttempts)
     const isUpstreamSilent = isSilent(current.upstream, now.steady)
     if (!canMove(now, isUpstreamSilent ? current : undefined)) return
     reachedUpstream = true
@@ -210,6 +210,7 @@
   /** Gives up the attempt, because its successor was accepted. */
   function replaceAttempt (current: Attempt, now: Instant): void {
     const idleMs = Math.round(now.steady - current.lastProgressAt)
+    history.cancellations += 1
     abortAttempt(current, `no progress for ${idleMs} ms`, !isSilent(current.upstream, now.steady))
   }
 
@@ -238,9 +239,10 @@
     const mayContinue = step.kind === 'retry' && !isDangerous
     // A takeover that waits for its permit has taken a retry from the allowance already.
     if (mayContinue && preparation.isInProgress()) return
+    targets.restrictToFormer(history.runs >= history.maximumAttempts)
     if (mayContinue && mayRetry()) return preparation.start()
     if (forward !== undefined) return forward()
-    fail(currentExecutionStatus(), reason)
+    fail(executionStatus(history), reason)
   }
 
   function onAttemptFailed (current: Attempt, { reason, sent, isStalled, isGivenUp }: AttemptFailure): void {
@@ -249,17 +251,15 @@
     // Evaluated before the attempt is detached: an upstream without requests in flight never counts as silent.
     const isUnreachable = !sent || isSilent(upstream, now)
     detachAttempt(current)
-    const hasBegun = current.firstByteAt !== undefined
-    const traits = crashGuard.traits()
     log(EdgeEvent.attemptFailed, {
       requestIdentifier: identifier,
       upstream: upstream.entry.identifier,
       reason,
       sent,
       isGivenUp,
-      hasBegun,
+      hasBegun: current.firstByteAt !== undefined,
       timeLeft: Math.round(timeLeft()),
-      traits
+      traits: crashGuard.traits()
     })
     if (isStalled !== true) pauseAfterFailure(upstream, now)
     if (isUnreachable) context.reportUnreachable(upstream)
@@ -269,7 +269,7 @@
       current.sample.recordEnd(true, context.now().steady)
       return continueAfter(AttemptOutcome.unknown, reason)
     }
-    history.runs -= 1
+    takeBackRun(upstream)
     history.rejections += 1
     continueAfter(AttemptOutcome.notRun, reason)
   }
@@ -312,9 +312,15 @@
     const length = Number(head.headers['content-length'] ?? 0)
     if (!isStream && length > MAX_RESPONSE_BYTES) return abortAttempt(current, RESPONSE_TOO_LONG)
     if (isStream) eventBoundary ??= createEventBoundary(mayRepeat(history))
-    if (current === attempt) return endTakeover()
-    if (isStream || !callerResponse.hasStarted()) return replaceAttempt(attempt!, context.now())
-    abortAttempt(current, `the upstream answered ${status} to a resumed stream`, true)
+    if (current === successor) return onSuccessorHead(current, status)
+    if (!isFailure(status)) endTakeover()
+  }
+
+  /** Replaces the attempt by its successor, unless that one's response is of no use. */
+  function onSuccessorHead (current: Attempt, status: number): void {
+    const isUsable = callerResponse.hasStarted() ? status === 200 : !isFailure(status)
+    if (isUsable) replaceAttempt(attempt!, context.now())
+    else abortAttempt(current, `the upstream answered ${status} while another attempt was in progress`, true)
   }
 
   /** Forwards the head of a stream. It waits for the first event: until then, the request can still be refused. */
@@ -334,7 +340,7 @@
     log(EdgeEvent.attemptRejected, {
       requestIdentifier: identifier, upstream: upstream.entry.identifier, status, answeredBy, isBehind
     })
-    history.runs -= 1
+    takeBackRun(upstream)
     history.rejections += 1
     if (history.runs > 0) targets.markTurnedAway(upstream, history.rejections, context.now().steady)
     continueAfter(AttemptOutcome.notRun, `the upstream answered ${status} without running the request`)
@@ -359,7 +365,6 @@
     crashGuard.recordProgress(current, now)
     if (!isStreamed(current)) {
       current.lastProgressAt = now
-      endTakeover()
       if (!current.buffer.push(chunk)) abortAttempt(current, RESPONSE_TOO_LONG)
       return
     }
@@ -398,13 +403,14 @@
       return callbacks.onSuccess(upstream, 200)
     }
     const bytes = current.buffer.take()
+    const status = head?.statusCode ?? 0
+    if (!isFailure(status)) settle()
     detachAttempt(current)
     reachedUpstream = true
-    const status = head?.statusCode ?? 0
     const now = context.now().steady
     current.sample.recordEnd(status >= 500, now)
     if (provesSurvival(status)) crashGuard.recordAnswer(current, now)
-    if (status >= 500 || NOT_EXECUTED_STATUSES.has(status)) {
+    if (isFailure(status)) {
       return continueAfter(AttemptOutcome.failed, `the upstream answered ${status}`, () => { forwardResponse(current, status, bytes) })
     }
     forwardResponse(current, status, bytes)
@@ -433,13 +439,13 @@
         .then(() => { if (!cancelled) preparation.start() }).catch(callbacks.onFault)
     },
     check (now) {
-      if (attempt === undefined || attempt.isPaused) return
+      if (attempt === undefined) return
       if (successor !== undefined) endHopeless(successor, now.steady)
-      if (endHopeless(attempt, now.steady)) return
+      const isReplaced = successor !== undefined && isAccepted(history.repeat, successor.connectedAt, now.steady)
+      if (isReplaced) replaceAttempt(attempt, now)
+      if (attempt.isPaused || endHopeless(attempt, now.steady)) return
       attempt.sample.recordRunning(now.steady)
-      if (successor === undefined) return takeOver(attempt, now)
-      const { call, startedAt } = successor
-      if (isAccepted(call.isConnected(), now.steady - startedAt)) replaceAttempt(attempt, now)
+      takeOver(attempt, now)
     },
     cancel (isOverdue) {
       cancelled = true
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -43,13 +43,17 @@
    * upstream, so that one crash at a time results
    */
   select: (now: Instant, suspectTrait?: string) => Target | undefined
+  /** Permits only upstreams that may have run the request, or all others too. */
+  restrictToFormer: (isRestricted: boolean) => void
   /**
    * Whether the request, which waits at an upstream that makes no progress, could go on at another one now. One that is
    * quiet as well may have the same trouble.
    */
   canMove: (now: Instant) => boolean
-  /** Excludes this run of the upstream from further selections. */
+  /** Excludes this run of the upstream from further selections, as one that may run the request. */
   markTried: (upstream: Upstream) => void
+  /** Records that the request was not sent to the upstream after all. */
+  markUnsent: (upstream: Upstream) => void
   /**
    * Permits this run of the upstream again after a pause, because it turned the request away.
    * @param rejections number of times that the request has been turned away
@@ -80,6 +84,9 @@
   const tried = new Map<string, MonotonicMilliseconds>()
   /** Random number that keeps all attempts on the same version of a service during a service rollout. */
   const versionDraw = context.random()
+  /** Runs that may have run the request. */
+  const former = new Set<string>()
+  let isRestricted = false
   let replicas = 1
   let denials = 0
 
@@ -89,6 +96,10 @@
     return loaded === undefined ? 0 : context.weightsRollout.supersededFor(model!, loaded, now)
   }
 
+  function isPermitted (run: string, now: MonotonicMilliseconds): boolean {
+    return (!isRestricted || former.has(run)) && now >= (tried.get(run) ?? -Infinity)
+  }
+
   function needsPermit ({ entry }: Upstream): boolean {
     return context.sendPermits.isNeeded(entry)
   }
@@ -101,7 +112,7 @@
   function findCandidates (now: Instant): { candidates: readonly Upstream[], maximumPermitWait: number } {
     const maximumAge = context.outdatedWeightsLimit * OUTDATED_WEIGHTS_SHARE
     const usable = context.directory.usable(service, now.steady).filter((upstream) => (
-      now.steady >= (tried.get(runKey(upstream.entry)) ?? -Infinity) && outdatedWeightsAge(upstream, now) < maximumAge
+      isPermitted(runKey(upstream.entry), now.steady) && outdatedWeightsAge(upstream, now) < maximumAge
     ))
     // The version is chosen first: a request limit on one version must not move its traffic to the other one.
     const eligible = context.serviceRollouts.eligible(service, usable, versionDraw, now.steady)
@@ -142,8 +153,14 @@
       return upstream === undefined ? undefined : { upstream, maximumPermitWait }
     },
     canMove: (now) => findCandidates(now).candidates.some((upstream) => !isQuiet(upstream, now.steady)),
-    markTried (upstream) { tried.set(runKey(upstream.entry), Infinity) },
+    restrictToFormer (value) { isRestricted = value },
+    markTried (upstream) {
+      tried.set(runKey(upstream.entry), Infinity)
+      former.add(runKey(upstream.entry))
+    },
+    markUnsent (upstream) { former.delete(runKey(upstream.entry)) },
     markTurnedAway (upstream, rejections, now) {
+      former.delete(runKey(upstream.entry))
       tried.set(runKey(upstream.entry), now + TURNED_AWAY_PAUSE_MS * 2 ** (rejections - 1))
     },
     permitAgain () {
--- a/src/edge/upstreamCall.ts
+++ b/src/edge/upstreamCall.ts
@@ -26,6 +26,8 @@
 
 /** Exactly one of `onEnd` and `onFailure` is called. No callback is called after it or after `cancel`. */
 export interface UpstreamCallEvents {
+  /** Called when the connection is open and the request is sent. */
+  onConnected?: () => void
   onHead: (response: IncomingMessage) => void
   onData: (chunk: Buffer) => void
   /** Called when the response is complete. */
@@ -37,8 +39,6 @@
 export interface UpstreamCall {
   /** Whether the connection has carried other requests before. */
   isConnectionReused: () => boolean
-  /** Whether the connection is open, so that the upstream may have received the request. */
-  isConnected: () => boolean
   pause: () => void
   resume: () => void
   /** Cancels the attempt and closes its connection. */
@@ -95,6 +95,7 @@
     function onConnected (): void {
       isConnected = true
       clearTimeout(connectTimer)
+      if (!isEnded) events.onConnected?.()
     }
     if (socket.connecting) socket.once('connect', onConnected)
     else onConnected()
@@ -128,7 +129,6 @@
 
   return {
     isConnectionReused: () => upstreamRequest.reusedSocket,
-    isConnected: () => isConnected,
     pause: () => { response?.pause() },
     resume: () => { response?.resume() },
     cancel () {
