--- a/standins/fleet/upstream.ts
+++ b/standins/fleet/upstream.ts
@@ -40,6 +40,7 @@
   path: string
   headers: IncomingMessage['headers']
   body: string
+  fault: UpstreamFault | undefined
   /** The connection closed before the answer was complete. */
   cancelled: boolean
   /** Milliseconds of the steady clock; the end is undefined while the run goes on. */
@@ -64,6 +65,10 @@
   says: Record<string, string>
   /** Refuses all requests without running them. */
   isFull: boolean
+  /** Requests that run at once; more are refused without running them. */
+  maximumAtWork: number
+  /** Writes nothing, to new requests either, until it is unset; then all that came due is written. */
+  isPaused: boolean
   /** Answers nothing at all any more, on open connections either. */
   isDark: boolean
   /** Orders that were accepted. */
@@ -104,6 +109,9 @@
 export const STREAM_COMMENT = ': still here\n\n'
 export const PLAIN_ANSWER = 'the whole answer'
 
+/** Milliseconds between two looks whether a pause is over. */
+const PAUSE_CHECK_MS = 10
+
 export function eventText (number: number): string {
   return `id: ${number}\ndata: piece ${number}\n\n`
 }
@@ -123,6 +131,12 @@
   /** Connections on which nothing is answered since a silent crash, even after the restart. */
   const hungSockets = new Set<Socket>()
   let arrivals = 0
+  let atWork = 0
+
+  function whenNotPaused (action: () => void): void {
+    if (!standIn.isPaused) return action()
+    setTimeout(() => { whenNotPaused(action) }, PAUSE_CHECK_MS)
+  }
 
   /** Whether nothing is answered on the connection of the request. */
   function isSilent ({ socket }: IncomingMessage): boolean {
@@ -131,9 +145,11 @@
 
   function refuse (response: ServerResponse, status: number, headers: Record<string, string>): void {
     const identifier = response.req.headers['request-id']
-    response.writeHead(status, {
-      ...standIn.says, ...headers, ...(identifier === undefined ? {} : { 'Request-Id': identifier }), 'Content-Length': '0'
-    }).end()
+    whenNotPaused(() => {
+      response.writeHead(status, {
+        ...standIn.says, ...headers, ...(identifier === undefined ? {} : { 'Request-Id': identifier }), 'Content-Length': '0'
+      }).end()
+    })
   }
 
   function headersOf (request: IncomingMessage, fault: UpstreamFault | undefined): Record<string, string> {
@@ -154,7 +170,7 @@
     // Each event has its own time, so that late timers of a busy machine do not add up.
     const schedule = (): void => {
       const dueAt = startedAt + (number - resumedAfter + 1) * pace
-      setTimeout(next, Math.max(0, dueAt - performance.now()))
+      setTimeout(() => { whenNotPaused(next) }, Math.max(0, dueAt - performance.now()))
     }
     const next = (): void => {
       if (response.destroyed || isSilent(request)) return
@@ -167,7 +183,7 @@
         },
         tornEvent: () => { response.end(start) },
         comments () {
-          const timer = setInterval(() => { response.write(STREAM_COMMENT) }, 200)
+          const timer = setInterval(() => { if (!standIn.isPaused) response.write(STREAM_COMMENT) }, 200)
           response.on('close', () => { clearInterval(timer) })
         },
         silent: () => {}
@@ -200,7 +216,7 @@
       extra () {
         response.writeHead(200, { ...headers, ...length }).end(answer)
         const head = `HTTP/1.1 200 OK\r\nRequest-Id: ${headers['Request-Id']}\r\nResponse-Stamp: x\r\nContent-Length: 5\r\n\r\nextra`
-        setTimeout(() => { request.socket.write(head) }, pace)
+        setTimeout(() => { whenNotPaused(() => { request.socket.write(head) }) }, pace)
       },
       unframed: () => { request.socket.end(`${unframedHead}${answer}`) },
       unframedReset () {
@@ -211,9 +227,11 @@
       silent: () => {}
     }
     const handler = fault === undefined ? undefined : answers[fault]
-    if (isSilent(request)) return
-    if (handler !== undefined) return handler()
-    response.writeHead(200, { ...headers, ...length }).end(answer)
+    whenNotPaused(() => {
+      if (isSilent(request)) return
+      if (handler !== undefined) return handler()
+      response.writeHead(200, { ...headers, ...length }).end(answer)
+    })
   }
 
   function run (
@@ -226,12 +244,15 @@
       path: url ?? '',
       headers,
       body,
+      fault,
       cancelled: false,
       startedAt: performance.now(),
       endedAt: undefined
     }
     runs.push(record)
+    atWork += 1
     response.on('close', () => {
+      atWork -= 1
       record.cancelled = !response.writableFinished
       record.endedAt = performance.now()
     })
@@ -256,7 +277,7 @@
     if (request.url === '/report') {
       const models = [{ name: 'small', version: standIn.weights, adapters: [] }]
       const text = JSON.stringify({ stage: 'both', models, busy: false, sequence: orders.length })
-      response.writeHead(200, { ...standIn.says, 'Content-Length': text.length }).end(text)
+      whenNotPaused(() => { response.writeHead(200, { ...standIn.says, 'Content-Length': text.length }).end(text) })
       return
     }
     const isOrder = request.url === '/order'
@@ -275,7 +296,8 @@
       if (isOrder) return order(response, body)
       const version = request.headers['expected-version']
       if (version !== undefined && Number(version) !== standIn.weights) return refuse(response, 421, {})
-      if (standIn.isFull || fault === UpstreamFault.full) return refuse(response, 503, { 'Not-Executed': '1' })
+      const isFull = standIn.isFull || atWork >= standIn.maximumAtWork
+      if (isFull || fault === UpstreamFault.full) return refuse(response, 503, { 'Not-Executed': '1' })
       run(request, response, body, fault)
     })
   })
@@ -319,6 +341,8 @@
     weights,
     says: {},
     isFull: false,
+    maximumAtWork: Infinity,
+    isPaused: false,
     isDark: false,
     orders,
     crashesOn: () => false,
