Soak: check that no stream is cut that has begun

A stream is owed until its time limit, the end of the grace period of its router, or a kill. Broken runs and disturbed connections of the upstreams that ran it excuse a cut; a silent or a full upstream does not.

--- a/playground/__tests__/soakChecks.test.ts
+++ b/playground/__tests__/soakChecks.test.ts
@@ -17,7 +17,17 @@
   ...values
 })
 const run = (values: Partial<SeenRun> = {}): SeenRun => ({
-  identifier: 'r1', upstream: 'u1', process: 'u1#1', startedAt: 1010, endedAt: 1090, key: 'k1', scope: 'small.1', tokens: 110, path: '/lookup/1', ...values
+  identifier: 'r1',
+  upstream: 'u1',
+  process: 'u1#1',
+  startedAt: 1010,
+  endedAt: 1090,
+  key: 'k1',
+  scope: 'small.1',
+  tokens: 110,
+  path: '/lookup/1',
+  isFaulted: false,
+  ...values
 })
 const history = (values: Partial<SoakHistory> = {}): SoakHistory => ({
   requests: [request()],
@@ -28,6 +38,7 @@
   revoked: new Map([['old', 1000]]),
   quota: { key: 'k1', window: 8000, tokens: 200 },
   stopped: new Map([['router-1#1', 1050]]),
+  killed: new Map(),
   isolated: new Set(['walled']),
   configurations: [{ instance: 'router-1#1', at: 1, atLeast: 4 }, { instance: 'router-1#1', at: 2, atMost: 4 }],
   crashes: new Map([['/lookup/dead', [0, 10, 20]]]),
@@ -43,6 +54,8 @@
   runs: [run(), ...late.map((values) => run({ ...values, key: 'other' }))]
 }
 
+const CUT_STREAM = request({ kind: 'stream', complete: false, body: 'str' })
+
 function deadlyRuns (count: number, startedAt: number): SeenRun[] {
   return Array.from({ length: count }, () => run({ path: '/lookup/dead', startedAt }))
 }
@@ -78,8 +91,31 @@
     expect(SOAK_CHECKS.deadlyRequests!(history(values))).toEqual([])
   })
 
+  it.each<[string, Partial<SeenRequest>, Partial<SoakHistory>, number]>([
+    ['whose instance was asked to stop before', {}, {}, 1],
+    ['whose instance was at the end of its grace period', { endedAt: 5050 }, {}, 0],
+    ['whose instance was killed before', {}, { killed: new Map([['router-1#1', 1099]]) }, 0],
+    ['whose instance was killed later', {}, { killed: new Map([['router-1#1', 1101]]) }, 1],
+    ['that its caller left', { left: true }, {}, 0],
+    ['that did not begin', { status: 0 }, {}, 0],
+    ['at its time limit', { startedAt: 0, endedAt: 4000 }, {}, 0],
+    ['before its time limit', { startedAt: 0, endedAt: 3999 }, {}, 1],
+    ['that its upstream broke', {}, { runs: [run({ identifier: 'r1' }), run({ isFaulted: true })] }, 0],
+    ['beside a broken run of another request', {}, { runs: [run(), run({ identifier: 'r2', isFaulted: true })] }, 1],
+    ['with a disturbed connection', {}, { disturbances: [{ subject: 'u1#1', from: 1000, until: 1020 }] }, 0],
+    ['whose instance was frozen', {}, { disturbances: [{ subject: 'router-1#1', from: 1000, until: 1020 }] }, 0],
+    ['whose instance was frozen before', {}, { disturbances: [{ subject: 'router-1#1', from: 900, until: 1000 }] }, 1],
+    ['whose upstream was disturbed before', {}, { disturbances: [{ subject: 'u1#1', from: 900, until: 1000 }] }, 1],
+    ['whose upstream was disturbed after', {}, { disturbances: [{ subject: 'u1#1', from: 1100, until: 1200 }] }, 1],
+    ['beside a disturbed connection of another one', {}, { disturbances: [{ subject: 'u2#1', from: 0, until: 9000 }] }, 1]
+  ])('count the cuts of a stream %s', (_title, values, others, violations) => {
+    const requests = [{ ...CUT_STREAM, ...values }]
+    expect(SOAK_CHECKS.begunStreams!(history({ requests, ...others }))).toHaveLength(violations)
+  })
+
   it.each<{ name: keyof typeof SOAK_CHECKS, broken: Partial<SoakHistory> }>([
     { name: 'whole', broken: { requests: [request({ body: 'who' })] } },
+    { name: 'begunStreams', broken: { requests: [CUT_STREAM] } },
     { name: 'own', broken: { requests: [request({ echoed: 'r2' })] } },
     { name: 'once', broken: { requests: [request({ kind: 'unsafe' })], runs: [run(), run({ upstream: 'u2' })] } },
     { name: 'trueRefusals', broken: { requests: [request({ status: 503, body: '' })] } },
--- a/playground/soak/checks.ts
+++ b/playground/soak/checks.ts
@@ -37,6 +37,8 @@
   scope: string | undefined
   tokens: number
   path: string
+  /** The upstream was to break this run, or its process ended while it went on. */
+  isFaulted: boolean
 }
 
 /** Time in which a process of an upstream named a limit of requests per second. */
@@ -75,6 +77,8 @@
   quota: { key: string, window: number, tokens: number }
   /** Instances that were asked to stop, by process identity. */
   stopped: ReadonlyMap<string, number>
+  /** Instances that were ended by force, by process identity. */
+  killed: ReadonlyMap<string, number>
   /** Keys of customers that share nothing with others. */
   isolated: ReadonlySet<string>
   /** What instances have shown of their configurations, in order of time. */
@@ -101,6 +105,8 @@
 const DEADLY_CRASHES = 3
 const DEADLY_NOTICE_MS = 3000
 const MAX_DEADLY_REQUESTS = 3
+/** Time limit in milliseconds of the routes of streams. */
+export const STREAM_LIMIT_MS = 4000
 /** Milliseconds after a disturbance in which requests may still arrive late. */
 const DISTURBED_MS = 1000
 
@@ -127,6 +133,27 @@
     ))
     .map(({ identifier, body }) => `${identifier} got an answer that is not whole: ${JSON.stringify(body.slice(-40))}`),
 
+  // A silent or a full upstream is no excuse: the silent one goes on.
+  begunStreams (history) {
+    const runs = runsByIdentifier(history)
+    const isDisturbed = (subject: string, from: number, until: number): boolean => history.disturbances.some((one) => (
+      one.subject === subject && one.from < until && one.until > from
+    ))
+    return history.requests
+      .filter(({ kind, status, complete, left }) => kind === 'stream' && status === 200 && !complete && !left)
+      .filter(({ identifier, instance, startedAt, endedAt }) => {
+        const stopEndsAt = (history.stopped.get(instance) ?? Infinity) + GRACE_MS
+        const owedUntil = Math.min(stopEndsAt, history.killed.get(instance) ?? Infinity, startedAt + STREAM_LIMIT_MS)
+        return endedAt < owedUntil && !isDisturbed(instance, startedAt, endedAt) && !(runs.get(identifier) ?? []).some(
+          (run) => run.isFaulted || isDisturbed(run.process, run.startedAt, endedAt)
+        )
+      })
+      .map(({ identifier, instance, startedAt, endedAt }) => {
+        const ran = (runs.get(identifier) ?? []).map(({ process }) => process).join(', ')
+        return `${identifier} was cut by ${instance} after ${Math.round(endedAt - startedAt)} ms; it ran at ${ran}`
+      })
+  },
+
   own: (history) => history.requests
     .filter(({ status, identifier, echoed }) => status === 200 && echoed !== identifier)
     .map(({ identifier, echoed }) => `${identifier} got the answer of ${String(echoed)}`),
--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -60,7 +60,8 @@
     key: String(run.headers.authorization ?? '').replace('Token ', ''),
     scope: run.headers['cache-salt'] as string | undefined,
     tokens: TOKENS,
-    path: run.path
+    path: run.path,
+    isFaulted: run.fault !== undefined || (placed.endedAt !== undefined && (run.endedAt ?? Infinity) >= placed.endedAt)
   })))
 }
 
@@ -78,6 +79,7 @@
   const requests: SeenRequest[] = []
   const configurations: Array<SoakHistory['configurations'][number]> = []
   const stopped = new Map<string, number>()
+  const killed = new Map<string, number>()
   const revoked = new Map<string, number>()
   const deadlyPaths = new Set<string>()
   const limits: NamedLimit[] = []
@@ -147,7 +149,10 @@
     random,
     pause,
     noteStop ({ identity }) { if (!stopped.has(identity)) stopped.set(identity, performance.now()) },
-    noteKill ({ identity }) { stopped.set(identity, Infinity) },
+    noteKill ({ identity }) {
+      stopped.set(identity, Infinity)
+      killed.set(identity, performance.now())
+    },
     noteDeadly: (path) => { deadlyPaths.add(path) },
     noteRevoked: (key) => { revoked.set(key, performance.now()) },
     noteLimit: (limit) => { limits.push(limit) },
@@ -214,6 +219,7 @@
       revoked,
       quota: { key, window: windowSeconds * 1000, tokens: (rate * windowSeconds + burst) * (1 + overage) + slack },
       stopped,
+      killed,
       isolated: new Set([ISOLATED_KEY]),
       configurations: configurations.sort((one, other) => one.at - other.at),
       crashes: new Map([...deadlyPaths].map((path) => [path, world.deadlyCrashes.get(path) ?? []])),
--- a/playground/soak/world.ts
+++ b/playground/soak/world.ts
@@ -13,7 +13,7 @@
 import { startStoreStandIn, type StoreStandIn } from '../../standins/fleet/store'
 import { startUpstreamStandIn, type UpstreamStandIn } from '../../standins/fleet/upstream'
 import { freeEndpoint } from '../../standins/freeEndpoint'
-import type { SeenRequest } from './checks'
+import { STREAM_LIMIT_MS, type SeenRequest } from './checks'
 import { startFaultProxy, type FaultProxy } from './proxy'
 
 const ENGINES = 3
@@ -29,8 +29,8 @@
 const CRASH_RESTART_MS = 2500
 
 const ROUTES = [
-  { name: 'sheet', prefix: '/sheet/', kind: 'streaming', service: 'engines', timeoutMs: 4000, maxAttempts: 1 },
-  { name: 'chat', prefix: '/chat/', kind: 'streaming', service: 'engines', timeoutMs: 4000, maxAttempts: 2, resumable: true },
+  { name: 'sheet', prefix: '/sheet/', kind: 'streaming', service: 'engines', timeoutMs: STREAM_LIMIT_MS, maxAttempts: 1 },
+  { name: 'chat', prefix: '/chat/', kind: 'streaming', service: 'engines', timeoutMs: STREAM_LIMIT_MS, maxAttempts: 2, resumable: true },
   { name: 'order', prefix: '/order/', kind: 'unsafe', service: 'orders', timeoutMs: 1500, maxAttempts: 1 },
   { name: 'lookup', prefix: '/lookup/', kind: 'safe', service: 'orders', timeoutMs: 1500, maxAttempts: 2 }
 ]
@@ -52,6 +52,8 @@
   standIn: UpstreamStandIn
   proxy: FaultProxy
   starts: number
+  /** When its process began to end. */
+  endedAt?: number
 }
 
 /** Identifies one process of an upstream: its name and number of the start. */
@@ -164,6 +166,7 @@
   /** @param delay milliseconds until the next process starts */
   async function restart (index: number, delay: number): Promise<void> {
     const before = upstreams[index]!
+    before.endedAt ??= performance.now()
     before.proxy.close()
     await before.standIn.close()
     // Another fault may have restarted it already.
@@ -285,7 +288,7 @@
         headers: {
           Host: 'shop.example',
           'Request-Id': identifier,
-          'Deadline-Milliseconds': '4000',
+          'Deadline-Milliseconds': String(STREAM_LIMIT_MS),
           Authorization: `Token ${key}`,
           ...(kind === 'stream' ? { Model: 'small' } : {}),
           'Token-Usage': '100,10',
