--- a/playground/soak/faults.ts
+++ b/playground/soak/faults.ts
@@ -1,4 +1,5 @@
 /** Faults of the soak. Each begins at once and resolves when it is over; several overlap. */
+import { readFileSync } from 'node:fs'
 import { StoreFault } from '../../standins/fleet/store'
 import { UpstreamFault } from '../../standins/fleet/upstream'
 import type { Disturbance, NamedLimit } from './checks'
@@ -41,19 +42,60 @@
   return [...world.routers.values()].filter(({ isRunning }) => isRunning)
 }
 
-async function restart (context: FaultContext, signal: NodeJS.Signals): Promise<void> {
+/** Milliseconds from the start of a router to a signal. */
+const EARLIEST_SIGNAL_MS = 150
+
+/** Whether the router handles signals; one in the boot of Node.js, which takes longer on a busy machine, ends it. */
+function handlesSignals ({ startedAt, child }: RouterProcess): boolean {
+  const [, mask] = /^SigCgt:\s*([0-9a-f]+)$/m.exec(readFileSync(`/proc/${child.pid}/status`, 'utf8'))!
+  const isHangUpCaught = (BigInt(`0x${mask}`) & 1n) === 1n
+  return isHangUpCaught && performance.now() >= startedAt + EARLIEST_SIGNAL_MS
+}
+
+/** Ends a router and starts its next process, which is returned. */
+async function restart (
+  context: FaultContext, signal: NodeJS.Signals, chosen?: RouterProcess
+): Promise<RouterProcess | undefined> {
   const routers = running(context)
   // One router stays, so that callers always have one.
-  if (routers.length < 3) return
-  const router = pick(routers, context.random)
+  if (routers.length < 3) return undefined
+  const choice = signal === 'SIGKILL' ? routers : routers.filter(handlesSignals)
+  if (choice.length === 0) return undefined
+  const router = chosen ?? pick(choice, context.random)
   if (signal === 'SIGTERM') context.noteStop(router)
   else context.noteKill(router)
   router.child.kill(signal)
   await router.exited
   await context.pause(200 + 800 * context.random())
-  const { identity } = await context.world.startRouter(router.name)
+  const next = await context.world.startRouter(router.name)
   const now = performance.now()
-  context.noteDisturbance({ subject: identity, from: now, until: now })
+  context.noteDisturbance({ subject: next.identity, from: now, until: now })
+  return next
+}
+
+type Upstream = World['upstreams'][number]
+
+/** A silence is longer than a router takes to notice it, and no trouble by the users' rules. */
+async function silence ({ random, pause }: FaultContext, upstreams: readonly Upstream[]): Promise<void> {
+  // A second silence would end the first one, or make it too long.
+  const awake = upstreams.filter(({ standIn }) => !standIn.isPaused)
+  for (const { standIn } of awake) standIn.isPaused = true
+  await pause(800 + 1200 * random())
+  for (const { standIn } of awake) standIn.isPaused = false
+}
+
+async function fill ({ random, pause }: FaultContext, upstreams: readonly Upstream[]): Promise<void> {
+  const free = upstreams.filter(({ standIn }) => standIn.maximumAtWork === Infinity)
+  for (const { standIn } of free) standIn.maximumAtWork = 1 + Math.floor(3 * random())
+  await pause(1000 + 2000 * random())
+  for (const { standIn } of free) standIn.maximumAtWork = Infinity
+}
+
+async function configureOften ({ world, random, pause }: FaultContext): Promise<void> {
+  for (let left = 1 + Math.floor(4 * random()); left > 0; left -= 1) {
+    world.configure(world.keys())
+    await pause(150 * random())
+  }
 }
 
 const link = (fault: LinkFault): Fault => async ({ world, random, pause, noteDisturbance }) => {
@@ -76,6 +118,16 @@
 export const SOAK_FAULTS: Readonly<Record<string, Fault>> = {
   kill: async (context) => { await restart(context, 'SIGKILL') },
   stop: async (context) => { await restart(context, 'SIGTERM') },
+  /** A router that starts is told of new settings, or asked to stop. */
+  async earlySignal (context) {
+    const router = await restart(context, 'SIGTERM')
+    if (router === undefined) return
+    await context.pause(EARLIEST_SIGNAL_MS + 400 * context.random())
+    while (router.isRunning && !handlesSignals(router)) await context.pause(10)
+    if (!router.isRunning) return
+    if (context.random() < 0.5) router.child.kill('SIGHUP')
+    else await restart(context, 'SIGTERM', router)
+  },
   async freeze (context) {
     const { child, identity } = pick(running(context), context.random)
     const from = performance.now()
@@ -99,6 +151,19 @@
     const { standIn } = pick(world.upstreams, random)
     standIn.fail(...Array.from({ length: 1 + Math.floor(4 * random()) }, () => pick(UPSTREAM_FAULTS, random)))
   },
+  async upstreamSilence (context) {
+    const { random, world: { upstreams } } = context
+    const chosen = pick(upstreams, random)
+    await silence(context, random() < 0.5 ? [chosen] : upstreams.filter(({ service }) => service === chosen.service))
+  },
+  async upstreamFull (context) { await fill(context, [pick(context.world.upstreams, context.random)]) },
+  /** Requests that leave the silent upstream meet full ones, while the configuration changes. */
+  async silenceBesideFull (context) {
+    const { random, world: { upstreams } } = context
+    const chosen = pick(upstreams, random)
+    const others = upstreams.filter((one) => one !== chosen && one.service === chosen.service)
+    await Promise.all([silence(context, [chosen]), fill(context, others), configureOften(context)])
+  },
   async requestLimit ({ world, random, pause, noteLimit }) {
     const upstream = pick(world.upstreams, random)
     const perSecond = pick([0.5, 1, 2], random)
@@ -127,12 +192,7 @@
     await pause(9000 + 3000 * random())
     world.deadlyPaths.delete(path)
   },
-  async configurations ({ world, random, pause }) {
-    for (let left = 1 + Math.floor(4 * random()); left > 0; left -= 1) {
-      world.configure(world.keys())
-      await pause(150 * random())
-    }
-  },
+  configurations: configureOften,
   async revocation ({ world, noteRevoked }) {
     const before = world.keys()
     world.configure([`guild-key-${world.version() + 1}`])
--- a/playground/soak/world.ts
+++ b/playground/soak/world.ts
@@ -39,6 +39,7 @@
   name: string
   /** Name and number of the start. */
   identity: string
+  startedAt: number
   caller: Endpoint
   readiness: Endpoint
   child: ChildProcess
@@ -229,6 +230,7 @@
     const router: RouterProcess = {
       name,
       identity,
+      startedAt: performance.now(),
       caller,
       readiness,
       child,
