--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -207,6 +207,10 @@
     await breakThings()
     await recover()
     await stopAll()
+    for (const { identity, isRunning, child: { exitCode, signalCode } } of world.started) {
+      if (isRunning || killed.has(identity) || exitCode === 0) continue
+      violations.push(`stop: ${identity} ended with ${String(signalCode ?? exitCode)}`)
+    }
     progress.isOver = true
     await Promise.all(callers)
     const { rate, burst, overage, slack, windowSeconds, key } = LIMITED
