--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -14,7 +14,8 @@
   { seed: 216, cause: 'the proxy passed a reset on as an ordinary end' },
   { seed: 218, cause: 'as seed 100' },
   { seed: 3100, cause: 'a second stop signal ended a router at once' },
-  { seed: 2306, cause: 'instances with lists of one and two instances each used most of a request limit' }
+  { seed: 2306, cause: 'instances with lists of one and two instances each used most of a request limit' },
+  { seed: 8128, cause: 'a stream at a silent engine was given up, and cut as another one was full and a third had no permit' }
 ]
 
 const program = cac('soak')
