serve: send answers whole to slow readers before a planned stop closes connections

Cause: Node.js counts a connection as idle once its answer was ended, although it is not sent yet, and closes it. The edge daemon allowed for that, serve did not; both now use src/http/callerConnections.ts.

--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -2,6 +2,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { MAX_TIMER_MS } from '../constants'
+import { trackCallerConnections } from '../http/callerConnections'
 import type { Endpoint } from '../types'
 import type { EdgeLog } from './events'
 import { openListener, type Listener } from './listener'
@@ -97,15 +98,7 @@
     setImmediate(() => { if (socket.bytesRead === bytesRead) socket.destroy() })
   })
   const listeners: Listener[] = []
-  const connections = new Set<Socket>()
-  callers.on('connection', (socket: Socket) => {
-    connections.add(socket)
-    socket.on('close', () => { connections.delete(socket) })
-  })
-
-  function hasUnsentBytes (): boolean {
-    return [...connections].some(({ writableLength }) => writableLength > 0)
-  }
+  const connections = trackCallerConnections(callers)
 
   async function open (server: Server, endpoint: Endpoint): Promise<void> {
     const listener = openListener(server, { endpoint, backlog: LISTEN_BACKLOG, log: options.log })
@@ -124,11 +117,8 @@
       callers.headersTimeout = clampTimer(headerTimeout)
       callers.keepAliveTimeout = clampTimer(idleTimeout + KEEP_ALIVE_MARGIN_MS)
     },
-    closeIdle () {
-      // Node.js counts connections as idle although their last response has not been sent, and would cut it off.
-      if (!hasUnsentBytes()) callers.closeIdleConnections()
-    },
-    hasUnsentBytes,
+    closeIdle: connections.closeIdle,
+    hasUnsentBytes: connections.hasUnsentBytes,
     close () {
       for (const listener of listeners) listener.close()
       for (const server of [callers, readiness, metrics]) server.closeAllConnections()
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import { InternalError, InvalidRequestError, RouterError } from '../errors'
+import { trackCallerConnections } from '../http/callerConnections'
 import { ExecutionStatus } from '../types'
 import type { Endpoint } from '../types'
 import { errorBodyOf, sendError } from './errorResponse'
@@ -46,7 +47,7 @@
     response.once('close', () => {
       openRequests -= 1
       // A response that started before closing announced keep-alive. Its connection becomes idle only after this event.
-      if (closing) setImmediate(() => { server.closeIdleConnections() })
+      if (closing) setImmediate(connections.closeIdle)
     })
     if (closing) response.setHeader('connection', 'close')
     // Connection errors are handled through the aborted signal. Without a listener they would terminate the process.
@@ -72,6 +73,7 @@
     keepAliveTimeout: options.idleTimeout ?? 75_000,
     noDelay: true
   }, handle)
+  const connections = trackCallerConnections(server)
   server.maxConnections = options.maximumConnections ?? 4096
   server.on('clientError', (error, socket) => { rejectMalformedRequest(error, socket as Socket) })
 
@@ -89,7 +91,7 @@
     },
     closeConnections () {
       closing = true
-      server.closeIdleConnections()
+      connections.closeIdle()
     },
     openRequests: () => openRequests,
     async close () {
