Let a request be turned away once more for each attempt that was cancelled

The third refusal ended the request, although the engine that this instance had left would have gone on. The refusals of a request are limited to three, so that it is refused soon; one whose attempt the instance itself cancelled can no longer be refused. The new case of attemptDecision.test.ts failed before.

--- a/src/edge/__tests__/attemptDecision.test.ts
+++ b/src/edge/__tests__/attemptDecision.test.ts
@@ -53,6 +53,7 @@
     ['may be sent once more for an attempt that was cancelled', { runs: 2, cancellations: 1 }, true],
     ['stays where it is after that', { runs: 3, cancellations: 1 }, false],
     ['stays where it is after two such runs', { runs: 4, cancellations: 9 }, false],
+    ['may be turned away once more for an attempt that was cancelled', { runs: 1, rejections: 3, cancellations: 1 }, true],
     ['stays where it is after three refusals', { runs: 1, rejections: 3 }, false]
   ])('%s', (_title, overrides, expected) => {
     expect(maySendAgain({ ...history, ...overrides })).toBe(expected)
--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -48,8 +48,8 @@
   /** Number of attempts that were certainly not run. */
   rejections: number
   /**
-   * Number of attempts that this instance cancelled in favour of another one. The request may be sent once more for each
-   * of them, but beyond `maximumAttempts` only to upstreams that have had it.
+   * Number of attempts that this instance cancelled in favour of another one. For each of them, the request may be sent
+   * and turned away once more, but beyond `maximumAttempts` it goes only to upstreams that have had it.
    */
   cancellations: number
   /** Whether part of a response has been sent to the caller. */
@@ -91,9 +91,14 @@
   return mayRepeat(history) && runs < maximumAttempts + Math.min(MAX_REPEATED_RUNS, cancellations)
 }
 
+/** Whether the request may be turned away once more. */
+function mayBeRejectedAgain ({ rejections, cancellations }: AttemptHistory): boolean {
+  return rejections < MAX_REJECTIONS + Math.min(MAX_REPEATED_RUNS, cancellations)
+}
+
 /** Whether the request may be sent to an upstream once more. */
 export function maySendAgain (history: AttemptHistory): boolean {
-  return mayRunAgain(history) && history.rejections < MAX_REJECTIONS
+  return mayRunAgain(history) && mayBeRejectedAgain(history)
 }
 
 /** Whether the response of an upstream reports a failure, or leaves open whether it has run the request. */
@@ -124,7 +129,7 @@
 
 const DECISIONS: Readonly<Record<AttemptOutcome, (history: AttemptHistory) => NextStep>> = {
   [AttemptOutcome.notRun]: (history) => (
-    history.rejections < MAX_REJECTIONS ? { kind: 'retry' } : { kind: 'giveUp', execution: executionStatus(history) }
+    mayBeRejectedAgain(history) ? { kind: 'retry' } : { kind: 'giveUp', execution: executionStatus(history) }
   ),
   [AttemptOutcome.unknown]: (history) => (
     mayRunAgain(history)
