--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -170,7 +170,7 @@
   }
 
   /**
-   * Whether the request would go on at another upstream if its attempt were given up now.
+   * Whether the request could be sent to another upstream now while its attempt makes no progress.
    * @param silenced the attempt, if its upstream is silent and may have crashed
    */
   function canMove (now: Instant, silenced: Attempt | undefined): boolean {
