Log which obstacle ended a request

An operator could not tell from the log why a begun stream was cut, or a request refused, with time left: the line named how the last attempt had ended, not why no other one followed. request.broken_off and request.refused now name the obstacle: attempts, rejections, retry allowance, no usable or no listed upstream, key, crashes, stop or time limit.

findObstacle replaces decideNextStep, of which the dispatch used only whether the request may be sent again.

--- a/src/edge/__tests__/attemptDecision.test.ts
+++ b/src/edge/__tests__/attemptDecision.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { ExecutionStatus } from '../../types'
 import {
-  AttemptOutcome, decideNextStep, isAccepted, maySendAgain, provesSurvival, type AttemptHistory
+  AttemptOutcome, executionStatus, findObstacle, isAccepted, maySendAgain, Obstacle, provesSurvival, type AttemptHistory
 } from '../attemptDecision'
 import { RepeatRule } from '../types'
 
@@ -11,27 +11,27 @@
   maximumAttempts: 2,
   runs: 0,
   rejections: 0,
-  cancellations: 0,
-  responseStarted: false
+  cancellations: 0
 }
 
-describe('decideAfter', () => {
-  it.each<[string, AttemptOutcome, Partial<AttemptHistory>, unknown]>([
-    ['retries a rejected request', AttemptOutcome.notRun, { rejections: 1 }, { kind: 'retry' }],
-    ['retries a rejected unsafe request', AttemptOutcome.notRun, { repeat: RepeatRule.unsafe, maximumAttempts: 1, rejections: 1 }, { kind: 'retry' }],
-    ['fails after the maximum number of rejections', AttemptOutcome.notRun, { rejections: 3 }, { kind: 'giveUp', execution: ExecutionStatus.notRun }],
-    ['reports an unknown execution when an earlier attempt may have run', AttemptOutcome.notRun, { runs: 1, rejections: 3 }, { kind: 'giveUp', execution: ExecutionStatus.unknown }],
-    ['retries a safe request with an unknown outcome', AttemptOutcome.unknown, { runs: 1 }, { kind: 'retry' }],
-    ['fails a safe request after the maximum number of attempts of its route', AttemptOutcome.unknown, { runs: 2 }, { kind: 'giveUp', execution: ExecutionStatus.unknown }],
-    ['does not retry an unsafe request with an unknown outcome', AttemptOutcome.unknown, { repeat: RepeatRule.unsafe, runs: 1 }, { kind: 'giveUp', execution: ExecutionStatus.unknown }],
-    ['does not retry a stream that is not resumable', AttemptOutcome.unknown, { repeat: RepeatRule.stream, runs: 1 }, { kind: 'giveUp', execution: ExecutionStatus.unknown }],
-    ['resumes an interrupted stream on a resumable route', AttemptOutcome.unknown, { repeat: RepeatRule.stream, resumable: true, runs: 1, responseStarted: true }, { kind: 'retry' }],
-    ['closes the connection of an interrupted stream that is not resumable', AttemptOutcome.unknown, { repeat: RepeatRule.stream, runs: 1, responseStarted: true }, { kind: 'breakOff' }],
-    ['retries a safe request after an error response', AttemptOutcome.failed, { runs: 1 }, { kind: 'retry' }],
-    ['forwards the error response of the last attempt', AttemptOutcome.failed, { runs: 2 }, { kind: 'answer' }],
-    ['forwards the error response to an unsafe request', AttemptOutcome.failed, { repeat: RepeatRule.unsafe, runs: 1 }, { kind: 'answer' }]
-  ])('%s', (_title, outcome, overrides, expected) => {
-    expect(decideNextStep(outcome, { ...history, ...overrides })).toEqual(expected)
+describe('after an attempt without a whole answer, a request', () => {
+  const { notRun, unknown } = ExecutionStatus
+  it.each<[string, AttemptOutcome, Partial<AttemptHistory>, Obstacle | undefined, ExecutionStatus]>([
+    ['is sent again if it was rejected', AttemptOutcome.notRun, { rejections: 1 }, undefined, notRun],
+    ['is sent again if it was rejected and is not safe', AttemptOutcome.notRun, { repeat: RepeatRule.unsafe, maximumAttempts: 1, rejections: 1 }, undefined, notRun],
+    ['fails after the maximum number of rejections', AttemptOutcome.notRun, { rejections: 3 }, Obstacle.rejections, notRun],
+    ['has an unknown execution if an earlier attempt may have run', AttemptOutcome.notRun, { runs: 1, rejections: 3 }, Obstacle.rejections, unknown],
+    ['is sent again if it is safe and its outcome unknown', AttemptOutcome.unknown, { runs: 1 }, undefined, unknown],
+    ['fails after the maximum number of attempts of its route', AttemptOutcome.unknown, { runs: 2 }, Obstacle.attempts, unknown],
+    ['is not sent again if it is not safe and its outcome unknown', AttemptOutcome.unknown, { repeat: RepeatRule.unsafe, runs: 1 }, Obstacle.notRepeatable, unknown],
+    ['is not sent again if its stream may not be resumed', AttemptOutcome.unknown, { repeat: RepeatRule.stream, runs: 1 }, Obstacle.notRepeatable, unknown],
+    ['is sent again if its stream may be resumed', AttemptOutcome.unknown, { repeat: RepeatRule.stream, resumable: true, runs: 1 }, undefined, unknown],
+    ['is sent again if it is safe, after an error response', AttemptOutcome.failed, { runs: 1 }, undefined, unknown],
+    ['is not sent again after the error response of its last attempt', AttemptOutcome.failed, { runs: 2 }, Obstacle.attempts, unknown],
+    ['is not sent again if it is not safe, after an error response', AttemptOutcome.failed, { repeat: RepeatRule.unsafe, runs: 1 }, Obstacle.notRepeatable, unknown]
+  ])('%s', (_title, outcome, overrides, obstacle, execution) => {
+    expect(findObstacle(outcome, { ...history, ...overrides })).toBe(obstacle)
+    expect(executionStatus({ ...history, ...overrides })).toBe(execution)
   })
 })
 
--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -52,23 +52,37 @@
    * and turned away once more, but beyond `maximumAttempts` it goes only to upstreams that have had it.
    */
   cancellations: number
-  /** Whether part of a response has been sent to the caller. */
-  responseStarted: boolean
 }
 
 export function createAttemptHistory (
   { repeat, resumable, maximumAttempts }: Pick<EdgeRoute, 'repeat' | 'resumable' | 'maximumAttempts'>
 ): AttemptHistory {
-  return { repeat, resumable, maximumAttempts, runs: 0, rejections: 0, cancellations: 0, responseStarted: false }
+  return { repeat, resumable, maximumAttempts, runs: 0, rejections: 0, cancellations: 0 }
 }
 
-export type NextStep =
-  | { kind: 'retry' }
-  /** Forwards the upstream's response to the caller. */
-  | { kind: 'answer' }
-  | { kind: 'giveUp', execution: ExecutionStatus }
-  /** Closes the caller's connection, because part of a response has already been sent. */
-  | { kind: 'breakOff' }
+/** Why a request was not sent to another upstream after its last attempt. */
+export const Obstacle = {
+  /** Requests of its kind must not run twice. */
+  notRepeatable: 'notRepeatable',
+  /** It has run as often as its route permits. */
+  attempts: 'attempts',
+  /** It has been turned away too often. */
+  rejections: 'rejections',
+  /** The instance has used up its retries at the service. */
+  retryAllowance: 'retryAllowance',
+  /** No upstream can take it now. */
+  noneUsable: 'noneUsable',
+  /** The service has no upstream. */
+  noneListed: 'noneListed',
+  /** Its key is no longer known to be valid. */
+  key: 'key',
+  /** Upstreams crash, or may crash, when they answer such requests. */
+  crashes: 'crashes',
+  /** The instance is stopping. */
+  stopping: 'stopping',
+  timeLimit: 'timeLimit'
+} as const
+export type Obstacle = typeof Obstacle[keyof typeof Obstacle]
 
 /** Whether the request may run more than once. */
 export function mayRepeat (history: Pick<AttemptHistory, 'repeat' | 'resumable'>): boolean {
@@ -96,6 +110,13 @@
   return rejections < MAX_REJECTIONS + Math.min(MAX_REPEATED_RUNS, cancellations)
 }
 
+/** Returns what keeps the request from being sent once more after an attempt; undefined if nothing does. */
+export function findObstacle (outcome: AttemptOutcome, history: AttemptHistory): Obstacle | undefined {
+  if (outcome === AttemptOutcome.notRun) return mayBeRejectedAgain(history) ? undefined : Obstacle.rejections
+  if (!mayRepeat(history)) return Obstacle.notRepeatable
+  return mayRunAgain(history) ? undefined : Obstacle.attempts
+}
+
 /** Whether the request may be sent to an upstream once more. */
 export function maySendAgain (history: AttemptHistory): boolean {
   return mayRunAgain(history) && mayBeRejectedAgain(history)
@@ -126,26 +147,3 @@
 export function executionStatus (history: AttemptHistory): ExecutionStatus {
   return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
 }
-
-const DECISIONS: Readonly<Record<AttemptOutcome, (history: AttemptHistory) => NextStep>> = {
-  [AttemptOutcome.notRun]: (history) => (
-    mayBeRejectedAgain(history) ? { kind: 'retry' } : { kind: 'giveUp', execution: executionStatus(history) }
-  ),
-  [AttemptOutcome.unknown]: (history) => (
-    mayRunAgain(history)
-      ? { kind: 'retry' }
-      : { kind: 'giveUp', execution: ExecutionStatus.unknown }
-  ),
-  [AttemptOutcome.failed]: (history) => (
-    mayRunAgain(history) ? { kind: 'retry' } : { kind: 'answer' }
-  )
-}
-
-/**
- * Decides the next step after an attempt.
- * @param history includes the attempt that has just ended
- */
-export function decideNextStep (outcome: AttemptOutcome, history: AttemptHistory): NextStep {
-  const step = DECISIONS[outcome](history)
-  return step.kind === 'giveUp' && history.responseStarted ? { kind: 'breakOff' } : step
-}
--- a/src/edge/attemptPreparation.ts
+++ b/src/edge/attemptPreparation.ts
@@ -1,5 +1,6 @@
 /** Prepares the next attempt of a request: checks that it may be sent, selects the upstream and gets the permits. */
 import { isStillAuthorized } from './admission'
+import { Obstacle } from './attemptDecision'
 import type { Backlog } from './backlog'
 import type { CrashGuard } from './crashGuard'
 import { EdgeEvent } from './events'
@@ -33,7 +34,7 @@
 export interface PreparationCallbacks {
   onReady: (upstream: Upstream, now: Instant) => void
   /** No upstream may get the request now. */
-  onUnavailable: (reason: string) => void
+  onUnavailable: (reason: string, obstacle: Obstacle) => void
   /** Upstreams crash when they answer such requests. */
   onConvicted: (verdict: RefusedVerdict) => void
   /** Upstreams may crash when they answer such requests, and the outcome of another one did not come in time. */
@@ -88,15 +89,20 @@
     report()
   }
 
-  function reportUnavailable (reason: string): void {
-    conclude(() => { callbacks.onUnavailable(reason) })
+  function reportUnavailable (reason: string, obstacle: Obstacle): void {
+    conclude(() => { callbacks.onUnavailable(reason, obstacle) })
+  }
+
+  function reportNoneUsable (): void {
+    const isListed = context.directory.listed(service).length > 0
+    reportUnavailable(targets.failureReason(), isListed ? Obstacle.noneUsable : Obstacle.noneListed)
   }
 
   function start (): void {
     const now = context.now()
     isInProgress = true
-    if (!isStillAuthorized(context, admittedRequest, now)) return reportUnavailable(KEY_WITHDRAWN)
-    if (isTooLate()) return reportUnavailable(STOPPING)
+    if (!isStillAuthorized(context, admittedRequest, now)) return reportUnavailable(KEY_WITHDRAWN, Obstacle.key)
+    if (isTooLate()) return reportUnavailable(STOPPING, Obstacle.stopping)
     const conviction = crashGuard.findConviction(hasRun(), now.steady)
     if (conviction !== undefined) return conclude(() => { callbacks.onConvicted(conviction) })
     const suspect = crashGuard.missingPermit(now.steady)
@@ -119,12 +125,12 @@
   function waitForUpstream (now: MonotonicMilliseconds): void {
     const isListed = context.directory.listed(service).length > 0
     const mayWait = isListed && now < (waitUntil ?? Infinity) && options.mayWait(now)
-    if (!mayWait) return reportUnavailable(targets.failureReason())
+    if (!mayWait) return reportNoneUsable()
     waitUntil ??= now + MAX_UPSTREAM_WAIT_MS
     targets.permitAgain()
     timer = setTimeout(contain(() => {
       if (options.mayWait(context.now().steady)) start()
-      else reportUnavailable(targets.failureReason())
+      else reportNoneUsable()
     }), WAIT_POLL_MS)
   }
 
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -6,8 +6,8 @@
 import { openAttempt } from './attemptOpening'
 import { createAttemptPreparation } from './attemptPreparation'
 import {
-  AttemptOutcome, createAttemptHistory, decideNextStep, executionStatus, isAccepted, isFailure, isStalled, maySendAgain,
-  mayRepeat, NOT_EXECUTED_STATUSES, provesSurvival
+  AttemptOutcome, createAttemptHistory, executionStatus, findObstacle, isAccepted, isFailure, isStalled, maySendAgain,
+  mayRepeat, NOT_EXECUTED_STATUSES, Obstacle, provesSurvival
 } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
 import { createCrashGuard } from './crashGuard'
@@ -66,11 +66,11 @@
     admittedRequest, targets, crashGuard, backlog, timeLeft, hasRun: () => history.runs > 0, mayWait
   }, {
     onReady (upstream, now) { if (!isProgressing(now)) sendTo(upstream, now) },
-    onUnavailable (reason) { fail(executionStatus(history), reason) },
+    onUnavailable (reason, obstacle) { fail(executionStatus(history), reason, obstacle) },
     onConvicted: rejectConvicted,
     onSuspected (trait) {
       if (history.runs === 0) callbacks.onSuspected(trait, TRIAL_RETRY_MS)
-      else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS)
+      else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS, Obstacle.crashes)
     },
     onShed: callbacks.onShed,
     onFault: callbacks.onFault
@@ -123,7 +123,7 @@
   /** Rejects the request because upstreams crash when they answer such requests, unless an attempt is in progress. */
   function rejectConvicted ({ trait, retryAfter }: RefusedVerdict): void {
     if (history.runs === 0) callbacks.onConvicted(trait, retryAfter)
-    else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS)
+    else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS, Obstacle.crashes)
   }
 
   function sendTo (upstream: Upstream, now: Instant): void {
@@ -156,11 +156,11 @@
   }
 
   /** Reports that the request failed, unless an attempt is still in progress. */
-  function fail (execution: ExecutionStatus, reason: string): void {
+  function fail (execution: ExecutionStatus, reason: string, obstacle: Obstacle): void {
     if (attempt !== undefined) return
     settle()
-    if (callerResponse.hasStarted()) callbacks.onAborted(reason)
-    else callbacks.onFailure(execution, reason)
+    if (callerResponse.hasStarted()) callbacks.onAborted(reason, obstacle)
+    else callbacks.onFailure(execution, reason, obstacle)
   }
 
   /** Takes a retry from the allowance. A request that has not reached an upstream yet does not count as a retry. */
@@ -233,16 +233,15 @@
    */
   function continueAfter (attemptOutcome: AttemptOutcome, reason: string, forward?: () => void): void {
     if (attempt !== undefined) return takeOver(attempt, context.now())
-    const step = decideNextStep(attemptOutcome, { ...history, responseStarted: callerResponse.hasStarted() })
     // The upstream may have crashed because of this request, and the next one might as well.
     const isDangerous = attemptOutcome !== AttemptOutcome.notRun && crashGuard.mayCrashAgain(context.now().steady)
-    const mayContinue = step.kind === 'retry' && !isDangerous
+    const obstacle = isDangerous ? Obstacle.crashes : findObstacle(attemptOutcome, history)
     // A takeover that waits for its permit has taken a retry from the allowance already.
-    if (mayContinue && preparation.isInProgress()) return
+    if (obstacle === undefined && preparation.isInProgress()) return
     targets.restrictToFormer(history.runs >= history.maximumAttempts)
-    if (mayContinue && mayRetry()) return preparation.start()
+    if (obstacle === undefined && mayRetry()) return preparation.start()
     if (forward !== undefined) return forward()
-    fail(executionStatus(history), reason)
+    fail(executionStatus(history), reason, obstacle ?? (timeLeft() > 0 ? Obstacle.retryAllowance : Obstacle.timeLimit))
   }
 
   function onAttemptFailed (current: Attempt, { reason, sent, isStalled, isGivenUp }: AttemptFailure): void {
--- a/src/edge/dispatchTypes.ts
+++ b/src/edge/dispatchTypes.ts
@@ -1,5 +1,6 @@
 /** Interface between an exchange and the dispatch of its request. */
 import type { ExecutionStatus, MonotonicMilliseconds } from '../types'
+import type { Obstacle } from './attemptDecision'
 import type { Instant } from './types'
 import type { Upstream } from './upstreamDirectory'
 
@@ -18,10 +19,14 @@
    * nothing was sent to an upstream.
    */
   onSuspected: (trait: string, retryAfter: number) => void
-  /** The request failed before any part of a response was sent to the caller. */
-  onFailure: (execution: ExecutionStatus, reason: string) => void
+  /**
+   * The request failed before any part of a response was sent to the caller.
+   * @param reason how its last attempt ended
+   * @param obstacle why it was not sent to another upstream
+   */
+  onFailure: (execution: ExecutionStatus, reason: string, obstacle?: Obstacle) => void
   /** The request failed after part of a response was sent to the caller. */
-  onAborted: (reason: string) => void
+  onAborted: (reason: string, obstacle?: Obstacle) => void
   /** An error of the program interrupted the request; its attempt, if any, has not been cancelled. */
   onFault: (error: unknown) => void
 }
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -1,6 +1,7 @@
 /** One request of a caller, from its header to its final response. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { admit, AdmissionRejection } from './admission'
+import { Obstacle } from './attemptDecision'
 import { countHeaderBytes, createCallerResponse, hasBody, readBody, type Rejection } from './callerResponse'
 import { createDispatch } from './dispatch'
 import type { Dispatch } from './dispatchTypes'
@@ -77,12 +78,13 @@
     }
   }
 
-  function reject (rejection: Rejection, reason: string): void {
+  function reject (rejection: Rejection, reason: string, obstacle?: Obstacle): void {
     log(EdgeEvent.requestRejected, {
       requestIdentifier: identifier,
       status: rejection.status,
       errorCode: rejection.code,
       reason,
+      obstacle,
       retryAfter: rejection.retryAfter === undefined ? undefined : Math.round(rejection.retryAfter),
       customer: admittedRequest?.customer?.name,
       service: admittedRequest?.service,
@@ -93,10 +95,11 @@
     finish()
   }
 
-  function abort (reason: string): void {
+  function abort (reason: string, obstacle?: Obstacle): void {
     log(EdgeEvent.responseAborted, {
       requestIdentifier: identifier,
       reason,
+      obstacle,
       lastEvent: dispatch?.lastEvent(),
       timeLeft: timeLeft === undefined ? undefined : Math.round(timeLeft()),
       ...dispatch?.counts(),
@@ -134,21 +137,23 @@
   }
 
   /** Rejects a request that no upstream has completed. */
-  function rejectUnserved (service: string, execution: ExecutionStatus, reason: string, unknownStatus: number): void {
+  function rejectUnserved (
+    service: string, execution: ExecutionStatus, reason: string, unknownStatus: number, obstacle?: Obstacle
+  ): void {
     if (execution === ExecutionStatus.notRun) {
       const message = 'no upstream could take the request'
-      return reject({ status: 503, code: 'overloaded', message, retryAfter: estimateRetryAfter(service) }, reason)
+      return reject({ status: 503, code: 'overloaded', message, retryAfter: estimateRetryAfter(service) }, reason, obstacle)
     }
     const message = 'the request was sent on and its outcome is not known'
-    reject({ status: unknownStatus, code: 'upstream_failed', message }, reason)
+    reject({ status: unknownStatus, code: 'upstream_failed', message }, reason, obstacle)
   }
 
   function onTimeout (service: string): void {
     dispatch?.cancel(true)
     const reason = 'the time limit passed'
-    if (callerResponse.hasStarted()) return abort(reason)
+    if (callerResponse.hasStarted()) return abort(reason, Obstacle.timeLimit)
     const hasRun = (dispatch?.counts().runs ?? 0) > 0
-    rejectUnserved(service, hasRun ? ExecutionStatus.unknown : ExecutionStatus.notRun, reason, 504)
+    rejectUnserved(service, hasRun ? ExecutionStatus.unknown : ExecutionStatus.notRun, reason, 504, Obstacle.timeLimit)
   }
 
   function onCallerDisconnected (): void {
@@ -241,7 +246,7 @@
         const message = 'upstreams may crash when they answer such requests, and another one is being tried'
         reject({ status: 503, code: 'trial_pending', message, retryAfter }, `crashes may be caused by ${trait}`)
       },
-      onFailure: (execution, reason) => { rejectUnserved(service, execution, reason, 502) },
+      onFailure: (execution, reason, obstacle) => { rejectUnserved(service, execution, reason, 502, obstacle) },
       onAborted: abort,
       onFault: endAfterFault
     })
@@ -279,9 +284,10 @@
       if (isFinished) return
       dispatch?.cancel(false)
       const reason = 'the instance exits'
-      if (callerResponse.hasStarted()) return abort(reason)
-      if ((dispatch?.counts().runs ?? 0) === 0) return reject(AdmissionRejection.stopping, reason)
-      reject({ status: 502, code: 'upstream_failed', message: 'the request was sent on and its outcome is not known' }, reason)
+      if (callerResponse.hasStarted()) return abort(reason, Obstacle.stopping)
+      if ((dispatch?.counts().runs ?? 0) === 0) return reject(AdmissionRejection.stopping, reason, Obstacle.stopping)
+      const message = 'the request was sent on and its outcome is not known'
+      reject({ status: 502, code: 'upstream_failed', message }, reason, Obstacle.stopping)
     })
   }
 }
