Keep an attempt until another upstream has begun to answer

Callers saw streams cut in the middle with seconds left, beside upstreams that were silent for a second and went on. The attempt at the silent upstream was cancelled 200 ms after the next one had received the request: that it had not refused by then was taken for acceptance. An upstream that is silent too, or queues, refuses later, and then no attempt was left.

The attempt now goes on until the other upstream begins to answer, which it cannot take back as a refusal. If the other one makes no progress either and a third may get the request, the second attempt is given up in its place, not the first.

--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -1,5 +1,5 @@
 /** Decides how a request continues after an attempt that ended without a complete response. */
-import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
+import { ExecutionStatus } from '../types'
 import { RepeatRule, type EdgeRoute } from './types'
 
 /** Rejections by upstreams after which a request fails. Each one costs a round trip and upstream processing time. */
@@ -17,11 +17,6 @@
 const STALLED_STREAM_MS = 1500
 /** Time in milliseconds without progress after which a request at a silent upstream is repeated elsewhere. */
 const SILENT_UPSTREAM_MS = 400
-/**
- * Time in milliseconds without a refusal after which an upstream has accepted a request; refusals take a round trip. Two
- * upstreams must not work on one stream for longer than 400 ms.
- */
-const ACCEPTANCE_MS = 200
 
 /**
  * Statuses that tell the caller that the request was not executed. Those of an upstream are not forwarded, because it
@@ -127,17 +122,6 @@
   return status >= 500 || NOT_EXECUTED_STATUSES.has(status)
 }
 
-/**
- * Whether the next upstream counts as having accepted the request, without having answered yet. Safe requests may run at
- * two upstreams until one of them answers.
- * @param connectedAt when the upstream received the request; undefined if it has not
- */
-export function isAccepted (
-  repeat: RepeatRule, connectedAt: MonotonicMilliseconds | undefined, now: MonotonicMilliseconds
-): boolean {
-  return repeat === RepeatRule.stream && connectedAt !== undefined && now - connectedAt >= ACCEPTANCE_MS
-}
-
 /** Whether a complete response shows that the upstream has run the request and lived on. */
 export function provesSurvival (status: number): boolean {
   return !isFailure(status)
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -6,7 +6,7 @@
 import { openAttempt } from './attemptOpening'
 import { createAttemptPreparation } from './attemptPreparation'
 import {
-  AttemptOutcome, createAttemptHistory, executionStatus, findObstacle, isAccepted, isFailure, isStalled, maySendAgain,
+  AttemptOutcome, createAttemptHistory, executionStatus, findObstacle, isFailure, isStalled, maySendAgain,
   mayRepeat, NOT_EXECUTED_STATUSES, Obstacle, provesSurvival
 } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
@@ -17,6 +17,7 @@
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import type { AttemptFailure, Dispatch, DispatchCallbacks } from './dispatchTypes'
 import { urgencyOf } from './promptPlan'
+import { createRequestRetries } from './requestRetries'
 import { createTargetSelection, urgencyRank } from './targetSelection'
 import { isFinalResponseHead } from '../http/headText'
 import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
@@ -45,10 +46,9 @@
   const identifier = callerRequest.identifier ?? ''
   const history = createAttemptHistory(route)
   const targets = createTargetSelection(context, admittedRequest, timeLeft)
-  /** Whether an upstream has received the request, regardless of whether it ran it. */
-  let reachedUpstream = false
+  const retries = createRequestRetries(context, service)
   let attempt: Attempt | undefined
-  /** Attempt at another upstream that replaces the present one as soon as it is accepted there. */
+  /** Attempt at another upstream that replaces the present one as soon as that upstream begins to answer. */
   let successor: Attempt | undefined
   /** Whether the caller disconnected or the request timed out. */
   let cancelled = false
@@ -163,12 +163,6 @@
     else callbacks.onFailure(execution, reason, obstacle)
   }
 
-  /** Takes a retry from the allowance. A request that has not reached an upstream yet does not count as a retry. */
-  function mayRetry (): boolean {
-    if (timeLeft() <= 0) return false
-    return !reachedUpstream || context.retryAllowance.tryRetry(service, context.share(), context.now().steady)
-  }
-
   /**
    * Whether the request could be sent to another upstream now while its attempt makes no progress.
    * @param silenced the attempt, if its upstream is silent and may have crashed
@@ -176,7 +170,7 @@
   function canMove (now: Instant, silenced: Attempt | undefined): boolean {
     return timeLeft() > 0 && isStillAuthorized(context, admittedRequest, now) &&
       !crashGuard.mayCrashAgain(now.steady, silenced) &&
-      context.retryAllowance.canRetry(service, context.share(), now.steady) && targets.canMove(now)
+      retries.canSend(now.steady) && targets.canMove(now)
   }
 
   /** Whether the attempt in progress is not stalled, or no longer. */
@@ -189,17 +183,17 @@
   }
 
   /**
-   * Sends the request to another upstream if the attempt makes no progress. The attempt goes on until it is accepted
-   * there: it may be turned away, and the present upstream may only have paused.
+   * Sends the request to another upstream if the attempt makes no progress. The attempt goes on until that upstream
+   * begins to answer: it may still turn the request away, and the present one may only have paused.
    */
   function takeOver (current: Attempt, now: Instant): void {
+    if (successor !== undefined) leaveStalledSuccessor(successor, now)
     if (successor !== undefined || preparation.isInProgress()) return
     if (!maySendAgain(history) || !isStalledAt(current, now)) return
     targets.restrictToFormer(history.runs >= history.maximumAttempts)
     const isUpstreamSilent = isSilent(current.upstream, now.steady)
-    if (!canMove(now, isUpstreamSilent ? current : undefined)) return
-    reachedUpstream = true
-    if (!mayRetry()) return
+    retries.recordArrival()
+    if (!canMove(now, isUpstreamSilent ? current : undefined) || !retries.take(now.steady)) return
     if (isUpstreamSilent) {
       crashGuard.recordSilence(current, now.steady)
       context.reportUnreachable(current.upstream)
@@ -207,7 +201,14 @@
     preparation.start()
   }
 
-  /** Gives up the attempt, because its successor was accepted. */
+  /** Gives up the successor if it makes no progress either and an upstream that has not had the request is free. */
+  function leaveStalledSuccessor (current: Attempt, now: Instant): void {
+    if (!isStalledAt(current, now) || history.runs >= history.maximumAttempts || !maySendAgain(history)) return
+    targets.restrictToFormer(false)
+    if (canMove(now, undefined)) endTakeover()
+  }
+
+  /** Gives up the attempt, because the upstream of its successor has begun to answer. */
   function replaceAttempt (current: Attempt, now: Instant): void {
     const idleMs = Math.round(now.steady - current.lastProgressAt)
     history.cancellations += 1
@@ -239,7 +240,7 @@
     // A takeover that waits for its permit has taken a retry from the allowance already.
     if (obstacle === undefined && preparation.isInProgress()) return
     targets.restrictToFormer(history.runs >= history.maximumAttempts)
-    if (obstacle === undefined && mayRetry()) return preparation.start()
+    if (obstacle === undefined && timeLeft() > 0 && retries.take(context.now().steady)) return preparation.start()
     if (forward !== undefined) return forward()
     fail(executionStatus(history), reason, obstacle ?? (timeLeft() > 0 ? Obstacle.retryAllowance : Obstacle.timeLimit))
   }
@@ -263,8 +264,8 @@
     if (isStalled !== true) pauseAfterFailure(upstream, now)
     if (isUnreachable) context.reportUnreachable(upstream)
     context.connections.closeIdle(upstream)
-    reachedUpstream ||= sent
     if (sent) {
+      retries.recordArrival()
       current.sample.recordEnd(true, context.now().steady)
       return continueAfter(AttemptOutcome.unknown, reason)
     }
@@ -331,7 +332,7 @@
   /** Handles a response that states that the upstream has not run the request. */
   function onRejected (current: Attempt, status: number, answeredBy: string | undefined, misdirected: boolean): void {
     cancelAttempt(current)
-    reachedUpstream = true
+    retries.recordArrival()
     const { upstream } = current
     const isBehind = recordRejection(upstream, {
       model: callerRequest.model, misdirected, answeredBy, targetVersion: context.weightsRollout.target
@@ -405,7 +406,7 @@
     const status = head?.statusCode ?? 0
     if (!isFailure(status)) settle()
     detachAttempt(current)
-    reachedUpstream = true
+    retries.recordArrival()
     const now = context.now().steady
     current.sample.recordEnd(status >= 500, now)
     if (provesSurvival(status)) crashGuard.recordAnswer(current, now)
@@ -440,8 +441,6 @@
     check (now) {
       if (attempt === undefined) return
       if (successor !== undefined) endHopeless(successor, now.steady)
-      const isReplaced = successor !== undefined && isAccepted(history.repeat, successor.connectedAt, now.steady)
-      if (isReplaced) replaceAttempt(attempt, now)
       if (attempt.isPaused || endHopeless(attempt, now.steady)) return
       attempt.sample.recordRunning(now.steady)
       takeOver(attempt, now)
