Let begun streams wait where limits and busy upstreams ended them

Callers saw begun streams cut with seconds left, while upstreams were listed that would have taken them later. What ended them were limits meant to hold off new work: the retry allowance, used up mostly by takeovers that were not needed; a fourth refusal; 1.5 s of waiting; three denied permits.

What ends a request is now one decision (continuation.ts) over a table of obstacles (attemptDecision.ts). A request that is owed an answer, because its response has begun or the instance cancelled one of its attempts, is ended by the attempts of its route, a key, crashes, a stop, its time limit, or a service without upstreams; it waits for retries, refusals and busy upstreams until its time limit. New requests are refused as before. A retry is taken when the request is sent, not before a permit that may be denied. An upstream that turns a waiting request away gets it again after a second at most.

--- a/src/edge/__tests__/attemptDecision.test.ts
+++ b/src/edge/__tests__/attemptDecision.test.ts
@@ -1,7 +1,8 @@
 import { describe, expect, it } from 'vitest'
 import { ExecutionStatus } from '../../types'
 import {
-  AttemptOutcome, executionStatus, findObstacle, maySendAgain, Obstacle, provesSurvival, type AttemptHistory
+  AttemptOutcome, endsRequest, executionStatus, findObstacle, maySendAgain, Obstacle, provesSurvival,
+  type AttemptHistory
 } from '../attemptDecision'
 import { RepeatRule } from '../types'
 
@@ -35,6 +36,15 @@
   })
 })
 
+describe('a request without an attempt in progress', () => {
+  const passing = new Set<Obstacle>([Obstacle.rejections, Obstacle.retryAllowance, Obstacle.noneUsable])
+
+  it.each(Object.values(Obstacle))('ends because of %s, unless the obstacle passes and the request is owed an answer', (obstacle) => {
+    expect(endsRequest(obstacle, false)).toBe(true)
+    expect(endsRequest(obstacle, true)).toBe(!passing.has(obstacle))
+  })
+})
+
 describe('a complete response', () => {
   it.each([
     [200, true], [404, true], [408, false], [421, false], [429, false], [500, false], [503, false], [504, false]
--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -105,6 +105,29 @@
   return rejections < MAX_REJECTIONS + Math.min(MAX_REPEATED_RUNS, cancellations)
 }
 
+/**
+ * Whether each obstacle ends a request that is owed an answer, because part of its response has been sent or this
+ * instance cancelled one of its attempts. Limits that hold off new work, and upstreams that are busy, do not: the request
+ * waits for their end until its time limit.
+ */
+const ENDS_OWED_REQUEST: Readonly<Record<Obstacle, boolean>> = {
+  [Obstacle.notRepeatable]: true,
+  [Obstacle.attempts]: true,
+  [Obstacle.rejections]: false,
+  [Obstacle.retryAllowance]: false,
+  [Obstacle.noneUsable]: false,
+  [Obstacle.noneListed]: true,
+  [Obstacle.key]: true,
+  [Obstacle.crashes]: true,
+  [Obstacle.stopping]: true,
+  [Obstacle.timeLimit]: true
+}
+
+/** Whether the obstacle ends a request without an attempt in progress. */
+export function endsRequest (obstacle: Obstacle, isOwed: boolean): boolean {
+  return !isOwed || ENDS_OWED_REQUEST[obstacle]
+}
+
 /** Returns what keeps the request from being sent once more after an attempt; undefined if nothing does. */
 export function findObstacle (outcome: AttemptOutcome, history: AttemptHistory): Obstacle | undefined {
   if (outcome === AttemptOutcome.notRun) return mayBeRejectedAgain(history) ? undefined : Obstacle.rejections
--- a/src/edge/attemptPreparation.ts
+++ b/src/edge/attemptPreparation.ts
@@ -16,17 +16,13 @@
 
 /** Share of the time to the latency target for which a request waits while another one is tried; about one response. */
 const TRIAL_WAIT_SHARE = 0.5
-
-/**
- * Longest time in milliseconds that a request waits in all until an upstream can take it; callers give up a stream two
- * seconds after its last event.
- */
-const MAX_UPSTREAM_WAIT_MS = 1500
 /** Interval in milliseconds between looks for an upstream. */
 const WAIT_POLL_MS = 50
 
 /** Reason in the log for a request whose customer may no longer be served. */
 const KEY_WITHDRAWN = 'the key could not be revalidated'
+/** Reason in the log for a request that was not repeated. */
+const NO_RETRY_LEFT = 'no retry is left in the allowance'
 /** Reason in the log for a request that was not sent to an upstream before the instance stops. */
 const STOPPING = 'the instance is stopping'
 
@@ -53,8 +49,10 @@
   timeLeft: () => number
   /** Whether an upstream may have run the request. */
   hasRun: () => boolean
-  /** Whether the request waits until an upstream can take it, because it can no longer be refused. */
-  mayWait: (now: MonotonicMilliseconds) => boolean
+  /** Whether the retry allowance permits another attempt. */
+  canSend: (now: MonotonicMilliseconds) => boolean
+  /** Returns the obstacle that ends the request; undefined if it waits until the given one has passed. */
+  findEnd: (obstacle: Obstacle, now: MonotonicMilliseconds) => Obstacle | undefined
 }
 
 export interface AttemptPreparation {
@@ -76,7 +74,6 @@
   const contain = createFaultContainment(callbacks.onFault)
   let isCancelled = false
   let isInProgress = false
-  let waitUntil: MonotonicMilliseconds | undefined
   let timer: NodeJS.Timeout | undefined
 
   /** Whether the first attempt would start after the instance has ceased to accept requests. */
@@ -93,9 +90,12 @@
     conclude(() => { callbacks.onUnavailable(reason, obstacle) })
   }
 
-  function reportNoneUsable (): void {
-    const isListed = context.directory.listed(service).length > 0
-    reportUnavailable(targets.failureReason(), isListed ? Obstacle.noneUsable : Obstacle.noneListed)
+  /** Looks for an upstream again later, if the request may wait. */
+  function waitOrReport (reason: string, obstacle: Obstacle, now: MonotonicMilliseconds): void {
+    const end = options.findEnd(obstacle, now)
+    if (end !== undefined) return reportUnavailable(reason, end)
+    targets.permitAgain()
+    timer = setTimeout(contain(start), WAIT_POLL_MS)
   }
 
   function start (): void {
@@ -107,8 +107,12 @@
     if (conviction !== undefined) return conclude(() => { callbacks.onConvicted(conviction) })
     const suspect = crashGuard.missingPermit(now.steady)
     if (suspect !== undefined) return waitForTrial(suspect)
+    if (!options.canSend(now.steady)) return waitOrReport(NO_RETRY_LEFT, Obstacle.retryAllowance, now.steady)
     const target = targets.select(now, crashGuard.suspectTrait(now.steady))
-    if (target === undefined) return waitForUpstream(now.steady)
+    if (target === undefined) {
+      const isListed = context.directory.listed(service).length > 0
+      return waitOrReport(targets.failureReason(), isListed ? Obstacle.noneUsable : Obstacle.noneListed, now.steady)
+    }
     if (route.repeat === RepeatRule.stream && !hasRun()) {
       const expectedWait = backlog.expectedWait(now.steady)
       const shedding = decideShedding(expectedWait, route.latencyTarget, sheddingDraw)
@@ -121,19 +125,6 @@
       .catch(callbacks.onFault)
   }
 
-  /** Looks for an upstream again later, if the request may wait. */
-  function waitForUpstream (now: MonotonicMilliseconds): void {
-    const isListed = context.directory.listed(service).length > 0
-    const mayWait = isListed && now < (waitUntil ?? Infinity) && options.mayWait(now)
-    if (!mayWait) return reportNoneUsable()
-    waitUntil ??= now + MAX_UPSTREAM_WAIT_MS
-    targets.permitAgain()
-    timer = setTimeout(contain(() => {
-      if (options.mayWait(context.now().steady)) start()
-      else reportNoneUsable()
-    }), WAIT_POLL_MS)
-  }
-
   /** Waits until no other request with a suspect trait is in flight. */
   function waitForTrial (trait: string): void {
     crashGuard.waitForPermit(trait, Math.min(timeLeft(), route.latencyTarget) * TRIAL_WAIT_SHARE)
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -1,15 +1,15 @@
 /** Sends an admitted request to upstreams until one returns a complete response or no further attempt is permitted. */
 import type { IncomingMessage } from 'node:http'
 import { MAX_RESPONSE_BYTES } from './responseBuffers'
-import { isStillAuthorized } from './admission'
 import { createAttemptAccounting, type Attempt } from './attempt'
 import { openAttempt } from './attemptOpening'
 import { createAttemptPreparation } from './attemptPreparation'
 import {
-  AttemptOutcome, createAttemptHistory, executionStatus, findObstacle, isFailure, isStalled, maySendAgain,
-  mayRepeat, NOT_EXECUTED_STATUSES, Obstacle, provesSurvival
+  AttemptOutcome, createAttemptHistory, executionStatus, isFailure, maySendAgain, mayRepeat, NOT_EXECUTED_STATUSES,
+  Obstacle, provesSurvival
 } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
+import { createContinuation } from './continuation'
 import { createCrashGuard } from './crashGuard'
 import { countData, createEventBoundary, type EventBoundary } from './eventBoundary'
 import { EdgeEvent } from './events'
@@ -17,7 +17,6 @@
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import type { AttemptFailure, Dispatch, DispatchCallbacks } from './dispatchTypes'
 import { urgencyOf } from './promptPlan'
-import { createRequestRetries } from './requestRetries'
 import { createTargetSelection, urgencyRank } from './targetSelection'
 import { isFinalResponseHead } from '../http/headText'
 import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
@@ -46,7 +45,6 @@
   const identifier = callerRequest.identifier ?? ''
   const history = createAttemptHistory(route)
   const targets = createTargetSelection(context, admittedRequest, timeLeft)
-  const retries = createRequestRetries(context, service)
   let attempt: Attempt | undefined
   /** Attempt at another upstream that replaces the present one as soon as that upstream begins to answer. */
   let successor: Attempt | undefined
@@ -60,12 +58,26 @@
   const crashGuard = createCrashGuard(context, {
     callerRequest, customer: customer?.name, method: request.method!, path: request.url!, body
   })
+  const continuation = createContinuation(context, {
+    admittedRequest, callerResponse, history, targets, crashGuard, timeLeft, attempt: () => attempt
+  })
   let firstByteAt: MonotonicMilliseconds | undefined
   const contain = createFaultContainment(callbacks.onFault)
   const preparation = createAttemptPreparation(context, {
-    admittedRequest, targets, crashGuard, backlog, timeLeft, hasRun: () => history.runs > 0, mayWait
+    admittedRequest,
+    targets,
+    crashGuard,
+    backlog,
+    timeLeft,
+    hasRun: () => history.runs > 0,
+    canSend: continuation.canSend,
+    findEnd: continuation.findEnd
   }, {
-    onReady (upstream, now) { if (!isProgressing(now)) sendTo(upstream, now) },
+    onReady (upstream, now) {
+      if (continuation.isProgressing(now)) return
+      if (continuation.takeRetry(now.steady)) sendTo(upstream, now)
+      else if (attempt === undefined) preparation.start()
+    },
     onUnavailable (reason, obstacle) { fail(executionStatus(history), reason, obstacle) },
     onConvicted: rejectConvicted,
     onSuspected (trait) {
@@ -76,12 +88,6 @@
     onFault: callbacks.onFault
   })
 
-  /** Whether the request waits for an upstream: its stream has begun, or this instance gave up an attempt that went on. */
-  function mayWait (now: MonotonicMilliseconds): boolean {
-    const isOwed = callerResponse.hasStarted() || history.cancellations > 0
-    return attempt === undefined && isOwed && maySendAgain(history) && !crashGuard.mayCrashAgain(now)
-  }
-
   /** Removes an attempt and undoes its accounting at the upstream. A successor takes its place. */
   function detachAttempt (current: Attempt): void {
     if (current !== attempt && current !== successor) return
@@ -163,25 +169,6 @@
     else callbacks.onFailure(execution, reason, obstacle)
   }
 
-  /**
-   * Whether the request could be sent to another upstream now while its attempt makes no progress.
-   * @param silenced the attempt, if its upstream is silent and may have crashed
-   */
-  function canMove (now: Instant, silenced: Attempt | undefined): boolean {
-    return timeLeft() > 0 && isStillAuthorized(context, admittedRequest, now) &&
-      !crashGuard.mayCrashAgain(now.steady, silenced) &&
-      retries.canSend(now.steady) && targets.canMove(now)
-  }
-
-  /** Whether the attempt in progress is not stalled, or no longer. */
-  function isProgressing (now: Instant): boolean {
-    return attempt !== undefined && !isStalledAt(attempt, now)
-  }
-
-  function isStalledAt ({ upstream, lastProgressAt }: Attempt, now: Instant): boolean {
-    return isStalled(history.repeat, now.steady - lastProgressAt, timeLeft(), isSilent(upstream, now.steady))
-  }
-
   /**
    * Sends the request to another upstream if the attempt makes no progress. The attempt goes on until that upstream
    * begins to answer: it may still turn the request away, and the present one may only have paused.
@@ -189,11 +176,11 @@
   function takeOver (current: Attempt, now: Instant): void {
     if (successor !== undefined) leaveStalledSuccessor(successor, now)
     if (successor !== undefined || preparation.isInProgress()) return
-    if (!maySendAgain(history) || !isStalledAt(current, now)) return
+    if (!maySendAgain(history) || !continuation.isStalledAt(current, now)) return
     targets.restrictToFormer(history.runs >= history.maximumAttempts)
     const isUpstreamSilent = isSilent(current.upstream, now.steady)
-    retries.recordArrival()
-    if (!canMove(now, isUpstreamSilent ? current : undefined) || !retries.take(now.steady)) return
+    continuation.recordArrival()
+    if (!continuation.canMove(now, isUpstreamSilent ? current : undefined)) return
     if (isUpstreamSilent) {
       crashGuard.recordSilence(current, now.steady)
       context.reportUnreachable(current.upstream)
@@ -203,9 +190,10 @@
 
   /** Gives up the successor if it makes no progress either and an upstream that has not had the request is free. */
   function leaveStalledSuccessor (current: Attempt, now: Instant): void {
-    if (!isStalledAt(current, now) || history.runs >= history.maximumAttempts || !maySendAgain(history)) return
+    const mayTryAnother = history.runs < history.maximumAttempts && maySendAgain(history)
+    if (!mayTryAnother || !continuation.isStalledAt(current, now)) return
     targets.restrictToFormer(false)
-    if (canMove(now, undefined)) endTakeover()
+    if (continuation.canMove(now)) endTakeover()
   }
 
   /** Gives up the attempt, because the upstream of its successor has begun to answer. */
@@ -234,15 +222,14 @@
    */
   function continueAfter (attemptOutcome: AttemptOutcome, reason: string, forward?: () => void): void {
     if (attempt !== undefined) return takeOver(attempt, context.now())
-    // The upstream may have crashed because of this request, and the next one might as well.
-    const isDangerous = attemptOutcome !== AttemptOutcome.notRun && crashGuard.mayCrashAgain(context.now().steady)
-    const obstacle = isDangerous ? Obstacle.crashes : findObstacle(attemptOutcome, history)
-    // A takeover that waits for its permit has taken a retry from the allowance already.
-    if (obstacle === undefined && preparation.isInProgress()) return
     targets.restrictToFormer(history.runs >= history.maximumAttempts)
-    if (obstacle === undefined && timeLeft() > 0 && retries.take(context.now().steady)) return preparation.start()
+    const end = continuation.findEndAfter(attemptOutcome, context.now().steady)
+    if (end === undefined) {
+      if (!preparation.isInProgress()) preparation.start()
+      return
+    }
     if (forward !== undefined) return forward()
-    fail(executionStatus(history), reason, obstacle ?? (timeLeft() > 0 ? Obstacle.retryAllowance : Obstacle.timeLimit))
+    fail(executionStatus(history), reason, end)
   }
 
   function onAttemptFailed (current: Attempt, { reason, sent, isStalled, isGivenUp }: AttemptFailure): void {
@@ -265,7 +252,7 @@
     if (isUnreachable) context.reportUnreachable(upstream)
     context.connections.closeIdle(upstream)
     if (sent) {
-      retries.recordArrival()
+      continuation.recordArrival()
       current.sample.recordEnd(true, context.now().steady)
       return continueAfter(AttemptOutcome.unknown, reason)
     }
@@ -332,7 +319,7 @@
   /** Handles a response that states that the upstream has not run the request. */
   function onRejected (current: Attempt, status: number, answeredBy: string | undefined, misdirected: boolean): void {
     cancelAttempt(current)
-    retries.recordArrival()
+    continuation.recordArrival()
     const { upstream } = current
     const isBehind = recordRejection(upstream, {
       model: callerRequest.model, misdirected, answeredBy, targetVersion: context.weightsRollout.target
@@ -406,7 +393,7 @@
     const status = head?.statusCode ?? 0
     if (!isFailure(status)) settle()
     detachAttempt(current)
-    retries.recordArrival()
+    continuation.recordArrival()
     const now = context.now().steady
     current.sample.recordEnd(status >= 500, now)
     if (provesSurvival(status)) crashGuard.recordAnswer(current, now)
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -25,6 +25,8 @@
  * engine become free within a few hundred milliseconds.
  */
 const TURNED_AWAY_PAUSE_MS = 250
+/** Longest such pause. */
+const MAX_TURNED_AWAY_PAUSE_MS = 1000
 /** Longest time in milliseconds that a denial is relied on; the limit or the instance that denied it may change. */
 const MAX_DENIAL_MS = 1000
 
@@ -59,7 +61,7 @@
    * @param rejections number of times that the request has been turned away
    */
   markTurnedAway: (upstream: Upstream, rejections: number, now: MonotonicMilliseconds) => void
-  /** Permits all upstreams again that may have run the request; it goes on where it can. */
+  /** Permits all upstreams again that may have run the request or denied it a permit; it goes on where it can. */
   permitAgain: () => void
   /** Records that the upstream has no permit within the permitted wait; its next one is free in `wait` milliseconds. */
   recordDenial: (upstream: Upstream, wait: number, now: MonotonicMilliseconds) => void
@@ -161,9 +163,11 @@
     markUnsent (upstream) { former.delete(runKey(upstream.entry)) },
     markTurnedAway (upstream, rejections, now) {
       former.delete(runKey(upstream.entry))
-      tried.set(runKey(upstream.entry), now + TURNED_AWAY_PAUSE_MS * 2 ** (rejections - 1))
+      const pause = Math.min(MAX_TURNED_AWAY_PAUSE_MS, TURNED_AWAY_PAUSE_MS * 2 ** (rejections - 1))
+      tried.set(runKey(upstream.entry), now + pause)
     },
     permitAgain () {
+      denials = 0
       for (const [run, excludedUntil] of tried) if (excludedUntil === Infinity) tried.delete(run)
     },
     recordDenial (upstream, wait, now) {
