Accept a whole answer whose connection is reset before it has been read

Callers that read slowly saw a stream cut, or run once more, although its upstream had sent all of it: the response was paused, its last bytes waited in the process, and an upstream that reset the connection after the last chunk made the request fail with "read ECONNRESET". Node.js reports an error of the connection at the request until the response has been read, not only until it is complete.

An error of the request now counts only while the response is incomplete. A response with chunks or a length is complete once the parser has seen its end. One without is complete when its connection ends; whether it was reset is still checked after its last byte has been read.

--- a/src/edge/upstreamCall.ts
+++ b/src/edge/upstreamCall.ts
@@ -105,7 +105,10 @@
     interimResponses += 1
     if (interimResponses > MAX_INTERIM_RESPONSES) fail('too many interim responses')
   })
-  upstreamRequest.on('error', (error) => { fail(error.message) })
+  upstreamRequest.on('error', (error) => {
+    // A complete response may still wait to be read; what happens to its connection no longer changes it.
+    if (response?.complete !== true) fail(error.message)
+  })
   upstreamRequest.on('close', () => { if (response === undefined) fail('the connection closed without a response') })
   upstreamRequest.on('response', (incoming) => {
     if (isEnded) return
