Do not give up a connection that has opened while the process was busy

Callers saw 503, or their request went to another upstream, although the connection to the first one had opened in time: the log has "the connection did not open in time" after a garbage collection, a large configuration or a used-up share of a core. Node.js calls timers that have come due before it reads sockets, so that the timeout came before the news of the open connection. Each such attempt counted as a rejection, of which a request has three, and paused the upstream.

--- a/src/edge/upstreamCall.ts
+++ b/src/edge/upstreamCall.ts
@@ -64,7 +64,8 @@
     headers: options.headers as unknown as Record<string, string>,
     setHost: false
   })
-  const connectTimer = setTimeout(() => { fail('the connection did not open in time') }, options.connectTimeout)
+  // After the process was busy, timers come before the connections that have opened meanwhile; these are seen first.
+  const connectTimer = setTimeout(() => { setImmediate(failUnlessConnected) }, options.connectTimeout)
 
   function finish (): boolean {
     if (isEnded) return false
@@ -84,6 +85,10 @@
     events.onFailure(reason, isConnected)
   }
 
+  function failUnlessConnected (): void {
+    if (!isConnected) fail('the connection did not open in time')
+  }
+
   /** Writes an empty line, which servers ignore, when the connection ends; after a reset the write fails. */
   function detectResetAtEnd (socket: Socket): void {
     socket.allowHalfOpen = true
