--- a/src/edge/peerLinks.ts
+++ b/src/edge/peerLinks.ts
@@ -262,14 +262,16 @@
       lastNumber += 1
       const number = lastNumber
       return await new Promise((resolve, reject) => {
-        const timer = setTimeout(() => {
-          connection.pending.delete(number)
+        function failUnlessAnswered (): void {
+          if (!connection.pending.delete(number)) return
           recordFailure(address, `no answer in ${timeout} ms`)
           reject(new PlatformUnavailableError(`peer ${address}: no answer in ${timeout} ms`))
           const isConnectionSilent = connection.unansweredSince !== undefined &&
             now() - connection.unansweredSince >= SILENCE_TIMEOUT_MS
           if (isConnectionSilent) closeConnection(address, connection, 'the connection is silent')
-        }, timeout)
+        }
+        // After the process was busy, timers come before the responses that have arrived meanwhile; these are read first.
+        const timer = setTimeout(() => { setImmediate(failUnlessAnswered) }, timeout)
         connection.pending.set(number, { request, sentAt: now(), resolve, reject, timer })
         connection.unansweredSince ??= now()
         const failure = send(connection.socket, { number, content: request, refusal: undefined })
