Close a kept connection that its upstream has ended after a 204 or 304

A request that may be repeated got no answer, or used up an attempt, on a kept connection that its upstream had already ended. The responses 204 and 304 have no body and no length; the router took them for responses that end with their connection, and left the connection half open when the upstream ended it, in order to detect a reset. Such a connection stayed among the idle ones and carried the next request.

Both statuses now count as framed, so that only a response that does end with its connection changes how it ends.

An upstream that closes both sides at once showed no failure on loopback.

--- a/src/edge/upstreamCall.ts
+++ b/src/edge/upstreamCall.ts
@@ -45,9 +45,13 @@
   cancel: () => void
 }
 
+/** Statuses of responses that have no body (RFC 9112, section 6.3). */
+const BODILESS_STATUSES: ReadonlySet<number | undefined> = new Set([204, 304])
+
 /** Whether the end of a response can be told from its framing; otherwise it ends with its connection. */
-export function isFramed ({ headers }: IncomingMessage): boolean {
-  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+export function isFramed ({ headers, statusCode }: IncomingMessage): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined ||
+    BODILESS_STATUSES.has(statusCode)
 }
 
 export function callUpstream (options: UpstreamCallOptions, events: UpstreamCallEvents): UpstreamCall {
