Forward blank lines between events that arrive in a chunk of their own

A blank line after a complete event now ends nothing and is forwarded at once. Before the first event it still waits, so that the request can be refused until an event has come.

--- a/src/edge/__tests__/eventBoundary.test.ts
+++ b/src/edge/__tests__/eventBoundary.test.ts
@@ -16,6 +16,11 @@
     ['ignores id: within data', ['id: 7\ndata: id: 9\n\n'], 'id: 7\ndata: id: 9\n\n', '', '7'],
     ['keeps the last identifier after an event without one', ['id: 3\n\n', 'data: x\n\n'], 'id: 3\n\ndata: x\n\n', '', '3'],
     ['an event with a line before the identifier', ['weights: 2\nid: 4\ndata: x\n\n'], 'weights: 2\nid: 4\ndata: x\n\n', '', '4'],
+    // A stream whose last blank line came alone was cut off as if it ended within an event.
+    ['a blank line after an event, in a chunk of its own', ['id: 1\ndata: a\n\n', '\n'], 'id: 1\ndata: a\n\n\n', '', '1'],
+    ['blank lines before an event, in chunks of their own', ['\n', 'id: 1\ndata: a\n\n'], '\nid: 1\ndata: a\n\n', '', '1'],
+    ['a blank line before any event', ['\n'], '', '\n', undefined],
+    ['a blank line and the start of an event', ['id: 1\n\n', '\nid: 2'], 'id: 1\n\n\n', 'id: 2', '1'],
     ['only a partial event', ['id: 1\ndata: a\n'], '', 'id: 1\ndata: a\n', undefined]
   ])('%s', (_title, chunks, forwarded, partialEvent, last) => {
     expect(feed(chunks)).toEqual({ forwarded, partialEvent, last })
--- a/src/edge/eventBoundary.ts
+++ b/src/edge/eventBoundary.ts
@@ -6,7 +6,6 @@
 export const MAX_EVENT_BYTES = 262_144
 
 const LINE_FEED = 0x0a
-const EVENT_END = Buffer.from('\n\n')
 const ID_FIELD = Buffer.from('id:')
 const DATA_FIELD = Buffer.from('data:')
 
@@ -58,13 +57,26 @@
   const pending = createByteAccumulator()
   let lastEvent: string | undefined
   let malformed = false
+  /** Whether an event is complete. Before the first one, blank lines wait for it, because the request may still fail. */
+  let hasEvent = false
+
+  /** Returns the byte at a position in the chunk, or in the pending bytes before it for a negative one. */
+  function byteAt (chunk: Buffer, position: number): number | undefined {
+    return position >= 0 ? chunk[position] : pending.view().at(position)
+  }
+
+  /** Whether the line that ends at this position of the chunk is blank, and thus ends an event or follows one. */
+  function endsEvent (chunk: Buffer, lineEnd: number): boolean {
+    const previous = byteAt(chunk, lineEnd - 1)
+    return previous === LINE_FEED || (previous === undefined && hasEvent)
+  }
 
   /** Returns the position after the last complete event in the pending bytes followed by the chunk; 0 if there is none. */
   function endOfEvents (chunk: Buffer): number {
-    const end = chunk.lastIndexOf(EVENT_END)
-    if (end >= 0) return pending.length() + end + EVENT_END.length
-    const isSplitDelimiter = chunk[0] === LINE_FEED && pending.view().at(-1) === LINE_FEED
-    return isSplitDelimiter ? pending.length() + 1 : 0
+    for (let end = chunk.lastIndexOf(LINE_FEED); end >= 0; end = chunk.subarray(0, end).lastIndexOf(LINE_FEED)) {
+      if (endsEvent(chunk, end)) return pending.length() + end + 1
+    }
+    return 0
   }
 
   return {
@@ -85,6 +97,7 @@
       const identifier = lastEventIdentifier(events)
       malformed = isResumable && identifier !== undefined && !isHeaderValue(identifier)
       if (malformed) return undefined
+      hasEvent = true
       lastEvent = identifier ?? lastEvent
       return events
     },
