Find the ends of events whose lines end with a carriage return and a line feed

Callers got 502 for a stream that its upstream had sent whole with such line ends, which text/event-stream permits: no event was found in it, so that nothing was forwarded, and at its end the log has "the stream ended within an event".

A line now ends with a line feed, with or without a carriage return before it, also where the two come in different chunks. An event whose last line feed is missing still counts as partial.

--- a/src/edge/__tests__/eventBoundary.test.ts
+++ b/src/edge/__tests__/eventBoundary.test.ts
@@ -21,6 +21,12 @@
     ['blank lines before an event, in chunks of their own', ['\n', 'id: 1\ndata: a\n\n'], '\nid: 1\ndata: a\n\n', '', '1'],
     ['a blank line before any event', ['\n'], '', '\n', undefined],
     ['a blank line and the start of an event', ['id: 1\n\n', '\nid: 2'], 'id: 1\n\n\n', 'id: 2', '1'],
+    // A stream with these line ends, which text/event-stream permits, had no event and was refused with 502.
+    ['line ends of two bytes', ['id: 1\r\ndata: a\r\n\r\nid: 2\r\nda'], 'id: 1\r\ndata: a\r\n\r\n', 'id: 2\r\nda', '1'],
+    ['line ends of two bytes, each byte in a chunk', [...'id: 1\r\ndata: a\r\n\r\n'], 'id: 1\r\ndata: a\r\n\r\n', '', '1'],
+    ['a blank line of two bytes after an event', ['id: 1\n\n', '\r', '\n'], 'id: 1\n\n\r\n', '', '1'],
+    ['a blank line of which one byte is missing', ['id: 1\r\ndata: a\r\n\r'], '', 'id: 1\r\ndata: a\r\n\r', undefined],
+    ['a line of a carriage return and more', ['id: 1\n\rdata: a\n'], '', 'id: 1\n\rdata: a\n', undefined],
     ['only a partial event', ['id: 1\ndata: a\n'], '', 'id: 1\ndata: a\n', undefined]
   ])('%s', (_title, chunks, forwarded, partialEvent, last) => {
     expect(feed(chunks)).toEqual({ forwarded, partialEvent, last })
--- a/src/edge/eventBoundary.ts
+++ b/src/edge/eventBoundary.ts
@@ -5,7 +5,9 @@
 /** Maximum size of one event in bytes. A larger one indicates a faulty upstream, which may affect all its requests. */
 export const MAX_EVENT_BYTES = 262_144
 
+/** Lines end with a line feed, or with a carriage return before it. */
 const LINE_FEED = 0x0a
+const CARRIAGE_RETURN = 0x0d
 const ID_FIELD = Buffer.from('id:')
 const DATA_FIELD = Buffer.from('data:')
 
@@ -67,7 +69,8 @@
 
   /** Whether the line that ends at this position of the chunk is blank, and thus ends an event or follows one. */
   function endsEvent (chunk: Buffer, lineEnd: number): boolean {
-    const previous = byteAt(chunk, lineEnd - 1)
+    const lineStart = byteAt(chunk, lineEnd - 1) === CARRIAGE_RETURN ? lineEnd - 1 : lineEnd
+    const previous = byteAt(chunk, lineStart - 1)
     return previous === LINE_FEED || (previous === undefined && hasEvent)
   }
 
