Do not use up the last attempt by a kept connection that its upstream closes

Callers got 502 for a request that may be repeated, and read from the code also a begun stream that is cut when it is resumed, because the upstream closed a kept connection just as the request was sent: with one attempt permitted, or at the last retry, "socket hang up" or "read ECONNRESET" ended the request although the upstream was sound.

A request that has no attempt left is now sent once more to the same upstream, on a new connection, if a kept connection ends within 400 ms without a byte in response. It takes a retry from the allowance, because the upstream may have received it; it is not sent if it is suspected to crash upstreams or the upstream needs permits. A request that may still go to another upstream does that, as before. The log shows request.resent.

--- a/src/edge/__tests__/halfOpenKeptConnection.test.ts
+++ b/src/edge/__tests__/halfOpenKeptConnection.test.ts
@@ -42,6 +42,8 @@
     const upstreamCall = callUpstream({
       endpoint: { host: '127.0.0.1', port: (server.address() as AddressInfo).port },
       agent,
+      newConnectionAgent: agent,
+      mayResend: () => false,
       method: 'GET',
       path: '/',
       headers: ['Host', 'shop.example'],
--- a/src/edge/__tests__/resetBehindWholeAnswer.test.ts
+++ b/src/edge/__tests__/resetBehindWholeAnswer.test.ts
@@ -75,6 +75,8 @@
     const call: UpstreamCall = callUpstream({
       endpoint: { host: '127.0.0.1', port: (server.address() as AddressInfo).port },
       agent: new Agent(),
+      newConnectionAgent: new Agent(),
+      mayResend: () => false,
       method: 'GET',
       path: '/',
       headers: ['Host', 'shop.example'],
--- a/src/edge/attemptOpening.ts
+++ b/src/edge/attemptOpening.ts
@@ -1,6 +1,7 @@
 /** Sends one attempt of a request to an upstream and logs it. */
+import { isStillAuthorized } from './admission'
 import { createAttempt, type Attempt } from './attempt'
-import { mayRepeat, type AttemptHistory } from './attemptDecision'
+import { mayRepeat, maySendAgain, type AttemptHistory } from './attemptDecision'
 import { composeAttemptRequest } from './attemptRequest'
 import { EdgeEvent } from './events'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
@@ -13,6 +14,11 @@
 const CONNECT_TIMEOUT_MS = 400
 /** Share of the remaining time that connecting may take, so that there is time left for another upstream. */
 const CONNECT_TIME_SHARE = 0.25
+/**
+ * Milliseconds for which the end of a kept connection may cross the request on its way; allows several round trips. A later
+ * end may be a crash of the upstream.
+ */
+const CLOSE_CROSSING_MS = 400
 
 export interface AttemptOpeningOptions {
   upstream: Upstream
@@ -40,9 +46,29 @@
   const { headers, resumeAfter, cache } = composeAttemptRequest(context, admittedRequest, {
     upstream, timeLeft, urgency, lastEvent
   }, now.steady)
+  /**
+   * Whether the request is sent to the upstream once more; takes a retry from the allowance, because the upstream may have
+   * received it. A request that may still go to another upstream does that instead.
+   */
+  function mayResend (): boolean {
+    const present = context.now()
+    const isCrossing = present.steady - now.steady <= CLOSE_CROSSING_MS
+    const isPermitted = isCrossing && mayRepeat(history) && !maySendAgain(history) &&
+      options.suspectTrait === undefined && !context.sendPermits.isNeeded(upstream.entry) &&
+      isStillAuthorized(context, admittedRequest, present) &&
+      context.retryAllowance.tryRetry(service, context.share(), present.steady)
+    if (isPermitted) {
+      context.log(EdgeEvent.requestResent, {
+        requestIdentifier: callerRequest.identifier ?? '', upstream: upstream.entry.identifier
+      })
+    }
+    return isPermitted
+  }
   const call = callUpstream({
     endpoint: upstream.entry.endpoint,
     agent: context.connections.agentFor(upstream, !mayRepeat(history)),
+    newConnectionAgent: context.connections.agentFor(upstream, true),
+    mayResend,
     method: request.method!,
     path: request.url!,
     headers,
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -20,6 +20,8 @@
   attemptRejected: 'attempt.rejected',
   /** The attempt that was to take over a request was cancelled, because the one before made progress. */
   takeoverCancelled: 'attempt.cancelled',
+  /** A request was sent once more, because its upstream closed a kept connection, perhaps before the request arrived. */
+  requestResent: 'request.resent',
   configurationAccepted: 'configuration.accepted',
   configurationIgnored: 'configuration.ignored',
   upstreamFound: 'upstream.found',
--- a/src/edge/upstreamCall.ts
+++ b/src/edge/upstreamCall.ts
@@ -1,5 +1,5 @@
 /** Sends one attempt of a request to an upstream. */
-import { request, type Agent, type IncomingMessage } from 'node:http'
+import { request, type Agent, type ClientRequest, type IncomingMessage } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Endpoint } from '../types'
 
@@ -15,6 +15,13 @@
 export interface UpstreamCallOptions {
   endpoint: Endpoint
   agent: Agent
+  /** Agent for sending the request once more; its connections are new. */
+  newConnectionAgent: Agent
+  /**
+   * Whether the request may be sent once more, after its upstream closed a kept connection without a byte of a response.
+   * It may have done so before the request arrived.
+   */
+  mayResend: () => boolean
   method: string
   path: string
   /** Raw headers (name, value, name, value). */
@@ -26,7 +33,7 @@
 
 /** Exactly one of `onEnd` and `onFailure` is called. No callback is called after it or after `cancel`. */
 export interface UpstreamCallEvents {
-  /** Called when the connection is open and the request is sent. */
+  /** Called when the connection is open and the request is sent; once more if it is sent on a new connection. */
   onConnected?: () => void
   onHead: (response: IncomingMessage) => void
   onData: (chunk: Buffer) => void
@@ -56,20 +63,11 @@
 
 export function callUpstream (options: UpstreamCallOptions, events: UpstreamCallEvents): UpstreamCall {
   let isEnded = false
-  let isConnected = false
+  /** Whether a byte of the request may have been sent. */
+  let isSent = false
   let response: IncomingMessage | undefined
-  let connection: Socket | undefined
-  const upstreamRequest = request({
-    host: options.endpoint.host,
-    port: options.endpoint.port,
-    agent: options.agent,
-    method: options.method,
-    path: options.path,
-    headers: options.headers as unknown as Record<string, string>,
-    setHost: false
-  })
-  // After the process was busy, timers come before the connections that have opened meanwhile; these are seen first.
-  const connectTimer = setTimeout(() => { setImmediate(failUnlessConnected) }, options.connectTimeout)
+  let connectTimer: NodeJS.Timeout | undefined
+  let upstreamRequest = send(options.agent)
 
   function finish (): boolean {
     if (isEnded) return false
@@ -86,11 +84,7 @@
   function fail (reason: string): void {
     if (!finish()) return
     upstreamRequest.destroy()
-    events.onFailure(reason, isConnected)
-  }
-
-  function failUnlessConnected (): void {
-    if (!isConnected) fail('the connection did not open in time')
+    events.onFailure(reason, isSent)
   }
 
   /** Writes an empty line, which servers ignore, when the connection ends; after a reset the write fails. */
@@ -99,45 +93,85 @@
     socket.prependOnceListener('end', () => { socket.write(PROBE_BYTES) })
   }
 
-  upstreamRequest.on('socket', (socket) => {
-    connection = socket
-    function onConnected (): void {
-      isConnected = true
-      clearTimeout(connectTimer)
-      if (!isEnded) events.onConnected?.()
+  function send (agent: Agent): ClientRequest {
+    const outgoing = request({
+      host: options.endpoint.host,
+      port: options.endpoint.port,
+      agent,
+      method: options.method,
+      path: options.path,
+      headers: options.headers as unknown as Record<string, string>,
+      setHost: false
+    })
+    let connection: Socket | undefined
+    /** Bytes that a kept connection had received before this request. */
+    let bytesBefore = 0
+    let isConnected = false
+
+    function failUnlessConnected (): void {
+      if (!isConnected && outgoing === upstreamRequest) fail('the connection did not open in time')
+    }
+    /** Whether a kept connection has ended without a byte in response to the request. */
+    function hasLostKeptConnection (error: NodeJS.ErrnoException): boolean {
+      const isEnd = error.code === 'ECONNRESET' || error.code === 'EPIPE'
+      return isEnd && outgoing.reusedSocket && connection?.bytesRead === bytesBefore
     }
-    if (socket.connecting) socket.once('connect', onConnected)
-    else onConnected()
-  })
-  let interimResponses = 0
-  upstreamRequest.on('information', () => {
-    interimResponses += 1
-    if (interimResponses > MAX_INTERIM_RESPONSES) fail('too many interim responses')
-  })
-  upstreamRequest.on('error', (error) => {
-    // A complete response may still wait to be read; what happens to its connection no longer changes it.
-    if (response?.complete !== true) fail(error.message)
-  })
-  upstreamRequest.on('close', () => { if (response === undefined) fail('the connection closed without a response') })
-  upstreamRequest.on('response', (incoming) => {
-    if (isEnded) return
-    response = incoming
-    const hasFraming = isFramed(incoming)
-    if (!hasFraming && connection !== undefined) detectResetAtEnd(connection)
-    incoming.on('data', (chunk: Buffer) => { if (!isEnded) events.onData(chunk) })
-    incoming.on('error', (error) => { fail(error.message) })
-    incoming.on('close', () => { if (!incoming.readableEnded) fail('the answer broke off') })
-    incoming.on('end', () => {
-      if (!incoming.complete) return
-      if (hasFraming) return end()
-      setImmediate(() => {
-        if (connection?.errored == null) end()
-        else fail('the connection was reset within a response without a length')
+
+    clearTimeout(connectTimer)
+    // After the process was busy, timers come before the connections that have opened meanwhile; these are seen first.
+    connectTimer = setTimeout(() => { setImmediate(failUnlessConnected) }, options.connectTimeout)
+    outgoing.on('socket', (socket) => {
+      connection = socket
+      bytesBefore = socket.bytesRead
+      function onConnected (): void {
+        isConnected = true
+        isSent = true
+        clearTimeout(connectTimer)
+        if (!isEnded) events.onConnected?.()
+      }
+      if (socket.connecting) socket.once('connect', onConnected)
+      else onConnected()
+    })
+    let interimResponses = 0
+    outgoing.on('information', () => {
+      interimResponses += 1
+      if (interimResponses > MAX_INTERIM_RESPONSES) fail('too many interim responses')
+    })
+    outgoing.on('error', (error: NodeJS.ErrnoException) => {
+      // The request has been sent once more.
+      if (outgoing !== upstreamRequest) return
+      // A complete response may still wait to be read; what happens to its connection no longer changes it.
+      if (response?.complete === true) return
+      if (!isEnded && hasLostKeptConnection(error) && options.mayResend()) {
+        upstreamRequest = send(options.newConnectionAgent)
+        return
+      }
+      fail(error.message)
+    })
+    outgoing.on('close', () => {
+      if (response === undefined && outgoing === upstreamRequest) fail('the connection closed without a response')
+    })
+    outgoing.on('response', (incoming) => {
+      if (isEnded) return
+      response = incoming
+      const hasFraming = isFramed(incoming)
+      if (!hasFraming && connection !== undefined) detectResetAtEnd(connection)
+      incoming.on('data', (chunk: Buffer) => { if (!isEnded) events.onData(chunk) })
+      incoming.on('error', (error) => { fail(error.message) })
+      incoming.on('close', () => { if (!incoming.readableEnded) fail('the answer broke off') })
+      incoming.on('end', () => {
+        if (!incoming.complete) return
+        if (hasFraming) return end()
+        setImmediate(() => {
+          if (connection?.errored == null) end()
+          else fail('the connection was reset within a response without a length')
+        })
       })
+      events.onHead(incoming)
     })
-    events.onHead(incoming)
-  })
-  upstreamRequest.end(options.body)
+    outgoing.end(options.body)
+    return outgoing
+  }
 
   return {
     isConnectionReused: () => upstreamRequest.reusedSocket,
