--- a/src/edge/attemptOpening.ts
+++ b/src/edge/attemptOpening.ts
@@ -5,6 +5,7 @@
 import { composeAttemptRequest } from './attemptRequest'
 import { EdgeEvent } from './events'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
+import { RetryPurpose } from './retryAllowance'
 import { urgencyRank } from './targetSelection'
 import type { Instant } from './types'
 import { callUpstream, type UpstreamCallEvents } from './upstreamCall'
@@ -53,10 +54,11 @@
   function mayResend (): boolean {
     const present = context.now()
     const isCrossing = present.steady - now.steady <= CLOSE_CROSSING_MS
+    const purpose = lastEvent === undefined ? RetryPurpose.repetition : RetryPurpose.continuation
     const isPermitted = isCrossing && mayRepeat(history) && !maySendAgain(history) &&
       options.suspectTrait === undefined && !context.sendPermits.isNeeded(upstream.entry) &&
       isStillAuthorized(context, admittedRequest, present) &&
-      context.retryAllowance.tryRetry(service, context.share(), present.steady)
+      context.retryAllowance.tryRetry(service, purpose, context.share(), present.steady)
     if (isPermitted) {
       context.log(EdgeEvent.requestResent, {
         requestIdentifier: callerRequest.identifier ?? '', upstream: upstream.entry.identifier
