--- /dev/null
+++ b/src/edge/__tests__/lifeRules.ts
@@ -0,0 +1,190 @@
+/** What must hold for every request, whatever the schedule; from the rules LOST, TWICE, REFUSED, BUDGET and ORDER. */
+import { RequestKind, type ScheduledRequest } from './lifeSchedule'
+import type { CallerEnding, CallerView, LifeOutcome } from './lifeSimulation'
+import { AttemptEnd, type SimulatedAttempt } from './simulatedUpstreams'
+
+/** A request ends with the check that follows its time limit. */
+const LIMIT_SLACK_MS = 100
+/** Longest time for which two upstreams may work on one stream. */
+const MAXIMUM_OVERLAP_MS = 400
+const NOT_EXECUTED_STATUSES: readonly number[] = [408, 421, 429, 503]
+const SINGLE_RUN_KINDS: readonly RequestKind[] = [RequestKind.unsafe, RequestKind.plainStream]
+const STREAM_KINDS: readonly RequestKind[] = [RequestKind.resumableStream, RequestKind.plainStream]
+const OWN_ENDS: ReadonlyArray<AttemptEnd | undefined> = [AttemptEnd.brokeOff, AttemptEnd.failed]
+const UNSENT_ENDS: ReadonlyArray<AttemptEnd | undefined> = [AttemptEnd.refused, AttemptEnd.notSent]
+
+/** One request, from its caller to its upstreams. */
+export interface Life {
+  outcome: LifeOutcome
+  request: ScheduledRequest
+  caller: CallerView
+  attempts: readonly SimulatedAttempt[]
+}
+
+/** Returns what is wrong with one request; undefined if nothing is. */
+export type Rule = (life: Life) => string | undefined
+
+function endOf ({ caller }: Life): CallerEnding {
+  return caller.endings[0] ?? { at: Infinity, isCut: false, isAnyListed: true, hasCrash: false }
+}
+
+function limitOf ({ request }: Life): number {
+  return request.at + request.limit
+}
+
+function isStream ({ request }: Life): boolean {
+  return STREAM_KINDS.includes(request.kind)
+}
+
+function isKeyWithdrawn ({ outcome: { schedule: { configurationChange: change } } }: Life, time: number): boolean {
+  return change !== undefined && !change.keepsKey && time >= change.at
+}
+
+function endedAt ({ endedAt: time = Infinity }: SimulatedAttempt): number {
+  return time
+}
+
+/** Whether an upstream has begun to run the request, or will. */
+function hasBegun ({ begunAt, beginsLater }: SimulatedAttempt): boolean {
+  return begunAt !== undefined || beginsLater === true
+}
+
+function isReplaced (attempt: SimulatedAttempt, { attempts }: Life): boolean {
+  const time = endedAt(attempt)
+  return attempts.some((other) => other !== attempt && (other.headAt ?? Infinity) <= time && endedAt(other) >= time)
+}
+
+function findUnreplaced (life: Life, before: number): SimulatedAttempt | undefined {
+  return life.attempts.find((attempt) => (
+    attempt.end === AttemptEnd.cancelled && endedAt(attempt) < before && !isReplaced(attempt, life)
+  ))
+}
+
+/** Whether the only attempt left was ended by its upstream, and the request may not run once more. */
+function endedByUpstreams (life: Life): boolean {
+  const { request, attempts } = life
+  const sent = attempts.filter(({ end }) => !UNSENT_ENDS.includes(end))
+  const last = sent.reduce((one, other) => endedAt(other) >= endedAt(one) ? other : one)
+  const mayNotRunAgain = SINGLE_RUN_KINDS.includes(request.kind) || sent.length >= request.maximumAttempts
+  return OWN_ENDS.includes(last.end) && mayNotRunAgain && findUnreplaced(life, last.endedAt!) === undefined
+}
+
+function endsOnce (life: Life): string | undefined {
+  const { caller: { endings, status, body }, request, outcome: { faults } } = life
+  if (faults.length > 0) return `the instance has a fault: ${String(faults[0])}`
+  if (endings.length !== 1) return `it ends ${endings.length} times`
+  const { at, isCut } = endOf(life)
+  if (at > limitOf(life) + LIMIT_SLACK_MS) return `it ends ${at - limitOf(life)} ms after its time limit`
+  if (status !== 200) return isCut ? 'it is cut before any response' : undefined
+  if (!isStream(life)) return body === 'ok' && !isCut ? undefined : `the response is '${body}'`
+  const events = [...body.matchAll(/id: (\d+)\n/g)].map(([, number]) => Number(number))
+  if (events.some((number, index) => number !== index + 1)) return `the events are ${events.join()}`
+  return isCut || events.length === request.events ? undefined : `only ${events.length} events arrive`
+}
+
+function isNotCut (life: Life): string | undefined {
+  const { at, isCut, isAnyListed, hasCrash } = endOf(life)
+  if (!isCut || life.caller.headAt === undefined || at >= limitOf(life)) return undefined
+  if (isKeyWithdrawn(life, at) || !isAnyListed || hasCrash || endedByUpstreams(life)) return undefined
+  return `a begun stream is cut with ${limitOf(life) - at} ms left`
+}
+
+function isNotGivenUp (life: Life): string | undefined {
+  const { at, hasCrash } = endOf(life)
+  if (hasCrash) return undefined
+  const attempt = findUnreplaced(life, at)
+  return attempt === undefined ? undefined : `the attempt at ${attempt.upstream} is cancelled at ${endedAt(attempt)} ms without a successor that answers`
+}
+
+function isNotRunTwiceAtOnce (life: Life): string | undefined {
+  if (!isStream(life)) return undefined
+  const running = life.attempts.filter(({ begunAt }) => begunAt !== undefined)
+  for (const one of running) {
+    for (const other of running) {
+      const overlap = Math.min(endedAt(one), endedAt(other)) - Math.max(one.begunAt!, other.begunAt!)
+      if (one !== other && one.upstream !== other.upstream && overlap > MAXIMUM_OVERLAP_MS) {
+        return `${one.upstream} and ${other.upstream} work on it for ${overlap} ms`
+      }
+    }
+  }
+  return undefined
+}
+
+function keepsAttempts (life: Life): string | undefined {
+  const { request: { kind, maximumAttempts }, attempts } = life
+  const begun = attempts.filter(hasBegun)
+  if (SINGLE_RUN_KINDS.includes(kind) && begun.length > 1) return `it begins ${begun.length} times`
+  const counted = new Set(begun.filter(({ end }) => end !== AttemptEnd.brokeOff).map(({ upstream }) => upstream))
+  return counted.size > maximumAttempts ? `it begins at ${counted.size} upstreams` : undefined
+}
+
+function promisesTrue (life: Life): string | undefined {
+  const { caller: { status }, attempts } = life
+  const isPromise = status !== undefined && NOT_EXECUTED_STATUSES.includes(status)
+  return isPromise && attempts.some(hasBegun) ? `it is answered ${status} and has begun or will` : undefined
+}
+
+/** Checked for each repeated arrival, in the window that ends with it. */
+function keepsAllowance ({ outcome: { schedule, attempts } }: Life): string | undefined {
+  const { window, ratio, extra } = schedule.allowance
+  const arrivals = attempts.filter(({ connectedAt }) => connectedAt !== undefined)
+  const repeated = arrivals.filter(({ request }, index) => (
+    arrivals.findIndex((other) => other.request === request) < index
+  ))
+  const times = repeated.map(({ connectedAt }) => connectedAt!)
+  for (const end of times) {
+    const count = times.filter((time) => time > end - window && time <= end).length
+    const requests = Math.max(...[0, 0.5, 1].map((shift) => {
+      const windowEnd = end - shift * window
+      return schedule.requests.filter(({ at }) => at > windowEnd - window && at <= windowEnd).length
+    }))
+    if (count > ratio * requests + extra) return `${count} repeated arrivals at ${requests} requests within ${window} ms`
+  }
+  return undefined
+}
+
+function awaitsFirstAnswer (life: Life): string | undefined {
+  const { request: { kind }, caller: { status }, attempts } = life
+  const { at, hasCrash, isAnyListed } = endOf(life)
+  if (kind !== RequestKind.safe || status !== 502 || at >= limitOf(life)) return undefined
+  if (hasCrash || !isAnyListed || isKeyWithdrawn(life, at)) return undefined
+  if (attempts.some(({ end }) => OWN_ENDS.includes(end))) return undefined
+  const first = attempts.find(({ end }) => !UNSENT_ENDS.includes(end))
+  const wouldAnswer = (first?.completesAt ?? Infinity) < limitOf(life)
+  return wouldAnswer ? `it is answered 502 at ${at} ms, its first upstream would answer at ${first!.completesAt} ms` : undefined
+}
+
+function endsAttempts (life: Life): string | undefined {
+  const { at } = endOf(life)
+  const remaining = life.attempts.find((attempt) => attempt.openedAt > at || endedAt(attempt) > at)
+  return remaining === undefined || at === Infinity ? undefined : `the attempt at ${remaining.upstream} goes on`
+}
+
+export const LIFE_RULES: Readonly<Record<string, Rule>> = {
+  'ends once, in time, with a whole answer, a refusal or a cut': endsOnce,
+  'is not cut before its time limit once its stream has begun': isNotCut,
+  'is not given up at an upstream before another one answers': isNotGivenUp,
+  'is not worked on by two upstreams for long if it is a stream': isNotRunTwiceAtOnce,
+  'begins at no more upstreams than its route permits': keepsAttempts,
+  'is answered as not run only if it does not run': promisesTrue,
+  'is repeated within the allowance': keepsAllowance,
+  'is answered by its first upstream if the others refuse it': awaitsFirstAnswer,
+  'leaves no attempt behind': endsAttempts
+}
+
+export function livesOf (outcome: LifeOutcome): Life[] {
+  return outcome.schedule.requests.map((request, index) => ({
+    outcome,
+    request,
+    caller: outcome.callers[index]!,
+    attempts: outcome.attempts.filter((attempt) => attempt.request === index)
+  }))
+}
+
+/** Returns what is wrong with the requests of a schedule, by the given rule. */
+export function findViolations (outcome: LifeOutcome, rule: Rule): string[] {
+  return livesOf(outcome).flatMap((life, index) => {
+    const violation = rule(life)
+    return violation === undefined ? [] : [`request ${index}: ${violation}`]
+  })
+}
--- /dev/null
+++ b/src/edge/__tests__/lifeSchedule.ts
@@ -0,0 +1,157 @@
+/** Schedules of upstreams and requests for the tests of a request's life. All times are in milliseconds. */
+import fc from 'fast-check'
+import { RepeatRule } from '../types'
+
+export const MAXIMUM_UPSTREAMS = 5
+
+/** A period in which something applies to some of the upstreams, given by their indexes. */
+export interface Period {
+  from: number
+  length: number
+  upstreams: readonly number[]
+}
+
+export const RequestKind = {
+  safe: 'safe',
+  unsafe: 'unsafe',
+  resumableStream: 'resumableStream',
+  plainStream: 'plainStream'
+} as const
+export type RequestKind = typeof RequestKind[keyof typeof RequestKind]
+
+export const REPEAT_RULES: Readonly<Record<RequestKind, { repeat: RepeatRule, resumable: boolean }>> = {
+  [RequestKind.safe]: { repeat: RepeatRule.safe, resumable: false },
+  [RequestKind.unsafe]: { repeat: RepeatRule.unsafe, resumable: false },
+  [RequestKind.resumableStream]: { repeat: RepeatRule.stream, resumable: true },
+  [RequestKind.plainStream]: { repeat: RepeatRule.stream, resumable: false }
+}
+
+export interface ScheduledRequest {
+  kind: RequestKind
+  at: number
+  limit: number
+  maximumAttempts: number
+  /** Number of events of the response, if it is a stream. */
+  events: number
+  /** Shared segment of the prompt; requests with the same one share a trait. */
+  segment: number
+}
+
+export interface Schedule {
+  upstreams: ReadonlyArray<{
+    /** Time from the arrival of a request to its begin. */
+    queue: number
+    /** Time from the begin to the first event, or to the whole response. */
+    work: number
+    /** Time between events. */
+    pace: number
+  }>
+  /** Nothing is read or sent; what was due is sent at the end. Connections open at the end, unless they are accepted. */
+  silences: ReadonlyArray<Period & { accepts: boolean }>
+  /** Requests that arrive are refused with 503 after `wait`, and are not run. */
+  full: ReadonlyArray<Period & { wait: number }>
+  /** Requests that arrive are refused with 421, and are not run. */
+  otherWeights: readonly Period[]
+  /** Requests that arrive are answered with 500. */
+  failures: readonly Period[]
+  /** All connections are reset at the start of the period. The length is not used. */
+  resets: readonly Period[]
+  /** The upstream has named a request limit, and no permit is handed out. */
+  denials: readonly Period[]
+  /** The upstream is not listed. If another run returns, the connections to the first one are reset at the start. */
+  absences: ReadonlyArray<Period & { isOtherRun: boolean, isGraceful: boolean }>
+  configurationChange: { at: number, keepsKey: boolean } | undefined
+  allowance: { window: number, ratio: number, extra: number }
+  requests: readonly ScheduledRequest[]
+  /** Seed of the instance's random numbers. */
+  seed: number
+}
+
+/** Returns a schedule without any trouble, except for the given values. */
+export function createSchedule (values: Partial<Schedule>): Schedule {
+  return {
+    upstreams: [{ queue: 0, work: 0, pace: 100 }, { queue: 0, work: 0, pace: 100 }],
+    silences: [],
+    full: [],
+    otherWeights: [],
+    failures: [],
+    resets: [],
+    denials: [],
+    absences: [],
+    configurationChange: undefined,
+    allowance: { window: 10_000, ratio: 0.2, extra: 100 },
+    requests: [],
+    seed: 1,
+    ...values
+  }
+}
+
+export function createRequest (values: Partial<ScheduledRequest> = {}): ScheduledRequest {
+  return {
+    kind: RequestKind.resumableStream, at: 0, limit: 8000, maximumAttempts: 2, events: 40, segment: 0, ...values
+  }
+}
+
+function steps (maximum: number, step = 50, minimum = 0): fc.Arbitrary<number> {
+  return fc.integer({ min: minimum / step, max: maximum / step }).map((count) => count * step)
+}
+
+function period (maximumLength: number, minimumLength = 0): fc.Arbitrary<Period> {
+  return fc.record({
+    from: steps(5000),
+    length: steps(maximumLength, 50, minimumLength),
+    upstreams: fc.subarray([...Array(MAXIMUM_UPSTREAMS).keys()], { minLength: 1 })
+  })
+}
+
+function extended<Extra extends object> (
+  base: fc.Arbitrary<Period>, extra: fc.Arbitrary<Extra>
+): fc.Arbitrary<Period & Extra> {
+  return fc.tuple(base, extra).map(([first, second]) => ({ ...first, ...second }))
+}
+
+/** Most schedules have none of the rare troubles, so that they do not excuse what the others bring to light. */
+function rare<Value> (value: fc.Arbitrary<Value>): fc.Arbitrary<Value[]> {
+  return fc.oneof(
+    { weight: 5, arbitrary: fc.constant<Value[]>([]) },
+    { weight: 1, arbitrary: fc.array(value, { minLength: 1, maxLength: 2 }) }
+  )
+}
+
+const requestArbitrary: fc.Arbitrary<ScheduledRequest> = fc.record({
+  kind: fc.constantFrom(
+    RequestKind.resumableStream, RequestKind.resumableStream, RequestKind.safe, RequestKind.plainStream,
+    RequestKind.unsafe
+  ),
+  at: steps(3000),
+  limit: steps(8000, 100, 2000),
+  maximumAttempts: fc.integer({ min: 1, max: 3 }),
+  events: fc.integer({ min: 1, max: 40 }),
+  segment: fc.nat(2)
+})
+
+export const scheduleArbitrary: fc.Arbitrary<Schedule> = fc.record({
+  upstreams: fc.array(fc.record({ queue: steps(1000), work: steps(500), pace: steps(300, 50, 50) }), {
+    minLength: 1, maxLength: MAXIMUM_UPSTREAMS
+  }),
+  silences: fc.array(extended(period(2400, 800), fc.record({
+    accepts: fc.constantFrom(true, true, true, false)
+  })), { maxLength: 3 }),
+  full: fc.array(extended(period(5000, 200), fc.record({ wait: steps(1500) })), { maxLength: 3 }),
+  otherWeights: rare(period(2000, 200)),
+  failures: rare(period(1000, 50)),
+  resets: rare(period(0)),
+  denials: rare(period(3000, 200)),
+  absences: rare(extended(period(4000, 100), fc.record({ isOtherRun: fc.boolean(), isGraceful: fc.boolean() }))),
+  configurationChange: fc.oneof(
+    { weight: 3, arbitrary: fc.constant(undefined) },
+    { weight: 2, arbitrary: fc.record({ at: steps(5000), keepsKey: fc.constantFrom(true, true, false) }) }
+  ),
+  allowance: fc.record({
+    window: fc.constantFrom(2000, 10_000),
+    ratio: fc.constantFrom(0, 0.2, 1),
+    extra: fc.constantFrom(0, 1, 3, 8, 100)
+  }),
+  requests: fc.array(requestArbitrary, { minLength: 1, maxLength: 12 }),
+  seed: fc.nat(1000)
+})
--- /dev/null
+++ b/src/edge/__tests__/lifeSimulation.ts
@@ -0,0 +1,327 @@
+/** Plays a schedule of requests against one instance in virtual time, without processes or sockets. */
+import { EventEmitter } from 'node:events'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import { vi } from 'vitest'
+import { ListenerState } from '../../http/listeningProbe'
+import { createCrashAttribution } from '../../upstream/crashAttribution'
+import { createBacklogs } from '../backlog'
+import { createCrashReports, type CrashReports } from '../crashReports'
+import { EdgeEvent, type EdgeLog } from '../events'
+import { createExchange, type Exchange } from '../exchange'
+import type { ExchangeContext } from '../exchangeContext'
+import { createFreshness } from '../freshness'
+import { createLivenessChecks, type LivenessChecks } from '../livenessChecks'
+import { createPrefixDemand } from '../prefixDemand'
+import { createResponseBuffers } from '../responseBuffers'
+import { createRetryAllowance } from '../retryAllowance'
+import { createRolloutSampler } from '../rolloutSampler'
+import { createRouteTable, type RouteTable } from '../routeTable'
+import { createTrialPermits } from '../trialPermits'
+import { RequestLimitKind, type Dialect, type Instant, type UpstreamEntry } from '../types'
+import { createUpstreamDirectory, type UpstreamDirectory } from '../upstreamDirectory'
+import { createConfiguration, createCustomer, createEntry, createRoute } from './fixtures'
+import { REPEAT_RULES, type Schedule } from './lifeSchedule'
+import {
+  appliesAt, createSimulatedUpstreams, useUpstreams, type SimulatedAttempt, type SimulatedUpstreams
+} from './simulatedUpstreams'
+
+/** As in composeEdge. */
+const SWEEP_MS = 100
+/** Time after the last request in which work that goes on would show. */
+const AFTERMATH_MS = 300
+/** As of the calls of the platform's engine control. */
+const REPORT_TIMEOUT_MS = 500
+const KEY = 'bakery-key'
+const SERVICE = 'engines'
+
+export interface CallerEnding {
+  at: number
+  /** Whether the connection was closed before the response was complete. */
+  isCut: boolean
+  /** Whether an upstream of the service was listed. */
+  isAnyListed: boolean
+  /** Whether an upstream had crashed, so that requests may be suspected. */
+  hasCrash: boolean
+}
+
+/** What the caller of one request has got. */
+export interface CallerView {
+  status: number | undefined
+  headAt: number | undefined
+  body: string
+  endings: CallerEnding[]
+}
+
+export interface LifeOutcome {
+  schedule: Schedule
+  callers: readonly CallerView[]
+  attempts: readonly SimulatedAttempt[]
+  faults: readonly unknown[]
+}
+
+function createRandom (seed: number): () => number {
+  let state = seed + 1
+  return () => {
+    state = Math.imul(state, 1_664_525) + 1_013_904_223 >>> 0
+    return state / 2 ** 32
+  }
+}
+
+const dialect = {
+  readRequest: (headers) => ({
+    identifier: headers['request-id'] as string,
+    callerTimeout: undefined,
+    key: KEY,
+    model: undefined,
+    tokens: undefined,
+    promptSegments: [{ identifier: `part-${String(headers.segment)}`, tokens: 10 }, { identifier: 'own', tokens: 1 }],
+    resumeAfter: undefined
+  }),
+  upstreamHeaders: (raw, _bodyBytes, { resumeAfter }) => (
+    resumeAfter === undefined ? [...raw] : [...raw, 'last-event-id', resumeAfter]
+  ),
+  readResponse: (status, headers) => ({
+    identifier: headers['request-id'] as string,
+    notRun: headers['not-run'] === '1',
+    signed: true,
+    misdirected: status === 421,
+    answeredBy: headers['answered-by'] as string | undefined,
+    weightsVersion: undefined,
+    upstreamHint: { leaving: false, backOffFor: undefined, requestLimit: { kind: RequestLimitKind.none } }
+  }),
+  callerHeaders: (raw) => [...raw],
+  localResponseHeaders: () => []
+} satisfies Dialect
+
+function routeTableOf (schedule: Schedule, version: number, hasKey: boolean): RouteTable {
+  return createRouteTable(createConfiguration({
+    version,
+    routes: schedule.requests.map(({ kind, limit, maximumAttempts }, index) => createRoute({
+      ...REPEAT_RULES[kind],
+      name: `route-${index}`,
+      prefix: `/${index}/`,
+      timeout: limit,
+      maximumAttempts,
+      services: [{ service: SERVICE, weight: 1 }]
+    })),
+    customers: [createCustomer({ keys: hasKey ? [KEY] : ['other-key'], rate: 0 })]
+  }))
+}
+
+function entryOf (index: number, startedAt: number): UpstreamEntry {
+  return createEntry(`u${index}`, { endpoint: { host: '127.0.0.1', port: index }, startedAt })
+}
+
+function createCallerResponse (view: CallerView, describeEnding: () => Omit<CallerEnding, 'isCut'>): ServerResponse {
+  const response = Object.assign(new EventEmitter(), {
+    req: { complete: true },
+    writableFinished: false,
+    writeHead (status: number) {
+      view.status = status
+      view.headAt ??= performance.now()
+    },
+    write (bytes: Buffer) {
+      view.body += bytes.toString()
+      return true
+    },
+    end (bytes?: Buffer) {
+      if (bytes !== undefined) view.body += bytes.toString()
+      response.writableFinished = true
+      view.endings.push({ ...describeEnding(), isCut: false })
+      process.nextTick(() => response.emit('close'))
+    },
+    destroy () {
+      view.endings.push({ ...describeEnding(), isCut: true })
+      process.nextTick(() => response.emit('close'))
+    }
+  })
+  return response as unknown as ServerResponse
+}
+
+function createCallerRequest (index: number, segment: number): IncomingMessage {
+  const headers = { host: 'chat.example', 'request-id': String(index), segment: String(segment) }
+  return Object.assign(new EventEmitter(), {
+    method: 'POST', url: `/${index}/x`, headers, rawHeaders: Object.entries(headers).flat(), complete: true
+  }) as unknown as IncomingMessage
+}
+
+interface Instance {
+  context: ExchangeContext
+  directory: UpstreamDirectory
+  crashReports: CrashReports
+  livenessChecks: LivenessChecks
+  changeConfiguration: (hasKey: boolean) => void
+  hasCrash: () => boolean
+  faults: unknown[]
+}
+
+function createInstance (schedule: Schedule, upstreams: SimulatedUpstreams): Instance {
+  const now = (): Instant => ({ steady: performance.now(), wall: performance.now() })
+  const steady = (): number => performance.now()
+  const random = createRandom(schedule.seed)
+  const directory = createUpstreamDirectory()
+  directory.replace(schedule.upstreams.map((_upstream, index) => entryOf(index, 1)), false, 0)
+  let routeTable = routeTableOf(schedule, 1, true)
+  let hasCrash = false
+  const faults: unknown[] = []
+  const reportFault = (error: unknown): void => { faults.push(error) }
+  const log: EdgeLog = (event) => { hasCrash ||= event === EdgeEvent.upstreamCrashed }
+  const crashReports = createCrashReports({
+    attribution: createCrashAttribution(),
+    broadcast: () => {},
+    instance: 'i0',
+    peers: () => [],
+    directory,
+    probe: async () => ListenerState.open,
+    onTrialsFailed: (traits) => { trialPermits.endTrials(traits) },
+    now: steady,
+    log,
+    onFault: reportFault
+  })
+  const trialPermits = createTrialPermits({
+    links: { request: async () => ({}), isUsable: () => false }, instance: 'i0', peers: () => [], now: steady, onFault: reportFault
+  })
+  const isDenied = ({ identifier }: { identifier: string }): boolean => (
+    schedule.denials.some((period) => appliesAt(period, Number(identifier.slice(1)), steady()))
+  )
+  const context = {
+    dialect,
+    routeTable: () => routeTable,
+    freshness: createFreshness(Infinity),
+    directory,
+    connections: { agentFor: () => undefined, closeIdle () {} },
+    quotas: {},
+    peerQuota: {},
+    retryAllowance: createRetryAllowance(schedule.allowance),
+    exportTracker: { shouldExport: () => false },
+    cacheStoreFor: () => undefined,
+    prefixDemand: createPrefixDemand(),
+    backlog: createBacklogs(),
+    dataCentre: 'north',
+    instanceCount: () => 1,
+    share: () => 1,
+    outdatedWeightsLimit: 12_000,
+    weightsRollout: { target: () => undefined, supersededFor: () => 0 },
+    serviceRollouts: { eligible: (_service: string, usable: unknown) => usable, hasTargetVersion: () => false },
+    rolloutSampler: createRolloutSampler(() => false),
+    engineLoads: { refresh: async () => {}, promptSent () {}, prefillEnded () {} },
+    loadingEngines: () => new Set(),
+    responseBuffers: createResponseBuffers(),
+    upstreamHints: { apply () {} },
+    requestLimits: { limitOf: () => undefined, applyAbsence () {} },
+    sendPermits: {
+      isNeeded: isDenied, acquire: async (run: { identifier: string }) => ({ granted: !isDenied(run), wait: 100 })
+    },
+    trialPermits,
+    crashReports,
+    reportUnreachable () {},
+    isStopping: () => false,
+    isRejecting: () => false,
+    log,
+    reportFault,
+    now,
+    random
+  } as unknown as ExchangeContext
+  const livenessChecks = createLivenessChecks({
+    control: {
+      async report ({ endpoint }, onHint) {
+        const wait = upstreams.awakeAt(endpoint.port, steady() + 2) - steady()
+        await new Promise<void>((resolve) => { setTimeout(resolve, Math.min(wait, REPORT_TIMEOUT_MS)) })
+        if (wait > REPORT_TIMEOUT_MS) throw new Error('timeout')
+        onHint({ leaving: false, backOffFor: undefined, requestLimit: { kind: RequestLimitKind.none } })
+        return { acceptedCommands: 0, busy: false, weights: [] }
+      }
+    },
+    permits: { waitFor: async (run) => !isDenied(run) },
+    upstreams: directory.all,
+    onHint () {},
+    log,
+    now: steady
+  })
+  return {
+    context,
+    directory,
+    crashReports,
+    livenessChecks,
+    changeConfiguration (hasKey) { routeTable = routeTableOf(schedule, 2, hasKey) },
+    hasCrash: () => hasCrash,
+    faults
+  }
+}
+
+/** Sets the timers for what changes from outside. */
+function scheduleChanges (schedule: Schedule, instance: Instance, upstreams: SimulatedUpstreams): void {
+  const { directory } = instance
+  for (const { from, upstreams: indexes } of schedule.resets) {
+    setTimeout(() => { for (const index of indexes) upstreams.reset(index) }, from)
+  }
+  for (const { from, length, upstreams: indexes, isOtherRun, isGraceful } of schedule.absences) {
+    const present = indexes.filter((index) => index < schedule.upstreams.length)
+    setTimeout(() => {
+      for (const index of present) {
+        if (isOtherRun) upstreams.reset(index)
+        directory.remove(`u${index}`, isGraceful, performance.now())
+      }
+    }, from)
+    setTimeout(() => {
+      for (const index of present) directory.update(entryOf(index, isOtherRun ? from + 2 : 1))
+    }, from + length)
+  }
+  const { configurationChange } = schedule
+  if (configurationChange !== undefined) {
+    setTimeout(() => { instance.changeConfiguration(configurationChange.keepsKey) }, configurationChange.at)
+  }
+}
+
+/** Resolves when all promises and ticks that are due have been handled. */
+async function settlePromises (): Promise<void> {
+  await new Promise<void>((resolve) => { process.nextTick(resolve) })
+}
+
+export async function playSchedule (schedule: Schedule): Promise<LifeOutcome> {
+  vi.useFakeTimers({
+    now: 0,
+    toFake: ['setTimeout', 'clearTimeout', 'setInterval', 'clearInterval', 'setImmediate', 'clearImmediate', 'performance']
+  })
+  try {
+    const upstreams = createSimulatedUpstreams(schedule, () => performance.now())
+    useUpstreams(upstreams)
+    const instance = createInstance(schedule, upstreams)
+    const { context, directory } = instance
+    const exchanges = new Set<Exchange>()
+    setInterval(() => {
+      setImmediate(() => {
+        const now = context.now()
+        instance.livenessChecks.runDue()
+        instance.crashReports.check(now.steady)
+        for (const exchange of exchanges) exchange.check(now)
+        directory.expire(now.steady)
+      })
+    }, SWEEP_MS)
+    scheduleChanges(schedule, instance, upstreams)
+    const callers = schedule.requests.map(({ at, segment }, index): CallerView => {
+      const view: CallerView = { status: undefined, headAt: undefined, body: '', endings: [] }
+      const response = createCallerResponse(view, () => ({
+        at: performance.now(), isAnyListed: directory.listed(SERVICE).length > 0, hasCrash: instance.hasCrash()
+      }))
+      setTimeout(() => {
+        const request = createCallerRequest(index, segment)
+        const exchange = createExchange(context, request, response, () => { exchanges.delete(exchange) })
+        exchanges.add(exchange)
+        exchange.start()
+      }, at)
+      return view
+    })
+    const isUnanswered = ({ endings }: CallerView): boolean => endings.length === 0
+    const lastLimit = Math.max(...schedule.requests.map(({ at, limit }) => at + limit))
+    let playUntil = lastLimit + AFTERMATH_MS
+    while (performance.now() < playUntil) {
+      vi.advanceTimersToNextTimer()
+      await settlePromises()
+      if (!callers.some(isUnanswered)) playUntil = Math.min(playUntil, performance.now() + AFTERMATH_MS)
+    }
+    return { schedule, callers, attempts: upstreams.attempts, faults: instance.faults }
+  } finally {
+    vi.useRealTimers()
+  }
+}
