--- /dev/null
+++ b/src/edge/__tests__/lifeCases.ts
@@ -0,0 +1,142 @@
+/** Schedules in which a rule was broken, most of them shrunk from those that were drawn. */
+import { createRequest, createSchedule, RequestKind, type Schedule } from './lifeSchedule'
+
+export interface LifeCase {
+  title: string
+  schedule: Schedule
+}
+
+const QUICK = { queue: 0, work: 0, pace: 50 }
+const SLOW = { queue: 50, work: 100, pace: 150 }
+const TWO = [QUICK, QUICK]
+const FOUR = [QUICK, QUICK, QUICK, QUICK]
+const NO_ALLOWANCE = { window: 10_000, ratio: 0, extra: 0 }
+const SMALL_ALLOWANCE = { window: 10_000, ratio: 0, extra: 3 }
+
+export const LIFE_CASES: readonly LifeCase[] = [
+  {
+    // The first attempt was cancelled although the next upstream was silent, too, and had not answered.
+    title: 'while it waits at two silent upstreams',
+    schedule: createSchedule({
+      upstreams: TWO,
+      silences: [{ from: 0, length: 1050, upstreams: [0, 1], accepts: true }],
+      requests: [createRequest({ limit: 2000, events: 1 })]
+    })
+  },
+  {
+    // The first upstream was given up; the next one was silent and refused the stream when it went on.
+    title: 'when one of two silent upstreams is full',
+    schedule: createSchedule({
+      upstreams: TWO,
+      silences: [{ from: 1300, length: 1050, upstreams: [1], accepts: true }],
+      full: [{ from: 1250, length: 800, upstreams: [0], wait: 300 }],
+      allowance: { window: 2000, ratio: 0, extra: 3 },
+      requests: [
+        createRequest({ at: 1050, limit: 2000, events: 6 }), createRequest({ at: 400, limit: 2000, events: 19 })
+      ],
+      seed: 0
+    })
+  },
+  {
+    // The fourth refusal ended a stream although its first upstream would have gone on.
+    title: 'when all others refuse it again and again, after a queue',
+    schedule: createSchedule({
+      upstreams: FOUR,
+      silences: [{ from: 1400, length: 1050, upstreams: [3], accepts: true }],
+      full: [{ from: 0, length: 3050, upstreams: [0, 1, 2], wait: 300 }],
+      allowance: { window: 10_000, ratio: 1, extra: 100 },
+      requests: [createRequest({ limit: 3400, events: 29 })],
+      seed: 0
+    })
+  },
+  {
+    // The refusal after a takeover could not be followed by another attempt, because the allowance was used up.
+    title: 'when the allowance is used up by its takeover',
+    schedule: createSchedule({
+      upstreams: TWO,
+      silences: [{ from: 2000, length: 1050, upstreams: [0, 1], accepts: true }],
+      full: [{ from: 2150, length: 1200, upstreams: [0, 1], wait: 0 }],
+      allowance: SMALL_ALLOWANCE,
+      requests: [
+        createRequest({ at: 900, limit: 2500, events: 23 }),
+        createRequest({ limit: 2000, maximumAttempts: 1, events: 1 })
+      ],
+      seed: 0
+    })
+  },
+  {
+    // As in trials with real processes: several upstreams fall silent shortly after each other, and are full then.
+    title: 'when many streams meet upstreams that are silent and full',
+    schedule: createSchedule({
+      upstreams: [SLOW, SLOW, SLOW],
+      silences: [
+        { from: 1500, length: 1200, upstreams: [0, 1], accepts: true },
+        { from: 2000, length: 1200, upstreams: [2], accepts: true }
+      ],
+      full: [{ from: 1500, length: 2500, upstreams: [0, 1, 2], wait: 100 }],
+      allowance: { window: 10_000, ratio: 0.2, extra: 8 },
+      requests: Array.from({ length: 12 }, (_value, index) => (
+        createRequest({ at: index * 50, events: 30, segment: index % 3 })
+      ))
+    })
+  },
+  {
+    // The stream waited 1.5 s at most for an upstream, or for three refusals, with attempts of its route left.
+    title: 'after its upstream reset it and is full for a second',
+    schedule: createSchedule({
+      upstreams: [QUICK],
+      full: [{ from: 50, length: 1050, upstreams: [0], wait: 0 }],
+      resets: [{ from: 50, length: 0, upstreams: [0] }],
+      allowance: { window: 10_000, ratio: 1, extra: 100 },
+      requests: [createRequest({ limit: 2000, events: 2 })],
+      seed: 0
+    })
+  },
+  {
+    // The allowance ended a stream that the attempts of its route permitted to go on. It may wait until its time limit.
+    title: 'after its upstream reset it, without an allowance',
+    schedule: createSchedule({
+      upstreams: [QUICK],
+      resets: [{ from: 50, length: 0, upstreams: [0] }],
+      allowance: NO_ALLOWANCE,
+      requests: [createRequest({ limit: 2000, events: 2 })],
+      seed: 0
+    })
+  },
+  {
+    // The first upstream was given up for one that was silent and answered 500 when it went on.
+    title: 'when the next upstream fails it after a silence of both',
+    schedule: createSchedule({
+      upstreams: TWO,
+      silences: [{ from: 2500, length: 1050, upstreams: [0, 1], accepts: true }],
+      failures: [{ from: 2650, length: 1000, upstreams: [0] }],
+      allowance: { window: 10_000, ratio: 1, extra: 100 },
+      requests: [createRequest({ at: 2300, limit: 2000, events: 5 })],
+      seed: 0
+    })
+  },
+  {
+    // Guards against a safe request that is given up at a silent upstream for one that refuses it.
+    title: 'when it is safe and the others refuse it while its upstream is silent',
+    schedule: createSchedule({
+      upstreams: FOUR,
+      silences: [{ from: 0, length: 1500, upstreams: [3], accepts: true }],
+      full: [{ from: 0, length: 3000, upstreams: [0, 1, 2], wait: 100 }],
+      allowance: { window: 10_000, ratio: 1, extra: 100 },
+      requests: [createRequest({ kind: RequestKind.safe, limit: 4000 })],
+      seed: 0
+    })
+  },
+  {
+    // The instance's window is up to a tenth shorter than that of the rule, so that it repeated 4 requests in place of 3.
+    title: 'when upstreams refuse requests at both ends of the window of the allowance',
+    schedule: createSchedule({
+      upstreams: [QUICK, QUICK, QUICK],
+      full: [{ from: 0, length: 2950, upstreams: [2, 4], wait: 300 }],
+      otherWeights: [{ from: 0, length: 1300, upstreams: [1, 2] }],
+      allowance: { window: 2000, ratio: 0, extra: 3 },
+      requests: [2900, 2900, 1250].map((at) => createRequest({ at, limit: 2000, maximumAttempts: 1, events: 1 })),
+      seed: 0
+    })
+  }
+]
--- a/src/edge/__tests__/lifeRules.ts
+++ b/src/edge/__tests__/lifeRules.ts
@@ -1,6 +1,7 @@
 /** What must hold for every request, whatever the schedule; from the rules LOST, TWICE, REFUSED, BUDGET and ORDER. */
 import { RequestKind, type ScheduledRequest } from './lifeSchedule'
-import type { CallerEnding, CallerView, LifeOutcome } from './lifeSimulation'
+import type { LifeOutcome } from './lifeSimulation'
+import type { CallerEnding, CallerView } from './simulatedCallers'
 import { AttemptEnd, type SimulatedAttempt } from './simulatedUpstreams'
 
 /** A request ends with the check that follows its time limit. */
--- a/src/edge/__tests__/lifeSchedule.ts
+++ b/src/edge/__tests__/lifeSchedule.ts
@@ -58,7 +58,7 @@
   resets: readonly Period[]
   /** The upstream has named a request limit, and no permit is handed out. */
   denials: readonly Period[]
-  /** The upstream is not listed. If another run returns, the connections to the first one are reset at the start. */
+  /** The upstream is not listed. If another run returns, the first one resets its connections and refuses new ones. */
   absences: ReadonlyArray<Period & { isOtherRun: boolean, isGraceful: boolean }>
   configurationChange: { at: number, keepsKey: boolean } | undefined
   allowance: { window: number, ratio: number, extra: number }
--- a/src/edge/__tests__/lifeSimulation.ts
+++ b/src/edge/__tests__/lifeSimulation.ts
@@ -1,6 +1,4 @@
 /** Plays a schedule of requests against one instance in virtual time, without processes or sockets. */
-import { EventEmitter } from 'node:events'
-import type { IncomingMessage, ServerResponse } from 'node:http'
 import { vi } from 'vitest'
 import { ListenerState } from '../../http/listeningProbe'
 import { createCrashAttribution } from '../../upstream/crashAttribution'
@@ -17,10 +15,13 @@
 import { createRolloutSampler } from '../rolloutSampler'
 import { createRouteTable, type RouteTable } from '../routeTable'
 import { createTrialPermits } from '../trialPermits'
-import { RequestLimitKind, type Dialect, type Instant, type UpstreamEntry } from '../types'
+import { RequestLimitKind, type Instant, type UpstreamEntry } from '../types'
 import { createUpstreamDirectory, type UpstreamDirectory } from '../upstreamDirectory'
 import { createConfiguration, createCustomer, createEntry, createRoute } from './fixtures'
 import { REPEAT_RULES, type Schedule } from './lifeSchedule'
+import {
+  CALLER_KEY, createCallerRequest, createCallerResponse, simulatedDialect, type CallerView
+} from './simulatedCallers'
 import {
   appliesAt, createSimulatedUpstreams, useUpstreams, type SimulatedAttempt, type SimulatedUpstreams
 } from './simulatedUpstreams'
@@ -31,27 +32,8 @@
 const AFTERMATH_MS = 300
 /** As of the calls of the platform's engine control. */
 const REPORT_TIMEOUT_MS = 500
-const KEY = 'bakery-key'
 const SERVICE = 'engines'
 
-export interface CallerEnding {
-  at: number
-  /** Whether the connection was closed before the response was complete. */
-  isCut: boolean
-  /** Whether an upstream of the service was listed. */
-  isAnyListed: boolean
-  /** Whether an upstream had crashed, so that requests may be suspected. */
-  hasCrash: boolean
-}
-
-/** What the caller of one request has got. */
-export interface CallerView {
-  status: number | undefined
-  headAt: number | undefined
-  body: string
-  endings: CallerEnding[]
-}
-
 export interface LifeOutcome {
   schedule: Schedule
   callers: readonly CallerView[]
@@ -67,32 +49,6 @@
   }
 }
 
-const dialect = {
-  readRequest: (headers) => ({
-    identifier: headers['request-id'] as string,
-    callerTimeout: undefined,
-    key: KEY,
-    model: undefined,
-    tokens: undefined,
-    promptSegments: [{ identifier: `part-${String(headers.segment)}`, tokens: 10 }, { identifier: 'own', tokens: 1 }],
-    resumeAfter: undefined
-  }),
-  upstreamHeaders: (raw, _bodyBytes, { resumeAfter }) => (
-    resumeAfter === undefined ? [...raw] : [...raw, 'last-event-id', resumeAfter]
-  ),
-  readResponse: (status, headers) => ({
-    identifier: headers['request-id'] as string,
-    notRun: headers['not-run'] === '1',
-    signed: true,
-    misdirected: status === 421,
-    answeredBy: headers['answered-by'] as string | undefined,
-    weightsVersion: undefined,
-    upstreamHint: { leaving: false, backOffFor: undefined, requestLimit: { kind: RequestLimitKind.none } }
-  }),
-  callerHeaders: (raw) => [...raw],
-  localResponseHeaders: () => []
-} satisfies Dialect
-
 function routeTableOf (schedule: Schedule, version: number, hasKey: boolean): RouteTable {
   return createRouteTable(createConfiguration({
     version,
@@ -104,7 +60,7 @@
       maximumAttempts,
       services: [{ service: SERVICE, weight: 1 }]
     })),
-    customers: [createCustomer({ keys: hasKey ? [KEY] : ['other-key'], rate: 0 })]
+    customers: [createCustomer({ keys: hasKey ? [CALLER_KEY] : ['other-key'], rate: 0 })]
   }))
 }
 
@@ -112,39 +68,6 @@
   return createEntry(`u${index}`, { endpoint: { host: '127.0.0.1', port: index }, startedAt })
 }
 
-function createCallerResponse (view: CallerView, describeEnding: () => Omit<CallerEnding, 'isCut'>): ServerResponse {
-  const response = Object.assign(new EventEmitter(), {
-    req: { complete: true },
-    writableFinished: false,
-    writeHead (status: number) {
-      view.status = status
-      view.headAt ??= performance.now()
-    },
-    write (bytes: Buffer) {
-      view.body += bytes.toString()
-      return true
-    },
-    end (bytes?: Buffer) {
-      if (bytes !== undefined) view.body += bytes.toString()
-      response.writableFinished = true
-      view.endings.push({ ...describeEnding(), isCut: false })
-      process.nextTick(() => response.emit('close'))
-    },
-    destroy () {
-      view.endings.push({ ...describeEnding(), isCut: true })
-      process.nextTick(() => response.emit('close'))
-    }
-  })
-  return response as unknown as ServerResponse
-}
-
-function createCallerRequest (index: number, segment: number): IncomingMessage {
-  const headers = { host: 'chat.example', 'request-id': String(index), segment: String(segment) }
-  return Object.assign(new EventEmitter(), {
-    method: 'POST', url: `/${index}/x`, headers, rawHeaders: Object.entries(headers).flat(), complete: true
-  }) as unknown as IncomingMessage
-}
-
 interface Instance {
   context: ExchangeContext
   directory: UpstreamDirectory
@@ -185,7 +108,7 @@
     schedule.denials.some((period) => appliesAt(period, Number(identifier.slice(1)), steady()))
   )
   const context = {
-    dialect,
+    dialect: simulatedDialect,
     routeTable: () => routeTable,
     freshness: createFreshness(Infinity),
     directory,
@@ -264,7 +187,11 @@
       }
     }, from)
     setTimeout(() => {
-      for (const index of present) directory.update(entryOf(index, isOtherRun ? from + 2 : 1))
+      for (const index of present) {
+        // Another absence may have brought the first run back meanwhile.
+        if (isOtherRun) upstreams.reset(index)
+        directory.update(entryOf(index, isOtherRun ? from + 2 : 1))
+      }
     }, from + length)
   }
   const { configurationChange } = schedule
--- a/src/edge/__tests__/simulatedUpstreams.ts
+++ b/src/edge/__tests__/simulatedUpstreams.ts
@@ -16,7 +16,7 @@
   failed: 'failed',
   /** The upstream reset the connection. */
   brokeOff: 'brokeOff',
-  /** The connection did not open in time. */
+  /** The connection was refused or did not open in time. */
   notSent: 'notSent',
   /** The instance cancelled the attempt. */
   cancelled: 'cancelled'
@@ -152,7 +152,9 @@
     attempts.push(attempt)
     resets.set(attempt, () => { fail(AttemptEnd.brokeOff, 'the connection was reset') })
     const opensAt = awakeAt(upstream, now() + TRANSIT_MS, schedule.silences.filter(({ accepts }) => !accepts))
-    if (opensAt - now() <= options.connectTimeout) at(opensAt, onConnected)
+    const isGone = schedule.absences.some((period) => period.isOtherRun && appliesAt(period, upstream, now()))
+    if (isGone) at(now() + TRANSIT_MS, () => { fail(AttemptEnd.notSent, 'the connection was refused') })
+    else if (opensAt - now() <= options.connectTimeout) at(opensAt, onConnected)
     else at(now() + options.connectTimeout, () => { fail(AttemptEnd.notSent, 'the connection did not open in time') })
 
     return {
