--- a/src/edge/__tests__/lifeCases.ts
+++ b/src/edge/__tests__/lifeCases.ts
@@ -13,6 +13,61 @@
 const NO_ALLOWANCE = { window: 10_000, ratio: 0, extra: 0 }
 const SMALL_ALLOWANCE = { window: 10_000, ratio: 0, extra: 3 }
 
+/** Cases in which each request must get a whole answer: a request that only waits for its time limit keeps the rules. */
+export const ANSWERED_CASES: readonly LifeCase[] = [
+  {
+    title: 'its upstream stays silent and another one is free',
+    schedule: createSchedule({
+      upstreams: TWO,
+      silences: [{ from: 500, length: 60_000, upstreams: [1], accepts: true }],
+      requests: [createRequest({ limit: 4000 }), createRequest({ kind: RequestKind.safe, at: 600, limit: 4000 })]
+    })
+  },
+  {
+    title: 'its upstream breaks off and another one is free',
+    schedule: createSchedule({
+      upstreams: TWO,
+      resets: [{ from: 500, length: 0, upstreams: [0, 1] }],
+      requests: [createRequest({ limit: 4000 })]
+    })
+  },
+  {
+    title: 'all upstreams are silent at once for a while',
+    schedule: createSchedule({
+      upstreams: TWO,
+      silences: [{ from: 500, length: 1500, upstreams: [0, 1], accepts: true }],
+      requests: [createRequest({ limit: 6000 }), createRequest({ limit: 6000, kind: RequestKind.plainStream })]
+    })
+  },
+  {
+    title: 'its upstream breaks off and all are full for two seconds',
+    schedule: createSchedule({
+      upstreams: TWO,
+      resets: [{ from: 500, length: 0, upstreams: [0, 1] }],
+      full: [{ from: 400, length: 2000, upstreams: [0, 1], wait: 0 }],
+      requests: [createRequest({ limit: 8000 })]
+    })
+  },
+  {
+    title: 'its upstream breaks off while the allowance is used up',
+    schedule: createSchedule({
+      upstreams: TWO,
+      resets: [{ from: 500, length: 0, upstreams: [0, 1] }, { from: 900, length: 0, upstreams: [0, 1] }],
+      allowance: { window: 2000, ratio: 0, extra: 2 },
+      requests: [createRequest({ limit: 8000, maximumAttempts: 3 })]
+    })
+  },
+  {
+    title: 'it waits at silent upstreams and the next one refuses it when it goes on',
+    schedule: createSchedule({
+      upstreams: [QUICK, QUICK, QUICK],
+      silences: [{ from: 500, length: 1500, upstreams: [0, 1, 2], accepts: true }],
+      full: [{ from: 1000, length: 2000, upstreams: [0, 1, 2], wait: 0 }],
+      requests: [createRequest({ limit: 8000 })]
+    })
+  }
+]
+
 export const LIFE_CASES: readonly LifeCase[] = [
   {
     // The first attempt was cancelled although the next upstream was silent, too, and had not answered.
@@ -138,5 +193,15 @@
       requests: [2900, 2900, 1250].map((at) => createRequest({ at, limit: 2000, maximumAttempts: 1, events: 1 })),
       seed: 0
     })
+  },
+  {
+    // Guards against a takeover that is sent after the answer, because it waited for its permit meanwhile.
+    title: 'when its upstream ends it while the takeover waits for a permit',
+    schedule: createSchedule({
+      upstreams: TWO,
+      silences: [{ from: 500, length: 750, upstreams: [0, 1], accepts: true }],
+      limits: [{ from: 600, length: 2000, upstreams: [0, 1], permitWait: 100 }],
+      requests: [createRequest({ limit: 4000, events: 20 })]
+    })
   }
 ]
--- a/src/edge/__tests__/lifeSchedule.ts
+++ b/src/edge/__tests__/lifeSchedule.ts
@@ -56,8 +56,8 @@
   failures: readonly Period[]
   /** All connections are reset at the start of the period. The length is not used. */
   resets: readonly Period[]
-  /** The upstream has named a request limit, and no permit is handed out. */
-  denials: readonly Period[]
+  /** The upstream has named a request limit; the next permit is free after `permitWait`. */
+  limits: ReadonlyArray<Period & { permitWait: number }>
   /** The upstream is not listed. If another run returns, the first one resets its connections and refuses new ones. */
   absences: ReadonlyArray<Period & { isOtherRun: boolean, isGraceful: boolean }>
   configurationChange: { at: number, keepsKey: boolean } | undefined
@@ -76,7 +76,7 @@
     otherWeights: [],
     failures: [],
     resets: [],
-    denials: [],
+    limits: [],
     absences: [],
     configurationChange: undefined,
     allowance: { window: 10_000, ratio: 0.2, extra: 100 },
@@ -141,7 +141,7 @@
   otherWeights: rare(period(2000, 200)),
   failures: rare(period(1000, 50)),
   resets: rare(period(0)),
-  denials: rare(period(3000, 200)),
+  limits: rare(extended(period(3000, 200), fc.record({ permitWait: fc.oneof(steps(200), fc.constant(2000)) }))),
   absences: rare(extended(period(4000, 100), fc.record({ isOtherRun: fc.boolean(), isGraceful: fc.boolean() }))),
   configurationChange: fc.oneof(
     { weight: 3, arbitrary: fc.constant(undefined) },
--- a/src/edge/__tests__/lifeSimulation.ts
+++ b/src/edge/__tests__/lifeSimulation.ts
@@ -104,8 +104,9 @@
   const trialPermits = createTrialPermits({
     links: { request: async () => ({}), isUsable: () => false }, instance: 'i0', peers: () => [], now: steady, onFault: reportFault
   })
-  const isDenied = ({ identifier }: { identifier: string }): boolean => (
-    schedule.denials.some((period) => appliesAt(period, Number(identifier.slice(1)), steady()))
+  /** Returns the wait for the next permit of an upstream; undefined if it needs none. */
+  const permitWait = ({ identifier }: { identifier: string }): number | undefined => (
+    schedule.limits.find((period) => appliesAt(period, Number(identifier.slice(1)), steady()))?.permitWait
   )
   const context = {
     dialect: simulatedDialect,
@@ -133,7 +134,11 @@
     upstreamHints: { apply () {} },
     requestLimits: { limitOf: () => undefined, applyAbsence () {} },
     sendPermits: {
-      isNeeded: isDenied, acquire: async (run: { identifier: string }) => ({ granted: !isDenied(run), wait: 100 })
+      isNeeded: (run: UpstreamEntry) => permitWait(run) !== undefined,
+      async acquire (run: UpstreamEntry, maximumWait: number) {
+        const wait = permitWait(run) ?? 0
+        return { granted: wait <= maximumWait, wait }
+      }
     },
     trialPermits,
     crashReports,
@@ -155,7 +160,7 @@
         return { acceptedCommands: 0, busy: false, weights: [] }
       }
     },
-    permits: { waitFor: async (run) => !isDenied(run) },
+    permits: { waitFor: async (run, maximumWait) => (permitWait(run) ?? 0) <= maximumWait },
     upstreams: directory.all,
     onHint () {},
     log,
--- a/src/edge/__tests__/requestLife.test.ts
+++ b/src/edge/__tests__/requestLife.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { describe, expect, it, vi } from 'vitest'
-import { LIFE_CASES } from './lifeCases'
+import { ANSWERED_CASES, LIFE_CASES } from './lifeCases'
 import { findViolations, LIFE_RULES } from './lifeRules'
 import { scheduleArbitrary, type Schedule } from './lifeSchedule'
 import { playSchedule, type LifeOutcome } from './lifeSimulation'
@@ -39,3 +39,10 @@
     expect(violations).toEqual([])
   })
 })
+
+describe('a request is answered whole when', () => {
+  it.each(ANSWERED_CASES)('$title', async ({ schedule }) => {
+    const { callers } = await playSchedule(schedule)
+    expect(callers.map(({ status, endings }) => [status, endings[0]?.isCut])).toEqual(callers.map(() => [200, false]))
+  })
+})
