Count each retry for the whole window of the allowance

Retries were counted in ten slices, of which the oldest expired at once: a retry late in its slice was forgotten after nine tenths of the window.

Found by the drawn schedules of requestLife.test.ts, "upstreams refuse requests at both ends of the window of the allowance", which failed before; the new case of retryAllowance.test.ts failed, too. Retries are counted by their times.

--- a/src/edge/__tests__/retryAllowance.test.ts
+++ b/src/edge/__tests__/retryAllowance.test.ts
@@ -31,4 +31,11 @@
     expect(allowance.tryRetry('engines', RetryPurpose.continuation, 1, 8999)).toBe(false)
     expect(allowance.tryRetry('engines', RetryPurpose.continuation, 1, 10_000)).toBe(true)
   })
+
+  it('counts a retry for the whole window', () => {
+    const allowance = createRetryAllowance({ window: 10_000, ratio: 0, extra: 2 })
+    expect(allowance.tryRetry('engines', RetryPurpose.continuation, 1, 999)).toBe(true)
+    expect(allowance.tryRetry('engines', RetryPurpose.continuation, 1, 10_500)).toBe(false)
+    expect(allowance.tryRetry('engines', RetryPurpose.continuation, 1, 10_999)).toBe(true)
+  })
 })
--- a/src/edge/retryAllowance.ts
+++ b/src/edge/retryAllowance.ts
@@ -24,7 +24,7 @@
   [RetryPurpose.continuation]: 1
 }
 
-/** Number of slices of the sliding window; the oldest slice expires at once. */
+/** Number of slices in which the requests of the window are counted; the oldest slice expires at once. */
 const SLICE_COUNT = 10
 
 export interface RetryAllowanceOptions {
@@ -47,35 +47,45 @@
   tryRetry: (service: string, purpose: RetryPurpose, share: number, now: MonotonicMilliseconds) => boolean
 }
 
-interface Slice { index: number, requests: number, retries: number }
+interface Slice { index: number, requests: number }
+
+interface ServiceCounts {
+  requests: Slice[]
+  /** Times of the retries in the window, oldest first; there are few. */
+  retries: MonotonicMilliseconds[]
+}
 
 export function createRetryAllowance ({ window, ratio, extra }: RetryAllowanceOptions): RetryAllowance {
-  const services = new Map<string, Slice[]>()
+  const services = new Map<string, ServiceCounts>()
   const sliceLength = window / SLICE_COUNT
 
-  function currentSlices (service: string, now: MonotonicMilliseconds): Slice[] {
+  /** Returns the counts of the window that ends now. The last slice of the requests is the present one. */
+  function countsOf (service: string, now: MonotonicMilliseconds): ServiceCounts {
     const index = Math.floor(now / sliceLength)
-    const slices = (services.get(service) ?? []).filter((slice) => slice.index > index - SLICE_COUNT)
-    if (slices.at(-1)?.index !== index) slices.push({ index, requests: 0, retries: 0 })
-    services.set(service, slices)
-    return slices
+    const { requests, retries } = services.get(service) ?? { requests: [], retries: [] }
+    const counts = {
+      requests: requests.filter((slice) => slice.index > index - SLICE_COUNT),
+      retries: retries.filter((at) => at > now - window)
+    }
+    if (counts.requests.at(-1)?.index !== index) counts.requests.push({ index, requests: 0 })
+    services.set(service, counts)
+    return counts
   }
 
   function canRetry (service: string, purpose: RetryPurpose, share: number, now: MonotonicMilliseconds): boolean {
-    const slices = currentSlices(service, now)
-    const requests = slices.reduce((sum, slice) => sum + slice.requests, 0)
-    const retries = slices.reduce((sum, slice) => sum + slice.retries, 0)
-    return retries + 1 <= SHARE_BY_PURPOSE[purpose] * USABLE_SHARE * (ratio * requests + extra * share)
+    const counts = countsOf(service, now)
+    const requests = counts.requests.reduce((sum, slice) => sum + slice.requests, 0)
+    return counts.retries.length + 1 <= SHARE_BY_PURPOSE[purpose] * USABLE_SHARE * (ratio * requests + extra * share)
   }
 
   return {
     recordRequest (service, now) {
-      currentSlices(service, now).at(-1)!.requests += 1
+      countsOf(service, now).requests.at(-1)!.requests += 1
     },
     canRetry,
     tryRetry (service, purpose, share, now) {
       if (!canRetry(service, purpose, share, now)) return false
-      currentSlices(service, now).at(-1)!.retries += 1
+      countsOf(service, now).retries.push(now)
       return true
     }
   }
