Leave the attempt at the second upstream until one of both answers

The drawn schedules show an attempt that is cancelled without a successor that answers: the second attempt was given up when its upstream made no progress either, and the next one refused.

--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -174,7 +174,6 @@
    * begins to answer: it may still turn the request away, and the present one may only have paused.
    */
   function takeOver (current: Attempt, now: Instant): void {
-    if (successor !== undefined) leaveStalledSuccessor(successor, now)
     if (successor !== undefined || preparation.isInProgress()) return
     if (!maySendAgain(history) || !continuation.isStalledAt(current, now)) return
     targets.restrictToFormer(history.runs >= history.maximumAttempts)
@@ -188,14 +187,6 @@
     preparation.start()
   }
 
-  /** Gives up the successor if it makes no progress either and an upstream that has not had the request is free. */
-  function leaveStalledSuccessor (current: Attempt, now: Instant): void {
-    const mayTryAnother = history.runs < history.maximumAttempts && maySendAgain(history)
-    if (!mayTryAnother || !continuation.isStalledAt(current, now)) return
-    targets.restrictToFormer(false)
-    if (continuation.canMove(now)) endTakeover()
-  }
-
   /** Gives up the attempt, because the upstream of its successor has begun to answer. */
   function replaceAttempt (current: Attempt, now: Instant): void {
     const idleMs = Math.round(now.steady - current.lastProgressAt)
