--- a/src/edge/attemptPreparation.ts
+++ b/src/edge/attemptPreparation.ts
@@ -90,12 +90,18 @@
     conclude(() => { callbacks.onUnavailable(reason, obstacle) })
   }
 
+  /** After the process was busy, timers come before what has arrived meanwhile, which is read first. */
+  function runLater (action: () => void, milliseconds: number): void {
+    const act = contain(() => { if (!isCancelled) action() })
+    timer = setTimeout(() => { setImmediate(act) }, milliseconds)
+  }
+
   /** Looks for an upstream again later, if the request may wait. */
   function waitOrReport (reason: string, obstacle: Obstacle, now: MonotonicMilliseconds): void {
     const end = options.findEnd(obstacle, now)
     if (end !== undefined) return reportUnavailable(reason, end)
     targets.permitAgain()
-    timer = setTimeout(contain(start), WAIT_POLL_MS)
+    runLater(start, WAIT_POLL_MS)
   }
 
   function start (): void {
@@ -139,7 +145,7 @@
   function handlePermit ({ upstream }: Target, { granted, wait }: PacerDecision): void {
     if (isCancelled) return
     if (granted) {
-      timer = setTimeout(contain(() => { sendWithPermit(upstream) }), wait)
+      runLater(() => { sendWithPermit(upstream) }, wait)
       return
     }
     context.log(EdgeEvent.permitDenied, {
