Later bytes on a caller's connection no longer end the answer in progress on it (LOST, REFUSED)

Callers saw: a whole request is being answered, and on the same connection come half of the next head whose time passes, bytes that are no request, a head that is too long, a malformed body, or a request for a tunnel. The caller got 408, 400 or 431, or nothing, in place of its answer, although the upstream ran the request; a begun stream was cut. On `serve` the refusal was even written into a begun answer.

Cause: Node.js reports unreadable bytes per connection. Without a clientError listener (edge) it answers at once if no head was sent, and closes; the listener of `serve` always wrote its refusal at once. Neither asked which responses are in progress.

Fix: src/http/callerConnections.ts, used by both daemons, knows the responses in progress on each connection. If there are any, nothing further is read as a request; the last one announces `Connection: close` if its head is not out, and after it the connection is closed. The bytes are read and discarded until then and for up to 1 s after, so that a caller that leaves is noticed, memory is bounded, and no reset takes the end of the answer with it. Only when nothing is in progress is an unreadable request refused, as before. Both daemons log `caller.connection_closing`, once a connection. `serve` now answers 413 in place of 400 to chunk extensions that are too long, as the edge does.

--- a/src/composeGateway.ts
+++ b/src/composeGateway.ts
@@ -19,7 +19,7 @@
 import { CompletionStyle } from './gateway/openaiApi'
 import { createServiceExecutor } from './gateway/serviceExecutor'
 import { createServiceHandler } from './gateway/serviceHandler'
-import type { EventLog, Metrics } from './observability/events'
+import { LogEvent, type EventLog, type Metrics } from './observability/events'
 import type { CrashNotice } from './peer/messages'
 import { createExternalCachePolicy } from './prefix/externalCache'
 import { chooseUpstream } from './prefix/routing'
@@ -150,7 +150,10 @@
     reportFault: options.reportFault,
     maximumHeaderBytes: settings.limits.header,
     idleTimeout: settings.limits.idleTime,
-    maximumConnections: settings.limits.connections
+    maximumConnections: settings.limits.connections,
+    onConnectionClosing (reason, responsesInProgress) {
+      log(LogEvent.callerConnectionClosing, { reason, responsesInProgress })
+    }
   })
   return { server, dispatcher, admission }
 }
--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -4,7 +4,7 @@
 import { MAX_TIMER_MS } from '../constants'
 import { trackCallerConnections } from '../http/callerConnections'
 import type { Endpoint } from '../types'
-import type { EdgeLog } from './events'
+import { EdgeEvent, type EdgeLog } from './events'
 import { openListener, type Listener } from './listener'
 import type { CallerLimits } from './types'
 
@@ -98,7 +98,11 @@
     setImmediate(() => { if (socket.bytesRead === bytesRead) socket.destroy() })
   })
   const listeners: Listener[] = []
-  const connections = trackCallerConnections(callers)
+  const connections = trackCallerConnections(callers, {
+    onClosing: (reason, responsesInProgress) => {
+      options.log(EdgeEvent.callerConnectionClosing, { reason, responsesInProgress })
+    }
+  })
 
   async function open (server: Server, endpoint: Endpoint): Promise<void> {
     const listener = openListener(server, { endpoint, backlog: LISTEN_BACKLOG, log: options.log })
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -9,6 +9,8 @@
   listenerWaiting: 'listener.waiting',
   /** A connection could not be accepted. */
   listenerFailed: 'listener.failed',
+  /** A caller's connection will be closed after the responses in progress, because bytes came that are no request. */
+  callerConnectionClosing: 'caller.connection_closing',
   requestRouted: 'request.routed',
   requestRejected: 'request.refused',
   requestFinished: 'request.finished',
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,9 +1,8 @@
 /** HTTP server for callers: limits, request identifiers, routing to handlers and handling of uncaught errors. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
 import { InternalError, InvalidRequestError, RouterError } from '../errors'
-import { trackCallerConnections } from '../http/callerConnections'
+import { trackCallerConnections, type CallerConnectionsOptions, type UnreadableRequest } from '../http/callerConnections'
 import { ExecutionStatus } from '../types'
 import type { Endpoint } from '../types'
 import { errorBodyOf, sendError } from './errorResponse'
@@ -21,10 +20,14 @@
   headerTimeout?: number
   /** Timeout in milliseconds for receiving a complete request including its body. @default 60000 */
   requestTimeout?: number
+  /** Interval in milliseconds between checks for slow headers and bodies. @default 30000 */
+  connectionCheckInterval?: number
   /** Keep-alive timeout between requests in milliseconds. @default 75000 */
   idleTimeout?: number
   /** Maximum number of open connections. Further connections are closed immediately. @default 4096 */
   maximumConnections?: number
+  /** See `CallerConnectionsOptions`. */
+  onConnectionClosing?: CallerConnectionsOptions['onClosing']
 }
 
 export interface CallerServer {
@@ -70,12 +73,14 @@
     maxHeaderSize: options.maximumHeaderBytes ?? 16_384,
     headersTimeout: options.headerTimeout ?? 10_000,
     requestTimeout: options.requestTimeout ?? 60_000,
+    connectionsCheckingInterval: options.connectionCheckInterval ?? 30_000,
     keepAliveTimeout: options.idleTimeout ?? 75_000,
     noDelay: true
   }, handle)
-  const connections = trackCallerConnections(server)
+  const connections = trackCallerConnections(server, {
+    renderRefusal, ...(options.onConnectionClosing === undefined ? {} : { onClosing: options.onConnectionClosing })
+  })
   server.maxConnections = options.maximumConnections ?? 4096
-  server.on('clientError', (error, socket) => { rejectMalformedRequest(error, socket as Socket) })
 
   return {
     async listen (endpoint) {
@@ -122,17 +127,14 @@
   }
 }
 
-/** Responds to malformed HTTP requests, oversized headers and request timeouts, and closes the connection. */
-function rejectMalformedRequest (error: Error & { code?: string }, socket: Socket): void {
-  if (!socket.writable || socket.destroyed) {
-    socket.destroy()
-    return
-  }
-  const tooLarge = error.code === 'HPE_HEADER_OVERFLOW'
-  const timedOut = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
-  const status = tooLarge ? '431 Request Header Fields Too Large' : timedOut ? '408 Request Timeout' : '400 Bad Request'
-  const message = tooLarge ? 'request header too large' : timedOut ? 'request not received in time' : 'malformed HTTP request'
-  const body = JSON.stringify(errorBodyOf(new InvalidRequestError(message, { execution: ExecutionStatus.notRun })))
-  socket.end(`HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n` +
-    `connection: close\r\n\r\n${body}`)
+const UNREADABLE_MESSAGES: Record<UnreadableRequest, string> = {
+  malformed: 'malformed HTTP request',
+  header_too_large: 'request header too large',
+  extensions_too_large: 'chunk extensions too large',
+  timed_out: 'request not received in time'
+}
+
+function renderRefusal (reason: UnreadableRequest): { contentType: string, body: string } {
+  const error = new InvalidRequestError(UNREADABLE_MESSAGES[reason], { execution: ExecutionStatus.notRun })
+  return { contentType: 'application/json', body: JSON.stringify(errorBodyOf(error)) }
 }
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -4,6 +4,7 @@
   daemonReady: 'daemon.ready',
   daemonStopping: 'daemon.stopping',
   daemonStopped: 'daemon.stopped',
+  callerConnectionClosing: 'caller.connection_closing',
   requestReceived: 'request.received',
   requestRefused: 'request.refused',
   requestRouted: 'request.routed',
