A request that waits for the answer before it is cancelled when its caller leaves (GONE)

Callers saw nothing; upstreams went on with a second request on a connection whose caller had left while the first was being answered. `serve` also counted it as open for ever, so that a planned stop waited for its whole limit.

Cause: Node.js emits `close` only on the response that is being sent, not on those queued behind it.

Fix: the connection's own end is reported to each response that waits on it, as to the one being sent.

--- a/src/gateway/__tests__/laterBytes.test.ts
+++ b/src/gateway/__tests__/laterBytes.test.ts
@@ -144,6 +144,21 @@
   })
 })
 
+describe('a request that waits for the answer to the one before it', () => {
+  // Node.js reports the end of a connection only to the response that is being sent.
+  it.each<[string, (socket: Socket) => void]>([
+    ['closes its side', (socket) => { socket.end() }],
+    ['resets the connection', (socket) => { socket.resetAndDestroy() }]
+  ])('is cancelled as well when the caller %s', async (_how, leave) => {
+    const caller = open()
+    caller.socket.write(`${requestText('/late')}${requestText('/begun')}`)
+    await expect.poll(() => handled.length).toBe(2)
+    leave(caller.socket)
+    await expect.poll(() => handled.map(({ isCancelled }) => isCancelled), { timeout: CANCEL_MS }).toEqual([true, true])
+    expect(server.openRequests()).toBe(0)
+  })
+})
+
 describe('a connection', () => {
   it('sends the answers of all whole requests before it closes', async () => {
     const caller = open()
--- a/src/http/callerConnections.ts
+++ b/src/http/callerConnections.ts
@@ -81,13 +81,24 @@
   socket.once('close', () => { clearTimeout(timer) })
 }
 
+/** Reports the end of the connection to a response that waits for the one before it. */
+function endWaiting (response: ServerResponse): void {
+  response.destroy()
+  response.emit('close')
+}
+
 export function trackCallerConnections (
   server: Server, { renderRefusal, onClosing }: CallerConnectionsOptions = {}
 ): CallerConnections {
   const connections = new Map<Socket, Connection>()
   server.on('connection', (socket: Socket) => {
-    connections.set(socket, { socket, responses: new Set(), isClosing: false })
-    socket.on('close', () => { connections.delete(socket) })
+    const responses = new Set<ServerResponse>()
+    connections.set(socket, { socket, responses, isClosing: false })
+    socket.on('close', () => {
+      connections.delete(socket)
+      // Node.js reports the end of the connection only to the response that is being sent.
+      for (const response of responses) if (response.socket !== socket) endWaiting(response)
+    })
   })
   server.prependListener('request', ({ socket }: IncomingMessage, response: ServerResponse) => {
     const responses = connections.get(socket)?.responses
