--- a/src/edge/callerResponse.ts
+++ b/src/edge/callerResponse.ts
@@ -31,8 +31,6 @@
   response: ServerResponse
   dialect: Dialect
   identifier: string | undefined
-  /** Whether to close the connection after the response. */
-  shouldClose: () => boolean
 }
 
 function withoutLength (raw: readonly string[]): string[] {
@@ -40,7 +38,7 @@
 }
 
 export function createCallerResponse (
-  { response, dialect, identifier, shouldClose }: CallerResponseOptions
+  { response, dialect, identifier }: CallerResponseOptions
 ): CallerResponse {
   let started = false
   let ended = false
@@ -50,7 +48,6 @@
   ): void {
     started = true
     const headers = dialect.callerHeaders(isStreaming ? withoutLength(rawHeaders) : rawHeaders)
-    if (shouldClose()) headers.push('Connection', 'close')
     response.writeHead(status, message, headers)
   }
 
@@ -63,7 +60,7 @@
       const headers = dialect.localResponseHeaders(identifier, retryAfter === undefined ? undefined : retryAfter / 1000)
       headers.push('Content-Type', 'application/json', 'Content-Length', String(body.length))
       // An unread body would be parsed as the next request.
-      if (shouldClose() || !response.req.complete) headers.push('Connection', 'close')
+      if (!response.req.complete) response.shouldKeepAlive = false
       response.writeHead(status, headers)
       response.end(body)
     },
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -289,7 +289,6 @@
     trialPermits: crashHandling.trialPermits,
     crashReports: crashHandling.crashReports,
     reportUnreachable: (upstream) => { failureReports.report(upstream, performance.now()) },
-    isStopping: () => stopping,
     isRejecting: () => rejecting,
     log,
     reportFault,
@@ -394,7 +393,7 @@
       exchanges,
       hasUnsentBytes: server.hasUnsentBytes,
       log,
-      onStopping () { stopping = true },
+      onStopping () { stopping = true; server.announceClose() },
       rejectRequests () {
         rejecting = true
         server.closeIdle()
--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -46,6 +46,8 @@
    * are still accepted.
    */
   closeIdle: () => void
+  /** From now on the last response on each connection announces its end. */
+  announceClose: () => void
   /** Whether responses to callers wait in the process, because the callers read slowly. */
   hasUnsentBytes: () => boolean
   close: () => void
@@ -62,10 +64,6 @@
     requestTimeout: REQUEST_TIMEOUT_MS,
     maxHeaderSize: MAX_HEADER_BYTES,
     noDelay: true
-  }, (request, response) => {
-    response.sendDate = false
-    keepAsAnnounced(request, response, callers.keepAliveTimeout)
-    options.onRequest(request, response)
   })
   const readiness = createServer((request, response) => {
     request.resume()
@@ -99,6 +97,11 @@
   })
   const listeners: Listener[] = []
   const connections = trackCallerConnections(callers, {
+    onRequest (request, response) {
+      response.sendDate = false
+      keepAsAnnounced(request, response, callers.keepAliveTimeout)
+      options.onRequest(request, response)
+    },
     onClosing: (reason, responsesInProgress) => {
       options.log(EdgeEvent.callerConnectionClosing, { reason, responsesInProgress })
     }
@@ -122,6 +125,7 @@
       callers.keepAliveTimeout = clampTimer(idleTimeout + KEEP_ALIVE_MARGIN_MS)
     },
     closeIdle: connections.closeIdle,
+    announceClose: connections.announceClose,
     hasUnsentBytes: connections.hasUnsentBytes,
     close () {
       for (const listener of listeners) listener.close()
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -45,9 +45,7 @@
   const startedAt = context.now()
   const callerRequest = dialect.readRequest(request.headers)
   const identifier = callerRequest.identifier ?? ''
-  const callerResponse = createCallerResponse({
-    response, dialect, identifier: callerRequest.identifier, shouldClose: context.isStopping
-  })
+  const callerResponse = createCallerResponse({ response, dialect, identifier: callerRequest.identifier })
   let dispatch: Dispatch | undefined
   let admittedRequest: AdmittedRequest | undefined
   let timeoutTimer: NodeJS.Timeout | undefined
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -63,7 +63,6 @@
   crashReports: Omit<CrashReports, 'receive' | 'check'>
   /** Notifies the other instances of the data centre that an upstream is unreachable. */
   reportUnreachable: (upstream: Upstream) => void
-  isStopping: () => boolean
   /** Whether new requests are rejected, so that the ones in progress can complete before the instance stops. */
   isRejecting: () => boolean
   log: EdgeLog
--- a/src/gateway/__tests__/laterBytes.test.ts
+++ b/src/gateway/__tests__/laterBytes.test.ts
@@ -27,6 +27,7 @@
     await delay(ANSWER_MS)
     sendResponse(exchange, 200, {}, 'late answer')
   },
+  async '/early' (exchange) { sendResponse(exchange, 413, {}, 'refused early') },
   async '/begun' ({ response }) {
     response.writeHead(200)
     response.write('begun ')
@@ -159,6 +160,49 @@
   })
 })
 
+describe('a request after a body that is too long', () => {
+  it('is not run, because the connection closes after the refusal of the one before it', async () => {
+    const caller = open()
+    caller.socket.write('POST /early HTTP/1.1\r\nhost: a\r\ncontent-length: 8\r\n\r\nbody')
+    await expect.poll(() => caller.text()).toContain('refused early')
+    caller.socket.write(`body${requestText('/late')}`)
+    await caller.closed
+    expect(handled).toHaveLength(1)
+    expect(caller.text()).toMatch(/^HTTP\/1\.1 413 [^]*connection: close[^]*refused early$/i)
+  })
+})
+
+describe('a planned stop', () => {
+  it.each<[string, string[], string[], number]>([
+    ['two requests at once, before it', ['/late', '/late'], [], 2],
+    ['two requests at once, after it', [], ['/late', '/late'], 2],
+    ['a request before it, and one after it', ['/late'], ['/late'], 2],
+    ['a request before it whose answer has begun, and one after it', ['/begun'], ['/late'], 2]
+  ])('answers all requests that it runs of a caller that sends %s', async (_title, before, after, expected) => {
+    const caller = open()
+    caller.socket.write(before.map(requestText).join(''))
+    await expect.poll(() => handled.length).toBe(before.length)
+    if (before.length === 0) await delay(100)
+    server.closeConnections()
+    const late = after.length > 0 && before.length === 0 ? open() : caller
+    late.socket.write(after.map(requestText).join(''))
+    await late.closed
+    expect(handled).toHaveLength(expected)
+    expect(late.text().match(/HTTP\/1\.1 200/g)).toHaveLength(expected)
+  })
+
+  it('runs no request that comes after an answer that announces the end of its connection', async () => {
+    server.closeConnections()
+    const caller = open()
+    caller.socket.write(requestText('/begun'))
+    await expect.poll(() => caller.text()).toContain('begun')
+    caller.socket.write(requestText('/late'))
+    await caller.closed
+    expect(caller.text()).toMatch(/ended\r\n0\r\n\r\n$/)
+    expect(handled).toHaveLength(1)
+  })
+})
+
 describe('a connection', () => {
   it('sends the answers of all whole requests before it closes', async () => {
     const caller = open()
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -52,7 +52,6 @@
       // A response that started before closing announced keep-alive. Its connection becomes idle only after this event.
       if (closing) setImmediate(connections.closeIdle)
     })
-    if (closing) response.setHeader('connection', 'close')
     // Connection errors are handled through the aborted signal. Without a listener they would terminate the process.
     request.on('error', () => {})
     response.on('error', () => {})
@@ -76,9 +75,11 @@
     connectionsCheckingInterval: options.connectionCheckInterval ?? 30_000,
     keepAliveTimeout: options.idleTimeout ?? 75_000,
     noDelay: true
-  }, handle)
+  })
   const connections = trackCallerConnections(server, {
-    renderRefusal, ...(options.onConnectionClosing === undefined ? {} : { onClosing: options.onConnectionClosing })
+    onRequest: handle,
+    renderRefusal,
+    ...(options.onConnectionClosing === undefined ? {} : { onClosing: options.onConnectionClosing })
   })
   server.maxConnections = options.maximumConnections ?? 4096
 
@@ -96,11 +97,13 @@
     },
     closeConnections () {
       closing = true
+      connections.announceClose()
       connections.closeIdle()
     },
     openRequests: () => openRequests,
     async close () {
       closing = true
+      connections.announceClose()
       await new Promise<void>((resolve) => {
         server.close(() => { resolve() })
         server.closeIdleConnections()
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -66,7 +66,7 @@
     response.end(withContent)
     return
   }
-  response.setHeader('connection', 'close')
+  response.shouldKeepAlive = false
   response.write(withContent ?? '')
   const finish = (): void => {
     clearTimeout(timer)
--- a/src/http/callerConnections.ts
+++ b/src/http/callerConnections.ts
@@ -35,6 +35,8 @@
 }
 
 export interface CallerConnectionsOptions {
+  /** Called for each request, unless its connection is to be closed after the responses before it. */
+  onRequest: (request: IncomingMessage, response: ServerResponse) => void
   /** Body of the refusal of bytes that are no whole request. @default no body */
   renderRefusal?: (reason: UnreadableRequest) => { contentType: string, body: string }
   /**
@@ -49,6 +51,8 @@
   hasUnsentBytes: () => boolean
   /** Closes idle connections, or none while a response waits to be sent. */
   closeIdle: () => void
+  /** From now on the last response on each connection announces its end. */
+  announceClose: () => void
 }
 
 interface Connection {
@@ -88,9 +92,10 @@
 }
 
 export function trackCallerConnections (
-  server: Server, { renderRefusal, onClosing }: CallerConnectionsOptions = {}
+  server: Server, { onRequest, renderRefusal, onClosing }: CallerConnectionsOptions
 ): CallerConnections {
   const connections = new Map<Socket, Connection>()
+  let isAnnouncingClose = false
   server.on('connection', (socket: Socket) => {
     const responses = new Set<ServerResponse>()
     connections.set(socket, { socket, responses, isClosing: false })
@@ -100,10 +105,26 @@
       for (const response of responses) if (response.socket !== socket) endWaiting(response)
     })
   })
-  server.prependListener('request', ({ socket }: IncomingMessage, response: ServerResponse) => {
-    const responses = connections.get(socket)?.responses
-    responses?.add(response)
-    for (const event of ['finish', 'close']) response.on(event, () => { responses?.delete(response) })
+  server.on('request', (request: IncomingMessage, response: ServerResponse) => {
+    const { socket } = request
+    const connection = connections.get(socket)
+    if (connection === undefined) return
+    const { responses } = connection
+    const previous = [...responses].at(-1)
+    if (previous?.headersSent === true && !previous.shouldKeepAlive) endReading(connection, previous)
+    if (connection.isClosing) {
+      // Its body would keep the rest of the connection from being read.
+      request.resume()
+      return
+    }
+    if (isAnnouncingClose) {
+      // A caller reads nothing after the response that announces the end of the connection.
+      if (previous !== undefined) previous.shouldKeepAlive = true
+      response.shouldKeepAlive = false
+    }
+    responses.add(response)
+    for (const event of ['finish', 'close']) response.on(event, () => { responses.delete(response) })
+    onRequest(request, response)
   })
   server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
     rejectBytes(stream as Socket, REASONS[error.code ?? ''] ?? UnreadableRequest.malformed)
@@ -133,14 +154,19 @@
       return
     }
     if (connection.isClosing) return
-    connection.isClosing = true
-    discardInput(socket)
     const last = owed.at(-1)
+    endReading(connection, last)
     if (last === undefined) return refuse(socket, reason)
-    closeAfter(socket, last)
     onClosing?.(reason, owed.length)
   }
 
+  /** Reads no further requests, and closes the connection after the response. */
+  function endReading (connection: Connection, last: ServerResponse | undefined): void {
+    connection.isClosing = true
+    discardInput(connection.socket)
+    if (last !== undefined) closeAfter(connection.socket, last)
+  }
+
   function refuse (socket: Socket, reason: UnreadableRequest): void {
     const refusal = renderRefusal?.(reason)
     const headers = refusal === undefined
@@ -166,6 +192,13 @@
     closeIdle () {
       // Node.js counts connections as idle although their last response has not been sent, and would cut it off.
       if (!hasUnsentBytes()) server.closeIdleConnections()
+    },
+    announceClose () {
+      isAnnouncingClose = true
+      for (const { responses } of connections.values()) {
+        const last = [...responses].at(-1)
+        if (last?.headersSent === false) last.shouldKeepAlive = false
+      }
     }
   }
 }
