Later bytes no longer end a request for metrics

Scrapers saw 400 in place of the metrics if bytes that are no request followed theirs: the same fault as on connections of callers, because the answer is rendered asynchronously. Both status servers use trackCallerConnections now, so their answers are sent first. The case for metrics failed before; the one for readiness, which is answered at once, did not.

--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -65,18 +65,24 @@
     maxHeaderSize: MAX_HEADER_BYTES,
     noDelay: true
   })
-  const readiness = createServer((request, response) => {
-    request.resume()
-    response.writeHead(options.isReady() ? 200 : 503, { 'Content-Length': '0' }).end()
+  const readiness = createServer()
+  trackCallerConnections(readiness, {
+    onRequest (request, response) {
+      request.resume()
+      response.writeHead(options.isReady() ? 200 : 503, { 'Content-Length': '0' }).end()
+    }
   })
-  const metrics = createServer((request, response) => {
-    request.resume()
-    options.renderMetrics().then((text) => {
-      response.writeHead(200, { 'Content-Type': options.metricsContentType }).end(text)
-    }, (error: unknown) => {
-      options.onFault(error)
-      response.writeHead(500, { 'Content-Length': '0' }).end()
-    })
+  const metrics = createServer()
+  trackCallerConnections(metrics, {
+    onRequest (request, response) {
+      request.resume()
+      options.renderMetrics().then((text) => {
+        response.writeHead(200, { 'Content-Type': options.metricsContentType }).end(text)
+      }, (error: unknown) => {
+        options.onFault(error)
+        response.writeHead(500, { 'Content-Length': '0' }).end()
+      })
+    }
   })
   /**
    * Keeps the connection for as long as its response announced. Node.js announces the timeout in force when the request
