--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -4,7 +4,7 @@
 import { MAX_TIMER_MS } from '../constants'
 import { trackCallerConnections } from '../http/callerConnections'
 import type { Endpoint } from '../types'
-import type { EdgeLog } from './events'
+import { EdgeEvent, type EdgeLog } from './events'
 import { openListener, type Listener } from './listener'
 import type { CallerLimits } from './types'
 
@@ -46,6 +46,8 @@
    * are still accepted.
    */
   closeIdle: () => void
+  /** From now on the last response on each connection announces its end. */
+  announceClose: () => void
   /** Whether responses to callers wait in the process, because the callers read slowly. */
   hasUnsentBytes: () => boolean
   close: () => void
@@ -62,23 +64,25 @@
     requestTimeout: REQUEST_TIMEOUT_MS,
     maxHeaderSize: MAX_HEADER_BYTES,
     noDelay: true
-  }, (request, response) => {
-    response.sendDate = false
-    keepAsAnnounced(request, response, callers.keepAliveTimeout)
-    options.onRequest(request, response)
   })
-  const readiness = createServer((request, response) => {
-    request.resume()
-    response.writeHead(options.isReady() ? 200 : 503, { 'Content-Length': '0' }).end()
+  const readiness = createServer()
+  trackCallerConnections(readiness, {
+    onRequest (request, response) {
+      request.resume()
+      response.writeHead(options.isReady() ? 200 : 503, { 'Content-Length': '0' }).end()
+    }
   })
-  const metrics = createServer((request, response) => {
-    request.resume()
-    options.renderMetrics().then((text) => {
-      response.writeHead(200, { 'Content-Type': options.metricsContentType }).end(text)
-    }, (error: unknown) => {
-      options.onFault(error)
-      response.writeHead(500, { 'Content-Length': '0' }).end()
-    })
+  const metrics = createServer()
+  trackCallerConnections(metrics, {
+    onRequest (request, response) {
+      request.resume()
+      options.renderMetrics().then((text) => {
+        response.writeHead(200, { 'Content-Type': options.metricsContentType }).end(text)
+      }, (error: unknown) => {
+        options.onFault(error)
+        response.writeHead(500, { 'Content-Length': '0' }).end()
+      })
+    }
   })
   /**
    * Keeps the connection for as long as its response announced. Node.js announces the timeout in force when the request
@@ -98,7 +102,16 @@
     setImmediate(() => { if (socket.bytesRead === bytesRead) socket.destroy() })
   })
   const listeners: Listener[] = []
-  const connections = trackCallerConnections(callers)
+  const connections = trackCallerConnections(callers, {
+    onRequest (request, response) {
+      response.sendDate = false
+      keepAsAnnounced(request, response, callers.keepAliveTimeout)
+      options.onRequest(request, response)
+    },
+    onClosing: (reason, responsesInProgress) => {
+      options.log(EdgeEvent.callerConnectionClosing, { reason, responsesInProgress })
+    }
+  })
 
   async function open (server: Server, endpoint: Endpoint): Promise<void> {
     const listener = openListener(server, { endpoint, backlog: LISTEN_BACKLOG, log: options.log })
@@ -118,6 +131,7 @@
       callers.keepAliveTimeout = clampTimer(idleTimeout + KEEP_ALIVE_MARGIN_MS)
     },
     closeIdle: connections.closeIdle,
+    announceClose: connections.announceClose,
     hasUnsentBytes: connections.hasUnsentBytes,
     close () {
       for (const listener of listeners) listener.close()
