--- a/src/edge/__tests__/lifeRules.ts
+++ b/src/edge/__tests__/lifeRules.ts
@@ -83,13 +83,26 @@
   return isCut || events.length === request.events ? undefined : `only ${events.length} events arrive`
 }
 
-function isNotCut (life: Life): string | undefined {
+function describeCut (life: Life): string | undefined {
   const { at, isCut, isAnyListed, hasCrash } = endOf(life)
   if (!isCut || life.caller.headAt === undefined || at >= limitOf(life)) return undefined
   if (isKeyWithdrawn(life, at) || !isAnyListed || hasCrash || endedByUpstreams(life)) return undefined
   return `a begun stream is cut with ${limitOf(life) - at} ms left`
 }
 
+function hasFailedAttempt ({ attempts }: Life): boolean {
+  return attempts.some(({ end }) => OWN_ENDS.includes(end))
+}
+
+function isNotCutAtSoundUpstreams (life: Life): string | undefined {
+  return hasFailedAttempt(life) ? undefined : describeCut(life)
+}
+
+/** Stricter than LOST, which excuses any cut after an upstream broke off. */
+function isNotCutAfterFailure (life: Life): string | undefined {
+  return hasFailedAttempt(life) ? describeCut(life) : undefined
+}
+
 function isNotGivenUp (life: Life): string | undefined {
   const { at, hasCrash } = endOf(life)
   if (hasCrash) return undefined
@@ -149,7 +162,7 @@
   const { at, hasCrash, isAnyListed } = endOf(life)
   if (kind !== RequestKind.safe || status !== 502 || at >= limitOf(life)) return undefined
   if (hasCrash || !isAnyListed || isKeyWithdrawn(life, at)) return undefined
-  if (attempts.some(({ end }) => OWN_ENDS.includes(end))) return undefined
+  if (hasFailedAttempt(life)) return undefined
   const first = attempts.find(({ end }) => !UNSENT_ENDS.includes(end))
   const wouldAnswer = (first?.completesAt ?? Infinity) < limitOf(life)
   return wouldAnswer ? `it is answered 502 at ${at} ms, its first upstream would answer at ${first!.completesAt} ms` : undefined
@@ -163,7 +176,8 @@
 
 export const LIFE_RULES: Readonly<Record<string, Rule>> = {
   'ends once, in time, with a whole answer, a refusal or a cut': endsOnce,
-  'is not cut before its time limit once its stream has begun': isNotCut,
+  'is not cut once its stream has begun at sound upstreams': isNotCutAtSoundUpstreams,
+  'is not cut after an upstream failed it if its route permits another attempt': isNotCutAfterFailure,
   'is not given up at an upstream before another one answers': isNotGivenUp,
   'is not worked on by two upstreams for long if it is a stream': isNotRunTwiceAtOnce,
   'begins at no more upstreams than its route permits': keepsAttempts,
