serve: do not end a begun stream by limits that are meant for new work

Callers saw: a stream that had begun was cut with seconds or minutes left, because its engine had reset the connection and the other engines were full.

Cause: a refusal counted as one of the four attempts of a request, so that three refusals ended the stream within milliseconds; and it waited for an engine with room no longer than new work may wait in the queue.

Why it works: once a part of the response is delivered, only attempts that may have reached an engine count, so that at most four runs of a stream are started as before. Refusals are followed by a pause that grows by 100 ms to 1 s, and the wait for an engine ends with the time limit of the request. The last attempt is kept for an engine that has not failed the stream.

--- a/src/gateway/__tests__/dispatcher.test.ts
+++ b/src/gateway/__tests__/dispatcher.test.ts
@@ -38,6 +38,7 @@
     cost: 10,
     deadline: time + 10_000,
     exclude: [],
+    excludeStrictly: [],
     fingerprint: identifier,
     verdict: () => ({ kind: 'clear' }),
     isResumption: false,
@@ -136,6 +137,14 @@
     expect((await placeAll(work('r2', { exclude: ['e1'] })))[0]).toMatchObject({ upstream: 'e2' })
   })
 
+  it('uses a strictly excluded upstream only if no other is usable', async () => {
+    addEngine('e1')
+    const excluded = { exclude: ['e1', 'e2'], excludeStrictly: ['e1'] }
+    expect((await placeAll(work('r1', excluded)))[0]).toMatchObject({ upstream: 'e1' })
+    addEngine('e2')
+    expect((await placeAll(work('r2', excluded)))[0]).toMatchObject({ upstream: 'e2' })
+  })
+
   // Guards against two requests that compute the same cold prefix concurrently.
   it('lets only one request at a time compute a cold prefix', async () => {
     addEngine('e1')
--- a/src/gateway/completionRun.ts
+++ b/src/gateway/completionRun.ts
@@ -1,4 +1,5 @@
 /** Runs one admitted completion: makes attempts, relays chunks, resumes interrupted streams and retries. */
+import { setTimeout as sleep } from 'node:timers/promises'
 import { CrashingRequestError, InternalError, RouterError } from '../errors'
 import { LogEvent } from '../observability/events'
 import type { EventLog, Metrics } from '../observability/events'
@@ -54,6 +55,8 @@
   outputTokens: number
 }
 
+type FurtherStep = Exclude<NextStep, { kind: 'giveUp' }>
+
 /** Properties of the request that are the same for all attempts. */
 export interface RunContext {
   job: CompletionJob
@@ -84,12 +87,11 @@
     const assembler = createStreamAssembler(identifier)
     const failures: AttemptFailure[] = []
     let version = options.chooseVersion(job.request.model, undefined)
-    let step: Exclude<NextStep, { kind: 'giveUp' }> | undefined
+    let step: FurtherStep | undefined
 
     for (let number = 1; ; number += 1) {
-      const isResumption = step?.kind === 'resume'
       const attempt = await startAttempt(
-        context, number, version, step === undefined ? [] : step.exclude, isResumption, failures
+        context, number, version, step, failures
       )
       const handle = crashes.started(fingerprint, attempt.placement.upstream, attempt.placement.incarnation)
       let handleOpen = true
@@ -146,13 +148,15 @@
   }
 
   async function startAttempt (
-    context: RunContext, number: number, version: string, exclude: readonly string[], isResumption: boolean,
+    context: RunContext, number: number, version: string, step: FurtherStep | undefined,
     failures: readonly AttemptFailure[]
   ): Promise<Attempt> {
     const { job, promptTokens, maximumOutputTokens } = context
     const { request, caller, identifier } = job
     const scope = { customer: caller.customer, model: request.model, adapter: request.adapter, version }
     const blockKeys = options.blockKeys(scope, request.prompt)
+    const isResumption = step?.kind === 'resume'
+    if (isResumption) await pause(step.pauseMilliseconds, job.signal)
     const placement = await dispatcher.place({
       identifier,
       customer: caller.customer,
@@ -161,8 +165,10 @@
       adapter: request.adapter,
       routing: { blockKeys, promptTokens },
       cost: promptTokens + maximumOutputTokens,
-      deadline: now() + options.maximumWait,
-      exclude,
+      // The wait of new work is limited, that of a stream which has begun only by the time limit of its request.
+      deadline: isResumption ? context.startedAt + options.timeouts.whole : now() + options.maximumWait,
+      exclude: step?.exclude ?? [],
+      excludeStrictly: isResumption ? step.excludeStrictly : [],
       fingerprint: job.fingerprint,
       verdict: () => crashes.verdict(job.fingerprint, now()),
       isResumption
@@ -264,6 +270,10 @@
   }
 }
 
+async function pause (milliseconds: number, signal: AbortSignal): Promise<void> {
+  if (milliseconds > 0) await sleep(milliseconds, undefined, { signal }).catch(() => { throw signal.reason })
+}
+
 function createFinalPiece (context: RunContext, chunk: CompletionChunk, usage: RunUsage): CompletionPiece {
   return {
     text: chunk.text,
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -30,6 +30,8 @@
   deadline: MonotonicMilliseconds
   /** Upstreams that have failed this request. They are used again only if no other upstream is available. */
   exclude: readonly string[]
+  /** Upstreams that are used only if no other is available, not even one of `exclude`. */
+  excludeStrictly: readonly string[]
   /** Fingerprint of the request content. Requests with a suspect fingerprint run on one upstream at a time. */
   fingerprint: string
   /** Returns the current crash verdict on the fingerprint, which may change while the work is queued. */
@@ -99,7 +101,9 @@
     const all = registry.candidates(work.model, work.version, work.adapter, time)
       .filter((candidate) => verdict.kind !== 'suspect' || !verdict.avoid.includes(candidate.upstream))
     const others = all.filter((candidate) => !work.exclude.includes(candidate.upstream))
-    return others.length > 0 ? others : all
+    if (others.length > 0) return others
+    const remaining = all.filter((candidate) => !work.excludeStrictly.includes(candidate.upstream))
+    return remaining.length > 0 ? remaining : all
   }
 
   function canStart (work: DispatchWork, time: MonotonicMilliseconds): boolean {
--- a/src/request/__tests__/nextStep.test.ts
+++ b/src/request/__tests__/nextStep.test.ts
@@ -9,6 +9,7 @@
 const notSent = { upstream: 'a', progress: 'notSent' as const, reportedFailure: false }
 const outcomeUnknown = { upstream: 'b', progress: 'maybeStarted' as const, reportedFailure: false }
 const failureReported = { upstream: 'c', progress: 'started' as const, reportedFailure: true }
+const lostAt = (upstream: string) => ({ ...outcomeUnknown, upstream })
 const base: RequestProgress = {
   idempotent: true, failures: [notSent], deliveredChunks: 0, deadline: 1000, callerDisconnected: false, crashing: false
 }
@@ -30,6 +31,22 @@
     ['restarts on another upstream', {}, true, { kind: 'restart', exclude: ['a'] }],
     ['resumes a started stream', { deliveredChunks: 3, failures: [outcomeUnknown] }, true, { kind: 'resume', exclude: ['b'] }],
     ['resumes without a retry token', { deliveredChunks: 3, failures: [outcomeUnknown] }, false, { kind: 'resume' }],
+    // Guards against a stream that is cut because upstreams are full, with time left.
+    ['resumes a started stream after any number of refusals, with a pause',
+      { deliveredChunks: 3, failures: [outcomeUnknown, ...Array(9).fill(notSent)] }, true,
+      { kind: 'resume', exclude: ['b', 'a'], pauseMilliseconds: 900 }],
+    ['resumes without a pause after a lost connection', { deliveredChunks: 3, failures: [notSent, outcomeUnknown] }, true,
+      { kind: 'resume', pauseMilliseconds: 0 }],
+    ['does not return to an upstream that failed the stream after one refusal', { deliveredChunks: 3, failures: [outcomeUnknown, notSent] }, true,
+      { kind: 'resume', excludeStrictly: ['b'] }],
+    ['may return to it after two', { deliveredChunks: 3, failures: [outcomeUnknown, notSent, notSent] }, true,
+      { kind: 'resume', excludeStrictly: [] }],
+    ['keeps the last attempt for another upstream',
+      { deliveredChunks: 3, failures: [lostAt('b'), lostAt('c'), lostAt('d'), notSent, notSent] }, true,
+      { kind: 'resume', excludeStrictly: ['b', 'c', 'd'] }],
+    ['stops a started stream after the last attempt that was sent',
+      { deliveredChunks: 3, failures: Array(MAXIMUM_ATTEMPTS).fill(outcomeUnknown) }, true,
+      { kind: 'giveUp', reason: AbortReason.attemptsUsed, execution: 'unknown' }],
     ['does not restart without a retry token', {}, false, { kind: 'giveUp', reason: AbortReason.retryBudget, execution: 'not_run' }],
     ['never repeats a non-idempotent request that may have run', { idempotent: false, failures: [outcomeUnknown] }, true,
       { kind: 'giveUp', reason: AbortReason.notRepeatable, execution: 'unknown' }],
--- a/src/request/nextStep.ts
+++ b/src/request/nextStep.ts
@@ -3,9 +3,19 @@
 import { executionOf } from './execution'
 import type { AttemptFailure } from './execution'
 
-/** Maximum number of attempts for one request, including the first. */
+/**
+ * Maximum number of attempts for one request, including the first. Once a part of the response was delivered, attempts
+ * that were certainly not sent do not count: an upstream that is full would otherwise end a stream with time left.
+ */
 export const MAXIMUM_ATTEMPTS = 4
 
+/** Added to the pause before a started stream is sent again, for each refusal in a row, and the maximum pause. */
+const REFUSAL_PAUSE_MS = 100
+const MAXIMUM_REFUSAL_PAUSE_MS = 1000
+
+/** Number of refusals in a row after which a started stream may return to an upstream that has failed it. */
+const REFUSALS_BEFORE_RETURN = 2
+
 /** Reason why no further attempt is made. */
 export const AbortReason = {
   notRepeatable: 'not_repeatable',
@@ -33,8 +43,11 @@
   | { kind: 'giveUp', reason: AbortReason, execution: ExecutionStatus }
   /** Restart the request on any version, since the caller has received nothing yet. */
   | { kind: 'restart', exclude: readonly string[] }
-  /** Resume after the last delivered chunk on the same version. */
-  | { kind: 'resume', exclude: readonly string[] }
+  /**
+   * Resume after the last delivered chunk on the same version, after `pauseMilliseconds`. Upstreams in `excludeStrictly`
+   * are used only if no other is usable; those in `exclude`, only if no other than these is.
+   */
+  | { kind: 'resume', exclude: readonly string[], excludeStrictly: readonly string[], pauseMilliseconds: number }
 
 /**
  * Decides the next step. `takeRetryToken` is called at most once, and only when everything else permits another
@@ -48,17 +61,43 @@
   const reason = abortReason(progress, now)
   if (reason !== undefined) return { kind: 'giveUp', reason, execution }
   const hasToken = takeRetryToken()
-  const exclude = [...new Set(progress.failures.map((failure) => failure.upstream))]
-  if (progress.deliveredChunks > 0) return { kind: 'resume', exclude }
+  const exclude = upstreamsOf(progress.failures)
+  if (progress.deliveredChunks > 0) return resumeStep(progress.failures, exclude)
   return hasToken ? { kind: 'restart', exclude } : { kind: 'giveUp', reason: AbortReason.retryBudget, execution }
 }
 
+function upstreamsOf (failures: readonly AttemptFailure[]): readonly string[] {
+  return [...new Set(failures.map(({ upstream }) => upstream))]
+}
+
+/** Returns the attempts that may have reached an upstream. */
+function sentAttempts (failures: readonly AttemptFailure[]): readonly AttemptFailure[] {
+  return failures.filter(({ progress }) => progress !== 'notSent')
+}
+
+/**
+ * Returns the resumption of a started stream. Its last attempt is kept for an upstream that has not failed it, because
+ * an upstream that resets each attempt would otherwise use up all of them while others are full.
+ */
+function resumeStep (failures: readonly AttemptFailure[], exclude: readonly string[]): NextStep {
+  const sent = sentAttempts(failures)
+  const refusalsInRow = failures.length - 1 - failures.findLastIndex(({ progress }) => progress !== 'notSent')
+  const mayReturn = refusalsInRow >= REFUSALS_BEFORE_RETURN && sent.length < MAXIMUM_ATTEMPTS - 1
+  return {
+    kind: 'resume',
+    exclude,
+    excludeStrictly: mayReturn ? [] : upstreamsOf(sent),
+    pauseMilliseconds: Math.min(MAXIMUM_REFUSAL_PAUSE_MS, refusalsInRow * REFUSAL_PAUSE_MS)
+  }
+}
+
 function abortReason (progress: RequestProgress, now: MonotonicMilliseconds): AbortReason | undefined {
   if (progress.callerDisconnected) return AbortReason.callerDisconnected
   if (progress.crashing) return AbortReason.crashing
-  const mayHaveRun = progress.failures.some((failure) => failure.progress !== 'notSent')
-  if (!progress.idempotent && mayHaveRun) return AbortReason.notRepeatable
-  if (progress.failures.length >= MAXIMUM_ATTEMPTS) return AbortReason.attemptsUsed
+  const sent = sentAttempts(progress.failures)
+  if (!progress.idempotent && sent.length > 0) return AbortReason.notRepeatable
+  const counted = progress.deliveredChunks > 0 ? sent : progress.failures
+  if (counted.length >= MAXIMUM_ATTEMPTS) return AbortReason.attemptsUsed
   if (now >= progress.deadline) return AbortReason.deadline
   return undefined
 }
