serve: keep the attempt at a silent engine until another one has begun to answer

Callers saw: streams were cut, and completions that had not begun got 502 or 504, when an engine was silent for longer than between_chunks (or first_byte) and would have gone on, while the other engines were full, refused, reset the connection, were silent too or did not exist, or while the retry budget was used up.

Cause: the attempt was ended at the limit, before it was known whether another engine takes the completion over.

Why it works: the limits now only mark an attempt as silent. The engine is probed, and while all attempts are silent a further one is sent beside them, if the retry budget permits it and an engine has room at that moment. The first attempt that answers ends the others at once, so that two engines never work on one stream after the second has begun to answer. At most three attempts run by choice; the fourth is kept for failures. A silent engine gets the completion again only if it answers the probe and no other engine is usable. An attempt whose process has ended, as the probe shows, fails as before.

--- a/src/configuration/settings.ts
+++ b/src/configuration/settings.ts
@@ -47,7 +47,7 @@
   attempt: {
     connect: entry(duration(10, MINUTE), '1s', 'Time limit for connecting to an upstream.'),
     first_byte: entry(duration(10, HOUR), '10s', 'Time limit until the first byte of an answer.'),
-    between_chunks: entry(duration(10, HOUR), '2s', 'Time limit between two chunks of a stream.'),
+    between_chunks: entry(duration(10, HOUR), '2s', 'Silence of a stream after which another engine is asked as well.'),
     whole: entry(duration(100, DAY), '10m', 'Time limit of a whole attempt.')
   },
   queue: {
--- a/src/gateway/__tests__/scriptedEngines.ts
+++ b/src/gateway/__tests__/scriptedEngines.ts
@@ -44,6 +44,7 @@
   request: IncomingMessage
   response: ServerResponse
   run: EngineRun
+  server: Server
 }
 
 export type Behaviour = (call: EngineCall) => Promise<void>
@@ -146,7 +147,7 @@
       const run: EngineRun = { engine: name, resumeFrom: order.resumeFrom, firstChunkAt: undefined, endedAt: undefined }
       response.on('close', () => { run.endedAt = now() })
       runs.push(run)
-      behave({ order, request, response, run }).catch(() => {})
+      behave({ order, request, response, run, server }).catch(() => {})
     })
   })
   await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
--- a/src/gateway/attemptOutcome.ts
+++ b/src/gateway/attemptOutcome.ts
@@ -33,6 +33,16 @@
 /** Retry-After in seconds for a request whose attempts have all failed. */
 const FAILED_RETRY_SECONDS = 1
 
+/** What a probe on a new connection tells about an upstream. */
+export const Liveness = {
+  /** The process that runs the attempt responds. */
+  alive: 'alive',
+  /** The process has ended: connections are refused, or another process responds. */
+  ended: 'ended',
+  unknown: 'unknown'
+} as const
+export type Liveness = typeof Liveness[keyof typeof Liveness]
+
 export interface AttemptTarget {
   upstream: string
   endpoint: Endpoint
@@ -58,38 +68,59 @@
   handleFailure: (
     requestIdentifier: string, attempt: number, place: AttemptTarget, handle: AttemptHandle, error: unknown
   ) => Promise<AttemptFailure>
+  /** Probes the upstream of an attempt that is silent and updates the registry. Never rejects. */
+  checkSilent: (target: AttemptTarget) => Promise<Liveness>
+  /** Updates the registry after an upstream that was silent has gone on. */
+  handleProgress: (target: AttemptTarget) => void
+  /** Ends an attempt that was replaced by another one, or was sent beside one that has gone on. */
+  handleCancelled: (
+    requestIdentifier: string, attempt: number, target: AttemptTarget, handle: AttemptHandle, replacedBy: number
+  ) => AttemptFailure
 }
 
 export function createAttemptOutcomes (options: AttemptOutcomeOptions): AttemptOutcomes {
   const { client, registry, crashes, log, metrics, now } = options
 
   /**
-   * Probes the upstream on a new connection. If the connection is refused or another process responds, the upstream has
-   * died. A connection reset is inconclusive, because the operating system may close the connections of a dying process
+   * Probes the upstream on a new connection. If the connection is refused or another process responds, the upstream's
+   * process has ended. A connection reset is inconclusive, because the operating system may close the connections of a dying process
    * before its listener, so the probe is repeated.
    */
-  async function isDead ({ upstream, endpoint, incarnation }: AttemptTarget): Promise<boolean> {
+  async function probe ({ upstream, endpoint, incarnation }: AttemptTarget): Promise<Liveness> {
     const deadline = now() + LIVENESS_CHECK_TIMEOUT_MS
     while (true) {
       try {
         const currentIncarnation = await client.probe(endpoint)
         registry.recordSuccess(upstream, now(), currentIncarnation)
-        return currentIncarnation !== incarnation && incarnation !== 0
+        return currentIncarnation !== incarnation && incarnation !== 0 ? Liveness.ended : Liveness.alive
       } catch (error) {
         const isTimeout = error instanceof UpstreamTimeoutError
         const wasRefused = progressOf(error) === 'notSent' && !isTimeout
         if (wasRefused || isTimeout || now() + RESET_PROBE_INTERVAL_MS >= deadline) {
           registry.recordFailure(upstream, now())
-          return wasRefused
+          return wasRefused ? Liveness.ended : Liveness.unknown
         }
       }
       await sleep(RESET_PROBE_INTERVAL_MS)
     }
   }
 
+  /** Probes of silent upstreams in progress. All streams of an upstream fall silent at the same time. */
+  const silentProbes = new Map<string, Promise<Liveness>>()
+
+  async function probeOnce (target: AttemptTarget): Promise<Liveness> {
+    const key = `${target.upstream}/${target.incarnation}`
+    let running = silentProbes.get(key)
+    if (running === undefined) {
+      running = probe(target).finally(() => { silentProbes.delete(key) })
+      silentProbes.set(key, running)
+    }
+    return await running
+  }
+
   async function reportIfDead (target: AttemptTarget): Promise<void> {
     const { upstream, incarnation } = target
-    if (!await isDead(target)) return
+    if (await probe(target) !== Liveness.ended) return
     const notices = crashes.upstreamDied(upstream, incarnation, now())
     if (notices.length === 0) return
     log(LogEvent.crashCounted, { upstream, incarnation, requests: notices.length }, 'warn')
@@ -99,8 +130,8 @@
   return {
     async handleFailure (requestIdentifier, attempt, target, handle, error) {
       const { upstream, endpoint, incarnation } = target
-      const progress = progressOf(error)
-      const reportedFailure = error instanceof RouterError && error.execution === ExecutionStatus.failed
+      const failure = failureOf(upstream, error)
+      const { progress, reportedFailure } = failure
       const code = error instanceof RouterError ? error.code : 'internal'
       log(LogEvent.attemptFailed, {
         requestIdentifier, attempt, upstream, errorCode: code, progress, message: String((error as Error).message)
@@ -123,11 +154,32 @@
         await Promise.race([check, new Promise<void>((resolve) => { timer = setTimeout(resolve, limit) })])
         clearTimeout(timer)
       }
-      return { upstream, progress, reportedFailure }
+      return failure
+    },
+    async checkSilent (target) {
+      registry.recordFailure(target.upstream, now())
+      const liveness = await probeOnce(target)
+      // A process that is leaving may have closed its listener while its streams go on.
+      const isLeaving = registry.upstream(target.upstream, now())?.leaving ?? false
+      return liveness === Liveness.ended && isLeaving ? Liveness.unknown : liveness
+    },
+    handleProgress ({ upstream, incarnation }) {
+      registry.recordSuccess(upstream, now(), incarnation)
+    },
+    handleCancelled (requestIdentifier, attempt, { upstream, endpoint }, handle, replacedBy) {
+      log(LogEvent.attemptCancelled, { requestIdentifier, attempt, upstream, replacedBy })
+      handle.ended(false)
+      client.cancel(endpoint, requestIdentifier, attempt).catch(() => {})
+      return { upstream, progress: 'maybeStarted', reportedFailure: false }
     }
   }
 }
 
+export function failureOf (upstream: string, error: unknown): AttemptFailure {
+  const reportedFailure = error instanceof RouterError && error.execution === ExecutionStatus.failed
+  return { upstream, progress: progressOf(error), reportedFailure }
+}
+
 /** Returns the error that the caller receives after the last attempt. */
 export function finalError (step: NextStep & { kind: 'giveUp' }, last: unknown): RouterError {
   const options = { execution: step.execution, cause: last }
--- a/src/gateway/completionExecutor.ts
+++ b/src/gateway/completionExecutor.ts
@@ -9,7 +9,8 @@
 import { ExecutionStatus } from '../types'
 import type { FleetConfiguration, ModelConfiguration, MonotonicMilliseconds } from '../types'
 import type { Admission } from './admission'
-import type { createCompletionRun, RunUsage } from './completionRun'
+import type { RunUsage } from './completionAttempt'
+import type { createCompletionRun } from './completionRun'
 import type { CompletionExecutor, CompletionJob } from './completionTypes'
 
 export interface CompletionExecutorOptions {
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -32,6 +32,8 @@
   exclude: readonly string[]
   /** Upstreams that are used only if no other is available, not even one of `exclude`. */
   excludeStrictly: readonly string[]
+  /** Upstreams that are not used at all. @default none */
+  avoid?: readonly string[]
   /** Fingerprint of the request content. Requests with a suspect fingerprint run on one upstream at a time. */
   fingerprint: string
   /** Returns the current crash verdict on the fingerprint, which may change while the work is queued. */
@@ -72,6 +74,10 @@
    * `CrashingRequestError` or the signal's reason.
    */
   place: (work: DispatchWork, signal: AbortSignal) => Promise<Placement>
+  /** Returns whether `placeNow` would place the work. */
+  canPlaceNow: (work: DispatchWork) => boolean
+  /** Places the work on an upstream that has room now. Returns undefined if there is none or if others are queued. */
+  placeNow: (work: DispatchWork) => Placement | undefined
   /** Starts or rejects queued work where possible. Called on upstream state changes and about every 50 ms. */
   pump: () => void
   /** Returns the number of waiting work items. */
@@ -100,6 +106,7 @@
     if (verdict.kind === 'suspect' && (suspectStarted || runningByFingerprint.has(work.fingerprint))) return []
     const all = registry.candidates(work.model, work.version, work.adapter, time)
       .filter((candidate) => verdict.kind !== 'suspect' || !verdict.avoid.includes(candidate.upstream))
+      .filter((candidate) => work.avoid === undefined || !work.avoid.includes(candidate.upstream))
     const others = all.filter((candidate) => !work.exclude.includes(candidate.upstream))
     if (others.length > 0) return others
     const remaining = all.filter((candidate) => !work.excludeStrictly.includes(candidate.upstream))
@@ -148,7 +155,19 @@
     return true
   }
 
-  function createPlacement (entry: Entry, decision: RoutingDecision, startedAt: MonotonicMilliseconds): Placement {
+  function canPlaceNow (work: DispatchWork): boolean {
+    return (work.isResumption || queue.size() === 0) && canStart(work, now())
+  }
+
+  function placeNow (work: DispatchWork): Placement | undefined {
+    if (!canPlaceNow(work)) return undefined
+    const time = now()
+    const decision = options.choose(work.routing, candidatesOf(work, time), index, time, options.random)
+    if (decision === undefined || !options.limitOf(decision.upstream).tryAcquire()) return undefined
+    return createPlacement({ work, arrivedAt: time }, decision, time)
+  }
+
+  function createPlacement (entry: Pick<Entry, 'work' | 'arrivedAt'>, decision: RoutingDecision, startedAt: MonotonicMilliseconds): Placement {
     const { work: { identifier, routing, isResumption, fingerprint } } = entry
     const { upstream, incarnation, expectedBlocks } = decision
     const endpoint = registry.upstream(upstream, startedAt)?.endpoint
@@ -321,6 +340,8 @@
         enqueue(entry)
       })
     },
+    canPlaceNow,
+    placeNow,
     pump,
     size: () => entries.size
   }
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -11,6 +11,8 @@
   requestFailed: 'request.failed',
   requestCancelled: 'request.cancelled',
   attemptFailed: 'attempt.failed',
+  attemptSilent: 'attempt.silent',
+  attemptCancelled: 'attempt.cancelled',
   attemptResumed: 'attempt.resumed',
   upstreamFound: 'upstream.found',
   upstreamLost: 'upstream.lost',
--- a/src/request/nextStep.ts
+++ b/src/request/nextStep.ts
@@ -66,7 +66,27 @@
   return hasToken ? { kind: 'restart', exclude } : { kind: 'giveUp', reason: AbortReason.retryBudget, execution }
 }
 
-function upstreamsOf (failures: readonly AttemptFailure[]): readonly string[] {
+/**
+ * Returns whether another attempt may run beside `running` silent ones. The last attempt is kept for the case that all of
+ * them fail, since it would otherwise be missing then because of silences after which the upstreams went on.
+ */
+export function mayRunBeside (
+  { failures, deadline, crashing }: Pick<RequestProgress, 'failures' | 'deadline' | 'crashing'>, running: number,
+  now: MonotonicMilliseconds
+): boolean {
+  return !crashing && now < deadline && sentAttempts(failures).length + running < MAXIMUM_ATTEMPTS - 1
+}
+
+/** Returns the pause in milliseconds after the refusals since the last attempt that was sent. */
+export function refusalPause (failures: readonly AttemptFailure[]): number {
+  return Math.min(MAXIMUM_REFUSAL_PAUSE_MS, refusalsInRow(failures) * REFUSAL_PAUSE_MS)
+}
+
+function refusalsInRow (failures: readonly AttemptFailure[]): number {
+  return failures.length - 1 - failures.findLastIndex(({ progress }) => progress !== 'notSent')
+}
+
+export function upstreamsOf (failures: readonly AttemptFailure[]): readonly string[] {
   return [...new Set(failures.map(({ upstream }) => upstream))]
 }
 
@@ -81,13 +101,12 @@
  */
 function resumeStep (failures: readonly AttemptFailure[], exclude: readonly string[]): NextStep {
   const sent = sentAttempts(failures)
-  const refusalsInRow = failures.length - 1 - failures.findLastIndex(({ progress }) => progress !== 'notSent')
-  const mayReturn = refusalsInRow >= REFUSALS_BEFORE_RETURN && sent.length < MAXIMUM_ATTEMPTS - 1
+  const mayReturn = refusalsInRow(failures) >= REFUSALS_BEFORE_RETURN && sent.length < MAXIMUM_ATTEMPTS - 1
   return {
     kind: 'resume',
     exclude,
     excludeStrictly: mayReturn ? [] : upstreamsOf(sent),
-    pauseMilliseconds: Math.min(MAXIMUM_REFUSAL_PAUSE_MS, refusalsInRow * REFUSAL_PAUSE_MS)
+    pauseMilliseconds: refusalPause(failures)
   }
 }
 
--- a/src/upstream/completionStream.ts
+++ b/src/upstream/completionStream.ts
@@ -12,7 +12,7 @@
 import { checkEcho, ERROR_RESPONSE_LIMIT, parseJson, readBody, throwIfRejected, validateResponse } from './response'
 import { createServerSentEventParser } from './serverSentEvents'
 import type { ServerSentEvent } from './serverSentEvents'
-import type { AttemptTimeouts, CompletionChunk, EngineCompletionRequest } from './types'
+import type { AttemptTimeouts, CompletionChunk, EngineCompletionRequest, SilenceHandler } from './types'
 
 /** Bytes buffered ahead of the consumer. A small buffer propagates backpressure to the engine quickly. */
 const READ_AHEAD_BYTES = 16_384
@@ -43,7 +43,8 @@
   endpoint: Endpoint,
   request: EngineCompletionRequest,
   timeouts: AttemptTimeouts,
-  signal: AbortSignal
+  signal: AbortSignal,
+  onSilence?: SilenceHandler
 ): AsyncGenerator<CompletionChunk, void, undefined> {
   const exchange = await startExchange(connections, {
     endpoint,
@@ -57,7 +58,7 @@
     },
     body: JSON.stringify(request),
     highWaterMark: READ_AHEAD_BYTES
-  }, timeouts, signal)
+  }, timeouts, signal, onSilence)
   const reader = createChunkReader(request)
   try {
     await checkResponseHead(exchange, request)
--- a/src/upstream/engineClient.ts
+++ b/src/upstream/engineClient.ts
@@ -8,7 +8,7 @@
 import { streamCompletion } from './completionStream'
 import { startExchange } from './exchange'
 import { checkEcho, errorCodeOf, parseJson, readBody, throwIfRejected, validateResponse } from './response'
-import type { AttemptTimeouts, ServiceResponse, ServiceCall, UpstreamClient } from './types'
+import type { AttemptTimeouts, ServiceResponse, ServiceCall, SilenceHandler, UpstreamClient } from './types'
 
 export { progressOf, reportsLeaving } from './attempt'
 
@@ -80,7 +80,7 @@
   }
 
   async function call (
-    endpoint: Endpoint, call: ServiceCall, timeouts: AttemptTimeouts, signal: AbortSignal
+    endpoint: Endpoint, call: ServiceCall, timeouts: AttemptTimeouts, signal: AbortSignal, onSilence?: SilenceHandler
   ): Promise<ServiceResponse> {
     const exchange = await startExchange(connections, {
       endpoint,
@@ -88,7 +88,7 @@
       path: call.path,
       headers: forwardedHeaders(call),
       ...(call.body.length === 0 ? {} : { body: call.body })
-    }, timeouts, signal)
+    }, timeouts, signal, onSilence)
     try {
       checkEcho(exchange, call.requestIdentifier, call.attempt, false)
       await throwIfRejected(exchange)
@@ -104,7 +104,8 @@
   }
 
   return {
-    complete: (endpoint, order, timeouts, signal) => streamCompletion(connections, endpoint, order, timeouts, signal),
+    complete: (endpoint, order, timeouts, signal, onSilence) =>
+      streamCompletion(connections, endpoint, order, timeouts, signal, onSilence),
     call,
     async cancel (endpoint, requestIdentifier, attempt) {
       const path = `/completions/${encodeURIComponent(requestIdentifier)}/${attempt}`
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -1,7 +1,8 @@
 /** HTTP exchange with an upstream, subject to the four time limits of an attempt. */
 import type { HttpConnections, ExchangeRequest, ExchangeResponse, ExchangeTrace } from '../http/connections'
 import type { RouterError } from '../errors'
-import type { AttemptProgress, AttemptTimeouts } from './types'
+import { SilenceLimit } from './types'
+import type { AttemptProgress, AttemptTimeouts, SilenceHandler } from './types'
 import { abortedError, connectionError, timeoutError } from './attempt'
 
 export interface UpstreamExchange {
@@ -33,14 +34,16 @@
 
 /**
  * Sends a request and resolves with the response once its headers have arrived. When a time limit is exceeded, the
- * pooled connections to the endpoint are discarded, because the other idle ones may be unresponsive as well.
+ * pooled connections to the endpoint are discarded, because the other idle ones may be unresponsive as well. `onSilence`
+ * may let the exchange go on after `firstByte` or `betweenChunks`.
  *
  * @throws `UpstreamTimeoutError` when a time limit is exceeded.
  * @throws `UpstreamFailedError` on any other failure.
  * @throws the reason of `signal` when it is aborted with a `RouterError`.
  */
 export async function startExchange (
-  connections: HttpConnections, request: UpstreamExchangeRequest, timeouts: AttemptTimeouts, signal?: AbortSignal
+  connections: HttpConnections, request: UpstreamExchangeRequest, timeouts: AttemptTimeouts, signal?: AbortSignal,
+  onSilence: SilenceHandler = () => false
 ): Promise<UpstreamExchange> {
   const abortController = new AbortController()
   const trace: ExchangeTrace = { sent: false }
@@ -59,13 +62,19 @@
     phase++
     clearTimeout(phaseTimer)
   }
-  function startPhase (limit: string, milliseconds: number): void {
+  function endOnSilence (limit: SilenceLimit): void {
+    if (onSilence(limit)) connections.abandon(request.endpoint)
+    else abortOnTimeout(limit)
+  }
+  function startPhase<Limit extends string> (
+    limit: Limit, milliseconds: number, onExceeded: (limit: Limit) => void
+  ): void {
     endPhase()
     const scheduledPhase = phase
     // When this process was suspended, the timer fires before the bytes received meanwhile are read. `setImmediate`
     // defers the check until the sockets have been polled once.
     phaseTimer = setTimeout(() => {
-      setImmediate(() => { if (phase === scheduledPhase) abortOnTimeout(limit) })
+      setImmediate(() => { if (phase === scheduledPhase) onExceeded(limit) })
     }, milliseconds)
   }
   const onAbort = (): void => abortController.abort()
@@ -86,8 +95,8 @@
   if (signal?.aborted === true) throw abortedError(signal, 'notSent')
   const totalTimer = setTimeout(() => abortOnTimeout('total'), timeouts.whole)
   signal?.addEventListener('abort', onAbort, { once: true })
-  startPhase('connect', timeouts.connect)
-  trace.onSent = () => startPhase('first byte', timeouts.firstByte)
+  startPhase('connect', timeouts.connect, abortOnTimeout)
+  trace.onSent = () => startPhase(SilenceLimit.firstByte, timeouts.firstByte, endOnSilence)
 
   let response: ExchangeResponse
   try {
@@ -105,7 +114,7 @@
     },
     async read () {
       // The limit covers only the time spent waiting for the upstream, not the time that a slow consumer takes.
-      if (started) startPhase('between chunks', timeouts.betweenChunks)
+      if (started) startPhase(SilenceLimit.betweenChunks, timeouts.betweenChunks, endOnSilence)
       try {
         const bytes = await response.body.read()
         if (started) endPhase()
--- a/src/upstream/types.ts
+++ b/src/upstream/types.ts
@@ -110,6 +110,19 @@
   whole: number
 }
 
+/** Limits after which an upstream that answers nothing counts as silent. */
+export const SilenceLimit = {
+  firstByte: 'first byte',
+  betweenChunks: 'between chunks'
+} as const
+export type SilenceLimit = typeof SilenceLimit[keyof typeof SilenceLimit]
+
+/**
+ * Called when the `firstByte` or the `betweenChunks` limit is exceeded. Returns true if the attempt goes on, then until
+ * the `whole` limit; otherwise it fails with `UpstreamTimeoutError`, which is also the default without a handler.
+ */
+export type SilenceHandler = (limit: SilenceLimit) => boolean
+
 /**
  * Progress of an attempt when it failed. `notSent` means that the upstream cannot have executed any part of the
  * request: the connection was refused or never opened, or the upstream rejected the request before running it.
@@ -123,10 +136,11 @@
 export interface UpstreamClient {
   /** Yields chunks as they arrive, with backpressure. Aborting the signal cancels the completion on the engine. */
   complete: (
-    endpoint: Endpoint, order: EngineCompletionRequest, timeouts: AttemptTimeouts, signal: AbortSignal
+    endpoint: Endpoint, order: EngineCompletionRequest, timeouts: AttemptTimeouts, signal: AbortSignal,
+    onSilence?: SilenceHandler
   ) => AsyncIterable<CompletionChunk>
   call: (
-    endpoint: Endpoint, call: ServiceCall, timeouts: AttemptTimeouts, signal: AbortSignal
+    endpoint: Endpoint, call: ServiceCall, timeouts: AttemptTimeouts, signal: AbortSignal, onSilence?: SilenceHandler
   ) => Promise<ServiceResponse>
   cancel: (endpoint: Endpoint, requestIdentifier: string, attempt: number) => Promise<void>
   report: (endpoint: Endpoint) => Promise<EngineReport>
