serve: keep a plain call at a silent service until another instance has answered

Callers saw: 502 or 504 for a call that may be repeated, when its instance was silent for longer than first_byte (or in the body for longer than between_chunks) and would have gone on, while the other instances refused, reset the connection, were silent too or did not exist, or while the retry budget was used up. A call that may not be repeated got 504 when its response paused for longer than between_chunks.

Cause: the attempt was ended at the limit, before it was known whether another instance answers.

Why it works: calls run in the race of attempts that completions have. The silent attempt goes on while another instance is asked, with a retry token and at most three at a time; the first whole response ends the others. A call that may not be repeated is never sent twice; it keeps first_byte as its time limit, and is waited for once its response has begun.

--- a/src/gateway/attemptOutcome.ts
+++ b/src/gateway/attemptOutcome.ts
@@ -30,6 +30,9 @@
 /** Interval in milliseconds between probes that were reset. A dying process closes its listener within milliseconds. */
 const RESET_PROBE_INTERVAL_MS = 20
 
+/** Interval in milliseconds between probes of an upstream that stays silent. */
+export const SILENCE_CHECK_INTERVAL_MS = 5000
+
 /** Retry-After in seconds for a request whose attempts have all failed. */
 const FAILED_RETRY_SECONDS = 1
 
@@ -166,10 +169,9 @@
     handleProgress ({ upstream, incarnation }) {
       registry.recordSuccess(upstream, now(), incarnation)
     },
-    handleCancelled (requestIdentifier, attempt, { upstream, endpoint }, handle, replacedBy) {
+    handleCancelled (requestIdentifier, attempt, { upstream }, handle, replacedBy) {
       log(LogEvent.attemptCancelled, { requestIdentifier, attempt, upstream, replacedBy })
       handle.ended(false)
-      client.cancel(endpoint, requestIdentifier, attempt).catch(() => {})
       return { upstream, progress: 'maybeStarted', reportedFailure: false }
     }
   }
--- a/src/gateway/completionRun.ts
+++ b/src/gateway/completionRun.ts
@@ -18,7 +18,7 @@
 import type { AttemptTimeouts, CompletionChunk, UpstreamClient } from '../upstream/types'
 import { ExecutionStatus } from '../types'
 import type { MonotonicMilliseconds } from '../types'
-import { failureOf, finalError, Liveness } from './attemptOutcome'
+import { failureOf, finalError, Liveness, SILENCE_CHECK_INTERVAL_MS } from './attemptOutcome'
 import type { AttemptOutcomes } from './attemptOutcome'
 import { createAttemptRace } from './attemptRace'
 import type { AttemptRace, AttemptSource } from './attemptRace'
@@ -47,9 +47,6 @@
 
 type FurtherStep = Exclude<NextStep, { kind: 'giveUp' }>
 
-/** Interval in milliseconds between probes of an upstream that stays silent. */
-const SILENCE_CHECK_INTERVAL_MS = 5000
-
 export function createCompletionRun (options: CompletionRunOptions) {
   const { dispatcher, client, outcomes, crashes, log, metrics, now } = options
   const { recordChunk, recordCompletion, recordAttempt, recordResume } = createCompletionRecords(options)
@@ -193,6 +190,7 @@
     const { identifier } = state.context.job
     const { number, placement, handle } = attempt
     state.failures.push(outcomes.handleCancelled(identifier, number, placement, handle, replacedBy))
+    client.cancel(placement.endpoint, identifier, number).catch(() => {})
   }
 
   function abandonAttempt ({ context }: RunState, { number, placement, handle }: Attempt): void {
--- a/src/gateway/serviceExecutor.ts
+++ b/src/gateway/serviceExecutor.ts
@@ -1,27 +1,21 @@
-/** Executes calls to plain services: crash check, quota admission, idempotency, instance selection, attempts, settlement. */
+/** Executes calls to plain services: crash check, quota admission, idempotency, run and settlement. */
 import {
-  IdempotencyConflictError, InvalidRequestError, NoUpstreamError, PlatformUnavailableError, RouterError
+  IdempotencyConflictError, InvalidRequestError, PlatformUnavailableError, RouterError
 } from '../errors'
 import { LogEvent } from '../observability/events'
-import type { EventLog, Metrics } from '../observability/events'
 import { MetricName } from '../observability/metrics'
 import type { QuotaAccounts } from '../quota/types'
-import type { AttemptFailure } from '../request/execution'
 import { reservationOwner } from '../request/idempotency'
 import type { IdempotencyGuard, Reservation } from '../request/idempotency'
-import { decideNextStep } from '../request/nextStep'
-import type { RetryBudget } from '../request/retryBudget'
-import type { CrashLedger } from '../upstream/crashLedger'
-import type { UpstreamRegistry, UpstreamView } from '../upstream/registryTypes'
-import type { AttemptTimeouts, ServiceResponse, UpstreamClient } from '../upstream/types'
+import type { ServiceResponse } from '../upstream/types'
 import { ExecutionStatus } from '../types'
-import type { MonotonicMilliseconds, RouteConfiguration, WallClockMilliseconds } from '../types'
+import type { RouteConfiguration, WallClockMilliseconds } from '../types'
 import type { Admission } from './admission'
-import { finalError } from './attemptOutcome'
-import type { AttemptOutcomes } from './attemptOutcome'
 import { rejectCrashingRequest } from './completionExecutor'
+import { createServiceRun } from './serviceRun'
+import type { ServiceRunOptions } from './serviceRun'
 
-/** Retry-After in seconds if no instance serves the route or the platform is unavailable. */
+/** Retry-After in seconds if the platform is unavailable. */
 const RETRY_SECONDS = 1
 
 const NOT_RUN = ExecutionStatus.notRun
@@ -44,24 +38,16 @@
 
 export type ServiceExecutor = (job: ServiceJob) => Promise<ServiceResponse>
 
-export interface ServiceExecutorOptions {
+export interface ServiceExecutorOptions extends ServiceRunOptions {
   admission: Admission
   accounts: Pick<QuotaAccounts, 'settle'>
-  crashes: CrashLedger
-  registry: UpstreamRegistry
-  retryBudget: RetryBudget
   guard: IdempotencyGuard
-  outcomes: AttemptOutcomes
-  client: Pick<UpstreamClient, 'call'>
-  timeouts: AttemptTimeouts
-  log: EventLog
-  metrics: Metrics
-  now: () => MonotonicMilliseconds
   wallClock: () => WallClockMilliseconds
 }
 
 export function createServiceExecutor (options: ServiceExecutorOptions): ServiceExecutor {
-  const { admission, accounts, crashes, registry, guard, log, metrics, now } = options
+  const { admission, accounts, crashes, guard, log, metrics, now } = options
+  const run = createServiceRun(options)
 
   /** Charges the route's cost and runs the call. The charge is refunded if the call certainly did not run. */
   async function runCharged (job: ServiceJob): Promise<ServiceResponse> {
@@ -80,7 +66,7 @@
 
   /** Reserves the idempotency key, if any, before running the call, so that no other instance runs the same request. */
   async function runGuarded (job: ServiceJob): Promise<ServiceResponse> {
-    if (job.idempotencyKey === undefined) return await attemptAll(job)
+    if (job.idempotencyKey === undefined) return await run(job)
     const owner = reservationOwner(job.customer, job.route.name)
     const outcome = await guard.reserve(owner, job.idempotencyKey, job.fingerprint, options.wallClock())
     switch (outcome.kind) {
@@ -105,7 +91,7 @@
   async function runReserved (job: ServiceJob, reservation: Reservation): Promise<ServiceResponse> {
     let response: ServiceResponse
     try {
-      response = await attemptAll(job)
+      response = await run(job)
     } catch (error) {
       // Unless the call certainly did not run, the reservation is kept, so that a retry cannot run it a second time.
       if (error instanceof RouterError && error.execution === NOT_RUN) await guard.release(reservation)
@@ -118,63 +104,6 @@
     return response
   }
 
-  async function attemptAll (job: ServiceJob): Promise<ServiceResponse> {
-    const { identifier, route, customer = '', method } = job
-    const failures: AttemptFailure[] = []
-    const startedAt = now()
-    let exclude: readonly string[] = []
-    for (let attempt = 1; ; attempt += 1) {
-      const target = chooseInstance(route, exclude, failures)
-      const { name: upstream, endpoint, incarnation } = target
-      if (attempt === 1) options.retryBudget.recordRequest(customer, upstream, now())
-      log(LogEvent.requestRouted, { requestIdentifier: identifier, attempt, customer, upstream, route: route.name })
-      metrics.increment(MetricName.attempts, { upstream })
-      const handle = crashes.started(job.fingerprint, upstream, incarnation)
-      registry.startWork(upstream, identifier, 0, now())
-      try {
-        const response = await options.client.call(endpoint, {
-          requestIdentifier: identifier, attempt, method, path: job.target, headers: job.headers, body: job.body
-        }, options.timeouts, job.signal)
-        handle.ended(true)
-        log(LogEvent.requestFinished, {
-          requestIdentifier: identifier, attempt, customer, upstream, route: route.name, status: response.status
-        })
-        return response
-      } catch (error) {
-        if (job.signal.aborted) {
-          handle.ended(false)
-          throw error
-        }
-        const failedTarget = { upstream, endpoint, incarnation }
-        failures.push(await options.outcomes.handleFailure(identifier, attempt, failedTarget, handle, error))
-        const step = decideNextStep({
-          idempotent: route.idempotentMethods.includes(method),
-          failures,
-          deliveredChunks: 0,
-          deadline: startedAt + options.timeouts.whole,
-          callerDisconnected: job.signal.aborted,
-          crashing: crashes.verdict(job.fingerprint, now()).kind === 'refused'
-        }, () => options.retryBudget.tryRetry(customer, upstream, now()), now())
-        if (step.kind === 'giveUp') throw finalError(step, error)
-        exclude = step.exclude
-      } finally {
-        registry.finishWork(upstream, identifier, now())
-      }
-    }
-  }
-
-  function chooseInstance (
-    route: RouteConfiguration, exclude: readonly string[], failures: readonly AttemptFailure[]
-  ): UpstreamView {
-    const all = registry.services(route.service, now())
-    const found = all.find((view) => !exclude.includes(view.name)) ?? all[0]
-    if (found !== undefined) return found
-    const sent = failures.some(({ progress }) => progress !== 'notSent')
-    throw new NoUpstreamError(`no instance of ${route.service} is available`, {
-      execution: sent ? ExecutionStatus.unknown : NOT_RUN, retryAfterSeconds: RETRY_SECONDS
-    })
-  }
-
   return async (job) => {
     const { identifier, customer = '', route } = job
     metrics.increment(MetricName.requests, { customer, route: route.name })
