serve: log which limit has ended a request

The log of a request that ended without a whole answer had the error code and the message of its last attempt, so that an incident could not tell whether the attempts, the retry budget, the queue or the time limit had ended it. A caller that did not read left no line at all, and a begun stream that found no engine until its time limit was logged as overloaded.

request.failed, request.refused and request.cancelled now have a reason from one constant object, which OPERATIONS.md lists; a test compares the two.

--- a/src/errors.ts
+++ b/src/errors.ts
@@ -1,4 +1,5 @@
 /** Error classes. Every failure that crosses a module boundary is an instance of one of them. */
+import type { EndReason } from './request/endReason'
 import type { ExecutionStatus } from './types'
 
 export interface RouterErrorOptions {
@@ -7,6 +8,8 @@
   /** Time in seconds after which a retry is reasonable. @default undefined */
   retryAfterSeconds?: number
   cause?: unknown
+  /** Limit or rule that ended the request, for the log. @default undefined */
+  reason?: EndReason
 }
 
 /** Base class with a stable machine-readable code, an HTTP status, and a human-readable message. */
@@ -15,12 +18,14 @@
   abstract readonly httpStatus: number
   readonly execution: ExecutionStatus | undefined
   readonly retryAfterSeconds: number | undefined
+  readonly reason: EndReason | undefined
 
   constructor (message: string, options: RouterErrorOptions = {}) {
     super(message, options.cause === undefined ? undefined : { cause: options.cause })
     this.name = new.target.name
     this.execution = options.execution
     this.retryAfterSeconds = options.retryAfterSeconds
+    this.reason = options.reason
   }
 }
 
--- a/src/gateway/__tests__/scriptedEngines.ts
+++ b/src/gateway/__tests__/scriptedEngines.ts
@@ -251,9 +251,11 @@
   return { execute, runs, received, logged }
 }
 
-export async function collect (execute: CompletionExecutor, signal = new AbortController().signal): Promise<string> {
-  const texts: string[] = []
-  const pieces: AsyncIterable<CompletionPiece> = execute({
+/** Starts one completion. */
+export function complete (
+  execute: CompletionExecutor, signal = new AbortController().signal
+): AsyncIterable<CompletionPiece> {
+  return execute({
     identifier: 'r1',
     caller: { customer: 'c', keyHash: '' },
     fingerprint: 'r1',
@@ -262,7 +264,12 @@
     },
     signal
   })
-  for await (const piece of pieces) texts.push(piece.text)
+}
+
+/** Returns the whole text of one completion. */
+export async function collect (execute: CompletionExecutor, signal?: AbortSignal): Promise<string> {
+  const texts: string[] = []
+  for await (const piece of complete(execute, signal)) texts.push(piece.text)
   return texts.join('')
 }
 
--- a/src/gateway/attemptOutcome.ts
+++ b/src/gateway/attemptOutcome.ts
@@ -8,7 +8,7 @@
 import { MetricName } from '../observability/metrics'
 import type { CrashNotice } from '../peer/messages'
 import type { AttemptFailure } from '../request/execution'
-import { AbortReason } from '../request/nextStep'
+import { EndReason } from '../request/endReason'
 import type { NextStep } from '../request/nextStep'
 import type { AttemptHandle, CrashLedger } from '../upstream/crashLedger'
 import type { UpstreamRegistry } from '../upstream/registryTypes'
@@ -184,8 +184,8 @@
 
 /** Returns the error that the caller receives after the last attempt. */
 export function finalError (step: NextStep & { kind: 'giveUp' }, last: unknown): RouterError {
-  const options = { execution: step.execution, cause: last }
-  if (step.reason === AbortReason.crashing) {
+  const options = { execution: step.execution, cause: last, reason: step.reason }
+  if (step.reason === EndReason.crashing) {
     return new CrashingRequestError('the request crashed the upstreams that ran it', options)
   }
   const message = last instanceof RouterError ? last.message : 'upstream failed'
--- a/src/gateway/completionExecutor.ts
+++ b/src/gateway/completionExecutor.ts
@@ -5,6 +5,7 @@
 import type { EventLog, Metrics } from '../observability/events'
 import { MetricName } from '../observability/metrics'
 import type { QuotaAccounts } from '../quota/types'
+import { EndReason } from '../request/endReason'
 import type { CrashLedger } from '../upstream/crashLedger'
 import { ExecutionStatus } from '../types'
 import type { FleetConfiguration, ModelConfiguration, MonotonicMilliseconds } from '../types'
@@ -35,6 +36,7 @@
     log(LogEvent.requestReceived, {
       requestIdentifier: identifier, customer, model: request.model, stream: request.stream
     })
+    let isSettled = false
     try {
       const model = findModel(options.configuration(), request.model)
       rejectCrashingRequest(crashes, job, now())
@@ -43,30 +45,52 @@
       const charge = await admission.admit(identifier, customer, promptTokens + maximumOutputTokens, job.signal)
       const usage: RunUsage = { sent: false, outputTokens: 0 }
       try {
-        yield * options.run({ job, promptTokens, maximumOutputTokens, startedAt }, usage)
+        for await (const piece of options.run({ job, promptTokens, maximumOutputTokens, startedAt }, usage)) {
+          if (piece.end !== undefined) isSettled = true
+          yield piece
+        }
       } finally {
         // Refunds the unused part of the charge, also if the caller disconnected or every attempt failed.
         accounts.settle(charge, usage.sent ? promptTokens + usage.outputTokens : 0, now())
         metrics.timing(MetricName.requestDuration, now() - startedAt, { customer, model: request.model })
       }
     } catch (error) {
+      isSettled = true
       reportError(job, error)
       throw error
+    } finally {
+      // The consumer has ended the generator, because the caller disconnected or did not read.
+      if (!isSettled) reportUnread(job)
     }
   }
 
+  function reportUnread (job: CompletionJob): void {
+    const { identifier, caller: { customer }, request, signal } = job
+    log(LogEvent.requestCancelled, {
+      requestIdentifier: identifier,
+      customer,
+      model: request.model,
+      reason: signal.aborted ? EndReason.callerDisconnected : EndReason.callerNotReading
+    })
+  }
+
   function reportError (job: CompletionJob, error: unknown): void {
     const { identifier, caller: { customer }, request, signal } = job
     const fields = { requestIdentifier: identifier, customer, model: request.model }
     if (signal.aborted && !(error instanceof RouterError)) {
-      log(LogEvent.requestCancelled, fields)
+      log(LogEvent.requestCancelled, { ...fields, reason: EndReason.callerDisconnected })
       return
     }
     const code = error instanceof RouterError ? error.code : 'internal'
     const execution = error instanceof RouterError ? error.execution : undefined
     const rejected = execution === ExecutionStatus.notRun
     log(rejected ? LogEvent.requestRefused : LogEvent.requestFailed, {
-      ...fields, errorCode: code, execution, message: error instanceof Error ? error.message : ''
+      ...fields,
+      errorCode: code,
+      execution,
+      // Errors without a reason come from one place each, which their code names.
+      reason: error instanceof RouterError ? error.reason ?? code : code,
+      message: error instanceof Error ? error.message : ''
     }, rejected ? 'info' : 'warn')
     metrics.increment(MetricName.refusals, { customer, code })
   }
@@ -84,6 +108,8 @@
   const verdict = crashes.verdict(fingerprint, now)
   if (verdict.kind !== 'refused') return
   throw new CrashingRequestError('the request crashed the upstreams that ran it', {
-    execution: ExecutionStatus.notRun, retryAfterSeconds: verdict.retryAfterMilliseconds / 1000
+    execution: ExecutionStatus.notRun,
+    retryAfterSeconds: verdict.retryAfterMilliseconds / 1000,
+    reason: EndReason.crashing
   })
 }
--- a/src/gateway/completionRun.ts
+++ b/src/gateway/completionRun.ts
@@ -3,12 +3,13 @@
  * attempts once another one has begun to answer.
  */
 import { setTimeout as sleep } from 'node:timers/promises'
-import { CrashingRequestError, RouterError } from '../errors'
+import { CrashingRequestError, RouterError, UpstreamTimeoutError } from '../errors'
 import { LogEvent } from '../observability/events'
 import { MetricName } from '../observability/metrics'
 import { cacheSaltOf } from '../prefix/blockKeys'
 import type { BlockKeyFunction } from '../prefix/types'
 import type { AttemptFailure } from '../request/execution'
+import { EndReason } from '../request/endReason'
 import { decideNextStep, mayRunBeside, refusalPause, upstreamsOf } from '../request/nextStep'
 import type { NextStep } from '../request/nextStep'
 import type { RetryBudget } from '../request/retryBudget'
@@ -234,7 +235,10 @@
       isResumption
     }
     const placement = await dispatcher.place(work, job.signal)
-      .catch((error: unknown) => { throw adjustExecutionStatus(error, failures) })
+      .catch((error: unknown) => {
+        if (isResumption && now() >= work.deadline) throw waitExceeded(error)
+        throw adjustExecutionStatus(error, failures)
+      })
     const attempt = createAttempt(state, work, placement, undefined)
     if (attempt.number === 1) options.retryBudget.recordRequest(job.caller.customer, placement.upstream, now())
     return attempt
@@ -385,6 +389,13 @@
   }
 }
 
+/** Returns the error for a stream that has begun and found no engine within its time limit. */
+function waitExceeded (cause: unknown): UpstreamTimeoutError {
+  return new UpstreamTimeoutError('no engine took the stream over within its time limit', {
+    execution: ExecutionStatus.unknown, cause, reason: EndReason.deadline
+  })
+}
+
 /** Replaces `not_run` by `unknown` in the error of a rejected attempt if an earlier attempt may have run. */
 function adjustExecutionStatus (error: unknown, failures: readonly AttemptFailure[]): unknown {
   if (!(error instanceof RouterError) || failures.every(({ progress }) => progress === 'notSent')) return error
@@ -392,6 +403,7 @@
   const options = {
     execution: ExecutionStatus.unknown,
     cause: error,
+    ...(error.reason === undefined ? {} : { reason: error.reason }),
     ...(error.retryAfterSeconds === undefined ? {} : { retryAfterSeconds: error.retryAfterSeconds })
   }
   if (error instanceof CrashingRequestError) return new CrashingRequestError(error.message, options)
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -7,6 +7,7 @@
 import type { ColdPrefixGate } from '../prefix/coldPrefix'
 import { mostCachedBlocks } from '../prefix/routing'
 import type { BlockIndex, RoutingCandidate, RoutingDecision, RoutingPolicy, RoutingRequest } from '../prefix/types'
+import { EndReason } from '../request/endReason'
 import type { CrashVerdict } from '../upstream/crashLedger'
 import type { UpstreamRegistry } from '../upstream/registryTypes'
 import { ExecutionStatus } from '../types'
@@ -225,10 +226,12 @@
     const served = registry.candidates(model, version, adapter, now()).length > 0
     entry.reject(served
       ? new OverloadedError('the expected queue wait exceeds the limit', {
-        execution: ExecutionStatus.notRun, retryAfterSeconds: retryAfterMilliseconds / 1000
+        execution: ExecutionStatus.notRun,
+        retryAfterSeconds: retryAfterMilliseconds / 1000,
+        reason: EndReason.queueWait
       })
       : new NoUpstreamError(`no engine serves ${model}@${version}`, {
-        execution: ExecutionStatus.notRun, retryAfterSeconds: NO_UPSTREAM_RETRY_SECONDS
+        execution: ExecutionStatus.notRun, retryAfterSeconds: NO_UPSTREAM_RETRY_SECONDS, reason: EndReason.noUpstream
       }))
   }
 
@@ -250,7 +253,9 @@
     queue.remove(entry.work.identifier)
     requeue(gate.settle(entry.work.identifier))
     entry.reject(new CrashingRequestError('the request crashed the upstreams that ran it', {
-      execution: ExecutionStatus.notRun, retryAfterSeconds: retryAfterMilliseconds / 1000
+      execution: ExecutionStatus.notRun,
+      retryAfterSeconds: retryAfterMilliseconds / 1000,
+      reason: EndReason.crashing
     }))
   }
 
--- a/src/gateway/serviceExecutor.ts
+++ b/src/gateway/serviceExecutor.ts
@@ -5,6 +5,7 @@
 import { LogEvent } from '../observability/events'
 import { MetricName } from '../observability/metrics'
 import type { QuotaAccounts } from '../quota/types'
+import { EndReason } from '../request/endReason'
 import { reservationOwner } from '../request/idempotency'
 import type { IdempotencyGuard, Reservation } from '../request/idempotency'
 import type { ServiceResponse } from '../upstream/types'
@@ -119,6 +120,9 @@
         customer,
         route: route.name,
         errorCode: isRouterError ? error.code : 'internal',
+        reason: job.signal.aborted
+          ? EndReason.callerDisconnected
+          : isRouterError ? error.reason ?? error.code : 'internal',
         execution: isRouterError ? error.execution : undefined,
         message: error instanceof Error ? error.message : ''
       }, rejected ? 'info' : 'warn')
--- a/src/gateway/serviceRun.ts
+++ b/src/gateway/serviceRun.ts
@@ -4,6 +4,7 @@
 import type { EventLog, Metrics } from '../observability/events'
 import { MetricName } from '../observability/metrics'
 import type { AttemptFailure } from '../request/execution'
+import { EndReason } from '../request/endReason'
 import { decideNextStep, mayRunBeside, refusalPause, upstreamsOf } from '../request/nextStep'
 import type { RetryBudget } from '../request/retryBudget'
 import { connectionError } from '../upstream/attempt'
@@ -217,7 +218,9 @@
     if (found !== undefined) return found
     const sent = failures.some(({ progress }) => progress !== 'notSent')
     throw new NoUpstreamError(`no instance of ${route.service} is available`, {
-      execution: sent ? ExecutionStatus.unknown : ExecutionStatus.notRun, retryAfterSeconds: RETRY_SECONDS
+      execution: sent ? ExecutionStatus.unknown : ExecutionStatus.notRun,
+      retryAfterSeconds: RETRY_SECONDS,
+      reason: EndReason.noUpstream
     })
   }
 
--- a/src/observability/__tests__/operationsPage.test.ts
+++ b/src/observability/__tests__/operationsPage.test.ts
@@ -1,6 +1,7 @@
 import { readdirSync, readFileSync } from 'node:fs'
 import { join } from 'node:path'
 import { describe, expect, it } from 'vitest'
+import { EndReason } from '../../request/endReason'
 import { LogEvent } from '../events'
 import { MetricName } from '../metrics'
 
@@ -51,6 +52,10 @@
     expect(tableRows('events').map(([name]) => unquote(name!))).toEqual(Object.values(LogEvent))
   })
 
+  it('lists exactly the reasons for which a request can end', () => {
+    expect(tableRows('reasons').map(([name]) => unquote(name!))).toEqual(Object.values(EndReason))
+  })
+
   it.each(Object.entries(LogEvent))('marks %s (%s) as not logged if and only if no code uses it', (key, name) => {
     const meaning = tableRows('events').find(([cell]) => unquote(cell!) === name)![1]
     expect(meaning === 'not logged').toBe(!new RegExp(`LogEvent\\.${key}\\b`).test(sources))
--- a/src/request/__tests__/nextStep.test.ts
+++ b/src/request/__tests__/nextStep.test.ts
@@ -1,6 +1,7 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { decideNextStep, AbortReason, MAXIMUM_ATTEMPTS } from '../nextStep'
+import { EndReason } from '../endReason'
+import { decideNextStep, MAXIMUM_ATTEMPTS } from '../nextStep'
 import type { RequestProgress } from '../nextStep'
 import { executionOf } from '../execution'
 import { createRetryBudget } from '../retryBudget'
@@ -46,17 +47,17 @@
       { kind: 'resume', excludeStrictly: ['b', 'c', 'd'] }],
     ['stops a started stream after the last attempt that was sent',
       { deliveredChunks: 3, failures: Array(MAXIMUM_ATTEMPTS).fill(outcomeUnknown) }, true,
-      { kind: 'giveUp', reason: AbortReason.attemptsUsed, execution: 'unknown' }],
-    ['does not restart without a retry token', {}, false, { kind: 'giveUp', reason: AbortReason.retryBudget, execution: 'not_run' }],
+      { kind: 'giveUp', reason: EndReason.attemptsUsed, execution: 'unknown' }],
+    ['does not restart without a retry token', {}, false, { kind: 'giveUp', reason: EndReason.retryBudget, execution: 'not_run' }],
     ['never repeats a non-idempotent request that may have run', { idempotent: false, failures: [outcomeUnknown] }, true,
-      { kind: 'giveUp', reason: AbortReason.notRepeatable, execution: 'unknown' }],
+      { kind: 'giveUp', reason: EndReason.notRepeatable, execution: 'unknown' }],
     ['repeats a non-idempotent request that was not sent', { idempotent: false }, true, { kind: 'restart' }],
-    ['stops at the deadline', { deadline: 10 }, true, { kind: 'giveUp', reason: AbortReason.deadline }],
+    ['stops at the deadline', { deadline: 10 }, true, { kind: 'giveUp', reason: EndReason.deadline }],
     ['stops for a crashing request', { crashing: true, failures: [outcomeUnknown, outcomeUnknown] }, true,
-      { kind: 'giveUp', reason: AbortReason.crashing, execution: 'unknown' }],
-    ['stops when the caller has disconnected', { callerDisconnected: true }, true, { kind: 'giveUp', reason: AbortReason.callerDisconnected }],
+      { kind: 'giveUp', reason: EndReason.crashing, execution: 'unknown' }],
+    ['stops when the caller has disconnected', { callerDisconnected: true }, true, { kind: 'giveUp', reason: EndReason.callerDisconnected }],
     ['stops after the last attempt', { failures: Array(MAXIMUM_ATTEMPTS).fill(notSent) }, true,
-      { kind: 'giveUp', reason: AbortReason.attemptsUsed, execution: 'not_run' }]
+      { kind: 'giveUp', reason: EndReason.attemptsUsed, execution: 'not_run' }]
   ])('%s', (_, change, token, expected) => {
     expect(decideNextStep({ ...base, ...change }, () => token, 10)).toMatchObject(expected)
   })
--- a/src/request/nextStep.ts
+++ b/src/request/nextStep.ts
@@ -1,5 +1,6 @@
 /** Decides the next step after a failed attempt: another attempt, a resumed stream, or the final error. */
 import type { ExecutionStatus, MonotonicMilliseconds } from '../types'
+import { EndReason } from './endReason'
 import { executionOf } from './execution'
 import type { AttemptFailure } from './execution'
 
@@ -16,17 +17,6 @@
 /** Number of refusals in a row after which a started stream may return to an upstream that has failed it. */
 const REFUSALS_BEFORE_RETURN = 2
 
-/** Reason why no further attempt is made. */
-export const AbortReason = {
-  notRepeatable: 'not_repeatable',
-  attemptsUsed: 'attempts_used',
-  deadline: 'deadline',
-  retryBudget: 'retry_budget',
-  crashing: 'crashing',
-  callerDisconnected: 'caller_gone'
-} as const
-export type AbortReason = typeof AbortReason[keyof typeof AbortReason]
-
 export interface RequestProgress {
   /** Whether repeating the request has no additional effect on the upstream. Completions are idempotent. */
   idempotent: boolean
@@ -40,7 +30,7 @@
 }
 
 export type NextStep =
-  | { kind: 'giveUp', reason: AbortReason, execution: ExecutionStatus }
+  | { kind: 'giveUp', reason: EndReason, execution: ExecutionStatus }
   /** Restart the request on any version, since the caller has received nothing yet. */
   | { kind: 'restart', exclude: readonly string[] }
   /**
@@ -58,12 +48,12 @@
   progress: RequestProgress, takeRetryToken: () => boolean, now: MonotonicMilliseconds
 ): NextStep {
   const execution = executionOf(progress.failures)
-  const reason = abortReason(progress, now)
+  const reason = endReason(progress, now)
   if (reason !== undefined) return { kind: 'giveUp', reason, execution }
   const hasToken = takeRetryToken()
   const exclude = upstreamsOf(progress.failures)
   if (progress.deliveredChunks > 0) return resumeStep(progress.failures, exclude)
-  return hasToken ? { kind: 'restart', exclude } : { kind: 'giveUp', reason: AbortReason.retryBudget, execution }
+  return hasToken ? { kind: 'restart', exclude } : { kind: 'giveUp', reason: EndReason.retryBudget, execution }
 }
 
 /**
@@ -110,13 +100,13 @@
   }
 }
 
-function abortReason (progress: RequestProgress, now: MonotonicMilliseconds): AbortReason | undefined {
-  if (progress.callerDisconnected) return AbortReason.callerDisconnected
-  if (progress.crashing) return AbortReason.crashing
+function endReason (progress: RequestProgress, now: MonotonicMilliseconds): EndReason | undefined {
+  if (progress.callerDisconnected) return EndReason.callerDisconnected
+  if (progress.crashing) return EndReason.crashing
   const sent = sentAttempts(progress.failures)
-  if (!progress.idempotent && sent.length > 0) return AbortReason.notRepeatable
+  if (!progress.idempotent && sent.length > 0) return EndReason.notRepeatable
   const counted = progress.deliveredChunks > 0 ? sent : progress.failures
-  if (counted.length >= MAXIMUM_ATTEMPTS) return AbortReason.attemptsUsed
-  if (now >= progress.deadline) return AbortReason.deadline
+  if (counted.length >= MAXIMUM_ATTEMPTS) return EndReason.attemptsUsed
+  if (now >= progress.deadline) return EndReason.deadline
   return undefined
 }
