serve: let requests with the same cold prefix start when the engine that computes it is silent

Callers saw: while a first request stood at a silent engine, each later request with the same uncached prefix waited for 1.5 s before it was sent.

Cause: an attempt counts as computing its prefix until its first token or its end.

Why it works: the prefix is released when the attempt is found silent, as after a failure; the first request that waits then computes it.

--- a/src/gateway/__tests__/externalCacheTransfer.test.ts
+++ b/src/gateway/__tests__/externalCacheTransfer.test.ts
@@ -39,6 +39,7 @@
     expectedBlocks: 0,
     queueWaitMilliseconds: 0,
     recordFirstToken () {},
+    releasePrefix () {},
     release () {}
   }
 }
--- a/src/gateway/__tests__/scriptedEngines.ts
+++ b/src/gateway/__tests__/scriptedEngines.ts
@@ -253,23 +253,25 @@
 
 /** Starts one completion. */
 export function complete (
-  execute: CompletionExecutor, signal = new AbortController().signal
+  execute: CompletionExecutor, signal = new AbortController().signal, identifier = 'r1', prompt = 'a prompt'
 ): AsyncIterable<CompletionPiece> {
   return execute({
-    identifier: 'r1',
+    identifier,
     caller: { customer: 'c', keyHash: '' },
-    fingerprint: 'r1',
+    fingerprint: identifier,
     request: {
-      style: 'chat', model: 'm', adapter: '', prompt: 'a prompt', maximumOutputTokens: undefined, stream: true, includeUsage: false
+      style: 'chat', model: 'm', adapter: '', prompt, maximumOutputTokens: undefined, stream: true, includeUsage: false
     },
     signal
   })
 }
 
 /** Returns the whole text of one completion. */
-export async function collect (execute: CompletionExecutor, signal?: AbortSignal): Promise<string> {
+export async function collect (
+  execute: CompletionExecutor, signal?: AbortSignal, identifier?: string, prompt?: string
+): Promise<string> {
   const texts: string[] = []
-  for await (const piece of complete(execute, signal)) texts.push(piece.text)
+  for await (const piece of complete(execute, signal, identifier, prompt)) texts.push(piece.text)
   return texts.join('')
 }
 
--- a/src/gateway/__tests__/silentEngine.test.ts
+++ b/src/gateway/__tests__/silentEngine.test.ts
@@ -86,4 +86,22 @@
     expect(fleet.runs.map(({ engine }) => engine)).toEqual(expect.arrayContaining(['e0', 'e1']))
     await expect.poll(() => fleet.runs.filter(({ endedAt }) => endedAt === undefined)).toEqual([])
   })
+
+  // Guards against requests with the same prefix that wait for an engine which computes nothing.
+  it('holds up no other request with the same cold prefix after its engine has fallen silent', async () => {
+    let calls = 0
+    const firstIsSilent: Behaviour = async (call) => {
+      await (calls++ === 0 ? silentBeforeAnswer(60_000)(call) : answers(call))
+    }
+    const fleet = await startFleet({ engines: { e0: firstIsSilent }, retryTokens: 0, maximumWait: 3000 })
+    const prompt = 'a long prompt '.repeat(1000)
+    const abort = new AbortController()
+    const silentRequest = expect(collect(fleet.execute, abort.signal, 'silent', prompt)).rejects.toThrow('end')
+    await expect.poll(() => fleet.logged.some(({ event }) => event === 'attempt.silent')).toBe(true)
+    const startedAt = now()
+    expect(await collect(fleet.execute, undefined, 'next', prompt)).toBe(WHOLE_TEXT)
+    expect(now() - startedAt).toBeLessThan(1000)
+    abort.abort(new Error('end'))
+    await silentRequest
+  })
 })
--- a/src/gateway/completionRun.ts
+++ b/src/gateway/completionRun.ts
@@ -69,6 +69,7 @@
       onSilence (attempt) {
         attempt.isSilent = true
         log(LogEvent.attemptSilent, { ...attemptFields(state, attempt), chunks: attempt.chunks })
+        attempt.placement.releasePrefix()
         checkSilent(attempt, race)
       },
       onProgress: ({ placement }) => { outcomes.handleProgress(placement) },
--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -53,6 +53,8 @@
   queueWaitMilliseconds: number
   /** Records the arrival of the first token. `cachedTokens` is the known or estimated number of cached prompt tokens. */
   recordFirstToken: (cachedTokens: number) => void
+  /** Lets requests with the same prefix start that wait for this one to compute it. */
+  releasePrefix: () => void
   /** Releases the slot on the upstream. `failed` is true if the upstream did not complete the request. */
   release: (failed: boolean) => void
 }
@@ -197,6 +199,10 @@
         settlePrefix()
         pump()
       },
+      releasePrefix () {
+        settlePrefix()
+        pump()
+      },
       release (failed) {
         if (released) return
         released = true
