--- a/playground/__tests__/testFleet.ts
+++ b/playground/__tests__/testFleet.ts
@@ -59,18 +59,18 @@
 }
 
 /** Starts the fleet and waits until every router serves. */
-export async function startTestFleet (routerCount: number): Promise<TestFleet> {
+export async function startTestFleet (routerCount: number, settings = SETTINGS): Promise<TestFleet> {
   if (!existsSync(`${PROGRAMS}/waxwingspoke`)) throw new InternalError('dist/waxwingspoke is missing: run npm run build first')
   const fleet = await startFleet({ programs: PROGRAMS })
   try {
-    return await fill(fleet, routerCount)
+    return await fill(fleet, routerCount, settings)
   } catch (error) {
     await fleet.stop()
     throw error
   }
 }
 
-async function fill (fleet: Fleet, routerCount: number): Promise<TestFleet> {
+async function fill (fleet: Fleet, routerCount: number, settings: string): Promise<TestFleet> {
   const engine = async (name: string): Promise<Upstream> => {
     return await fleet.startEngine({ name, dataCentre: 'north', parameters: ENGINE_PARAMETERS })
   }
@@ -78,7 +78,7 @@
   const engines: [Upstream, Upstream] = [await engine('engine-1'), await engine('engine-2')]
   const service = await fleet.startService({ name: 'ordering-1', dataCentre: 'north', service: 'ordering' })
   const startRouter: TestFleet['startRouter'] = async (name, more = {}) => {
-    return await fleet.startRouter({ name, dataCentre: 'north', settings: SETTINGS, ...more })
+    return await fleet.startRouter({ name, dataCentre: 'north', settings, ...more })
   }
   const routers: Router[] = []
   for (let index = 1; index <= routerCount; index++) routers.push(await startRouter(`router-${index}`))
