--- a/src/gateway/__tests__/scriptedEngines.ts
+++ b/src/gateway/__tests__/scriptedEngines.ts
@@ -33,13 +33,14 @@
 
 /** A run that an engine began, with the time of its first chunk and of its end. */
 export interface EngineRun {
+  request: string
   engine: string
   resumeFrom: number
   firstChunkAt: number | undefined
   endedAt: number | undefined
 }
 
-interface EngineCall {
+export interface EngineCall {
   order: EngineCompletionRequest
   request: IncomingMessage
   response: ServerResponse
@@ -78,8 +79,11 @@
   await new Promise((resolve) => setTimeout(resolve, milliseconds))
 }
 
-async function writeChunks ({ order, response, run }: EngineCall, from: number, to: number): Promise<void> {
+async function writeChunks (
+  { order, response, run }: EngineCall, from: number, to: number, beforeChunk = async (): Promise<void> => {}
+): Promise<void> {
   for (let index = from; index <= to; index++) {
+    await beforeChunk()
     if (response.destroyed) return
     run.firstChunkAt ??= now()
     const final = index === CHUNKS
@@ -98,9 +102,9 @@
   response.flushHeaders()
 }
 
-export const answers: Behaviour = async (call) => {
+export async function answers (call: EngineCall, beforeChunk?: () => Promise<void>): Promise<void> {
   begin(call)
-  await writeChunks(call, call.order.resumeFrom, CHUNKS)
+  await writeChunks(call, call.order.resumeFrom, CHUNKS, beforeChunk)
 }
 
 export const silentAfter = (chunks: number, milliseconds = SILENCE_MS): Behaviour => async (call) => {
@@ -144,7 +148,13 @@
       }
       received.set(name, (received.get(name) ?? 0) + 1)
       const order = JSON.parse(Buffer.concat(parts).toString('utf8')) as EngineCompletionRequest
-      const run: EngineRun = { engine: name, resumeFrom: order.resumeFrom, firstChunkAt: undefined, endedAt: undefined }
+      const run: EngineRun = {
+        request: order.requestIdentifier,
+        engine: name,
+        resumeFrom: order.resumeFrom,
+        firstChunkAt: undefined,
+        endedAt: undefined
+      }
       response.on('close', () => { run.endedAt = now() })
       runs.push(run)
       behave({ order, request, response, run, server }).catch(() => {})
