Let a stream return to upstreams that have had it, also after a refusal or a restart

Found by the review: begun streams waited until their time limit, and were cut, with all upstreams free. After a takeover, a stream goes on only at upstreams that have had it. One that refused a repeated attempt no longer counted as such, though it had run the stream before, and the next run of a restarted one never did. Attempts are now counted per upstream, a refusal takes back only its own, and the next run takes the place of the one that has ended.

--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -45,7 +45,7 @@
    * upstream, so that one crash at a time results
    */
   select: (now: Instant, suspectTrait?: string) => Target | undefined
-  /** Permits only upstreams that may have run the request, or all others too. */
+  /** Permits only upstreams that may have run the request, and runs that replaced them, or all others too. */
   restrictToFormer: (isRestricted: boolean) => void
   /**
    * Whether the request, which waits at an upstream that makes no progress, could go on at another one now. One that is
@@ -86,8 +86,8 @@
   const tried = new Map<string, MonotonicMilliseconds>()
   /** Random number that keeps all attempts on the same version of a service during a service rollout. */
   const versionDraw = context.random()
-  /** Runs that may have run the request. */
-  const former = new Set<string>()
+  /** Number of attempts at each upstream that may have run the request, by its identifier. */
+  const former = new Map<string, number>()
   let isRestricted = false
   let replicas = 1
   let denials = 0
@@ -98,8 +98,13 @@
     return loaded === undefined ? 0 : context.weightsRollout.supersededFor(model!, loaded, now)
   }
 
-  function isPermitted (run: string, now: MonotonicMilliseconds): boolean {
-    return (!isRestricted || former.has(run)) && now >= (tried.get(run) ?? -Infinity)
+  function isPermitted ({ entry }: Upstream, now: MonotonicMilliseconds): boolean {
+    const isFormer = (former.get(entry.identifier) ?? 0) > 0
+    return (!isRestricted || isFormer) && now >= (tried.get(runKey(entry)) ?? -Infinity)
+  }
+
+  function countFormer ({ entry: { identifier } }: Upstream, change: 1 | -1): void {
+    former.set(identifier, (former.get(identifier) ?? 0) + change)
   }
 
   function needsPermit ({ entry }: Upstream): boolean {
@@ -114,7 +119,7 @@
   function findCandidates (now: Instant): { candidates: readonly Upstream[], maximumPermitWait: number } {
     const maximumAge = context.outdatedWeightsLimit * OUTDATED_WEIGHTS_SHARE
     const usable = context.directory.usable(service, now.steady).filter((upstream) => (
-      isPermitted(runKey(upstream.entry), now.steady) && outdatedWeightsAge(upstream, now) < maximumAge
+      isPermitted(upstream, now.steady) && outdatedWeightsAge(upstream, now) < maximumAge
     ))
     // The version is chosen first: a request limit on one version must not move its traffic to the other one.
     const eligible = context.serviceRollouts.eligible(service, usable, versionDraw, now.steady)
@@ -158,11 +163,10 @@
     restrictToFormer (value) { isRestricted = value },
     markTried (upstream) {
       tried.set(runKey(upstream.entry), Infinity)
-      former.add(runKey(upstream.entry))
+      countFormer(upstream, 1)
     },
-    markUnsent (upstream) { former.delete(runKey(upstream.entry)) },
+    markUnsent (upstream) { countFormer(upstream, -1) },
     markTurnedAway (upstream, rejections, now) {
-      former.delete(runKey(upstream.entry))
       const pause = Math.min(MAX_TURNED_AWAY_PAUSE_MS, TURNED_AWAY_PAUSE_MS * 2 ** (rejections - 1))
       tried.set(runKey(upstream.entry), now + pause)
     },
