Let streams leave an upstream that is probably lost with more of the retry allowance

An attempt without progress for 1.5 s, longer than sound upstreams pause, now counts like one that has ended.

--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -94,6 +94,14 @@
   return idle >= limit || (isUpstreamSilent && idle > SILENT_UPSTREAM_MS)
 }
 
+/**
+ * Whether an attempt without progress has probably been lost; sound upstreams pause for about a second.
+ * @param idle milliseconds without progress
+ */
+export function isProbablyLost (idle: number): boolean {
+  return idle >= STALLED_STREAM_MS
+}
+
 /** Whether the request may run once more. */
 function mayRunAgain (history: AttemptHistory): boolean {
   const { runs, maximumAttempts, cancellations } = history
--- a/src/edge/continuation.ts
+++ b/src/edge/continuation.ts
@@ -3,7 +3,8 @@
 import { isStillAuthorized } from './admission'
 import type { Attempt } from './attempt'
 import {
-  AttemptOutcome, endsRequest, findObstacle, isStalled, Obstacle, type AttemptHistory
+  AttemptOutcome, endsRequest, findObstacle, isProbablyLost, isStalled, mayRunAgain, maySendAgain, Obstacle,
+  type AttemptHistory
 } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
 import type { CrashGuard } from './crashGuard'
@@ -57,13 +58,14 @@
     return callerResponse.hasStarted() || history.cancellations > 0
   }
 
-  function retryPurpose (): RetryPurpose {
-    if (attempt() !== undefined) return RetryPurpose.takeover
-    return isOwed() ? RetryPurpose.continuation : RetryPurpose.repetition
+  function retryPurpose (now: MonotonicMilliseconds): RetryPurpose {
+    const current = attempt()
+    if (current !== undefined && !isProbablyLost(now - current.lastProgressAt)) return RetryPurpose.takeover
+    return current === undefined && isOwed() ? RetryPurpose.continuation : RetryPurpose.repetition
   }
 
   function canSend (now: MonotonicMilliseconds): boolean {
-    return !hasArrived || retryAllowance.canRetry(service, retryPurpose(), share(), now)
+    return !hasArrived || retryAllowance.canRetry(service, retryPurpose(now), share(), now)
   }
 
   /** Returns the limit of time or retries that keeps the request from being sent once more; undefined if none does. */
@@ -79,7 +81,7 @@
   return {
     recordArrival () { hasArrived = true },
     canSend,
-    takeRetry: (now) => !hasArrived || retryAllowance.tryRetry(service, retryPurpose(), share(), now),
+    takeRetry: (now) => !hasArrived || retryAllowance.tryRetry(service, retryPurpose(now), share(), now),
     findEndAfter (outcome, now) {
       // The upstream may have crashed because of this request, and the next one might as well.
       if (outcome !== AttemptOutcome.notRun && crashGuard.mayCrashAgain(now)) return Obstacle.crashes
--- a/src/edge/retryAllowance.ts
+++ b/src/edge/retryAllowance.ts
@@ -8,9 +8,9 @@
 const USABLE_SHARE = 0.8
 /** What a retry is for, from the least to the most important. */
 export const RetryPurpose = {
-  /** Another upstream gets the request while an attempt without progress goes on. */
+  /** Another upstream gets the request while an attempt goes on that may only have paused. */
   takeover: 'takeover',
-  /** The request has no attempt in progress, and no part of its response has been sent. */
+  /** The attempt of the request has ended or is probably lost. */
   repetition: 'repetition',
   /** The response is cut off unless the request goes on at another upstream. */
   continuation: 'continuation'
