Let a begun stream leave a lost upstream more than once

Found by the review: a begun stream stayed at an upstream that was lost without a sign, and was cut at its time limit, while another one was free. Three refusals of takeovers ended all further ones, although refusals do not end an owed request; and an upstream that was replaced, or whose takeover was cancelled, stayed excluded while any attempt was in progress. A begun stream is now bound by the attempts of its route, the pauses after refusals and the allowance, and may go to an upstream again that is not that of its attempt.

--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -103,7 +103,7 @@
 }
 
 /** Whether the request may run once more. */
-function mayRunAgain (history: AttemptHistory): boolean {
+export function mayRunAgain (history: AttemptHistory): boolean {
   const { runs, maximumAttempts, cancellations } = history
   return mayRepeat(history) && runs < maximumAttempts + Math.min(MAX_REPEATED_RUNS, cancellations)
 }
--- a/src/edge/continuation.ts
+++ b/src/edge/continuation.ts
@@ -42,6 +42,8 @@
    * @param silenced the attempt, if its upstream is silent and may have crashed
    */
   canMove: (now: Instant, silenced?: Attempt) => boolean
+  /** Whether the request may be sent to another upstream while its attempt makes no progress. */
+  mayTakeOver: () => boolean
   isStalledAt: (attempt: Attempt, now: Instant) => boolean
   /** Whether the attempt in progress is not stalled, or no longer. */
   isProgressing: (now: Instant) => boolean
@@ -96,6 +98,7 @@
       timeLeft() > 0 && isStillAuthorized(context, admittedRequest, now) &&
       !crashGuard.mayCrashAgain(now.steady, silenced) && canSend(now.steady) && targets.canMove(now)
     ),
+    mayTakeOver: () => callerResponse.hasStarted() ? mayRunAgain(history) : maySendAgain(history),
     isStalledAt,
     isProgressing (now) {
       const current = attempt()
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -5,7 +5,7 @@
 import { openAttempt } from './attemptOpening'
 import { createAttemptPreparation } from './attemptPreparation'
 import {
-  AttemptOutcome, createAttemptHistory, executionStatus, isFailure, maySendAgain, mayRepeat, NOT_EXECUTED_STATUSES,
+  AttemptOutcome, createAttemptHistory, executionStatus, isFailure, mayRepeat, NOT_EXECUTED_STATUSES,
   Obstacle, provesSurvival
 } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
@@ -175,8 +175,9 @@
    */
   function takeOver (current: Attempt, now: Instant): void {
     if (successor !== undefined || preparation.isInProgress()) return
-    if (!maySendAgain(history) || !continuation.isStalledAt(current, now)) return
+    if (!continuation.mayTakeOver() || !continuation.isStalledAt(current, now)) return
     targets.restrictToFormer(history.runs >= history.maximumAttempts)
+    if (!targets.canMove(now)) targets.permitAgain(current.upstream)
     const isUpstreamSilent = isSilent(current.upstream, now.steady)
     continuation.recordArrival()
     if (!continuation.canMove(now, isUpstreamSilent ? current : undefined)) return
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -61,8 +61,11 @@
    * @param rejections number of times that the request has been turned away
    */
   markTurnedAway: (upstream: Upstream, rejections: number, now: MonotonicMilliseconds) => void
-  /** Permits all upstreams again that may have run the request or denied it a permit; it goes on where it can. */
-  permitAgain: () => void
+  /**
+   * Permits all upstreams again that may have run the request or denied it a permit; it goes on where it can.
+   * @param current upstream of the attempt in progress, which is not permitted
+   */
+  permitAgain: (current?: Upstream) => void
   /** Records that the upstream has no permit within the permitted wait; its next one is free in `wait` milliseconds. */
   recordDenial: (upstream: Upstream, wait: number, now: MonotonicMilliseconds) => void
   /** Returns why no upstream was selected, for the log. */
@@ -170,9 +173,10 @@
       const pause = Math.min(MAX_TURNED_AWAY_PAUSE_MS, TURNED_AWAY_PAUSE_MS * 2 ** (rejections - 1))
       tried.set(runKey(upstream.entry), now + pause)
     },
-    permitAgain () {
+    permitAgain (current) {
+      const kept = current === undefined ? undefined : runKey(current.entry)
       denials = 0
-      for (const [run, excludedUntil] of tried) if (excludedUntil === Infinity) tried.delete(run)
+      for (const [run, excludedUntil] of tried) if (excludedUntil === Infinity && run !== kept) tried.delete(run)
     },
     recordDenial (upstream, wait, now) {
       denials += 1
