Send a request again to its only upstream after a kept connection closed

Found by the review: with two attempts on its route, a request to the only upstream of a service got 502 at once when the upstream closed a kept connection as the request was sent; with one attempt it was sent again. That attempts are left was taken to mean that another upstream could get the request.

--- a/src/edge/attemptOpening.ts
+++ b/src/edge/attemptOpening.ts
@@ -34,6 +34,8 @@
   suspectTrait: string | undefined
   /** Number of engines that should hold the shared prefix, for the log. */
   replicas: number
+  /** Whether another upstream could get the request. */
+  hasOtherUpstream: (now: Instant) => boolean
   /** Identifier of the upstream of the attempt that this one takes over, for the log. */
   replaces: string | undefined
 }
@@ -55,7 +57,8 @@
     const present = context.now()
     const isCrossing = present.steady - now.steady <= CLOSE_CROSSING_MS
     const purpose = lastEvent === undefined ? RetryPurpose.repetition : RetryPurpose.continuation
-    const isPermitted = isCrossing && mayRepeat(history) && !maySendAgain(history) &&
+    const mayGoElsewhere = maySendAgain(history) && options.hasOtherUpstream(present)
+    const isPermitted = isCrossing && mayRepeat(history) && !mayGoElsewhere &&
       options.suspectTrait === undefined && !context.sendPermits.isNeeded(upstream.entry) &&
       isStillAuthorized(context, admittedRequest, present) &&
       context.retryAllowance.tryRetry(service, purpose, context.share(), present.steady)
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -143,6 +143,7 @@
       lastEvent: eventBoundary?.lastEvent(),
       suspectTrait: crashGuard.suspectTrait(now.steady),
       replicas: targets.replicas(),
+      hasOtherUpstream: targets.canMove,
       replaces: attempt?.upstream.entry.identifier
     }, {
       onConnected () { current.connectedAt = context.now().steady },
