Soak: silence of several full upstreams, refusals beside silence, later bytes on a connection

The soak had one silent upstream at a time, allowances that were rarely used up, and no caller that sends more bytes than its request. fullAfterSilence makes several upstreams of a service silent at once and full when they go on, beside changes of the configuration; refusalsBesideSilence lets refusals use up the retry allowance; laterBytes sends half a head, or bytes that are no request, after a whole request that is in progress.

--- a/playground/soak/faults.ts
+++ b/playground/soak/faults.ts
@@ -24,6 +24,8 @@
   noteLimit: (limit: NamedLimit) => void
   /** Notes that something was disturbed until now. */
   noteDisturbance: (disturbance: Disturbance) => void
+  /** Sends a request to a router on a connection of its own, and these bytes after it, before its answer. */
+  callWithBytes: (router: RouterProcess, bytes: string) => Promise<void>
 }
 
 export type Fault = (context: FaultContext) => Promise<void>
@@ -86,10 +88,13 @@
   for (const { standIn } of awake) standIn.isPaused = false
 }
 
-async function fill ({ random, pause }: FaultContext, upstreams: readonly Upstream[]): Promise<void> {
+/** @param beside what the upstreams stay full for at least */
+async function fill (
+  { random, pause }: FaultContext, upstreams: readonly Upstream[], beside?: Promise<void>
+): Promise<void> {
   const free = upstreams.filter(({ standIn }) => standIn.maximumAtWork === Infinity)
   for (const { standIn } of free) standIn.maximumAtWork = 1 + Math.floor(3 * random())
-  await pause(1000 + 2000 * random())
+  await Promise.all([beside, pause(1000 + 2000 * random())])
   for (const { standIn } of free) standIn.maximumAtWork = Infinity
 }
 
@@ -100,6 +105,13 @@
   }
 }
 
+const sameService = ({ world }: FaultContext, chosen: Upstream): Upstream[] => {
+  return world.upstreams.filter(({ service }) => service === chosen.service)
+}
+
+/** What callers send after a whole request: half a head, and bytes that are no request. */
+const LATER_BYTES = ['GET /lookup/2 HTTP/1.1\r\nHost: shop', 'no request\r\n\r\n']
+
 const link = (fault: LinkFault): Fault => async ({ world, random, pause, noteDisturbance }) => {
   const upstreams = world.upstreams.map((upstream) => ({ proxy: upstream.proxy, subject: processOf(upstream) }))
   const stores = [...world.storeProxies.values()].map((proxy) => ({ proxy, subject: 'store' }))
@@ -156,16 +168,51 @@
   async upstreamSilence (context) {
     const { random, world: { upstreams } } = context
     const chosen = pick(upstreams, random)
-    await silence(context, random() < 0.5 ? [chosen] : upstreams.filter(({ service }) => service === chosen.service))
+    await silence(context, random() < 0.5 ? [chosen] : sameService(context, chosen))
   },
   async upstreamFull (context) { await fill(context, [pick(context.world.upstreams, context.random)]) },
   /** Requests that leave the silent upstream meet full ones, while the configuration changes. */
   async silenceBesideFull (context) {
     const { random, world: { upstreams } } = context
     const chosen = pick(upstreams, random)
-    const others = upstreams.filter((one) => one !== chosen && one.service === chosen.service)
+    const others = sameService(context, chosen).filter((one) => one !== chosen)
     await Promise.all([silence(context, [chosen]), fill(context, others), configureOften(context)])
   },
+  /** Requests that leave silent upstreams meet others that are silent too, and full when they go on. */
+  async fullAfterSilence (context) {
+    const { random, world: { upstreams } } = context
+    const chosen = pick(upstreams, random)
+    const all = sameService(context, chosen)
+    const silent = random() < 0.5 ? all : all.filter((one) => one !== chosen)
+    await Promise.all([fill(context, all, silence(context, silent)), configureOften(context)])
+  },
+  /** Refusals use up the retry allowance of the routers while an upstream is silent. */
+  async refusalsBesideSilence (context) {
+    const { random, pause, world: { upstreams } } = context
+    const chosen = pick(upstreams, random)
+    const others = sameService(context, chosen).filter((one) => one !== chosen)
+    const silent = silence(context, [chosen])
+    for (let left = 10 + Math.floor(20 * random()); left > 0; left -= 1) {
+      for (const { standIn } of others) standIn.isFull = random() < 0.5
+      await pause(100)
+    }
+    for (const { standIn } of others) standIn.isFull = false
+    await silent
+  },
+  /** Requests that a silence keeps in progress while later bytes on their connections are read, or are late themselves. */
+  async laterBytes (context) {
+    const { world, random, pause } = context
+    const routers = running(context)
+    const calls = Array.from({ length: 8 }, async () => {
+      await pause(300 * random())
+      await context.callWithBytes(pick(routers, random), pick(LATER_BYTES, random))
+    })
+    const silent = silence(context, world.upstreams)
+    await pause(400)
+    world.configure(world.keys(), 200 + 400 * random())
+    await Promise.all([...calls, silent])
+    world.configure(world.keys())
+  },
   async requestLimit ({ world, random, pause, noteLimit }) {
     const upstream = pick(world.upstreams, random)
     const perSecond = pick([0.5, 1, 2], random)
--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -93,9 +93,9 @@
     await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
   }
 
-  async function call (router: RouterProcess): Promise<void> {
+  async function call (router: RouterProcess, laterBytes?: string): Promise<void> {
     count += 1
-    const identifier = `soak-${seed}-${count}`
+    const identifier = `${laterBytes === undefined ? 'soak' : 'later'}-${seed}-${count}`
     const kind = (['stream', 'stream', 'safe', 'unsafe'] as const)[Math.floor(random() * 4)]!
     const keys = ['bakery-key', LIMITED.key, ISOLATED_KEY, ...world.keys(), ...revoked.keys()]
     const path = PATHS[kind][Math.floor(random() * PATHS[kind].length)]!
@@ -105,7 +105,8 @@
       path,
       key: keys[Math.floor(random() * keys.length)]!,
       scopePart: `part-${Math.floor(random() * 3)}`,
-      leaveAfter: kind === 'stream' && random() < LEAVING_PART ? 20 + 300 * random() : undefined
+      leaveAfter: kind === 'stream' && random() < LEAVING_PART ? 20 + 300 * random() : undefined,
+      laterBytes
     }))
   }
 
@@ -156,7 +157,8 @@
     noteDeadly: (path) => { deadlyPaths.add(path) },
     noteRevoked: (key) => { revoked.set(key, performance.now()) },
     noteLimit: (limit) => { limits.push(limit) },
-    noteDisturbance: (disturbance) => { disturbances.push(disturbance) }
+    noteDisturbance: (disturbance) => { disturbances.push(disturbance) },
+    callWithBytes: call
   }
 
   async function breakThings (): Promise<void> {
--- a/playground/soak/world.ts
+++ b/playground/soak/world.ts
@@ -28,6 +28,10 @@
 /** Milliseconds from a crash that a request causes to the start of the next process. */
 const CRASH_RESTART_MS = 2500
 
+const HEADER_TIMEOUT_MS = 3000
+/** Milliseconds from a request to the bytes that follow it; shorter than a plain answer takes. */
+const LATER_BYTES_MS = 10
+
 const ROUTES = [
   { name: 'sheet', prefix: '/sheet/', kind: 'streaming', service: 'engines', timeoutMs: STREAM_LIMIT_MS, maxAttempts: 1 },
   { name: 'chat', prefix: '/chat/', kind: 'streaming', service: 'engines', timeoutMs: STREAM_LIMIT_MS, maxAttempts: 2, resumable: true },
@@ -76,8 +80,11 @@
   version: () => number
   /** The keys of the customer whose keys change. */
   keys: () => readonly string[]
-  /** Writes a configuration with one more version and these keys. */
-  configure: (keys: readonly string[]) => void
+  /**
+   * Writes a configuration with one more version and these keys.
+   * @param headerTimeoutMs milliseconds in which callers must send a whole head
+   */
+  configure: (keys: readonly string[], headerTimeoutMs?: number) => void
   nameWeights: (version: number) => void
   startRouter: (name: string) => Promise<RouterProcess>
   isReady: (router: RouterProcess) => Promise<boolean>
@@ -99,6 +106,8 @@
   scopePart: string
   /** Milliseconds after which the caller breaks off. */
   leaveAfter?: number
+  /** Sent after the whole request on its connection, which is not used again. */
+  laterBytes?: string
 }
 
 /** @param routerCount number of routers */
@@ -177,7 +186,7 @@
     upstreams[index] = await placeUpstream(before.service, before.standIn.identifier, before.starts + 1)
   }
 
-  function configure (next: readonly string[]): void {
+  function configure (next: readonly string[], headerTimeoutMs = HEADER_TIMEOUT_MS): void {
     keys = next
     version += 1
     const open = Array.from({ length: version }, (_unused, index) => ({
@@ -201,7 +210,7 @@
         { name: 'forge', apiKeys: [ISOLATED_KEY], isolated: true, ...unlimited },
         { name: 'guild', apiKeys: next, ...unlimited }
       ],
-      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs, idleTimeoutMs: 15_000 }
     })
   }
 
@@ -261,7 +270,7 @@
   }
 
   async function call (router: RouterProcess, options: WorldCall): Promise<SeenRequest> {
-    const { identifier, path, kind, key, scopePart, leaveAfter } = options
+    const { identifier, path, kind, key, scopePart, leaveAfter, laterBytes } = options
     const seen: SeenRequest = {
       identifier,
       kind,
@@ -284,7 +293,7 @@
       }
       const outgoing = request({
         ...router.caller,
-        agent,
+        agent: laterBytes === undefined ? agent : false,
         path,
         method: body === undefined ? 'GET' : 'POST',
         headers: {
@@ -295,6 +304,7 @@
           ...(kind === 'stream' ? { Model: 'small' } : {}),
           'Token-Usage': '100,10',
           'Prompt-Prefix': `${scopePart}:50,own:50`,
+          Connection: 'keep-alive',
           ...(body === undefined ? {} : { 'Content-Length': String(body.length) })
         }
       }, (response) => {
@@ -309,6 +319,10 @@
       })
       // Status 0 tells that the connection broke.
       outgoing.on('error', () => { if (seen.status === 0) end() })
+      if (laterBytes !== undefined) {
+        // A pause, so that the router reads the request on its own.
+        outgoing.on('finish', () => { setTimeout(() => { outgoing.socket?.write(laterBytes) }, LATER_BYTES_MS) })
+      }
       if (leaveAfter !== undefined) {
         setTimeout(() => {
           if (seen.endedAt !== 0) return
