Soak: each whole request is answered, no 502 to a safe request without cause, no foreign errors

answered: a connection on which a whole request was read does not end without an answer, not only around stops. safeFailures: a safe request gets no 502 before its time limit unless one of its runs was faulted or disturbed. own and trueRefusals cover errors as well: one that does not name the request, such as the 400 or 408 for bytes that follow it, is not its answer, and says wrongly that the request has not run. Callers no longer wait for one of eight connections to a router, so that a request starts when it is sent. An upstream that is being restarted is read once. All violations of a run are written to its logs.

--- a/playground/__tests__/soakChecks.test.ts
+++ b/playground/__tests__/soakChecks.test.ts
@@ -8,6 +8,7 @@
   instance: 'router-1#1',
   startedAt: 1000,
   endedAt: 1100,
+  isSent: true,
   status: 200,
   complete: true,
   body: 'whole',
@@ -35,6 +36,7 @@
   orders: [{ upstream: 'e1#1', holder: 'router-1', token: 4 }, { upstream: 'e1#1', holder: 'router-2', token: 5 }],
   limits: [{ process: 'u1#1', perSecond: 1, from: 0, until: 20_000 }],
   disturbances: [],
+  ends: [],
   revoked: new Map([['old', 1000]]),
   quota: { key: 'k1', window: 8000, tokens: 200 },
   stopped: new Map([['router-1#1', 1050]]),
@@ -113,10 +115,52 @@
     expect(SOAK_CHECKS.begunStreams!(history({ requests, ...others }))).toHaveLength(violations)
   })
 
+  it.each<[string, Partial<SeenRequest>, Partial<SoakHistory>, number]>([
+    ['that ran', { isSent: false }, {}, 1],
+    ['that was sent', {}, { runs: [] }, 1],
+    ['whose connection did not open', { isSent: false }, { runs: [] }, 0],
+    ['without a whole plain answer', { status: 200 }, {}, 1],
+    ['whose stream has begun, which another check counts', { kind: 'stream', status: 200 }, {}, 0],
+    ['that its caller left', { left: true }, {}, 0],
+    ['that ran after the request to stop', { startedAt: 1060 }, { stopped: new Map([['router-1#1', 1050]]) }, 1],
+    ['that was sent to an instance that stops', {}, { runs: [], stopped: new Map([['router-1#1', 1100]]) }, 0],
+    ['at the end of the grace period', { endedAt: 5050 }, { stopped: new Map([['router-1#1', 1050]]) }, 0],
+    ['whose instance was killed', {}, { killed: new Map([['router-1#1', 1100]]) }, 0],
+    ['whose instance was killed later', {}, { killed: new Map([['router-1#1', 1101]]) }, 1],
+    ['whose instance was frozen', {}, { disturbances: [{ subject: 'router-1#1', from: 1000, until: 1020 }] }, 0],
+    ['whose upstream was disturbed', {}, { disturbances: [{ subject: 'u1#1', from: 1000, until: 1020 }] }, 1]
+  ])('count a connection that ended for a request %s', (_title, values, others, violations) => {
+    const requests = [request({ status: 0, complete: false, body: '', ...values })]
+    expect(SOAK_CHECKS.answered!(history({ requests, stopped: new Map(), ...others }))).toHaveLength(violations)
+  })
+
+  it.each<[string, Partial<SeenRequest>, Partial<SoakHistory>, number]>([
+    ['before its time limit', { endedAt: 2499 }, {}, 1],
+    ['at its time limit', { endedAt: 2500 }, {}, 0],
+    ['that may run once only', { kind: 'unsafe' }, {}, 0],
+    ['that crashes upstreams', { path: '/lookup/dead' }, {}, 0],
+    ['that its upstream broke', {}, { runs: [run(), run({ isFaulted: true })] }, 0],
+    ['beside a broken run elsewhere', {}, { runs: [run(), run({ identifier: 'r2', process: 'u2#1', isFaulted: true })] }, 1],
+    ['after a broken run there', {}, { runs: [run(), run({ identifier: 'r2', startedAt: 900, endedAt: 20, isFaulted: true })] }, 0],
+    ['after an older broken run there', {}, { runs: [run(), run({ identifier: 'r2', startedAt: 0, endedAt: 10, isFaulted: true })] }, 1],
+    ['at the end of an upstream of its service', {}, { ends: [{ subject: 'orders-1#1', from: 1050, until: 1050 }] }, 0],
+    ['at the end of another upstream', {}, { ends: [{ subject: 'engine-1#1', from: 1050, until: 1050 }] }, 1],
+    ['beside a disturbed connection', {}, { disturbances: [{ subject: 'orders-1#1', from: 900, until: 1010 }] }, 0],
+    ['long after a disturbed connection', {}, { disturbances: [{ subject: 'orders-1#1', from: -10, until: 0 }] }, 1],
+    ['whose instance was frozen', {}, { disturbances: [{ subject: 'router-1#1', from: 1000, until: 1020 }] }, 0]
+  ])('count a 502 to a request %s', (_title, values, others, violations) => {
+    const requests = [request({ status: 502, body: '', ...values })]
+    expect(SOAK_CHECKS.safeFailures!(history({ requests, ...others }))).toHaveLength(violations)
+  })
+
   it.each<{ name: keyof typeof SOAK_CHECKS, broken: Partial<SoakHistory> }>([
     { name: 'whole', broken: { requests: [request({ body: 'who' })] } },
     { name: 'begunStreams', broken: { requests: [CUT_STREAM] } },
     { name: 'own', broken: { requests: [request({ echoed: 'r2' })] } },
+    { name: 'own', broken: { requests: [request({ status: 502, echoed: undefined })] } },
+    { name: 'answered', broken: { requests: [request({ status: 0, complete: false, body: '' })] } },
+    { name: 'safeFailures', broken: { requests: [request({ status: 502, body: '' })] } },
+    { name: 'trueRefusals', broken: { requests: [request({ status: 408, body: '' })] } },
     { name: 'once', broken: { requests: [request({ kind: 'unsafe' })], runs: [run(), run({ upstream: 'u2' })] } },
     { name: 'trueRefusals', broken: { requests: [request({ status: 503, body: '' })] } },
     {
--- a/playground/soak/checks.ts
+++ b/playground/soak/checks.ts
@@ -11,6 +11,8 @@
   instance: string
   startedAt: number
   endedAt: number
+  /** The whole request was written to an open connection. */
+  isSent: boolean
   /** 0 when the connection broke before a status came. */
   status: number
   /** The answer ended as its framing says. */
@@ -71,6 +73,8 @@
   orders: readonly SeenOrder[]
   limits: readonly NamedLimit[]
   disturbances: readonly Disturbance[]
+  /** Ends of the processes of upstreams. */
+  ends: readonly Disturbance[]
   /** When each key was taken away. */
   revoked: ReadonlyMap<string, number>
   /** Limits of the customer that has one: tokens in any window. */
@@ -107,6 +111,9 @@
 const MAX_DEADLY_REQUESTS = 3
 /** Time limit in milliseconds of the routes of streams. */
 export const STREAM_LIMIT_MS = 4000
+/** Name of the plain service, with which the names of its upstreams begin, and time limit in milliseconds of its routes. */
+export const PLAIN_SERVICE = 'orders'
+export const PLAIN_LIMIT_MS = 1500
 /** Milliseconds after a disturbance in which requests may still arrive late. */
 const DISTURBED_MS = 1000
 
@@ -122,8 +129,18 @@
   return runs
 }
 
+/** Whether something was disturbed in this time. */
+function isDisturbed (history: SoakHistory, subject: string, from: number, until: number): boolean {
+  return history.disturbances.some((one) => one.subject === subject && one.from < until && one.until > from)
+}
+
+/** When the router that took a request may break it off: its kill, or the end of its grace period. */
+function endOfDuty ({ instance }: SeenRequest, { stopped, killed }: SoakHistory): number {
+  return Math.min((stopped.get(instance) ?? Infinity) + GRACE_MS, killed.get(instance) ?? Infinity)
+}
+
 /** Statuses with which the router says that a request has not run. */
-const NOT_RUN_STATUSES = new Set([401, 404, 429, 503])
+const NOT_RUN_STATUSES = new Set([400, 401, 403, 404, 408, 413, 421, 429, 431, 503])
 
 export const SOAK_CHECKS: Readonly<Record<string, Check>> = {
   // An upstream may send comments between its events; they are passed on and carry no content.
@@ -136,17 +153,15 @@
   // A silent or a full upstream is no excuse: the silent one goes on.
   begunStreams (history) {
     const runs = runsByIdentifier(history)
-    const isDisturbed = (subject: string, from: number, until: number): boolean => history.disturbances.some((one) => (
-      one.subject === subject && one.from < until && one.until > from
-    ))
     return history.requests
       .filter(({ kind, status, complete, left }) => kind === 'stream' && status === 200 && !complete && !left)
-      .filter(({ identifier, instance, startedAt, endedAt }) => {
-        const stopEndsAt = (history.stopped.get(instance) ?? Infinity) + GRACE_MS
-        const owedUntil = Math.min(stopEndsAt, history.killed.get(instance) ?? Infinity, startedAt + STREAM_LIMIT_MS)
-        return endedAt < owedUntil && !isDisturbed(instance, startedAt, endedAt) && !(runs.get(identifier) ?? []).some(
-          (run) => run.isFaulted || isDisturbed(run.process, run.startedAt, endedAt)
-        )
+      .filter((request) => {
+        const { identifier, instance, startedAt, endedAt } = request
+        const owedUntil = Math.min(endOfDuty(request, history), startedAt + STREAM_LIMIT_MS)
+        return endedAt < owedUntil && !isDisturbed(history, instance, startedAt, endedAt) &&
+          !(runs.get(identifier) ?? []).some(
+            (run) => run.isFaulted || isDisturbed(history, run.process, run.startedAt, endedAt)
+          )
       })
       .map(({ identifier, instance, startedAt, endedAt }) => {
         const ran = (runs.get(identifier) ?? []).map(({ process }) => process).join(', ')
@@ -154,9 +169,57 @@
       })
   },
 
+  // What came beside a request is no excuse either: each whole request is owed an answer or a refusal.
+  answered (history) {
+    const runs = runsByIdentifier(history)
+    return history.requests
+      .filter(({ kind, status, complete, left }) => !left && (status === 0 || (kind !== 'stream' && !complete)))
+      .filter((request) => {
+        const { identifier, instance, startedAt, endedAt, isSent } = request
+        // Without a run, a request may have crossed the close of its connection by a router that stops.
+        const isRead = runs.has(identifier) || (isSent && endedAt < (history.stopped.get(instance) ?? Infinity))
+        return isRead && endedAt < endOfDuty(request, history) && !isDisturbed(history, instance, startedAt, endedAt)
+      })
+      .map(({ identifier, instance, startedAt, endedAt }) => (
+        `${identifier} got no whole answer from ${instance} after ${Math.round(endedAt - startedAt)} ms`
+      ))
+  },
+
+  // Silent and full upstreams are no excuse; they go on, or take the request later.
+  safeFailures (history) {
+    const runs = runsByIdentifier(history)
+    return history.requests
+      .filter(({ kind, status, path }) => kind === 'safe' && status === 502 && !history.crashes.has(path))
+      .filter((request) => {
+        const { identifier, instance, startedAt, endedAt } = request
+        const owedUntil = Math.min(endOfDuty(request, history), startedAt + PLAIN_LIMIT_MS)
+        const own = runs.get(identifier) ?? []
+        const isExcused = isDisturbed(history, instance, startedAt, endedAt) ||
+          // A request that is lost on its way to an upstream is in no journal.
+          [...history.disturbances, ...history.ends].some(({ subject, from, until }) => (
+            subject.startsWith(PLAIN_SERVICE) && from < endedAt && until + DISTURBED_MS > startedAt
+          )) ||
+          // A second answer of a faulted run arrives in the place of the next one.
+          own.some((run) => run.isFaulted || history.runs.some((other) => (
+            other.process === run.process && other.isFaulted && other.startedAt < run.startedAt &&
+              (other.endedAt ?? Infinity) + DISTURBED_MS > run.startedAt
+          )))
+        return endedAt < owedUntil && !isExcused
+      })
+      .map(({ identifier, instance, startedAt, endedAt }) => {
+        const ran = (runs.get(identifier) ?? []).map(({ process }) => process).join(', ')
+        return `${identifier} got 502 from ${instance} after ${Math.round(endedAt - startedAt)} ms; it ran at ${ran}`
+      })
+  },
+
+  // The errors of a connection, such as for bytes that follow the request, are not those of the request.
   own: (history) => history.requests
-    .filter(({ status, identifier, echoed }) => status === 200 && echoed !== identifier)
-    .map(({ identifier, echoed }) => `${identifier} got the answer of ${String(echoed)}`),
+    .filter(({ status, identifier, echoed, instance, startedAt, endedAt }) => {
+      // A frozen process takes a head on a new connection for late.
+      const isLate = status === 408 && echoed === undefined && isDisturbed(history, instance, startedAt, endedAt)
+      return status !== 0 && echoed !== identifier && !isLate
+    })
+    .map(({ identifier, echoed, status }) => `${identifier} got the answer of ${String(echoed)}, ${status}`),
 
   once (history) {
     const runs = runsByIdentifier(history)
--- a/playground/soak/main.ts
+++ b/playground/soak/main.ts
@@ -53,6 +53,7 @@
     for (const text of violations.slice(0, 20)) process.stdout.write(`  ${text}\n`)
     const directory = join(String(options.logs), String(seed))
     mkdirSync(directory, { recursive: true })
+    writeFileSync(join(directory, 'violations.txt'), `${violations.join('\n')}\n`)
     for (const [identity, text] of logs) writeFileSync(join(directory, `${identity.replace('#', '-')}.log`), text)
   }
   return failed === 0 ? 0 : 1
--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -50,8 +50,13 @@
   stream: ['/sheet/1', '/chat/1'], safe: ['/lookup/1'], unsafe: ['/order/1']
 }
 
+/** All upstreams of a run; one that has crashed and not been started again is in both lists. */
+function placedIn ({ upstreams, ended }: World): Array<World['upstreams'][number]> {
+  return [...new Set([...upstreams, ...ended])]
+}
+
 function runsOf (world: World): SeenRun[] {
-  return [...world.upstreams, ...world.ended].flatMap((placed) => placed.standIn.runs.map((run) => ({
+  return placedIn(world).flatMap((placed) => placed.standIn.runs.map((run) => ({
     identifier: run.identifier,
     upstream: placed.standIn.identifier,
     process: processOf(placed),
@@ -66,7 +71,7 @@
 }
 
 function ordersOf (world: World): SeenOrder[] {
-  return [...world.upstreams, ...world.ended].flatMap((placed) => placed.standIn.orders.map((order) => ({
+  return placedIn(world).flatMap((placed) => placed.standIn.orders.map((order) => ({
     upstream: processOf(placed), holder: String(order.holder), token: Number(order.fencingToken)
   })))
 }
@@ -222,6 +227,9 @@
       orders: ordersOf(world),
       limits,
       disturbances,
+      ends: world.ended.map((placed) => {
+        return { subject: processOf(placed), from: placed.endedAt!, until: placed.endedAt! }
+      }),
       revoked,
       quota: { key, window: windowSeconds * 1000, tokens: (rate * windowSeconds + burst) * (1 + overage) + slack },
       stopped,
--- a/playground/soak/world.ts
+++ b/playground/soak/world.ts
@@ -13,7 +13,7 @@
 import { startStoreStandIn, type StoreStandIn } from '../../standins/fleet/store'
 import { startUpstreamStandIn, type UpstreamStandIn } from '../../standins/fleet/upstream'
 import { freeEndpoint } from '../../standins/freeEndpoint'
-import { STREAM_LIMIT_MS, type SeenRequest } from './checks'
+import { PLAIN_LIMIT_MS, PLAIN_SERVICE, STREAM_LIMIT_MS, type SeenRequest } from './checks'
 import { startFaultProxy, type FaultProxy } from './proxy'
 
 const ENGINES = 3
@@ -35,8 +35,8 @@
 const ROUTES = [
   { name: 'sheet', prefix: '/sheet/', kind: 'streaming', service: 'engines', timeoutMs: STREAM_LIMIT_MS, maxAttempts: 1 },
   { name: 'chat', prefix: '/chat/', kind: 'streaming', service: 'engines', timeoutMs: STREAM_LIMIT_MS, maxAttempts: 2, resumable: true },
-  { name: 'order', prefix: '/order/', kind: 'unsafe', service: 'orders', timeoutMs: 1500, maxAttempts: 1 },
-  { name: 'lookup', prefix: '/lookup/', kind: 'safe', service: 'orders', timeoutMs: 1500, maxAttempts: 2 }
+  { name: 'order', prefix: '/order/', kind: 'unsafe', service: PLAIN_SERVICE, timeoutMs: PLAIN_LIMIT_MS, maxAttempts: 1 },
+  { name: 'lookup', prefix: '/lookup/', kind: 'safe', service: PLAIN_SERVICE, timeoutMs: PLAIN_LIMIT_MS, maxAttempts: 2 }
 ]
 
 export interface RouterProcess {
@@ -130,7 +130,7 @@
   const ended: PlacedUpstream[] = []
   const routers = new Map<string, RouterProcess>()
   const started: RouterProcess[] = []
-  const agent = new Agent({ keepAlive: true, maxSockets: 8 })
+  const agent = new Agent({ keepAlive: true })
   const deadlyPaths = new Set<string>()
   const deadlyCrashes = new Map<string, number[]>()
   const crashing = new Set<PlacedUpstream>()
@@ -193,8 +193,8 @@
       name: `version-${index + 1}`,
       prefix: `/version-${index + 1}/`,
       kind: 'safe',
-      service: 'orders',
-      timeoutMs: 1500,
+      service: PLAIN_SERVICE,
+      timeoutMs: PLAIN_LIMIT_MS,
       maxAttempts: 2,
       allowAnonymous: true
     }))
@@ -203,7 +203,7 @@
     store.put('op', 'config', {
       version,
       routes: [...ROUTES, ...open].map((route) => ({ host: 'shop.example', targetLatencyMs: 300, priority: 1, ...route })),
-      services: [{ name: 'engines', engine: { slots: 8, models: [{ name: 'small' }] } }, { name: 'orders' }],
+      services: [{ name: 'engines', engine: { slots: 8, models: [{ name: 'small' }] } }, { name: PLAIN_SERVICE }],
       tenants: [
         { name: 'bakery', apiKeys: ['bakery-key'], ...unlimited },
         { name: 'mill', apiKeys: [key], ratePerS: rate, burst, unit: 'token_count' },
@@ -278,6 +278,7 @@
       instance: router.identity,
       startedAt: performance.now(),
       endedAt: 0,
+      isSent: false,
       status: 0,
       complete: false,
       body: '',
@@ -317,6 +318,7 @@
           end()
         })
       })
+      outgoing.on('finish', () => { seen.isSent = true })
       // Status 0 tells that the connection broke.
       outgoing.on('error', () => { if (seen.status === 0) end() })
       if (laterBytes !== undefined) {
@@ -336,7 +338,7 @@
 
   configure(['guild-key-1'])
   for (let index = 0; index < ENGINES; index += 1) upstreams.push(await placeUpstream('engines', `engine-${index}`, 1))
-  for (let index = 0; index < SERVICES; index += 1) upstreams.push(await placeUpstream('orders', `orders-${index}`, 1))
+  for (let index = 0; index < SERVICES; index += 1) upstreams.push(await placeUpstream(PLAIN_SERVICE, `${PLAIN_SERVICE}-${index}`, 1))
   const world: World = {
     store,
     storeProxies,
