--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -1,5 +1,5 @@
 /** Decides how a request continues after an attempt that ended without a complete response. */
-import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
+import { ExecutionStatus } from '../types'
 import { RepeatRule, type EdgeRoute } from './types'
 
 /** Rejections by upstreams after which a request fails. Each one costs a round trip and upstream processing time. */
@@ -17,11 +17,6 @@
 const STALLED_STREAM_MS = 1500
 /** Time in milliseconds without progress after which a request at a silent upstream is repeated elsewhere. */
 const SILENT_UPSTREAM_MS = 400
-/**
- * Time in milliseconds without a refusal after which an upstream has accepted a request; refusals take a round trip. Two
- * upstreams must not work on one stream for longer than 400 ms.
- */
-const ACCEPTANCE_MS = 200
 
 /**
  * Statuses that tell the caller that the request was not executed. Those of an upstream are not forwarded, because it
@@ -52,23 +47,37 @@
    * and turned away once more, but beyond `maximumAttempts` it goes only to upstreams that have had it.
    */
   cancellations: number
-  /** Whether part of a response has been sent to the caller. */
-  responseStarted: boolean
 }
 
 export function createAttemptHistory (
   { repeat, resumable, maximumAttempts }: Pick<EdgeRoute, 'repeat' | 'resumable' | 'maximumAttempts'>
 ): AttemptHistory {
-  return { repeat, resumable, maximumAttempts, runs: 0, rejections: 0, cancellations: 0, responseStarted: false }
+  return { repeat, resumable, maximumAttempts, runs: 0, rejections: 0, cancellations: 0 }
 }
 
-export type NextStep =
-  | { kind: 'retry' }
-  /** Forwards the upstream's response to the caller. */
-  | { kind: 'answer' }
-  | { kind: 'giveUp', execution: ExecutionStatus }
-  /** Closes the caller's connection, because part of a response has already been sent. */
-  | { kind: 'breakOff' }
+/** Why a request was not sent to another upstream after its last attempt. */
+export const Obstacle = {
+  /** Requests of its kind must not run twice. */
+  notRepeatable: 'notRepeatable',
+  /** It has run as often as its route permits. */
+  attempts: 'attempts',
+  /** It has been turned away too often. */
+  rejections: 'rejections',
+  /** The instance has used up its retries at the service. */
+  retryAllowance: 'retryAllowance',
+  /** No upstream can take it now. */
+  noneUsable: 'noneUsable',
+  /** The service has no upstream. */
+  noneListed: 'noneListed',
+  /** Its key is no longer known to be valid. */
+  key: 'key',
+  /** Upstreams crash, or may crash, when they answer such requests. */
+  crashes: 'crashes',
+  /** The instance is stopping. */
+  stopping: 'stopping',
+  timeLimit: 'timeLimit'
+} as const
+export type Obstacle = typeof Obstacle[keyof typeof Obstacle]
 
 /** Whether the request may run more than once. */
 export function mayRepeat (history: Pick<AttemptHistory, 'repeat' | 'resumable'>): boolean {
@@ -96,6 +105,13 @@
   return rejections < MAX_REJECTIONS + Math.min(MAX_REPEATED_RUNS, cancellations)
 }
 
+/** Returns what keeps the request from being sent once more after an attempt; undefined if nothing does. */
+export function findObstacle (outcome: AttemptOutcome, history: AttemptHistory): Obstacle | undefined {
+  if (outcome === AttemptOutcome.notRun) return mayBeRejectedAgain(history) ? undefined : Obstacle.rejections
+  if (!mayRepeat(history)) return Obstacle.notRepeatable
+  return mayRunAgain(history) ? undefined : Obstacle.attempts
+}
+
 /** Whether the request may be sent to an upstream once more. */
 export function maySendAgain (history: AttemptHistory): boolean {
   return mayRunAgain(history) && mayBeRejectedAgain(history)
@@ -106,17 +122,6 @@
   return status >= 500 || NOT_EXECUTED_STATUSES.has(status)
 }
 
-/**
- * Whether the next upstream counts as having accepted the request, without having answered yet. Safe requests may run at
- * two upstreams until one of them answers.
- * @param connectedAt when the upstream received the request; undefined if it has not
- */
-export function isAccepted (
-  repeat: RepeatRule, connectedAt: MonotonicMilliseconds | undefined, now: MonotonicMilliseconds
-): boolean {
-  return repeat === RepeatRule.stream && connectedAt !== undefined && now - connectedAt >= ACCEPTANCE_MS
-}
-
 /** Whether a complete response shows that the upstream has run the request and lived on. */
 export function provesSurvival (status: number): boolean {
   return !isFailure(status)
@@ -126,26 +131,3 @@
 export function executionStatus (history: AttemptHistory): ExecutionStatus {
   return history.runs === 0 ? ExecutionStatus.notRun : ExecutionStatus.unknown
 }
-
-const DECISIONS: Readonly<Record<AttemptOutcome, (history: AttemptHistory) => NextStep>> = {
-  [AttemptOutcome.notRun]: (history) => (
-    mayBeRejectedAgain(history) ? { kind: 'retry' } : { kind: 'giveUp', execution: executionStatus(history) }
-  ),
-  [AttemptOutcome.unknown]: (history) => (
-    mayRunAgain(history)
-      ? { kind: 'retry' }
-      : { kind: 'giveUp', execution: ExecutionStatus.unknown }
-  ),
-  [AttemptOutcome.failed]: (history) => (
-    mayRunAgain(history) ? { kind: 'retry' } : { kind: 'answer' }
-  )
-}
-
-/**
- * Decides the next step after an attempt.
- * @param history includes the attempt that has just ended
- */
-export function decideNextStep (outcome: AttemptOutcome, history: AttemptHistory): NextStep {
-  const step = DECISIONS[outcome](history)
-  return step.kind === 'giveUp' && history.responseStarted ? { kind: 'breakOff' } : step
-}
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -6,8 +6,8 @@
 import { openAttempt } from './attemptOpening'
 import { createAttemptPreparation } from './attemptPreparation'
 import {
-  AttemptOutcome, createAttemptHistory, decideNextStep, executionStatus, isAccepted, isFailure, isStalled, maySendAgain,
-  mayRepeat, NOT_EXECUTED_STATUSES, provesSurvival
+  AttemptOutcome, createAttemptHistory, executionStatus, findObstacle, isFailure, isStalled, maySendAgain,
+  mayRepeat, NOT_EXECUTED_STATUSES, Obstacle, provesSurvival
 } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
 import { createCrashGuard } from './crashGuard'
@@ -17,6 +17,7 @@
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import type { AttemptFailure, Dispatch, DispatchCallbacks } from './dispatchTypes'
 import { urgencyOf } from './promptPlan'
+import { createRequestRetries } from './requestRetries'
 import { createTargetSelection, urgencyRank } from './targetSelection'
 import { isFinalResponseHead } from '../http/headText'
 import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
@@ -45,10 +46,9 @@
   const identifier = callerRequest.identifier ?? ''
   const history = createAttemptHistory(route)
   const targets = createTargetSelection(context, admittedRequest, timeLeft)
-  /** Whether an upstream has received the request, regardless of whether it ran it. */
-  let reachedUpstream = false
+  const retries = createRequestRetries(context, service)
   let attempt: Attempt | undefined
-  /** Attempt at another upstream that replaces the present one as soon as it is accepted there. */
+  /** Attempt at another upstream that replaces the present one as soon as that upstream begins to answer. */
   let successor: Attempt | undefined
   /** Whether the caller disconnected or the request timed out. */
   let cancelled = false
@@ -66,11 +66,11 @@
     admittedRequest, targets, crashGuard, backlog, timeLeft, hasRun: () => history.runs > 0, mayWait
   }, {
     onReady (upstream, now) { if (!isProgressing(now)) sendTo(upstream, now) },
-    onUnavailable (reason) { fail(executionStatus(history), reason) },
+    onUnavailable (reason, obstacle) { fail(executionStatus(history), reason, obstacle) },
     onConvicted: rejectConvicted,
     onSuspected (trait) {
       if (history.runs === 0) callbacks.onSuspected(trait, TRIAL_RETRY_MS)
-      else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS)
+      else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS, Obstacle.crashes)
     },
     onShed: callbacks.onShed,
     onFault: callbacks.onFault
@@ -123,7 +123,7 @@
   /** Rejects the request because upstreams crash when they answer such requests, unless an attempt is in progress. */
   function rejectConvicted ({ trait, retryAfter }: RefusedVerdict): void {
     if (history.runs === 0) callbacks.onConvicted(trait, retryAfter)
-    else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS)
+    else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS, Obstacle.crashes)
   }
 
   function sendTo (upstream: Upstream, now: Instant): void {
@@ -156,17 +156,11 @@
   }
 
   /** Reports that the request failed, unless an attempt is still in progress. */
-  function fail (execution: ExecutionStatus, reason: string): void {
+  function fail (execution: ExecutionStatus, reason: string, obstacle: Obstacle): void {
     if (attempt !== undefined) return
     settle()
-    if (callerResponse.hasStarted()) callbacks.onAborted(reason)
-    else callbacks.onFailure(execution, reason)
-  }
-
-  /** Takes a retry from the allowance. A request that has not reached an upstream yet does not count as a retry. */
-  function mayRetry (): boolean {
-    if (timeLeft() <= 0) return false
-    return !reachedUpstream || context.retryAllowance.tryRetry(service, context.share(), context.now().steady)
+    if (callerResponse.hasStarted()) callbacks.onAborted(reason, obstacle)
+    else callbacks.onFailure(execution, reason, obstacle)
   }
 
   /**
@@ -176,7 +170,7 @@
   function canMove (now: Instant, silenced: Attempt | undefined): boolean {
     return timeLeft() > 0 && isStillAuthorized(context, admittedRequest, now) &&
       !crashGuard.mayCrashAgain(now.steady, silenced) &&
-      context.retryAllowance.canRetry(service, context.share(), now.steady) && targets.canMove(now)
+      retries.canSend(now.steady) && targets.canMove(now)
   }
 
   /** Whether the attempt in progress is not stalled, or no longer. */
@@ -189,17 +183,17 @@
   }
 
   /**
-   * Sends the request to another upstream if the attempt makes no progress. The attempt goes on until it is accepted
-   * there: it may be turned away, and the present upstream may only have paused.
+   * Sends the request to another upstream if the attempt makes no progress. The attempt goes on until that upstream
+   * begins to answer: it may still turn the request away, and the present one may only have paused.
    */
   function takeOver (current: Attempt, now: Instant): void {
+    if (successor !== undefined) leaveStalledSuccessor(successor, now)
     if (successor !== undefined || preparation.isInProgress()) return
     if (!maySendAgain(history) || !isStalledAt(current, now)) return
     targets.restrictToFormer(history.runs >= history.maximumAttempts)
     const isUpstreamSilent = isSilent(current.upstream, now.steady)
-    if (!canMove(now, isUpstreamSilent ? current : undefined)) return
-    reachedUpstream = true
-    if (!mayRetry()) return
+    retries.recordArrival()
+    if (!canMove(now, isUpstreamSilent ? current : undefined) || !retries.take(now.steady)) return
     if (isUpstreamSilent) {
       crashGuard.recordSilence(current, now.steady)
       context.reportUnreachable(current.upstream)
@@ -207,7 +201,14 @@
     preparation.start()
   }
 
-  /** Gives up the attempt, because its successor was accepted. */
+  /** Gives up the successor if it makes no progress either and an upstream that has not had the request is free. */
+  function leaveStalledSuccessor (current: Attempt, now: Instant): void {
+    if (!isStalledAt(current, now) || history.runs >= history.maximumAttempts || !maySendAgain(history)) return
+    targets.restrictToFormer(false)
+    if (canMove(now, undefined)) endTakeover()
+  }
+
+  /** Gives up the attempt, because the upstream of its successor has begun to answer. */
   function replaceAttempt (current: Attempt, now: Instant): void {
     const idleMs = Math.round(now.steady - current.lastProgressAt)
     history.cancellations += 1
@@ -233,16 +234,15 @@
    */
   function continueAfter (attemptOutcome: AttemptOutcome, reason: string, forward?: () => void): void {
     if (attempt !== undefined) return takeOver(attempt, context.now())
-    const step = decideNextStep(attemptOutcome, { ...history, responseStarted: callerResponse.hasStarted() })
     // The upstream may have crashed because of this request, and the next one might as well.
     const isDangerous = attemptOutcome !== AttemptOutcome.notRun && crashGuard.mayCrashAgain(context.now().steady)
-    const mayContinue = step.kind === 'retry' && !isDangerous
+    const obstacle = isDangerous ? Obstacle.crashes : findObstacle(attemptOutcome, history)
     // A takeover that waits for its permit has taken a retry from the allowance already.
-    if (mayContinue && preparation.isInProgress()) return
+    if (obstacle === undefined && preparation.isInProgress()) return
     targets.restrictToFormer(history.runs >= history.maximumAttempts)
-    if (mayContinue && mayRetry()) return preparation.start()
+    if (obstacle === undefined && timeLeft() > 0 && retries.take(context.now().steady)) return preparation.start()
     if (forward !== undefined) return forward()
-    fail(executionStatus(history), reason)
+    fail(executionStatus(history), reason, obstacle ?? (timeLeft() > 0 ? Obstacle.retryAllowance : Obstacle.timeLimit))
   }
 
   function onAttemptFailed (current: Attempt, { reason, sent, isStalled, isGivenUp }: AttemptFailure): void {
@@ -264,8 +264,8 @@
     if (isStalled !== true) pauseAfterFailure(upstream, now)
     if (isUnreachable) context.reportUnreachable(upstream)
     context.connections.closeIdle(upstream)
-    reachedUpstream ||= sent
     if (sent) {
+      retries.recordArrival()
       current.sample.recordEnd(true, context.now().steady)
       return continueAfter(AttemptOutcome.unknown, reason)
     }
@@ -332,7 +332,7 @@
   /** Handles a response that states that the upstream has not run the request. */
   function onRejected (current: Attempt, status: number, answeredBy: string | undefined, misdirected: boolean): void {
     cancelAttempt(current)
-    reachedUpstream = true
+    retries.recordArrival()
     const { upstream } = current
     const isBehind = recordRejection(upstream, {
       model: callerRequest.model, misdirected, answeredBy, targetVersion: context.weightsRollout.target
@@ -406,7 +406,7 @@
     const status = head?.statusCode ?? 0
     if (!isFailure(status)) settle()
     detachAttempt(current)
-    reachedUpstream = true
+    retries.recordArrival()
     const now = context.now().steady
     current.sample.recordEnd(status >= 500, now)
     if (provesSurvival(status)) crashGuard.recordAnswer(current, now)
@@ -441,8 +441,6 @@
     check (now) {
       if (attempt === undefined) return
       if (successor !== undefined) endHopeless(successor, now.steady)
-      const isReplaced = successor !== undefined && isAccepted(history.repeat, successor.connectedAt, now.steady)
-      if (isReplaced) replaceAttempt(attempt, now)
       if (attempt.isPaused || endHopeless(attempt, now.steady)) return
       attempt.sample.recordRunning(now.steady)
       takeOver(attempt, now)
