--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -21,6 +21,8 @@
 /** Milliseconds for a router to end after the request to stop, beyond the grace period of its settings. */
 const STOP_LIMIT_MS = 9000
 const TOKENS = 110
+/** Milliseconds in which the last bytes of an answer reach a router; the end of their upstream's process loses them. */
+const TRANSIT_MS = 50
 /** Part of the requests that are deadly while there is a deadly path. */
 const DEADLY_PART = 0.05
 /** Part of these that are sent to all routers at once. */
@@ -66,7 +68,8 @@
     scope: run.headers['cache-salt'] as string | undefined,
     tokens: TOKENS,
     path: run.path,
-    isFaulted: run.fault !== undefined || (placed.endedAt !== undefined && (run.endedAt ?? Infinity) >= placed.endedAt)
+    isFaulted: run.fault !== undefined ||
+      (placed.endedAt !== undefined && (run.endedAt ?? Infinity) + TRANSIT_MS >= placed.endedAt)
   })))
 }
 
