--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -21,6 +21,8 @@
 /** Milliseconds for a router to end after the request to stop, beyond the grace period of its settings. */
 const STOP_LIMIT_MS = 9000
 const TOKENS = 110
+/** Milliseconds in which the last bytes of an answer reach a router; the end of their upstream's process loses them. */
+const TRANSIT_MS = 50
 /** Part of the requests that are deadly while there is a deadly path. */
 const DEADLY_PART = 0.05
 /** Part of these that are sent to all routers at once. */
@@ -50,8 +52,13 @@
   stream: ['/sheet/1', '/chat/1'], safe: ['/lookup/1'], unsafe: ['/order/1']
 }
 
+/** All upstreams of a run; one that has crashed and not been started again is in both lists. */
+function placedIn ({ upstreams, ended }: World): Array<World['upstreams'][number]> {
+  return [...new Set([...upstreams, ...ended])]
+}
+
 function runsOf (world: World): SeenRun[] {
-  return [...world.upstreams, ...world.ended].flatMap((placed) => placed.standIn.runs.map((run) => ({
+  return placedIn(world).flatMap((placed) => placed.standIn.runs.map((run) => ({
     identifier: run.identifier,
     upstream: placed.standIn.identifier,
     process: processOf(placed),
@@ -61,12 +68,13 @@
     scope: run.headers['cache-salt'] as string | undefined,
     tokens: TOKENS,
     path: run.path,
-    isFaulted: run.fault !== undefined || (placed.endedAt !== undefined && (run.endedAt ?? Infinity) >= placed.endedAt)
+    isFaulted: run.fault !== undefined ||
+      (placed.endedAt !== undefined && (run.endedAt ?? Infinity) + TRANSIT_MS >= placed.endedAt)
   })))
 }
 
 function ordersOf (world: World): SeenOrder[] {
-  return [...world.upstreams, ...world.ended].flatMap((placed) => placed.standIn.orders.map((order) => ({
+  return placedIn(world).flatMap((placed) => placed.standIn.orders.map((order) => ({
     upstream: processOf(placed), holder: String(order.holder), token: Number(order.fencingToken)
   })))
 }
@@ -93,9 +101,9 @@
     await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
   }
 
-  async function call (router: RouterProcess): Promise<void> {
+  async function call (router: RouterProcess, laterBytes?: string): Promise<void> {
     count += 1
-    const identifier = `soak-${seed}-${count}`
+    const identifier = `${laterBytes === undefined ? 'soak' : 'later'}-${seed}-${count}`
     const kind = (['stream', 'stream', 'safe', 'unsafe'] as const)[Math.floor(random() * 4)]!
     const keys = ['bakery-key', LIMITED.key, ISOLATED_KEY, ...world.keys(), ...revoked.keys()]
     const path = PATHS[kind][Math.floor(random() * PATHS[kind].length)]!
@@ -105,7 +113,8 @@
       path,
       key: keys[Math.floor(random() * keys.length)]!,
       scopePart: `part-${Math.floor(random() * 3)}`,
-      leaveAfter: kind === 'stream' && random() < LEAVING_PART ? 20 + 300 * random() : undefined
+      leaveAfter: kind === 'stream' && random() < LEAVING_PART ? 20 + 300 * random() : undefined,
+      laterBytes
     }))
   }
 
@@ -156,7 +165,8 @@
     noteDeadly: (path) => { deadlyPaths.add(path) },
     noteRevoked: (key) => { revoked.set(key, performance.now()) },
     noteLimit: (limit) => { limits.push(limit) },
-    noteDisturbance: (disturbance) => { disturbances.push(disturbance) }
+    noteDisturbance: (disturbance) => { disturbances.push(disturbance) },
+    callWithBytes: call
   }
 
   async function breakThings (): Promise<void> {
@@ -220,6 +230,9 @@
       orders: ordersOf(world),
       limits,
       disturbances,
+      ends: world.ended.map((placed) => {
+        return { subject: processOf(placed), from: placed.endedAt!, until: placed.endedAt! }
+      }),
       revoked,
       quota: { key, window: windowSeconds * 1000, tokens: (rate * windowSeconds + burst) * (1 + overage) + slack },
       stopped,
