--- a/src/edge/attemptPreparation.ts
+++ b/src/edge/attemptPreparation.ts
@@ -1,5 +1,6 @@
 /** Prepares the next attempt of a request: checks that it may be sent, selects the upstream and gets the permits. */
 import { isStillAuthorized } from './admission'
+import { Obstacle } from './attemptDecision'
 import type { Backlog } from './backlog'
 import type { CrashGuard } from './crashGuard'
 import { EdgeEvent } from './events'
@@ -15,17 +16,13 @@
 
 /** Share of the time to the latency target for which a request waits while another one is tried; about one response. */
 const TRIAL_WAIT_SHARE = 0.5
-
-/**
- * Longest time in milliseconds that a request waits in all until an upstream can take it; callers give up a stream two
- * seconds after its last event.
- */
-const MAX_UPSTREAM_WAIT_MS = 1500
 /** Interval in milliseconds between looks for an upstream. */
 const WAIT_POLL_MS = 50
 
 /** Reason in the log for a request whose customer may no longer be served. */
 const KEY_WITHDRAWN = 'the key could not be revalidated'
+/** Reason in the log for a request that was not repeated. */
+const NO_RETRY_LEFT = 'no retry is left in the allowance'
 /** Reason in the log for a request that was not sent to an upstream before the instance stops. */
 const STOPPING = 'the instance is stopping'
 
@@ -33,7 +30,7 @@
 export interface PreparationCallbacks {
   onReady: (upstream: Upstream, now: Instant) => void
   /** No upstream may get the request now. */
-  onUnavailable: (reason: string) => void
+  onUnavailable: (reason: string, obstacle: Obstacle) => void
   /** Upstreams crash when they answer such requests. */
   onConvicted: (verdict: RefusedVerdict) => void
   /** Upstreams may crash when they answer such requests, and the outcome of another one did not come in time. */
@@ -52,8 +49,10 @@
   timeLeft: () => number
   /** Whether an upstream may have run the request. */
   hasRun: () => boolean
-  /** Whether the request waits until an upstream can take it, because it can no longer be refused. */
-  mayWait: (now: MonotonicMilliseconds) => boolean
+  /** Whether the retry allowance permits another attempt. */
+  canSend: (now: MonotonicMilliseconds) => boolean
+  /** Returns the obstacle that ends the request; undefined if it waits until the given one has passed. */
+  findEnd: (obstacle: Obstacle, now: MonotonicMilliseconds) => Obstacle | undefined
 }
 
 export interface AttemptPreparation {
@@ -75,7 +74,6 @@
   const contain = createFaultContainment(callbacks.onFault)
   let isCancelled = false
   let isInProgress = false
-  let waitUntil: MonotonicMilliseconds | undefined
   let timer: NodeJS.Timeout | undefined
 
   /** Whether the first attempt would start after the instance has ceased to accept requests. */
@@ -88,21 +86,33 @@
     report()
   }
 
-  function reportUnavailable (reason: string): void {
-    conclude(() => { callbacks.onUnavailable(reason) })
+  function reportUnavailable (reason: string, obstacle: Obstacle): void {
+    conclude(() => { callbacks.onUnavailable(reason, obstacle) })
+  }
+
+  /** Looks for an upstream again later, if the request may wait. */
+  function waitOrReport (reason: string, obstacle: Obstacle, now: MonotonicMilliseconds): void {
+    const end = options.findEnd(obstacle, now)
+    if (end !== undefined) return reportUnavailable(reason, end)
+    targets.permitAgain()
+    timer = setTimeout(contain(start), WAIT_POLL_MS)
   }
 
   function start (): void {
     const now = context.now()
     isInProgress = true
-    if (!isStillAuthorized(context, admittedRequest, now)) return reportUnavailable(KEY_WITHDRAWN)
-    if (isTooLate()) return reportUnavailable(STOPPING)
+    if (!isStillAuthorized(context, admittedRequest, now)) return reportUnavailable(KEY_WITHDRAWN, Obstacle.key)
+    if (isTooLate()) return reportUnavailable(STOPPING, Obstacle.stopping)
     const conviction = crashGuard.findConviction(hasRun(), now.steady)
     if (conviction !== undefined) return conclude(() => { callbacks.onConvicted(conviction) })
     const suspect = crashGuard.missingPermit(now.steady)
     if (suspect !== undefined) return waitForTrial(suspect)
+    if (!options.canSend(now.steady)) return waitOrReport(NO_RETRY_LEFT, Obstacle.retryAllowance, now.steady)
     const target = targets.select(now, crashGuard.suspectTrait(now.steady))
-    if (target === undefined) return waitForUpstream(now.steady)
+    if (target === undefined) {
+      const isListed = context.directory.listed(service).length > 0
+      return waitOrReport(targets.failureReason(), isListed ? Obstacle.noneUsable : Obstacle.noneListed, now.steady)
+    }
     if (route.repeat === RepeatRule.stream && !hasRun()) {
       const expectedWait = backlog.expectedWait(now.steady)
       const shedding = decideShedding(expectedWait, route.latencyTarget, sheddingDraw)
@@ -115,19 +125,6 @@
       .catch(callbacks.onFault)
   }
 
-  /** Looks for an upstream again later, if the request may wait. */
-  function waitForUpstream (now: MonotonicMilliseconds): void {
-    const isListed = context.directory.listed(service).length > 0
-    const mayWait = isListed && now < (waitUntil ?? Infinity) && options.mayWait(now)
-    if (!mayWait) return reportUnavailable(targets.failureReason())
-    waitUntil ??= now + MAX_UPSTREAM_WAIT_MS
-    targets.permitAgain()
-    timer = setTimeout(contain(() => {
-      if (options.mayWait(context.now().steady)) start()
-      else reportUnavailable(targets.failureReason())
-    }), WAIT_POLL_MS)
-  }
-
   /** Waits until no other request with a suspect trait is in flight. */
   function waitForTrial (trait: string): void {
     crashGuard.waitForPermit(trait, Math.min(timeLeft(), route.latencyTarget) * TRIAL_WAIT_SHARE)
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -1,15 +1,15 @@
 /** Sends an admitted request to upstreams until one returns a complete response or no further attempt is permitted. */
 import type { IncomingMessage } from 'node:http'
 import { MAX_RESPONSE_BYTES } from './responseBuffers'
-import { isStillAuthorized } from './admission'
 import { createAttemptAccounting, type Attempt } from './attempt'
 import { openAttempt } from './attemptOpening'
 import { createAttemptPreparation } from './attemptPreparation'
 import {
-  AttemptOutcome, createAttemptHistory, decideNextStep, executionStatus, isAccepted, isFailure, isStalled, maySendAgain,
-  mayRepeat, NOT_EXECUTED_STATUSES, provesSurvival
+  AttemptOutcome, createAttemptHistory, executionStatus, isFailure, maySendAgain, mayRepeat, NOT_EXECUTED_STATUSES,
+  Obstacle, provesSurvival
 } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
+import { createContinuation } from './continuation'
 import { createCrashGuard } from './crashGuard'
 import { countData, createEventBoundary, type EventBoundary } from './eventBoundary'
 import { EdgeEvent } from './events'
@@ -45,10 +45,8 @@
   const identifier = callerRequest.identifier ?? ''
   const history = createAttemptHistory(route)
   const targets = createTargetSelection(context, admittedRequest, timeLeft)
-  /** Whether an upstream has received the request, regardless of whether it ran it. */
-  let reachedUpstream = false
   let attempt: Attempt | undefined
-  /** Attempt at another upstream that replaces the present one as soon as it is accepted there. */
+  /** Attempt at another upstream that replaces the present one as soon as that upstream begins to answer. */
   let successor: Attempt | undefined
   /** Whether the caller disconnected or the request timed out. */
   let cancelled = false
@@ -60,28 +58,36 @@
   const crashGuard = createCrashGuard(context, {
     callerRequest, customer: customer?.name, method: request.method!, path: request.url!, body
   })
+  const continuation = createContinuation(context, {
+    admittedRequest, callerResponse, history, targets, crashGuard, timeLeft, attempt: () => attempt
+  })
   let firstByteAt: MonotonicMilliseconds | undefined
   const contain = createFaultContainment(callbacks.onFault)
   const preparation = createAttemptPreparation(context, {
-    admittedRequest, targets, crashGuard, backlog, timeLeft, hasRun: () => history.runs > 0, mayWait
+    admittedRequest,
+    targets,
+    crashGuard,
+    backlog,
+    timeLeft,
+    hasRun: () => history.runs > 0,
+    canSend: continuation.canSend,
+    findEnd: continuation.findEnd
   }, {
-    onReady (upstream, now) { if (!isProgressing(now)) sendTo(upstream, now) },
-    onUnavailable (reason) { fail(executionStatus(history), reason) },
+    onReady (upstream, now) {
+      if (continuation.isProgressing(now)) return
+      if (continuation.takeRetry(now.steady)) sendTo(upstream, now)
+      else if (attempt === undefined) preparation.start()
+    },
+    onUnavailable (reason, obstacle) { fail(executionStatus(history), reason, obstacle) },
     onConvicted: rejectConvicted,
     onSuspected (trait) {
       if (history.runs === 0) callbacks.onSuspected(trait, TRIAL_RETRY_MS)
-      else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS)
+      else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS, Obstacle.crashes)
     },
     onShed: callbacks.onShed,
     onFault: callbacks.onFault
   })
 
-  /** Whether the request waits for an upstream: its stream has begun, or this instance gave up an attempt that went on. */
-  function mayWait (now: MonotonicMilliseconds): boolean {
-    const isOwed = callerResponse.hasStarted() || history.cancellations > 0
-    return attempt === undefined && isOwed && maySendAgain(history) && !crashGuard.mayCrashAgain(now)
-  }
-
   /** Removes an attempt and undoes its accounting at the upstream. A successor takes its place. */
   function detachAttempt (current: Attempt): void {
     if (current !== attempt && current !== successor) return
@@ -123,7 +129,7 @@
   /** Rejects the request because upstreams crash when they answer such requests, unless an attempt is in progress. */
   function rejectConvicted ({ trait, retryAfter }: RefusedVerdict): void {
     if (history.runs === 0) callbacks.onConvicted(trait, retryAfter)
-    else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS)
+    else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS, Obstacle.crashes)
   }
 
   function sendTo (upstream: Upstream, now: Instant): void {
@@ -156,50 +162,25 @@
   }
 
   /** Reports that the request failed, unless an attempt is still in progress. */
-  function fail (execution: ExecutionStatus, reason: string): void {
+  function fail (execution: ExecutionStatus, reason: string, obstacle: Obstacle): void {
     if (attempt !== undefined) return
     settle()
-    if (callerResponse.hasStarted()) callbacks.onAborted(reason)
-    else callbacks.onFailure(execution, reason)
-  }
-
-  /** Takes a retry from the allowance. A request that has not reached an upstream yet does not count as a retry. */
-  function mayRetry (): boolean {
-    if (timeLeft() <= 0) return false
-    return !reachedUpstream || context.retryAllowance.tryRetry(service, context.share(), context.now().steady)
-  }
-
-  /**
-   * Whether the request could be sent to another upstream now while its attempt makes no progress.
-   * @param silenced the attempt, if its upstream is silent and may have crashed
-   */
-  function canMove (now: Instant, silenced: Attempt | undefined): boolean {
-    return timeLeft() > 0 && isStillAuthorized(context, admittedRequest, now) &&
-      !crashGuard.mayCrashAgain(now.steady, silenced) &&
-      context.retryAllowance.canRetry(service, context.share(), now.steady) && targets.canMove(now)
-  }
-
-  /** Whether the attempt in progress is not stalled, or no longer. */
-  function isProgressing (now: Instant): boolean {
-    return attempt !== undefined && !isStalledAt(attempt, now)
-  }
-
-  function isStalledAt ({ upstream, lastProgressAt }: Attempt, now: Instant): boolean {
-    return isStalled(history.repeat, now.steady - lastProgressAt, timeLeft(), isSilent(upstream, now.steady))
+    if (callerResponse.hasStarted()) callbacks.onAborted(reason, obstacle)
+    else callbacks.onFailure(execution, reason, obstacle)
   }
 
   /**
-   * Sends the request to another upstream if the attempt makes no progress. The attempt goes on until it is accepted
-   * there: it may be turned away, and the present upstream may only have paused.
+   * Sends the request to another upstream if the attempt makes no progress. The attempt goes on until that upstream
+   * begins to answer: it may still turn the request away, and the present one may only have paused.
    */
   function takeOver (current: Attempt, now: Instant): void {
+    if (successor !== undefined) leaveStalledSuccessor(successor, now)
     if (successor !== undefined || preparation.isInProgress()) return
-    if (!maySendAgain(history) || !isStalledAt(current, now)) return
+    if (!maySendAgain(history) || !continuation.isStalledAt(current, now)) return
     targets.restrictToFormer(history.runs >= history.maximumAttempts)
     const isUpstreamSilent = isSilent(current.upstream, now.steady)
-    if (!canMove(now, isUpstreamSilent ? current : undefined)) return
-    reachedUpstream = true
-    if (!mayRetry()) return
+    continuation.recordArrival()
+    if (!continuation.canMove(now, isUpstreamSilent ? current : undefined)) return
     if (isUpstreamSilent) {
       crashGuard.recordSilence(current, now.steady)
       context.reportUnreachable(current.upstream)
@@ -207,7 +188,15 @@
     preparation.start()
   }
 
-  /** Gives up the attempt, because its successor was accepted. */
+  /** Gives up the successor if it makes no progress either and an upstream that has not had the request is free. */
+  function leaveStalledSuccessor (current: Attempt, now: Instant): void {
+    const mayTryAnother = history.runs < history.maximumAttempts && maySendAgain(history)
+    if (!mayTryAnother || !continuation.isStalledAt(current, now)) return
+    targets.restrictToFormer(false)
+    if (continuation.canMove(now)) endTakeover()
+  }
+
+  /** Gives up the attempt, because the upstream of its successor has begun to answer. */
   function replaceAttempt (current: Attempt, now: Instant): void {
     const idleMs = Math.round(now.steady - current.lastProgressAt)
     history.cancellations += 1
@@ -233,16 +222,14 @@
    */
   function continueAfter (attemptOutcome: AttemptOutcome, reason: string, forward?: () => void): void {
     if (attempt !== undefined) return takeOver(attempt, context.now())
-    const step = decideNextStep(attemptOutcome, { ...history, responseStarted: callerResponse.hasStarted() })
-    // The upstream may have crashed because of this request, and the next one might as well.
-    const isDangerous = attemptOutcome !== AttemptOutcome.notRun && crashGuard.mayCrashAgain(context.now().steady)
-    const mayContinue = step.kind === 'retry' && !isDangerous
-    // A takeover that waits for its permit has taken a retry from the allowance already.
-    if (mayContinue && preparation.isInProgress()) return
     targets.restrictToFormer(history.runs >= history.maximumAttempts)
-    if (mayContinue && mayRetry()) return preparation.start()
+    const end = continuation.findEndAfter(attemptOutcome, context.now().steady)
+    if (end === undefined) {
+      if (!preparation.isInProgress()) preparation.start()
+      return
+    }
     if (forward !== undefined) return forward()
-    fail(executionStatus(history), reason)
+    fail(executionStatus(history), reason, end)
   }
 
   function onAttemptFailed (current: Attempt, { reason, sent, isStalled, isGivenUp }: AttemptFailure): void {
@@ -264,8 +251,8 @@
     if (isStalled !== true) pauseAfterFailure(upstream, now)
     if (isUnreachable) context.reportUnreachable(upstream)
     context.connections.closeIdle(upstream)
-    reachedUpstream ||= sent
     if (sent) {
+      continuation.recordArrival()
       current.sample.recordEnd(true, context.now().steady)
       return continueAfter(AttemptOutcome.unknown, reason)
     }
@@ -332,7 +319,7 @@
   /** Handles a response that states that the upstream has not run the request. */
   function onRejected (current: Attempt, status: number, answeredBy: string | undefined, misdirected: boolean): void {
     cancelAttempt(current)
-    reachedUpstream = true
+    continuation.recordArrival()
     const { upstream } = current
     const isBehind = recordRejection(upstream, {
       model: callerRequest.model, misdirected, answeredBy, targetVersion: context.weightsRollout.target
@@ -406,7 +393,7 @@
     const status = head?.statusCode ?? 0
     if (!isFailure(status)) settle()
     detachAttempt(current)
-    reachedUpstream = true
+    continuation.recordArrival()
     const now = context.now().steady
     current.sample.recordEnd(status >= 500, now)
     if (provesSurvival(status)) crashGuard.recordAnswer(current, now)
@@ -441,8 +428,6 @@
     check (now) {
       if (attempt === undefined) return
       if (successor !== undefined) endHopeless(successor, now.steady)
-      const isReplaced = successor !== undefined && isAccepted(history.repeat, successor.connectedAt, now.steady)
-      if (isReplaced) replaceAttempt(attempt, now)
       if (attempt.isPaused || endHopeless(attempt, now.steady)) return
       attempt.sample.recordRunning(now.steady)
       takeOver(attempt, now)
