--- a/src/gateway/dispatcher.ts
+++ b/src/gateway/dispatcher.ts
@@ -7,6 +7,7 @@
 import type { ColdPrefixGate } from '../prefix/coldPrefix'
 import { mostCachedBlocks } from '../prefix/routing'
 import type { BlockIndex, RoutingCandidate, RoutingDecision, RoutingPolicy, RoutingRequest } from '../prefix/types'
+import { EndReason } from '../request/endReason'
 import type { CrashVerdict } from '../upstream/crashLedger'
 import type { UpstreamRegistry } from '../upstream/registryTypes'
 import { ExecutionStatus } from '../types'
@@ -30,6 +31,10 @@
   deadline: MonotonicMilliseconds
   /** Upstreams that have failed this request. They are used again only if no other upstream is available. */
   exclude: readonly string[]
+  /** Upstreams that are used only if no other is available, not even one of `exclude`. */
+  excludeStrictly: readonly string[]
+  /** Upstreams that are not used at all. @default none */
+  avoid?: readonly string[]
   /** Fingerprint of the request content. Requests with a suspect fingerprint run on one upstream at a time. */
   fingerprint: string
   /** Returns the current crash verdict on the fingerprint, which may change while the work is queued. */
@@ -48,6 +53,8 @@
   queueWaitMilliseconds: number
   /** Records the arrival of the first token. `cachedTokens` is the known or estimated number of cached prompt tokens. */
   recordFirstToken: (cachedTokens: number) => void
+  /** Lets requests with the same prefix start that wait for this one to compute it. */
+  releasePrefix: () => void
   /** Releases the slot on the upstream. `failed` is true if the upstream did not complete the request. */
   release: (failed: boolean) => void
 }
@@ -70,6 +77,10 @@
    * `CrashingRequestError` or the signal's reason.
    */
   place: (work: DispatchWork, signal: AbortSignal) => Promise<Placement>
+  /** Returns whether `placeNow` would place the work. */
+  canPlaceNow: (work: DispatchWork) => boolean
+  /** Places the work on an upstream that has room now. Returns undefined if there is none or if others are queued. */
+  placeNow: (work: DispatchWork) => Placement | undefined
   /** Starts or rejects queued work where possible. Called on upstream state changes and about every 50 ms. */
   pump: () => void
   /** Returns the number of waiting work items. */
@@ -98,8 +109,11 @@
     if (verdict.kind === 'suspect' && (suspectStarted || runningByFingerprint.has(work.fingerprint))) return []
     const all = registry.candidates(work.model, work.version, work.adapter, time)
       .filter((candidate) => verdict.kind !== 'suspect' || !verdict.avoid.includes(candidate.upstream))
+      .filter((candidate) => work.avoid === undefined || !work.avoid.includes(candidate.upstream))
     const others = all.filter((candidate) => !work.exclude.includes(candidate.upstream))
-    return others.length > 0 ? others : all
+    if (others.length > 0) return others
+    const remaining = all.filter((candidate) => !work.excludeStrictly.includes(candidate.upstream))
+    return remaining.length > 0 ? remaining : all
   }
 
   function canStart (work: DispatchWork, time: MonotonicMilliseconds): boolean {
@@ -144,7 +158,19 @@
     return true
   }
 
-  function createPlacement (entry: Entry, decision: RoutingDecision, startedAt: MonotonicMilliseconds): Placement {
+  function canPlaceNow (work: DispatchWork): boolean {
+    return (work.isResumption || queue.size() === 0) && canStart(work, now())
+  }
+
+  function placeNow (work: DispatchWork): Placement | undefined {
+    if (!canPlaceNow(work)) return undefined
+    const time = now()
+    const decision = options.choose(work.routing, candidatesOf(work, time), index, time, options.random)
+    if (decision === undefined || !options.limitOf(decision.upstream).tryAcquire()) return undefined
+    return createPlacement({ work, arrivedAt: time }, decision, time)
+  }
+
+  function createPlacement (entry: Pick<Entry, 'work' | 'arrivedAt'>, decision: RoutingDecision, startedAt: MonotonicMilliseconds): Placement {
     const { work: { identifier, routing, isResumption, fingerprint } } = entry
     const { upstream, incarnation, expectedBlocks } = decision
     const endpoint = registry.upstream(upstream, startedAt)?.endpoint
@@ -173,6 +199,10 @@
         settlePrefix()
         pump()
       },
+      releasePrefix () {
+        settlePrefix()
+        pump()
+      },
       release (failed) {
         if (released) return
         released = true
@@ -202,10 +232,12 @@
     const served = registry.candidates(model, version, adapter, now()).length > 0
     entry.reject(served
       ? new OverloadedError('the expected queue wait exceeds the limit', {
-        execution: ExecutionStatus.notRun, retryAfterSeconds: retryAfterMilliseconds / 1000
+        execution: ExecutionStatus.notRun,
+        retryAfterSeconds: retryAfterMilliseconds / 1000,
+        reason: EndReason.queueWait
       })
       : new NoUpstreamError(`no engine serves ${model}@${version}`, {
-        execution: ExecutionStatus.notRun, retryAfterSeconds: NO_UPSTREAM_RETRY_SECONDS
+        execution: ExecutionStatus.notRun, retryAfterSeconds: NO_UPSTREAM_RETRY_SECONDS, reason: EndReason.noUpstream
       }))
   }
 
@@ -227,7 +259,9 @@
     queue.remove(entry.work.identifier)
     requeue(gate.settle(entry.work.identifier))
     entry.reject(new CrashingRequestError('the request crashed the upstreams that ran it', {
-      execution: ExecutionStatus.notRun, retryAfterSeconds: retryAfterMilliseconds / 1000
+      execution: ExecutionStatus.notRun,
+      retryAfterSeconds: retryAfterMilliseconds / 1000,
+      reason: EndReason.crashing
     }))
   }
 
@@ -317,6 +351,8 @@
         enqueue(entry)
       })
     },
+    canPlaceNow,
+    placeNow,
     pump,
     size: () => entries.size
   }
