--- a/playground/soak/world.ts
+++ b/playground/soak/world.ts
@@ -13,7 +13,7 @@
 import { startStoreStandIn, type StoreStandIn } from '../../standins/fleet/store'
 import { startUpstreamStandIn, type UpstreamStandIn } from '../../standins/fleet/upstream'
 import { freeEndpoint } from '../../standins/freeEndpoint'
-import { STREAM_LIMIT_MS, type SeenRequest } from './checks'
+import { PLAIN_LIMIT_MS, PLAIN_SERVICE, STREAM_LIMIT_MS, type SeenRequest } from './checks'
 import { startFaultProxy, type FaultProxy } from './proxy'
 
 const ENGINES = 3
@@ -28,11 +28,15 @@
 /** Milliseconds from a crash that a request causes to the start of the next process. */
 const CRASH_RESTART_MS = 2500
 
+const HEADER_TIMEOUT_MS = 3000
+/** Milliseconds from a request to the bytes that follow it; shorter than a plain answer takes. */
+const LATER_BYTES_MS = 10
+
 const ROUTES = [
   { name: 'sheet', prefix: '/sheet/', kind: 'streaming', service: 'engines', timeoutMs: STREAM_LIMIT_MS, maxAttempts: 1 },
   { name: 'chat', prefix: '/chat/', kind: 'streaming', service: 'engines', timeoutMs: STREAM_LIMIT_MS, maxAttempts: 2, resumable: true },
-  { name: 'order', prefix: '/order/', kind: 'unsafe', service: 'orders', timeoutMs: 1500, maxAttempts: 1 },
-  { name: 'lookup', prefix: '/lookup/', kind: 'safe', service: 'orders', timeoutMs: 1500, maxAttempts: 2 }
+  { name: 'order', prefix: '/order/', kind: 'unsafe', service: PLAIN_SERVICE, timeoutMs: PLAIN_LIMIT_MS, maxAttempts: 1 },
+  { name: 'lookup', prefix: '/lookup/', kind: 'safe', service: PLAIN_SERVICE, timeoutMs: PLAIN_LIMIT_MS, maxAttempts: 2 }
 ]
 
 export interface RouterProcess {
@@ -76,8 +80,11 @@
   version: () => number
   /** The keys of the customer whose keys change. */
   keys: () => readonly string[]
-  /** Writes a configuration with one more version and these keys. */
-  configure: (keys: readonly string[]) => void
+  /**
+   * Writes a configuration with one more version and these keys.
+   * @param headerTimeoutMs milliseconds in which callers must send a whole head
+   */
+  configure: (keys: readonly string[], headerTimeoutMs?: number) => void
   nameWeights: (version: number) => void
   startRouter: (name: string) => Promise<RouterProcess>
   isReady: (router: RouterProcess) => Promise<boolean>
@@ -99,6 +106,8 @@
   scopePart: string
   /** Milliseconds after which the caller breaks off. */
   leaveAfter?: number
+  /** Sent after the whole request on its connection, which is not used again. */
+  laterBytes?: string
 }
 
 /** @param routerCount number of routers */
@@ -121,7 +130,7 @@
   const ended: PlacedUpstream[] = []
   const routers = new Map<string, RouterProcess>()
   const started: RouterProcess[] = []
-  const agent = new Agent({ keepAlive: true, maxSockets: 8 })
+  const agent = new Agent({ keepAlive: true })
   const deadlyPaths = new Set<string>()
   const deadlyCrashes = new Map<string, number[]>()
   const crashing = new Set<PlacedUpstream>()
@@ -177,15 +186,15 @@
     upstreams[index] = await placeUpstream(before.service, before.standIn.identifier, before.starts + 1)
   }
 
-  function configure (next: readonly string[]): void {
+  function configure (next: readonly string[], headerTimeoutMs = HEADER_TIMEOUT_MS): void {
     keys = next
     version += 1
     const open = Array.from({ length: version }, (_unused, index) => ({
       name: `version-${index + 1}`,
       prefix: `/version-${index + 1}/`,
       kind: 'safe',
-      service: 'orders',
-      timeoutMs: 1500,
+      service: PLAIN_SERVICE,
+      timeoutMs: PLAIN_LIMIT_MS,
       maxAttempts: 2,
       allowAnonymous: true
     }))
@@ -194,14 +203,14 @@
     store.put('op', 'config', {
       version,
       routes: [...ROUTES, ...open].map((route) => ({ host: 'shop.example', targetLatencyMs: 300, priority: 1, ...route })),
-      services: [{ name: 'engines', engine: { slots: 8, models: [{ name: 'small' }] } }, { name: 'orders' }],
+      services: [{ name: 'engines', engine: { slots: 8, models: [{ name: 'small' }] } }, { name: PLAIN_SERVICE }],
       tenants: [
         { name: 'bakery', apiKeys: ['bakery-key'], ...unlimited },
         { name: 'mill', apiKeys: [key], ratePerS: rate, burst, unit: 'token_count' },
         { name: 'forge', apiKeys: [ISOLATED_KEY], isolated: true, ...unlimited },
         { name: 'guild', apiKeys: next, ...unlimited }
       ],
-      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs, idleTimeoutMs: 15_000 }
     })
   }
 
@@ -261,7 +270,7 @@
   }
 
   async function call (router: RouterProcess, options: WorldCall): Promise<SeenRequest> {
-    const { identifier, path, kind, key, scopePart, leaveAfter } = options
+    const { identifier, path, kind, key, scopePart, leaveAfter, laterBytes } = options
     const seen: SeenRequest = {
       identifier,
       kind,
@@ -269,6 +278,7 @@
       instance: router.identity,
       startedAt: performance.now(),
       endedAt: 0,
+      isSent: false,
       status: 0,
       complete: false,
       body: '',
@@ -284,7 +294,7 @@
       }
       const outgoing = request({
         ...router.caller,
-        agent,
+        agent: laterBytes === undefined ? agent : false,
         path,
         method: body === undefined ? 'GET' : 'POST',
         headers: {
@@ -295,6 +305,7 @@
           ...(kind === 'stream' ? { Model: 'small' } : {}),
           'Token-Usage': '100,10',
           'Prompt-Prefix': `${scopePart}:50,own:50`,
+          Connection: 'keep-alive',
           ...(body === undefined ? {} : { 'Content-Length': String(body.length) })
         }
       }, (response) => {
@@ -307,8 +318,13 @@
           end()
         })
       })
+      outgoing.on('finish', () => { seen.isSent = true })
       // Status 0 tells that the connection broke.
       outgoing.on('error', () => { if (seen.status === 0) end() })
+      if (laterBytes !== undefined) {
+        // A pause, so that the router reads the request on its own.
+        outgoing.on('finish', () => { setTimeout(() => { outgoing.socket?.write(laterBytes) }, LATER_BYTES_MS) })
+      }
       if (leaveAfter !== undefined) {
         setTimeout(() => {
           if (seen.endedAt !== 0) return
@@ -322,7 +338,7 @@
 
   configure(['guild-key-1'])
   for (let index = 0; index < ENGINES; index += 1) upstreams.push(await placeUpstream('engines', `engine-${index}`, 1))
-  for (let index = 0; index < SERVICES; index += 1) upstreams.push(await placeUpstream('orders', `orders-${index}`, 1))
+  for (let index = 0; index < SERVICES; index += 1) upstreams.push(await placeUpstream(PLAIN_SERVICE, `${PLAIN_SERVICE}-${index}`, 1))
   const world: World = {
     store,
     storeProxies,
--- a/src/edge/continuation.ts
+++ b/src/edge/continuation.ts
@@ -3,7 +3,8 @@
 import { isStillAuthorized } from './admission'
 import type { Attempt } from './attempt'
 import {
-  AttemptOutcome, endsRequest, findObstacle, isStalled, Obstacle, type AttemptHistory
+  AttemptOutcome, endsRequest, findObstacle, isProbablyLost, isStalled, mayRunAgain, maySendAgain, Obstacle,
+  type AttemptHistory
 } from './attemptDecision'
 import type { CallerResponse } from './callerResponse'
 import type { CrashGuard } from './crashGuard'
@@ -41,6 +42,8 @@
    * @param silenced the attempt, if its upstream is silent and may have crashed
    */
   canMove: (now: Instant, silenced?: Attempt) => boolean
+  /** Whether the request may be sent to another upstream while its attempt makes no progress. */
+  mayTakeOver: () => boolean
   isStalledAt: (attempt: Attempt, now: Instant) => boolean
   /** Whether the attempt in progress is not stalled, or no longer. */
   isProgressing: (now: Instant) => boolean
@@ -57,13 +60,14 @@
     return callerResponse.hasStarted() || history.cancellations > 0
   }
 
-  function retryPurpose (): RetryPurpose {
-    if (attempt() !== undefined) return RetryPurpose.takeover
-    return isOwed() ? RetryPurpose.continuation : RetryPurpose.repetition
+  function retryPurpose (now: MonotonicMilliseconds): RetryPurpose {
+    const current = attempt()
+    if (current !== undefined && !isProbablyLost(now - current.lastProgressAt)) return RetryPurpose.takeover
+    return current === undefined && isOwed() ? RetryPurpose.continuation : RetryPurpose.repetition
   }
 
   function canSend (now: MonotonicMilliseconds): boolean {
-    return !hasArrived || retryAllowance.canRetry(service, retryPurpose(), share(), now)
+    return !hasArrived || retryAllowance.canRetry(service, retryPurpose(now), share(), now)
   }
 
   /** Returns the limit of time or retries that keeps the request from being sent once more; undefined if none does. */
@@ -79,7 +83,7 @@
   return {
     recordArrival () { hasArrived = true },
     canSend,
-    takeRetry: (now) => !hasArrived || retryAllowance.tryRetry(service, retryPurpose(), share(), now),
+    takeRetry: (now) => !hasArrived || retryAllowance.tryRetry(service, retryPurpose(now), share(), now),
     findEndAfter (outcome, now) {
       // The upstream may have crashed because of this request, and the next one might as well.
       if (outcome !== AttemptOutcome.notRun && crashGuard.mayCrashAgain(now)) return Obstacle.crashes
@@ -94,6 +98,7 @@
       timeLeft() > 0 && isStillAuthorized(context, admittedRequest, now) &&
       !crashGuard.mayCrashAgain(now.steady, silenced) && canSend(now.steady) && targets.canMove(now)
     ),
+    mayTakeOver: () => callerResponse.hasStarted() ? mayRunAgain(history) : maySendAgain(history),
     isStalledAt,
     isProgressing (now) {
       const current = attempt()
