Log the obstacle also where a resumed stream ends with a failure response

The last failure response to a resumed stream closed the caller's connection without the obstacle in request.broken_off. The resending of a request gets the present time as an argument, as other decisions do.

--- a/src/edge/attemptOpening.ts
+++ b/src/edge/attemptOpening.ts
@@ -53,8 +53,7 @@
    * Whether the request is sent to the upstream once more; takes a retry from the allowance, because the upstream may have
    * received it. A request that may still go to another upstream does that instead.
    */
-  function mayResend (): boolean {
-    const present = context.now()
+  function mayResend (present: Instant): boolean {
     const isCrossing = present.steady - now.steady <= CLOSE_CROSSING_MS
     const purpose = lastEvent === undefined ? RetryPurpose.repetition : RetryPurpose.continuation
     const mayGoElsewhere = maySendAgain(history) && options.hasOtherUpstream(present)
@@ -73,7 +72,7 @@
     endpoint: upstream.entry.endpoint,
     agent: context.connections.agentFor(upstream, !mayRepeat(history)),
     newConnectionAgent: context.connections.agentFor(upstream, true),
-    mayResend,
+    mayResend: () => mayResend(context.now()),
     method: request.method!,
     path: request.url!,
     headers,
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -221,7 +221,7 @@
       if (!preparation.isInProgress()) preparation.start()
       return
     }
-    if (forward !== undefined) return forward()
+    if (forward !== undefined && !callerResponse.hasStarted()) return forward()
     fail(executionStatus(history), reason, end)
   }
 
