serve: report faults in the work that no request waits for

Errors of the program in the handling of a failed attempt beside another one, and in the check of a silent one, were swallowed. They go to the fault report; in the tests, one fails the run.

--- a/src/composeGateway.ts
+++ b/src/composeGateway.ts
@@ -77,7 +77,14 @@
     random
   })
   const outcomes = createAttemptOutcomes({
-    client, registry: state.registry, crashes: state.crashes, publishCrashes: options.publishCrashes, log, metrics, now
+    client,
+    registry: state.registry,
+    crashes: state.crashes,
+    publishCrashes: options.publishCrashes,
+    reportFault: options.reportFault,
+    log,
+    metrics,
+    now
   })
   const run = createCompletionRun({
     dispatcher,
--- a/src/gateway/__tests__/attemptOutcome.test.ts
+++ b/src/gateway/__tests__/attemptOutcome.test.ts
@@ -28,6 +28,7 @@
     registry: createUpstreamRegistry({ dataCentre: 'north', hasRoom: () => true, onEvent () {} }),
     crashes,
     publishCrashes: (published) => { notices.push(...published) },
+    reportFault: (error) => { throw error },
     log () {},
     metrics: { increment () {}, gauge () {}, timing () {} },
     now: () => performance.now()
--- a/src/gateway/__tests__/completionExecutor.test.ts
+++ b/src/gateway/__tests__/completionExecutor.test.ts
@@ -21,6 +21,9 @@
 import type { CompletionExecutor, CompletionJob, CompletionPiece } from '../completionTypes'
 import { createDispatcher } from '../dispatcher'
 
+/** A fault fails the test run. */
+const reportFault = (error: unknown): never => { throw error }
+
 const OUTPUT_TOKENS = 24
 const BURST = 100_000
 const now = (): number => performance.now()
@@ -68,7 +71,9 @@
   const run = createCompletionRun({
     dispatcher,
     client,
-    outcomes: createAttemptOutcomes({ client, registry, crashes, publishCrashes () {}, log, metrics, now }),
+    outcomes: createAttemptOutcomes({
+      client, registry, crashes, publishCrashes () {}, reportFault, log, metrics, now
+    }),
     crashes,
     retryBudget: createRetryBudget(),
     index,
--- a/src/gateway/__tests__/scriptedEngines.ts
+++ b/src/gateway/__tests__/scriptedEngines.ts
@@ -22,6 +22,9 @@
 import type { CompletionExecutor, CompletionPiece } from '../completionTypes'
 import { createDispatcher } from '../dispatcher'
 
+/** A fault fails the test run. */
+const reportFault = (error: unknown): never => { throw error }
+
 export const CHUNKS = 12
 const BETWEEN_CHUNKS_MS = 200
 const SILENCE_MS = 1000
@@ -228,7 +231,9 @@
   const run = createCompletionRun({
     dispatcher,
     client,
-    outcomes: createAttemptOutcomes({ client, registry, crashes, publishCrashes () {}, log, metrics, now }),
+    outcomes: createAttemptOutcomes({
+      client, registry, crashes, publishCrashes () {}, reportFault, log, metrics, now
+    }),
     crashes,
     retryBudget: createRetryBudget({ capacity: options.retryTokens ?? 100, ratio: 0, refillPerSecond: 0 }),
     index,
--- a/src/gateway/__tests__/serviceHandler.test.ts
+++ b/src/gateway/__tests__/serviceHandler.test.ts
@@ -19,6 +19,9 @@
 import { createServiceExecutor } from '../serviceExecutor'
 import { createServiceHandler } from '../serviceHandler'
 
+/** A fault fails the test run. */
+const reportFault = (error: unknown): never => { throw error }
+
 const KEY = 'wws_0123456789abcdefghij'
 const now = (): number => performance.now()
 const log = (): void => {}
@@ -55,7 +58,9 @@
     guard: createIdempotencyGuard({
       platform: platform.client, instance: 'i', incarnation: 1, createIdentifier: () => `operation${count++}`
     }),
-    outcomes: createAttemptOutcomes({ client, registry, crashes, publishCrashes () {}, log, metrics, now }),
+    outcomes: createAttemptOutcomes({
+      client, registry, crashes, publishCrashes () {}, reportFault, log, metrics, now
+    }),
     client,
     timeouts: { connect: 500, firstByte: 500, betweenChunks: 500, whole: 5000 },
     log,
--- a/src/gateway/__tests__/silentService.test.ts
+++ b/src/gateway/__tests__/silentService.test.ts
@@ -14,6 +14,9 @@
 import { createServiceExecutor } from '../serviceExecutor'
 import type { ServiceExecutor } from '../serviceExecutor'
 
+/** A fault fails the test run. */
+const reportFault = (error: unknown): never => { throw error }
+
 const SILENCE_LIMIT_MS = 200
 const SILENCE_MS = 900
 const BODY = 'a whole answer'
@@ -92,7 +95,9 @@
     guard: createIdempotencyGuard({
       platform: createMemoryPlatform().client, instance: 'i', incarnation: 1, createIdentifier: () => 'operation'
     }),
-    outcomes: createAttemptOutcomes({ client, registry, crashes, publishCrashes () {}, log, metrics, now }),
+    outcomes: createAttemptOutcomes({
+      client, registry, crashes, publishCrashes () {}, reportFault, log, metrics, now
+    }),
     client,
     timeouts: { connect: 500, firstByte: SILENCE_LIMIT_MS, betweenChunks: SILENCE_LIMIT_MS, whole: 4000 },
     log,
--- a/src/gateway/attemptOutcome.ts
+++ b/src/gateway/attemptOutcome.ts
@@ -56,6 +56,8 @@
   client: Pick<UpstreamClient, 'probe' | 'cancel'>
   registry: UpstreamRegistry
   crashes: CrashLedger
+  /** Called for internal errors that no request waits for. */
+  reportFault: (error: unknown, identifier: string) => void
   /** Sends crash notices to all peers. */
   publishCrashes: (notices: readonly CrashNotice[]) => void
   log: EventLog
@@ -75,6 +77,8 @@
   checkSilent: (target: AttemptTarget) => Promise<Liveness>
   /** Updates the registry after an upstream that was silent has gone on. */
   handleProgress: (target: AttemptTarget) => void
+  /** Reports an internal error that the request does not wait for. */
+  reportFault: (error: unknown, requestIdentifier: string) => void
   /** Ends an attempt that was replaced by another one, or was sent beside one that has gone on. */
   handleCancelled: (
     requestIdentifier: string, attempt: number, target: AttemptTarget, handle: AttemptHandle, replacedBy: number
@@ -166,6 +170,7 @@
       const isLeaving = registry.upstream(target.upstream, now())?.leaving ?? false
       return liveness === Liveness.ended && isLeaving ? Liveness.unknown : liveness
     },
+    reportFault: options.reportFault,
     handleProgress ({ upstream, incarnation }) {
       registry.recordSuccess(upstream, now(), incarnation)
     },
--- a/src/gateway/completionRun.ts
+++ b/src/gateway/completionRun.ts
@@ -76,13 +76,13 @@
         attempt.isSilent = true
         log(LogEvent.attemptSilent, { ...attemptFields(state, attempt), chunks: attempt.chunks })
         attempt.placement.releasePrefix()
-        checkSilent(attempt, race)
+        checkSilent(job.identifier, attempt, race)
       },
       onProgress: ({ placement }) => { outcomes.handleProgress(placement) },
       startBeside (leader, beside) {
         const silent = [leader, ...beside]
         for (const attempt of silent) {
-          if (now() - attempt.checkedAt >= SILENCE_CHECK_INTERVAL_MS) checkSilent(attempt, race)
+          if (now() - attempt.checkedAt >= SILENCE_CHECK_INTERVAL_MS) checkSilent(job.identifier, attempt, race)
         }
         return startBeside(state, leader, silent)
       },
@@ -190,7 +190,8 @@
   function recordFailure (state: RunState, attempt: Attempt, error: unknown): void {
     const { identifier } = state.context.job
     state.failures.push(failureOf(attempt.placement.upstream, error))
-    outcomes.handleFailure(identifier, attempt.number, attempt.placement, attempt.handle, error).catch(() => {})
+    outcomes.handleFailure(identifier, attempt.number, attempt.placement, attempt.handle, error)
+      .catch((fault: unknown) => { outcomes.reportFault(fault, identifier) })
     recordAttempt(state.context, attempt, true, 0)
   }
 
@@ -209,7 +210,9 @@
   }
 
   /** Probes the upstream of a silent attempt, and ends the attempt if the upstream's process has ended. */
-  function checkSilent (attempt: Attempt, race: AttemptRace<Attempt, CompletionChunk>): void {
+  function checkSilent (
+    identifier: string, attempt: Attempt, race: AttemptRace<Attempt, CompletionChunk>
+  ): void {
     attempt.checkedAt = now()
     outcomes.checkSilent(attempt.placement).then((liveness) => {
       if (!attempt.isSilent) return
@@ -217,7 +220,7 @@
       if (liveness !== Liveness.ended) return
       const progress = attempt.chunks > 0 ? 'started' : 'maybeStarted'
       race.fail(attempt, connectionError('the process has ended', progress))
-    }).catch(() => {})
+    }).catch((fault: unknown) => { outcomes.reportFault(fault, identifier) })
   }
 
   function deadlineOf (context: RunContext): MonotonicMilliseconds {
--- a/src/gateway/serviceRun.ts
+++ b/src/gateway/serviceRun.ts
@@ -93,13 +93,13 @@
       signal: state.job.signal,
       onSilence (attempt) {
         log(LogEvent.attemptSilent, attemptFields(state, attempt))
-        checkSilent(attempt, race)
+        checkSilent(state.job.identifier, attempt, race)
       },
       onProgress ({ target }) { outcomes.handleProgress(target) },
       startBeside (leader, beside) {
         const silent = [leader, ...beside]
         for (const attempt of silent) {
-          if (now() - attempt.checkedAt >= SILENCE_CHECK_INTERVAL_MS) checkSilent(attempt, race)
+          if (now() - attempt.checkedAt >= SILENCE_CHECK_INTERVAL_MS) checkSilent(state.job.identifier, attempt, race)
         }
         return startBeside(state, leader, silent)
       },
@@ -164,7 +164,9 @@
   function recordFailure (state: RunState, attempt: Attempt, error: unknown): void {
     const { number, target, handle } = attempt
     state.failures.push(failureOf(target.upstream, error))
-    outcomes.handleFailure(state.job.identifier, number, target, handle, error).catch(() => {})
+    const { identifier } = state.job
+    outcomes.handleFailure(identifier, number, target, handle, error)
+      .catch((fault: unknown) => { outcomes.reportFault(fault, identifier) })
     endWork(attempt)
   }
 
@@ -175,12 +177,14 @@
   }
 
   /** Probes the instance of a silent attempt, and ends the attempt if the instance's process has ended. */
-  function checkSilent (attempt: Attempt, race: AttemptRace<Attempt, ServiceResponse>): void {
+  function checkSilent (
+    identifier: string, attempt: Attempt, race: AttemptRace<Attempt, ServiceResponse>
+  ): void {
     attempt.checkedAt = now()
     outcomes.checkSilent(attempt.target).then((liveness) => {
       attempt.liveness = liveness
       if (liveness === Liveness.ended) race.fail(attempt, connectionError('the process has ended', 'maybeStarted'))
-    }).catch(() => {})
+    }).catch((fault: unknown) => { outcomes.reportFault(fault, identifier) })
   }
 
   function deadlineOf ({ startedAt }: RunState): MonotonicMilliseconds {
