--- a/src/composeGateway.ts
+++ b/src/composeGateway.ts
@@ -160,7 +160,8 @@
     maximumConnections: settings.limits.connections,
     onConnectionClosing (reason, responsesInProgress) {
       log(LogEvent.callerConnectionClosing, { reason, responsesInProgress })
-    }
+    },
+    onRequestDiscarded ({ method }) { log(LogEvent.requestDiscarded, { method }) }
   })
   return { server, dispatcher, admission }
 }
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -252,6 +252,7 @@
     onFault: reportFault,
     log,
     isReady,
+    identify: ({ headers }) => dialect.readRequest(headers).identifier,
     onRequest (request, response) {
       const exchange: Exchange = createExchange(context, request, response, () => { exchanges.delete(exchange) })
       exchanges.add(exchange)
--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -26,6 +26,8 @@
   readiness: Endpoint
   metrics: Endpoint
   onRequest: (request: IncomingMessage, response: ServerResponse) => void
+  /** Returns the identifier of a request, if it has one. */
+  identify: (request: IncomingMessage) => string | undefined
   isReady: () => boolean
   /** Renders the metrics page. */
   renderMetrics: () => Promise<string>
@@ -110,6 +112,9 @@
     },
     onClosing: (reason, responsesInProgress) => {
       options.log(EdgeEvent.callerConnectionClosing, { reason, responsesInProgress })
+    },
+    onDiscarded (request) {
+      options.log(EdgeEvent.requestDiscarded, { requestIdentifier: options.identify(request) })
     }
   })
 
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -11,6 +11,8 @@
   listenerFailed: 'listener.failed',
   /** A caller's connection will be closed after the responses in progress, because bytes came that are no request. */
   callerConnectionClosing: 'caller.connection_closing',
+  /** A request was not handled, because it came behind the announced end of its connection. */
+  requestDiscarded: 'request.discarded',
   requestRouted: 'request.routed',
   requestRejected: 'request.refused',
   requestFinished: 'request.finished',
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -28,6 +28,8 @@
   maximumConnections?: number
   /** See `CallerConnectionsOptions`. */
   onConnectionClosing?: CallerConnectionsOptions['onClosing']
+  /** See `CallerConnectionsOptions`. */
+  onRequestDiscarded?: CallerConnectionsOptions['onDiscarded']
 }
 
 export interface CallerServer {
@@ -79,7 +81,8 @@
   const connections = trackCallerConnections(server, {
     onRequest: handle,
     renderRefusal,
-    ...(options.onConnectionClosing === undefined ? {} : { onClosing: options.onConnectionClosing })
+    ...(options.onConnectionClosing === undefined ? {} : { onClosing: options.onConnectionClosing }),
+    ...(options.onRequestDiscarded === undefined ? {} : { onDiscarded: options.onRequestDiscarded })
   })
   server.maxConnections = options.maximumConnections ?? 4096
 
--- a/src/http/callerConnections.ts
+++ b/src/http/callerConnections.ts
@@ -44,6 +44,8 @@
    * request came after their requests.
    */
   onClosing?: (reason: UnreadableRequest, responsesInProgress: number) => void
+  /** Called for each request that is not handled, because it came behind the announced end of its connection. */
+  onDiscarded?: (request: IncomingMessage) => void
 }
 
 export interface CallerConnections {
@@ -92,7 +94,7 @@
 }
 
 export function trackCallerConnections (
-  server: Server, { onRequest, renderRefusal, onClosing }: CallerConnectionsOptions
+  server: Server, { onRequest, renderRefusal, onClosing, onDiscarded }: CallerConnectionsOptions
 ): CallerConnections {
   const connections = new Map<Socket, Connection>()
   let isAnnouncingClose = false
@@ -113,6 +115,7 @@
     const previous = [...responses].at(-1)
     if (previous?.headersSent === true && !previous.shouldKeepAlive) endReading(connection, previous)
     if (connection.isClosing) {
+      onDiscarded?.(request)
       // Its body would keep the rest of the connection from being read.
       request.resume()
       return
