Keep the connection of a refused request, and read what follows on it

Callers lost requests that they had sent whole: behind a refusal that was decided at once, on the same connection, they got neither an answer nor a refusal. A change of the configuration that removes a key or a route, or lowers a limit, makes such refusals in bulk. Cause: a refusal kept its connection only if the request was complete. Node.js reports a request without a body as complete only after the event in which it is refused, so that each of these refusals announced the end of its connection, and what came behind it was discarded. The rest of a body that was refused is discarded instead, as the parser still knows where it ends; a rest of more than 4 MiB closes the connection once the caller had the time to read the refusal.

--- a/src/edge/callerResponse.ts
+++ b/src/edge/callerResponse.ts
@@ -59,8 +59,6 @@
       const body = Buffer.from(JSON.stringify({ error: { code, message } }))
       const headers = dialect.localResponseHeaders(identifier, retryAfter === undefined ? undefined : retryAfter / 1000)
       headers.push('Content-Type', 'application/json', 'Content-Length', String(body.length))
-      // An unread body would be parsed as the next request.
-      if (!response.req.complete) response.shouldKeepAlive = false
       response.writeHead(status, headers)
       response.end(body)
     },
--- a/src/http/callerConnections.ts
+++ b/src/http/callerConnections.ts
@@ -10,6 +10,8 @@
  * that is closed with unread bytes is reset, and the caller might lose the response.
  */
 const LINGER_MS = 1000
+/** Bytes of a body that are read and discarded after its response. For more than these, the connection is closed. */
+const MAX_DISCARDED_BODY_BYTES = 4 * 1024 * 1024
 
 /** Why bytes on a connection cannot be read as a request. */
 export const UnreadableRequest = {
@@ -127,6 +129,7 @@
     }
     responses.add(response)
     for (const event of ['finish', 'close']) response.on(event, () => { responses.delete(response) })
+    response.on('finish', () => { if (!request.complete) discardBody(connection, request) })
     onRequest(request, response)
   })
   server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
@@ -170,6 +173,17 @@
     if (last !== undefined) closeAfter(connection.socket, last)
   }
 
+  /** Reads the rest of a body that nobody needs, so that the next request on the connection can be read. */
+  function discardBody (connection: Connection, request: IncomingMessage): void {
+    let bytes = 0
+    request.on('data', (chunk: Buffer) => {
+      bytes += chunk.length
+      if (bytes <= MAX_DISCARDED_BODY_BYTES || connection.isClosing) return
+      endReading(connection, undefined)
+      closeGently(connection.socket)
+    })
+  }
+
   function refuse (socket: Socket, reason: UnreadableRequest): void {
     const refusal = renderRefusal?.(reason)
     const headers = refusal === undefined
