Refuse requests without a host at admission, not in the HTTP server

Callers lost requests behind one without the header field Host: Node.js refuses it by itself and closes the connection after that refusal, while the requests behind it were still sent to upstreams, without an answer. The refusal now comes from admission like all others and keeps the connection. A request of HTTP/1.0 needs no host and is matched as before.

--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -65,6 +65,8 @@
     connectionsCheckingInterval: CONNECTION_CHECK_MS,
     requestTimeout: REQUEST_TIMEOUT_MS,
     maxHeaderSize: MAX_HEADER_BYTES,
+    // Node.js would close the connection behind its own refusal. Requests without a host are refused at admission.
+    requireHostHeader: false,
     noDelay: true
   })
   const readiness = createServer()
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -260,6 +260,7 @@
     if (context.isRejecting()) return rejectAfterBody(AdmissionRejection.stopping)
     if (!isSendableRequest(request.url ?? '', request.rawHeaders)) return rejectAfterBody(AdmissionRejection.malformed)
     const { host } = request.headers
+    if (host === undefined && request.httpVersion === '1.1') return rejectAfterBody(AdmissionRejection.missingHost)
     const admission = admit(
       context.routeTable(), context.freshness, host, request.url ?? '', callerRequest, startedAt
     )
