Refuse request targets with bytes beyond ASCII on all processors

Callers whose request target holds bytes above 0x7f got 400 at x86-64 instances, from the parser of Node.js, and an upstream's answer at arm64 ones, where the same parser lets these bytes pass. RFC 9112 permits ASCII only in a target, so isSendableRequest refuses such a target as malformed, whatever the parser does.

--- a/src/http/headText.ts
+++ b/src/http/headText.ts
@@ -2,7 +2,8 @@
 
 const HEADER_NAME = /^[!#$%&'*+.^_`|~0-9A-Za-z-]+$/
 const PLAIN_VALUE = /^[\x21-\x7e](?:[\x20-\x7e]*[\x21-\x7e])?$/
-const REQUEST_TARGET = /^[\x21-\x7e\x80-\xff]+$/
+/** Targets are ASCII only (RFC 9112, section 3.2). The parser of Node.js refuses other bytes on some processors only. */
+const REQUEST_TARGET = /^[\x21-\x7e]+$/
 /** Of header values and reason phrases. */
 const FIELD_TEXT = /^[\t\x20-\x7e\x80-\xff]*$/
 const BEYOND_LATIN1 = /[^\x00-\xff]/ // eslint-disable-line no-control-regex
@@ -25,7 +26,7 @@
   return BEYOND_LATIN1.test(text) ? Buffer.from(text, 'utf8').toString('latin1') : text
 }
 
-/** Whether an HTTP client can send a request with this target and these raw headers (name, value, name, value). */
+/** Whether a request with this target and these raw headers (name, value, name, value) is well-formed and can be sent. */
 export function isSendableRequest (target: string, rawHeaders: readonly string[]): boolean {
   return REQUEST_TARGET.test(target) && areHeaderNames(rawHeaders)
 }
