Count retries in the allowance by the time of their arrival

A connection may open up to 400 ms late.

A granted retry now counts as pending until its connection opens, from then on by the time of its arrival, and no more if it ends without having been sent. So all retries that can arrive within one window are counted when one of them is granted. The window starts later than before by the delay of the connection only; a retry whose connection never opens is returned, so that a begun stream waits less than before in that case. A retry of which neither is ever recorded counts for two windows.

--- a/src/edge/__tests__/lifeCases.ts
+++ b/src/edge/__tests__/lifeCases.ts
@@ -194,6 +194,22 @@
       seed: 0
     })
   },
+  {
+    // A retry counted from when it was sent, and arrived 59 ms later, when its connection opened: 2 arrived in one window.
+    title: 'when a connection opens late and the window of the allowance starts before',
+    schedule: createSchedule({
+      upstreams: TWO,
+      silences: [{ from: 700, length: 1650, upstreams: [1, 4], accepts: false }],
+      full: [{ from: 250, length: 2150, upstreams: [0, 1, 3], wait: 50 }],
+      resets: [{ from: 250, length: 0, upstreams: [1, 4] }, { from: 0, length: 0, upstreams: [1] }],
+      allowance: { window: 2000, ratio: 0.2, extra: 1 },
+      requests: [
+        ...[2400, 700, 0, 2400, 1150].map((at) => createRequest({ at, limit: 2000, maximumAttempts: 1, events: 1 })),
+        createRequest({ limit: 4400, events: 6 })
+      ],
+      seed: 0
+    })
+  },
   {
     // Guards against a takeover that is sent after the answer, because it waited for its permit meanwhile.
     title: 'when its upstream ends it while the takeover waits for a permit',
--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -4,6 +4,7 @@
 import type { Backlog } from './backlog'
 import type { LoadExchange } from './loadExchange'
 import type { ResponseBuffer } from './responseBuffers'
+import type { GrantedRetry } from './retryAllowance'
 import type { AttemptSample } from './rolloutSampler'
 import type { UpstreamCall } from './upstreamCall'
 import {
@@ -14,6 +15,8 @@
   upstream: Upstream
   call: UpstreamCall
   sample: AttemptSample
+  /** What was taken from the allowance for the last time that the request was sent. */
+  retry: GrantedRetry
   startedAt: number
   /** Time when the connection was open and the request was sent. */
   connectedAt: MonotonicMilliseconds | undefined
@@ -34,7 +37,7 @@
 
 /** @param promptTokens prompt tokens that are now pending prefill at the upstream */
 export function createAttempt (
-  parts: Pick<Attempt, 'upstream' | 'call' | 'sample' | 'buffer'>, promptTokens: number, now: MonotonicMilliseconds
+  parts: Pick<Attempt, 'upstream' | 'call' | 'sample' | 'retry' | 'buffer'>, promptTokens: number, now: MonotonicMilliseconds
 ): Attempt {
   return {
     ...parts,
--- a/src/edge/attemptOpening.ts
+++ b/src/edge/attemptOpening.ts
@@ -5,7 +5,7 @@
 import { composeAttemptRequest } from './attemptRequest'
 import { EdgeEvent } from './events'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
-import { RetryPurpose } from './retryAllowance'
+import { RetryPurpose, type GrantedRetry } from './retryAllowance'
 import { urgencyRank } from './targetSelection'
 import type { Instant } from './types'
 import { callUpstream, type UpstreamCallEvents } from './upstreamCall'
@@ -26,6 +26,8 @@
   urgency: number | undefined
   /** Attempts before this one. */
   history: AttemptHistory
+  /** What was taken from the allowance for this attempt. */
+  retry: GrantedRetry
   /** Remaining time of the request in milliseconds. */
   timeLeft: number
   /** Identifier of the last event that the caller has received in this exchange. */
@@ -59,14 +61,16 @@
     const mayGoElsewhere = maySendAgain(history) && options.hasOtherUpstream(present)
     const isPermitted = isCrossing && mayRepeat(history) && !mayGoElsewhere &&
       options.suspectTrait === undefined && !context.sendPermits.isNeeded(upstream.entry) &&
-      isStillAuthorized(context, admittedRequest, present) &&
-      context.retryAllowance.tryRetry(service, purpose, context.share(), present.steady)
-    if (isPermitted) {
-      context.log(EdgeEvent.requestResent, {
-        requestIdentifier: callerRequest.identifier ?? '', upstream: upstream.entry.identifier
-      })
-    }
-    return isPermitted
+      isStillAuthorized(context, admittedRequest, present)
+    const retry = isPermitted
+      ? context.retryAllowance.tryRetry(service, purpose, context.share(), present.steady)
+      : undefined
+    if (retry === undefined) return false
+    attempt.retry = retry
+    context.log(EdgeEvent.requestResent, {
+      requestIdentifier: callerRequest.identifier ?? '', upstream: upstream.entry.identifier
+    })
+    return true
   }
   const call = callUpstream({
     endpoint: upstream.entry.endpoint,
@@ -78,7 +82,13 @@
     headers,
     body,
     connectTimeout: Math.min(CONNECT_TIMEOUT_MS, timeLeft * CONNECT_TIME_SHARE)
-  }, events)
+  }, {
+    ...events,
+    onConnected () {
+      attempt.retry.recordArrival(context.now().steady)
+      events.onConnected?.()
+    }
+  })
   context.log(EdgeEvent.requestRouted, {
     requestIdentifier: callerRequest.identifier ?? '',
     upstream: upstream.entry.identifier,
@@ -101,5 +111,6 @@
     service, route: route.name, isNew: () => context.serviceRollouts.hasTargetVersion(upstream)
   }, now.steady)
   const buffer = context.responseBuffers.open()
-  return createAttempt({ upstream, call, sample, buffer }, plan.promptTokens, now.steady)
+  const attempt = createAttempt({ upstream, call, sample, retry: options.retry, buffer }, plan.promptTokens, now.steady)
+  return attempt
 }
--- a/src/edge/continuation.ts
+++ b/src/edge/continuation.ts
@@ -9,7 +9,7 @@
 import type { CallerResponse } from './callerResponse'
 import type { CrashGuard } from './crashGuard'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
-import { RetryPurpose } from './retryAllowance'
+import { NO_RETRY, RetryPurpose, type GrantedRetry } from './retryAllowance'
 import type { TargetSelection } from './targetSelection'
 import type { Instant } from './types'
 import { isSilent } from './upstreamDirectory'
@@ -31,8 +31,8 @@
   recordArrival: () => void
   /** Whether the allowance of the instance permits another attempt. */
   canSend: (now: MonotonicMilliseconds) => boolean
-  /** Takes another attempt from the allowance if it is a retry; returns false if the allowance does not permit it. */
-  takeRetry: (now: MonotonicMilliseconds) => boolean
+  /** Takes another attempt from the allowance if it is a retry; returns undefined if the allowance does not permit it. */
+  takeRetry: (now: MonotonicMilliseconds) => GrantedRetry | undefined
   /** Returns the obstacle that ends the request after an attempt; undefined if the request goes on or waits. */
   findEndAfter: (outcome: AttemptOutcome, now: MonotonicMilliseconds) => Obstacle | undefined
   /** Returns the obstacle that ends the request; undefined if it waits until the given one has passed. */
@@ -83,7 +83,9 @@
   return {
     recordArrival () { hasArrived = true },
     canSend,
-    takeRetry: (now) => !hasArrived || retryAllowance.tryRetry(service, retryPurpose(now), share(), now),
+    takeRetry: (now) => (
+      hasArrived ? retryAllowance.tryRetry(service, retryPurpose(now), share(), now) : NO_RETRY
+    ),
     findEndAfter (outcome, now) {
       // The upstream may have crashed because of this request, and the next one might as well.
       if (outcome !== AttemptOutcome.notRun && crashGuard.mayCrashAgain(now)) return Obstacle.crashes
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -17,6 +17,7 @@
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import type { AttemptFailure, Dispatch, DispatchCallbacks } from './dispatchTypes'
 import { urgencyOf } from './promptPlan'
+import type { GrantedRetry } from './retryAllowance'
 import { createTargetSelection, urgencyRank } from './targetSelection'
 import { isFinalResponseHead } from '../http/headText'
 import { ExecutionStatus, type MonotonicMilliseconds } from '../types'
@@ -75,7 +76,8 @@
   }, {
     onReady (upstream, now) {
       if (continuation.isProgressing(now)) return
-      if (continuation.takeRetry(now.steady)) sendTo(upstream, now)
+      const retry = continuation.takeRetry(now.steady)
+      if (retry !== undefined) sendTo(upstream, retry, now)
       else if (attempt === undefined) preparation.start()
     },
     onUnavailable (reason, obstacle) { fail(executionStatus(history), reason, obstacle) },
@@ -96,6 +98,7 @@
       eventBoundary?.discardPartialEvent()
     }
     successor = undefined
+    current.retry.release()
     accounting.end(current, context.now().steady)
   }
 
@@ -132,13 +135,14 @@
     else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS, Obstacle.crashes)
   }
 
-  function sendTo (upstream: Upstream, now: Instant): void {
+  function sendTo (upstream: Upstream, retry: GrantedRetry, now: Instant): void {
     targets.markTried(upstream)
     // The attempt comes before its accounting, which would have to be undone if it could not be created.
     const current = openAttempt(context, admittedRequest, {
       upstream,
       urgency,
       history,
+      retry,
       timeLeft: timeLeft(),
       lastEvent: eventBoundary?.lastEvent(),
       suspectTrait: crashGuard.suspectTrait(now.steady),
--- a/src/edge/retryAllowance.ts
+++ b/src/edge/retryAllowance.ts
@@ -1,6 +1,7 @@
 /**
  * Limits the retries of this instance at each service: a ratio of its own requests plus its share of a fixed allowance
- * of the fleet, counted in a sliding window.
+ * of the fleet, counted in a sliding window. A retry counts from when it is granted, and leaves the window by the time of
+ * its arrival at the upstream, which is later if a connection has to be opened for it.
  */
 import type { MonotonicMilliseconds } from '../types'
 
@@ -38,21 +39,40 @@
 
 export interface RetryAllowance {
   recordRequest: (service: string, now: MonotonicMilliseconds) => void
-  /** Whether `tryRetry` would return true. */
+  /** Whether `tryRetry` would grant a retry. */
   canRetry: (service: string, purpose: RetryPurpose, share: number, now: MonotonicMilliseconds) => boolean
   /**
-   * Takes one retry from the allowance; returns false when the part for the purpose is exhausted.
+   * Takes one retry from the allowance; returns undefined when the part for the purpose is exhausted.
    * @param share this instance's share, between 0 and 1, of the additional retries
    */
-  tryRetry: (service: string, purpose: RetryPurpose, share: number, now: MonotonicMilliseconds) => boolean
+  tryRetry: (
+    service: string, purpose: RetryPurpose, share: number, now: MonotonicMilliseconds
+  ) => GrantedRetry | undefined
 }
 
+/** A retry that was taken from the allowance. Calls after the first one have no effect. */
+export interface GrantedRetry {
+  /** Records that the connection to the upstream is open, so that the request arrives there. */
+  recordArrival: (now: MonotonicMilliseconds) => void
+  /** Returns the retry to the allowance, because it ended without having been sent. */
+  release: () => void
+}
+
+/** Stands for the first attempt of a request, which takes nothing from the allowance. */
+export const NO_RETRY: GrantedRetry = { recordArrival () {}, release () {} }
+
 interface Slice { index: number, requests: number }
 
+interface Retry {
+  isPending: boolean
+  /** Time of the arrival. Of a pending retry, a bound that holds even if neither its arrival nor its end is recorded. */
+  arrivesAt: MonotonicMilliseconds
+}
+
 interface ServiceCounts {
   requests: Slice[]
-  /** Times of the retries in the window, oldest first; there are few. */
-  retries: MonotonicMilliseconds[]
+  /** The retries in the window and the pending ones; there are few. */
+  retries: Retry[]
 }
 
 export function createRetryAllowance ({ window, ratio, extra }: RetryAllowanceOptions): RetryAllowance {
@@ -65,13 +85,19 @@
     const { requests, retries } = services.get(service) ?? { requests: [], retries: [] }
     const counts = {
       requests: requests.filter((slice) => slice.index > index - SLICE_COUNT),
-      retries: retries.filter((at) => at > now - window)
+      retries: retries.filter(({ arrivesAt }) => arrivesAt > now - window)
     }
     if (counts.requests.at(-1)?.index !== index) counts.requests.push({ index, requests: 0 })
     services.set(service, counts)
     return counts
   }
 
+  function settle (retry: Retry, arrivesAt: MonotonicMilliseconds): void {
+    if (!retry.isPending) return
+    retry.isPending = false
+    retry.arrivesAt = arrivesAt
+  }
+
   function canRetry (service: string, purpose: RetryPurpose, share: number, now: MonotonicMilliseconds): boolean {
     const counts = countsOf(service, now)
     const requests = counts.requests.reduce((sum, slice) => sum + slice.requests, 0)
@@ -84,9 +110,13 @@
     },
     canRetry,
     tryRetry (service, purpose, share, now) {
-      if (!canRetry(service, purpose, share, now)) return false
-      countsOf(service, now).retries.push(now)
-      return true
+      if (!canRetry(service, purpose, share, now)) return undefined
+      const retry: Retry = { isPending: true, arrivesAt: now + window }
+      countsOf(service, now).retries.push(retry)
+      return {
+        recordArrival (time) { settle(retry, time) },
+        release () { settle(retry, -Infinity) }
+      }
     }
   }
 }
