Drawn schedules: changes of all kinds in quick succession, planned departures, a stop

The drawn schedules knew one change of the configuration, and only of a key. They now draw bursts of changes within 300 ms: routes moved, removed, opened, restored, with shorter time limits, fewer attempts or no repeats; the customer's key added, removed, moved, its rate, its isolation. Upstreams say that they leave, exit, and come back under the same identifier; the instance stops (stopGracefully itself, with the exchanges of the schedule). A request is judged by the configuration of its arrival.

New rules: a request is handled by the configuration in force when it arrives; it is not sent to an upstream that leaves. New property: at sound upstreams each request gets a whole answer, whatever changes in the configuration.

--- a/src/edge/__tests__/lifeRules.ts
+++ b/src/edge/__tests__/lifeRules.ts
@@ -1,5 +1,7 @@
 /** What must hold for every request, whatever the schedule; from the rules LOST, TWICE, REFUSED, BUDGET and ORDER. */
-import { RequestKind, type ScheduledRequest } from './lifeSchedule'
+import { Obstacle } from '../attemptDecision'
+import { handledRequest, holderOfKey, type HandledRequest } from './lifeChanges'
+import { RequestKind } from './lifeSchedule'
 import type { LifeOutcome } from './lifeSimulation'
 import type { CallerEnding, CallerView } from './simulatedCallers'
 import { AttemptEnd, type SimulatedAttempt } from './simulatedUpstreams'
@@ -8,6 +10,8 @@
 const LIMIT_SLACK_MS = 100
 /** Longest time for which two upstreams may work on one stream. */
 const MAXIMUM_OVERLAP_MS = 400
+/** As in gracefulStop. */
+const STOP_MARGIN_MS = 500
 const NOT_EXECUTED_STATUSES: readonly number[] = [408, 421, 429, 503]
 const SINGLE_RUN_KINDS: readonly RequestKind[] = [RequestKind.unsafe, RequestKind.plainStream]
 const STREAM_KINDS: readonly RequestKind[] = [RequestKind.resumableStream, RequestKind.plainStream]
@@ -17,7 +21,8 @@
 /** One request, from its caller to its upstreams. */
 export interface Life {
   outcome: LifeOutcome
-  request: ScheduledRequest
+  /** The request as the configuration of its arrival handles it. */
+  request: HandledRequest
   caller: CallerView
   attempts: readonly SimulatedAttempt[]
 }
@@ -26,7 +31,7 @@
 export type Rule = (life: Life) => string | undefined
 
 function endOf ({ caller }: Life): CallerEnding {
-  return caller.endings[0] ?? { at: Infinity, isCut: false, isAnyListed: true, hasCrash: false }
+  return caller.endings[0] ?? { at: Infinity, isCut: false, obstacle: undefined, hasCrash: false }
 }
 
 function limitOf ({ request }: Life): number {
@@ -37,8 +42,28 @@
   return STREAM_KINDS.includes(request.kind)
 }
 
-function isKeyWithdrawn ({ outcome: { schedule: { configurationChange: change } } }: Life, time: number): boolean {
-  return change !== undefined && !change.keepsKey && time >= change.at
+/** Whether the request ended because its customer no longer holds its key, and that is so. */
+function isKeyWithdrawn ({ outcome: { schedule }, request }: Life, { at }: CallerEnding): boolean {
+  return request.needsKey && holderOfKey(schedule, at) !== holderOfKey(schedule, request.at)
+}
+
+/** Whether the instance has stopped, but for the time in which its last responses are sent. */
+function isAfterStop ({ outcome: { schedule: { stop } } }: Life, { at }: CallerEnding): boolean {
+  return stop !== undefined && at >= stop.at + stop.grace - STOP_MARGIN_MS
+}
+
+/** The obstacles that may end an owed request before its time limit, and when they may. */
+const ACCEPTED_OBSTACLES: Readonly<Partial<Record<Obstacle, (life: Life, ending: CallerEnding) => boolean>>> = {
+  [Obstacle.key]: isKeyWithdrawn,
+  [Obstacle.noneListed]: () => true,
+  // A request that may crash upstreams would crash the next one, with all other requests there.
+  [Obstacle.crashes]: (_life, { hasCrash }) => hasCrash,
+  [Obstacle.stopping]: isAfterStop
+}
+
+function mayEnd (life: Life): boolean {
+  const ending = endOf(life)
+  return ending.obstacle !== undefined && ACCEPTED_OBSTACLES[ending.obstacle]?.(life, ending) === true
 }
 
 function endedAt ({ endedAt: time = Infinity }: SimulatedAttempt): number {
@@ -84,10 +109,10 @@
 }
 
 function describeCut (life: Life): string | undefined {
-  const { at, isCut, isAnyListed, hasCrash } = endOf(life)
+  const { at, isCut, obstacle } = endOf(life)
   if (!isCut || life.caller.headAt === undefined || at >= limitOf(life)) return undefined
-  if (isKeyWithdrawn(life, at) || !isAnyListed || hasCrash || endedByUpstreams(life)) return undefined
-  return `a begun stream is cut with ${limitOf(life) - at} ms left`
+  if (mayEnd(life) || endedByUpstreams(life)) return undefined
+  return `a begun stream is cut with ${limitOf(life) - at} ms left because of ${obstacle}`
 }
 
 function hasFailedAttempt ({ attempts }: Life): boolean {
@@ -141,6 +166,7 @@
 /** Checked for each repeated arrival, in the window that ends with it. */
 function keepsAllowance ({ outcome: { schedule, attempts } }: Life): string | undefined {
   const { window, ratio, extra } = schedule.allowance
+  const allowed = schedule.requests.filter((_request, index) => handledRequest(schedule, index).isAllowed)
   const arrivals = attempts.filter(({ connectedAt }) => connectedAt !== undefined)
   const repeated = arrivals.filter(({ request }, index) => (
     arrivals.findIndex((other) => other.request === request) < index
@@ -150,7 +176,7 @@
     const count = times.filter((time) => time > end - window && time <= end).length
     const requests = Math.max(...[0, 0.5, 1].map((shift) => {
       const windowEnd = end - shift * window
-      return schedule.requests.filter(({ at }) => at > windowEnd - window && at <= windowEnd).length
+      return allowed.filter(({ at }) => at > windowEnd - window && at <= windowEnd).length
     }))
     if (count > ratio * requests + extra) return `${count} repeated arrivals at ${requests} requests within ${window} ms`
   }
@@ -159,15 +185,32 @@
 
 function awaitsFirstAnswer (life: Life): string | undefined {
   const { request: { kind }, caller: { status }, attempts } = life
-  const { at, hasCrash, isAnyListed } = endOf(life)
+  const { at } = endOf(life)
   if (kind !== RequestKind.safe || status !== 502 || at >= limitOf(life)) return undefined
-  if (hasCrash || !isAnyListed || isKeyWithdrawn(life, at)) return undefined
-  if (hasFailedAttempt(life)) return undefined
+  if (mayEnd(life) || hasFailedAttempt(life)) return undefined
   const first = attempts.find(({ end }) => !UNSENT_ENDS.includes(end))
   const wouldAnswer = (first?.completesAt ?? Infinity) < limitOf(life)
   return wouldAnswer ? `it is answered 502 at ${at} ms, its first upstream would answer at ${first!.completesAt} ms` : undefined
 }
 
+/** From the rules CONFIG and ROUTE: requests that arrive after a change are handled as it says. */
+function followsConfiguration (life: Life): string | undefined {
+  const { request: { isAllowed }, attempts, caller: { status } } = life
+  if (isAllowed) return status === 401 || status === 404 ? `it is answered ${status} although it is allowed` : undefined
+  return attempts.length > 0 ? 'it is sent to an upstream that its configuration does not name' : undefined
+}
+
+/** From the rule DRAIN. */
+function isNotSentToLeaving ({ outcome: { schedule: { departures } }, attempts }: Life): string | undefined {
+  for (const { from, length, returnsAfter, upstreams } of departures) {
+    const sent = attempts.find(({ upstream, openedAt }) => (
+      upstreams.includes(upstream) && openedAt > from && openedAt < from + length + returnsAfter
+    ))
+    if (sent !== undefined) return `it is sent to ${sent.upstream}, which is leaving, at ${sent.openedAt} ms`
+  }
+  return undefined
+}
+
 function endsAttempts (life: Life): string | undefined {
   const { at } = endOf(life)
   const remaining = life.attempts.find((attempt) => attempt.openedAt > at || endedAt(attempt) > at)
@@ -184,13 +227,25 @@
   'is answered as not run only if it does not run': promisesTrue,
   'is repeated within the allowance': keepsAllowance,
   'is answered by its first upstream if the others refuse it': awaitsFirstAnswer,
+  'is handled by the configuration in force when it arrives': followsConfiguration,
+  'is not sent to an upstream that leaves': isNotSentToLeaving,
   'leaves no attempt behind': endsAttempts
 }
 
+/** For schedules without any trouble of the upstreams. */
+export function isUndisturbed (life: Life): string | undefined {
+  const { request: { isAllowed }, attempts, caller: { status } } = life
+  const { at, isCut, obstacle } = endOf(life)
+  if (!isAllowed || at >= limitOf(life)) return undefined
+  // Refused at once: the customer is beyond its rate, or the upstreams cannot keep up.
+  if (attempts.length === 0 && obstacle === undefined && (status === 429 || status === 503)) return undefined
+  return status === 200 && !isCut ? undefined : `it ends with ${status} at ${at} ms because of ${obstacle}`
+}
+
 export function livesOf (outcome: LifeOutcome): Life[] {
-  return outcome.schedule.requests.map((request, index) => ({
+  return outcome.schedule.requests.map((_request, index) => ({
     outcome,
-    request,
+    request: handledRequest(outcome.schedule, index),
     caller: outcome.callers[index]!,
     attempts: outcome.attempts.filter((attempt) => attempt.request === index)
   }))
--- a/src/edge/__tests__/lifeSchedule.ts
+++ b/src/edge/__tests__/lifeSchedule.ts
@@ -3,6 +3,7 @@
 import { RepeatRule } from '../types'
 
 export const MAXIMUM_UPSTREAMS = 5
+const MAXIMUM_REQUESTS = 12
 
 /** A period in which something applies to some of the upstreams, given by their indexes. */
 export interface Period {
@@ -26,6 +27,32 @@
   [RequestKind.plainStream]: { repeat: RepeatRule.stream, resumable: false }
 }
 
+export const ChangeKind = {
+  /** Only the version of the configuration changes. */
+  nothing: 'nothing',
+  moveRoutes: 'moveRoutes',
+  removeRoutes: 'removeRoutes',
+  openRoutes: 'openRoutes',
+  shortenLimits: 'shortenLimits',
+  lowerAttempts: 'lowerAttempts',
+  forbidRepeats: 'forbidRepeats',
+  restoreRoutes: 'restoreRoutes',
+  addKey: 'addKey',
+  removeKey: 'removeKey',
+  moveKey: 'moveKey',
+  limitCustomer: 'limitCustomer',
+  isolateCustomer: 'isolateCustomer',
+  restoreCustomer: 'restoreCustomer'
+} as const
+export type ChangeKind = typeof ChangeKind[keyof typeof ChangeKind]
+
+export interface ConfigurationChange {
+  at: number
+  kind: ChangeKind
+  /** Requests whose routes change, by their indexes. */
+  requests: readonly number[]
+}
+
 export interface ScheduledRequest {
   kind: RequestKind
   at: number
@@ -60,7 +87,14 @@
   limits: ReadonlyArray<Period & { permitWait: number }>
   /** The upstream is not listed. If another run returns, the first one resets its connections and refuses new ones. */
   absences: ReadonlyArray<Period & { isOtherRun: boolean, isGraceful: boolean }>
-  configurationChange: { at: number, keepsKey: boolean } | undefined
+  /**
+   * The upstream says that it leaves, serves on for `length`, and exits. Another run under the same identifier comes
+   * `returnsAfter` later.
+   */
+  departures: ReadonlyArray<Period & { returnsAfter: number }>
+  changes: readonly ConfigurationChange[]
+  /** The instance is asked to stop; it exits `grace` later. */
+  stop: { at: number, grace: number } | undefined
   allowance: { window: number, ratio: number, extra: number }
   requests: readonly ScheduledRequest[]
   /** Seed of the instance's random numbers. */
@@ -78,7 +112,9 @@
     resets: [],
     limits: [],
     absences: [],
-    configurationChange: undefined,
+    departures: [],
+    changes: [],
+    stop: undefined,
     allowance: { window: 10_000, ratio: 0.2, extra: 100 },
     requests: [],
     seed: 1,
@@ -130,10 +166,64 @@
   segment: fc.nat(2)
 })
 
-export const scheduleArbitrary: fc.Arbitrary<Schedule> = fc.record({
-  upstreams: fc.array(fc.record({ queue: steps(1000), work: steps(500), pace: steps(300, 50, 50) }), {
-    minLength: 1, maxLength: MAXIMUM_UPSTREAMS
-  }),
+const changeArbitrary: fc.Arbitrary<ConfigurationChange> = fc.record({
+  at: steps(300),
+  kind: fc.constantFrom(...Object.values(ChangeKind)),
+  requests: fc.subarray([...Array(MAXIMUM_REQUESTS).keys()], { minLength: 1 })
+})
+
+/** Up to two bursts of changes in quick succession. */
+const changesArbitrary: fc.Arbitrary<ConfigurationChange[]> = fc.array(
+  fc.tuple(steps(5000), fc.array(changeArbitrary, { minLength: 1, maxLength: 5 })), { minLength: 1, maxLength: 2 }
+).map((bursts) => bursts.flatMap(([from, changes]) => changes.map((change) => ({ ...change, at: from + change.at }))))
+
+const stopArbitrary = fc.record({ at: steps(5000), grace: steps(8000, 500, 3000) })
+
+const departureArbitrary = extended(period(4000, 1000), fc.record({ returnsAfter: steps(2000, 100, 100) }))
+const absenceArbitrary = extended(
+  period(4000, 100), fc.record({ isOtherRun: fc.boolean(), isGraceful: fc.boolean() })
+)
+
+/** Removes upstreams that an earlier departure has taken away. */
+function onceEach<Departure extends Period> (departures: readonly Departure[]): Departure[] {
+  return departures.map((departure, index) => ({
+    ...departure,
+    upstreams: departure.upstreams.filter((upstream) => (
+      !departures.slice(0, index).some((earlier) => earlier.upstreams.includes(upstream))
+    ))
+  }))
+}
+
+/** Changes of the list of upstreams. An upstream that leaves is not also absent: its entry would come back. */
+const listArbitrary: fc.Arbitrary<Pick<Schedule, 'absences' | 'departures'>> = fc.oneof(
+  { weight: 5, arbitrary: fc.constant({ absences: [], departures: [] }) },
+  {
+    weight: 1,
+    arbitrary: fc.array(absenceArbitrary, { minLength: 1, maxLength: 2 })
+      .map((absences) => ({ absences, departures: [] }))
+  },
+  {
+    weight: 1,
+    arbitrary: fc.array(departureArbitrary, { minLength: 1, maxLength: 2 })
+      .map((departures) => ({ absences: [], departures: onceEach(departures) }))
+  }
+)
+
+const upstreamsArbitrary = fc.array(fc.record({ queue: steps(1000), work: steps(500), pace: steps(300, 50, 50) }), {
+  minLength: 1, maxLength: MAXIMUM_UPSTREAMS
+})
+const requestsArbitrary = fc.array(requestArbitrary, { minLength: 1, maxLength: MAXIMUM_REQUESTS })
+
+/** Schedules in which only the configuration changes. */
+export const plannedArbitrary: fc.Arbitrary<Schedule> = fc.record({
+  upstreams: upstreamsArbitrary,
+  changes: changesArbitrary,
+  requests: requestsArbitrary,
+  seed: fc.nat(1000)
+}).map(createSchedule)
+
+export const scheduleArbitrary: fc.Arbitrary<Schedule> = fc.tuple(listArbitrary, fc.record({
+  upstreams: upstreamsArbitrary,
   silences: fc.array(extended(period(2400, 800), fc.record({
     accepts: fc.constantFrom(true, true, true, false)
   })), { maxLength: 3 }),
@@ -142,16 +232,16 @@
   failures: rare(period(1000, 50)),
   resets: rare(period(0)),
   limits: rare(extended(period(3000, 200), fc.record({ permitWait: fc.oneof(steps(200), fc.constant(2000)) }))),
-  absences: rare(extended(period(4000, 100), fc.record({ isOtherRun: fc.boolean(), isGraceful: fc.boolean() }))),
-  configurationChange: fc.oneof(
-    { weight: 3, arbitrary: fc.constant(undefined) },
-    { weight: 2, arbitrary: fc.record({ at: steps(5000), keepsKey: fc.constantFrom(true, true, false) }) }
+  changes: fc.oneof(
+    { weight: 1, arbitrary: fc.constant<ConfigurationChange[]>([]) },
+    { weight: 1, arbitrary: changesArbitrary }
   ),
+  stop: fc.oneof({ weight: 7, arbitrary: fc.constant(undefined) }, { weight: 1, arbitrary: stopArbitrary }),
   allowance: fc.record({
     window: fc.constantFrom(2000, 10_000),
     ratio: fc.constantFrom(0, 0.2, 1),
     extra: fc.constantFrom(0, 1, 3, 8, 100)
   }),
-  requests: fc.array(requestArbitrary, { minLength: 1, maxLength: 12 }),
+  requests: requestsArbitrary,
   seed: fc.nat(1000)
-})
+})).map(([list, others]) => ({ ...others, ...list }))
--- a/src/edge/__tests__/lifeSimulation.ts
+++ b/src/edge/__tests__/lifeSimulation.ts
@@ -2,26 +2,28 @@
 import { vi } from 'vitest'
 import { ListenerState } from '../../http/listeningProbe'
 import { createCrashAttribution } from '../../upstream/crashAttribution'
+import type { Obstacle } from '../attemptDecision'
 import { createBacklogs } from '../backlog'
 import { createCrashReports, type CrashReports } from '../crashReports'
 import { EdgeEvent, type EdgeLog } from '../events'
 import { createExchange, type Exchange } from '../exchange'
 import type { ExchangeContext } from '../exchangeContext'
 import { createFreshness } from '../freshness'
+import { stopGracefully } from '../gracefulStop'
 import { createLivenessChecks, type LivenessChecks } from '../livenessChecks'
 import { createPrefixDemand } from '../prefixDemand'
+import { createQuotaShares } from '../quotaShare'
 import { createResponseBuffers } from '../responseBuffers'
 import { createRetryAllowance } from '../retryAllowance'
 import { createRolloutSampler } from '../rolloutSampler'
-import { createRouteTable, type RouteTable } from '../routeTable'
+import { createRouteTable } from '../routeTable'
 import { createTrialPermits } from '../trialPermits'
 import { RequestLimitKind, type Instant, type UpstreamEntry } from '../types'
 import { createUpstreamDirectory, type UpstreamDirectory } from '../upstreamDirectory'
-import { createConfiguration, createCustomer, createEntry, createRoute } from './fixtures'
-import { REPEAT_RULES, type Schedule } from './lifeSchedule'
-import {
-  CALLER_KEY, createCallerRequest, createCallerResponse, simulatedDialect, type CallerView
-} from './simulatedCallers'
+import { createEntry } from './fixtures'
+import { configurationAt } from './lifeChanges'
+import type { Schedule } from './lifeSchedule'
+import { createCallerRequest, createCallerResponse, simulatedDialect, type CallerView } from './simulatedCallers'
 import {
   appliesAt, createSimulatedUpstreams, useUpstreams, type SimulatedAttempt, type SimulatedUpstreams
 } from './simulatedUpstreams'
@@ -32,7 +34,6 @@
 const AFTERMATH_MS = 300
 /** As of the calls of the platform's engine control. */
 const REPORT_TIMEOUT_MS = 500
-const SERVICE = 'engines'
 
 export interface LifeOutcome {
   schedule: Schedule
@@ -49,21 +50,6 @@
   }
 }
 
-function routeTableOf (schedule: Schedule, version: number, hasKey: boolean): RouteTable {
-  return createRouteTable(createConfiguration({
-    version,
-    routes: schedule.requests.map(({ kind, limit, maximumAttempts }, index) => createRoute({
-      ...REPEAT_RULES[kind],
-      name: `route-${index}`,
-      prefix: `/${index}/`,
-      timeout: limit,
-      maximumAttempts,
-      services: [{ service: SERVICE, weight: 1 }]
-    })),
-    customers: [createCustomer({ keys: hasKey ? [CALLER_KEY] : ['other-key'], rate: 0 })]
-  }))
-}
-
 function entryOf (index: number, startedAt: number): UpstreamEntry {
   return createEntry(`u${index}`, { endpoint: { host: '127.0.0.1', port: index }, startedAt })
 }
@@ -73,8 +59,13 @@
   directory: UpstreamDirectory
   crashReports: CrashReports
   livenessChecks: LivenessChecks
-  changeConfiguration: (hasKey: boolean) => void
+  /** Puts the configuration of the present time in force. */
+  changeConfiguration: () => void
+  /** Rejects requests from now on. */
+  rejectRequests: () => void
   hasCrash: () => boolean
+  /** Returns why a request was not sent to another upstream, as its end was logged. */
+  obstacleOf: (request: number) => Obstacle | undefined
   faults: unknown[]
 }
 
@@ -84,11 +75,17 @@
   const random = createRandom(schedule.seed)
   const directory = createUpstreamDirectory()
   directory.replace(schedule.upstreams.map((_upstream, index) => entryOf(index, 1)), false, 0)
-  let routeTable = routeTableOf(schedule, 1, true)
+  let routeTable = createRouteTable(configurationAt(schedule, -Infinity))
+  let isRejecting = false
   let hasCrash = false
+  const obstacles = new Map<string, Obstacle>()
   const faults: unknown[] = []
   const reportFault = (error: unknown): void => { faults.push(error) }
-  const log: EdgeLog = (event) => { hasCrash ||= event === EdgeEvent.upstreamCrashed }
+  const log: EdgeLog = (event, fields) => {
+    hasCrash ||= event === EdgeEvent.upstreamCrashed
+    const { requestIdentifier, obstacle } = fields as { requestIdentifier?: string, obstacle?: Obstacle }
+    if (requestIdentifier !== undefined && obstacle !== undefined) obstacles.set(requestIdentifier, obstacle)
+  }
   const crashReports = createCrashReports({
     attribution: createCrashAttribution(),
     broadcast: () => {},
@@ -114,8 +111,8 @@
     freshness: createFreshness(Infinity),
     directory,
     connections: { agentFor: () => undefined, closeIdle () {} },
-    quotas: {},
-    peerQuota: {},
+    quotas: createQuotaShares({ window: 8000, overage: 0.1, slack: 0, startedAt: 0 }),
+    peerQuota: { acquire: async () => ({ responses: 0, units: 0 }) },
     retryAllowance: createRetryAllowance(schedule.allowance),
     exportTracker: { shouldExport: () => false },
     cacheStoreFor: () => undefined,
@@ -143,8 +140,7 @@
     trialPermits,
     crashReports,
     reportUnreachable () {},
-    isStopping: () => false,
-    isRejecting: () => false,
+    isRejecting: () => isRejecting,
     log,
     reportFault,
     now,
@@ -171,14 +167,18 @@
     directory,
     crashReports,
     livenessChecks,
-    changeConfiguration (hasKey) { routeTable = routeTableOf(schedule, 2, hasKey) },
+    changeConfiguration () { routeTable = createRouteTable(configurationAt(schedule, steady())) },
+    rejectRequests () { isRejecting = true },
     hasCrash: () => hasCrash,
+    obstacleOf: (request) => obstacles.get(String(request)),
     faults
   }
 }
 
 /** Sets the timers for what changes from outside. */
-function scheduleChanges (schedule: Schedule, instance: Instance, upstreams: SimulatedUpstreams): void {
+function scheduleChanges (
+  schedule: Schedule, instance: Instance, upstreams: SimulatedUpstreams, exchanges: ReadonlySet<Exchange>
+): void {
   const { directory } = instance
   for (const { from, upstreams: indexes } of schedule.resets) {
     setTimeout(() => { for (const index of indexes) upstreams.reset(index) }, from)
@@ -199,10 +199,33 @@
       }
     }, from + length)
   }
-  const { configurationChange } = schedule
-  if (configurationChange !== undefined) {
-    setTimeout(() => { instance.changeConfiguration(configurationChange.keepsKey) }, configurationChange.at)
+  for (const { from, length, upstreams: indexes, returnsAfter } of schedule.departures) {
+    const present = indexes.filter((index) => index < schedule.upstreams.length)
+    setTimeout(() => { for (const index of present) directory.update({ ...entryOf(index, 1), leaving: true }) }, from)
+    setTimeout(() => {
+      for (const index of present) {
+        upstreams.reset(index)
+        directory.remove(`u${index}`, false, performance.now())
+      }
+    }, from + length)
+    setTimeout(() => {
+      for (const index of present) directory.update(entryOf(index, from + 2))
+    }, from + length + returnsAfter)
   }
+  for (const { at } of schedule.changes) setTimeout(instance.changeConfiguration, at)
+  const { stop } = schedule
+  if (stop === undefined) return
+  setTimeout(() => {
+    stopGracefully({
+      grace: stop.grace,
+      exchanges,
+      hasUnsentBytes: () => false,
+      log: instance.context.log,
+      onStopping () {},
+      rejectRequests: instance.rejectRequests,
+      close () {}
+    }).catch(instance.context.reportFault)
+  }, stop.at)
 }
 
 /** Resolves when all promises and ticks that are due have been handled. */
@@ -230,11 +253,11 @@
         directory.expire(now.steady)
       })
     }, SWEEP_MS)
-    scheduleChanges(schedule, instance, upstreams)
+    scheduleChanges(schedule, instance, upstreams, exchanges)
     const callers = schedule.requests.map(({ at, segment }, index): CallerView => {
       const view: CallerView = { status: undefined, headAt: undefined, body: '', endings: [] }
       const response = createCallerResponse(view, () => ({
-        at: performance.now(), isAnyListed: directory.listed(SERVICE).length > 0, hasCrash: instance.hasCrash()
+        at: performance.now(), obstacle: instance.obstacleOf(index), hasCrash: instance.hasCrash()
       }))
       setTimeout(() => {
         const request = createCallerRequest(index, segment)
--- a/src/edge/__tests__/requestLife.test.ts
+++ b/src/edge/__tests__/requestLife.test.ts
@@ -1,8 +1,8 @@
 import fc from 'fast-check'
 import { describe, expect, it, vi } from 'vitest'
 import { ANSWERED_CASES, LIFE_CASES } from './lifeCases'
-import { findViolations, LIFE_RULES } from './lifeRules'
-import { scheduleArbitrary, type Schedule } from './lifeSchedule'
+import { findViolations, isUndisturbed, LIFE_RULES } from './lifeRules'
+import { plannedArbitrary, scheduleArbitrary, type Schedule } from './lifeSchedule'
 import { playSchedule, type LifeOutcome } from './lifeSimulation'
 
 vi.mock('../upstreamCall', async (importOriginal) => ({
@@ -32,6 +32,15 @@
   }, 60_000 + RUNS * 100)
 })
 
+describe('a request at sound upstreams', () => {
+  it('gets a whole answer unless its time ends, whatever changes in the configuration', async () => {
+    await fc.assert(fc.asyncProperty(plannedArbitrary, async (schedule) => {
+      const outcome = await playSchedule(schedule)
+      expect(findViolations(outcome, isUndisturbed)).toEqual([])
+    }), { seed: SEED, numRuns: RUNS })
+  }, 60_000 + RUNS * 100)
+})
+
 describe('a request keeps all rules', () => {
   it.each(LIFE_CASES)('$title', async ({ schedule }) => {
     const outcome = await playSchedule(schedule)
--- a/src/edge/__tests__/simulatedCallers.ts
+++ b/src/edge/__tests__/simulatedCallers.ts
@@ -1,6 +1,7 @@
 /** Callers and headers of the tests of a request's life: what an instance's server would pass to an exchange. */
 import { EventEmitter } from 'node:events'
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Obstacle } from '../attemptDecision'
 import { RequestLimitKind, type Dialect } from '../types'
 
 /** Key of all callers. */
@@ -10,8 +11,8 @@
   at: number
   /** Whether the connection was closed before the response was complete. */
   isCut: boolean
-  /** Whether an upstream of the service was listed. */
-  isAnyListed: boolean
+  /** Why the request was not sent to another upstream, as the instance logged it. */
+  obstacle: Obstacle | undefined
   /** Whether an upstream had crashed, so that requests may be suspected. */
   hasCrash: boolean
 }
--- a/src/edge/__tests__/simulatedUpstreams.ts
+++ b/src/edge/__tests__/simulatedUpstreams.ts
@@ -53,6 +53,11 @@
   return upstreams.includes(upstream) && time >= from && time < from + length
 }
 
+/** Whether the upstream has exited, and no other run has taken its place yet. */
+function isGoneAfter ({ from, length, upstreams, returnsAfter }: Schedule['departures'][number], upstream: number, time: number): boolean {
+  return appliesAt({ from: from + length, length: returnsAfter, upstreams }, upstream, time)
+}
+
 function headOf (statusCode: number, headers: Record<string, string>): IncomingMessage {
   const rawHeaders = Object.entries(headers).flat()
   return { statusCode, statusMessage: 'OK', headers, rawHeaders } as unknown as IncomingMessage
@@ -152,7 +157,8 @@
     attempts.push(attempt)
     resets.set(attempt, () => { fail(AttemptEnd.brokeOff, 'the connection was reset') })
     const opensAt = awakeAt(upstream, now() + TRANSIT_MS, schedule.silences.filter(({ accepts }) => !accepts))
-    const isGone = schedule.absences.some((period) => period.isOtherRun && appliesAt(period, upstream, now()))
+    const isGone = schedule.absences.some((period) => period.isOtherRun && appliesAt(period, upstream, now())) ||
+      schedule.departures.some((departure) => isGoneAfter(departure, upstream, now()))
     if (isGone) at(now() + TRANSIT_MS, () => { fail(AttemptEnd.notSent, 'the connection was refused') })
     else if (opensAt - now() <= options.connectTimeout) at(opensAt, onConnected)
     else at(now() + options.connectTimeout, () => { fail(AttemptEnd.notSent, 'the connection did not open in time') })
