Let begun streams wait while no upstream of their service is listed

Callers lost begun streams at once when their upstream broke off and no other one was listed at that moment, although the upstream was listed again a second later: after a restart, after a planned departure with another run under the same identifier, or when the entries of all upstreams were lost in an outage of the store.

Cause: ENDS_OWED_REQUEST ended a request on an empty list, in contrast to upstreams that are all paused or full. A request that is owed an answer now waits for an entry until its time limit or until its caller leaves. It is sent only to upstreams that are listed, so that nothing is sent to one that has left, and requests that are not owed are still refused at once. Cost: a stream whose service is gone for good is held until then, as one whose upstreams are all unusable.

--- a/src/edge/__tests__/lifeCases.ts
+++ b/src/edge/__tests__/lifeCases.ts
@@ -57,6 +57,32 @@
       requests: [createRequest({ limit: 8000, maximumAttempts: 3 })]
     })
   },
+  {
+    // Each of the next three guards against a stream that is cut because the list is empty for a moment.
+    title: 'its only upstream breaks off, and another run of it is listed a second later',
+    schedule: createSchedule({
+      upstreams: [QUICK],
+      absences: [{ from: 500, length: 1000, upstreams: [0], isOtherRun: true, isGraceful: false }],
+      requests: [createRequest({ limit: 6000 })]
+    })
+  },
+  {
+    title: 'its only upstream leaves as planned, and another run of it is listed half a second later',
+    schedule: createSchedule({
+      upstreams: [QUICK],
+      departures: [{ from: 500, length: 1000, upstreams: [0], returnsAfter: 500 }],
+      requests: [createRequest({ limit: 6000 })]
+    })
+  },
+  {
+    title: 'its upstream breaks off while the entries of all upstreams are lost for two seconds',
+    schedule: createSchedule({
+      upstreams: TWO,
+      absences: [{ from: 500, length: 2000, upstreams: [0, 1], isOtherRun: false, isGraceful: false }],
+      resets: [{ from: 800, length: 0, upstreams: [0, 1] }],
+      requests: [createRequest({ limit: 6000 })]
+    })
+  },
   {
     title: 'it waits at silent upstreams and the next one refuses it when it goes on',
     schedule: createSchedule({
--- a/src/edge/__tests__/lifeRules.ts
+++ b/src/edge/__tests__/lifeRules.ts
@@ -55,7 +55,6 @@
 /** The obstacles that may end an owed request before its time limit, and when they may. */
 const ACCEPTED_OBSTACLES: Readonly<Partial<Record<Obstacle, (life: Life, ending: CallerEnding) => boolean>>> = {
   [Obstacle.key]: isKeyWithdrawn,
-  [Obstacle.noneListed]: () => true,
   // A request that may crash upstreams would crash the next one, with all other requests there.
   [Obstacle.crashes]: (_life, { hasCrash }) => hasCrash,
   [Obstacle.stopping]: isAfterStop
--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -67,7 +67,7 @@
   retryAllowance: 'retryAllowance',
   /** No upstream can take it now. */
   noneUsable: 'noneUsable',
-  /** The service has no upstream. */
+  /** The service has no upstream at the moment. */
   noneListed: 'noneListed',
   /** Its key is no longer known to be valid. */
   key: 'key',
@@ -115,8 +115,8 @@
 
 /**
  * Whether each obstacle ends a request that is owed an answer, because part of its response has been sent or this
- * instance cancelled one of its attempts. Limits that hold off new work, and upstreams that are busy, do not: the request
- * waits for their end until its time limit.
+ * instance cancelled one of its attempts. Limits that hold off new work, and upstreams that are busy or not listed, do
+ * not: the request waits for their end until its time limit.
  */
 const ENDS_OWED_REQUEST: Readonly<Record<Obstacle, boolean>> = {
   [Obstacle.notRepeatable]: true,
@@ -124,7 +124,8 @@
   [Obstacle.rejections]: false,
   [Obstacle.retryAllowance]: false,
   [Obstacle.noneUsable]: false,
-  [Obstacle.noneListed]: true,
+  // The entry of an upstream that restarts, or that was lost in an outage of the store, is back within seconds.
+  [Obstacle.noneListed]: false,
   [Obstacle.key]: true,
   [Obstacle.crashes]: true,
   [Obstacle.stopping]: true,
