serve: Refuse requests without Host itself and keep their connection

Callers lost whole requests behind one without the header Host: Node.js answers that itself, announces the end of the connection, and what follows is discarded, or is run for nobody. The refusal was also without a body, and not among the answers that the connection has in progress.

--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -62,6 +62,7 @@
 
   async function run (exchange: Exchange): Promise<void> {
     try {
+      rejectUnservable(exchange)
       await options.route(exchange.method, exchange.path)(exchange)
     } catch (error) {
       if (exchange.signal.aborted) return
@@ -76,6 +77,8 @@
     requestTimeout: options.requestTimeout ?? 60_000,
     connectionsCheckingInterval: options.connectionCheckInterval ?? 30_000,
     keepAliveTimeout: options.idleTimeout ?? 75_000,
+    // Node.js would close the connection behind its own refusal.
+    requireHostHeader: false,
     noDelay: true
   })
   const connections = trackCallerConnections(server, {
@@ -133,6 +136,13 @@
   }
 }
 
+/** @throws InvalidRequestError if the request lacks what HTTP requires. */
+function rejectUnservable ({ request: { headers, httpVersion } }: Exchange): void {
+  if (headers.host === undefined && httpVersion === '1.1') {
+    throw new InvalidRequestError('the header field Host is missing', { execution: ExecutionStatus.notRun })
+  }
+}
+
 const UNREADABLE_MESSAGES: Record<UnreadableRequest, string> = {
   malformed: 'malformed HTTP request',
   header_too_large: 'request header too large',
