serve: Refuse too long a head as a request and keep its connection

Callers lost whole requests behind one whose head exceeded the limit of the settings: the HTTP parser had that limit, and after its error nothing on the connection can be read. As on the edge, the parser takes 64 KiB, or the limit if it is higher, and the limit is checked for each request.

laterBytes.test.ts: the head that cannot be read is longer than what the parser takes; its expectation is as it was.

--- a/src/errors.ts
+++ b/src/errors.ts
@@ -35,6 +35,11 @@
   readonly httpStatus: number = 400
 }
 
+/** The request line and the header fields exceed their limit. */
+export class HeaderTooLargeError extends InvalidRequestError {
+  override readonly httpStatus = 431
+}
+
 /** The body or header exceeds its limit. */
 export class RequestTooLargeError extends RouterError {
   readonly code = 'request_too_large'
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,13 +1,17 @@
 /** HTTP server for callers: limits, request identifiers, routing to handlers and handling of uncaught errors. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { InternalError, InvalidRequestError, RouterError } from '../errors'
+import { HeaderTooLargeError, InternalError, InvalidRequestError, RouterError } from '../errors'
 import { trackCallerConnections, type CallerConnectionsOptions, type UnreadableRequest } from '../http/callerConnections'
+import { countHeaderBytes } from '../http/headSize'
 import { ExecutionStatus } from '../types'
 import type { Endpoint } from '../types'
 import { errorBodyOf, sendError } from './errorResponse'
 import type { Exchange, ExchangeHandler } from './exchange'
 
+/** Minimum header limit of the HTTP parser in bytes. A head beyond it cannot be read, and closes its connection. */
+const MINIMUM_PARSED_HEADER_BYTES = 65_536
+
 export interface CallerServerOptions {
   createIdentifier: () => string
   /** Returns the handler of a request. */
@@ -45,6 +49,7 @@
 export function createCallerServer (options: CallerServerOptions): CallerServer {
   let openRequests = 0
   let closing = false
+  const maximumHeaderBytes = options.maximumHeaderBytes ?? 16_384
 
   function handle (request: IncomingMessage, response: ServerResponse): void {
     const exchange = openExchange(request, response, options.createIdentifier())
@@ -60,6 +65,17 @@
     run(exchange).catch((error) => { options.reportFault(error, exchange.identifier) })
   }
 
+  /** @throws RouterError if the request lacks what HTTP requires, or exceeds the limits of heads. */
+  function rejectUnservable ({ request }: Exchange): void {
+    const details = { execution: ExecutionStatus.notRun }
+    if (countHeaderBytes(request) > maximumHeaderBytes) {
+      throw new HeaderTooLargeError(UNREADABLE_MESSAGES.header_too_large, details)
+    }
+    if (request.headers.host === undefined && request.httpVersion === '1.1') {
+      throw new InvalidRequestError('the header field Host is missing', details)
+    }
+  }
+
   async function run (exchange: Exchange): Promise<void> {
     try {
       rejectUnservable(exchange)
@@ -72,7 +88,8 @@
   }
 
   const server: Server = createServer({
-    maxHeaderSize: options.maximumHeaderBytes ?? 16_384,
+    // The limit of the settings is checked for each request, whose connection can be kept.
+    maxHeaderSize: Math.max(MINIMUM_PARSED_HEADER_BYTES, maximumHeaderBytes),
     headersTimeout: options.headerTimeout ?? 10_000,
     requestTimeout: options.requestTimeout ?? 60_000,
     connectionsCheckingInterval: options.connectionCheckInterval ?? 30_000,
@@ -136,13 +153,6 @@
   }
 }
 
-/** @throws InvalidRequestError if the request lacks what HTTP requires. */
-function rejectUnservable ({ request: { headers, httpVersion } }: Exchange): void {
-  if (headers.host === undefined && httpVersion === '1.1') {
-    throw new InvalidRequestError('the header field Host is missing', { execution: ExecutionStatus.notRun })
-  }
-}
-
 const UNREADABLE_MESSAGES: Record<UnreadableRequest, string> = {
   malformed: 'malformed HTTP request',
   header_too_large: 'request header too large',
