serve: Refuse unmet expectations itself

Callers lost the refusal of a request with an unknown Expect header if it came last on its connection during a planned stop: Node.js answers it itself, outside of the answers that callerConnections knows, so that the one before it announced the end.

--- a/src/errors.ts
+++ b/src/errors.ts
@@ -40,6 +40,11 @@
   override readonly httpStatus = 431
 }
 
+/** The `Expect` header asks for something that the router does not know. */
+export class ExpectationFailedError extends InvalidRequestError {
+  override readonly httpStatus = 417
+}
+
 /** The body or header exceeds its limit. */
 export class RequestTooLargeError extends RouterError {
   readonly code = 'request_too_large'
--- a/src/gateway/__tests__/unansweredBehindRefusal.test.ts
+++ b/src/gateway/__tests__/unansweredBehindRefusal.test.ts
@@ -26,6 +26,11 @@
 /** More than the buffers of the operating system take. */
 const LONG_ANSWER_BYTES = 16 * 1024 * 1024
 
+/** Time in milliseconds after which a stream is given up whose caller does not read. */
+const UNREAD_LIMIT_MS = 500
+/** More than the server buffers for a stream that waits for the answer before it. */
+const BUFFERED_BYTES = 256 * 1024
+
 const VALID_KEY = 'wws_0123456789abcdefghij'
 const HOST = 'Host: a'
 const KEY = `Authorization: Bearer ${VALID_KEY}`
@@ -78,12 +83,13 @@
 ]
 
 const executeCompletion: CompletionExecutor = async function * ({ request: { model } }) {
+  const pace = model === 'slow' ? UNREAD_LIMIT_MS : PACE_MS
   if (model === 'full') throw new OverloadedError('full', { execution: ExecutionStatus.notRun, retryAfterSeconds: 1 })
   for (const text of ['one ', 'two ']) {
-    await delay(PACE_MS)
-    yield { text }
+    await delay(pace)
+    yield { text: model === 'long' ? text.repeat(BUFFERED_BYTES) : text }
   }
-  await delay(PACE_MS)
+  await delay(pace)
   if (model === 'broken') throw new UpstreamFailedError('gone', { execution: ExecutionStatus.unknown })
   yield { text: 'three', end: { finishReason: 'stop', usage: { promptTokens: 1, completionTokens: 3, cachedTokens: 0 } } }
 }
@@ -117,7 +123,7 @@
   const shared = { authenticate, watch, maximumBodyBytes: BODY_LIMIT }
   const handlers: Record<string, ExchangeHandler> = {
     'POST /v1/completions': createCompletionHandler({
-      ...shared, style: 'plain', execute: executeCompletion, wallClock: Date.now, unreadLimit: 5000
+      ...shared, style: 'plain', execute: executeCompletion, wallClock: Date.now, unreadLimit: UNREAD_LIMIT_MS
     }),
     'GET /v1/models': createModelsHandler({ models: () => [], authenticate })
   }
@@ -271,11 +277,27 @@
     expect(caller.text().match(/an order/g)).toHaveLength(1)
   })
 
-  it('a stream that ends with an error event is answered', async () => {
+  it.each<[string, string[], number]>([
+    ['a stream that ends with an error event', [], 0],
+    ['a stream that ends with an error event, sent later,', [], 2 * PACE_MS],
+    ['an answer and a stream that ends with an error event', [GOOD], 0],
+    ['a stream and one that ends with an error event', [GOOD_STREAM], 0]
+  ])('%s is answered', async (_what, before, wait) => {
     const caller = await open()
-    caller.socket.write(BROKEN_STREAM + GOOD)
+    caller.socket.write(before.join('') + BROKEN_STREAM)
+    await delay(wait)
+    caller.socket.write(GOOD_STREAM + GOOD)
+    await expectAnswers(caller, [...before.map(() => '200'), '200', '200', '200'])
+    expect(caller.text()).toMatch(/event: error\ndata: \{"error":\{"message":"gone"[^]*\[DONE\][^]*an order/)
+    expect(caller.text().match(/\[DONE\]/g)).toHaveLength(before.includes(GOOD_STREAM) ? 2 : 1)
+  })
+
+  // The limit for callers that do not read must not include the time in which others are being answered.
+  it('a stream that takes longer than the limit for callers that do not read is answered', async () => {
+    const caller = await open()
+    caller.socket.write(complete('slow', true) + complete('long', true))
     await expectAnswers(caller, ['200', '200'])
-    expect(caller.text()).toMatch(/event: error\ndata: \{"error":\{"message":"gone"[^]*an order/)
+    expect(caller.text().match(/\[DONE\]/g)).toHaveLength(2)
   })
 })
 
@@ -294,6 +316,26 @@
   })
 })
 
+describe('after a planned stop has begun', () => {
+  const EXPECTS = get('/orders/1', [HOST, KEY, 'Expect: a miracle'])
+
+  it.each<[string, string[], string[]]>([
+    ['an expectation that is not met behind a request', [GOOD, EXPECTS], ['200', '417 closing']],
+    ['an expectation that is not met before a request', [EXPECTS, GOOD], ['417', '200 closing']],
+    ['a refusal before a request', [get('/unknown/1'), GOOD], ['404', '200 closing']],
+    ['two refusals before a request', [get('/unknown/1'), get('/orders/1', [HOST]), GOOD], ['404', '401', '200 closing']],
+    ['a refusal with an unread body before a request', [post('/v1/unknown', 'body'), GOOD], ['404', '200 closing']],
+    ['too long a body before a request', [post('/v1/completions', LONG_BODY), GOOD], ['413', '200 closing']],
+    ['a request before a refusal', [GOOD, get('/unknown/1')], ['200', '404 closing']]
+  ])('%s are answered', async (_title, requests, expected) => {
+    const caller = await open()
+    server.closeConnections()
+    caller.socket.write(requests.join(''))
+    await expectAnswers(caller, expected)
+    await expect.poll(caller.isClosed, { timeout: ANSWER_MS }).toBe(true)
+  })
+})
+
 describe('a planned stop', () => {
   const SEVERAL = [GOOD_STREAM, GOOD, get('/unknown/1'), GOOD_POST]
   const STOPS: Array<[string, () => void]> = [
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,7 +1,9 @@
 /** HTTP server for callers: limits, request identifiers, routing to handlers and handling of uncaught errors. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { HeaderTooLargeError, InternalError, InvalidRequestError, RouterError } from '../errors'
+import {
+  ExpectationFailedError, HeaderTooLargeError, InternalError, InvalidRequestError, RouterError
+} from '../errors'
 import { trackCallerConnections, type CallerConnectionsOptions, type UnreadableRequest } from '../http/callerConnections'
 import { countHeaderBytes } from '../http/headSize'
 import { ExecutionStatus } from '../types'
@@ -50,6 +52,8 @@
   let openRequests = 0
   let closing = false
   const maximumHeaderBytes = options.maximumHeaderBytes ?? 16_384
+  /** Requests whose `Expect` header asks for something other than `100-continue`. */
+  const unmetExpectations = new WeakSet<IncomingMessage>()
 
   function handle (request: IncomingMessage, response: ServerResponse): void {
     const exchange = openExchange(request, response, options.createIdentifier())
@@ -74,6 +78,7 @@
     if (request.headers.host === undefined && request.httpVersion === '1.1') {
       throw new InvalidRequestError('the header field Host is missing', details)
     }
+    if (unmetExpectations.has(request)) throw new ExpectationFailedError('the expectation cannot be met', details)
   }
 
   async function run (exchange: Exchange): Promise<void> {
@@ -104,6 +109,11 @@
     ...(options.onConnectionClosing === undefined ? {} : { onClosing: options.onConnectionClosing }),
     ...(options.onRequestDiscarded === undefined ? {} : { onDiscarded: options.onRequestDiscarded })
   })
+  // Node.js would answer these itself, outside of the answers in progress on the connection.
+  server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+    unmetExpectations.add(request)
+    server.emit('request', request, response)
+  })
   server.maxConnections = options.maximumConnections ?? 4096
 
   return {
