serve: Answer requests behind a stream that fails, and end it if it fails while it waits

Callers lost whole requests behind a stream that ended with an error event: the connection was closed, and the work for them cancelled. And a stream that failed while it waited for the answer before it never ended, because it has no socket then: its connection hung and counted as an open request. If further requests have come on the connection, the body of the failed stream is ended behind the error event, so that they are answered; the event and the missing [DONE] tell that it is incomplete. Without further requests the connection is closed without the end of the body, as before.

--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,6 +1,7 @@
 /** HTTP server for callers: limits, request identifiers, routing to handlers and handling of uncaught errors. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import {
   ExpectationFailedError, HeaderTooLargeError, InternalError, InvalidRequestError, RouterError
 } from '../errors'
@@ -51,12 +52,17 @@
 export function createCallerServer (options: CallerServerOptions): CallerServer {
   let openRequests = 0
   let closing = false
+  /** The last response on each connection. */
+  const lastResponses = new WeakMap<Socket, ServerResponse>()
   const maximumHeaderBytes = options.maximumHeaderBytes ?? 16_384
   /** Requests whose `Expect` header asks for something other than `100-continue`. */
   const unmetExpectations = new WeakSet<IncomingMessage>()
 
   function handle (request: IncomingMessage, response: ServerResponse): void {
-    const exchange = openExchange(request, response, options.createIdentifier())
+    const { socket } = request
+    lastResponses.set(socket, response)
+    const hasFollowers = (): boolean => lastResponses.get(socket) !== response
+    const exchange = openExchange(request, response, options.createIdentifier(), hasFollowers)
     openRequests += 1
     response.once('close', () => {
       openRequests -= 1
@@ -145,7 +151,9 @@
   }
 }
 
-function openExchange (request: IncomingMessage, response: ServerResponse, identifier: string): Exchange {
+function openExchange (
+  request: IncomingMessage, response: ServerResponse, identifier: string, hasFollowers: () => boolean
+): Exchange {
   const abort = new AbortController()
   response.once('close', () => {
     if (!response.writableFinished) abort.abort()
@@ -159,7 +167,8 @@
     method: request.method ?? 'GET',
     path: queryStart === -1 ? target : target.slice(0, queryStart),
     query: queryStart === -1 ? '' : target.slice(queryStart),
-    signal: abort.signal
+    signal: abort.signal,
+    hasFollowers
   }
 }
 
--- a/src/gateway/completionHandler.ts
+++ b/src/gateway/completionHandler.ts
@@ -134,9 +134,15 @@
   })
 }
 
-/** Sends an error event and closes the connection without ending the body, so that the caller can detect the truncation. */
-function abortStream ({ response, signal }: Exchange, error: unknown): void {
-  const { socket } = response
-  if (signal.aborted || socket === null) return
-  response.write(errorEventOf(error), () => { socket.destroySoon() })
+/**
+ * Sends an error event and closes the connection without ending the body, so that the caller can detect the truncation.
+ * If the caller has sent further requests on the connection, the body is ended instead, as their responses would be lost
+ * with the connection. The error event, and the missing end of the stream, then tell that it is incomplete.
+ */
+function abortStream ({ request, response, signal, hasFollowers }: Exchange, error: unknown): void {
+  if (signal.aborted) return
+  response.write(errorEventOf(error), () => {
+    if (hasFollowers()) response.end()
+    else request.socket.destroySoon()
+  })
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -18,6 +18,8 @@
   query: string
   /** Aborted if the caller disconnects before the response is complete. */
   signal: AbortSignal
+  /** Whether the caller has sent further requests on the connection, whose responses come after this one. */
+  hasFollowers: () => boolean
 }
 
 export type ExchangeHandler = (exchange: Exchange) => Promise<void>
