serve: Do not cut off answers when the server closes

Callers that read slowly lost the rest of an answer, and the whole requests behind it on the connection, when the server closed: close() of Node.js closes connections as idle although their last response has not been sent. closeConnections() had been guarded against this, close() not. In the daemon it comes after the wait for open requests, so that it mattered at the end of the time limit for a stop. Connections are now closed as by closeConnections().

--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,7 +1,7 @@
 /** HTTP server for callers: limits, request identifiers, routing to handlers and handling of uncaught errors. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import { Server as TcpServer, type Socket } from 'node:net'
 import {
   ExpectationFailedError, HeaderTooLargeError, InternalError, InvalidRequestError, RouterError
 } from '../errors'
@@ -144,8 +144,9 @@
       closing = true
       connections.announceClose()
       await new Promise<void>((resolve) => {
-        server.close(() => { resolve() })
-        server.closeIdleConnections()
+        // The method of the HTTP server would close connections whose last response has not been sent.
+        TcpServer.prototype.close.call(server, () => { resolve() })
+        connections.closeIdle()
       })
     }
   }
