serve: Answer requests behind a refusal during a planned stop

Callers lost whole requests during a planned stop: what was refused at once (an unknown path, an unmet expectation, too long a body) announced the end of its connection, and a request that had come with it on the same connection was discarded. While the server is closing, a request is handled only after those that were read with it are known, and a refusal that announces the end of the connection waits for the rest of its body, for up to 1 s.

--- a/src/gateway/__tests__/unansweredBehindRefusal.test.ts
+++ b/src/gateway/__tests__/unansweredBehindRefusal.test.ts
@@ -196,14 +196,16 @@
     await expectAnswers(caller, expected)
     expect(closings).toEqual([])
   })
+})
 
-  it('is refused alone, and its connection serves further requests', async () => {
-    const caller = await open()
-    caller.socket.write(refused)
-    await expectAnswers(caller, [status])
+describe('a request that is refused alone', () => {
+  it('leaves a connection that serves further requests', async () => {
+    const callers = await Promise.all(REFUSED.map(open))
+    callers.forEach(({ socket }, index) => { socket.write(REFUSED[index]![1]) })
     await delay(CLOSE_MS)
-    caller.socket.write(GOOD)
-    await expectAnswers(caller, [status, '200'])
+    for (const { socket } of callers) socket.write(GOOD)
+    const answers = (): string[][] => callers.map((caller, index) => [REFUSED[index]![0], ...statuses(caller)])
+    await expect.poll(answers, { timeout: ANSWER_MS }).toEqual(REFUSED.map(([title, , status]) => [title, status, '200']))
   })
 })
 
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -72,7 +72,15 @@
     // Connection errors are handled through the aborted signal. Without a listener they would terminate the process.
     request.on('error', () => {})
     response.on('error', () => {})
-    run(exchange).catch((error) => { options.reportFault(error, exchange.identifier) })
+    // A response that announces the end of its connection is the last one. While the server is closing, one that could be
+    // sent at once waits until the requests that have arrived with its own are known.
+    if (closing) setImmediate(start)
+    else start()
+
+    function start (): void {
+      if (exchange.signal.aborted) return
+      run(exchange).catch((error) => { options.reportFault(error, exchange.identifier) })
+    }
   }
 
   /** @throws RouterError if the request lacks what HTTP requires, or exceeds the limits of heads. */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,7 +3,7 @@
 import { InvalidRequestError, RequestTooLargeError } from '../errors'
 import { ExecutionStatus } from '../types'
 
-/** Time in milliseconds for which the rest of a rejected body is read, so that the caller can read the response. */
+/** Time in milliseconds for which the last response on a connection waits for the rest of a rejected body. */
 const LINGER_MS = 1000
 
 export interface Exchange {
@@ -47,8 +47,8 @@
 
 /**
  * Sends a complete response. The rest of a body that has not been read is discarded, so that the connection can be used
- * for further requests. If it is to be closed, that happens at the end of the body or after a short period: closing it
- * with unread bytes would reset it before the caller has read the response.
+ * for further requests. A response that announces the end of the connection waits for that rest for a short period,
+ * because a request that has been sent behind it would be lost.
  */
 export function sendResponse (
   exchange: Exchange, status: number, headers: Readonly<Record<string, string | readonly string[]>>,
@@ -63,26 +63,21 @@
   }
   response.setHeader('content-length', content.byteLength)
   response.setHeader('x-request-id', exchange.identifier)
-  const withContent = exchange.method === 'HEAD' ? undefined : content
+  const send = (): void => { response.end(exchange.method === 'HEAD' ? undefined : content) }
   request.resume()
-  if (request.complete || response.shouldKeepAlive || hasNoBody(request)) response.end(withContent)
-  else endAfterBody(exchange, withContent)
+  if (request.complete || response.shouldKeepAlive || hasNoBody(request)) send()
+  else afterBody(request, send)
 }
 
-function endAfterBody ({ request, response }: Exchange, content: Uint8Array | undefined): void {
-  response.flushHeaders()
-  if (content !== undefined) response.write(content)
-  let timer: NodeJS.Timeout | undefined
+/** Calls `next` at the end of the body, or after a short period. */
+function afterBody (request: IncomingMessage, next: () => void): void {
   const finish = (): void => {
     clearTimeout(timer)
-    response.end()
+    for (const event of ['end', 'close']) request.off(event, finish)
+    next()
   }
-  const startTimer = (): void => { timer = setTimeout(finish, LINGER_MS) }
-  // A response that waits for the one before it has no socket yet.
-  if (response.socket === null) response.once('socket', startTimer)
-  else startTimer()
-  request.once('end', finish)
-  request.once('close', finish)
+  const timer = setTimeout(finish, LINGER_MS)
+  for (const event of ['end', 'close']) request.on(event, finish)
 }
 
 function hasNoBody ({ headers }: IncomingMessage): boolean {
