--- a/src/edge/__tests__/lifeCases.ts
+++ b/src/edge/__tests__/lifeCases.ts
@@ -57,6 +57,32 @@
       requests: [createRequest({ limit: 8000, maximumAttempts: 3 })]
     })
   },
+  {
+    // Each of the next three guards against a stream that is cut because the list is empty for a moment.
+    title: 'its only upstream breaks off, and another run of it is listed a second later',
+    schedule: createSchedule({
+      upstreams: [QUICK],
+      absences: [{ from: 500, length: 1000, upstreams: [0], isOtherRun: true, isGraceful: false }],
+      requests: [createRequest({ limit: 6000 })]
+    })
+  },
+  {
+    title: 'its only upstream leaves as planned, and another run of it is listed half a second later',
+    schedule: createSchedule({
+      upstreams: [QUICK],
+      departures: [{ from: 500, length: 1000, upstreams: [0], returnsAfter: 500 }],
+      requests: [createRequest({ limit: 6000 })]
+    })
+  },
+  {
+    title: 'its upstream breaks off while the entries of all upstreams are lost for two seconds',
+    schedule: createSchedule({
+      upstreams: TWO,
+      absences: [{ from: 500, length: 2000, upstreams: [0, 1], isOtherRun: false, isGraceful: false }],
+      resets: [{ from: 800, length: 0, upstreams: [0, 1] }],
+      requests: [createRequest({ limit: 6000 })]
+    })
+  },
   {
     title: 'it waits at silent upstreams and the next one refuses it when it goes on',
     schedule: createSchedule({
@@ -194,6 +220,22 @@
       seed: 0
     })
   },
+  {
+    // A retry counted from when it was sent, and arrived 59 ms later, when its connection opened: 2 arrived in one window.
+    title: 'when a connection opens late and the window of the allowance starts before',
+    schedule: createSchedule({
+      upstreams: TWO,
+      silences: [{ from: 700, length: 1650, upstreams: [1, 4], accepts: false }],
+      full: [{ from: 250, length: 2150, upstreams: [0, 1, 3], wait: 50 }],
+      resets: [{ from: 250, length: 0, upstreams: [1, 4] }, { from: 0, length: 0, upstreams: [1] }],
+      allowance: { window: 2000, ratio: 0.2, extra: 1 },
+      requests: [
+        ...[2400, 700, 0, 2400, 1150].map((at) => createRequest({ at, limit: 2000, maximumAttempts: 1, events: 1 })),
+        createRequest({ limit: 4400, events: 6 })
+      ],
+      seed: 0
+    })
+  },
   {
     // Guards against a takeover that is sent after the answer, because it waited for its permit meanwhile.
     title: 'when its upstream ends it while the takeover waits for a permit',
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -1,13 +1,20 @@
 /** HTTP server for callers: limits, request identifiers, routing to handlers and handling of uncaught errors. */
 import { createServer } from 'node:http'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { InternalError, InvalidRequestError, RouterError } from '../errors'
+import { Server as TcpServer, type Socket } from 'node:net'
+import {
+  ExpectationFailedError, HeaderTooLargeError, InternalError, InvalidRequestError, RouterError
+} from '../errors'
 import { trackCallerConnections, type CallerConnectionsOptions, type UnreadableRequest } from '../http/callerConnections'
+import { countHeaderBytes } from '../http/headSize'
 import { ExecutionStatus } from '../types'
 import type { Endpoint } from '../types'
 import { errorBodyOf, sendError } from './errorResponse'
 import type { Exchange, ExchangeHandler } from './exchange'
 
+/** Minimum header limit of the HTTP parser in bytes. A head beyond it cannot be read, and closes its connection. */
+const MINIMUM_PARSED_HEADER_BYTES = 65_536
+
 export interface CallerServerOptions {
   createIdentifier: () => string
   /** Returns the handler of a request. */
@@ -45,9 +52,17 @@
 export function createCallerServer (options: CallerServerOptions): CallerServer {
   let openRequests = 0
   let closing = false
+  /** The last response on each connection. */
+  const lastResponses = new WeakMap<Socket, ServerResponse>()
+  const maximumHeaderBytes = options.maximumHeaderBytes ?? 16_384
+  /** Requests whose `Expect` header asks for something other than `100-continue`. */
+  const unmetExpectations = new WeakSet<IncomingMessage>()
 
   function handle (request: IncomingMessage, response: ServerResponse): void {
-    const exchange = openExchange(request, response, options.createIdentifier())
+    const { socket } = request
+    lastResponses.set(socket, response)
+    const hasFollowers = (): boolean => lastResponses.get(socket) !== response
+    const exchange = openExchange(request, response, options.createIdentifier(), hasFollowers)
     openRequests += 1
     response.once('close', () => {
       openRequests -= 1
@@ -57,11 +72,32 @@
     // Connection errors are handled through the aborted signal. Without a listener they would terminate the process.
     request.on('error', () => {})
     response.on('error', () => {})
-    run(exchange).catch((error) => { options.reportFault(error, exchange.identifier) })
+    // A response that announces the end of its connection is the last one. While the server is closing, one that could be
+    // sent at once waits until the requests that have arrived with its own are known.
+    if (closing) setImmediate(start)
+    else start()
+
+    function start (): void {
+      if (exchange.signal.aborted) return
+      run(exchange).catch((error) => { options.reportFault(error, exchange.identifier) })
+    }
+  }
+
+  /** @throws RouterError if the request lacks what HTTP requires, or exceeds the limits of heads. */
+  function rejectUnservable ({ request }: Exchange): void {
+    const details = { execution: ExecutionStatus.notRun }
+    if (countHeaderBytes(request) > maximumHeaderBytes) {
+      throw new HeaderTooLargeError(UNREADABLE_MESSAGES.header_too_large, details)
+    }
+    if (request.headers.host === undefined && request.httpVersion === '1.1') {
+      throw new InvalidRequestError('the header field Host is missing', details)
+    }
+    if (unmetExpectations.has(request)) throw new ExpectationFailedError('the expectation cannot be met', details)
   }
 
   async function run (exchange: Exchange): Promise<void> {
     try {
+      rejectUnservable(exchange)
       await options.route(exchange.method, exchange.path)(exchange)
     } catch (error) {
       if (exchange.signal.aborted) return
@@ -71,11 +107,14 @@
   }
 
   const server: Server = createServer({
-    maxHeaderSize: options.maximumHeaderBytes ?? 16_384,
+    // The limit of the settings is checked for each request, whose connection can be kept.
+    maxHeaderSize: Math.max(MINIMUM_PARSED_HEADER_BYTES, maximumHeaderBytes),
     headersTimeout: options.headerTimeout ?? 10_000,
     requestTimeout: options.requestTimeout ?? 60_000,
     connectionsCheckingInterval: options.connectionCheckInterval ?? 30_000,
     keepAliveTimeout: options.idleTimeout ?? 75_000,
+    // Node.js would close the connection behind its own refusal.
+    requireHostHeader: false,
     noDelay: true
   })
   const connections = trackCallerConnections(server, {
@@ -84,6 +123,11 @@
     ...(options.onConnectionClosing === undefined ? {} : { onClosing: options.onConnectionClosing }),
     ...(options.onRequestDiscarded === undefined ? {} : { onDiscarded: options.onRequestDiscarded })
   })
+  // Node.js would answer these itself, outside of the answers in progress on the connection.
+  server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+    unmetExpectations.add(request)
+    server.emit('request', request, response)
+  })
   server.maxConnections = options.maximumConnections ?? 4096
 
   return {
@@ -108,14 +152,17 @@
       closing = true
       connections.announceClose()
       await new Promise<void>((resolve) => {
-        server.close(() => { resolve() })
-        server.closeIdleConnections()
+        // The method of the HTTP server would close connections whose last response has not been sent.
+        TcpServer.prototype.close.call(server, () => { resolve() })
+        connections.closeIdle()
       })
     }
   }
 }
 
-function openExchange (request: IncomingMessage, response: ServerResponse, identifier: string): Exchange {
+function openExchange (
+  request: IncomingMessage, response: ServerResponse, identifier: string, hasFollowers: () => boolean
+): Exchange {
   const abort = new AbortController()
   response.once('close', () => {
     if (!response.writableFinished) abort.abort()
@@ -129,7 +176,8 @@
     method: request.method ?? 'GET',
     path: queryStart === -1 ? target : target.slice(0, queryStart),
     query: queryStart === -1 ? '' : target.slice(queryStart),
-    signal: abort.signal
+    signal: abort.signal,
+    hasFollowers
   }
 }
 
