Ask for the body of a request only when its response is sent next

Callers got bytes of an interim response in the body of a later answer (MIXED): Node.js writes "100 Continue" at once, and if the response waits for the one before it on its connection, writes its head in front of that later. And a response without the interim one closes the connection behind it, although the caller had sent the whole body: requests behind it ran and got no answer (LOST).

--- a/src/http/callerConnections.ts
+++ b/src/http/callerConnections.ts
@@ -116,6 +116,14 @@
   socket.once('close', () => { clearTimeout(timer) })
 }
 
+/**
+ * Records that the caller has sent its body without waiting for the interim response. Node.js closes the connection after a
+ * final response without one, as it cannot tell whether a body follows, and has no public interface for this.
+ */
+function waiveContinue (response: ServerResponse): void {
+  Object.assign(response, { _expect_continue: false })
+}
+
 /** Reports the end of the connection to a response that waits for the one before it. */
 function endWaiting (response: ServerResponse): void {
   response.destroy()
@@ -126,6 +134,8 @@
   server: Server, { onRequest, renderRefusal, onClosing, onDiscarded }: CallerConnectionsOptions
 ): CallerConnections {
   const connections = new Map<Socket, Connection>()
+  /** Responses whose callers wait for an interim response before they send the body. */
+  const awaitingContinue = new WeakSet<ServerResponse>()
   let isAnnouncingClose = false
   server.on('connection', (socket: Socket) => {
     const responses = new Set<ServerResponse>()
@@ -159,8 +169,10 @@
     }
     connection.newest = response
     responses.add(response)
+    continueCurrent(connection)
     for (const event of ['finish', 'close']) response.on(event, () => { responses.delete(response) })
     response.on('finish', () => {
+      continueCurrent(connection)
       announceEnd(connection)
       if (connection.overdue !== undefined) setImmediate(() => { judgeOverdue(connection) })
       if (!request.complete) discardBody(connection, request)
@@ -170,13 +182,21 @@
       // The requests that have arrived with this one are known then.
       process.nextTick(announceEnd, connection)
     }
-    request.once('end', () => { announceEnd(connection) })
+    request.once('end', () => {
+      if (awaitingContinue.delete(response)) waiveContinue(response)
+      announceEnd(connection)
+    })
     onRequest(request, response)
   })
   // Node.js would answer these by itself, without a request event.
   server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
     server.emit('request', request, response)
   })
+  // Node.js would write the interim response at once, and the head of a response that waits for another one before it.
+  server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+    awaitingContinue.add(response)
+    server.emit('request', request, response)
+  })
   server.on('clientError', (error: NodeJS.ErrnoException, stream) => {
     const socket = stream as Socket
     const connection = connections.get(socket)
@@ -198,6 +218,13 @@
     rejectBytes(connection, UnreadableRequest.malformed)
   })
 
+  /** Asks for the body of the request whose response is sent next. */
+  function continueCurrent ({ responses }: Connection): void {
+    const [current] = responses
+    if (current === undefined || current.headersSent || !awaitingContinue.delete(current)) return
+    current.writeContinue()
+  }
+
   function recordOverdue (connection: Connection): void {
     const { newest } = connection
     connection.overdue = { newest, isHeadRead: isIncomplete(newest) }
