Drawn schedules: accept a suspected crash only for requests that an upstream lost

Any request of a schedule in which some upstream had crashed could be cut or given up without breaking a rule. A cut is now accepted only if an upstream broke off or failed this request, and an attempt that is given up is not excused any more.

--- a/src/edge/__tests__/lifeRules.ts
+++ b/src/edge/__tests__/lifeRules.ts
@@ -55,8 +55,8 @@
 /** The obstacles that may end an owed request before its time limit, and when they may. */
 const ACCEPTED_OBSTACLES: Readonly<Partial<Record<Obstacle, (life: Life, ending: CallerEnding) => boolean>>> = {
   [Obstacle.key]: isKeyWithdrawn,
-  // A request that may crash upstreams would crash the next one, with all other requests there.
-  [Obstacle.crashes]: (_life, { hasCrash }) => hasCrash,
+  // A request that an upstream lost and that may crash upstreams would crash the next one, with all other requests there.
+  [Obstacle.crashes]: (life, { hasCrash }) => hasCrash && hasFailedAttempt(life),
   [Obstacle.stopping]: isAfterStop
 }
 
@@ -128,9 +128,7 @@
 }
 
 function isNotGivenUp (life: Life): string | undefined {
-  const { at, hasCrash } = endOf(life)
-  if (hasCrash) return undefined
-  const attempt = findUnreplaced(life, at)
+  const attempt = findUnreplaced(life, endOf(life).at)
   return attempt === undefined ? undefined : `the attempt at ${attempt.upstream} is cancelled at ${endedAt(attempt)} ms without a successor that answers`
 }
 
