Let begun streams wait while an outage of the store leaves their key unconfirmed

Callers lost begun streams at once when their upstream broke off while the store had been away for longer than a key may be used without confirmation, although their key was valid all the while and the store returned before their time limit.

Cause: a key that was withdrawn and one that cannot be confirmed at the moment were the same obstacle, which ends a request. They are two now (findKeyObstacle): a withdrawn or moved key ends the request as before; an unconfirmed one passes, so that a request that is owed an answer waits. Nothing is sent while the key is unconfirmed, and a request that is not owed is still refused at once, so that neither CONFIG (strictRevocation) nor UNASKED is touched. Log: obstacle keyUnconfirmed.

A new rule checks that nothing is sent while the key is withdrawn or unconfirmed; it finds both checks when they are removed on trial.

--- a/src/edge/__tests__/admission.test.ts
+++ b/src/edge/__tests__/admission.test.ts
@@ -1,9 +1,10 @@
 import { describe, expect, it } from 'vitest'
-import { admit, AdmissionRejection } from '../admission'
+import { admit, AdmissionRejection, findKeyObstacle } from '../admission'
+import { Obstacle } from '../attemptDecision'
 import { createFreshness } from '../freshness'
 import { createRouteTable } from '../routeTable'
-import type { CallerRequest } from '../types'
-import { createConfiguration, createRoute } from './fixtures'
+import type { CallerRequest, EdgeCustomer } from '../types'
+import { createConfiguration, createCustomer, createRoute } from './fixtures'
 
 const table = createRouteTable(createConfiguration({
   routes: [createRoute(), createRoute({ name: 'open', prefix: '/open/', open: true })]
@@ -36,3 +37,23 @@
     expect(admission).toEqual({ admitted: false, rejection: AdmissionRejection.noConfiguration })
   })
 })
+
+describe('findKeyObstacle', () => {
+  const bakery = createCustomer()
+
+  it.each<[string, EdgeCustomer | undefined, EdgeCustomer, number, Obstacle | undefined]>([
+    ['a key that is still valid', bakery, bakery, 0, undefined],
+    ['a key that was withdrawn', bakery, createCustomer({ keys: ['new-key'] }), 0, Obstacle.key],
+    ['a key that was moved to another customer', bakery, createCustomer({ name: 'mill' }), 0, Obstacle.key],
+    ['a key that an outdated configuration holds', bakery, bakery, 4600, Obstacle.keyUnconfirmed],
+    ['a key that was withdrawn before an outage', bakery, createCustomer({ keys: [] }), 4600, Obstacle.key],
+    ['no key, on an open route', undefined, createCustomer({ keys: [] }), 60_000, undefined]
+  ])('decides about %s', (_title, customer, current, age, obstacle) => {
+    const freshness = createFreshness(5000)
+    freshness.recordConfirmation({ steady: 0, wall: 0 })
+    const routeTable = createRouteTable(createConfiguration({ customers: [current] }))
+    const context = { routeTable: () => routeTable, freshness }
+    const admitted = { callerRequest: { ...request, key: 'bakery-key' }, customer }
+    expect(findKeyObstacle(context, admitted, { steady: age, wall: age })).toBe(obstacle)
+  })
+})
--- a/src/edge/__tests__/attemptDecision.test.ts
+++ b/src/edge/__tests__/attemptDecision.test.ts
@@ -38,7 +38,7 @@
 
 describe('a request without an attempt in progress', () => {
   const passing = new Set<Obstacle>([
-    Obstacle.rejections, Obstacle.retryAllowance, Obstacle.noneUsable, Obstacle.noneListed
+    Obstacle.rejections, Obstacle.retryAllowance, Obstacle.noneUsable, Obstacle.noneListed, Obstacle.keyUnconfirmed
   ])
 
   it.each(Object.values(Obstacle))('ends because of %s, unless the obstacle passes and the request is owed an answer', (obstacle) => {
--- a/src/edge/__tests__/lifeCases.ts
+++ b/src/edge/__tests__/lifeCases.ts
@@ -57,6 +57,16 @@
       requests: [createRequest({ limit: 8000, maximumAttempts: 3 })]
     })
   },
+  {
+    // Guards against a stream that is cut because the store is away and its key cannot be confirmed for a moment.
+    title: 'its upstream breaks off while the store has been away for longer than keys may be used',
+    schedule: createSchedule({
+      upstreams: TWO,
+      resets: [{ from: 1600, length: 0, upstreams: [0, 1] }],
+      outage: { from: 500, length: 2000, revocation: 1000 },
+      requests: [createRequest({ limit: 8000 })]
+    })
+  },
   {
     // Each of the next three guards against a stream that is cut because the list is empty for a moment.
     title: 'its only upstream breaks off, and another run of it is listed a second later',
--- a/src/edge/__tests__/lifeChanges.ts
+++ b/src/edge/__tests__/lifeChanges.ts
@@ -73,9 +73,15 @@
   [ChangeKind.restoreCustomer]: () => ({ customers: [createCaller()] })
 }
 
-/** Returns the configuration in force at a time, after the changes of that moment. */
+/** Whether the instance can read the store. */
+export function isStoreAway ({ outage }: Schedule, time: number): boolean {
+  return outage !== undefined && time >= outage.from && time < outage.from + outage.length
+}
+
+/** Returns the configuration that the instance knows at a time, after the changes of that moment. */
 export function configurationAt (schedule: Schedule, time: number): EdgeConfiguration {
-  const changes = schedule.changes.filter(({ at }) => at <= time).sort((one, other) => one.at - other.at)
+  const seenUntil = isStoreAway(schedule, time) ? schedule.outage!.from : time
+  const changes = schedule.changes.filter(({ at }) => at <= seenUntil).sort((one, other) => one.at - other.at)
   return changes.reduce((configuration, change) => ({
     ...configuration,
     ...CHANGE_HANDLERS[change.kind](configuration, change, schedule),
--- a/src/edge/__tests__/lifeRules.ts
+++ b/src/edge/__tests__/lifeRules.ts
@@ -1,6 +1,6 @@
 /** What must hold for every request, whatever the schedule; from the rules LOST, TWICE, REFUSED, BUDGET and ORDER. */
 import { Obstacle } from '../attemptDecision'
-import { handledRequest, holderOfKey, type HandledRequest } from './lifeChanges'
+import { handledRequest, holderOfKey, isStoreAway, type HandledRequest } from './lifeChanges'
 import { RequestKind } from './lifeSchedule'
 import type { LifeOutcome } from './lifeSimulation'
 import type { CallerEnding, CallerView } from './simulatedCallers'
@@ -197,6 +197,17 @@
   return attempts.length > 0 ? 'it is sent to an upstream that its configuration does not name' : undefined
 }
 
+/** From the rules CONFIG (strictRevocation) and UNASKED; stricter than CONFIG, which concerns requests that are new. */
+function usesValidKey ({ outcome: { schedule }, request, attempts }: Life): string | undefined {
+  if (!request.needsKey) return undefined
+  const { outage } = schedule
+  const sent = attempts.find(({ openedAt }) => (
+    holderOfKey(schedule, openedAt) !== holderOfKey(schedule, request.at) ||
+    (isStoreAway(schedule, openedAt) && openedAt - outage!.from > outage!.revocation)
+  ))
+  return sent === undefined ? undefined : `it is sent to ${sent.upstream} at ${sent.openedAt} ms without a valid key`
+}
+
 /** From the rule DRAIN. */
 function isNotSentToLeaving ({ outcome: { schedule: { departures } }, attempts }: Life): string | undefined {
   for (const { from, length, returnsAfter, upstreams } of departures) {
@@ -225,6 +236,7 @@
   'is repeated within the allowance': keepsAllowance,
   'is answered by its first upstream if the others refuse it': awaitsFirstAnswer,
   'is handled by the configuration in force when it arrives': followsConfiguration,
+  'is sent only while its key is known to be valid': usesValidKey,
   'is not sent to an upstream that leaves': isNotSentToLeaving,
   'leaves no attempt behind': endsAttempts
 }
--- a/src/edge/__tests__/lifeSchedule.ts
+++ b/src/edge/__tests__/lifeSchedule.ts
@@ -93,6 +93,8 @@
    */
   departures: ReadonlyArray<Period & { returnsAfter: number }>
   changes: readonly ConfigurationChange[]
+  /** The store is away: no change is seen until its end, and no key is used `revocation` after the last confirmation. */
+  outage: { from: number, length: number, revocation: number } | undefined
   /** The instance is asked to stop; it exits `grace` later. */
   stop: { at: number, grace: number } | undefined
   allowance: { window: number, ratio: number, extra: number }
@@ -114,6 +116,7 @@
     absences: [],
     departures: [],
     changes: [],
+    outage: undefined,
     stop: undefined,
     allowance: { window: 10_000, ratio: 0.2, extra: 100 },
     requests: [],
@@ -177,6 +180,9 @@
   fc.tuple(steps(5000), fc.array(changeArbitrary, { minLength: 1, maxLength: 5 })), { minLength: 1, maxLength: 2 }
 ).map((bursts) => bursts.flatMap(([from, changes]) => changes.map((change) => ({ ...change, at: from + change.at }))))
 
+const outageArbitrary = fc.record({
+  from: steps(4000), length: steps(4000, 100, 500), revocation: fc.constantFrom(1000, 2000, 5000)
+})
 const stopArbitrary = fc.record({ at: steps(5000), grace: steps(8000, 500, 3000) })
 
 const departureArbitrary = extended(period(4000, 1000), fc.record({ returnsAfter: steps(2000, 100, 100) }))
@@ -236,6 +242,7 @@
     { weight: 1, arbitrary: fc.constant<ConfigurationChange[]>([]) },
     { weight: 1, arbitrary: changesArbitrary }
   ),
+  outage: fc.oneof({ weight: 5, arbitrary: fc.constant(undefined) }, { weight: 1, arbitrary: outageArbitrary }),
   stop: fc.oneof({ weight: 7, arbitrary: fc.constant(undefined) }, { weight: 1, arbitrary: stopArbitrary }),
   allowance: fc.record({
     window: fc.constantFrom(2000, 10_000),
--- a/src/edge/__tests__/lifeSimulation.ts
+++ b/src/edge/__tests__/lifeSimulation.ts
@@ -21,7 +21,7 @@
 import { RequestLimitKind, type Instant, type UpstreamEntry } from '../types'
 import { createUpstreamDirectory, type UpstreamDirectory } from '../upstreamDirectory'
 import { createEntry } from './fixtures'
-import { configurationAt } from './lifeChanges'
+import { configurationAt, isStoreAway } from './lifeChanges'
 import type { Schedule } from './lifeSchedule'
 import { createCallerRequest, createCallerResponse, simulatedDialect, type CallerView } from './simulatedCallers'
 import {
@@ -73,6 +73,8 @@
   const now = (): Instant => ({ steady: performance.now(), wall: performance.now() })
   const steady = (): number => performance.now()
   const random = createRandom(schedule.seed)
+  const freshness = createFreshness(schedule.outage?.revocation ?? Infinity)
+  freshness.recordConfirmation(now())
   const directory = createUpstreamDirectory()
   directory.replace(schedule.upstreams.map((_upstream, index) => entryOf(index, 1)), false, 0)
   let routeTable = createRouteTable(configurationAt(schedule, -Infinity))
@@ -108,7 +110,7 @@
   const context = {
     dialect: simulatedDialect,
     routeTable: () => routeTable,
-    freshness: createFreshness(Infinity),
+    freshness,
     directory,
     connections: { agentFor: () => undefined, closeIdle () {} },
     quotas: createQuotaShares({ window: 8000, overage: 0.1, slack: 0, startedAt: 0 }),
@@ -175,7 +177,13 @@
   }
 }
 
-/** Sets the timers for what changes from outside. */
+/** Sets the timers for changes of the configuration; called before all others, which find it changed at the same time. */
+function scheduleConfigurations ({ changes, outage }: Schedule, instance: Instance): void {
+  const outageEnd = outage === undefined ? [] : [outage.from + outage.length]
+  for (const at of [...changes.map((change) => change.at), ...outageEnd]) setTimeout(instance.changeConfiguration, at)
+}
+
+/** Sets the timers for what else changes from outside. */
 function scheduleChanges (
   schedule: Schedule, instance: Instance, upstreams: SimulatedUpstreams, exchanges: ReadonlySet<Exchange>
 ): void {
@@ -212,7 +220,6 @@
       for (const index of present) directory.update(entryOf(index, from + 2))
     }, from + length + returnsAfter)
   }
-  for (const { at } of schedule.changes) setTimeout(instance.changeConfiguration, at)
   const { stop } = schedule
   if (stop === undefined) return
   setTimeout(() => {
@@ -244,9 +251,11 @@
     const instance = createInstance(schedule, upstreams)
     const { context, directory } = instance
     const exchanges = new Set<Exchange>()
+    scheduleConfigurations(schedule, instance)
     setInterval(() => {
       setImmediate(() => {
         const now = context.now()
+        if (!isStoreAway(schedule, now.steady)) context.freshness.recordConfirmation(now)
         instance.livenessChecks.runDue()
         instance.crashReports.check(now.steady)
         for (const exchange of exchanges) exchange.check(now)
--- a/src/edge/admission.ts
+++ b/src/edge/admission.ts
@@ -1,4 +1,5 @@
 /** Decides whether a request may be forwarded, based on the current configuration and its age. */
+import { Obstacle } from './attemptDecision'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
 import type { Freshness } from './freshness'
 import type { RouteTable } from './routeTable'
@@ -54,12 +55,16 @@
   return { admitted: true, route, customer }
 }
 
-/** Whether the key of an admitted request is still valid; it may have been withdrawn since. */
-export function isStillAuthorized (
+/**
+ * Returns why an admitted request may not be sent because of its key, which may have been withdrawn since; undefined if it
+ * may be sent.
+ */
+export function findKeyObstacle (
   { routeTable, freshness }: Pick<ExchangeContext, 'routeTable' | 'freshness'>,
   { callerRequest, customer }: Pick<AdmittedRequest, 'callerRequest' | 'customer'>, now: Instant
-): boolean {
-  if (customer === undefined) return true
+): Obstacle | undefined {
+  if (customer === undefined) return undefined
   const currentCustomer = routeTable()?.customerOfKey(callerRequest.key ?? '')
-  return currentCustomer?.name === customer.name && freshness.permitsKeys(now)
+  if (currentCustomer?.name !== customer.name) return Obstacle.key
+  return freshness.permitsKeys(now) ? undefined : Obstacle.keyUnconfirmed
 }
--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -69,8 +69,10 @@
   noneUsable: 'noneUsable',
   /** The service has no upstream at the moment. */
   noneListed: 'noneListed',
-  /** Its key is no longer known to be valid. */
+  /** Its key was withdrawn. */
   key: 'key',
+  /** The configuration is too old to tell whether its key is still valid. */
+  keyUnconfirmed: 'keyUnconfirmed',
   /** Upstreams crash, or may crash, when they answer such requests. */
   crashes: 'crashes',
   /** The instance is stopping. */
@@ -115,8 +117,8 @@
 
 /**
  * Whether each obstacle ends a request that is owed an answer, because part of its response has been sent or this
- * instance cancelled one of its attempts. Limits that hold off new work, and upstreams that are busy or not listed, do
- * not: the request waits for their end until its time limit.
+ * instance cancelled one of its attempts. Limits that hold off new work, upstreams that are busy or not listed, and an
+ * outage of the store do not: the request waits for their end until its time limit.
  */
 const ENDS_OWED_REQUEST: Readonly<Record<Obstacle, boolean>> = {
   [Obstacle.notRepeatable]: true,
@@ -127,6 +129,8 @@
   // The entry of an upstream that restarts, or that was lost in an outage of the store, is back within seconds.
   [Obstacle.noneListed]: false,
   [Obstacle.key]: true,
+  // It is confirmed or withdrawn once the store returns.
+  [Obstacle.keyUnconfirmed]: false,
   [Obstacle.crashes]: true,
   [Obstacle.stopping]: true,
   [Obstacle.timeLimit]: true
--- a/src/edge/attemptOpening.ts
+++ b/src/edge/attemptOpening.ts
@@ -1,5 +1,5 @@
 /** Sends one attempt of a request to an upstream and logs it. */
-import { isStillAuthorized } from './admission'
+import { findKeyObstacle } from './admission'
 import { createAttempt, type Attempt } from './attempt'
 import { mayRepeat, maySendAgain, type AttemptHistory } from './attemptDecision'
 import { composeAttemptRequest } from './attemptRequest'
@@ -61,7 +61,7 @@
     const mayGoElsewhere = maySendAgain(history) && options.hasOtherUpstream(present)
     const isPermitted = isCrossing && mayRepeat(history) && !mayGoElsewhere &&
       options.suspectTrait === undefined && !context.sendPermits.isNeeded(upstream.entry) &&
-      isStillAuthorized(context, admittedRequest, present)
+      findKeyObstacle(context, admittedRequest, present) === undefined
     const retry = isPermitted
       ? context.retryAllowance.tryRetry(service, purpose, context.share(), present.steady)
       : undefined
--- a/src/edge/attemptPreparation.ts
+++ b/src/edge/attemptPreparation.ts
@@ -1,5 +1,5 @@
 /** Prepares the next attempt of a request: checks that it may be sent, selects the upstream and gets the permits. */
-import { isStillAuthorized } from './admission'
+import { findKeyObstacle } from './admission'
 import { Obstacle } from './attemptDecision'
 import type { Backlog } from './backlog'
 import type { CrashGuard } from './crashGuard'
@@ -20,7 +20,7 @@
 const WAIT_POLL_MS = 50
 
 /** Reason in the log for a request whose customer may no longer be served. */
-const KEY_WITHDRAWN = 'the key could not be revalidated'
+const KEY_NOT_VALID = 'the key could not be revalidated'
 /** Reason in the log for a request that was not repeated. */
 const NO_RETRY_LEFT = 'no retry is left in the allowance'
 /** Reason in the log for a request that was not sent to an upstream before the instance stops. */
@@ -107,7 +107,8 @@
   function start (): void {
     const now = context.now()
     isInProgress = true
-    if (!isStillAuthorized(context, admittedRequest, now)) return reportUnavailable(KEY_WITHDRAWN, Obstacle.key)
+    const keyObstacle = findKeyObstacle(context, admittedRequest, now)
+    if (keyObstacle !== undefined) return waitOrReport(KEY_NOT_VALID, keyObstacle, now.steady)
     if (isTooLate()) return reportUnavailable(STOPPING, Obstacle.stopping)
     const conviction = crashGuard.findConviction(hasRun(), now.steady)
     if (conviction !== undefined) return conclude(() => { callbacks.onConvicted(conviction) })
@@ -159,7 +160,7 @@
   function sendWithPermit (upstream: Upstream): void {
     const now = context.now()
     const isCurrent = context.directory.listed(service).includes(upstream) && isUsable(upstream, now.steady)
-    const isAuthorized = isStillAuthorized(context, admittedRequest, now)
+    const isAuthorized = findKeyObstacle(context, admittedRequest, now) === undefined
     if (!isCurrent || crashGuard.isBlocked(now.steady) || isTooLate() || !isAuthorized) return start()
     conclude(() => { callbacks.onReady(upstream, now) })
   }
--- a/src/edge/continuation.ts
+++ b/src/edge/continuation.ts
@@ -1,6 +1,6 @@
 /** Decides whether a request may go on at another upstream, and what ends it otherwise. */
 import type { MonotonicMilliseconds } from '../types'
-import { isStillAuthorized } from './admission'
+import { findKeyObstacle } from './admission'
 import type { Attempt } from './attempt'
 import {
   AttemptOutcome, endsRequest, findObstacle, isProbablyLost, isStalled, mayRunAgain, maySendAgain, Obstacle,
@@ -97,7 +97,7 @@
       return crashGuard.mayCrashAgain(now) ? Obstacle.crashes : undefined
     },
     canMove: (now, silenced) => (
-      timeLeft() > 0 && isStillAuthorized(context, admittedRequest, now) &&
+      timeLeft() > 0 && findKeyObstacle(context, admittedRequest, now) === undefined &&
       !crashGuard.mayCrashAgain(now.steady, silenced) && canSend(now.steady) && targets.canMove(now)
     ),
     mayTakeOver: () => callerResponse.hasStarted() ? mayRunAgain(history) : maySendAgain(history),
