serve: Do not hold a begun stream at a lost engine because of earlier pauses

Callers of a stream waited until its time limit, and then lost its rest, although another engine was free: its engine was lost without a sign, and two attempts beside earlier pauses had been cancelled because the first engine went on, or two takeovers had been made. Cause: these count as sent, and mayRunBeside keeps the last of four attempts, so that none was left for the engine that is lost. Likewise cancelled attempts used up those that replace lost connections.

Cancelled attempts no longer count among the four that may fail. Beside a pause they count as before until the silence is three times the limit for pauses, when the engine is probably lost; beyond that each of them doubles the silence that is needed. Up to three attempts run at once, as before.

--- a/src/gateway/attemptOutcome.ts
+++ b/src/gateway/attemptOutcome.ts
@@ -177,7 +177,7 @@
     handleCancelled (requestIdentifier, attempt, { upstream }, handle, replacedBy) {
       log(LogEvent.attemptCancelled, { requestIdentifier, attempt, upstream, replacedBy })
       handle.ended(false)
-      return { upstream, progress: 'maybeStarted', reportedFailure: false }
+      return { upstream, progress: 'maybeStarted', reportedFailure: false, cancelled: true }
     }
   }
 }
--- a/src/gateway/completionRun.ts
+++ b/src/gateway/completionRun.ts
@@ -10,7 +10,7 @@
 import type { BlockKeyFunction } from '../prefix/types'
 import type { AttemptFailure } from '../request/execution'
 import { EndReason } from '../request/endReason'
-import { decideNextStep, mayRunBeside, refusalPause, upstreamsOf } from '../request/nextStep'
+import { decideNextStep, LOST_AFTER_PAUSES, mayRunBeside, refusalPause, upstreamsOf } from '../request/nextStep'
 import type { NextStep } from '../request/nextStep'
 import type { RetryBudget } from '../request/retryBudget'
 import { createStreamAssembler } from '../request/streamAssembler'
@@ -48,12 +48,6 @@
 
 type FurtherStep = Exclude<NextStep, { kind: 'giveUp' }>
 
-/**
- * Pauses between chunks after which a begun stream is sent to another engine without a retry token, as after a lost
- * connection: its engine is probably lost.
- */
-const LOST_AFTER_PAUSES = 3
-
 export function createCompletionRun (options: CompletionRunOptions) {
   const { dispatcher, client, outcomes, crashes, log, metrics, now } = options
   const { recordChunk, recordCompletion, recordAttempt, recordResume } = createCompletionRecords(options)
@@ -265,7 +259,8 @@
     const { job } = context
     const time = now()
     const progress = { failures, deadline: deadlineOf(context), crashing: isCrashing(context) }
-    if (time < state.besideAfter || !mayRunBeside(progress, silent.length, time)) return undefined
+    const pauses = (time - leader.lastTokenAt) / options.timeouts.betweenChunks
+    if (time < state.besideAfter || !mayRunBeside(progress, { running: silent.length, pauses }, time)) return undefined
     const { upstream } = leader.placement
     const upstreams = silent.map(({ placement }) => placement.upstream)
     const unresponsive = silent.filter(({ liveness }) => liveness !== Liveness.alive)
@@ -280,8 +275,8 @@
     }
     if (!dispatcher.canPlaceNow(work)) return undefined
     const hasToken = options.retryBudget.tryRetry(job.caller.customer, upstream, time)
-    const isProbablyLost = time - leader.lastTokenAt > LOST_AFTER_PAUSES * options.timeouts.betweenChunks
-    if (!hasToken && !(work.isResumption && isProbablyLost)) return undefined
+    // A begun stream at an engine that is probably lost needs no token, as after a lost connection.
+    if (!hasToken && !(work.isResumption && pauses > LOST_AFTER_PAUSES)) return undefined
     const placement = dispatcher.placeNow(work)
     return placement === undefined ? undefined : sourceOf(state, createAttempt(state, work, placement, leader.number))
   }
--- a/src/gateway/serviceRun.ts
+++ b/src/gateway/serviceRun.ts
@@ -203,7 +203,8 @@
     const time = now()
     const progress = { failures, deadline: deadlineOf(state), crashing: isCrashing(job) }
     if (!state.isIdempotent || time < state.besideAfter) return undefined
-    if (!mayRunBeside(progress, silent.length, time)) return undefined
+    // A call has ended once an attempt was cancelled, so that the length of the silence does not matter.
+    if (!mayRunBeside(progress, { running: silent.length, pauses: 0 }, time)) return undefined
     const failed = upstreamsOf(failures)
     const silentNames = silent.map(({ target }) => target.upstream)
     const responsive = silent.filter(({ liveness }) => liveness === Liveness.alive).map(({ target }) => target.upstream)
--- a/src/request/__tests__/nextStep.test.ts
+++ b/src/request/__tests__/nextStep.test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { EndReason } from '../endReason'
-import { decideNextStep, MAXIMUM_ATTEMPTS } from '../nextStep'
+import { decideNextStep, LOST_AFTER_PAUSES, MAXIMUM_ATTEMPTS, mayRunBeside } from '../nextStep'
 import type { RequestProgress } from '../nextStep'
 import { executionOf } from '../execution'
 import { createRetryBudget } from '../retryBudget'
@@ -10,6 +10,7 @@
 const notSent = { upstream: 'a', progress: 'notSent' as const, reportedFailure: false }
 const outcomeUnknown = { upstream: 'b', progress: 'maybeStarted' as const, reportedFailure: false }
 const failureReported = { upstream: 'c', progress: 'started' as const, reportedFailure: true }
+const cancelled = { ...outcomeUnknown, cancelled: true }
 const lostAt = (upstream: string) => ({ ...outcomeUnknown, upstream })
 const base: RequestProgress = {
   idempotent: true, failures: [notSent], deliveredChunks: 0, deadline: 1000, callerDisconnected: false, crashing: false
@@ -48,6 +49,15 @@
     ['stops a started stream after the last attempt that was sent',
       { deliveredChunks: 3, failures: Array(MAXIMUM_ATTEMPTS).fill(outcomeUnknown) }, true,
       { kind: 'giveUp', reason: EndReason.attemptsUsed, execution: 'unknown' }],
+    // Guards against a stream that is cut because of attempts beside pauses after which its upstream went on.
+    ['resumes a started stream after any number of cancelled attempts',
+      {
+        deliveredChunks: 3,
+        failures: [...Array(9).fill(cancelled), ...Array(MAXIMUM_ATTEMPTS - 1).fill(outcomeUnknown)]
+      }, true, { kind: 'resume' }],
+    ['stops a started stream after the last attempt that has failed, beside cancelled ones',
+      { deliveredChunks: 3, failures: [cancelled, ...Array(MAXIMUM_ATTEMPTS).fill(outcomeUnknown)] }, true,
+      { kind: 'giveUp', reason: EndReason.attemptsUsed, execution: 'unknown' }],
     ['does not restart without a retry token', {}, false, { kind: 'giveUp', reason: EndReason.retryBudget, execution: 'not_run' }],
     ['never repeats a non-idempotent request that may have run', { idempotent: false, failures: [outcomeUnknown] }, true,
       { kind: 'giveUp', reason: EndReason.notRepeatable, execution: 'unknown' }],
@@ -63,6 +73,43 @@
   })
 })
 
+describe('an attempt beside silent ones', () => {
+  const lost = LOST_AFTER_PAUSES + 0.1
+
+  it.each<[string, boolean, object[], number, number]>([
+    ['is permitted at once', true, [], 1, 1],
+    ['is permitted after refusals', true, Array(9).fill(notSent), 1, 1],
+    ['is permitted beside two', true, [], 2, 1],
+    ['is not permitted if the last one would be missing', false, [], 3, 1000],
+    ['is not permitted if the last one would be missing after failures', false, [outcomeUnknown, outcomeUnknown], 1, 1000],
+    ['is not permitted at once after two that were cancelled', false, [cancelled, cancelled], 1, LOST_AFTER_PAUSES],
+    ['is permitted after two that were cancelled if the upstream is probably lost', true, [cancelled, cancelled], 1, lost],
+    ['is permitted after four only after a silence four times as long', false, Array(4).fill(cancelled), 1, 4 * LOST_AFTER_PAUSES],
+    ['is permitted after four after a silence four times as long', true, Array(4).fill(cancelled), 1, 4 * lost],
+    ['counts failures beside those that were cancelled', false, [cancelled, outcomeUnknown, outcomeUnknown], 1, 1000]
+  ])('%s', (_, expected, failures, running, pauses) => {
+    const progress = { ...base, failures: failures as RequestProgress['failures'] }
+    expect(mayRunBeside(progress, { running, pauses }, 10)).toBe(expected)
+    expect(mayRunBeside({ ...progress, crashing: true }, { running, pauses }, 10)).toBe(false)
+    expect(mayRunBeside(progress, { running, pauses }, base.deadline)).toBe(false)
+  })
+
+  // Guards against a stream with many pauses that is sent on at each of them.
+  it('is permitted a bounded number of times, however long the silences are', () => {
+    fc.assert(fc.property(fc.array(fc.integer({ min: 1, max: 400 }), { maxLength: 100 }), (silences) => {
+      const failures: Array<typeof cancelled> = []
+      for (const silence of silences) {
+        for (let [running, pauses] = [1, 1]; pauses <= silence; pauses += 1) {
+          if (mayRunBeside({ ...base, failures }, { running, pauses }, 10)) running += 1
+          if (pauses === silence) failures.push(...Array(running - 1).fill(cancelled))
+        }
+      }
+      const total = silences.reduce((sum, silence) => sum + silence, 0)
+      expect(failures.length).toBeLessThanOrEqual(MAXIMUM_ATTEMPTS + Math.log2(Math.max(1, total)))
+    }))
+  })
+})
+
 describe('retry budget', () => {
   it('limits retries to the initial tokens, the ratio of requests and the refill, to prevent retry storms', () => {
     fc.assert(fc.property(fc.array(fc.tuple(fc.boolean(), fc.nat(200)), { maxLength: 400 }), (steps) => {
--- a/src/request/execution.ts
+++ b/src/request/execution.ts
@@ -8,6 +8,8 @@
   progress: AttemptProgress
   /** Whether the upstream reported that it executed the request and failed. */
   reportedFailure: boolean
+  /** Whether the attempt was ended because another one of the request has answered. @default false */
+  cancelled?: boolean
 }
 
 /**
--- a/src/request/nextStep.ts
+++ b/src/request/nextStep.ts
@@ -6,10 +6,14 @@
 
 /**
  * Maximum number of attempts for one request, including the first. Once a part of the response was delivered, attempts
- * that were certainly not sent do not count: an upstream that is full would otherwise end a stream with time left.
+ * that were certainly not sent do not count: an upstream that is full would otherwise end a stream with time left. Nor do
+ * attempts that were cancelled because another one answered; `mayRunBeside` bounds their number.
  */
 export const MAXIMUM_ATTEMPTS = 4
 
+/** Length of a silence, in multiples of the limit for pauses, after which the upstream of a begun stream is probably lost. */
+export const LOST_AFTER_PAUSES = 3
+
 /** Added to the pause before a started stream is sent again, for each refusal in a row, and the maximum pause. */
 const REFUSAL_PAUSE_MS = 100
 const MAXIMUM_REFUSAL_PAUSE_MS = 1000
@@ -56,15 +60,29 @@
   return hasToken ? { kind: 'restart', exclude } : { kind: 'giveUp', reason: EndReason.retryBudget, execution }
 }
 
+/** Attempts of a request that run without an answer. */
+export interface SilentAttempts {
+  running: number
+  /** Length of the silence of the leading one, in multiples of the limit for pauses. */
+  pauses: number
+}
+
 /**
- * Returns whether another attempt may run beside `running` silent ones. The last attempt is kept for the case that all of
- * them fail, since it would otherwise be missing then because of silences after which the upstreams went on.
+ * Returns whether another attempt may run beside silent ones. The last attempt is kept for the case that all of them
+ * fail, since it would otherwise be missing then because of silences after which the upstreams went on.
+ *
+ * Attempts that were cancelled because another one answered count until the upstream is probably lost. Beyond them, each
+ * one doubles the silence that is needed, so that their number is bounded by the logarithm of the time limit, and a
+ * stream is not held at a lost upstream because of earlier pauses.
  */
 export function mayRunBeside (
-  { failures, deadline, crashing }: Pick<RequestProgress, 'failures' | 'deadline' | 'crashing'>, running: number,
-  now: MonotonicMilliseconds
+  { failures, deadline, crashing }: Pick<RequestProgress, 'failures' | 'deadline' | 'crashing'>,
+  { running, pauses }: SilentAttempts, now: MonotonicMilliseconds
 ): boolean {
-  return !crashing && now < deadline && sentAttempts(failures).length + running < MAXIMUM_ATTEMPTS - 1
+  if (crashing || now >= deadline || failedAttempts(failures).length + running >= MAXIMUM_ATTEMPTS - 1) return false
+  const sent = sentAttempts(failures).length
+  if (sent + running < MAXIMUM_ATTEMPTS - 1) return true
+  return pauses > LOST_AFTER_PAUSES * 2 ** Math.max(0, sent - (MAXIMUM_ATTEMPTS - 2))
 }
 
 /** Returns the pause in milliseconds after the refusals since the last attempt that was sent. */
@@ -85,13 +103,19 @@
   return failures.filter(({ progress }) => progress !== 'notSent')
 }
 
+/** Returns the attempts that may have reached an upstream and were not cancelled. */
+function failedAttempts (failures: readonly AttemptFailure[]): readonly AttemptFailure[] {
+  return sentAttempts(failures).filter(({ cancelled }) => cancelled !== true)
+}
+
 /**
  * Returns the resumption of a started stream. Its last attempt is kept for an upstream that has not failed it, because
  * an upstream that resets each attempt would otherwise use up all of them while others are full.
  */
 function resumeStep (failures: readonly AttemptFailure[], exclude: readonly string[]): NextStep {
   const sent = sentAttempts(failures)
-  const mayReturn = refusalsInRow(failures) >= REFUSALS_BEFORE_RETURN && sent.length < MAXIMUM_ATTEMPTS - 1
+  const isLast = failedAttempts(failures).length >= MAXIMUM_ATTEMPTS - 1
+  const mayReturn = refusalsInRow(failures) >= REFUSALS_BEFORE_RETURN && !isLast
   return {
     kind: 'resume',
     exclude,
@@ -105,7 +129,7 @@
   if (progress.crashing) return EndReason.crashing
   const sent = sentAttempts(progress.failures)
   if (!progress.idempotent && sent.length > 0) return EndReason.notRepeatable
-  const counted = progress.deliveredChunks > 0 ? sent : progress.failures
+  const counted = progress.deliveredChunks > 0 ? failedAttempts(progress.failures) : progress.failures
   if (counted.length >= MAXIMUM_ATTEMPTS) return EndReason.attemptsUsed
   if (now >= progress.deadline) return EndReason.deadline
   return undefined
