--- a/src/gateway/__tests__/unansweredBehindRefusal.test.ts
+++ b/src/gateway/__tests__/unansweredBehindRefusal.test.ts
@@ -1,5 +1,6 @@
 /** Guards against whole requests that get neither an answer nor a refusal because of the end of one before them (LOST). */
 import { isDeepStrictEqual } from 'node:util'
+import fc from 'fast-check'
 import { connect, type Socket } from 'node:net'
 import { setTimeout as delay } from 'node:timers/promises'
 import { afterEach, beforeEach, describe, expect, it } from 'vitest'
@@ -246,12 +247,14 @@
     await expect.poll(caller.isClosed, { timeout: ANSWER_MS }).toBe(true)
   })
 
-  it.each([
-    ['alone', []],
-    ['behind a stream', [GOOD_STREAM]]
-  ])('arrives %s although the body does not end, and its connection is closed', async (_where, before) => {
+  it.each<[string, string[], string]>([
+    ['alone', [], 'Connection: keep-alive'],
+    ['behind a stream', [GOOD_STREAM], 'Connection: keep-alive'],
+    ['with the end of the connection', [], 'Connection: close']
+  ])('arrives %s although the body does not end, and its connection is closed', async (_where, before, line) => {
     const caller = await open()
-    caller.socket.write(before.join('') + requestText('POST /v1/completions', [HOST, KEY, 'Transfer-Encoding: chunked']))
+    const head = requestText('POST /v1/completions', [HOST, KEY, line, 'Transfer-Encoding: chunked'])
+    caller.socket.write(before.join('') + head)
     const chunk = `10000\r\n${'x'.repeat(65_536)}\r\n`
     const timer = setInterval(() => {
       if (!caller.socket.destroyed && caller.socket.writableLength === 0) caller.socket.write(chunk)
@@ -266,6 +269,14 @@
   })
 })
 
+describe('bytes that are no request', () => {
+  it.each(REFUSED)('are refused behind a request with %s', async (_title, refused, status) => {
+    const caller = await open()
+    caller.socket.write(`${GOOD}${refused}what is this\r\n\r\n`)
+    await expectAnswers(caller, ['200', status, '400 closing'])
+  })
+})
+
 describe('a request behind', () => {
   it.each<[string, string, string]>([
     ['an answer to HEAD', requestText('HEAD /orders/1', [HOST, KEY]), '200'],
@@ -318,6 +329,49 @@
   })
 })
 
+describe('a connection with drawn requests', () => {
+  const ANSWERED: Array<[string, string]> = [[GOOD, '200'], [GOOD_POST, '200'], [GOOD_STREAM, '200']]
+  const refusedTexts = REFUSED.map(([, text, status]): [string, string] => [text, status])
+  const requests = fc.oneof(fc.constantFrom(...ANSWERED), fc.constantFrom(...refusedTexts))
+  const plans = fc.record({
+    sequence: fc.array(requests, { minLength: 2, maxLength: 8 }),
+    /** Lengths of the pieces in which the requests are sent. */
+    cuts: fc.array(fc.integer({ min: 1, max: 2000 }), { maxLength: 10 }),
+    pause: fc.integer({ min: 0, max: 30 })
+  })
+  const seed = Number(process.env.REFUSAL_SEED ?? 44)
+  const drawn = fc.sample(plans, { seed, numRuns: 60 })
+
+  it(`answers all in their order (seed ${seed})`, async () => {
+    const results = await Promise.all(drawn.map(async ({ sequence, cuts, pause }) => {
+      const caller = await open()
+      let rest = sequence.map(([text]) => text).join('')
+      for (const cut of cuts) {
+        caller.socket.write(rest.slice(0, cut))
+        rest = rest.slice(cut)
+        await delay(pause)
+      }
+      caller.socket.write(rest)
+      const expected = sequence.map(([, status]) => status)
+      const deadline = performance.now() + ANSWER_MS
+      while (!isDeepStrictEqual(statuses(caller), expected) && performance.now() < deadline) await delay(20)
+      return statuses(caller)
+    }))
+    expect(results).toEqual(drawn.map(({ sequence }) => sequence.map(([, status]) => status)))
+    expect(discarded).toBe(0)
+  })
+
+  it(`answers all in their order during a planned stop (seed ${seed})`, async () => {
+    const callers = await Promise.all(drawn.map(open))
+    callers.forEach(({ socket }, index) => { socket.write(drawn[index]!.sequence.map(([text]) => text).join('')) })
+    await delay(PACE_MS)
+    server.closeConnections()
+    await expect.poll(() => callers.every(({ isClosed }) => isClosed()), { timeout: 2 * ANSWER_MS }).toBe(true)
+    const results = callers.map((caller) => statuses(caller).map((text) => text.replace(' closing', '')))
+    expect(results).toEqual(drawn.map(({ sequence }) => sequence.map(([, status]) => status)))
+  })
+})
+
 describe('after a planned stop has begun', () => {
   const EXPECTS = get('/orders/1', [HOST, KEY, 'Expect: a miracle'])
 
