--- a/src/gateway/__tests__/unansweredBehindRefusal.test.ts
+++ b/src/gateway/__tests__/unansweredBehindRefusal.test.ts
@@ -376,7 +376,7 @@
   const EXPECTS = get('/orders/1', [HOST, KEY, 'Expect: a miracle'])
 
   it.each<[string, string[], string[]]>([
-    // A refusal that waits for the answer before it does not announce the end: a request may still come behind it.
+    // A response that was complete before it could be sent does not announce the end: more requests may come meanwhile.
     ['an expectation that is not met behind a request', [GOOD, EXPECTS], ['200', '417']],
     ['an expectation that is not met before a request', [EXPECTS, GOOD], ['417', '200 closing']],
     ['a refusal before a request', [get('/unknown/1'), GOOD], ['404', '200 closing']],
