Soak: callers that write several requests to a connection at once

The soak could not show it: each of its callers had one request at a time.

Four callers now write two to six whole requests to a connection, in one or several slices, and keep it until the router announces its end; two of five requests are refused at once, for their key, route, service or body. New faults: limits and routes that come and go in quick succession, and planned stops that overlap beside SIGHUP. The check `pipelined` names the connection and the request that got no whole answer; `own` covers their order.

The unit tests of the check are in soakChecks.test.ts.

--- a/playground/__tests__/soakChecks.test.ts
+++ b/playground/__tests__/soakChecks.test.ts
@@ -58,6 +58,9 @@
 
 const CUT_STREAM = request({ kind: 'stream', complete: false, body: 'str' })
 
+/** A router was asked to stop when the answer of the request was due. */
+const STOPPED = new Map([['router-1#1', 1100]])
+
 function deadlyRuns (count: number, startedAt: number): SeenRun[] {
   return Array.from({ length: count }, () => run({ path: '/lookup/dead', startedAt }))
 }
@@ -134,6 +137,34 @@
     expect(SOAK_CHECKS.answered!(history({ requests, stopped: new Map(), ...others }))).toHaveLength(violations)
   })
 
+  it.each<[string, Partial<SeenRequest>, Partial<SeenRequest>, Partial<SoakHistory>, number]>([
+    ['that ran', {}, {}, {}, 1],
+    ['that did not run', {}, {}, { runs: [] }, 1],
+    ['that was not written whole', { isSent: false }, {}, {}, 0],
+    ['with a part of a plain answer', { status: 200 }, {}, {}, 1],
+    ['whose stream has begun, which another check counts', { kind: 'stream', status: 200 }, {}, {}, 0],
+    ['behind a refusal', {}, { status: 404, body: '' }, {}, 1],
+    ['behind one without an answer', {}, { status: 0, complete: false, isSent: false }, {}, 1],
+    ['behind a stream that was cut', {}, CUT_STREAM, {}, 0],
+    ['behind a stream that was cut on another connection', {}, { ...CUT_STREAM, connection: 8 }, {}, 1],
+    ['that crossed the close of a router that stops', { sentAt: 901 }, {}, { runs: [], stopped: STOPPED }, 0],
+    ['that ran at a router that stops', { sentAt: 901 }, {}, { stopped: STOPPED }, 1],
+    ['long before the close of a router that stops', { sentAt: 900 }, {}, { runs: [], stopped: STOPPED }, 1],
+    ['before the close of a router that does not stop', { sentAt: 1099 }, {}, { runs: [] }, 1],
+    ['at the end of the grace period', { endedAt: 5050 }, {}, { stopped: new Map([['router-1#1', 1050]]) }, 0],
+    ['whose instance was killed', {}, {}, { killed: new Map([['router-1#1', 1100]]) }, 0],
+    ['whose instance was frozen', {}, {}, { disturbances: [{ subject: 'router-1#1', from: 1000, until: 1020 }] }, 0],
+    ['whose upstream was disturbed', {}, {}, { disturbances: [{ subject: 'u1#1', from: 1000, until: 1020 }] }, 1]
+  ])('count a request on a shared connection %s', (_title, values, before, others, violations) => {
+    const requests = [
+      request({ identifier: 'r0', connection: 7, ...before }),
+      request({ connection: 7, status: 0, complete: false, body: '', ...values })
+    ]
+    const found = SOAK_CHECKS.pipelined!(history({ requests, stopped: new Map(), ...others }))
+    expect(found).toHaveLength(violations)
+    for (const text of found) expect(text).toContain('r1 on connection 7 ')
+  })
+
   it.each<[string, Partial<SeenRequest>, Partial<SoakHistory>, number]>([
     ['before its time limit', { endedAt: 2499 }, {}, 1],
     ['at its time limit', { endedAt: 2500 }, {}, 0],
--- a/playground/soak/checks.ts
+++ b/playground/soak/checks.ts
@@ -23,6 +23,10 @@
   /** The caller broke off by itself. */
   left: boolean
   path: string
+  /** Number of the connection that it shared with the requests before and behind it, in order. */
+  connection?: number
+  /** When its last byte was written to that connection. */
+  sentAt?: number
 }
 
 /** One run at an upstream. */
@@ -117,6 +121,9 @@
 /** Milliseconds after a disturbance in which requests may still arrive late. */
 const DISTURBED_MS = 1000
 
+/** Milliseconds after the last byte of a request within which a connection may be closed that a router has not read. */
+const CROSSING_MS = 200
+
 type Check = (history: SoakHistory) => string[]
 
 const wholeOf = ({ kind }: SeenRequest, history: SoakHistory): string => {
@@ -174,6 +181,7 @@
     const runs = runsByIdentifier(history)
     return history.requests
       .filter(({ kind, status, complete, left }) => !left && (status === 0 || (kind !== 'stream' && !complete)))
+      .filter(({ connection }) => connection === undefined)
       .filter((request) => {
         const { identifier, instance, startedAt, endedAt, isSent } = request
         // Without a run, a request may have crossed the close of its connection by a router that stops.
@@ -185,6 +193,27 @@
       ))
   },
 
+  // Each whole request on a shared connection is owed an answer of its own, whatever becomes of those before it.
+  pipelined (history) {
+    const runs = runsByIdentifier(history)
+    const broken = new Set<number | undefined>()
+    const shared = history.requests.filter(({ connection, isSent }) => connection !== undefined && isSent)
+    return shared.flatMap((request) => {
+      const { identifier, connection, instance, kind, status, complete, startedAt, endedAt } = request
+      const { sentAt = startedAt } = request
+      const isBehindBroken = broken.has(connection)
+      if (status !== 0 && !complete) broken.add(connection)
+      // Another check counts streams that are cut. The rest of their connections cannot be told apart from them.
+      if (complete || (status !== 0 && kind === 'stream') || isBehindBroken) return []
+      const isCrossed = !runs.has(identifier) && endedAt >= (history.stopped.get(instance) ?? Infinity) &&
+        endedAt < sentAt + CROSSING_MS
+      const isExcused = endedAt >= endOfDuty(request, history) || isDisturbed(history, instance, startedAt, endedAt)
+      if (isCrossed || isExcused) return []
+      const wait = Math.round(endedAt - sentAt)
+      return [`${identifier} on connection ${connection} got no whole answer from ${instance} after ${wait} ms`]
+    })
+  },
+
   // Silent and full upstreams are no excuse; they go on, or take the request later.
   safeFailures (history) {
     const runs = runsByIdentifier(history)
@@ -300,6 +329,7 @@
   },
 
   drain: ({ requests, stopped }) => requests
+    .filter(({ connection }) => connection === undefined)
     .filter(({ instance, startedAt, endedAt, left, status, complete }) => {
       const stoppedAt = stopped.get(instance)
       // A request that had begun when the process was asked to stop gets its answer.
--- a/playground/soak/faults.ts
+++ b/playground/soak/faults.ts
@@ -4,7 +4,7 @@
 import { UpstreamFault } from '../../standins/fleet/upstream'
 import type { Disturbance, NamedLimit } from './checks'
 import { LinkFault } from './proxy'
-import { processOf, type RouterProcess, type World } from './world'
+import { processOf, type CallerLimits, type RouterProcess, type World } from './world'
 
 /** What a fault may use besides the world. */
 export interface FaultContext {
@@ -112,6 +112,12 @@
 /** What callers send after a whole request: half a head, and bytes that are no request. */
 const LATER_BYTES = ['GET /lookup/2 HTTP/1.1\r\nHost: shop', 'no request\r\n\r\n']
 
+const NARROW_LIMITS: ReadonlyArray<Partial<CallerLimits>> = [
+  {}, { maxBodyBytes: 10 }, { maxHeaderBytes: 150 }, { headerTimeoutMs: 500 }, { idleTimeoutMs: 500 }
+]
+/** Routes that are left out; undefined leaves out none. */
+const NARROW_ROUTES = [undefined, undefined, 'sheet', 'order', 'lookup']
+
 const link = (fault: LinkFault): Fault => async ({ world, random, pause, noteDisturbance }) => {
   const upstreams = world.upstreams.map((upstream) => ({ proxy: upstream.proxy, subject: processOf(upstream) }))
   const stores = [...world.storeProxies.values()].map((proxy) => ({ proxy, subject: 'store' }))
@@ -209,7 +215,7 @@
     })
     const silent = silence(context, world.upstreams)
     await pause(400)
-    world.configure(world.keys(), 200 + 400 * random())
+    world.configure(world.keys(), { headerTimeoutMs: 200 + 400 * random() })
     await Promise.all([...calls, silent])
     world.configure(world.keys())
   },
@@ -242,6 +248,29 @@
     world.deadlyPaths.delete(path)
   },
   configurations: configureOften,
+  /** Limits are lowered and raised, and routes and keys come and go, in quick succession. */
+  async narrowConfigurations (context) {
+    const { world, random, pause } = context
+    for (let left = 3 + Math.floor(4 * random()); left > 0; left -= 1) {
+      if (random() < 0.2) await SOAK_FAULTS.revocation!(context)
+      world.configure(world.keys(), pick(NARROW_LIMITS, random), pick(NARROW_ROUTES, random))
+      await pause(300 * random())
+      if (random() < 0.5) world.configure(world.keys())
+    }
+    world.configure(world.keys())
+  },
+  /** Planned stops that overlap, beside new settings and configurations. */
+  async stopsBesideHangUps (context) {
+    const { world, random, pause } = context
+    const stops: Array<Promise<unknown>> = []
+    for (let left = 3 + Math.floor(4 * random()); left > 0; left -= 1) {
+      for (const { child } of running(context).filter(handlesSignals)) if (random() < 0.5) child.kill('SIGHUP')
+      if (random() < 0.5) world.configure(world.keys())
+      if (random() < 0.5) stops.push(restart(context, 'SIGTERM'))
+      await pause(400 * random())
+    }
+    await Promise.all(stops)
+  },
   async revocation ({ world, noteRevoked }) {
     const before = world.keys()
     world.configure([`guild-key-${world.version() + 1}`])
--- a/playground/soak/run.ts
+++ b/playground/soak/run.ts
@@ -6,11 +6,17 @@
 import { eventText, PLAIN_ANSWER } from '../../standins/fleet/upstream'
 import { SOAK_CHECKS, type Disturbance, type NamedLimit, type SeenOrder, type SeenRequest, type SeenRun, type SoakHistory } from './checks'
 import { SOAK_FAULTS, type FaultContext } from './faults'
+import { openPipeline } from './pipeline'
 import { LinkFault } from './proxy'
-import { ISOLATED_KEY, LIMITED, STREAM_EVENTS, processOf, startWorld, type RouterProcess, type World } from './world'
+import { ISOLATED_KEY, LIMITED, LIMITS, ORDER_BODY, STREAM_EVENTS, processOf, startWorld, type RouterProcess, type World, type WorldCall } from './world'
 
 /** Callers; each has one request at a time. */
 const CALLERS = 12
+/** Callers that write several requests to a connection at once, and the most that they write. */
+const PIPELINING_CALLERS = 4
+const MAX_PIPELINED = 6
+/** Part of their requests that is refused at once. */
+const REFUSED_PART = 0.4
 /** Longest pause in milliseconds between two faults, and between two requests of a caller. */
 const FAULT_PAUSE_MS = 700
 const CALLER_PAUSE_MS = 60
@@ -52,6 +58,14 @@
   stream: ['/sheet/1', '/chat/1'], safe: ['/lookup/1'], unsafe: ['/order/1']
 }
 
+/** Requests that are refused at once: for their key, their route, their service or their body. */
+const REFUSED: ReadonlyArray<Partial<WorldCall>> = [
+  { key: 'unknown-key' },
+  { path: '/unknown/1', kind: 'safe', body: undefined },
+  { path: '/empty/1', kind: 'safe', body: undefined },
+  { path: '/order/1', kind: 'unsafe', body: 'x'.repeat(LIMITS.maxBodyBytes + 1) }
+]
+
 /** All upstreams of a run; one that has crashed and not been started again is in both lists. */
 function placedIn ({ upstreams, ended }: World): Array<World['upstreams'][number]> {
   return [...new Set([...upstreams, ...ended])]
@@ -96,26 +110,46 @@
   const violations: string[] = []
   const progress = { isOver: false }
   let count = 0
+  let connectionCount = 0
 
   async function pause (milliseconds: number): Promise<void> {
     await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
   }
 
-  async function call (router: RouterProcess, laterBytes?: string): Promise<void> {
+  function drawCall (prefix: string): WorldCall {
     count += 1
-    const identifier = `${laterBytes === undefined ? 'soak' : 'later'}-${seed}-${count}`
+    const identifier = `${prefix}-${seed}-${count}`
     const kind = (['stream', 'stream', 'safe', 'unsafe'] as const)[Math.floor(random() * 4)]!
     const keys = ['bakery-key', LIMITED.key, ISOLATED_KEY, ...world.keys(), ...revoked.keys()]
     const path = PATHS[kind][Math.floor(random() * PATHS[kind].length)]!
-    requests.push(await world.call(router, {
-      identifier,
-      kind,
-      path,
-      key: keys[Math.floor(random() * keys.length)]!,
-      scopePart: `part-${Math.floor(random() * 3)}`,
-      leaveAfter: kind === 'stream' && random() < LEAVING_PART ? 20 + 300 * random() : undefined,
-      laterBytes
-    }))
+    const key = keys[Math.floor(random() * keys.length)]!
+    const body = kind === 'unsafe' ? ORDER_BODY : undefined
+    return { identifier, kind, path, key, scopePart: `part-${Math.floor(random() * 3)}`, body }
+  }
+
+  async function call (router: RouterProcess, laterBytes?: string): Promise<void> {
+    const drawn = drawCall(laterBytes === undefined ? 'soak' : 'later')
+    const leaveAfter = drawn.kind === 'stream' && random() < LEAVING_PART ? 20 + 300 * random() : undefined
+    requests.push(await world.call(router, { ...drawn, leaveAfter, laterBytes }))
+  }
+
+  /** Uses each connection until the router announces its end or closes it. */
+  async function pipelineOn (): Promise<void> {
+    while (!progress.isOver) {
+      const routers = [...world.routers.values()]
+      connectionCount += 1
+      const pipeline = openPipeline(routers[Math.floor(random() * routers.length)]!, connectionCount, random)
+      while (!progress.isOver && pipeline.isOpen()) {
+        const calls = Array.from({ length: 2 + Math.floor((MAX_PIPELINED - 1) * random()) }, () => {
+          const refused = random() < REFUSED_PART ? REFUSED[Math.floor(random() * REFUSED.length)] : undefined
+          return { ...drawCall('pipelined'), ...refused }
+        })
+        requests.push(...await pipeline.send(calls))
+        await pause(CALLER_PAUSE_MS * random())
+      }
+      pipeline.close()
+      await pause(CALLER_PAUSE_MS * random())
+    }
   }
 
   /** Each configuration has a route that no older one has. */
@@ -137,7 +171,12 @@
     await Promise.all(targets.map(async (target) => {
       count += 1
       requests.push(await world.call(target, {
-        identifier: `deadly-${seed}-${count}`, path, kind, key: 'bakery-key', scopePart: 'none'
+        identifier: `deadly-${seed}-${count}`,
+        path,
+        kind,
+        key: 'bakery-key',
+        scopePart: 'none',
+        body: kind === 'unsafe' ? ORDER_BODY : undefined
       }))
     }))
   }
@@ -213,7 +252,9 @@
   }
 
   try {
-    const callers = Array.from({ length: CALLERS }, callOn)
+    const callers = [
+      ...Array.from({ length: CALLERS }, callOn), ...Array.from({ length: PIPELINING_CALLERS }, pipelineOn)
+    ]
     await breakThings()
     await recover()
     await stopAll()
--- a/playground/soak/world.ts
+++ b/playground/soak/world.ts
@@ -24,18 +24,24 @@
 /** The limited customer; each of its requests costs 110 tokens. */
 export const LIMITED = { key: 'mill-key', rate: 2000, burst: 2000, overage: 0.1, slack: 1000, windowSeconds: 8 }
 export const ISOLATED_KEY = 'forge-key'
+/** Body of a request that is not safe. */
+export const ORDER_BODY = '{"item":"rye"}'
 const READY_LIMIT_MS = 20_000
 /** Milliseconds from a crash that a request causes to the start of the next process. */
 const CRASH_RESTART_MS = 2500
 
-const HEADER_TIMEOUT_MS = 3000
 /** Milliseconds from a request to the bytes that follow it; shorter than a plain answer takes. */
 const LATER_BYTES_MS = 10
 
+/** Limits of the configuration for callers, in bytes and milliseconds. */
+export const LIMITS = { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
+export type CallerLimits = typeof LIMITS
+
 const ROUTES = [
   { name: 'sheet', prefix: '/sheet/', kind: 'streaming', service: 'engines', timeoutMs: STREAM_LIMIT_MS, maxAttempts: 1 },
   { name: 'chat', prefix: '/chat/', kind: 'streaming', service: 'engines', timeoutMs: STREAM_LIMIT_MS, maxAttempts: 2, resumable: true },
   { name: 'order', prefix: '/order/', kind: 'unsafe', service: PLAIN_SERVICE, timeoutMs: PLAIN_LIMIT_MS, maxAttempts: 1 },
+  { name: 'empty', prefix: '/empty/', kind: 'safe', service: 'none', timeoutMs: PLAIN_LIMIT_MS, maxAttempts: 2 },
   { name: 'lookup', prefix: '/lookup/', kind: 'safe', service: PLAIN_SERVICE, timeoutMs: PLAIN_LIMIT_MS, maxAttempts: 2 }
 ]
 
@@ -66,6 +72,39 @@
   return `${standIn.identifier}#${starts}`
 }
 
+/** Headers of a request, without those that tell of the connection. */
+export function requestHeaders ({ identifier, key, kind, scopePart, body }: WorldCall): Record<string, string> {
+  return {
+    Host: 'shop.example',
+    'Request-Id': identifier,
+    'Deadline-Milliseconds': String(STREAM_LIMIT_MS),
+    Authorization: `Token ${key}`,
+    ...(kind === 'stream' ? { Model: 'small' } : {}),
+    'Token-Usage': '100,10',
+    'Prompt-Prefix': `${scopePart}:50,own:50`,
+    ...(body === undefined ? {} : { 'Content-Length': String(body.length) })
+  }
+}
+
+/** A request that is sent now and has no answer yet. */
+export function notYetSeen ({ identity }: RouterProcess, { identifier, kind, key, path }: WorldCall): SeenRequest {
+  return {
+    identifier,
+    kind,
+    key,
+    instance: identity,
+    startedAt: performance.now(),
+    endedAt: 0,
+    isSent: false,
+    status: 0,
+    complete: false,
+    body: '',
+    echoed: undefined,
+    left: false,
+    path
+  }
+}
+
 export interface World {
   store: StoreStandIn
   storeProxies: ReadonlyMap<string, FaultProxy>
@@ -82,9 +121,10 @@
   keys: () => readonly string[]
   /**
    * Writes a configuration with one more version and these keys.
-   * @param headerTimeoutMs milliseconds in which callers must send a whole head
+   * @param limits those that differ from `LIMITS`
+   * @param withoutRoute name of a route that is left out
    */
-  configure: (keys: readonly string[], headerTimeoutMs?: number) => void
+  configure: (keys: readonly string[], limits?: Partial<CallerLimits>, withoutRoute?: string) => void
   nameWeights: (version: number) => void
   startRouter: (name: string) => Promise<RouterProcess>
   isReady: (router: RouterProcess) => Promise<boolean>
@@ -104,6 +144,8 @@
   kind: SeenRequest['kind']
   key: string
   scopePart: string
+  /** Sent with POST; without it, the request is a GET. */
+  body?: string
   /** Milliseconds after which the caller breaks off. */
   leaveAfter?: number
   /** Sent after the whole request on its connection, which is not used again. */
@@ -186,7 +228,7 @@
     upstreams[index] = await placeUpstream(before.service, before.standIn.identifier, before.starts + 1)
   }
 
-  function configure (next: readonly string[], headerTimeoutMs = HEADER_TIMEOUT_MS): void {
+  function configure (next: readonly string[], limits: Partial<CallerLimits> = {}, withoutRoute?: string): void {
     keys = next
     version += 1
     const open = Array.from({ length: version }, (_unused, index) => ({
@@ -202,15 +244,15 @@
     const { key, rate, burst } = LIMITED
     store.put('op', 'config', {
       version,
-      routes: [...ROUTES, ...open].map((route) => ({ host: 'shop.example', targetLatencyMs: 300, priority: 1, ...route })),
-      services: [{ name: 'engines', engine: { slots: 8, models: [{ name: 'small' }] } }, { name: PLAIN_SERVICE }],
+      routes: [...ROUTES.filter(({ name }) => name !== withoutRoute), ...open].map((route) => ({ host: 'shop.example', targetLatencyMs: 300, priority: 1, ...route })),
+      services: [{ name: 'engines', engine: { slots: 8, models: [{ name: 'small' }] } }, { name: PLAIN_SERVICE }, { name: 'none' }],
       tenants: [
         { name: 'bakery', apiKeys: ['bakery-key'], ...unlimited },
         { name: 'mill', apiKeys: [key], ratePerS: rate, burst, unit: 'token_count' },
         { name: 'forge', apiKeys: [ISOLATED_KEY], isolated: true, ...unlimited },
         { name: 'guild', apiKeys: next, ...unlimited }
       ],
-      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 100_000, headerTimeoutMs, idleTimeoutMs: 15_000 }
+      limits: { ...LIMITS, ...limits }
     })
   }
 
@@ -270,23 +312,8 @@
   }
 
   async function call (router: RouterProcess, options: WorldCall): Promise<SeenRequest> {
-    const { identifier, path, kind, key, scopePart, leaveAfter, laterBytes } = options
-    const seen: SeenRequest = {
-      identifier,
-      kind,
-      key,
-      instance: router.identity,
-      startedAt: performance.now(),
-      endedAt: 0,
-      isSent: false,
-      status: 0,
-      complete: false,
-      body: '',
-      echoed: undefined,
-      left: false,
-      path
-    }
-    const body = kind === 'unsafe' ? '{"item":"rye"}' : undefined
+    const { path, body, leaveAfter, laterBytes } = options
+    const seen = notYetSeen(router, options)
     return await new Promise((resolve) => {
       const end = (): void => {
         seen.endedAt = performance.now()
@@ -297,17 +324,7 @@
         agent: laterBytes === undefined ? agent : false,
         path,
         method: body === undefined ? 'GET' : 'POST',
-        headers: {
-          Host: 'shop.example',
-          'Request-Id': identifier,
-          'Deadline-Milliseconds': String(STREAM_LIMIT_MS),
-          Authorization: `Token ${key}`,
-          ...(kind === 'stream' ? { Model: 'small' } : {}),
-          'Token-Usage': '100,10',
-          'Prompt-Prefix': `${scopePart}:50,own:50`,
-          Connection: 'keep-alive',
-          ...(body === undefined ? {} : { 'Content-Length': String(body.length) })
-        }
+        headers: { ...requestHeaders(options), Connection: 'keep-alive' }
       }, (response) => {
         seen.status = response.statusCode ?? 0
         seen.echoed = response.headers['request-id'] as string | undefined
