--- a/playground/soak/world.ts
+++ b/playground/soak/world.ts
@@ -275,7 +275,7 @@
     })
     let output = ''
     for (const stream of [child.stdout, child.stderr]) {
-      stream.on('data', (bytes: Buffer) => { output = (output + bytes.toString()).slice(-200_000) })
+      stream.on('data', (bytes: Buffer) => { output = (output + bytes.toString()).slice(-1_000_000) })
     }
     const identity = `${name}#${started.filter((one) => one.name === name).length + 1}`
     const router: RouterProcess = {
