Soak: a stream that its upstream breaks off may wait behind another one

The check `pipelined` reported streams that their own upstream had broken off, because their heads waited behind the answers before them and the caller had seen no status. The users' rule does not count them (LOST: the runner broke off), and `begunStreams` does not either.

Plain answers, and sound ones behind such a stream (412), are still reported.

--- a/playground/soak/checks.ts
+++ b/playground/soak/checks.ts
@@ -207,8 +207,12 @@
       if (complete || (status !== 0 && kind === 'stream') || isBehindBroken) return []
       const isCrossed = !runs.has(identifier) && endedAt >= (history.stopped.get(instance) ?? Infinity) &&
         endedAt < sentAt + CROSSING_MS
+      // The answer of an upstream that breaks off may have begun behind another one.
+      const isUpstreamLost = kind === 'stream' && (runs.get(identifier) ?? []).some((run) => (
+        run.isFaulted || isDisturbed(history, run.process, run.startedAt, endedAt)
+      ))
       const isExcused = endedAt >= endOfDuty(request, history) || isDisturbed(history, instance, startedAt, endedAt)
-      if (isCrossed || isExcused) return []
+      if (isCrossed || isUpstreamLost || isExcused) return []
       const wait = Math.round(endedAt - sentAt)
       return [`${identifier} on connection ${connection} got no whole answer from ${instance} after ${wait} ms`]
     })
