--- a/src/gateway/__tests__/laterBytes.test.ts
+++ b/src/gateway/__tests__/laterBytes.test.ts
@@ -9,6 +9,8 @@
 const HEADER_TIMEOUT_MS = 150
 const CONNECTION_CHECK_MS = 50
 const MAXIMUM_HEADER_BYTES = 4096
+/** More than the HTTP parser takes; a head between these limits is refused as a request. */
+const UNREADABLE_HEADER_BYTES = 128 * 1024
 /** More than the buffers of the operating system take. */
 const LONG_ANSWER_BYTES = 16 * 1024 * 1024
 /** Time in milliseconds within which the work for a caller that has left is cancelled. */
@@ -101,7 +103,7 @@
 
 const LATER_BYTES: Array<[string, string, string, number]> = [
   ['bytes that are no request', GARBAGE, 'malformed', 400],
-  ['a head that is too long', `${HALF_HEAD}\r\nlong: ${'x'.repeat(2 * MAXIMUM_HEADER_BYTES)}`, 'header_too_large', 431],
+  ['a head that is too long', `${HALF_HEAD}\r\nlong: ${'x'.repeat(UNREADABLE_HEADER_BYTES)}`, 'header_too_large', 431],
   ['a request with a malformed body', `${requestText('/second').slice(0, -2)}transfer-encoding: chunked\r\n\r\nwhat\r\n`, 'malformed', 400],
   ['a request for a tunnel', 'CONNECT a:80 HTTP/1.1\r\nhost: a\r\n\r\n', 'malformed', 400]
 ]
@@ -186,11 +188,23 @@
 })
 
 describe('a request after a body that is too long', () => {
-  it('is not run, because the connection closes after the refusal of the one before it', async () => {
+  async function sendBehindRefusal (line: string): Promise<Caller> {
     const caller = open()
-    caller.socket.write('POST /early HTTP/1.1\r\nhost: a\r\ncontent-length: 8\r\n\r\nbody')
+    caller.socket.write(`POST /early HTTP/1.1\r\nhost: a\r\n${line}content-length: 8\r\n\r\nbody`)
     await expect.poll(() => caller.text()).toContain('refused early')
     caller.socket.write(`body${requestText('/late')}`)
+    return caller
+  }
+
+  it('is run and answered behind the refusal of the one before it', async () => {
+    const caller = await sendBehindRefusal('')
+    await expect.poll(() => caller.text(), { timeout: 2 * ANSWER_MS }).toContain('late answer')
+    expect(handled.map(({ path }) => path)).toEqual(['/early', '/late'])
+    expect(caller.text()).toMatch(new RegExp(`^HTTP/1\\.1 413 [^]*connection: keep-alive[^]*refused early${LATE.source}$`, 'i'))
+  })
+
+  it('is not run if the connection is to close after the refusal of the one before it', async () => {
+    const caller = await sendBehindRefusal('connection: close\r\n')
     await caller.closed
     expect(handled).toHaveLength(1)
     expect(caller.text()).toMatch(/^HTTP\/1\.1 413 [^]*connection: close[^]*refused early$/i)
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,7 +3,7 @@
 import { InvalidRequestError, RequestTooLargeError } from '../errors'
 import { ExecutionStatus } from '../types'
 
-/** Time in milliseconds for which the rest of a rejected body is read, so that the caller can read the response. */
+/** Time in milliseconds for which the last response on a connection waits for the rest of a rejected body. */
 const LINGER_MS = 1000
 
 export interface Exchange {
@@ -18,6 +18,8 @@
   query: string
   /** Aborted if the caller disconnects before the response is complete. */
   signal: AbortSignal
+  /** Whether the caller has sent further requests on the connection, whose responses come after this one. */
+  hasFollowers: () => boolean
 }
 
 export type ExchangeHandler = (exchange: Exchange) => Promise<void>
@@ -44,9 +46,9 @@
 }
 
 /**
- * Sends a complete response. If the request body has not been read to its end, the connection is closed only after a
- * short period in which the body is drained. Closing it immediately would reset the connection before the caller has read
- * the response.
+ * Sends a complete response. The rest of a body that has not been read is discarded, so that the connection can be used
+ * for further requests. A response that announces the end of the connection waits for that rest for a short period,
+ * because a request that has been sent behind it would be lost.
  */
 export function sendResponse (
   exchange: Exchange, status: number, headers: Readonly<Record<string, string | readonly string[]>>,
@@ -61,26 +63,25 @@
   }
   response.setHeader('content-length', content.byteLength)
   response.setHeader('x-request-id', exchange.identifier)
-  const withContent = exchange.method === 'HEAD' ? undefined : content
-  if (request.complete || request.headers['content-length'] === '0' || hasNoBody(request)) {
-    response.end(withContent)
-    return
-  }
-  response.shouldKeepAlive = false
-  response.write(withContent ?? '')
+  const send = (): void => { response.end(exchange.method === 'HEAD' ? undefined : content) }
+  request.resume()
+  if (request.complete || response.shouldKeepAlive || hasNoBody(request)) send()
+  else afterBody(request, send)
+}
+
+/** Calls `next` at the end of the body, or after a short period. */
+function afterBody (request: IncomingMessage, next: () => void): void {
   const finish = (): void => {
     clearTimeout(timer)
-    response.end()
+    for (const event of ['end', 'close']) request.off(event, finish)
+    next()
   }
   const timer = setTimeout(finish, LINGER_MS)
-  request.removeAllListeners('data')
-  request.once('end', finish)
-  request.once('close', finish)
-  request.resume()
+  for (const event of ['end', 'close']) request.on(event, finish)
 }
 
-function hasNoBody (request: IncomingMessage): boolean {
-  return request.headers['content-length'] === undefined && request.headers['transfer-encoding'] === undefined
+function hasNoBody ({ headers }: IncomingMessage): boolean {
+  return (headers['content-length'] ?? '0') === '0' && headers['transfer-encoding'] === undefined
 }
 
 function tooLarge (limit: number): RequestTooLargeError {
