--- a/src/edge/__tests__/lifeRules.ts
+++ b/src/edge/__tests__/lifeRules.ts
@@ -1,6 +1,6 @@
 /** What must hold for every request, whatever the schedule; from the rules LOST, TWICE, REFUSED, BUDGET and ORDER. */
 import { Obstacle } from '../attemptDecision'
-import { handledRequest, holderOfKey, type HandledRequest } from './lifeChanges'
+import { handledRequest, holderOfKey, isStoreAway, type HandledRequest } from './lifeChanges'
 import { RequestKind } from './lifeSchedule'
 import type { LifeOutcome } from './lifeSimulation'
 import type { CallerEnding, CallerView } from './simulatedCallers'
@@ -55,8 +55,8 @@
 /** The obstacles that may end an owed request before its time limit, and when they may. */
 const ACCEPTED_OBSTACLES: Readonly<Partial<Record<Obstacle, (life: Life, ending: CallerEnding) => boolean>>> = {
   [Obstacle.key]: isKeyWithdrawn,
-  // A request that may crash upstreams would crash the next one, with all other requests there.
-  [Obstacle.crashes]: (_life, { hasCrash }) => hasCrash,
+  // A request that an upstream lost and that may crash upstreams would crash the next one, with all other requests there.
+  [Obstacle.crashes]: (life, { hasCrash }) => hasCrash && hasFailedAttempt(life),
   [Obstacle.stopping]: isAfterStop
 }
 
@@ -128,9 +128,7 @@
 }
 
 function isNotGivenUp (life: Life): string | undefined {
-  const { at, hasCrash } = endOf(life)
-  if (hasCrash) return undefined
-  const attempt = findUnreplaced(life, at)
+  const attempt = findUnreplaced(life, endOf(life).at)
   return attempt === undefined ? undefined : `the attempt at ${attempt.upstream} is cancelled at ${endedAt(attempt)} ms without a successor that answers`
 }
 
@@ -199,6 +197,17 @@
   return attempts.length > 0 ? 'it is sent to an upstream that its configuration does not name' : undefined
 }
 
+/** From the rules CONFIG (strictRevocation) and UNASKED; stricter than CONFIG, which concerns requests that are new. */
+function usesValidKey ({ outcome: { schedule }, request, attempts }: Life): string | undefined {
+  if (!request.needsKey) return undefined
+  const { outage } = schedule
+  const sent = attempts.find(({ openedAt }) => (
+    holderOfKey(schedule, openedAt) !== holderOfKey(schedule, request.at) ||
+    (isStoreAway(schedule, openedAt) && openedAt - outage!.from > outage!.revocation)
+  ))
+  return sent === undefined ? undefined : `it is sent to ${sent.upstream} at ${sent.openedAt} ms without a valid key`
+}
+
 /** From the rule DRAIN. */
 function isNotSentToLeaving ({ outcome: { schedule: { departures } }, attempts }: Life): string | undefined {
   for (const { from, length, returnsAfter, upstreams } of departures) {
@@ -227,6 +236,7 @@
   'is repeated within the allowance': keepsAllowance,
   'is answered by its first upstream if the others refuse it': awaitsFirstAnswer,
   'is handled by the configuration in force when it arrives': followsConfiguration,
+  'is sent only while its key is known to be valid': usesValidKey,
   'is not sent to an upstream that leaves': isNotSentToLeaving,
   'leaves no attempt behind': endsAttempts
 }
