Write a response only when it is the next one on its connection

The edge now holds a response until those before it are sent, and answers 502 if it breaks off before. - Callers lost requests that crossed a stream whose head announced the end during a planned stop.

--- a/src/edge/callerResponse.ts
+++ b/src/edge/callerResponse.ts
@@ -1,5 +1,6 @@
 /** The caller's side of one exchange: reads the request body and writes exactly one response. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
+import { keepOpenForBody } from '../http/callerConnections'
 import type { Dialect } from './types'
 
 export interface Rejection {
@@ -20,13 +21,22 @@
   /** Writes a chunk; returns false if the caller reads too slowly. */
   write: (bytes: Buffer) => boolean
   end: (bytes?: Buffer) => void
-  /** Closes the connection, so that the caller can tell that the response is incomplete. */
+  /**
+   * Ends an incomplete response: closes the connection, so that the caller can tell, or responds with an error if the caller
+   * has got nothing of the response yet, because those before it on the connection are still being sent.
+   */
   abort: () => void
   hasStarted: () => boolean
   hasEnded: () => boolean
   onDrain: (listener: () => void) => void
 }
 
+const INCOMPLETE: Rejection = {
+  status: 502, code: 'upstream_failed', message: 'the request was sent on and its outcome is not known'
+}
+/** Bytes of a response that wait for the responses before it; beyond these, its upstream is read no further. */
+const MAX_DEFERRED_BYTES = 65_536
+
 export interface CallerResponseOptions {
   response: ServerResponse
   dialect: Dialect
@@ -42,35 +52,68 @@
 ): CallerResponse {
   let started = false
   let ended = false
+  /** Writes that wait until the responses before this one on the connection are sent. */
+  const deferred: Array<() => void> = []
+  let deferredBytes = 0
+
+  function writeInOrder (action: () => void): void {
+    if (response.socket === null) deferred.push(action)
+    else action()
+  }
+
+  response.once('socket', () => {
+    const wasFull = deferredBytes > MAX_DEFERRED_BYTES
+    for (const action of deferred.splice(0)) action()
+    deferredBytes = 0
+    if (wasFull && !response.writableNeedDrain) response.emit('drain')
+  })
 
   function writeHead (
     status: number, message: string | undefined, rawHeaders: readonly string[], isStreaming: boolean = false
   ): void {
     started = true
     const headers = dialect.callerHeaders(isStreaming ? withoutLength(rawHeaders) : rawHeaders)
-    response.writeHead(status, message, headers)
+    writeInOrder(() => {
+      if (isStreaming) keepOpenForBody(response)
+      response.writeHead(status, message, headers)
+    })
   }
 
-  return {
-    reject ({ status, code, message, retryAfter }) {
-      if (started || ended) return
-      started = true
-      ended = true
-      const body = Buffer.from(JSON.stringify({ error: { code, message } }))
-      const headers = dialect.localResponseHeaders(identifier, retryAfter === undefined ? undefined : retryAfter / 1000)
-      headers.push('Content-Type', 'application/json', 'Content-Length', String(body.length))
+  function writeRejection ({ status, code, message, retryAfter }: Rejection): void {
+    started = true
+    ended = true
+    const body = Buffer.from(JSON.stringify({ error: { code, message } }))
+    const headers = dialect.localResponseHeaders(identifier, retryAfter === undefined ? undefined : retryAfter / 1000)
+    headers.push('Content-Type', 'application/json', 'Content-Length', String(body.length))
+    writeInOrder(() => {
       response.writeHead(status, headers)
       response.end(body)
+    })
+  }
+
+  return {
+    reject (rejection) {
+      if (!started && !ended) writeRejection(rejection)
     },
     writeHead,
-    write: (bytes) => response.write(bytes),
+    write (bytes) {
+      if (response.socket !== null) return response.write(bytes)
+      deferredBytes += bytes.length
+      deferred.push(() => { response.write(bytes) })
+      return deferredBytes <= MAX_DEFERRED_BYTES
+    },
     end (bytes) {
       ended = true
-      response.end(bytes)
+      writeInOrder(() => { response.end(bytes) })
     },
     abort () {
       ended = true
-      response.destroy()
+      if (response.socket !== null || response.destroyed) {
+        response.destroy()
+        return
+      }
+      deferred.length = 0
+      writeRejection(INCOMPLETE)
     },
     hasStarted: () => started,
     hasEnded: () => ended,
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -256,7 +256,7 @@
     onRequest (request, response) {
       const exchange: Exchange = createExchange(context, request, response, () => { exchanges.delete(exchange) })
       exchanges.add(exchange)
-      process.nextTick(exchange.start)
+      exchange.start()
     }
   })
   const context: ExchangeContext = {
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -29,10 +29,6 @@
 }
 
 export interface Exchange {
-  /**
-   * May send the response at once. That response may announce the end of its connection, so that the requests that
-   * arrived with its own must be known before.
-   */
   start: () => void
   /** Aborts an attempt that makes no progress; called several times per second. */
   check: (now: Instant) => void
@@ -176,6 +172,12 @@
     request.on('end', contain(() => { if (!isFinished) reject(rejection, 'admission') }))
   }
 
+  /** Refuses the request after those that arrived with it are known, as the refusal may announce the end of the connection. */
+  function rejectStopping (): void {
+    request.resume()
+    setImmediate(contain(() => { if (!isFinished) rejectAfterBody(AdmissionRejection.stopping) }))
+  }
+
   /**
    * Charges the request to the quota of the customer, borrowing from other instances if needed. Resolves to false if the
    * request was rejected or the caller has disconnected.
@@ -260,11 +262,9 @@
   }
 
   function start (): void {
-    // The caller left before the exchange was started.
-    if (response.destroyed) return finish()
     response.on('close', contain(() => { if (!response.writableFinished) onCallerDisconnected() }))
     callerResponse.onDrain(contain(() => { dispatch?.resume() }))
-    if (context.isRejecting()) return rejectAfterBody(AdmissionRejection.stopping)
+    if (context.isRejecting()) return rejectStopping()
     if (!isSendableRequest(request.url ?? '', request.rawHeaders)) return rejectAfterBody(AdmissionRejection.malformed)
     const { host, expect } = request.headers
     if (!isKnownExpectation(expect)) return rejectAfterBody(AdmissionRejection.unknownExpectation)
