Refuse a request with a body at once while the instance is stopping

A request with a body that came after the first seconds of a planned stop got its refusal only at the end of the grace period: its body had been read to the end before the refusal waited for that end. The body is read only once the refusal waits for it.

--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -174,7 +174,6 @@
 
   /** Refuses the request after those that arrived with it are known, as the refusal may announce the end of the connection. */
   function rejectStopping (): void {
-    request.resume()
     setImmediate(contain(() => { if (!isFinished) rejectAfterBody(AdmissionRejection.stopping) }))
   }
 
