serve: send a refusal at once, also if it announces the end of its connection

A caller that asks for its connection to be closed got the refusal of a body that is too long only when it had sent the rest, or after 1 s. The wait is not needed: connections are closed with time for the caller to read.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,9 +3,6 @@
 import { InvalidRequestError, RequestTooLargeError } from '../errors'
 import { ExecutionStatus } from '../types'
 
-/** Time in milliseconds for which the last response on a connection waits for the rest of a rejected body. */
-const LINGER_MS = 1000
-
 export interface Exchange {
   /** Request identifier that the router has assigned. Unique within the fleet. */
   identifier: string
@@ -47,8 +44,7 @@
 
 /**
  * Sends a complete response. The rest of a body that has not been read is discarded, so that the connection can be used
- * for further requests. A response that announces the end of the connection waits for that rest for a short period,
- * because a request that has been sent behind it would be lost.
+ * for further requests.
  */
 export function sendResponse (
   exchange: Exchange, status: number, headers: Readonly<Record<string, string | readonly string[]>>,
@@ -63,25 +59,8 @@
   }
   response.setHeader('content-length', content.byteLength)
   response.setHeader('x-request-id', exchange.identifier)
-  const send = (): void => { response.end(exchange.method === 'HEAD' ? undefined : content) }
   request.resume()
-  if (request.complete || response.shouldKeepAlive || hasNoBody(request)) send()
-  else afterBody(request, send)
-}
-
-/** Calls `next` at the end of the body, or after a short period. */
-function afterBody (request: IncomingMessage, next: () => void): void {
-  const finish = (): void => {
-    clearTimeout(timer)
-    for (const event of ['end', 'close']) request.off(event, finish)
-    next()
-  }
-  const timer = setTimeout(finish, LINGER_MS)
-  for (const event of ['end', 'close']) request.on(event, finish)
-}
-
-function hasNoBody ({ headers }: IncomingMessage): boolean {
-  return (headers['content-length'] ?? '0') === '0' && headers['transfer-encoding'] === undefined
+  response.end(exchange.method === 'HEAD' ? undefined : content)
 }
 
 function tooLarge (limit: number): RequestTooLargeError {
--- a/src/http/callerConnections.ts
+++ b/src/http/callerConnections.ts
@@ -318,12 +318,16 @@
       endReading(connection)
       closeGently(connection.socket)
     })
-    request.once('end', () => { setImmediate(() => { closeAfterBody(connection) }) })
+    request.once('end', () => { setTimeout(closeAfterBody, LINGER_MS, connection) })
   }
 
-  /** Closes a connection whose last response could not announce the end, as more requests might have followed its body. */
+  /**
+   * Closes a connection whose last response could not announce the end, as more requests might have followed its body and have
+   * not come since.
+   */
   function closeAfterBody (connection: Connection): void {
-    if (!isAnnouncingClose || connection.isClosing || connection.responses.size > 0) return
+    if (!isAnnouncingClose || connection.socket.destroyed) return
+    if (connection.isClosing || connection.responses.size > 0) return
     endReading(connection)
     closeGently(connection.socket)
   }
