--- a/src/gateway/__tests__/lostEngineAfterPauses.test.ts
+++ b/src/gateway/__tests__/lostEngineAfterPauses.test.ts
@@ -35,11 +35,11 @@
 describe('a begun stream whose engine is silent for good', () => {
   it('is whole when it was sent to the other one in vain twice before', async () => {
     const fleet = await startFleet({
-      engines: { e0: pausesTwice, e1: inTurn(silentBeforeAnswer(3000), silentBeforeAnswer(3000), answers) }, whole: 8000
+      engines: { e0: pausesTwice, e1: inTurn(silentBeforeAnswer(3000), silentBeforeAnswer(3000), answers) }, whole: 6000
     })
     expect(await collect(fleet.execute).catch(String)).toBe(WHOLE_TEXT)
     expect(CHUNKS).toBeGreaterThan(9)
-  }, 12_000)
+  }, 10_000)
 
   it('is whole when it was taken over from silent engines several times before', async () => {
     const fleet = await startFleet({ engines: { e0: silentAfterThree, e1: silentAfterThree }, whole: 8000 })
