Test: a store that comes back from an older copy

Cause: the version numbers of the store go back and are given out again, and every instance then refuses all reads as an older state than seen before; a loss of one version hides the next change. Change: the stand-in of the store can be restored to an earlier version and names its era in Store-Era; it answers 410 for a version that it does not have.

--- a/standins/fleet/store.ts
+++ b/standins/fleet/store.ts
@@ -34,19 +34,32 @@
   setFault: (fault: StoreFault) => void
   /** Drops all history; feeds that are behind get 410. */
   dropHistory: () => void
+  /** Version of the newest write. */
+  version: () => number
+  /**
+   * Comes back from a copy that lacks the newest `lost` versions: breaks off all connections, raises the era by one, and
+   * gives the lost version numbers out again.
+   */
+  restore: (lost: number) => void
   /** Calls by path. */
   calls: () => ReadonlyMap<string, number>
   close: () => Promise<void>
 }
 
+export interface StoreStandInOptions {
+  /** First era that the answers name. @default the answers name no era */
+  era?: number
+}
+
 /** Milliseconds between looks of a waiting feed. */
 const FEED_POLL_MS = 5
 
-export async function startStoreStandIn (): Promise<StoreStandIn> {
+export async function startStoreStandIn (options: StoreStandInOptions = {}): Promise<StoreStandIn> {
   const current = new Map<string, Row>()
-  const history: Row[] = []
+  let history: Row[] = []
   const calls = new Map<string, number>()
   let version = 0
+  let era = options.era
   let oldest = 0
   let fault: StoreFault = StoreFault.none
   let staleVersion = 0
@@ -60,7 +73,11 @@
 
   function answer (response: ServerResponse, status: number, body: unknown): void {
     const text = JSON.stringify(body)
-    const headers = { 'Content-Type': 'application/json', 'Content-Length': Buffer.byteLength(text) }
+    const headers = {
+      'Content-Type': 'application/json',
+      'Content-Length': Buffer.byteLength(text),
+      ...(era === undefined ? {} : { 'Store-Era': String(era) })
+    }
     response.writeHead(status, headers).end(text)
   }
 
@@ -95,7 +112,7 @@
       const after = Number(url.searchParams.get('after'))
       const until = now() + Number(url.searchParams.get('waitMs'))
       const look = (): void => {
-        if (after < oldest) return answer(response, 410, {})
+        if (after < oldest || after > version) return answer(response, 410, {})
         const rows = history.filter((row) => row.table === table && row.ver > after)
         if (rows.length === 0 && now() < until && !response.destroyed) setTimeout(look, FEED_POLL_MS)
         else answer(response, 200, { rows: rows.map(encode), ver: version, nowMs: now() })
@@ -163,6 +180,18 @@
       staleVersion = version
     },
     dropHistory () { oldest = version + 1 },
+    version: () => version,
+    restore (lost) {
+      version = Math.max(0, version - lost)
+      history = history.filter(({ ver }) => ver <= version)
+      current.clear()
+      for (const row of history) {
+        if (row.value === undefined) current.delete(`${row.table}/${row.key}`)
+        else current.set(`${row.table}/${row.key}`, row)
+      }
+      if (era !== undefined) era += 1
+      server.closeAllConnections()
+    },
     calls: () => calls,
     async close () {
       server.closeAllConnections()
