--- a/src/edge/__tests__/instanceList.test.ts
+++ b/src/edge/__tests__/instanceList.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { createInstanceList, type InstanceList } from '../instanceList'
+import { createStoreEra, type StoreEra } from '../storeEra/storeEra'
 import type { TableRelay } from '../tableRelay'
 import type { StoreReadResult, StoreRow } from '../types'
 
@@ -9,12 +10,15 @@
 }
 
 let list: InstanceList
+let storeEra: StoreEra
 /** Resolves the list's call for changes. */
 let change: (rows: StoreRow[]) => void
 
 beforeEach(async () => {
   vi.useFakeTimers()
   const table = { replaced () {}, changed () {}, confirmed () {}, lost () {} }
+  storeEra = createStoreEra()
+  storeEra.newestVersion.value = 1
   list = createInstanceList({
     commit: async () => ({ committed: true, version: 1, storeTime: 0 }),
     relay: {
@@ -27,7 +31,7 @@
       table: () => table
     } as unknown as TableRelay,
     endpoint: { host: '127.0.0.1', port: 1 },
-    newestVersion: { value: 1 },
+    storeEra,
     now: () => ({ steady: performance.now(), wall: Date.now() }),
     random: () => 0,
     log: () => {},
--- a/src/edge/__tests__/metrics.test.ts
+++ b/src/edge/__tests__/metrics.test.ts
@@ -10,6 +10,7 @@
   pendingPeerQueries: () => 4,
   configurationVersion: () => 17,
   configurationAge: () => Infinity,
+  storeEra: () => ({ current: () => 2, changes: () => 1 }),
   upstreams: () => new Map([['engines', 6]])
 })
 
--- a/src/edge/__tests__/relayChain.test.ts
+++ b/src/edge/__tests__/relayChain.test.ts
@@ -3,6 +3,7 @@
 import { PlatformUnavailableError } from '../../errors'
 import { elapsed } from '../freshness'
 import { chooseRelays } from '../relayChoice'
+import { createStoreEra } from '../storeEra/storeEra'
 import { followTable, type Follower } from '../storeFollower'
 import { createTableRelay, type TableRelay } from '../tableRelay'
 import type { Instant, Peer, Store } from '../types'
@@ -81,12 +82,14 @@
   }
   for (const { name } of peers) {
     const relay = relays.get(name)!
+    const storeEra = createStoreEra()
+    storeEra.newestVersion.value = 1
     followers.push(followTable({
       store: relay.store,
       table: TABLE,
       relay: relay.table(TABLE),
       wait: WAIT_MS,
-      newestVersion: { value: 1 },
+      storeEra,
       onRows: () => {},
       onChanges: () => {},
       onConfirmed: (at) => { provedAt.set(name, at) },
--- a/src/edge/__tests__/serviceRollouts.test.ts
+++ b/src/edge/__tests__/serviceRollouts.test.ts
@@ -214,6 +214,6 @@
     [{}], [{ ...update(ServiceRolloutState.running, 0.3), state: 'paused' }], [{ ...update(ServiceRolloutState.running, 0.3), share: 2 }],
     [{ ...update(ServiceRolloutState.running, 0.3), service: 7 }]
   ])('%o', (content) => {
-    expect(parseRolloutUpdate(content)).toBeUndefined()
+    expect(parseRolloutUpdate(content, 0)).toBeUndefined()
   })
 })
--- a/src/edge/__tests__/storeFollower.test.ts
+++ b/src/edge/__tests__/storeFollower.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, beforeEach, describe, expect, it, vi } from 'vitest'
 import { HistoryLostError, PlatformUnavailableError } from '../../errors'
 import { EdgeEvent } from '../events'
+import { createStoreEra, type StoreEra } from '../storeEra/storeEra'
 import { followTable, type ObservationGap, type Follower } from '../storeFollower'
 import type { Instant, RelayMetadata, Store, StoreReadResult } from '../types'
 
@@ -47,10 +48,13 @@
 }
 
 let follower: Follower
+let storeEra: StoreEra
 let time = 0
 
 async function follow (steps: Step[], newest = 1, settleDelay = (_wasRelayed: boolean): number => 0): Promise<Trace> {
   const { store, calls } = createStore(steps)
+  storeEra = createStoreEra()
+  storeEra.newestVersion.value = newest
   const trace: Trace = { calls, rows: [], contacts: [], events: [] }
   const take = (rows: ReadonlyArray<{ key: string }>, gap: ObservationGap): void => {
     trace.rows.push({ keys: rows.map(({ key }) => key), gap })
@@ -62,7 +66,7 @@
       replaced: () => {}, changed: () => {}, confirmed: () => {}, lost: () => {}
     },
     wait: 1000,
-    newestVersion: { value: newest },
+    storeEra,
     settleDelay,
     onRows: take,
     onChanges: take,
--- a/src/edge/__tests__/tableRelay.test.ts
+++ b/src/edge/__tests__/tableRelay.test.ts
@@ -116,7 +116,7 @@
     prepare(fleet, 700)
     const reading = await follower(fleet).relay.store.follow(TABLE, 5, WAIT_MS)
     expect(reading).toEqual<StoreReadResult>({
-      rows: [row('new', 6)], version: 6, storeTime: 0, relayed: { age: 700, changedWithin: 710, afterOutage: false }
+      rows: [row('new', 6)], version: 6, storeTime: 0, era: 0, relayed: { age: 700, changedWithin: 710, afterOutage: false }
     })
   })
 
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -14,6 +14,7 @@
 import { createFreshness } from './freshness'
 import { stopGracefully } from './gracefulStop'
 import { createInstanceList } from './instanceList'
+import { createHolderUpdates } from './leaseHolder/holderUpdates'
 import { startLeaseTask } from './leaseTask'
 import { countBy, createEdgeMetrics } from './metrics'
 import { createLoadExchange } from './loadExchange'
@@ -26,10 +27,12 @@
 import { createRequestLimits } from './requestLimits'
 import { createRetryAllowance } from './retryAllowance'
 import { createSendPermits } from './sendPermits'
-import { createServiceRollouts, parseRolloutUpdate } from './serviceRollouts'
+import { createServiceRollouts } from './serviceRollouts'
 import { startServiceRolloutsTask } from './serviceRolloutsTask'
 import type { EdgeSettings } from './settings'
 import { createLivenessChecks } from './livenessChecks'
+import { openEraStore } from './storeEra/eraStore'
+import { operatorRowRank } from './storeEra/keptRows'
 import { followTable } from './storeFollower'
 import { createStoreLease } from './storeLease'
 import { FOLLOW_MS, followStoreTables } from './storeTables'
@@ -39,16 +42,11 @@
 import { createUpstreamConnections } from './upstreamConnections'
 import { createUpstreamDirectory, type Upstream } from './upstreamDirectory'
 import { createUpstreamHints } from './upstreamHints'
-import { createWeightsRollout, parseProgress } from './weightsRollout'
+import { createWeightsRollout } from './weightsRollout'
 import { startWeightsTask } from './weightsRolloutTask'
 
 /** Delay in milliseconds between changes of a cache store and the next call, since segments are added continuously. */
 const CACHE_SETTLE_MS = 500
-/**
- * Time in milliseconds after a notification of the lease holder for which the lease counts as held; the holder sends four
- * notifications per second.
- */
-const LEASE_HOLDER_ACTIVE_MS = 1000
 /** Interval in milliseconds between checks for silent upstreams and idle connections. */
 const SWEEP_MS = 100
 /** Interval in milliseconds between writes of the log. */
@@ -83,6 +81,7 @@
     pendingPeerQueries: () => relay.pendingRequests(),
     configurationVersion: () => tables.routes()?.configuration.version ?? 0,
     configurationAge: () => freshness.age(now()),
+    storeEra: () => storeEra,
     upstreams: () => countBy([...directory.all()].map(({ entry }) => entry.service))
   })
   const { log: writeLogLine, flush, close: closeLog } = createBoundedLog({
@@ -97,8 +96,7 @@
     writeLogLine(event, fields)
   }
   const flushTimer = setInterval(flush, LOG_FLUSH_MS)
-  const store = metrics.withCallCounts(options.store)
-  const newestVersion = { value: 0 }
+  const { store, storeEra } = openEraStore(metrics.withCallCounts(options.store), log, now)
   const freshness = createFreshness(limits.revocation)
   const directory = createUpstreamDirectory()
   const connections = createUpstreamConnections(() => performance.now())
@@ -107,8 +105,6 @@
   const rolloutSampler = createRolloutSampler(serviceRollouts.isRollingOut)
   let loadingEngines: ReadonlySet<Upstream> = new Set()
   const exchanges = new Set<Exchange>()
-  /** Time of the last notification of the lease holder. */
-  let leaseHolderSeenAt = -Infinity
   let isListening = false
   let stopping = false
   let rejecting = false
@@ -121,7 +117,7 @@
   const queryHandlers: Readonly<Record<PeerRequestKind, HandlePeerRequest>> = {
     changes: async (query) => await relay.handleRequest(query),
     tokens: async (query) => await peerQuota.handleRequest(query),
-    weightsProgress: async (query) => await weightsProgressBroadcast.handleRequest(query),
+    weightsProgress: async (query) => await holderUpdates.handleProgress(query),
     failures: async (query) => await failureBroadcast.handleRequest(query),
     leaving: async (query) => await leavingBroadcast.handleRequest(query),
     limits: async (query) => await limitBroadcast.handleRequest(query),
@@ -133,7 +129,7 @@
     },
     trials: async (query) => await crashHandling.requestHandlers.trials(query),
     engineLoads: async (query) => await engineLoads.handleRequest(query),
-    moves: async (query) => await rolloutBroadcast.handleRequest(query),
+    moves: async (query) => await holderUpdates.handleRollout(query),
     moveCounts: async (query) => await serviceRolloutTask.handleRequest(query)
   }
   const links = await createPeerLinks({
@@ -158,13 +154,15 @@
     dataCentre,
     peers,
     hasLimitedSource: isCacheTable,
+    storeEra,
+    rankOf: operatorRowRank(records),
     log,
     now
   })
-  const followerOptions = { store: relay.store, newestVersion, log, now, random }
+  const followerOptions = { store: relay.store, storeEra, log, now, random }
   const cacheStores = createCacheStores((cacheStore, index) => followTable({
     ...followerOptions,
-    newestVersion: undefined,
+    storeEra: undefined,
     table: cacheTableName(cacheStore),
     relay: relay.table(cacheTableName(cacheStore)),
     wait: FOLLOW_MS,
@@ -176,7 +174,7 @@
     commit: store.commit,
     relay,
     endpoint: settings.listen.peer,
-    newestVersion,
+    storeEra,
     now,
     random,
     log,
@@ -190,10 +188,8 @@
   const createBroadcast = (
     kind: PeerRequestKind, onNotification: (content: PeerValue) => void
   ): PeerBroadcast => createPeerBroadcast({ links, dataCentre, peers, kind, onNotification, onFault: reportFault })
-  const weightsProgressBroadcast = createBroadcast(PeerRequestKind.weightsProgress, (content) => {
-    const progress = parseProgress(content)
-    leaseHolderSeenAt = performance.now()
-    if (progress !== undefined) weightsRollout.applyProgress(progress, directory.all(), performance.now())
+  const holderUpdates = createHolderUpdates({
+    createBroadcast, weightsRollout, serviceRollouts, directory, storeEra, now: () => performance.now()
   })
   const failureBroadcast = createBroadcast(PeerRequestKind.failures, (content) => {
     failureReports.receive(content, performance.now())
@@ -224,11 +220,6 @@
   const engineLoads = createLoadExchange({
     links, instance: name, dataCentre, peers, directory, now: () => performance.now()
   })
-  const rolloutBroadcast = createBroadcast(PeerRequestKind.serviceRollouts, (content) => {
-    const notification = parseRolloutUpdate(content)
-    leaseHolderSeenAt = performance.now()
-    if (notification !== undefined) serviceRollouts.applyUpdate(notification, performance.now())
-  })
   const failureReports = createFailureReports({
     broadcast: failureBroadcast.sendWithinDataCentre, directory, log, random
   })
@@ -325,8 +316,8 @@
   const lease = startLeaseTask({
     instance: name,
     store,
-    lease: createStoreLease(name, incarnation, limits.lease),
-    isHeldByOther: () => performance.now() - leaseHolderSeenAt < LEASE_HOLDER_ACTIVE_MS,
+    lease: createStoreLease(name, incarnation, limits.lease, storeEra),
+    isHeldByOther: holderUpdates.isHeldByOther,
     isNeeded: () => serviceRollouts.pending().length > 0 || weightsRollout.isPending(directory.all()),
     isStopping: () => stopping,
     peers: () => peers().map((peer) => peer.name),
@@ -338,12 +329,13 @@
     store,
     records,
     lease,
+    storeEra,
     rollouts: serviceRollouts,
     sampler: rolloutSampler,
     directory,
     links,
     peers,
-    publish: (notification) => { rolloutBroadcast.send({ ...notification }) },
+    publish: holderUpdates.publishRollout,
     isStopping: () => stopping,
     log,
     now
@@ -357,7 +349,7 @@
     directory,
     isStopping: () => stopping,
     onUpstreamHint: applyUpstreamHint,
-    publish: (progress) => { weightsProgressBroadcast.send({ ...progress }) },
+    publish: holderUpdates.publishProgress,
     log,
     now
   })
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -65,6 +65,8 @@
   relayRejected: 'relay.refused',
   storeLost: 'store.lost',
   storeRegained: 'store.regained',
+  /** The store has come back from an older copy. */
+  storeEraChanged: 'store.era_changed',
   targetWeightsChanged: 'weights.named',
   weightsCommandSent: 'weights.ordered',
   weightsCommandFailed: 'weights.order_failed',
--- a/src/edge/instanceList.ts
+++ b/src/edge/instanceList.ts
@@ -5,6 +5,7 @@
 import { EdgeEvent, errorMessage } from './events'
 import { formatEndpoint, parseEndpoint } from '../http/endpoint'
 import type { Endpoint } from '../types'
+import type { StoreEra } from './storeEra/storeEra'
 import { followTable, type Follower, type FollowerOptions } from './storeFollower'
 import { createInstanceShares } from './instanceShares'
 import type { PeerValue } from './peerLinks'
@@ -34,6 +35,11 @@
 const OBSERVED_MS = 10_000
 /** Delay in milliseconds before a failed write of this instance's row is retried. */
 const WRITE_RETRY_MS = 500
+/**
+ * Longest delay in milliseconds before the row is written again in a new era of the store, drawn at random, so that the
+ * instances of a large fleet do not write at the same moment.
+ */
+const MAX_REWRITE_DELAY_MS = 300
 
 /** Fields of an instance in its row and in messages to others. */
 export interface InstanceFields {
@@ -77,7 +83,7 @@
 }
 
 export interface InstanceListOptions extends Pick<FollowerOptions, 'log' | 'now' | 'random'> {
-  newestVersion: { value: number }
+  storeEra: Pick<StoreEra, 'newestVersion' | 'subscribe'>
   commit: Store['commit']
   relay: TableRelay
   instance: string
@@ -87,7 +93,7 @@
 }
 
 export function createInstanceList (options: InstanceListOptions): InstanceList {
-  const { commit, newestVersion, instance, dataCentre, endpoint, log } = options
+  const { commit, storeEra, instance, dataCentre, endpoint, log, random } = options
   const ownFields: InstanceFields = { dataCentre, peer: formatEndpoint(endpoint) }
   const shares = createInstanceShares()
   shares.set(instance, dataCentre)
@@ -100,12 +106,15 @@
   async function register (): Promise<void> {
     const writes = [{ key: instance, value: JSON.stringify(ownFields) }]
     const result = await commit({ table: INSTANCE_TABLE, conditions: [], writes, removals: [] })
-    if (result.committed) newestVersion.value = Math.max(newestVersion.value, result.version)
+    if (!result.committed) return
+    storeEra.newestVersion.value = Math.max(storeEra.newestVersion.value, result.version)
   }
 
   function tryRegister (): void {
+    clearTimeout(timer)
     register().catch((error: unknown) => {
       log(EdgeEvent.storeLost, { table: INSTANCE_TABLE, reason: errorMessage(error) })
+      clearTimeout(timer)
       timer = setTimeout(tryRegister, WRITE_RETRY_MS)
     })
   }
@@ -131,6 +140,18 @@
     } else remove(key)
   }
 
+  /** Counts an instance that the list does not contain, until it has been silent for some seconds. */
+  function countForAWhile (peer: Peer): void {
+    stopObserving(peer.name)
+    observed.set(peer.name, setTimeout(() => {
+      remove(peer.name)
+      handleChange()
+    }, OBSERVED_MS))
+    if (listed.has(peer.name)) return
+    shares.set(peer.name, peer.dataCentre)
+    listed.set(peer.name, peer)
+  }
+
   function handleChange (): void {
     peers = [...listed.values()]
     log(EdgeEvent.instancesChanged, { count: shares.count(), share: shares.share(dataCentre) })
@@ -146,6 +167,10 @@
   }
 
   tryRegister()
+  storeEra.subscribe(() => {
+    clearTimeout(timer)
+    timer = setTimeout(tryRegister, MAX_REWRITE_DELAY_MS * random())
+  })
   const follower: Follower = followTable({
     ...options,
     store: options.relay.store,
@@ -153,11 +178,14 @@
     relay: options.relay.table(INSTANCE_TABLE),
     wait: FOLLOW_MS,
     settleDelay: () => SETTLE_MS,
-    onRows (rows) {
+    onRows (rows, { isNewEra = false }) {
+      const before = isNewEra ? [...listed.values()] : []
       for (const name of [...listed.keys()]) remove(name)
       shares.clear()
       shares.set(instance, dataCentre)
       for (const row of rows) applyRow(row)
+      // Their rows may be lost with the old era; they write them again.
+      for (const peer of before) if (!listed.has(peer.name)) countForAWhile(peer)
       handleChange()
       markReady()
     },
@@ -178,15 +206,8 @@
       const isKnown = listed.has(name)
       const peer = parsePeer(name, fields)
       if (peer === undefined || (isKnown && !observed.has(name))) return
-      stopObserving(name)
-      observed.set(name, setTimeout(() => {
-        remove(name)
-        handleChange()
-      }, OBSERVED_MS))
-      if (isKnown) return
-      shares.set(name, peer.dataCentre)
-      listed.set(name, peer)
-      handleChange()
+      countForAWhile(peer)
+      if (!isKnown) handleChange()
     },
     whenReady (listener) {
       if (isReady) listener()
--- a/src/edge/leaseTask.ts
+++ b/src/edge/leaseTask.ts
@@ -47,6 +47,7 @@
   let nextClaimAt = -Infinity
   let wasNeeded = false
   let wasHeld = false
+  let couldReclaim = false
 
   /** Returns the delay in milliseconds that gives the preceding instances time to claim first. */
   function claimDelay (): number {
@@ -57,8 +58,8 @@
   async function readLease (): Promise<void> {
     const readSentAt = now()
     const reading = await store.read(LEASE_TABLE)
-    lease.observeStoreTime(reading.storeTime, readSentAt)
-    lease.observeRow(reading.rows.find(({ key }) => key === LEASE_KEY))
+    lease.observeStoreTime(reading.storeTime, readSentAt, reading.era)
+    lease.observeRow(reading.rows.find(({ key }) => key === LEASE_KEY), reading.era)
   }
 
   async function claimLease (): Promise<void> {
@@ -76,8 +77,9 @@
       writes: [{ key: LEASE_KEY, value: claim.value }],
       removals: []
     })
-    lease.observeStoreTime(result.storeTime, sentAt)
-    if (result.committed) lease.recordGrant(result.version, sentAt)
+    lease.observeStoreTime(result.storeTime, sentAt, result.era)
+    const isOfClaimedEra = (result.era ?? 0) === claim.era
+    if (result.committed && isOfClaimedEra) lease.recordGrant(result.version, sentAt, result.era)
     else lease.invalidate()
   }
 
@@ -96,6 +98,9 @@
     const present = now()
     // While updates of the holder arrive, the store need not be read. Once they stop, the instances claim in turn.
     const needed = options.isNeeded() && (wasHeld || !options.isHeldByOther())
+    const mayReclaim = lease.mayReclaim(present)
+    if (mayReclaim && !couldReclaim) nextClaimAt = -Infinity
+    couldReclaim = mayReclaim
     if (needed && !wasNeeded) nextClaimAt = Math.max(nextClaimAt, present.steady + claimDelay())
     wasNeeded = needed
     if (!needed || options.isStopping()) return
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -1,6 +1,7 @@
 /** Metrics of an edge daemon in the Prometheus text format. Most are derived from log events. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 import { EdgeEvent } from './events'
+import type { StoreEra } from './storeEra/storeEra'
 import type { Store } from './types'
 
 /** Upper bounds of the latency buckets in milliseconds; latency targets and timeouts of deployments fall between them. */
@@ -20,6 +21,7 @@
   configurationVersion: () => number
   /** Time in milliseconds since the configuration was last confirmed to be the newest one; Infinity if it never was. */
   configurationAge: () => number
+  storeEra: () => Pick<StoreEra, 'current' | 'changes'>
   /** Number of listed upstreams per service. */
   upstreams: () => ReadonlyMap<string, number>
 }
@@ -88,6 +90,10 @@
   gauge('waxwingspoke_instances', 'Instances in the list, this one included', sources.instances)
   gauge('waxwingspoke_waiting_questions', 'Questions of peers that wait for a change', sources.pendingPeerQueries)
   gauge('waxwingspoke_configuration_version', 'Version of the configuration in force', sources.configurationVersion)
+  gauge('waxwingspoke_store_era', 'Era of the store, which rises when it comes back from an older copy', () => (
+    sources.storeEra().current()
+  ))
+  gauge('waxwingspoke_store_era_changes', 'Changes of the era since the start', () => sources.storeEra().changes())
   gauge(
     'waxwingspoke_configuration_age_milliseconds', 'Time since the configuration was proved to be the newest one',
     sources.configurationAge
--- a/src/edge/serviceRollouts.ts
+++ b/src/edge/serviceRollouts.ts
@@ -12,6 +12,7 @@
  * - The old upstreams stop when the rollout completes: their running requests finish first.
  */
 import type { MonotonicMilliseconds } from '../types'
+import { parseEra } from './storeEra/storeEra'
 import type { Upstream } from './upstreamDirectory'
 import { ServiceRolloutState, type ServiceRolloutRequest, type ServiceRolloutStatus } from './types'
 
@@ -35,6 +36,9 @@
 /** Time in milliseconds for which an update of the lease holder is valid. It sends several in that time. */
 const UPDATE_VALIDITY_MS = 2000
 
+/** Number of earlier requests per service that are remembered, so that a restored row is not taken for a new request. */
+const MAX_EARLIER_REQUESTS = 8
+
 /** Update on a rollout that the lease holder publishes to the other instances. */
 export interface RolloutUpdate {
   service: string
@@ -61,8 +65,12 @@
 
 interface Rollout {
   request: ServiceRolloutRequest
-  /** Version of the row that requested the rollout. */
+  /** Position, over all eras of the store, of the row that requested the rollout. */
   rowVersion: number
+  /** The store has begun another era, and the request has not been seen in it yet. */
+  isKept: boolean
+  /** Requests for the service before this one, newest last. */
+  earlier: readonly ServiceRolloutRequest[]
   /** Undefined while it is unknown whether the rollout has started or ended. */
   state: ServiceRolloutState | undefined
   reported: boolean
@@ -73,8 +81,16 @@
 }
 
 export interface ServiceRollouts {
-  /** Adds a request of the operator; returns false if it is already known. */
-  addRequest: (request: ServiceRolloutRequest, rowVersion: number, now: MonotonicMilliseconds) => boolean
+  /**
+   * Adds a request of the operator; returns false if it is already known.
+   * @param rowVersion position of its row over all eras of the store
+   * @param isRestored whether the row may be an older one, from the copy with which an era of the store began
+   */
+  addRequest: (
+    request: ServiceRolloutRequest, rowVersion: number, now: MonotonicMilliseconds, isRestored?: boolean
+  ) => boolean
+  /** Keeps the rollouts over a change of the store's era; their stored states may be lost and are reported again. */
+  startNewEra: () => void
   /** Applies the stored status of a service; undefined if there is none. */
   applyStoredStatus: (service: string, status: ServiceRolloutStatus | undefined, rowVersion: number) => void
   /** Applies an update published by the lease holder. */
@@ -118,13 +134,24 @@
   reset: () => void
 }
 
-/** Returns undefined if the content is not a valid update. */
-export function parseRolloutUpdate (content: Readonly<Record<string, unknown>>): RolloutUpdate | undefined {
+/**
+ * Returns undefined if the content is not a valid update. What a holder reported in an earlier era of the store does not
+ * count as reported, since it may be lost.
+ * @param era current era; holders of releases without eras name none
+ */
+export function parseRolloutUpdate (
+  content: Readonly<Record<string, unknown>>, era: number
+): RolloutUpdate | undefined {
   const { service, toVersion, state, share, reported } = content
   const known = Object.values(ServiceRolloutState).find((one) => one === state)
   if (typeof service !== 'string' || typeof toVersion !== 'string' || known === undefined) return undefined
   if (typeof share !== 'number' || share < 0 || share > 1 || typeof reported !== 'boolean') return undefined
-  return { service, toVersion, state: known, share, reported }
+  const isOutdated = (parseEra(content.era) ?? era) < era
+  return { service, toVersion, state: known, share, reported: reported && !isOutdated }
+}
+
+function isSameRequest (one: ServiceRolloutRequest, other: ServiceRolloutRequest): boolean {
+  return one.service === other.service && one.toVersion === other.toVersion && one.duration === other.duration
 }
 
 function hasEnded (rollout: Rollout): boolean {
@@ -162,13 +189,24 @@
   }
 
   return {
-    addRequest (request, rowVersion, now) {
+    addRequest (request, rowVersion, now, isRestored = false) {
       const present = rollouts.get(request.service)
       if (present !== undefined && present.rowVersion >= rowVersion) return false
+      if (present?.isKept === true) {
+        if (isSameRequest(present.request, request)) {
+          Object.assign(present, { rowVersion, isKept: false, reported: false })
+          return false
+        }
+        if (isRestored && present.earlier.some((one) => isSameRequest(one, request))) return false
+      }
+      const earlier = present === undefined ? [] : [...present.earlier, present.request].slice(-MAX_EARLIER_REQUESTS)
       const initialState = { state: undefined, reported: false, share: 0, confirmedAt: -Infinity, shareSince: now }
-      rollouts.set(request.service, { request, rowVersion, ...initialState })
+      rollouts.set(request.service, { request, rowVersion, isKept: false, earlier, ...initialState })
       return true
     },
+    startNewEra () {
+      for (const rollout of rollouts.values()) Object.assign(rollout, { isKept: true, reported: false })
+    },
     applyStoredStatus (service, status, rowVersion) {
       const rollout = rollouts.get(service)
       if (rollout === undefined) return
--- a/src/edge/serviceRolloutsTask.ts
+++ b/src/edge/serviceRolloutsTask.ts
@@ -5,6 +5,7 @@
 import type { LeaseTask } from './leaseTask'
 import { NEW_VERSION, OLD_VERSION, type RolloutSampler } from './rolloutSampler'
 import { requestIfReachable, PeerRequestKind, type PeerLinks, type PeerValue } from './peerLinks'
+import { eraPosition, type StoreEra } from './storeEra/storeEra'
 import type { RolloutObservations, RolloutUpdate, RolloutStep, ServiceRollouts } from './serviceRollouts'
 import { ServiceRolloutState, type Instant, type Peer, type Store, type StoreRecordCodec } from './types'
 import type { UpstreamDirectory } from './upstreamDirectory'
@@ -26,6 +27,7 @@
   store: Pick<Store, 'read' | 'commit'>
   records: Pick<StoreRecordCodec, 'tables' | 'rolloutStatusKey' | 'readRolloutStatus' | 'writeRolloutStatus'>
   lease: Pick<LeaseTask, 'token'>
+  storeEra: Pick<StoreEra, 'subscribe'>
   rollouts: ServiceRollouts
   sampler: RolloutSampler
   directory: UpstreamDirectory
@@ -71,10 +73,10 @@
 
   /** Reads and applies the stored status; returns the version of its row. */
   async function refreshStatus (service: string): Promise<number> {
-    const { rows } = await store.read(records.tables.statuses)
+    const { rows, era = 0 } = await store.read(records.tables.statuses)
     const row = rows.find(({ key }) => key === records.rolloutStatusKey(service))
     const status = row?.value === undefined ? undefined : records.readRolloutStatus(service, row.value)
-    rollouts.applyStoredStatus(service, status, row?.version ?? 0)
+    rollouts.applyStoredStatus(service, status, eraPosition(era, row?.version ?? 0))
     return row?.version ?? 0
   }
 
@@ -214,6 +216,11 @@
     }
   }
 
+  options.storeEra.subscribe(() => {
+    // The versions of the stored statuses are void, and the last writes may be lost.
+    led.clear()
+    rollouts.startNewEra()
+  })
   const timer = setInterval(tick, TICK_MS)
   return {
     readStatus (service) {
--- a/src/edge/storeFollower.ts
+++ b/src/edge/storeFollower.ts
@@ -1,9 +1,11 @@
 /**
- * Follows one table of the store by long polling, and rereads the complete table if its history is no longer available.
+ * Follows one table of the store by long polling, and rereads the complete table if its history is no longer available
+ * or the store has begun another era.
  */
 import { HistoryLostError } from '../errors'
 import { instantBefore, elapsed } from './freshness'
 import { EdgeEvent, errorMessage, type EdgeLog } from './events'
+import type { StoreEra } from './storeEra/storeEra'
 import type { RelayedTable } from './tableRelay'
 import type { Instant, Store, StoreReadResult, StoreRow } from './types'
 
@@ -35,11 +37,10 @@
   /** Calls its argument when the first call may be sent. @default at once */
   whenReady?: (start: () => void) => void
   /**
-   * Highest version of the store seen by any call of this instance; an older response comes from a stale replica. 0
-   * until a write has been acknowledged, since a read alone may return an old state. Undefined for a source without
-   * replicas.
+   * Era of the store, whose changes make all known versions void, and the newest version in it; an older response comes
+   * from a stale replica. Undefined for a source without replicas and eras.
    */
-  newestVersion: { value: number } | undefined
+  storeEra: Pick<StoreEra, 'subscribe' | 'newestVersion'> | undefined
   /**
    * Returns the delay in milliseconds between received rows and the next call, which batches changes in quick
    * succession. @default 0
@@ -62,6 +63,8 @@
   afterOutage: boolean
   /** The changes were made after this instant; undefined if nothing was known before. */
   changedAfter: Instant | undefined
+  /** The rows are all rows of the table, read for the first time in a new era of the store. */
+  isNewEra?: boolean
 }
 
 export interface Follower {
@@ -69,7 +72,8 @@
 }
 
 export function followTable (options: FollowerOptions): Follower {
-  const { store, table, relay, wait, newestVersion, log, now, random } = options
+  const { store, table, relay, wait, storeEra, log, now, random } = options
+  const newestVersion = storeEra?.newestVersion
   let version: number | undefined
   let lastContact: Instant | undefined
   /** As of the last contact, all rows written before this instant were known. */
@@ -77,12 +81,17 @@
   let recoveredAt = -Infinity
   let changedAfter: Instant | undefined
   let lost = false
+  /** Counts the changes of era; the result of a call that was sent before the last one is not used. */
+  let generation = 0
+  let isNewEra = false
+  let isStarted = false
   let retryDelay = INITIAL_RETRY_DELAY_MS
   let timer: NodeJS.Timeout | undefined
   let stopped = false
 
   function currentGap (): ObservationGap {
-    return { afterOutage: now().steady - recoveredAt < RECOVERY_MS, changedAfter }
+    const afterOutage = now().steady - recoveredAt < RECOVERY_MS
+    return isNewEra ? { afterOutage, changedAfter, isNewEra } : { afterOutage, changedAfter }
   }
 
   /** Returns false if the response shows an older state than this instance has seen. */
@@ -117,7 +126,7 @@
   function earliestChange (
     sentAt: Instant, present: Instant, { relayed }: StoreReadResult, isLate: boolean
   ): Instant | undefined {
-    if (lost || isLate) return upToDateAt
+    if (lost || isLate || isNewEra) return upToDateAt
     // A change that completes a waiting call has just been made.
     if (relayed === undefined) return present
     return relayed.changedWithin === undefined ? upToDateAt : instantBefore(sentAt, relayed.changedWithin)
@@ -131,15 +140,19 @@
   /** Resolves with the milliseconds until the next call. */
   async function poll (): Promise<number> {
     const sentAt = now()
+    const sentIn = generation
     if (version === undefined) {
       const reading = await store.read(table)
+      if (sentIn !== generation) return 0
       if (!recordContact(sentAt, reading)) throw new HistoryLostError('the store returned an older state than seen before')
       version = reading.version
       options.onRows(reading.rows, currentGap())
       relay.replaced(reading.rows, reading.version)
+      isNewEra = false
       return options.settleDelay?.(reading.relayed !== undefined) ?? 0
     }
     const reading = await store.follow(table, version, newestVersion?.value === 0 ? UNCONFIRMED_WAIT_MS : wait)
+    if (sentIn !== generation) return 0
     recordContact(sentAt, reading)
     if (reading.version > version) version = reading.version
     const { afterOutage } = currentGap()
@@ -159,7 +172,25 @@
   }
 
   function run (): void {
-    if (!stopped) poll().then(scheduleNext, handleFailure)
+    if (stopped) return
+    isStarted = true
+    const sentIn = generation
+    poll().then((milliseconds) => {
+      if (sentIn === generation) scheduleNext(milliseconds)
+    }, (error: unknown) => {
+      if (sentIn === generation) handleFailure(error)
+    })
+  }
+
+  /** Reads the complete table in the new era; rows that were lost with the old one count as missing after an outage. */
+  function startAnew (): void {
+    generation += 1
+    version = undefined
+    isNewEra = true
+    recoveredAt = now().steady
+    retryDelay = INITIAL_RETRY_DELAY_MS
+    clearTimeout(timer)
+    if (isStarted) run()
   }
 
   function scheduleNext (milliseconds: number): void {
@@ -167,6 +198,7 @@
     else timer = setTimeout(run, milliseconds)
   }
 
+  storeEra?.subscribe(startAnew)
   if (options.whenReady === undefined) run()
   else options.whenReady(run)
   return {
--- a/src/edge/storeLease.ts
+++ b/src/edge/storeLease.ts
@@ -3,8 +3,13 @@
  *
  * The holder measures the lease on both of its clocks, from before it sent the write. The row contains the expiry time
  * on the store's clock, so that an instance that has not seen the row before can tell whether the lease has expired.
+ *
+ * A grant of an earlier era of the store is void, since the row that proves it may be lost. Its holder may claim the
+ * lease again at once, because no other instance can have taken it over yet. All others wait until the grants of the
+ * earlier era have run out, since the restored row may not name their last holder.
  */
 import { elapsed } from './freshness'
+import { eraPosition, type StoreEra } from './storeEra/storeEra'
 import type { Instant, StoreRow } from './types'
 
 /** Fraction of the lease for which the holder uses it, so that its last command arrives before the lease expires. */
@@ -23,23 +28,31 @@
   incarnation: number
   /** Expiry time in milliseconds on the store's clock. */
   expires: number
+  /** Era of the store in which the row was written; missing in era 0 and in rows of releases without eras. */
+  era?: number
 }
 
 export interface StoreLease {
-  /** Records the current row of the lease; undefined if there is none. */
-  observeRow: (row: StoreRow | undefined) => void
-  /** Records the store time in the response to a call that was sent at `sentAt`. */
-  observeStoreTime: (storeTime: number, sentAt: Instant) => void
+  /** Records the current row of the lease, read in an era; undefined if there is none. @param era default 0 */
+  observeRow: (row: StoreRow | undefined, era?: number) => void
+  /** Records the store time in the response, of an era, to a call that was sent at `sentAt`. @param era default 0 */
+  observeStoreTime: (storeTime: number, sentAt: Instant, era?: number) => void
   /**
    * Returns the value for a write that claims or renews the lease, and the version that the row must have. A holder can
    * renew without reading the row again; otherwise the result reflects the last row observed. Returns `availableIn`,
    * the milliseconds until the lease can be taken over unless it is renewed, while another instance holds it. Returns
-   * undefined before the first store time is known.
+   * undefined before the first store time of the current era is known. The write grants the lease only if it is
+   * committed in the returned era.
+   */
+  prepareClaim: (now: Instant) => { value: string, version: number, era: number } | { availableIn: number } | undefined
+  /** Records that the write sent at `sentAt` was committed with this version in an era. @param era default 0 */
+  recordGrant: (version: number, sentAt: Instant, era?: number) => void
+  /** Whether this instance held the lease when the era changed, and may claim it again without a delay. */
+  mayReclaim: (now: Instant) => boolean
+  /**
+   * Returns the fencing token while this instance holds the lease, otherwise undefined. Tokens grow across eras; in era 0
+   * they are the versions of the row.
    */
-  prepareClaim: (now: Instant) => { value: string, version: number } | { availableIn: number } | undefined
-  /** Records that the write sent at `sentAt` was committed with this version. */
-  recordGrant: (version: number, sentAt: Instant) => void
-  /** Returns the fencing token while this instance holds the lease, otherwise undefined. */
   fencingToken: (now: Instant) => number | undefined
   /** Whether the lease should be claimed or renewed now. */
   needsRenewal: (now: Instant) => boolean
@@ -50,9 +63,9 @@
 function parseRecord (row: StoreRow): LeaseRecord | undefined {
   try {
     const record = JSON.parse(row.value?.toString('utf8') ?? '') as Partial<LeaseRecord>
-    const { holder, incarnation, expires } = record
+    const { holder, incarnation, expires, era } = record
     return typeof holder === 'string' && typeof incarnation === 'number' && typeof expires === 'number'
-      ? { holder, incarnation, expires }
+      ? { holder, incarnation, expires, ...(typeof era === 'number' ? { era } : {}) }
       : undefined
   } catch {
     // Only the router writes to this table; a row that cannot be parsed does not represent a valid lease.
@@ -60,50 +73,90 @@
   }
 }
 
-export function createStoreLease (holder: string, incarnation: number, duration: number): StoreLease {
-  let row: StoreRow | undefined
-  let grant: { token: number, since: Instant } | undefined
-  let storeClock: { storeTime: number, at: Instant } | undefined
+/** Era of a store that names none. */
+const NO_ERA: Pick<StoreEra, 'current' | 'since'> = { current: () => 0, since: () => undefined }
 
-  /** Returns an upper bound for the current time of the store's clock. */
-  function latestStoreTime (now: Instant): number | undefined {
-    return storeClock === undefined ? undefined : storeClock.storeTime + elapsed(storeClock.at, now)
+export function createStoreLease (
+  holder: string, incarnation: number, duration: number, storeEra: Pick<StoreEra, 'current' | 'since'> = NO_ERA
+): StoreLease {
+  let observed: { row: StoreRow | undefined, era: number } = { row: undefined, era: 0 }
+  let grant: { version: number, era: number, since: Instant } | undefined
+  /** The last grant that was committed, also if it is not used any more. */
+  let lastGrant: { era: number, since: Instant } | undefined
+  let storeClock: { storeTime: number, at: Instant, era: number } | undefined
+
+  function heldVersion (now: Instant): number | undefined {
+    const isHeld = grant?.era === storeEra.current() && elapsed(grant.since, now) < duration * HOLD_FRACTION
+    return isHeld ? grant?.version : undefined
   }
 
-  function fencingToken (now: Instant): number | undefined {
-    return grant !== undefined && elapsed(grant.since, now) < duration * HOLD_FRACTION ? grant.token : undefined
+  function mayReclaim (now: Instant): boolean {
+    return lastGrant !== undefined && lastGrant.era < storeEra.current() && elapsed(lastGrant.since, now) < duration
+  }
+
+  /** Returns the milliseconds until no other instance uses a grant of an earlier era; negative if none does. */
+  function earlierGrantsEndIn (now: Instant): number {
+    const since = storeEra.since()
+    if (storeEra.current() === 0 || since === undefined || mayReclaim(now)) return -Infinity
+    return duration * (1 + TAKEOVER_DELAY_FRACTION) - elapsed(since, now)
+  }
+
+  /** Returns the milliseconds until the lease can be taken over; negative if it can. */
+  function rowEndsIn (record: LeaseRecord | undefined, storeTime: number, now: Instant): number {
+    const era = storeEra.current()
+    const isOfThisEra = record !== undefined && (record.era ?? 0) === era
+    const isOwn = isOfThisEra && record.holder === holder && record.incarnation === incarnation
+    // A row of an earlier era names a time on a clock that may have started anew; releases without eras name no era.
+    const ignoresTime = record === undefined || isOwn || (record.era !== undefined && !isOfThisEra)
+    const endsIn = ignoresTime ? -Infinity : record.expires + duration * TAKEOVER_DELAY_FRACTION - storeTime
+    return isOfThisEra ? endsIn : Math.max(endsIn, earlierGrantsEndIn(now))
   }
 
   return {
-    observeRow (next) {
-      if (grant !== undefined && next !== undefined && next.version > grant.token) grant = undefined
-      row = next
+    observeRow (row, era = 0) {
+      if (grant?.era === era && row !== undefined && row.version > grant.version) {
+        grant = undefined
+        lastGrant = undefined
+      }
+      observed = { row, era }
     },
-    observeStoreTime (storeTime, sentAt) {
-      storeClock = { storeTime, at: sentAt }
+    observeStoreTime (storeTime, sentAt, era = 0) {
+      storeClock = { storeTime, at: sentAt, era }
     },
     prepareClaim (now) {
-      const storeTime = latestStoreTime(now)
-      if (storeTime === undefined) return undefined
-      const value: LeaseRecord = { holder, incarnation, expires: Math.ceil(storeTime + duration) }
-      const currentToken = fencingToken(now)
-      if (currentToken !== undefined) return { value: JSON.stringify(value), version: currentToken }
+      const era = storeEra.current()
+      if (storeClock?.era !== era) return undefined
+      const { storeTime: lastStoreTime, at } = storeClock
+      /** An upper bound for the current time of the store's clock. */
+      const storeTime = lastStoreTime + elapsed(at, now)
+      const value: LeaseRecord = {
+        holder, incarnation, expires: Math.ceil(storeTime + duration), ...(era > 0 ? { era } : {})
+      }
+      const held = heldVersion(now)
+      if (held !== undefined) return { value: JSON.stringify(value), version: held, era }
+      if (observed.era !== era) return undefined
+      const { row } = observed
       const parsed = row === undefined ? undefined : parseRecord(row)
       // Only another writer sets a later end; such a row would hold the lease forever.
       const record = parsed !== undefined && parsed.expires <= storeTime + 2 * duration ? parsed : undefined
-      const isOwnRecord = record?.holder === holder && record.incarnation === incarnation
       // Uses the observed store time rather than an extrapolation, because it is never ahead of the store's clock.
-      const takeoverAt = record === undefined || isOwnRecord
-        ? -Infinity
-        : record.expires + duration * TAKEOVER_DELAY_FRACTION
-      if (storeClock!.storeTime <= takeoverAt) return { availableIn: takeoverAt - storeClock!.storeTime }
-      return { value: JSON.stringify(value), version: row?.version ?? 0 }
+      const availableIn = rowEndsIn(record, lastStoreTime, now)
+      return availableIn >= 0
+        ? { availableIn }
+        : { value: JSON.stringify(value), version: row?.version ?? 0, era }
+    },
+    recordGrant (version, sentAt, era = 0) {
+      grant = { version, era, since: sentAt }
+      lastGrant = grant
     },
-    recordGrant (version, sentAt) {
-      grant = { token: version, since: sentAt }
+    mayReclaim,
+    fencingToken (now) {
+      const held = heldVersion(now)
+      return held === undefined ? undefined : eraPosition(storeEra.current(), held)
     },
-    fencingToken,
-    needsRenewal: (now) => grant === undefined || elapsed(grant.since, now) > duration * RENEWAL_FRACTION,
+    needsRenewal: (now) => (
+      heldVersion(now) === undefined || elapsed(grant!.since, now) > duration * RENEWAL_FRACTION
+    ),
     invalidate () {
       grant = undefined
     }
--- a/src/edge/storeTables.ts
+++ b/src/edge/storeTables.ts
@@ -4,6 +4,7 @@
 import type { Freshness } from './freshness'
 import { createRouteTable, type RouteTable } from './routeTable'
 import type { ServiceRollouts } from './serviceRollouts'
+import { eraPosition, type StoreEra } from './storeEra/storeEra'
 import { followTable, type ObservationGap, type FollowerOptions } from './storeFollower'
 import type { TableRelay } from './tableRelay'
 import type { EdgeConfiguration, StoreRecordCodec, StoreRow, UpstreamEntry } from './types'
@@ -34,7 +35,7 @@
 
 export interface StoreTablesOptions {
   /** Options that all followers of this instance share. */
-  shared: Pick<FollowerOptions, 'store' | 'newestVersion' | 'log' | 'now' | 'random'>
+  shared: Pick<FollowerOptions, 'store' | 'log' | 'now' | 'random'> & { storeEra: StoreEra }
   records: StoreRecordCodec
   relay: Pick<TableRelay, 'table'>
   /** Time in milliseconds after which a removed key must no longer be accepted. */
@@ -63,7 +64,7 @@
 
 export function followStoreTables (options: StoreTablesOptions): StoreTables {
   const { shared, records, relay, revocation, freshness, directory, weightsRollout, serviceRollouts } = options
-  const { log, now } = shared
+  const { log, now, storeEra } = shared
   let routes: RouteTable | undefined
   let listRead = false
   let settle = SETTLE_MS
@@ -88,21 +89,24 @@
     }
   }
 
-  function applyRolloutRequest (key: string, value: Buffer, rowVersion: number, changedAfter: ObservationGap['changedAfter']): boolean {
+  function applyRolloutRequest (
+    key: string, value: Buffer, rowVersion: number, { changedAfter, isNewEra }: ObservationGap
+  ): boolean {
     const request = records.serviceRollout(key, value)
     if (request === undefined) return false
-    if (!serviceRollouts.addRequest(request, rowVersion, now().steady)) return true
+    const position = eraPosition(storeEra.current(), rowVersion)
+    if (!serviceRollouts.addRequest(request, position, now().steady, isNewEra)) return true
     log(EdgeEvent.rolloutRequested, { ...request, rowVersion })
     if (changedAfter === undefined) options.onUndatedRollout(request.service)
     return true
   }
 
-  function applyOperatorRow ({ key, value, version }: StoreRow, { changedAfter }: ObservationGap): void {
+  function applyOperatorRow ({ key, value, version }: StoreRow, gap: ObservationGap): void {
     if (value === undefined) return
     if (key === records.configurationKey) return applyConfiguration(value, version)
-    if (applyRolloutRequest(key, value, version, changedAfter)) return
+    if (applyRolloutRequest(key, value, version, gap)) return
     const target = records.targetWeights(key, value)
-    if (target === undefined || !weightsRollout.setTarget(target, changedAfter)) return
+    if (target === undefined || !weightsRollout.setTarget(target, gap.changedAfter)) return
     log(EdgeEvent.targetWeightsChanged, { ...target, rowVersion: version })
   }
 
--- a/src/edge/tableRelay.ts
+++ b/src/edge/tableRelay.ts
@@ -1,13 +1,17 @@
 /**
  * Relays tables of the store, so that the fleet reads each table once. A hub follows the store. Relays request the
  * changes from the hub, and other instances request them from relays, together with the time since the store confirmed
- * them. An instance that gets no usable response reads the store.
+ * them. An instance that gets no usable response reads the store. Requests and responses name the era of the store, so
+ * that the side that is behind learns of a newer one and no rows of an older one are used.
  */
 import { HistoryLostError, PlatformUnavailableError } from '../errors'
 import { EdgeEvent, type EdgeLog } from './events'
 import { elapsed } from './freshness'
 import { PeerRequestKind, type PeerLinks, type PeerValue } from './peerLinks'
 import { chooseRelays, type RelayChoice } from './relayChoice'
+import { keepHigherRows } from './storeEra/keptRows'
+import { decodeReadResult, encodeRows } from './storeEra/relayMessages'
+import { createStoreEra, EraOrder, parseEra, type StoreEra } from './storeEra/storeEra'
 import { createTableHistory, type TableChanges, type TableHistory } from './tableHistory'
 import type { Instant, Peer, Store, StoreReadResult, StoreRow } from './types'
 
@@ -29,6 +33,9 @@
 /** Time in milliseconds for which no requests about a table are sent to a relay that has rejected one. */
 const REJECTION_BACKOFF_MS = 1000
 
+/** Time in milliseconds for which a request that began in an earlier era waits until the table has been read again. */
+const REREAD_WAIT_MS = 300
+
 /** Callbacks by which a table's follower keeps the relay up to date. */
 export interface RelayedTable {
   replaced: (rows: readonly StoreRow[], version: number) => void
@@ -52,6 +59,10 @@
    * @default none
    */
   hasLimitedSource?: (table: string) => boolean
+  /** Era of the store. @default one that never changes */
+  storeEra?: StoreEra
+  /** Returns the version of a row's content, by which the relay keeps a row over a change of era. @default none */
+  rankOf?: (table: string, row: StoreRow) => number | undefined
   log: EdgeLog
   now: () => Instant
 }
@@ -74,49 +85,10 @@
   waiters: Set<() => void>
 }
 
-/** Key, content and version of a row; an array without field names, since a relay sends thousands per second. */
-type EncodedRow = readonly [key: string, content: Uint8Array | null, version: number | null]
-
-/** @param newest version of the result; null stands for it in the encoded rows */
-function encodeRows (rows: readonly StoreRow[], newest: number): EncodedRow[] {
-  return rows.map(({ key, value, version }) => [key, value ?? null, version === newest ? null : version])
-}
-
-function isEncodedRow (row: unknown): row is EncodedRow {
-  if (!Array.isArray(row)) return false
-  const [key, content, version] = row as unknown[]
-  return typeof key === 'string' && (content === null || content instanceof Uint8Array) &&
-    (version === null || typeof version === 'number')
-}
-
-function decodeRows (rows: unknown, newest: number): StoreRow[] | undefined {
-  if (!Array.isArray(rows) || !rows.every(isEncodedRow)) return undefined
-  return rows.map(([key, content, version]) => ({
-    key, value: content === null ? undefined : Buffer.from(content), version: version ?? newest
-  }))
-}
-
-/** @throws PlatformUnavailableError if the response is not a valid result */
-function decodeReadResult (response: PeerValue): StoreReadResult {
-  const { version, age, unseenFor, afterOutage } = response
-  const rows = typeof version === 'number' ? decodeRows(response.rows, version) : undefined
-  if (rows === undefined || typeof version !== 'number' || typeof age !== 'number') {
-    throw new PlatformUnavailableError('malformed response from a relay')
-  }
-  return {
-    rows,
-    version,
-    storeTime: 0,
-    relayed: {
-      age,
-      changedWithin: typeof unseenFor === 'number' ? unseenFor : undefined,
-      afterOutage: afterOutage === true
-    }
-  }
-}
-
 export function createTableRelay (options: TableRelayOptions): TableRelay {
-  const { store, links, instance, dataCentre, hasLimitedSource = () => false, log, now } = options
+  const {
+    store, links, instance, dataCentre, hasLimitedSource = () => false, storeEra = createStoreEra(), rankOf, log, now
+  } = options
   const tables = new Map<string, TableState>()
   /** Back-off by relay and table: a relay that cannot serve the table of a cache store may still serve the others. */
   const backOffUntil = new Map<string, number>()
@@ -125,13 +97,25 @@
     const present = tables.get(name)
     if (present !== undefined) return present
     const table: TableState = {
-      history: createTableHistory(), confirmedAt: undefined, afterOutage: false, isLost: false, waiters: new Set()
+      history: createTableHistory(),
+      confirmedAt: undefined,
+      afterOutage: false,
+      isLost: false,
+      waiters: new Set()
     }
     tables.set(name, table)
     return table
   }
 
+  storeEra.subscribe(() => {
+    for (const [name, table] of tables) {
+      if (!hasLimitedSource(name)) Object.assign(table, { confirmedAt: undefined, isLost: false })
+    }
+  })
+
+  /** Before the first confirmation in an era there is nothing to respond. */
   function notifyWaiters (table: TableState): void {
+    if (table.confirmedAt === undefined) return
     for (const go of [...table.waiters]) go()
   }
 
@@ -167,10 +151,12 @@
   ): Promise<StoreReadResult> {
     const relayWait = Math.round(wait * RELAY_WAIT_FRACTION)
     const longestAge = wait * MAX_AGE_FRACTION + AGE_MARGIN_MS
-    const request = { kind: PeerRequestKind.changes, table, after, wait: relayWait, longestAge }
+    const era = hasLimitedSource(table) ? undefined : storeEra.current()
+    const request = { kind: PeerRequestKind.changes, table, after, wait: relayWait, longestAge, era }
     let response: PeerValue
     try {
       response = await links.request(relay.endpoint, request, relayWait + REQUEST_TIMEOUT_MS)
+      if (!hasLimitedSource(table)) requireCurrentEra(response)
     } catch (error) {
       if (error instanceof PlatformUnavailableError) {
         log(EdgeEvent.relayRejected, { peer: relay.name, table, reason: error.message })
@@ -182,6 +168,14 @@
     return decodeReadResult(response)
   }
 
+  /** @throws PlatformUnavailableError if the relay is behind, or may be because it is of a release without eras */
+  function requireCurrentEra ({ era: named }: PeerValue): void {
+    const era = parseEra(named)
+    if (era === undefined && storeEra.changes() === 0) return
+    if (era !== undefined && storeEra.observe(era, now()) !== EraOrder.older) return
+    throw new PlatformUnavailableError(`the relay is behind era ${storeEra.current()} of the store`)
+  }
+
   /** Falls back to the store if the relay gives no usable response. */
   async function requestFromRelayOrStore (
     relay: Peer, table: string, after: number | undefined, wait: number, readStore: () => Promise<StoreReadResult>
@@ -230,9 +224,28 @@
     return Math.max(0, elapsed(confirmedAt, requestedAt))
   }
 
-  /** Returns undefined if the peer must read the complete table. */
-  function changesSince (name: string, { history }: TableState, after: number): TableChanges | undefined {
-    const startedAnew = hasLimitedSource(name) && after > history.version()
+  /** Returns the era that a response about a table names. */
+  function eraOf (table: string): { era?: number } {
+    return hasLimitedSource(table) ? {} : { era: storeEra.current() }
+  }
+
+  /** Waits while the instance is about to read the table, at its start or in a new era, at most for the given time. */
+  async function waitForReading (table: TableState, milliseconds: number): Promise<void> {
+    if (table.confirmedAt === undefined && !table.isLost) await waitForChange(table, milliseconds)
+  }
+
+  /**
+   * Returns undefined if the peer must read the complete table.
+   * @param named era of the version; undefined if the peer is of a release without eras
+   * @param known era that this instance knew when the request arrived
+   */
+  function changesSince (
+    name: string, { history }: TableState, after: number, named: number | undefined, known: number
+  ): TableChanges | undefined {
+    const isLimited = hasLimitedSource(name)
+    if (!isLimited && (named ?? known) < storeEra.current()) return undefined
+    const mayStartAnew = isLimited || (named === undefined && storeEra.changes() > 0)
+    const startedAnew = mayStartAnew && after > history.version()
     return startedAnew ? undefined : history.changesSince(after, now())
   }
 
@@ -257,7 +270,10 @@
       const table = tableState(name)
       return {
         replaced (rows, version) {
-          table.history.replaceAll(rows, version)
+          const isKeeping = rankOf !== undefined && storeEra.changes() > 0
+          table.history.replaceAll(isKeeping
+            ? keepHigherRows(table.history.presentRows(), rows, version, (row) => rankOf(name, row))
+            : rows, version)
           notifyWaiters(table)
         },
         changed (rows, version, changedAfter, afterOutage) {
@@ -266,8 +282,10 @@
           if (rows.length > 0) notifyWaiters(table)
         },
         confirmed (at) {
+          const isFirst = table.confirmedAt === undefined
           table.confirmedAt = at
           table.isLost = false
+          if (isFirst) notifyWaiters(table)
         },
         lost () { table.isLost = true }
       }
@@ -279,26 +297,31 @@
       const isSound = typeof name === 'string' && typeof wait === 'number' && typeof longestAge === 'number' &&
         (typeof after === 'number' || after === undefined)
       if (!isSound) throw new PlatformUnavailableError('malformed request for a table')
+      const named = hasLimitedSource(name) ? undefined : parseEra(request.era)
+      if (named !== undefined) storeEra.observe(named, receivedAt)
+      const known = storeEra.current()
       const table = tables.get(name)
       if (table === undefined) throw new PlatformUnavailableError(`table ${name} is not followed by this instance`)
       // When a fleet starts, the relays are about to read the table themselves.
-      if (table.confirmedAt === undefined && !table.isLost) await waitForChange(table, wait)
+      await waitForReading(table, wait)
       const age = confirmationAge(receivedAt, table, longestAge)
       if (after === undefined) {
         const newest = table.history.version()
-        return { rows: encodeRows(table.history.presentRows(), newest), version: newest, age }
+        return { rows: encodeRows(table.history.presentRows(), newest), version: newest, age, ...eraOf(name) }
       }
-      if (changesSince(name, table, after)?.rows.length === 0) await waitForChange(table, wait)
+      if (changesSince(name, table, after, named, known)?.rows.length === 0) await waitForChange(table, wait)
+      await waitForReading(table, REREAD_WAIT_MS)
       const laterAge = confirmationAge(receivedAt, table, longestAge)
-      const changes = changesSince(name, table, after)
-      if (changes === undefined) return { isForgotten: true }
+      const changes = changesSince(name, table, after, named, known)
+      if (changes === undefined) return { isForgotten: true, ...eraOf(name) }
       const { rows, version, changedWithin } = changes
       return {
         rows: encodeRows(rows, version),
         version,
         age: laterAge,
         unseenFor: changedWithin,
-        afterOutage: table.afterOutage
+        afterOutage: table.afterOutage,
+        ...eraOf(name)
       }
     }
   }
--- a/src/edge/types.ts
+++ b/src/edge/types.ts
@@ -234,6 +234,11 @@
   version: number
   /** Time of the store's monotonic clock in milliseconds. */
   storeTime: number
+  /**
+   * Era of the store; rises each time the store comes back from an older copy. 0 for a store that names none, undefined
+   * if the source has no eras.
+   */
+  era?: number
   /** Set if the result comes from another instance. */
   relayed?: RelayMetadata
 }
@@ -267,8 +272,8 @@
 }
 
 export type CommitResult =
-  | { committed: true, version: number, storeTime: number }
-  | { committed: false, rows: readonly StoreRow[], storeTime: number }
+  | { committed: true, version: number, storeTime: number, era?: number }
+  | { committed: false, rows: readonly StoreRow[], storeTime: number, era?: number }
 
 /**
  * Client of the platform's store. Calls reject with `PlatformUnavailableError`, or with `OutcomeUnknownError` if the
