Evacuated data centres and allowed regions restrict where requests go

Cause: the operator's row evacuate/ZONE and allowedRegions of routes and customers were not read; a request went to any usable upstream.

Change: residency/destinations decides for each data centre whether a request may be sent there. Selection, the check after the wait for a permit, and a resend on a new connection ask it, so that waiting requests look for another upstream; without one they are refused with 503 and the obstacle `evacuated` or `homes`. Evacuations follow the row itself and hold without the store. Commands to load weights are not sent to evacuated data centres; liveness checks go on. A cache store outside the allowed regions is not used. The settings get [zones] (region of each data centre); files without it are read as before. A list of allowed regions that cannot be read allows none.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,6 +6,7 @@
 const edgeDecisions = [
   'admission', 'attemptDecision', 'backlog', 'cacheStoreIndex',
   'coldStart/coldLimits', 'coldStart/permitRules', 'coldStart/warmPreference',
+  'residency/destinations', 'residency/evacuations', 'residency/reachableDirectory',
   'crashGuard', 'requestTraits', 'engineLoad', 'eventBoundary', 'freshness', 'instanceShares', 'loadShedding', 'rolloutSampler', 'placement', 'prefixDemand', 'promptPlan', 'quotaShare',
   'requestLimits', 'requestPacer', 'retryAllowance', 'routeTable', 'serviceChoice', 'serviceRollouts', 'storeLease', 'tableHistory', 'targetSelection', 'tokenRequests', 'upstreamDirectory', 'weightsRollout'
 ].map((name) => `src/edge/${name}.ts`)
--- a/review/lib/harness.mjs
+++ b/review/lib/harness.mjs
@@ -104,10 +104,10 @@
   throw new Error('no free loopback address')
 }
 
-/** Fills in the template of the deploy file: only plain placeholders occur in it. */
+/** Fills in the template of the deploy file: plain placeholders, and a section for each data centre, which stays empty. */
 function renderSettings (fields) {
   const template = readFileSync(join(ROOT, 'deploy/settings.ini.template'), 'utf8')
-  return template.replace(/\{\{([\w.]+)\}\}/g, (_all, path) => {
+  return template.replace(/^\{\{#(\w+)\}\}\n[^]*?^\{\{\/\1\}\}\n/gm, '').replace(/\{\{([\w.]+)\}\}/g, (_all, path) => {
     const value = path.split('.').reduce((part, key) => part?.[key], fields)
     if (value === undefined) throw new Error(`no value for ${path}`)
     return String(value)
--- a/src/edge/__tests__/fixtures.ts
+++ b/src/edge/__tests__/fixtures.ts
@@ -89,9 +89,20 @@
   'bounds.gracePeriodS': '8'
 }
 
-/** Renders the settings template as the platform does. */
-export function renderSettings (changes: Readonly<Record<string, string>> = {}): string {
+/**
+ * Renders the settings template as the platform does.
+ * @param zones the platform's data centres
+ */
+export function renderSettings (
+  changes: Readonly<Record<string, string>> = {}, zones: ReadonlyArray<{ name: string, region: string }> = []
+): string {
   const values = { ...PLATFORM_VALUES, ...changes }
   const template = readFileSync('deploy/settings.ini.template', 'utf8')
-  return template.replace(/\{\{([\w.]+)\}\}/g, (_match, name: string) => values[name] ?? '')
+  const fill = (text: string, from: Readonly<Record<string, string>>): string => (
+    text.replace(/\{\{([\w.]+)\}\}/g, (_match, name: string) => from[name] ?? '')
+  )
+  const expanded = template.replace(/^\{\{#zones\}\}\n([^]*?)^\{\{\/zones\}\}\n/gm, (_match, line: string) => (
+    zones.map((zone) => fill(line, { ...zone })).join('')
+  ))
+  return fill(expanded, values)
 }
--- a/src/edge/__tests__/lifeSimulation.ts
+++ b/src/edge/__tests__/lifeSimulation.ts
@@ -1,4 +1,5 @@
 /** Plays a schedule of requests against one instance in virtual time, without processes or sockets. */
+import { createDestinations } from '../residency/destinations'
 import { vi } from 'vitest'
 import { ListenerState } from '../../http/listeningProbe'
 import { createCrashAttribution } from '../../upstream/crashAttribution'
@@ -133,6 +134,7 @@
     upstreamHints: { apply () {} },
     requestLimits: { limitOf: () => undefined, applyAbsence () {} },
     coldLimits: { applyHint () {}, recordLoss () {}, limitOf: () => undefined },
+    destinations: createDestinations({ regions: new Map(), isEvacuated: () => false }),
     sendPermits: {
       validity: () => Infinity,
       isNeeded: (run: UpstreamEntry) => permitWait(run) !== undefined,
--- a/src/edge/__tests__/metrics.test.ts
+++ b/src/edge/__tests__/metrics.test.ts
@@ -11,7 +11,8 @@
   configurationVersion: () => 17,
   configurationAge: () => Infinity,
   upstreams: () => new Map([['engines', 6]]),
-  coldUpstreams: () => 2
+  coldUpstreams: () => 2,
+  evacuatedDataCentres: () => 1
 })
 
 const store: Store = {
@@ -28,6 +29,7 @@
     metrics.observe(EdgeEvent.requestFinished, finished)
     metrics.observe(EdgeEvent.requestFinished, { ...finished, firstByte: undefined })
     metrics.observe(EdgeEvent.requestRejected, { status: 429 })
+    metrics.observe(EdgeEvent.requestRejected, { status: 503, obstacle: 'homes' })
     metrics.countDroppedLine()
     metrics.observePeerResponse('tokens', 4)
     const page = await metrics.render()
@@ -46,7 +48,9 @@
       'waxwingspoke_configuration_version 17',
       'waxwingspoke_configuration_age_milliseconds +Inf',
       'waxwingspoke_upstreams{service="engines"} 6',
-      'waxwingspoke_cold_upstreams 2'
+      'waxwingspoke_cold_upstreams 2',
+      'waxwingspoke_evacuated_data_centres 1',
+      'waxwingspoke_home_refusals_total 1'
     ]) expect(page.split('\n')).toContain(line)
   })
 
--- a/src/edge/__tests__/settings.test.ts
+++ b/src/edge/__tests__/settings.test.ts
@@ -39,6 +39,23 @@
     })
   })
 
+  // Guards against a daemon that does not start with the settings of an earlier deployment.
+  it.each([
+    ['settings without the section', renderSettings().replace(/\n\[zones\][^]*$/, '\n')],
+    ['no data centres', renderSettings()],
+    ['a section that was not expanded', `${renderSettings()}{{#zones}}\n = \n{{/zones}}\n`],
+    ['a data centre without a region', renderSettings({}, [{ name: 'north', region: '' }])]
+  ])('knows no regions from %s', (_title, content) => {
+    expect(parseEdgeSettings(content, 'settings.ini').regions).toBeUndefined()
+  })
+
+  it('parses the region of each data centre', () => {
+    const zones = [{ name: 'north', region: 'eu' }, { name: 'front-norte.c', region: 'br' }]
+    expect([...parseEdgeSettings(renderSettings({}, zones), 'settings.ini').regions!]).toEqual([
+      ['north', 'eu'], ['front-norte.c', 'br']
+    ])
+  })
+
   it('has no revocation limit without strict revocation', () => {
     const settings = parseEdgeSettings(renderSettings({ 'bounds.strictRevocation': 'false' }), 'settings.ini')
     expect(settings.limits.revocation).toBe(Infinity)
--- a/src/edge/__tests__/targetSelection.test.ts
+++ b/src/edge/__tests__/targetSelection.test.ts
@@ -14,10 +14,15 @@
 /**
  * @param limited names of the upstreams that have named a request limit
  * @param cold names of those that are cold
+ * @param unpermitted names of those to which the request may not be sent, which are also their data centres
  */
-function createSelection (limited: readonly string[], priority = 0, cold: readonly string[] = []): Selection {
+function createSelection (
+  limited: readonly string[], priority = 0, cold: readonly string[] = [], unpermitted: readonly string[] = []
+): Selection {
   const directory = createUpstreamDirectory()
-  directory.replace(NAMES.map((name) => createEntry(name)), false, 0)
+  directory.replace(NAMES.map((name) => (
+    createEntry(name, unpermitted.includes(name) ? { dataCentre: name } : {})
+  )), false, 0)
   const context = {
     directory,
     dataCentre: 'north',
@@ -27,7 +32,8 @@
     weightsRollout: { target: () => undefined, supersededFor: () => 0 },
     serviceRollouts: { eligible: (_service: string, upstreams: unknown) => upstreams, hasTargetVersion: () => false },
     sendPermits: { isNeeded: ({ identifier }: { identifier: string }) => limited.includes(identifier) },
-    coldLimits: { limitOf: ({ identifier }: { identifier: string }) => cold.includes(identifier) ? 24 : undefined }
+    coldLimits: { limitOf: ({ identifier }: { identifier: string }) => cold.includes(identifier) ? 24 : undefined },
+    destinations: { isPermitted: (dataCentre: string) => !unpermitted.includes(dataCentre) }
   } as unknown as ExchangeContext
   const admitted = {
     callerRequest: { model: undefined },
@@ -90,11 +96,19 @@
   })
 })
 
-describe('cold upstreams', () => {
+describe('cold upstreams and data centres that are not permitted', () => {
   it('get no request while a warm upstream is as good', () => {
     const { targets } = createSelection([], 0, ['a', 'b'])
     expect(targets.select(NOW)?.upstream.entry.identifier).toBe('c')
   })
+
+  it('get no request at all if they are not permitted', () => {
+    const { targets } = createSelection([], 0, [], ['a', 'b', 'c', 'd'])
+    expect(targets.select(NOW)?.upstream.entry.identifier).toBe('e')
+    expect(targets.select(NOW, 'a suspect trait')?.upstream.entry.identifier).toBe('e')
+    expect(createSelection([], 0, [], NAMES).targets.select(NOW)).toBeUndefined()
+    expect(createSelection([], 0, [], NAMES).targets.canMove(NOW)).toBe(false)
+  })
 })
 
 describe('a request that makes no progress', () => {
--- a/src/edge/attemptDecision.ts
+++ b/src/edge/attemptDecision.ts
@@ -69,6 +69,10 @@
   noneUsable: 'noneUsable',
   /** The service has no upstream at the moment. */
   noneListed: 'noneListed',
+  /** No upstream is in a region that its route and customer allow. */
+  homes: 'homes',
+  /** The data centres of its upstreams are evacuated. */
+  evacuated: 'evacuated',
   /** Its key was withdrawn. */
   key: 'key',
   /** The configuration is too old to tell whether its key is still valid. */
@@ -128,6 +132,9 @@
   [Obstacle.noneUsable]: false,
   // The entry of an upstream that restarts, or that was lost in an outage of the store, is back within seconds.
   [Obstacle.noneListed]: false,
+  // Another upstream may be listed, and the operator may end the evacuation.
+  [Obstacle.homes]: false,
+  [Obstacle.evacuated]: false,
   [Obstacle.key]: true,
   // It is confirmed or withdrawn once the store returns.
   [Obstacle.keyUnconfirmed]: false,
--- a/src/edge/attemptOpening.ts
+++ b/src/edge/attemptOpening.ts
@@ -61,6 +61,7 @@
     const mayGoElsewhere = maySendAgain(history) && options.hasOtherUpstream(present)
     const isPermitted = isCrossing && mayRepeat(history) && !mayGoElsewhere &&
       options.suspectTrait === undefined && !context.sendPermits.isNeeded(upstream.entry) &&
+      context.destinations.isPermitted(upstream.entry.dataCentre, admittedRequest) &&
       findKeyObstacle(context, admittedRequest, present) === undefined
     const retry = isPermitted
       ? context.retryAllowance.tryRetry(service, purpose, context.share(), present.steady)
--- a/src/edge/attemptPreparation.ts
+++ b/src/edge/attemptPreparation.ts
@@ -19,6 +19,11 @@
 /** Interval in milliseconds between looks for an upstream. */
 const WAIT_POLL_MS = 50
 
+/** Reasons in the log for a request that may not be sent to any listed upstream. */
+const UNPERMITTED_REASONS: Readonly<Partial<Record<Obstacle, string>>> = {
+  [Obstacle.homes]: 'no upstream is in an allowed region',
+  [Obstacle.evacuated]: 'the data centres of the upstreams are evacuated'
+}
 /** Reason in the log for a request whose customer may no longer be served. */
 const KEY_NOT_VALID = 'the key could not be revalidated'
 /** Reason in the log for a request that was not repeated. */
@@ -117,8 +122,10 @@
     if (!options.canSend(now.steady)) return waitOrReport(NO_RETRY_LEFT, Obstacle.retryAllowance, now.steady)
     const target = targets.select(now, crashGuard.suspectTrait(now.steady))
     if (target === undefined) {
-      const isListed = context.directory.listed(service).length > 0
-      return waitOrReport(targets.failureReason(), isListed ? Obstacle.noneUsable : Obstacle.noneListed, now.steady)
+      const listed = context.directory.listed(service).map(({ entry }) => entry.dataCentre)
+      const obstacle = context.destinations.findObstacle(listed, admittedRequest) ??
+        (listed.length > 0 ? Obstacle.noneUsable : Obstacle.noneListed)
+      return waitOrReport(UNPERMITTED_REASONS[obstacle] ?? targets.failureReason(), obstacle, now.steady)
     }
     if (route.repeat === RepeatRule.stream && !hasRun()) {
       const expectedWait = backlog.expectedWait(now.steady)
@@ -160,7 +167,8 @@
   /** Continues unless the upstream has become unusable during the wait for the permit. */
   function sendWithPermit (upstream: Upstream, usableUntil: MonotonicMilliseconds): void {
     const now = context.now()
-    const isCurrent = context.directory.listed(service).includes(upstream) && isUsable(upstream, now.steady)
+    const isCurrent = context.directory.listed(service).includes(upstream) && isUsable(upstream, now.steady) &&
+      context.destinations.isPermitted(upstream.entry.dataCentre, admittedRequest)
     // Permits that were used late would come together with those of the following second.
     if (isCurrent && now.steady > usableUntil) targets.recordDenial(upstream, 0, now.steady)
     const isAuthorized = findKeyObstacle(context, admittedRequest, now) === undefined
--- a/src/edge/attemptRequest.ts
+++ b/src/edge/attemptRequest.ts
@@ -22,7 +22,7 @@
 }
 
 export function composeAttemptRequest (
-  context: Pick<ExchangeContext, 'dialect' | 'cacheStoreFor' | 'exportTracker'>, admittedRequest: AdmittedRequest,
+  context: Pick<ExchangeContext, 'dialect' | 'cacheStoreFor' | 'exportTracker' | 'destinations'>, admittedRequest: AdmittedRequest,
   { upstream, timeLeft, urgency, lastEvent }: AttemptRequestOptions, now: MonotonicMilliseconds
 ): AttemptRequest {
   const { request, callerRequest, route, customer, plan, body } = admittedRequest
@@ -31,7 +31,11 @@
     customer,
     model: callerRequest.model,
     upstream,
-    storeFor: context.cacheStoreFor,
+    storeFor (scope, segment) {
+      const store = context.cacheStoreFor(scope, segment)
+      const isAllowed = store !== undefined && context.destinations.isAllowed(store.dataCentre, admittedRequest)
+      return isAllowed ? store : undefined
+    },
     exportTracker: context.exportTracker,
     uniqueScope: callerRequest.identifier ?? ''
   }, now)
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -24,6 +24,8 @@
 import { createPrefixDemand } from './prefixDemand'
 import { createExportTracker } from './promptPlan'
 import { createQuotaShares } from './quotaShare'
+import { createResidency } from './residency/composeResidency'
+import { withoutEvacuated } from './residency/reachableDirectory'
 import { createRetryAllowance } from './retryAllowance'
 import { createServiceRollouts, parseRolloutUpdate } from './serviceRollouts'
 import { startServiceRolloutsTask } from './serviceRolloutsTask'
@@ -82,7 +84,8 @@
     configurationVersion: () => tables.routes()?.configuration.version ?? 0,
     configurationAge: () => freshness.age(now()),
     upstreams: () => countBy([...directory.all()].map(({ entry }) => entry.service)),
-    coldUpstreams: () => coldLimits.count([...directory.all()].map(({ entry }) => entry), performance.now())
+    coldUpstreams: () => coldLimits.count([...directory.all()].map(({ entry }) => entry), performance.now()),
+    evacuatedDataCentres: () => evacuations.count()
   })
   const { log: writeLogLine, flush, close: closeLog } = createBoundedLog({
     instance: instance.name,
@@ -194,6 +197,7 @@
   const failureBroadcast = createBroadcast(PeerRequestKind.failures, (content) => {
     failureReports.receive(content, performance.now())
   })
+  const { evacuations, destinations } = createResidency(settings.regions, records.evacuatedDataCentre)
   const crashHandling = createCrashHandling({
     links, instance: name, dataCentre, peers, directory, log, now: () => performance.now(), random, onFault: reportFault
   })
@@ -273,6 +277,7 @@
     loadingEngines: () => loadingEngines,
     responseBuffers: createResponseBuffers(),
     ...sendLimits,
+    destinations,
     trialPermits: crashHandling.trialPermits,
     crashReports: crashHandling.crashReports,
     reportUnreachable: (upstream) => { failureReports.report(upstream, performance.now()) },
@@ -307,6 +312,7 @@
       coldLimits.configure(configuration.services ?? [])
     },
     onUndatedRollout: (service) => { serviceRolloutTask.readStatus(service) },
+    evacuations,
     onEntry: (entry) => { coldLimits.observeEntry(entry, now()) },
     onUpstreamGone ({ upstream }) {
       connections.remove(upstream)
@@ -345,7 +351,7 @@
     permits: sendPermits,
     lease,
     rollout: weightsRollout,
-    directory,
+    directory: withoutEvacuated(directory, evacuations.isEvacuated),
     isStopping: () => stopping,
     onUpstreamHint: applyUpstreamHint,
     publish: (progress) => { weightsProgressBroadcast.send({ ...progress }) },
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -43,6 +43,9 @@
   upstreamLimitUnreadable: 'upstream.limit_unreadable',
   /** An upstream is cold, or for longer than known before; it takes a limited rate from all instances together. */
   upstreamCold: 'upstream.cold',
+  /** The operator evacuates a data centre; nothing is sent to its upstreams. */
+  dataCentreEvacuated: 'data_centre.evacuated',
+  dataCentreEvacuationEnded: 'data_centre.evacuation_ended',
   upstreamRestarted: 'upstream.restarted',
   upstreamUnreadable: 'upstream.unreadable',
   /** Another instance reported the upstream as unreachable. */
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -7,6 +7,7 @@
 import type { CrashReports } from './crashReports'
 import type { EdgeLog } from './events'
 import type { Freshness } from './freshness'
+import type { Destinations } from './residency/destinations'
 import type { LoadExchange } from './loadExchange'
 import type { RolloutSampler } from './rolloutSampler'
 import type { PrefixDemand } from './prefixDemand'
@@ -58,6 +59,8 @@
   upstreamHints: Pick<UpstreamHints, 'apply'>
   requestLimits: Pick<RequestLimits, 'limitOf' | 'applyAbsence'>
   coldLimits: Pick<ColdLimits, 'applyHint' | 'recordLoss' | 'limitOf'>
+  /** Data centres in which a request may be sent to an upstream or a cache store. */
+  destinations: Destinations
   /** Permits to send requests to upstreams that have named a limit or are cold. */
   sendPermits: Pick<SendPermits, 'isNeeded' | 'acquire' | 'validity'>
   /** Permits to send requests that may crash upstreams. */
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of an edge daemon in the Prometheus text format. Most are derived from log events. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { Obstacle } from './attemptDecision'
 import { EdgeEvent } from './events'
 import type { Store } from './types'
 
@@ -24,6 +25,7 @@
   upstreams: () => ReadonlyMap<string, number>
   /** Number of listed upstreams that are cold. */
   coldUpstreams: () => number
+  evacuatedDataCentres: () => number
 }
 
 export interface EdgeMetrics {
@@ -95,6 +97,12 @@
     sources.configurationAge
   )
   gauge('waxwingspoke_cold_upstreams', 'Listed upstreams that are cold', sources.coldUpstreams)
+  gauge('waxwingspoke_evacuated_data_centres', 'Data centres to which nothing is sent', sources.evacuatedDataCentres)
+  const homeRefusals = new Counter({
+    name: 'waxwingspoke_home_refusals_total',
+    help: 'Requests refused because no upstream is in a region that their route and customer allow',
+    registers
+  })
   const upstreams = new Gauge({
     name: 'waxwingspoke_upstreams',
     help: 'Listed upstreams',
@@ -114,7 +122,10 @@
       if (typeof totalMs === 'number') duration.observe(labels, totalMs)
       if (typeof firstByteMs === 'number') firstByte.observe(labels, firstByteMs)
     },
-    [EdgeEvent.requestRejected] ({ status }) { responses.inc({ status: String(status) }) }
+    [EdgeEvent.requestRejected] ({ status, obstacle }) {
+      responses.inc({ status: String(status) })
+      if (obstacle === Obstacle.homes) homeRefusals.inc()
+    }
   }
 
   return {
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -38,6 +38,8 @@
     /** Time in milliseconds between the stop signal and the forced termination of the process. */
     grace: number
   }
+  /** Region of each data centre, by its name; empty or absent if the settings name none. */
+  regions?: ReadonlyMap<string, string>
 }
 
 type Section = Record<string, string | undefined>
@@ -94,6 +96,11 @@
       grace: number('grace_s') * 1000
     }
   }
+  // A data centre without a region is an unknown one, which only requests with allowed regions do not reach.
+  const regions = Object.entries(document.zones ?? {}).filter((zone): zone is [string, string] => (
+    zone[0] !== '' && typeof zone[1] === 'string' && zone[1] !== ''
+  ))
+  if (regions.length > 0) settings.regions = new Map(regions)
   if (findings.length > 0) throw new ConfigurationError(findings)
   return settings
 }
--- a/src/edge/storeTables.ts
+++ b/src/edge/storeTables.ts
@@ -5,6 +5,7 @@
 import { createRouteTable, type RouteTable } from './routeTable'
 import type { ServiceRollouts } from './serviceRollouts'
 import { followTable, type ObservationGap, type FollowerOptions } from './storeFollower'
+import type { EvacuationChange, Evacuations } from './residency/evacuations'
 import type { TableRelay } from './tableRelay'
 import type { EdgeConfiguration, StoreRecordCodec, StoreRow, UpstreamEntry } from './types'
 import type { DirectoryChange, UpstreamDirectory } from './upstreamDirectory'
@@ -50,6 +51,7 @@
   onUndatedRollout: (service: string) => void
   /** Called with each entry as it is now listed. */
   onEntry: (entry: UpstreamEntry) => void
+  evacuations: Pick<Evacuations, 'replace' | 'update'>
   /** Called if the upstream's process no longer exists. */
   onUpstreamGone: (change: DirectoryChange) => void
 }
@@ -108,6 +110,12 @@
     log(EdgeEvent.targetWeightsChanged, { ...target, rowVersion: version })
   }
 
+  function logEvacuations (changes: readonly EvacuationChange[]): void {
+    for (const { dataCentre, isEvacuated } of changes) {
+      log(isEvacuated ? EdgeEvent.dataCentreEvacuated : EdgeEvent.dataCentreEvacuationEnded, { dataCentre })
+    }
+  }
+
   /** Reports an entry as the directory lists it: a start that it does not state is that of the known run. */
   function reportEntry ({ identifier }: UpstreamEntry): void {
     const listed = directory.get(identifier)
@@ -151,8 +159,14 @@
     table: records.tables.operator,
     relay: relay.table(records.tables.operator),
     wait: Number.isFinite(revocation) ? Math.round(revocation * FOLLOW_SHARE) : FOLLOW_MS,
-    onRows: (rows, gap) => { for (const row of rows) applyOperatorRow(row, gap) },
-    onChanges: (rows, gap) => { for (const row of rows) applyOperatorRow(row, gap) },
+    onRows (rows, gap) {
+      logEvacuations(options.evacuations.replace(rows))
+      for (const row of rows) applyOperatorRow(row, gap)
+    },
+    onChanges (rows, gap) {
+      logEvacuations(options.evacuations.update(rows))
+      for (const row of rows) applyOperatorRow(row, gap)
+    },
     onConfirmed: freshness.recordConfirmation
   })
   const upstreamFollower = followTable({
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -123,7 +123,8 @@
   function findCandidates (now: Instant): { candidates: readonly Upstream[], maximumPermitWait: number } {
     const maximumAge = context.outdatedWeightsLimit * OUTDATED_WEIGHTS_SHARE
     const usable = context.directory.usable(service, now.steady).filter((upstream) => (
-      isPermitted(upstream, now.steady) && outdatedWeightsAge(upstream, now) < maximumAge
+      isPermitted(upstream, now.steady) && outdatedWeightsAge(upstream, now) < maximumAge &&
+      context.destinations.isPermitted(upstream.entry.dataCentre, admittedRequest)
     ))
     // The version is chosen first: a request limit on one version must not move its traffic to the other one.
     const eligible = context.serviceRollouts.eligible(service, usable, versionDraw, now.steady)
--- a/src/edge/types.ts
+++ b/src/edge/types.ts
@@ -36,6 +36,8 @@
   maximumAttempts: number
   /** Whether requests without an API key are accepted. */
   open: boolean
+  /** Regions to whose upstreams and cache stores requests may be sent; undefined or empty allows all. */
+  allowedRegions?: readonly string[]
 }
 
 /** An external KV cache that holds cached prefixes beyond the memory of the engines. */
@@ -60,6 +62,8 @@
   unit: 'token' | 'request'
   /** Cost in units of a request that does not state its token counts. */
   defaultCost: number
+  /** Regions to whose upstreams and cache stores requests may be sent; undefined or empty allows all. */
+  allowedRegions?: readonly string[]
 }
 
 export interface CallerLimits {
@@ -365,6 +369,8 @@
   configurationKey: string
   configuration: (value: Buffer) => EdgeConfiguration
   upstream: (key: string, value: Buffer) => UpstreamEntry | undefined
+  /** Returns the data centre that an operator's row with this key evacuates; undefined for other rows. */
+  evacuatedDataCentre: (key: string) => string | undefined
   /** Decodes the weights that an operator's row requests. */
   targetWeights: (key: string, value: Buffer) => ModelWeights | undefined
   /** Decodes the service rollout that an operator's row requests. */
--- a/src/edge/weightsRolloutTask.ts
+++ b/src/edge/weightsRolloutTask.ts
@@ -25,7 +25,7 @@
   permits: Pick<SendPermits, 'waitFor'>
   lease: Pick<LeaseTask, 'token'>
   rollout: WeightsRollout
-  directory: UpstreamDirectory
+  directory: Pick<UpstreamDirectory, 'all' | 'get'>
   isStopping: () => boolean
   /** Called with the hints in the response of an engine. */
   onUpstreamHint: (upstream: Upstream, hint: UpstreamHint) => void
