Reports of unreachable upstreams count as possible restarts

Cause: an instance without a request at an upstream does not notice that it has restarted, and sends it requests at the full rate until its entry is read.

Reports stay within a data centre, so that one bad link does not slow an upstream for all.

--- a/src/edge/__tests__/failureReports.test.ts
+++ b/src/edge/__tests__/failureReports.test.ts
@@ -26,6 +26,7 @@
         for (const other of instances) if (other.directory !== directory) other.reports.receive(content, now())
       },
       directory,
+      coldLimits: { recordLoss () {} },
       log: () => {},
       random: () => uniformFloat64(random)
     })
@@ -45,7 +46,11 @@
     directory.replace([createEntry('a'), createEntry('b')], false, 0)
     recordActivity(directory.get('b')!, lastActivityAt)
     const reports = createFailureReports({
-      broadcast: (content) => { sent.push(content) }, directory, log: () => {}, random: () => 0
+      broadcast: (content) => { sent.push(content) },
+      directory,
+      coldLimits: { recordLoss () {} },
+      log: () => {},
+      random: () => 0
     })
     for (const time of times) reports.report(directory.get('a')!, time)
     expect(sent).toHaveLength(expected)
@@ -61,11 +66,20 @@
     directory.replace([createEntry('a', { startedAt: 1 })], false, 0)
     const events: string[] = []
     const log = (event: string): void => { events.push(event) }
-    const reports = createFailureReports({ broadcast: () => {}, directory, log, random: () => 0 })
+    const suspected = new Set<string>()
+    const reports = createFailureReports({
+      broadcast: () => {},
+      directory,
+      coldLimits: { recordLoss ({ identifier }) { suspected.add(identifier) } },
+      log,
+      random: () => 0
+    })
     reports.receive(content, 10)
     reports.receive(content, 20)
     expect(directory.get('a')!.suspectedUntil > 10).toBe(isSuspected)
     expect(events).toEqual(isSuspected ? ['upstream.doubted'] : [])
+    // A restarted upstream is cold, and gets a limited rate from then on.
+    expect([...suspected]).toEqual(isSuspected ? ['a'] : [])
   })
 })
 
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -222,7 +222,7 @@
     if (notification !== undefined) serviceRollouts.applyUpdate(notification, performance.now())
   })
   const failureReports = createFailureReports({
-    broadcast: failureBroadcast.sendWithinDataCentre, directory, log, random
+    broadcast: failureBroadcast.sendWithinDataCentre, directory, coldLimits, log, random
   })
   const peerQuota = createTokenTransfers({
     links,
--- a/src/edge/failureReports.ts
+++ b/src/edge/failureReports.ts
@@ -4,6 +4,7 @@
  */
 import type { MonotonicMilliseconds, RandomSource } from '../types'
 import { setBounded } from '../boundedMap'
+import type { ColdLimits } from './coldStart/coldLimits'
 import { EdgeEvent, type EdgeLog } from './events'
 import type { PeerBroadcast } from './peerBroadcast'
 import type { PeerValue } from './peerLinks'
@@ -27,11 +28,15 @@
 export interface FailureReportsOptions {
   broadcast: PeerBroadcast['sendWithinDataCentre']
   directory: Pick<UpstreamDirectory, 'get' | 'all'>
+  /** Learns of upstreams that may have restarted. */
+  coldLimits: Pick<ColdLimits, 'recordLoss'>
   log: EdgeLog
   random: RandomSource
 }
 
-export function createFailureReports ({ broadcast, directory, log, random }: FailureReportsOptions): FailureReports {
+export function createFailureReports (
+  { broadcast, directory, coldLimits, log, random }: FailureReportsOptions
+): FailureReports {
   const reportedAt = new Map<string, MonotonicMilliseconds>()
   return {
     report ({ entry: { identifier, startedAt } }, now) {
@@ -46,6 +51,7 @@
       if (upstream === undefined || upstream.entry.startedAt !== startedAt) return
       const wasSuspected = now < upstream.suspectedUntil
       suspectUpstream(upstream, random(), now)
+      if (now < upstream.suspectedUntil) coldLimits.recordLoss(upstream.entry, now)
       if (wasSuspected || now >= upstream.suspectedUntil) return
       log(EdgeEvent.upstreamSuspected, {
         upstream: upstream.entry.identifier, milliseconds: Math.round(upstream.suspectedUntil - now)
