--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -123,9 +123,7 @@
   /** Estimates the time in milliseconds until an upstream of the service is available again. */
   function estimateRetryAfter (service: string): number {
     const now = context.now().steady
-    const listed = directory.listed(service).filter(({ entry }) => (
-      context.destinations.isPermitted(entry.dataCentre, admittedRequest!)
-    ))
+    const listed = context.destinations.selectPermitted(directory.listed(service), admittedRequest!)
     const until = Math.min(...listed.map((upstream) => (
       context.sendPermits.isNeeded(upstream.entry)
         ? Math.max(availableAt(upstream), upstream.nextPermitAt)
--- a/src/edge/residency/__tests__/destinations.test.ts
+++ b/src/edge/residency/__tests__/destinations.test.ts
@@ -30,6 +30,9 @@
   ])('are %s', (_title, request, evacuated, expected, obstacle) => {
     const destinations = createDestinations({ regions: REGIONS, isEvacuated: (name) => evacuated.includes(name) })
     expect(DATA_CENTRES.filter((name) => destinations.isPermitted(name, request))).toEqual(expected)
+    const upstreams = DATA_CENTRES.map((dataCentre) => ({ entry: { dataCentre } }))
+    const selected = destinations.selectPermitted(upstreams, request)
+    expect(selected.map(({ entry }) => entry.dataCentre)).toEqual(expected)
     expect(destinations.findObstacle(DATA_CENTRES, request)).toBe(obstacle)
   })
 
--- a/src/edge/residency/destinations.ts
+++ b/src/edge/residency/destinations.ts
@@ -6,6 +6,11 @@
  */
 import type { EdgeCustomer, EdgeRoute } from '../types'
 
+/** An upstream, by where it is. */
+interface Located {
+  entry: { dataCentre: string }
+}
+
 /** A request, by what restricts its destinations. */
 export interface RestrictedRequest {
   route: Pick<EdgeRoute, 'allowedRegions'>
@@ -25,6 +30,10 @@
   isAllowed: (dataCentre: string, request: RestrictedRequest) => boolean
   /** Whether the request may be sent to upstreams of the data centre now. */
   isPermitted: (dataCentre: string, request: RestrictedRequest) => boolean
+  /** Returns the upstreams to which the request may be sent now. */
+  selectPermitted: <Candidate extends Located>(
+    upstreams: readonly Candidate[], request: RestrictedRequest
+  ) => Candidate[]
   /**
    * Returns what keeps the request from all of the data centres; undefined if nothing does, or if there are none.
    * @param dataCentres those of the upstreams that would get it otherwise
@@ -50,9 +59,14 @@
     return isListed(dataCentre, route.allowedRegions) && isListed(dataCentre, customer?.allowedRegions)
   }
 
+  function isPermitted (dataCentre: string, request: RestrictedRequest): boolean {
+    return !isEvacuated(dataCentre) && isAllowed(dataCentre, request)
+  }
+
   return {
     isAllowed,
-    isPermitted: (dataCentre, request) => !isEvacuated(dataCentre) && isAllowed(dataCentre, request),
+    isPermitted,
+    selectPermitted: (upstreams, request) => upstreams.filter(({ entry }) => isPermitted(entry.dataCentre, request)),
     findObstacle (dataCentres, request) {
       if (dataCentres.length === 0) return undefined
       const allowed = dataCentres.filter((dataCentre) => isAllowed(dataCentre, request))
