Instances without the list of instances send a cold upstream hardly anything

Cause: an instance that starts while the store is slow goes on after 500 ms without the list, takes itself for the only one, and would use the parts of all others in the limit of a cold upstream.

Change: until the list has been read, the limit counts as 0, which leaves the 0.2 requests a second of sendPermits.

--- a/src/edge/__tests__/sendPermits.test.ts
+++ b/src/edge/__tests__/sendPermits.test.ts
@@ -21,7 +21,7 @@
 
 /** Creates a fleet with its instances distributed over the data centres; they share a clock that the test sets. */
 function createFleet (
-  count: number, dataCentres: number, limit: number | undefined, reaches: Reaches, coldLimit?: number
+  count: number, dataCentres: number, limit: number | undefined, reaches: Reaches, coldLimit?: number, isListRead = true
 ): Fleet {
   const generator = xoroshiro128plus(23)
   const peers: Peer[] = Array.from({ length: count }, (_, index) => ({
@@ -48,6 +48,7 @@
       peers: () => peers.filter((peer) => peer.name !== name),
       sender: () => ({ name }),
       share: () => 1 / dataCentres / perDataCentre,
+      isListRead: () => isListRead,
       limits: { limitOf: () => limit },
       coldLimits: { limitOf: () => coldLimit },
       now: () => now,
@@ -197,6 +198,12 @@
     expect(mostInWindow(grants, 1000)).toBeLessThanOrEqual(24 * 1.5 + 5)
   }, 60_000)
 
+  // Guards against an instance that starts while the store is slow, and takes itself for the only one.
+  it('use hardly any of it before they know each other', async () => {
+    const grants = await takeAll(createFleet(1, 1, undefined, ALL, 24, false), 20_000, () => 0)
+    expect(grants.length).toBeLessThanOrEqual(4)
+  })
+
   it('keep within it if only the one that asks knows that the upstream is cold', async () => {
     const request = { upstream: 'engine-1', startedAt: 1, perSecond: 24, maximumWait: 0, isCold: true }
     const grants: number[] = []
--- a/src/edge/coldStart/sendLimits.ts
+++ b/src/edge/coldStart/sendLimits.ts
@@ -14,7 +14,7 @@
   links: Pick<PeerLinks, 'request' | 'isUsable'>
   instance: string
   dataCentre: string
-  instances: Pick<InstanceList, 'peers' | 'sender' | 'share' | 'observe'>
+  instances: Pick<InstanceList, 'peers' | 'sender' | 'share' | 'observe' | 'isRead'>
   directory: Pick<UpstreamDirectory, 'markLeaving'>
   log: EdgeLog
   /** Monotonic clock in milliseconds. */
@@ -58,7 +58,12 @@
   const requestLimits = createRequestLimits(limitOptions)
   const coldLimits = createColdLimits(limitOptions)
   const sendPermits = createSendPermits({
-    ...shared, sender: instances.sender, share: () => instances.share(), limits: requestLimits, coldLimits
+    ...shared,
+    sender: instances.sender,
+    share: () => instances.share(),
+    isListRead: instances.isRead,
+    limits: requestLimits,
+    coldLimits
   })
   const upstreamHints = createUpstreamHints({ ...options, broadcast: leavingBroadcast.send, requestLimits, coldLimits })
   return {
--- a/src/edge/instanceList.ts
+++ b/src/edge/instanceList.ts
@@ -71,6 +71,8 @@
   sender: () => PeerValue
   /** Counts the sender of a message, which the list may not contain yet, for some seconds. */
   observe: (sender: unknown) => void
+  /** Whether the list has been read; until then this instance may take itself for the only one. */
+  isRead: () => boolean
   /** Calls the listener once the list has been read, or after a timeout if it cannot be read. */
   whenReady: (listener: () => void) => void
   stop: () => void
@@ -137,6 +139,7 @@
   }
 
   let isReady = false
+  let isRead = false
   const waiting: Array<() => void> = []
   const readyTimer = setTimeout(markReady, START_TIMEOUT_MS)
 
@@ -158,6 +161,7 @@
       shares.clear()
       shares.set(instance, dataCentre)
       for (const row of rows) applyRow(row)
+      isRead = true
       handleChange()
       markReady()
     },
@@ -188,6 +192,7 @@
       listed.set(name, peer)
       handleChange()
     },
+    isRead: () => isRead,
     whenReady (listener) {
       if (isReady) listener()
       else waiting.push(listener)
--- a/src/edge/sendPermits.ts
+++ b/src/edge/sendPermits.ts
@@ -59,6 +59,8 @@
   sender: () => PeerValue
   /** This instance's share, between 0 and 1, of fleet-wide limits. */
   share: () => number
+  /** Whether the list of instances, and so the share, is known. */
+  isListRead: () => boolean
   limits: Pick<RequestLimits, 'limitOf'>
   coldLimits: Pick<ColdLimits, 'limitOf'>
   /** Monotonic clock in milliseconds. */
@@ -103,7 +105,11 @@
   function limitOf (run: UpstreamRun): Limit | undefined {
     const named = limits.limitOf(run)
     const cold = coldLimits.limitOf(run, now())
-    if (cold !== undefined) return { perSecond: Math.min(cold, named ?? Infinity), rules: COLD_LIMIT_RULES }
+    if (cold !== undefined) {
+      // An instance that does not know the others would use the parts of all.
+      const perSecond = options.isListRead() ? Math.min(cold, named ?? Infinity) : 0
+      return { perSecond, rules: COLD_LIMIT_RULES }
+    }
     return named === undefined ? undefined : { perSecond: named, rules: NAMED_LIMIT_RULES }
   }
 
