--- a/src/edge/__tests__/metrics.test.ts
+++ b/src/edge/__tests__/metrics.test.ts
@@ -11,7 +11,9 @@
   configurationVersion: () => 17,
   configurationAge: () => Infinity,
   storeEra: () => ({ current: () => 2, changes: () => 1 }),
-  upstreams: () => new Map([['engines', 6]])
+  upstreams: () => new Map([['engines', 6]]),
+  coldUpstreams: () => 2,
+  evacuatedDataCentres: () => 1
 })
 
 const store: Store = {
@@ -28,6 +30,7 @@
     metrics.observe(EdgeEvent.requestFinished, finished)
     metrics.observe(EdgeEvent.requestFinished, { ...finished, firstByte: undefined })
     metrics.observe(EdgeEvent.requestRejected, { status: 429 })
+    metrics.observe(EdgeEvent.requestRejected, { status: 503, obstacle: 'homes' })
     metrics.countDroppedLine()
     metrics.observePeerResponse('tokens', 4)
     const page = await metrics.render()
@@ -45,7 +48,10 @@
       'waxwingspoke_waiting_questions 4',
       'waxwingspoke_configuration_version 17',
       'waxwingspoke_configuration_age_milliseconds +Inf',
-      'waxwingspoke_upstreams{service="engines"} 6'
+      'waxwingspoke_upstreams{service="engines"} 6',
+      'waxwingspoke_cold_upstreams 2',
+      'waxwingspoke_evacuated_data_centres 1',
+      'waxwingspoke_home_refusals_total 1'
     ]) expect(page.split('\n')).toContain(line)
   })
 
--- a/src/edge/attemptOpening.ts
+++ b/src/edge/attemptOpening.ts
@@ -61,6 +61,7 @@
     const mayGoElsewhere = maySendAgain(history) && options.hasOtherUpstream(present)
     const isPermitted = isCrossing && mayRepeat(history) && !mayGoElsewhere &&
       options.suspectTrait === undefined && !context.sendPermits.isNeeded(upstream.entry) &&
+      context.destinations.isPermitted(upstream.entry.dataCentre, admittedRequest) &&
       findKeyObstacle(context, admittedRequest, present) === undefined
     const retry = isPermitted
       ? context.retryAllowance.tryRetry(service, purpose, context.share(), present.steady)
@@ -103,6 +104,7 @@
     timeLeft: Math.round(timeLeft),
     wait: Math.round(currentWait(upstream, urgencyRank(urgency), now.steady)),
     requestLimit: context.requestLimits.limitOf(upstream.entry),
+    coldLimit: context.coldLimits.limitOf(upstream.entry, now.steady),
     suspectTrait: options.suspectTrait,
     holders: options.replicas,
     configurationAge: Math.round(context.freshness.age(now))
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -5,6 +5,7 @@
 import { createBoundedLog } from './boundedLog'
 import { createCacheStores } from './cacheStores'
 import { cacheTableName, isCacheTable, withCacheTables } from './cacheStoreTable'
+import { createSendLimits } from './coldStart/sendLimits'
 import { createCrashHandling } from './crashHandling'
 import { createEdgeServer } from './edgeServer'
 import { EdgeEvent, type EdgeLog } from './events'
@@ -24,9 +25,9 @@
 import { createPrefixDemand } from './prefixDemand'
 import { createExportTracker } from './promptPlan'
 import { createQuotaShares } from './quotaShare'
-import { createRequestLimits } from './requestLimits'
+import { createResidency } from './residency/composeResidency'
+import { withoutEvacuated } from './residency/reachableDirectory'
 import { createRetryAllowance } from './retryAllowance'
-import { createSendPermits } from './sendPermits'
 import { createServiceRollouts } from './serviceRollouts'
 import { startServiceRolloutsTask } from './serviceRolloutsTask'
 import type { EdgeSettings } from './settings'
@@ -41,7 +42,6 @@
 import type { Dialect, EngineControl, Instant, Peer, Store, StoreRecordCodec, UpstreamHint } from './types'
 import { createUpstreamConnections } from './upstreamConnections'
 import { createUpstreamDirectory, type Upstream } from './upstreamDirectory'
-import { createUpstreamHints } from './upstreamHints'
 import { createWeightsRollout } from './weightsRollout'
 import { startWeightsTask } from './weightsRolloutTask'
 
@@ -82,7 +82,9 @@
     configurationVersion: () => tables.routes()?.configuration.version ?? 0,
     configurationAge: () => freshness.age(now()),
     storeEra: () => storeEra,
-    upstreams: () => countBy([...directory.all()].map(({ entry }) => entry.service))
+    upstreams: () => countBy([...directory.all()].map(({ entry }) => entry.service)),
+    coldUpstreams: () => coldLimits.count([...directory.all()].map(({ entry }) => entry), performance.now()),
+    evacuatedDataCentres: () => evacuations.count()
   })
   const { log: writeLogLine, flush, close: closeLog } = createBoundedLog({
     instance: instance.name,
@@ -119,14 +121,11 @@
     tokens: async (query) => await peerQuota.handleRequest(query),
     weightsProgress: async (query) => await holderUpdates.handleProgress(query),
     failures: async (query) => await failureBroadcast.handleRequest(query),
-    leaving: async (query) => await leavingBroadcast.handleRequest(query),
-    limits: async (query) => await limitBroadcast.handleRequest(query),
+    leaving: async (query) => await sendLimits.requestHandlers.leaving(query),
+    limits: async (query) => await sendLimits.requestHandlers.limits(query),
     crashes: async (query) => await crashHandling.requestHandlers.crashes(query),
     missedCrashes: async (query) => await crashHandling.requestHandlers.missedCrashes(query),
-    async permits (query) {
-      instances.observe(query.sender)
-      return await sendPermits.handleRequest(query)
-    },
+    permits: async (query) => await sendLimits.requestHandlers.permits(query),
     trials: async (query) => await crashHandling.requestHandlers.trials(query),
     engineLoads: async (query) => await engineLoads.handleRequest(query),
     moves: async (query) => await holderUpdates.handleRollout(query),
@@ -194,34 +193,27 @@
   const failureBroadcast = createBroadcast(PeerRequestKind.failures, (content) => {
     failureReports.receive(content, performance.now())
   })
-  const leavingBroadcast = createBroadcast(PeerRequestKind.leaving, (content) => { upstreamHints.receive(content) })
-  const limitBroadcast = createBroadcast(PeerRequestKind.requestLimits, (content) => {
-    instances.observe(content.sender)
-    requestLimits.receive(content, performance.now())
-  })
-  const requestLimits = createRequestLimits({
-    broadcast: (content) => { limitBroadcast.send({ ...content, sender: instances.sender() }) }, log
-  })
+  const { evacuations, destinations } = createResidency(settings.regions, records.evacuatedDataCentre)
   const crashHandling = createCrashHandling({
     links, instance: name, dataCentre, peers, directory, log, now: () => performance.now(), random, onFault: reportFault
   })
-  const sendPermits = createSendPermits({
+  const sendLimits = createSendLimits({
     links,
     instance: name,
     dataCentre,
-    peers,
-    sender: instances.sender,
-    share: () => instances.share(),
-    limits: requestLimits,
+    instances,
+    directory,
+    log,
+    random,
     now: () => performance.now(),
-    random
+    onFault: reportFault
   })
-  const upstreamHints = createUpstreamHints({ broadcast: leavingBroadcast.send, directory, requestLimits, log })
+  const { coldLimits, sendPermits, upstreamHints } = sendLimits
   const engineLoads = createLoadExchange({
     links, instance: name, dataCentre, peers, directory, now: () => performance.now()
   })
   const failureReports = createFailureReports({
-    broadcast: failureBroadcast.sendWithinDataCentre, directory, log, random
+    broadcast: failureBroadcast.sendWithinDataCentre, directory, coldLimits, log, random
   })
   const peerQuota = createTokenTransfers({
     links,
@@ -275,9 +267,8 @@
     engineLoads,
     loadingEngines: () => loadingEngines,
     responseBuffers: createResponseBuffers(),
-    upstreamHints,
-    requestLimits,
-    sendPermits,
+    ...sendLimits,
+    destinations,
     trialPermits: crashHandling.trialPermits,
     crashReports: crashHandling.crashReports,
     reportUnreachable: (upstream) => { failureReports.report(upstream, performance.now()) },
@@ -309,9 +300,15 @@
     onConfiguration (configuration) {
       server.setLimits(configuration.limits)
       cacheStores.configure(configuration.cacheStores)
+      coldLimits.configure(configuration.services ?? [])
     },
     onUndatedRollout: (service) => { serviceRolloutTask.readStatus(service) },
-    onUpstreamGone: ({ upstream }) => { connections.remove(upstream) }
+    evacuations,
+    onEntry: (entry) => { coldLimits.observeEntry(entry, now()) },
+    onUpstreamGone ({ upstream }) {
+      connections.remove(upstream)
+      coldLimits.forget(upstream.entry)
+    }
   })
   const lease = startLeaseTask({
     instance: name,
@@ -346,7 +343,7 @@
     permits: sendPermits,
     lease,
     rollout: weightsRollout,
-    directory,
+    directory: withoutEvacuated(directory, evacuations.isEvacuated),
     isStopping: () => stopping,
     onUpstreamHint: applyUpstreamHint,
     publish: holderUpdates.publishProgress,
--- a/src/edge/instanceList.ts
+++ b/src/edge/instanceList.ts
@@ -77,6 +77,8 @@
   sender: () => PeerValue
   /** Counts the sender of a message, which the list may not contain yet, for some seconds. */
   observe: (sender: unknown) => void
+  /** Whether the list has been read; until then this instance may take itself for the only one. */
+  isRead: () => boolean
   /** Calls the listener once the list has been read, or after a timeout if it cannot be read. */
   whenReady: (listener: () => void) => void
   stop: () => void
@@ -158,6 +160,7 @@
   }
 
   let isReady = false
+  let isRead = false
   const waiting: Array<() => void> = []
   const readyTimer = setTimeout(markReady, START_TIMEOUT_MS)
 
@@ -186,6 +189,7 @@
       for (const row of rows) applyRow(row)
       // Their rows may be lost with the old era; they write them again.
       for (const peer of before) if (!listed.has(peer.name)) countForAWhile(peer)
+      isRead = true
       handleChange()
       markReady()
     },
@@ -209,6 +213,7 @@
       countForAWhile(peer)
       if (!isKnown) handleChange()
     },
+    isRead: () => isRead,
     whenReady (listener) {
       if (isReady) listener()
       else waiting.push(listener)
--- a/src/edge/storeTables.ts
+++ b/src/edge/storeTables.ts
@@ -6,6 +6,7 @@
 import type { ServiceRollouts } from './serviceRollouts'
 import { eraPosition, type StoreEra } from './storeEra/storeEra'
 import { followTable, type ObservationGap, type FollowerOptions } from './storeFollower'
+import type { EvacuationChange, Evacuations } from './residency/evacuations'
 import type { TableRelay } from './tableRelay'
 import type { EdgeConfiguration, StoreRecordCodec, StoreRow, UpstreamEntry } from './types'
 import type { DirectoryChange, UpstreamDirectory } from './upstreamDirectory'
@@ -49,6 +50,9 @@
   onConfiguration: (configuration: EdgeConfiguration) => void
   /** Called if a rollout was requested at an unknown time, so that it may already have started or ended. */
   onUndatedRollout: (service: string) => void
+  /** Called with each entry as it is now listed. */
+  onEntry: (entry: UpstreamEntry) => void
+  evacuations: Pick<Evacuations, 'replace' | 'update'>
   /** Called if the upstream's process no longer exists. */
   onUpstreamGone: (change: DirectoryChange) => void
 }
@@ -110,6 +114,18 @@
     log(EdgeEvent.targetWeightsChanged, { ...target, rowVersion: version })
   }
 
+  function logEvacuations (changes: readonly EvacuationChange[]): void {
+    for (const { dataCentre, isEvacuated } of changes) {
+      log(isEvacuated ? EdgeEvent.dataCentreEvacuated : EdgeEvent.dataCentreEvacuationEnded, { dataCentre })
+    }
+  }
+
+  /** Reports an entry as the directory lists it: a start that it does not state is that of the known run. */
+  function reportEntry ({ identifier }: UpstreamEntry): void {
+    const listed = directory.get(identifier)
+    if (listed !== undefined) options.onEntry(listed.entry)
+  }
+
   function handleDirectoryChanges (changes: readonly DirectoryChange[]): void {
     if (changes.length > 0) settle = SETTLE_MS
     for (const change of changes) {
@@ -132,6 +148,7 @@
     handleDirectoryChanges(
       entry === undefined ? directory.remove(row.key, afterOutage, present) : directory.update(entry)
     )
+    if (entry !== undefined) reportEntry(entry)
   }
 
   function nextSettle (): number {
@@ -146,8 +163,14 @@
     table: records.tables.operator,
     relay: relay.table(records.tables.operator),
     wait: Number.isFinite(revocation) ? Math.round(revocation * FOLLOW_SHARE) : FOLLOW_MS,
-    onRows: (rows, gap) => { for (const row of rows) applyOperatorRow(row, gap) },
-    onChanges: (rows, gap) => { for (const row of rows) applyOperatorRow(row, gap) },
+    onRows (rows, gap) {
+      logEvacuations(options.evacuations.replace(rows))
+      for (const row of rows) applyOperatorRow(row, gap)
+    },
+    onChanges (rows, gap) {
+      logEvacuations(options.evacuations.update(rows))
+      for (const row of rows) applyOperatorRow(row, gap)
+    },
     onConfirmed: freshness.recordConfirmation
   })
   const upstreamFollower = followTable({
@@ -161,6 +184,7 @@
       listRead = true
       const entries = rows.flatMap((row) => readEntry(row) ?? [])
       handleDirectoryChanges(directory.replace(entries, afterOutage, now().steady))
+      for (const entry of entries) reportEntry(entry)
     },
     onChanges: (rows, { afterOutage }) => { for (const row of rows) applyUpstreamChange(row, afterOutage) }
   })
--- a/src/edge/types.ts
+++ b/src/edge/types.ts
@@ -36,6 +36,8 @@
   maximumAttempts: number
   /** Whether requests without an API key are accepted. */
   open: boolean
+  /** Regions to whose upstreams and cache stores requests may be sent; undefined or empty allows all. */
+  allowedRegions?: readonly string[]
 }
 
 /** An external KV cache that holds cached prefixes beyond the memory of the engines. */
@@ -60,6 +62,8 @@
   unit: 'token' | 'request'
   /** Cost in units of a request that does not state its token counts. */
   defaultCost: number
+  /** Regions to whose upstreams and cache stores requests may be sent; undefined or empty allows all. */
+  allowedRegions?: readonly string[]
 }
 
 export interface CallerLimits {
@@ -72,9 +76,20 @@
   idleTimeout: number
 }
 
+/** What the configuration states about the upstreams of a service. */
+export interface ServiceTraits {
+  name: string
+  /** Milliseconds from its start for which an upstream is cold; 0 if the service has no slow start. */
+  coldStart: number
+  /** Requests per second that a cold upstream takes from all instances together; 0 means no limit. */
+  coldRate: number
+}
+
 export interface EdgeConfiguration {
   version: number
   routes: readonly EdgeRoute[]
+  /** Empty or absent without services of which anything is stated. */
+  services?: readonly ServiceTraits[]
   cacheStores: readonly CacheStore[]
   customers: readonly EdgeCustomer[]
   limits: CallerLimits
@@ -127,6 +142,8 @@
   slots: number
   leaving: boolean
   weights: readonly ModelWeights[]
+  /** Milliseconds for which it remained cold when the entry was written; undefined or 0 if it was not cold. */
+  coldFor?: number
 }
 
 export interface PromptSegment {
@@ -190,6 +207,8 @@
   /** Time in milliseconds for which this instance should send no requests; undefined if not stated. */
   backOffFor: number | undefined
   requestLimit: RequestLimitHint
+  /** Time in milliseconds for which the upstream remains cold; undefined if not stated. */
+  coldFor?: number
 }
 
 /** Metadata of an upstream's response. */
@@ -355,6 +374,8 @@
   configurationKey: string
   configuration: (value: Buffer) => EdgeConfiguration
   upstream: (key: string, value: Buffer) => UpstreamEntry | undefined
+  /** Returns the data centre that an operator's row with this key evacuates; undefined for other rows. */
+  evacuatedDataCentre: (key: string) => string | undefined
   /** Decodes the weights that an operator's row requests. */
   targetWeights: (key: string, value: Buffer) => ModelWeights | undefined
   /** Decodes the service rollout that an operator's row requests. */
