Learned speed of engines in placement and prefix demand

Placement assumed 8 ms for 1,000 prompt tokens and counted cached tokens like others, while services need 9 to 27 ms and the engines of one service differ by a factor of 0.6 to 1.6: the slow engines got as many prompts as the fast ones. Each run's speed is now learned from the time between sending and first byte against the uncached tokens ahead and of the prompt itself. An instance sees an engine too rarely, so samples travel with the load reports to the aggregators, and estimates come back once a second. Once speeds differ by more than a quarter from the constant, the expected wait uses them, prefixes are spread in proportion to speed, and the number of holders of a prefix follows from the median.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -5,7 +5,8 @@
 /** Decisions of the edge; its other modules own sockets, timers and tasks. */
 const edgeDecisions = [
   'admission', 'attemptDecision', 'backlog', 'cacheStoreIndex', 'crashGuard', 'requestTraits', 'engineLoad', 'eventBoundary', 'freshness', 'instanceShares', 'loadShedding', 'rolloutSampler', 'placement', 'prefixDemand', 'promptPlan', 'quotaShare',
-  'requestLimits', 'requestPacer', 'retryAllowance', 'routeTable', 'serviceChoice', 'serviceRollouts', 'storeLease', 'tableHistory', 'targetSelection', 'tokenRequests', 'upstreamDirectory', 'weightsRollout'
+  'requestLimits', 'requestPacer', 'retryAllowance', 'routeTable', 'serviceChoice', 'serviceRollouts', 'storeLease', 'tableHistory', 'targetSelection', 'tokenRequests', 'upstreamDirectory', 'weightsRollout',
+  'engineRoom/engineRoom', 'engineRoom/engineUse', 'engineRoom/useCodec', 'engineSpeed/engineSpeeds', 'engineSpeed/speedCodec', 'engineSpeed/speedEstimate'
 ].map((name) => `src/edge/${name}.ts`)
 
 export default [
--- a/src/edge/__tests__/failureReports.test.ts
+++ b/src/edge/__tests__/failureReports.test.ts
@@ -4,7 +4,7 @@
 import { describe, expect, it } from 'vitest'
 import { createFailureReports, type FailureReports } from '../failureReports'
 import type { PeerValue } from '../peerLinks'
-import { rankUpstreams, type PlacementRequest } from '../placement'
+import { placeRequest, type PlacementRequest } from '../placement'
 import { createUpstreamDirectory, recordActivity, isUsable, pauseAfterFailure, type UpstreamDirectory } from '../upstreamDirectory'
 import { createEntry } from './fixtures'
 
@@ -81,6 +81,8 @@
   const request: PlacementRequest = {
     prefixKey: '',
     sharedTokens: 6300,
+    promptTokens: 0,
+    speeds: undefined,
     dataCentre: 'north',
     urgency: 0,
     replicas: 1,
@@ -95,7 +97,7 @@
     const { directory, reports } = instances[uniformInt(random, 0, instances.length - 1)]!
     const subject = `sheet-${uniformInt(random, 0, 999)}`
     const candidates = directory.usable('engines', now)
-    const [upstream] = rankUpstreams({ ...request, prefixKey: subject }, candidates, now)
+    const upstream = placeRequest({ ...request, prefixKey: subject }, candidates, now)?.upstream
     if (Number(upstream!.entry.identifier.slice('engine-'.length)) % 3 > 0) {
       recordActivity(upstream!, now)
       continue
--- a/src/edge/__tests__/fixtures.ts
+++ b/src/edge/__tests__/fixtures.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from 'node:fs'
 import { RepeatRule } from '../types'
 import type { EdgeConfiguration, EdgeCustomer, EdgeRoute, UpstreamEntry } from '../types'
+import type { ExchangeContext } from '../exchangeContext'
 import { createUpstreamDirectory, type Upstream } from '../upstreamDirectory'
 
 export function createRoute (values: Partial<EdgeRoute> = {}): EdgeRoute {
@@ -67,6 +68,11 @@
   return [...directory.all()]
 }
 
+/** Speeds of engines that nothing has shown yet. */
+export const UNKNOWN_SPEEDS: ExchangeContext['engineSpeeds'] = {
+  ofService: () => undefined, medianOf: () => 8, probe: () => undefined, observe () {}
+}
+
 /** Values that the platform inserts into the settings template. */
 export const PLATFORM_VALUES: Readonly<Record<string, string>> = {
   nodeName: 'router-1',
--- a/src/edge/__tests__/lifeSimulation.ts
+++ b/src/edge/__tests__/lifeSimulation.ts
@@ -20,7 +20,7 @@
 import { createTrialPermits } from '../trialPermits'
 import { RequestLimitKind, type Instant, type UpstreamEntry } from '../types'
 import { createUpstreamDirectory, type UpstreamDirectory } from '../upstreamDirectory'
-import { createEntry } from './fixtures'
+import { createEntry, UNKNOWN_SPEEDS } from './fixtures'
 import { configurationAt, isStoreAway } from './lifeChanges'
 import type { Schedule } from './lifeSchedule'
 import { createCallerRequest, createCallerResponse, simulatedDialect, type CallerView } from './simulatedCallers'
@@ -128,6 +128,7 @@
     serviceRollouts: { eligible: (_service: string, usable: unknown) => usable, hasTargetVersion: () => false },
     rolloutSampler: createRolloutSampler(() => false),
     engineLoads: { refresh: async () => {}, promptSent () {}, prefillEnded () {} },
+    engineSpeeds: UNKNOWN_SPEEDS,
     loadingEngines: () => new Set(),
     responseBuffers: createResponseBuffers(),
     upstreamHints: { apply () {} },
--- a/src/edge/__tests__/loadExchange.test.ts
+++ b/src/edge/__tests__/loadExchange.test.ts
@@ -1,5 +1,6 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import { PlatformUnavailableError } from '../../errors'
+import { createEngineSpeeds } from '../engineSpeed/engineSpeeds'
 import { createLoadExchange, type LoadExchange } from '../loadExchange'
 import type { PeerValue } from '../peerLinks'
 import type { Peer } from '../types'
@@ -40,6 +41,7 @@
       dataCentre,
       peers: () => others,
       directory: { all: () => engines },
+      speeds: createEngineSpeeds({ directory: { all: () => engines, listed: () => engines }, dataCentre }),
       now: () => performance.now()
     })
     members.set(name, { name, engines, exchange })
--- a/src/edge/__tests__/placement.test.ts
+++ b/src/edge/__tests__/placement.test.ts
@@ -2,12 +2,21 @@
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { describe, expect, it } from 'vitest'
 import { createPrefixDemand } from '../prefixDemand'
-import { rankUpstreams, type PlacementRequest } from '../placement'
+import { placeRequest, type PlacementRequest } from '../placement'
 import { recordAttemptStart, recordAttemptEnd, recordFleetLoad, observeWait, type Upstream } from '../upstreamDirectory'
 import { createEntry, createUpstreams } from './fixtures'
 
 const plainRequest: PlacementRequest = {
-  prefixKey: undefined, sharedTokens: 0, dataCentre: 'north', urgency: 0, replicas: 1, draw: 0, hasOutdatedWeights: () => false, loadingEngines: new Set()
+  prefixKey: undefined,
+  sharedTokens: 0,
+  promptTokens: 0,
+  speeds: undefined,
+  dataCentre: 'north',
+  urgency: 0,
+  replicas: 1,
+  draw: 0,
+  hasOutdatedWeights: () => false,
+  loadingEngines: new Set()
 }
 const requestWithPrefix = (subject: string): PlacementRequest => (
   { ...plainRequest, prefixKey: subject, sharedTokens: 6300 }
@@ -18,7 +27,7 @@
 }
 
 function firstChoice (request: PlacementRequest, upstreams: readonly Upstream[], now = 0): string {
-  return rankUpstreams(request, upstreams, now)[0]!.entry.identifier
+  return placeRequest(request, upstreams, now)!.upstream.entry.identifier
 }
 
 describe('plain services', () => {
@@ -134,8 +143,10 @@
     prefill.completeUntil(now)
     const engines = instances[Math.floor(random() * 9)]!
     const subject = random() < hotShare ? 'hot' : `sheet-${Math.floor(random() * 700)}`
-    const replicas = useReplicas ? demand.replicasFor(subject, 2890, 1, now) : 1
-    const engine = rankUpstreams({ ...requestWithPrefix(subject), replicas, draw: random() }, engines, now)[0]!
+    const demanded = { subject, ownTokens: 2890, instances: 1, millisecondsPer1000Tokens: 8 }
+    const replicas = useReplicas ? demand.replicasFor(demanded, now) : 1
+    const request = { ...requestWithPrefix(subject), replicas, draw: random() }
+    const { upstream: engine } = placeRequest(request, engines, now)!
     const name = engine.entry.identifier
     const isCached = cachedPrefixes.has(`${subject}/${name}`)
     cachedPrefixes.add(`${subject}/${name}`)
@@ -186,9 +197,9 @@
       }
     }
     const candidates = alwaysPreferNewWeights && updatedEngines.length > 0 ? updatedEngines : engines
-    const engine = rankUpstreams({
+    const { upstream: engine } = placeRequest({
       ...requestWithPrefix(subject), draw: random(), hasOutdatedWeights: isOutdated
-    }, candidates, now)[0]!
+    }, candidates, now)!
     const name = engine.entry.identifier
     const cacheKey = `${subject}/${name}/${isOutdated(engine)}`
     const isCached = isOutdated(engine) || cachedPrefixes.has(cacheKey)
@@ -255,7 +266,8 @@
       const known = snapshots.findLast(({ at }) => at <= now - lag)?.unread
       for (const engine of engines) recordFleetLoad(engine, known?.get(engine.entry.identifier) ?? 0, now)
     }
-    const engine = rankUpstreams({ ...requestWithPrefix(subject), sharedTokens, draw: random() }, engines, now)[0]!
+    const request = { ...requestWithPrefix(subject), sharedTokens, draw: random() }
+    const { upstream: engine } = placeRequest(request, engines, now)!
     const name = engine.entry.identifier
     const isCached = cachedPrefixes.has(`${subject}/${name}`)
     cachedPrefixes.add(`${subject}/${name}`)
--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -2,13 +2,16 @@
 import type { IncomingMessage } from 'node:http'
 import type { MonotonicMilliseconds } from '../types'
 import type { Backlog } from './backlog'
+import { recordUseStart } from './engineRoom/engineUse'
+import type { EngineSpeeds, SpeedProbe } from './engineSpeed/engineSpeeds'
 import type { LoadExchange } from './loadExchange'
 import type { ResponseBuffer } from './responseBuffers'
 import type { GrantedRetry } from './retryAllowance'
 import type { AttemptSample } from './rolloutSampler'
 import type { UpstreamCall } from './upstreamCall'
 import {
-  observeMinimumWait, recordAttemptEnd, recordAttemptStart, recordReadPaused, recordReadResumed, type Upstream
+  observeMinimumWait, observeWait, recordAttemptEnd, recordAttemptStart, recordReadPaused, recordReadResumed,
+  type Upstream
 } from './upstreamDirectory'
 
 export interface Attempt {
@@ -28,6 +31,12 @@
   isPaused: boolean
   /** Prompt tokens pending prefill at the upstream. */
   pendingPrefillTokens: number
+  /** Those of them that are not expected in the upstream's cache. */
+  pendingUncachedTokens: number
+  /** Prompt and expected output tokens, until the attempt ends. */
+  heldTokens: number
+  /** What is needed to learn the speed of the upstream from the first byte. */
+  speedProbe: SpeedProbe | undefined
   head: IncomingMessage | undefined
   /** Whether the upstream has shown that it survives the request. */
   isSurvived: boolean
@@ -35,9 +44,19 @@
   buffer: ResponseBuffer
 }
 
-/** @param promptTokens prompt tokens that are now pending prefill at the upstream */
+/** Tokens of a request at one upstream. */
+export interface RequestTokens {
+  prompt: number
+  /** Prompt tokens that are not expected in the upstream's cache. */
+  uncached: number
+  /** Prompt and expected output, as the upstream holds them in its memory. */
+  held: number
+}
+
+/** @param tokens tokens that the attempt now uses at the upstream */
 export function createAttempt (
-  parts: Pick<Attempt, 'upstream' | 'call' | 'sample' | 'retry' | 'buffer'>, promptTokens: number, now: MonotonicMilliseconds
+  parts: Pick<Attempt, 'upstream' | 'call' | 'sample' | 'retry' | 'buffer' | 'speedProbe'>, tokens: RequestTokens,
+  now: MonotonicMilliseconds
 ): Attempt {
   return {
     ...parts,
@@ -46,17 +65,19 @@
     lastProgressAt: now,
     firstByteAt: undefined,
     isPaused: false,
-    pendingPrefillTokens: promptTokens,
+    pendingPrefillTokens: tokens.prompt,
+    pendingUncachedTokens: tokens.uncached,
+    heldTokens: tokens.held,
     head: undefined,
     isSurvived: false
   }
 }
 
 export interface AttemptAccounting {
-  /** @param promptTokens prompt tokens that are now pending prefill at the upstream */
-  start: (upstream: Upstream, promptTokens: number, now: MonotonicMilliseconds) => void
-  /** Removes the prompt from the tokens pending prefill, after its prefill or at the end of the attempt. */
-  releasePendingPrefill: (attempt: Attempt) => void
+  /** @param tokens tokens that the attempt now uses at the upstream */
+  start: (upstream: Upstream, tokens: RequestTokens, now: MonotonicMilliseconds) => void
+  /** Records that the first byte of the response arrived, so that the prompt no longer waits for prefill. */
+  recordFirstByte: (attempt: Attempt, now: MonotonicMilliseconds) => void
   /** Pauses reading the response. */
   pause: (attempt: Attempt) => void
   /** Records that the response is read again. */
@@ -65,15 +86,23 @@
   end: (attempt: Attempt, now: MonotonicMilliseconds) => void
 }
 
+export interface AccountingContext {
+  engineLoads: Pick<LoadExchange, 'prefillEnded'>
+  engineSpeeds: Pick<EngineSpeeds, 'observe'>
+}
+
 /** @param rank urgency of the request */
 export function createAttemptAccounting (
-  engineLoads: Pick<LoadExchange, 'prefillEnded'>, backlog: Backlog, rank: number
+  { engineLoads, engineSpeeds }: AccountingContext, backlog: Backlog, rank: number
 ): AttemptAccounting {
+  /** Removes the prompt from the tokens pending prefill, after its prefill or at the end of the attempt. */
   function releasePendingPrefill (attempt: Attempt): void {
     if (attempt.firstByteAt === undefined) backlog.requestEnded()
     if (attempt.pendingPrefillTokens === 0) return
     attempt.upstream.pendingPrefillTokens -= attempt.pendingPrefillTokens
+    attempt.upstream.pendingUncachedTokens -= attempt.pendingUncachedTokens
     attempt.pendingPrefillTokens = 0
+    attempt.pendingUncachedTokens = 0
     engineLoads.prefillEnded()
   }
 
@@ -85,11 +114,21 @@
   }
 
   return {
-    start (upstream, promptTokens, now) {
-      recordAttemptStart(upstream, promptTokens, now)
+    start (upstream, tokens, now) {
+      recordAttemptStart(upstream, tokens.prompt, now)
+      recordUseStart(upstream, tokens.uncached, tokens.held)
       backlog.requestStarted()
     },
-    releasePendingPrefill,
+    recordFirstByte (attempt, now) {
+      attempt.firstByteAt = now
+      const { upstream, speedProbe, connectedAt, head } = attempt
+      backlog.firstByteReceived(now)
+      releasePendingPrefill(attempt)
+      observeWait(upstream, rank, now - attempt.startedAt, now)
+      if (speedProbe !== undefined && connectedAt !== undefined && head?.statusCode === 200) {
+        engineSpeeds.observe(upstream, speedProbe, now - connectedAt)
+      }
+    },
     pause (attempt) {
       if (attempt.isPaused) return
       attempt.isPaused = true
@@ -106,6 +145,8 @@
       attempt.buffer.discard()
       resume(attempt, now)
       recordAttemptEnd(attempt.upstream)
+      attempt.upstream.heldTokens -= attempt.heldTokens
+      attempt.heldTokens = 0
     }
   }
 }
--- a/src/edge/attemptOpening.ts
+++ b/src/edge/attemptOpening.ts
@@ -1,6 +1,6 @@
 /** Sends one attempt of a request to an upstream and logs it. */
 import { findKeyObstacle } from './admission'
-import { createAttempt, type Attempt } from './attempt'
+import { createAttempt, type Attempt, type RequestTokens } from './attempt'
 import { mayRepeat, maySendAgain, type AttemptHistory } from './attemptDecision'
 import { composeAttemptRequest } from './attemptRequest'
 import { EdgeEvent } from './events'
@@ -24,6 +24,10 @@
 export interface AttemptOpeningOptions {
   upstream: Upstream
   urgency: number | undefined
+  /** Tokens that the request uses at the upstream. */
+  tokens: RequestTokens
+  /** Tokens of the request that are certainly not in the upstream's cache; undefined if that is not known. */
+  knownUncachedTokens: number | undefined
   /** Attempts before this one. */
   history: AttemptHistory
   /** What was taken from the allowance for this attempt. */
@@ -111,6 +115,9 @@
     service, route: route.name, isNew: () => context.serviceRollouts.hasTargetVersion(upstream)
   }, now.steady)
   const buffer = context.responseBuffers.open()
-  const attempt = createAttempt({ upstream, call, sample, retry: options.retry, buffer }, plan.promptTokens, now.steady)
+  const speedProbe = context.engineSpeeds.probe(upstream, options.knownUncachedTokens, now.steady)
+  const attempt = createAttempt(
+    { upstream, call, sample, retry: options.retry, buffer, speedProbe }, options.tokens, now.steady
+  )
   return attempt
 }
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -7,6 +7,7 @@
 import { cacheTableName, isCacheTable, withCacheTables } from './cacheStoreTable'
 import { createCrashHandling } from './crashHandling'
 import { createEdgeServer } from './edgeServer'
+import { composeEngines } from './engineRoom/composeEngines'
 import { EdgeEvent, type EdgeLog } from './events'
 import { createExchange, type Exchange } from './exchange'
 import type { ExchangeContext } from './exchangeContext'
@@ -16,7 +17,6 @@
 import { createInstanceList } from './instanceList'
 import { startLeaseTask } from './leaseTask'
 import { countBy, createEdgeMetrics } from './metrics'
-import { createLoadExchange } from './loadExchange'
 import { createRolloutSampler } from './rolloutSampler'
 import { createPeerBroadcast, type PeerBroadcast } from './peerBroadcast'
 import { createPeerLinks, PeerRequestKind, type HandlePeerRequest, type PeerValue } from './peerLinks'
@@ -132,7 +132,7 @@
       return await sendPermits.handleRequest(query)
     },
     trials: async (query) => await crashHandling.requestHandlers.trials(query),
-    engineLoads: async (query) => await engineLoads.handleRequest(query),
+    engineLoads: async (query) => await engines.engineLoads.handleRequest(query),
     moves: async (query) => await rolloutBroadcast.handleRequest(query),
     moveCounts: async (query) => await serviceRolloutTask.handleRequest(query)
   }
@@ -221,7 +221,7 @@
     random
   })
   const upstreamHints = createUpstreamHints({ broadcast: leavingBroadcast.send, directory, requestLimits, log })
-  const engineLoads = createLoadExchange({
+  const engines = composeEngines({
     links, instance: name, dataCentre, peers, directory, now: () => performance.now()
   })
   const rolloutBroadcast = createBroadcast(PeerRequestKind.serviceRollouts, (content) => {
@@ -281,7 +281,7 @@
     weightsRollout,
     serviceRollouts,
     rolloutSampler,
-    engineLoads,
+    ...engines,
     loadingEngines: () => loadingEngines,
     responseBuffers: createResponseBuffers(),
     upstreamHints,
@@ -401,7 +401,7 @@
       },
       close () {
         for (const task of [
-          tables, lease, weightsRolloutTask, serviceRolloutTask, engineLoads, cacheStores, instances
+          tables, lease, weightsRolloutTask, serviceRolloutTask, engines.engineLoads, cacheStores, instances
         ]) task.stop()
         for (const timer of [sweepTimer, flushTimer]) clearInterval(timer)
         clearImmediate(pendingSweep)
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -25,7 +25,7 @@
 import { RepeatRule, RequestLimitKind, type Instant } from './types'
 import { isFramed } from './upstreamCall'
 import {
-  recordActivity, isQuiet, isSilent, recordWeights, observeWait, pauseAfterFailure,
+  recordActivity, isQuiet, isSilent, recordWeights, pauseAfterFailure,
   recordRejection, SILENCE_TIMEOUT_MS, type Upstream
 } from './upstreamDirectory'
 
@@ -55,7 +55,7 @@
   const urgency = urgencyOf(route, customer)
   const backlog = context.backlog(`${service}/${urgency ?? ''}`)
   const rank = urgencyRank(urgency)
-  const accounting = createAttemptAccounting(context.engineLoads, backlog, rank)
+  const accounting = createAttemptAccounting(context, backlog, rank)
   const crashGuard = createCrashGuard(context, {
     callerRequest, customer: customer?.name, method: request.method!, path: request.url!, body
   })
@@ -138,9 +138,12 @@
   function sendTo (upstream: Upstream, retry: GrantedRetry, now: Instant): void {
     targets.markTried(upstream)
     // The attempt comes before its accounting, which would have to be undone if it could not be created.
+    const tokens = targets.tokens()
     const current = openAttempt(context, admittedRequest, {
       upstream,
       urgency,
+      tokens,
+      knownUncachedTokens: history.runs === 0 ? targets.knownUncachedTokens() : undefined,
       history,
       retry,
       timeLeft: timeLeft(),
@@ -160,7 +163,7 @@
       })
     }, now)
     history.runs += 1
-    accounting.start(upstream, plan.promptTokens, now.steady)
+    accounting.start(upstream, tokens, now.steady)
     if (attempt === undefined) attempt = current
     else successor = current
     if (plan.promptTokens > 0) context.engineLoads.promptSent()
@@ -339,12 +342,9 @@
     const now = context.now().steady
     recordActivity(current.upstream, now)
     if (current.firstByteAt === undefined) {
-      current.firstByteAt = now
       firstByteAt ??= now
-      backlog.firstByteReceived(now)
-      accounting.releasePendingPrefill(current)
+      accounting.recordFirstByte(current, now)
       current.sample.recordFirstByte(now)
-      observeWait(current.upstream, rank, now - current.startedAt, now)
     }
     crashGuard.recordProgress(current, now)
     if (!isStreamed(current)) {
--- a/src/edge/engineLoad.ts
+++ b/src/edge/engineLoad.ts
@@ -39,27 +39,34 @@
   return load
 }
 
-/** Keeps the newest load reported by each sender. */
-export interface ReportedLoads {
-  record: (name: string, load: EngineLoad, now: MonotonicMilliseconds) => void
+/** Keeps the newest values reported by each sender, by engine key. */
+export interface EngineReports<Value> {
+  record: (name: string, values: ReadonlyMap<number, Value>, now: MonotonicMilliseconds) => void
   /** Returns the sum of `own` and all recent reports. */
-  sum: (own: EngineLoad, now: MonotonicMilliseconds) => EngineLoad
+  sum: (own: ReadonlyMap<number, Value>, now: MonotonicMilliseconds) => ReadonlyMap<number, Value>
 }
 
-export function createReportedLoads (): ReportedLoads {
-  const reports = new Map<string, { load: EngineLoad, at: MonotonicMilliseconds }>()
+export function createEngineReports<Value> (add: (one: Value, other: Value) => Value): EngineReports<Value> {
+  const reports = new Map<string, { values: ReadonlyMap<number, Value>, at: MonotonicMilliseconds }>()
   return {
-    record (name, load, now) { reports.set(name, { load, at: now }) },
+    record (name, values, now) { reports.set(name, { values, at: now }) },
     sum (own, now) {
       const total = new Map(own)
-      for (const [name, { load, at }] of reports) {
+      for (const [name, { values, at }] of reports) {
         if (now - at >= REPORT_VALIDITY_MS) {
           reports.delete(name)
           continue
         }
-        for (const [key, tokens] of load) total.set(key, (total.get(key) ?? 0) + tokens)
+        for (const [key, value] of values) {
+          const present = total.get(key)
+          total.set(key, present === undefined ? value : add(present, value))
+        }
       }
       return total
     }
   }
 }
+
+export function createReportedLoads (): EngineReports<number> {
+  return createEngineReports((one, other) => one + other)
+}
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -4,6 +4,7 @@
 import type { ResponseBuffers } from './responseBuffers'
 import type { Backlog } from './backlog'
 import type { CrashReports } from './crashReports'
+import type { EngineSpeeds } from './engineSpeed/engineSpeeds'
 import type { EdgeLog } from './events'
 import type { Freshness } from './freshness'
 import type { LoadExchange } from './loadExchange'
@@ -50,6 +51,7 @@
   serviceRollouts: Pick<ServiceRollouts, 'eligible' | 'hasTargetVersion'>
   rolloutSampler: Pick<RolloutSampler, 'startAttempt'>
   engineLoads: Pick<LoadExchange, 'refresh' | 'promptSent' | 'prefillEnded'>
+  engineSpeeds: Pick<EngineSpeeds, 'ofService' | 'medianOf' | 'probe' | 'observe'>
   /** Engines that are loading weights or will load them next. */
   loadingEngines: () => ReadonlySet<Upstream>
   /** Buffers of responses that are forwarded only when they are complete. */
--- a/src/edge/loadExchange.ts
+++ b/src/edge/loadExchange.ts
@@ -1,10 +1,13 @@
 /**
- * Makes the prompt tokens that all instances have sent to each engine known to each instance. Aggregators of each data
+ * Makes what all instances have sent to each engine known to each instance, and the speeds that they have seen. Aggregators of each data
  * centre collect the loads of its instances and exchange their sums; an instance queries one of them right before it
  * places a prompt.
  */
 import { rankByRendezvous } from '../rendezvous'
-import { createReportedLoads, decodeLoad, encodeLoad, type EngineLoad } from './engineLoad'
+import { createEngineReports, createReportedLoads, decodeLoad, encodeLoad, type EngineLoad } from './engineLoad'
+import { NO_USE, ownUse, recordFleetUse, sumUses } from './engineRoom/engineUse'
+import { decodeUses, encodeUses, type EngineUses } from './engineRoom/useCodec'
+import type { EngineSpeeds } from './engineSpeed/engineSpeeds'
 import { requestIfReachable, PeerRequestKind, type PeerLinks, type PeerValue } from './peerLinks'
 import { PlatformUnavailableError } from '../errors'
 import type { Peer } from './types'
@@ -20,6 +23,10 @@
 const PREFILL_NOTIFY_DELAY_MS = 30
 /** Milliseconds without a query after which an instance no longer counts as an aggregator and stops sending its sum. */
 const AGGREGATOR_VALIDITY_MS = 1000
+/** Interval in milliseconds between reports while prompts are in progress; reports are valid for 500 ms. */
+const REPORT_INTERVAL_MS = 200
+/** Milliseconds between queries for the speeds of engines, which change only when an engine restarts. */
+const SPEED_INTERVAL_MS = 1000
 
 export interface LoadExchangeOptions {
   links: Pick<PeerLinks, 'request' | 'notify' | 'isUsable'>
@@ -28,6 +35,9 @@
   /** The other instances. */
   peers: () => readonly Peer[]
   directory: Pick<UpstreamDirectory, 'all'>
+  speeds: Pick<
+    EngineSpeeds, 'takeSamples' | 'receiveSamples' | 'forwardSamples' | 'encodeEstimates' | 'receiveEstimates'
+  >
   /** Monotonic clock in milliseconds. */
   now: () => number
 }
@@ -45,10 +55,13 @@
 }
 
 export function createLoadExchange (options: LoadExchangeOptions): LoadExchange {
-  const { links, instance, dataCentre, directory, now } = options
+  const { links, instance, dataCentre, directory, speeds, now } = options
   /** Loads of the instances that query this one, and sums of other aggregators. */
   const memberReports = createReportedLoads()
   const aggregatorReports = createReportedLoads()
+  /** The same for what requests use. */
+  const memberUses = createEngineReports(sumUses)
+  const aggregatorUses = createEngineReports(sumUses)
   let rankedPeers: readonly Peer[] | undefined
   /**
    * Aggregators in this instance's order of preference: those of the local data centre, then their standby; undefined
@@ -64,6 +77,9 @@
   let lastSentAt = -Infinity
   let pendingRefresh: Promise<void> | undefined
   let notifyTimer: NodeJS.Timeout | undefined
+  /** Timer of the next report while prompts are in progress. */
+  let reportTimer: NodeJS.Timeout | undefined
+  let speedsRequestedAt = -Infinity
   let exchangeTimer: NodeJS.Timeout | undefined
 
   function aggregatorsIn (location: string, peers: readonly Peer[]): { names: string[], standby: string[] } {
@@ -99,29 +115,61 @@
     )))
   }
 
+  function ownUses (): EngineUses {
+    return new Map([...directory.all()].flatMap((upstream) => (
+      upstream.inFlight > 0 ? [[upstream.loadKey, ownUse(upstream)] as const] : []
+    )))
+  }
+
   function memberLoads (): EngineLoad {
     return memberReports.sum(ownLoad(), now())
   }
 
-  function applyTotals (total: EngineLoad): void {
+  function sumOfMemberUses (): EngineUses {
+    return memberUses.sum(ownUses(), now())
+  }
+
+  function applyTotals (total: EngineLoad, totalUses: EngineUses): void {
     const present = now()
-    for (const upstream of directory.all()) recordFleetLoad(upstream, total.get(upstream.loadKey) ?? 0, present)
+    for (const upstream of directory.all()) {
+      recordFleetLoad(upstream, total.get(upstream.loadKey) ?? 0, present)
+      recordFleetUse(upstream, totalUses.get(upstream.loadKey) ?? NO_USE)
+    }
   }
 
   function ownReport (): PeerValue {
-    return { kind: PeerRequestKind.engineLoads, from: instance, load: encodeLoad(ownLoad()) }
+    scheduleReport()
+    const samples = speeds.takeSamples()
+    return {
+      kind: PeerRequestKind.engineLoads,
+      from: instance,
+      load: encodeLoad(ownLoad()),
+      uses: encodeUses(ownUses()),
+      ...(samples.length > 0 ? { samples } : {})
+    }
+  }
+
+  /** Repeats the report while prompts are in progress, which aggregators would otherwise forget. */
+  function scheduleReport (): void {
+    clearTimeout(reportTimer)
+    const isHolding = [...directory.all()].some(({ heldTokens }) => heldTokens > 0)
+    reportTimer = isHolding ? setTimeout(reportLoad, REPORT_INTERVAL_MS) : undefined
   }
 
   async function fetchTotals (): Promise<void> {
     const peer = currentAggregator()
     if (peer === undefined) {
       startExchanging()
-      applyTotals(aggregatorReports.sum(memberLoads(), now()))
+      applyTotals(aggregatorReports.sum(memberLoads(), now()), aggregatorUses.sum(sumOfMemberUses(), now()))
       return
     }
-    const response = await requestIfReachable(links, peer.endpoint, ownReport(), RESPONSE_TIMEOUT_MS)
+    const wantsSpeeds = now() - speedsRequestedAt >= SPEED_INTERVAL_MS
+    if (wantsSpeeds) speedsRequestedAt = now()
+    const query = { ...ownReport(), ...(wantsSpeeds ? { wantsSpeeds } : {}) }
+    const response = await requestIfReachable(links, peer.endpoint, query, RESPONSE_TIMEOUT_MS)
     const total = decodeLoad(response?.load)
-    if (total !== undefined) applyTotals(total)
+    if (total !== undefined) applyTotals(total, decodeUses(response?.uses, total))
+    if (wantsSpeeds) speeds.receiveEstimates(response?.speeds, now())
   }
 
   function reportLoad (): void {
@@ -140,12 +188,17 @@
     }
     updateRanking()
     const load = encodeLoad(memberLoads())
-    const isIdle = load.length === 0 && wasIdle
-    wasIdle = load.length === 0
+    const uses = encodeUses(sumOfMemberUses())
+    const hasUse = load.length + uses.length > 0
+    const isIdle = !hasUse && wasIdle
+    wasIdle = !hasUse
     // The other aggregators must know of a standby that has taken over before there is a load.
     if (isIdle && now() - lastSentAt < AGGREGATOR_VALIDITY_MS / 2) return
     lastSentAt = now()
-    const report = { kind: PeerRequestKind.engineLoads, collector: instance, load }
+    const samples = speeds.takeSamples()
+    const report = {
+      kind: PeerRequestKind.engineLoads, collector: instance, load, uses, ...(samples.length > 0 ? { samples } : {})
+    }
     for (const { name, endpoint } of options.peers()) {
       // A standby that took over from a lost aggregator reports its sum without being on the list.
       const isAggregator = aggregatorNames.has(name) ||
@@ -166,21 +219,31 @@
     },
     promptSent: reportLoad,
     prefillEnded () { notifyTimer ??= setTimeout(reportLoad, PREFILL_NOTIFY_DELAY_MS) },
-    async handleRequest ({ from, collector: name, load }) {
+    async handleRequest ({ from, collector: name, load, uses, samples, wantsSpeeds }) {
       const reportedLoad = decodeLoad(load)
       if (reportedLoad === undefined) throw new PlatformUnavailableError('engine load is malformed')
+      const reportedUses = decodeUses(uses, reportedLoad)
+      speeds.receiveSamples(samples, now())
       if (typeof name === 'string') {
+        aggregatorUses.record(name, reportedUses, now())
         aggregatorReports.record(name, reportedLoad, now())
         lastReportAt.set(name, now())
         return {}
       }
       startExchanging()
       memberReports.record(String(from), reportedLoad, now())
-      return { load: encodeLoad(aggregatorReports.sum(memberLoads(), now())) }
+      memberUses.record(String(from), reportedUses, now())
+      speeds.forwardSamples(samples)
+      return {
+        load: encodeLoad(aggregatorReports.sum(memberLoads(), now())),
+        uses: encodeUses(aggregatorUses.sum(sumOfMemberUses(), now())),
+        ...(wantsSpeeds === true ? { speeds: speeds.encodeEstimates() } : {})
+      }
     },
     stop () {
       clearInterval(exchangeTimer)
       clearTimeout(notifyTimer)
+      clearTimeout(reportTimer)
     }
   }
 }
--- a/src/edge/placement.ts
+++ b/src/edge/placement.ts
@@ -18,10 +18,14 @@
  * - Many upstreams lost or cut off at once: in a large fleet an instance reaches each of them for the first time only
  *   seconds later, and each such request waits for a connection without success. The notification of the first instance
  *   that fails steers the others away.
+ * - Engines of different speed: once their speeds are learned, the wait is expected from the uncached tokens at each engine
+ *   and its speed, and prefixes are distributed in proportion to the speeds.
  * - Short calls to plain services: the least busy upstream, with a preference for the local data centre.
  */
 import { rendezvousWeight } from '../rendezvous'
 import type { MonotonicMilliseconds } from '../types'
+import { expectedUse } from './engineRoom/engineUse'
+import { DEFAULT_MILLISECONDS_PER_1000_TOKENS, type ServiceSpeeds } from './engineSpeed/engineSpeeds'
 import { currentWait, expectedPendingTokens, isFleetLoadKnown, type Upstream } from './upstreamDirectory'
 
 /** Cost in milliseconds of an upstream in another data centre: one round trip between data centres. */
@@ -31,17 +35,16 @@
  */
 const IN_FLIGHT_CALL_MS = 20
 /**
- * Milliseconds to fetch or recompute 1,000 shared tokens, from the engines' prefill rate and the links to the store.
+ * Cost of fetching or recomputing shared tokens relative to their prefill, from the engines' prefill rate and the links
+ * to the store.
  */
-const PREFIX_MISS_MS_PER_1000_TOKENS = 12
+const PREFIX_MISS_RATIO = 1.5
 /**
  * Milliseconds by which the next engine in rank must be better, so that a prefix does not move with every load peak.
  */
 const SWITCH_MARGIN_MS = 40
 /** Growth of the cost of a lower-ranked engine with each rank, so that a hot prefix spreads to few engines first. */
 const RANK_PENALTY_GROWTH = 0.3
-/** Milliseconds to prefill 1,000 prompt tokens; the deployed engines prefill 80 to 160 tokens per millisecond. */
-const PREFILL_MS_PER_1000_TOKENS = 8
 /** Cost in milliseconds of an engine under a command to load weights; about the duration of a load. */
 const LOADING_PENALTY_MS = 1000
 /** Cost in milliseconds of an upstream that another instance cannot reach: a connection attempt without success. */
@@ -54,11 +57,17 @@
  * Fraction of engines with newer weights from which these are preferred; they then have room for a third more requests.
  */
 const MAJORITY_FRACTION = 0.75
+/** Upper bound of rendezvous weights, exclusive of 0 when added to 1. */
+const MAX_RENDEZVOUS_WEIGHT = 2 ** 32 + 1
 
 export interface PlacementRequest {
   /** Cache scope and last shared prompt segment of the request; undefined when it shares no segment. */
   prefixKey: string | undefined
   sharedTokens: number
+  /** All tokens of the prompt, shared ones included; 0 for a plain call. */
+  promptTokens: number
+  /** Learned speeds of the engines; undefined while the constant holds. */
+  speeds: ServiceSpeeds | undefined
   dataCentre: string
   /** Scheduling rank at the upstream; 0 is the most urgent. */
   urgency: number
@@ -72,59 +81,95 @@
   hasOutdatedWeights: (upstream: Upstream) => boolean
 }
 
-/** Returns the candidates in the order in which they should be tried. */
-export function rankUpstreams (
-  request: PlacementRequest, candidates: readonly Upstream[], now: MonotonicMilliseconds
-): Upstream[] {
-  return request.prefixKey === undefined
-    ? rankByLoad(request, candidates, now)
-    : rankByPrefix(request, request.prefixKey, candidates, now)
+export interface Placement {
+  upstream: Upstream
+  /** Whether the upstream should have the shared prefix in its cache; undefined without a prefix. */
+  isHolder: boolean | undefined
 }
 
-function sortByCost (
-  candidates: readonly Upstream[], cost: (upstream: Upstream) => number, now: MonotonicMilliseconds
-): Upstream[] {
-  return candidates
-    .map((upstream) => (
-      { upstream, cost: cost(upstream) + (now < upstream.suspectedUntil ? SUSPECTED_PENALTY_MS : 0) }
-    ))
-    .sort((one, other) => one.cost - other.cost)
-    .map(({ upstream }) => upstream)
-}
+type Cost = (upstream: Upstream) => number
 
-function rankByLoad (
+/** Returns the upstream that should get the request; undefined without candidates. */
+export function placeRequest (
   request: PlacementRequest, candidates: readonly Upstream[], now: MonotonicMilliseconds
-): Upstream[] {
-  return sortByCost(candidates, (upstream) => (
-    currentWait(upstream, request.urgency, now) +
+): Placement | undefined {
+  const ranks = request.prefixKey === undefined ? undefined : rankByKey(request, request.prefixKey, candidates)
+  const cost = ranks === undefined ? loadCost(request, now) : prefixCost(request, ranks, candidates, now)
+  let best: Upstream | undefined
+  let lowestCost = Infinity
+  for (const upstream of candidates) {
+    const total = cost(upstream) + (now < upstream.suspectedUntil ? SUSPECTED_PENALTY_MS : 0)
+    if (best !== undefined && total >= lowestCost) continue
+    best = upstream
+    lowestCost = total
+  }
+  if (best === undefined) return undefined
+  const rank = ranks?.get(best)
+  return { upstream: best, isHolder: rank === undefined ? undefined : rank < request.replicas }
+}
+
+function loadCost (request: PlacementRequest, now: MonotonicMilliseconds): Cost {
+  return (upstream) => (
+    expectedWait(request, upstream, now) +
     upstream.inFlight * IN_FLIGHT_CALL_MS / upstream.entry.slots +
     (upstream.entry.dataCentre === request.dataCentre ? 0 : REMOTE_DATA_CENTRE_PENALTY_MS)
-  ), now)
+  )
+}
+
+/**
+ * Returns the milliseconds until the upstream would have processed the own part of the prompt, or until it would begin
+ * while speeds are not known.
+ */
+function expectedWait (
+  { prefixKey, promptTokens, sharedTokens, speeds, urgency }: PlacementRequest, upstream: Upstream,
+  now: MonotonicMilliseconds
+): number {
+  const observed = currentWait(upstream, urgency, now)
+  if (speeds !== undefined) {
+    const tokens = expectedUse(upstream, now).prefillTokens + Math.max(0, promptTokens - sharedTokens)
+    return Math.max(observed, tokens / 1000 * speeds.of(upstream))
+  }
+  if (prefixKey === undefined) return observed
+  return observed + expectedPendingTokens(upstream, now) / 1000 * DEFAULT_MILLISECONDS_PER_1000_TOKENS
 }
 
-function rankByPrefix (
-  request: PlacementRequest, prefixKey: string, candidates: readonly Upstream[], now: MonotonicMilliseconds
-): Upstream[] {
-  const ranks = new Map(candidates
-    .map((upstream) => ({ upstream, weight: rendezvousWeight(prefixKey, upstream.entry.identifier) }))
-    .sort((one, other) => other.weight - one.weight)
+/**
+ * Ranks the engines for a prefix. The share of prefixes for which an engine ranks first is in proportion to its speed
+ * (weighted rendezvous hashing), and a changed speed moves only the prefixes that make up the difference.
+ */
+function rankByKey (
+  { speeds }: PlacementRequest, prefixKey: string, candidates: readonly Upstream[]
+): ReadonlyMap<Upstream, number> {
+  const score = (upstream: Upstream): number => {
+    const weight = rendezvousWeight(prefixKey, upstream.entry.identifier)
+    return speeds === undefined ? weight : Math.log((weight + 1) / MAX_RENDEZVOUS_WEIGHT) / speeds.relative(upstream)
+  }
+  return new Map(candidates
+    .map((upstream) => ({ upstream, score: score(upstream) }))
+    .sort((one, other) => other.score - one.score)
     .map(({ upstream }, rank) => [upstream, rank]))
+}
+
+function prefixCost (
+  request: PlacementRequest, ranks: ReadonlyMap<Upstream, number>, candidates: readonly Upstream[],
+  now: MonotonicMilliseconds
+): Cost {
   const preferredRank = Math.floor(request.draw * Math.min(request.replicas, candidates.length))
-  const missCost = SWITCH_MARGIN_MS + request.sharedTokens / 1000 * PREFIX_MISS_MS_PER_1000_TOKENS
+  const missCost = SWITCH_MARGIN_MS + request.sharedTokens / 1000 * PREFIX_MISS_RATIO *
+    (request.speeds?.median ?? DEFAULT_MILLISECONDS_PER_1000_TOKENS)
   const outdated = new Set(candidates.filter((upstream) => request.hasOutdatedWeights(upstream)))
   const isFleetLoadAvailable = candidates.some((upstream) => isFleetLoadKnown(upstream, now))
   const earlyPenalty = isFleetLoadAvailable ? EARLY_OUTDATED_WEIGHTS_PENALTY_MS : 0
   const outdatedPenalty = outdated.size <= candidates.length * (1 - MAJORITY_FRACTION)
     ? OUTDATED_WEIGHTS_PENALTY_MS
     : earlyPenalty
-  return sortByCost(candidates, (upstream) => {
+  return (upstream) => {
     const rank = ranks.get(upstream)!
-    return currentWait(upstream, request.urgency, now) +
-      expectedPendingTokens(upstream, now) / 1000 * PREFILL_MS_PER_1000_TOKENS +
+    return expectedWait(request, upstream, now) +
       rankPenalty(rank, preferredRank, request.replicas, missCost) +
       (outdated.has(upstream) ? outdatedPenalty : 0) +
       (request.loadingEngines.has(upstream) ? LOADING_PENALTY_MS : 0)
-  }, now)
+  }
 }
 
 function rankPenalty (rank: number, preferredRank: number, replicas: number, missCost: number): number {
--- a/src/edge/prefixDemand.ts
+++ b/src/edge/prefixDemand.ts
@@ -5,14 +5,23 @@
 const RATE_TIME_CONSTANT_MS = 2000
 /** Fraction of one engine's time that a prefix may use before another engine caches it too. */
 const MAX_ENGINE_SHARE = 0.4
-/** Engine time in milliseconds for 1,000 prompt tokens that are not shared. */
-const PREFILL_MS_PER_1000_TOKENS = 8
 /** Number of prefixes tracked; the least recently requested one is evicted first. */
 const MAX_PREFIXES = 5000
 
 export interface PrefixDemand {
   /** Records a request and returns the number of engines that should cache its prefix. */
-  replicasFor: (subject: string, ownTokens: number, instances: number, now: MonotonicMilliseconds) => number
+  replicasFor: (request: PrefixRequest, now: MonotonicMilliseconds) => number
+}
+
+export interface PrefixRequest {
+  /** Identifies the prefix and who may share it. */
+  subject: string
+  /** Prompt tokens that are not shared. */
+  ownTokens: number
+  /** Number of instances of the fleet. */
+  instances: number
+  /** Engine time for 1,000 of the own tokens. */
+  millisecondsPer1000Tokens: number
 }
 
 interface DecayedCount {
@@ -24,7 +33,7 @@
 export function createPrefixDemand (): PrefixDemand {
   const counts = new Map<string, DecayedCount>()
   return {
-    replicasFor (subject, ownTokens, instances, now) {
+    replicasFor ({ subject, ownTokens, instances, millisecondsPer1000Tokens }, now) {
       const previous = counts.get(subject)
       const weight = previous === undefined
         ? 1
@@ -35,7 +44,7 @@
       if (counts.size > MAX_PREFIXES && oldest !== undefined) counts.delete(oldest)
       // A single request does not show a rate, so the first one of a prefix counts as none.
       const perMillisecond = (weight - 1) / RATE_TIME_CONSTANT_MS * instances
-      return Math.max(1, Math.ceil(perMillisecond * ownTokens / 1000 * PREFILL_MS_PER_1000_TOKENS / MAX_ENGINE_SHARE))
+      return Math.max(1, Math.ceil(perMillisecond * ownTokens / 1000 * millisecondsPer1000Tokens / MAX_ENGINE_SHARE))
     }
   }
 }
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -1,6 +1,8 @@
 /** Selects the upstream for each attempt of a request. */
+import type { RequestTokens } from './attempt'
+import { heldTokensOf } from './engineRoom/engineUse'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
-import { rankUpstreams } from './placement'
+import { placeRequest } from './placement'
 import { urgencyOf } from './promptPlan'
 import { runKey } from './requestLimits'
 import { rankByRendezvous } from '../rendezvous'
@@ -27,6 +29,8 @@
 const TURNED_AWAY_PAUSE_MS = 250
 /** Longest such pause. */
 const MAX_TURNED_AWAY_PAUSE_MS = 1000
+/** Fraction of a prompt up to which it does not matter for the learned speed whether it is cached. */
+const MAX_UNKNOWN_SHARE = 0.05
 /** Longest time in milliseconds that a denial is relied on; the limit or the instance that denied it may change. */
 const MAX_DENIAL_MS = 1000
 
@@ -72,6 +76,10 @@
   failureReason: () => string
   /** Returns the number of engines that should hold the shared prefix. */
   replicas: () => number
+  /** Returns the tokens that the request uses at the upstream selected last. */
+  tokens: () => RequestTokens
+  /** Returns the prompt tokens that this upstream has not cached; undefined if that is not known. */
+  knownUncachedTokens: () => number | undefined
 }
 
 /** Requests without an urgency share one rank. */
@@ -83,7 +91,8 @@
 export function createTargetSelection (
   context: ExchangeContext, admittedRequest: AdmittedRequest, timeLeft: () => number
 ): TargetSelection {
-  const { callerRequest: { model }, route, customer, service, plan } = admittedRequest
+  const { callerRequest, route, customer, service, plan } = admittedRequest
+  const { model } = callerRequest
   const rank = urgencyRank(urgencyOf(route, customer))
   /** Runs that got the request, and until when they are excluded; the next run of an upstream may get it, too. */
   const tried = new Map<string, MonotonicMilliseconds>()
@@ -94,6 +103,9 @@
   let isRestricted = false
   let replicas = 1
   let denials = 0
+  /** Whether the upstream selected last should have the shared prefix in its cache; undefined without a prefix. */
+  let isHolder: boolean | undefined
+  const ownTokens = Math.max(0, plan.promptTokens - plan.sharedTokens)
 
   /** Returns the longest time in milliseconds for which newer weights than the upstream's may have been announced. */
   function outdatedWeightsAge (upstream: Upstream, now: Instant): number {
@@ -138,8 +150,12 @@
   return {
     start (now) {
       if (plan.prefixKey === undefined) return
-      const ownTokens = Math.max(0, plan.promptTokens - plan.sharedTokens)
-      replicas = context.prefixDemand.replicasFor(plan.prefixKey, ownTokens, context.instanceCount(), now)
+      replicas = context.prefixDemand.replicasFor({
+        subject: plan.prefixKey,
+        ownTokens,
+        instances: context.instanceCount(),
+        millisecondsPer1000Tokens: context.engineSpeeds.medianOf(service, now)
+      }, now)
     },
     select (now, suspectTrait) {
       const { candidates: all, maximumPermitWait } = findCandidates(now)
@@ -148,11 +164,14 @@
       if (suspectTrait !== undefined) {
         const [first] = rankByRendezvous(suspectTrait, candidates.map(({ entry }) => entry.identifier))
         const upstream = candidates.find(({ entry }) => entry.identifier === first)
+        isHolder = false
         return upstream === undefined ? undefined : { upstream, maximumPermitWait }
       }
-      const [upstream] = rankUpstreams({
+      const placement = placeRequest({
         prefixKey: plan.prefixKey,
         sharedTokens: plan.sharedTokens,
+        promptTokens: plan.promptTokens,
+        speeds: plan.promptTokens > 0 ? context.engineSpeeds.ofService(service, now.steady) : undefined,
         dataCentre: context.dataCentre,
         urgency: rank,
         replicas,
@@ -160,7 +179,8 @@
         loadingEngines: context.loadingEngines(),
         hasOutdatedWeights: (candidate) => outdatedWeightsAge(candidate, now) > OUTDATED_WEIGHTS_GRACE_MS
       }, candidates, now.steady)
-      return upstream === undefined ? undefined : { upstream, maximumPermitWait }
+      isHolder = placement?.isHolder
+      return placement === undefined ? undefined : { upstream: placement.upstream, maximumPermitWait }
     },
     canMove: (now) => findCandidates(now).candidates.some((upstream) => !isQuiet(upstream, now.steady)),
     restrictToFormer (value) { isRestricted = value },
@@ -187,6 +207,15 @@
         ? 'no upstream is usable within its request limit'
         : 'no upstream is usable'
     ),
-    replicas: () => replicas
+    replicas: () => replicas,
+    tokens: () => ({
+      prompt: plan.promptTokens,
+      uncached: isHolder === true ? ownTokens : plan.promptTokens,
+      held: heldTokensOf(plan.promptTokens, callerRequest.tokens?.output ?? 0)
+    }),
+    knownUncachedTokens () {
+      if (plan.sharedTokens <= plan.promptTokens * MAX_UNKNOWN_SHARE) return plan.promptTokens
+      return isHolder === true ? ownTokens : undefined
+    }
   }
 }
--- a/src/edge/upstreamDirectory.ts
+++ b/src/edge/upstreamDirectory.ts
@@ -4,6 +4,8 @@
  */
 import type { MonotonicMilliseconds, WallClockMilliseconds } from '../types'
 import { loadKeyOf } from './engineLoad'
+import { NO_USE, type EngineUse } from './engineRoom/engineUse'
+import { createSpeedEstimate, type SpeedEstimate } from './engineSpeed/speedEstimate'
 import { UNKNOWN_START, type ModelWeights, type UpstreamEntry, type UpstreamRun } from './types'
 
 /**
@@ -75,6 +77,16 @@
   fleetLoadUpdatedAt: MonotonicMilliseconds
   /** Prompt tokens that this instance has sent there since that update. */
   tokensSentSinceUpdate: number
+  /** Prompt tokens of this instance's requests that wait for prefill and are not expected in the engine's cache. */
+  pendingUncachedTokens: number
+  /** Prompt and expected output tokens of this instance's requests that have not ended. */
+  heldTokens: number
+  /** What the requests of all instances used at the last update of the fleet load. */
+  fleetUse: EngineUse
+  /** What this instance has sent since that update. */
+  useSinceUpdate: EngineUse
+  /** Speed of the engine, as learned from its answers. */
+  readonly speed: SpeedEstimate
   /** Identifies the upstream in the loads that instances exchange. */
   readonly loadKey: number
   /** Newest known weights by model, from the entry and from responses. */
@@ -246,6 +258,11 @@
     fleetPendingTokens: 0,
     fleetLoadUpdatedAt: -Infinity,
     tokensSentSinceUpdate: 0,
+    pendingUncachedTokens: 0,
+    heldTokens: 0,
+    fleetUse: NO_USE,
+    useSinceUpdate: NO_USE,
+    speed: createSpeedEstimate(),
     loadKey: loadKeyOf(entry.identifier),
     weights: new Map(entry.weights.map(({ model, version }) => [model, version])),
     waits: new Map(),
