Memory and slots of engines in placement, and the engine room

Placement knew the prompts that wait for prefill, but not what an engine holds until a request ends: ten long prompts fill the memory of an engine that has 64 slots. Load reports now carry, in an optional field, the tokens held and the number of requests not ended; they are repeated every 200 ms while prompts are in progress, because aggregators forget a report after 500 ms. Capacities come from the configuration. An engine without room for a request costs a second more. The engine room gives admission control expectedStart and drainRate.

--- a/src/edge/__tests__/failureReports.test.ts
+++ b/src/edge/__tests__/failureReports.test.ts
@@ -6,7 +6,7 @@
 import type { PeerValue } from '../peerLinks'
 import { placeRequest, type PlacementRequest } from '../placement'
 import { createUpstreamDirectory, recordActivity, isUsable, pauseAfterFailure, type UpstreamDirectory } from '../upstreamDirectory'
-import { createEntry } from './fixtures'
+import { createEntry, UNBOUNDED_ROOM } from './fixtures'
 
 interface Instance {
   directory: UpstreamDirectory
@@ -82,6 +82,8 @@
     prefixKey: '',
     sharedTokens: 6300,
     promptTokens: 0,
+    heldTokens: 0,
+    capacityOf: UNBOUNDED_ROOM.capacityOf,
     speeds: undefined,
     dataCentre: 'north',
     urgency: 0,
--- a/src/edge/__tests__/fixtures.ts
+++ b/src/edge/__tests__/fixtures.ts
@@ -41,6 +41,7 @@
     version: 1,
     routes: [createRoute()],
     cacheStores: [],
+    engineCapacities: [],
     customers: [createCustomer()],
     limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeout: 3000, idleTimeout: 15_000 },
     ...values
@@ -68,6 +69,14 @@
   return [...directory.all()]
 }
 
+/** Engines of which only the slots are known. */
+export const UNBOUNDED_ROOM: ExchangeContext['engineRoom'] = {
+  expectedStart: () => 0,
+  drainRate: () => 0,
+  capacityOf: ({ entry }) => ({ memoryTokens: Infinity, slots: entry.slots }),
+  recordEnd () {}
+}
+
 /** Speeds of engines that nothing has shown yet. */
 export const UNKNOWN_SPEEDS: ExchangeContext['engineSpeeds'] = {
   ofService: () => undefined, medianOf: () => 8, probe: () => undefined, observe () {}
--- a/src/edge/__tests__/lifeSimulation.ts
+++ b/src/edge/__tests__/lifeSimulation.ts
@@ -20,7 +20,7 @@
 import { createTrialPermits } from '../trialPermits'
 import { RequestLimitKind, type Instant, type UpstreamEntry } from '../types'
 import { createUpstreamDirectory, type UpstreamDirectory } from '../upstreamDirectory'
-import { createEntry, UNKNOWN_SPEEDS } from './fixtures'
+import { createEntry, UNBOUNDED_ROOM, UNKNOWN_SPEEDS } from './fixtures'
 import { configurationAt, isStoreAway } from './lifeChanges'
 import type { Schedule } from './lifeSchedule'
 import { createCallerRequest, createCallerResponse, simulatedDialect, type CallerView } from './simulatedCallers'
@@ -129,6 +129,7 @@
     rolloutSampler: createRolloutSampler(() => false),
     engineLoads: { refresh: async () => {}, promptSent () {}, prefillEnded () {} },
     engineSpeeds: UNKNOWN_SPEEDS,
+    engineRoom: UNBOUNDED_ROOM,
     loadingEngines: () => new Set(),
     responseBuffers: createResponseBuffers(),
     upstreamHints: { apply () {} },
--- a/src/edge/__tests__/loadExchange.test.ts
+++ b/src/edge/__tests__/loadExchange.test.ts
@@ -1,5 +1,7 @@
 import { afterEach, describe, expect, it } from 'vitest'
 import { PlatformUnavailableError } from '../../errors'
+import { encodeLoad, loadKeyOf } from '../engineLoad'
+import { expectedUse, recordUseStart } from '../engineRoom/engineUse'
 import { createEngineSpeeds } from '../engineSpeed/engineSpeeds'
 import { createLoadExchange, type LoadExchange } from '../loadExchange'
 import type { PeerValue } from '../peerLinks'
@@ -113,3 +115,67 @@
     expect(await pendingTokens(members.get('north-1')!)).toEqual([1600, 0])
   })
 })
+
+/** Sends a prompt of which 2,890 tokens are not cached, and whose request holds 9,200 tokens until it ends. */
+async function sendLongPrompt (member: Member): Promise<void> {
+  recordUseStart(member.engines[0]!, 2890, 9200)
+  await sendPrompt(member, 9190)
+}
+
+async function heldAt ({ engines, exchange }: Member): Promise<Array<[number, number]>> {
+  await exchange.refresh()
+  return engines.map((engine) => {
+    const { heldTokens, requests } = expectedUse(engine, performance.now())
+    return [heldTokens, requests]
+  })
+}
+
+async function wait (milliseconds: number): Promise<void> {
+  await new Promise((resolve) => { setTimeout(resolve, milliseconds) })
+}
+
+describe('what requests hold at an engine', () => {
+  it('is known in all data centres until the request ends, also when its instance sends nothing else', async () => {
+    const { members } = createFleet(DATA_CENTRES)
+    const sender = members.get('north-1')!
+    await sendLongPrompt(sender)
+    sender.engines[0]!.pendingPrefillTokens = 0
+    await heldAt(members.get('south-1')!)
+    await wait(800)
+    for (const name of ['north-2', 'north-3']) expect(await heldAt(members.get(name)!)).toEqual([[9200, 1], [0, 0]])
+    await heldAt(members.get('south-1')!)
+    await wait(100)
+    expect(await heldAt(members.get('south-1')!)).toEqual([[9200, 1], [0, 0]])
+    sender.engines[0]!.heldTokens = 0
+    sender.engines[0]!.inFlight = 0
+    await wait(300)
+    expect(await heldAt(members.get('north-2')!)).toEqual([[0, 0], [0, 0]])
+  })
+
+  it('is forgotten within half a second when the instance is lost', async () => {
+    const { members } = createFleet(DATA_CENTRES)
+    await sendLongPrompt(members.get('north-1')!)
+    const other = members.get('north-2')!
+    expect(await heldAt(other)).toEqual([[9200, 1], [0, 0]])
+    members.get('north-1')!.exchange.stop()
+    await wait(550)
+    expect(await heldAt(other)).toEqual([[0, 0], [0, 0]])
+  })
+
+  it('is that of the instance itself when no peer responds', async () => {
+    const { members, unreachable } = createFleet(DATA_CENTRES)
+    for (const name of members.keys()) unreachable.add(name)
+    await sendLongPrompt(members.get('north-1')!)
+    await sendLongPrompt(members.get('north-2')!)
+    expect(await heldAt(members.get('north-1')!)).toEqual([[9200, 1], [0, 0]])
+  })
+
+  it('counts the prompts that wait for prefill of an instance of an earlier release', async () => {
+    const { members } = createFleet({ 'north-1': 'north', 'north-2': 'north' })
+    const load = encodeLoad(new Map([[loadKeyOf('engine-1'), 1600]]))
+    for (const { exchange } of members.values()) {
+      await exchange.handleRequest({ kind: 'engineLoads', from: 'north-9', load })
+    }
+    expect(await heldAt(members.get('north-1')!)).toEqual([[1600, 0], [0, 0]])
+  })
+})
--- a/src/edge/__tests__/placement.test.ts
+++ b/src/edge/__tests__/placement.test.ts
@@ -4,12 +4,14 @@
 import { createPrefixDemand } from '../prefixDemand'
 import { placeRequest, type PlacementRequest } from '../placement'
 import { recordAttemptStart, recordAttemptEnd, recordFleetLoad, observeWait, type Upstream } from '../upstreamDirectory'
-import { createEntry, createUpstreams } from './fixtures'
+import { createEntry, createUpstreams, UNBOUNDED_ROOM } from './fixtures'
 
 const plainRequest: PlacementRequest = {
   prefixKey: undefined,
   sharedTokens: 0,
   promptTokens: 0,
+  heldTokens: 0,
+  capacityOf: UNBOUNDED_ROOM.capacityOf,
   speeds: undefined,
   dataCentre: 'north',
   urgency: 0,
--- a/src/edge/__tests__/targetSelection.test.ts
+++ b/src/edge/__tests__/targetSelection.test.ts
@@ -3,7 +3,7 @@
 import { createTargetSelection, type TargetSelection } from '../targetSelection'
 import { RepeatRule } from '../types'
 import { createUpstreamDirectory, recordAttemptStart, type UpstreamDirectory } from '../upstreamDirectory'
-import { createEntry, createRoute, UNKNOWN_SPEEDS } from './fixtures'
+import { createEntry, createRoute, UNBOUNDED_ROOM, UNKNOWN_SPEEDS } from './fixtures'
 
 const NAMES = ['a', 'b', 'c', 'd', 'e']
 const NOW = { steady: 0, wall: 0 }
@@ -22,6 +22,7 @@
     random: () => 0,
     loadingEngines: () => new Set(),
     engineSpeeds: UNKNOWN_SPEEDS,
+    engineRoom: UNBOUNDED_ROOM,
     weightsRollout: { target: () => undefined, supersededFor: () => 0 },
     serviceRollouts: { eligible: (_service: string, upstreams: unknown) => upstreams, hasTargetVersion: () => false },
     sendPermits: { isNeeded: ({ identifier }: { identifier: string }) => limited.includes(identifier) }
--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -3,6 +3,7 @@
 import type { MonotonicMilliseconds } from '../types'
 import type { Backlog } from './backlog'
 import { recordUseStart } from './engineRoom/engineUse'
+import type { EngineRoom } from './engineRoom/engineRoom'
 import type { EngineSpeeds, SpeedProbe } from './engineSpeed/engineSpeeds'
 import type { LoadExchange } from './loadExchange'
 import type { ResponseBuffer } from './responseBuffers'
@@ -89,11 +90,12 @@
 export interface AccountingContext {
   engineLoads: Pick<LoadExchange, 'prefillEnded'>
   engineSpeeds: Pick<EngineSpeeds, 'observe'>
+  engineRoom: Pick<EngineRoom, 'recordEnd'>
 }
 
 /** @param rank urgency of the request */
 export function createAttemptAccounting (
-  { engineLoads, engineSpeeds }: AccountingContext, backlog: Backlog, rank: number
+  { engineLoads, engineSpeeds, engineRoom }: AccountingContext, backlog: Backlog, rank: number
 ): AttemptAccounting {
   /** Removes the prompt from the tokens pending prefill, after its prefill or at the end of the attempt. */
   function releasePendingPrefill (attempt: Attempt): void {
@@ -140,7 +142,7 @@
     end (attempt, now) {
       if (attempt.firstByteAt === undefined) {
         observeMinimumWait(attempt.upstream, rank, now - attempt.startedAt, now)
-      }
+      } else engineRoom.recordEnd(attempt.upstream, now - attempt.startedAt)
       releasePendingPrefill(attempt)
       attempt.buffer.discard()
       resume(attempt, now)
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -209,11 +209,9 @@
   const crashHandling = createCrashHandling({
     links, instance: name, dataCentre, peers, directory, log, now: () => performance.now(), random, onFault: reportFault
   })
+  const membership = { links, instance: name, dataCentre, peers }
   const sendPermits = createSendPermits({
-    links,
-    instance: name,
-    dataCentre,
-    peers,
+    ...membership,
     sender: instances.sender,
     share: () => instances.share(),
     limits: requestLimits,
@@ -222,7 +220,7 @@
   })
   const upstreamHints = createUpstreamHints({ broadcast: leavingBroadcast.send, directory, requestLimits, log })
   const engines = composeEngines({
-    links, instance: name, dataCentre, peers, directory, now: () => performance.now()
+    ...membership, directory, loadingEngines: () => loadingEngines, now: () => performance.now()
   })
   const rolloutBroadcast = createBroadcast(PeerRequestKind.serviceRollouts, (content) => {
     const notification = parseRolloutUpdate(content)
@@ -318,6 +316,7 @@
     onConfiguration (configuration) {
       server.setLimits(configuration.limits)
       cacheStores.configure(configuration.cacheStores)
+      engines.engineRoom.configure(configuration.engineCapacities)
     },
     onUndatedRollout: (service) => { serviceRolloutTask.readStatus(service) },
     onUpstreamGone: ({ upstream }) => { connections.remove(upstream) }
--- a/src/edge/engineRoom/__tests__/engineFleet.ts
+++ b/src/edge/engineRoom/__tests__/engineFleet.ts
@@ -47,11 +47,11 @@
   /** Milliseconds to the first byte of each request that an engine began, in order of arrival. */
   waits: number[]
   turnedAway: number
-  /** Times at which an engine held more tokens than its memory has. */
+  /** Requests whose prefix was not in the cache of their engine. */
   misses: number
+  /** Requests that found no slot or memory at their engine when they arrived. */
+  withoutRoom: number
   sentTo: Map<string, number>
-  /** Largest number of tokens that an engine was sent and had not ended, relative to its memory. */
-  peakHeldRatio: number
 }
 
 /** Milliseconds of a step that produces one output token of each running request. */
@@ -105,7 +105,7 @@
   const engines = new Map(options.engines.map((engine): [string, RunningEngine] => [engine.name, {
     ...engine, freeAt: 0, running: 0, usedTokens: 0, queue: [], cached: [], use: NO_USE, pendingTokens: 0
   }]))
-  const result: FleetResult = { waits: [], turnedAway: 0, misses: 0, sentTo: new Map(), peakHeldRatio: 0 }
+  const result: FleetResult = { waits: [], turnedAway: 0, misses: 0, withoutRoom: 0, sentTo: new Map() }
   const events: Array<{ at: number, run: (now: number) => void }> = []
   const snapshots: Array<{ at: number, uses: Map<string, EngineUse>, pending: Map<string, number> }> = []
 
@@ -139,7 +139,6 @@
     recordUseStart(upstream, uncached, held)
     engine.use = sumUses(engine.use, { prefillTokens: uncached, heldTokens: held, requests: 1 })
     engine.pendingTokens += request.promptTokens
-    result.peakHeldRatio = Math.max(result.peakHeldRatio, engine.use.heldTokens / engine.memoryTokens)
     const position = result.waits.push(Infinity) - 1
 
     function begin (present: number): void {
@@ -177,6 +176,8 @@
       beginWaiting(engine)
     }
 
+    const hasRoom = engine.running < engine.slots && engine.usedTokens + held <= engine.memoryTokens
+    if (!hasRoom || engine.queue.length > 0) result.withoutRoom += 1
     if (engine.queue.length > 0) engine.queue.push(() => { begin(currentTime) })
     else begin(now)
   }
--- a/src/edge/engineSpeed/__tests__/unevenEngines.test.ts
+++ b/src/edge/engineSpeed/__tests__/unevenEngines.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import { UNBOUNDED_ROOM } from '../../__tests__/fixtures'
 import { quantile, simulateFleet, type EngineModel, type FleetResult } from '../../engineRoom/__tests__/engineFleet'
 import { placeRequest } from '../../placement'
 import { createEngineSpeeds, type EngineSpeeds } from '../engineSpeeds'
@@ -45,6 +46,8 @@
         prefixKey: request.prefix,
         sharedTokens: request.sharedTokens,
         promptTokens: request.promptTokens,
+        heldTokens: 0,
+        capacityOf: UNBOUNDED_ROOM.capacityOf,
         speeds: isLearning ? learned.ofService('engines', now) : undefined,
         dataCentre: 'north',
         urgency: 0,
--- a/src/edge/placement.ts
+++ b/src/edge/placement.ts
@@ -18,6 +18,8 @@
  * - Many upstreams lost or cut off at once: in a large fleet an instance reaches each of them for the first time only
  *   seconds later, and each such request waits for a connection without success. The notification of the first instance
  *   that fails steers the others away.
+ * - Long prompts: they fill the memory of engines that still have slots. An engine without room for a request is passed
+ *   over while another one has room.
  * - Engines of different speed: once their speeds are learned, the wait is expected from the uncached tokens at each engine
  *   and its speed, and prefixes are distributed in proportion to the speeds.
  * - Short calls to plain services: the least busy upstream, with a preference for the local data centre.
@@ -25,6 +27,7 @@
 import { rendezvousWeight } from '../rendezvous'
 import type { MonotonicMilliseconds } from '../types'
 import { expectedUse } from './engineRoom/engineUse'
+import type { EngineCapacity } from './types'
 import { DEFAULT_MILLISECONDS_PER_1000_TOKENS, type ServiceSpeeds } from './engineSpeed/engineSpeeds'
 import { currentWait, expectedPendingTokens, isFleetLoadKnown, type Upstream } from './upstreamDirectory'
 
@@ -49,6 +52,10 @@
 const LOADING_PENALTY_MS = 1000
 /** Cost in milliseconds of an upstream that another instance cannot reach: a connection attempt without success. */
 const SUSPECTED_PENALTY_MS = 400
+/**
+ * Cost in milliseconds of an engine without room for the request, which waits there until others end or is turned away.
+ */
+const NO_ROOM_PENALTY_MS = 1000
 /** Cost in milliseconds of outdated weights; a response computed on old weights loses a fifth of its value. */
 const OUTDATED_WEIGHTS_PENALTY_MS = 250
 /** The same cost while few engines have the new weights; the first requests would form a queue there. */
@@ -66,6 +73,10 @@
   sharedTokens: number
   /** All tokens of the prompt, shared ones included; 0 for a plain call. */
   promptTokens: number
+  /** Prompt and expected output, as an engine holds them in its memory; 0 for a plain call. */
+  heldTokens: number
+  /** Returns what an engine can hold. */
+  capacityOf: (upstream: Upstream) => Pick<EngineCapacity, 'memoryTokens' | 'slots'>
   /** Learned speeds of the engines; undefined while the constant holds. */
   speeds: ServiceSpeeds | undefined
   dataCentre: string
@@ -98,7 +109,8 @@
   let best: Upstream | undefined
   let lowestCost = Infinity
   for (const upstream of candidates) {
-    const total = cost(upstream) + (now < upstream.suspectedUntil ? SUSPECTED_PENALTY_MS : 0)
+    const total = cost(upstream) + roomCost(request, upstream, now) +
+      (now < upstream.suspectedUntil ? SUSPECTED_PENALTY_MS : 0)
     if (best !== undefined && total >= lowestCost) continue
     best = upstream
     lowestCost = total
@@ -108,6 +120,19 @@
   return { upstream: best, isHolder: rank === undefined ? undefined : rank < request.replicas }
 }
 
+/** Returns the cost of sending the request to an engine that has no memory or slot for it; it grows with the excess. */
+function roomCost (
+  { heldTokens, capacityOf }: PlacementRequest, upstream: Upstream, now: MonotonicMilliseconds
+): number {
+  if (heldTokens === 0) return 0
+  const { memoryTokens, slots } = capacityOf(upstream)
+  // Without a configured memory nothing is known of the engine.
+  if (memoryTokens === Infinity) return 0
+  const use = expectedUse(upstream, now)
+  const ratio = Math.max((use.heldTokens + heldTokens) / memoryTokens, (use.requests + 1) / slots)
+  return ratio <= 1 ? 0 : NO_ROOM_PENALTY_MS * ratio
+}
+
 function loadCost (request: PlacementRequest, now: MonotonicMilliseconds): Cost {
   return (upstream) => (
     expectedWait(request, upstream, now) +
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -106,6 +106,7 @@
   /** Whether the upstream selected last should have the shared prefix in its cache; undefined without a prefix. */
   let isHolder: boolean | undefined
   const ownTokens = Math.max(0, plan.promptTokens - plan.sharedTokens)
+  const heldTokens = heldTokensOf(plan.promptTokens, callerRequest.tokens?.output ?? 0)
 
   /** Returns the longest time in milliseconds for which newer weights than the upstream's may have been announced. */
   function outdatedWeightsAge (upstream: Upstream, now: Instant): number {
@@ -171,6 +172,8 @@
         prefixKey: plan.prefixKey,
         sharedTokens: plan.sharedTokens,
         promptTokens: plan.promptTokens,
+        heldTokens,
+        capacityOf: context.engineRoom.capacityOf,
         speeds: plan.promptTokens > 0 ? context.engineSpeeds.ofService(service, now.steady) : undefined,
         dataCentre: context.dataCentre,
         urgency: rank,
@@ -211,7 +214,7 @@
     tokens: () => ({
       prompt: plan.promptTokens,
       uncached: isHolder === true ? ownTokens : plan.promptTokens,
-      held: heldTokensOf(plan.promptTokens, callerRequest.tokens?.output ?? 0)
+      held: heldTokens
     }),
     knownUncachedTokens () {
       if (plan.sharedTokens <= plan.promptTokens * MAX_UNKNOWN_SHARE) return plan.promptTokens
--- a/src/edge/types.ts
+++ b/src/edge/types.ts
@@ -45,6 +45,15 @@
   dataCentre: string
 }
 
+/** What one engine of a service can hold. */
+export interface EngineCapacity {
+  service: string
+  /** Tokens of running requests and cached prefixes that fit into its memory; Infinity if not configured. */
+  memoryTokens: number
+  /** Requests that may run at the same time; Infinity if not configured. */
+  slots: number
+}
+
 export interface EdgeCustomer {
   name: string
   keys: readonly string[]
@@ -76,6 +85,8 @@
   version: number
   routes: readonly EdgeRoute[]
   cacheStores: readonly CacheStore[]
+  /** Capacities of the services whose upstreams are engines. */
+  engineCapacities: readonly EngineCapacity[]
   customers: readonly EdgeCustomer[]
   limits: CallerLimits
 }
