Requests stay in their data centre unless leaving pays

With [placement] cross_zone = auto an instance now keeps requests at home, lets a share leave while the wait at home exceeds a threshold, places prompts over all data centres where the caches at home are too small for the prefixes, and closes data centres that are cut off in whole or in part. The cost of the way is learned from connections and the bytes sent. Without the setting requests are placed as before.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,6 +6,7 @@
 const edgeDecisions = [
   'admission', 'attemptDecision', 'backlog', 'cacheStoreIndex', 'crashGuard', 'requestTraits', 'engineLoad', 'eventBoundary', 'freshness', 'instanceShares', 'loadShedding', 'rolloutSampler', 'placement', 'prefixDemand', 'promptPlan', 'quotaShare',
   'requestLimits', 'requestPacer', 'retryAllowance', 'routeTable', 'serviceChoice', 'serviceRollouts', 'storeLease', 'tableHistory', 'targetSelection', 'tokenRequests', 'upstreamDirectory', 'weightsRollout',
+  'dataCentres/crossing', 'dataCentres/crossingCosts', 'dataCentres/overflow', 'dataCentres/prefixPopulation', 'dataCentres/reachability',
   'engineRoom/engineRoom', 'engineRoom/engineUse', 'engineRoom/useCodec', 'engineSpeed/engineSpeeds', 'engineSpeed/speedCodec', 'engineSpeed/speedEstimate'
 ].map((name) => `src/edge/${name}.ts`)
 
--- a/src/edge/__tests__/failureReports.test.ts
+++ b/src/edge/__tests__/failureReports.test.ts
@@ -84,6 +84,8 @@
     promptTokens: 0,
     heldTokens: 0,
     capacityOf: UNBOUNDED_ROOM.capacityOf,
+    crossingCost: undefined,
+    isRankedPerDataCentre: false,
     speeds: undefined,
     dataCentre: 'north',
     urgency: 0,
--- a/src/edge/__tests__/lifeSimulation.ts
+++ b/src/edge/__tests__/lifeSimulation.ts
@@ -11,6 +11,7 @@
 import { createFreshness } from '../freshness'
 import { stopGracefully } from '../gracefulStop'
 import { createLivenessChecks, type LivenessChecks } from '../livenessChecks'
+import { FREE_CROSSING } from '../dataCentres/crossing'
 import { createPrefixDemand } from '../prefixDemand'
 import { createQuotaShares } from '../quotaShare'
 import { createResponseBuffers } from '../responseBuffers'
@@ -130,6 +131,7 @@
     engineLoads: { refresh: async () => {}, promptSent () {}, prefillEnded () {} },
     engineSpeeds: UNKNOWN_SPEEDS,
     engineRoom: UNBOUNDED_ROOM,
+    crossing: FREE_CROSSING,
     loadingEngines: () => new Set(),
     responseBuffers: createResponseBuffers(),
     upstreamHints: { apply () {} },
--- a/src/edge/__tests__/metrics.test.ts
+++ b/src/edge/__tests__/metrics.test.ts
@@ -10,7 +10,9 @@
   pendingPeerQueries: () => 4,
   configurationVersion: () => 17,
   configurationAge: () => Infinity,
-  upstreams: () => new Map([['engines', 6]])
+  upstreams: () => new Map([['engines', 6]]),
+  engineSpeeds: () => new Map([['engines', 27.5]]),
+  crossingShares: () => new Map([['engines', 0.25]])
 })
 
 const store: Store = {
@@ -44,7 +46,9 @@
       'waxwingspoke_waiting_questions 4',
       'waxwingspoke_configuration_version 17',
       'waxwingspoke_configuration_age_milliseconds +Inf',
-      'waxwingspoke_upstreams{service="engines"} 6'
+      'waxwingspoke_upstreams{service="engines"} 6',
+      'waxwingspoke_engine_speed_milliseconds{service="engines"} 27.5',
+      'waxwingspoke_crossing_share{service="engines"} 0.25'
     ]) expect(page.split('\n')).toContain(line)
   })
 
--- a/src/edge/__tests__/placement.test.ts
+++ b/src/edge/__tests__/placement.test.ts
@@ -1,6 +1,7 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { describe, expect, it } from 'vitest'
+import { recordFleetUse } from '../engineRoom/engineUse'
 import { createPrefixDemand } from '../prefixDemand'
 import { placeRequest, type PlacementRequest } from '../placement'
 import { recordAttemptStart, recordAttemptEnd, recordFleetLoad, observeWait, type Upstream } from '../upstreamDirectory'
@@ -12,6 +13,8 @@
   promptTokens: 0,
   heldTokens: 0,
   capacityOf: UNBOUNDED_ROOM.capacityOf,
+  crossingCost: undefined,
+  isRankedPerDataCentre: false,
   speeds: undefined,
   dataCentre: 'north',
   urgency: 0,
@@ -49,6 +52,23 @@
   })
 })
 
+describe('plain services while the own data centre is compared with others', () => {
+  // Guards against calls that are turned away at an upstream that looks idle, because other instances fill it.
+  it.each([
+    ['stays while the calls of all instances leave room', 3, 15, 'near'],
+    ['leaves when they wait longer than the way takes', 12, 15, 'far'],
+    ['stays when the way takes longer', 12, 50, 'near']
+  ])('%s', (_title, requests, way, expected) => {
+    const [far, near] = createUpstreams([
+      createEntry('far', { dataCentre: 'south', slots: 6 }), createEntry('near', { dataCentre: 'north', slots: 6 })
+    ])
+    for (const upstream of [far!, near!]) recordFleetLoad(upstream, 0, 0)
+    recordFleetUse(near!, { prefillTokens: 0, heldTokens: 0, requests })
+    const crossingCost = ({ entry }: Upstream): number => entry.dataCentre === 'north' ? 0 : way
+    expect(firstChoice({ ...plainRequest, crossingCost }, [far!, near!])).toBe(expected)
+  })
+})
+
 describe('engines', () => {
   it('sends the same prefix to the same engine, regardless of the order of the list', () => {
     const engines = createEngines(6)
--- a/src/edge/__tests__/settings.test.ts
+++ b/src/edge/__tests__/settings.test.ts
@@ -24,6 +24,7 @@
         metrics: { host: '10.0.0.1', port: 9464 }
       },
       store: { endpoint: { host: '10.0.0.9', port: 8601 } },
+      placement: { crossZone: 'auto' },
       limits: {
         revocation: 5000,
         retryWindow: 10_000,
@@ -47,10 +48,22 @@
   it('reports all errors at once, with line and key', () => {
     const content = renderSettings({ nodeName: '', 'platform.address': 'nowhere', 'bounds.leaseMs': '-1' })
     expect(findingsOf(content)).toEqual([
-      "3 instance.name '' is not valid", "13 store.address 'nowhere' is not valid", "25 limits.lease_ms '-1' is not valid"
+      "3 instance.name '' is not valid", "13 store.address 'nowhere' is not valid", "28 limits.lease_ms '-1' is not valid"
     ])
   })
 
+  it.each([
+    ['free', 'cross_zone = free', [], 'free'],
+    ['free without the setting', '', [], 'free'],
+    ['an error for another word', 'cross_zone = never', ["16 placement.cross_zone 'never' is not valid"], undefined]
+  ])('places requests at other data centres: %s', (_title, line, findings, expected) => {
+    const content = renderSettings().replace('cross_zone = auto', line)
+    expect(findingsOf(content)).toEqual(findings)
+    if (expected !== undefined) {
+      expect(parseEdgeSettings(content, 'settings.ini').placement.crossZone).toBe(expected)
+    }
+  })
+
   it('reports missing sections', () => {
     expect(findingsOf('[instance]\nname = a\n')).toContain('0 listen.caller is missing')
   })
--- a/src/edge/__tests__/targetSelection.test.ts
+++ b/src/edge/__tests__/targetSelection.test.ts
@@ -1,4 +1,5 @@
 import { describe, expect, it } from 'vitest'
+import { FREE_CROSSING } from '../dataCentres/crossing'
 import type { AdmittedRequest, ExchangeContext } from '../exchangeContext'
 import { createTargetSelection, type TargetSelection } from '../targetSelection'
 import { RepeatRule } from '../types'
@@ -23,6 +24,7 @@
     loadingEngines: () => new Set(),
     engineSpeeds: UNKNOWN_SPEEDS,
     engineRoom: UNBOUNDED_ROOM,
+    crossing: FREE_CROSSING,
     weightsRollout: { target: () => undefined, supersededFor: () => 0 },
     serviceRollouts: { eligible: (_service: string, upstreams: unknown) => upstreams, hasTargetVersion: () => false },
     sendPermits: { isNeeded: ({ identifier }: { identifier: string }) => limited.includes(identifier) }
--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -2,6 +2,7 @@
 import type { IncomingMessage } from 'node:http'
 import type { MonotonicMilliseconds } from '../types'
 import type { Backlog } from './backlog'
+import type { Crossing } from './dataCentres/crossing'
 import { recordUseStart } from './engineRoom/engineUse'
 import type { EngineRoom } from './engineRoom/engineRoom'
 import type { EngineSpeeds, SpeedProbe } from './engineSpeed/engineSpeeds'
@@ -91,11 +92,12 @@
   engineLoads: Pick<LoadExchange, 'prefillEnded'>
   engineSpeeds: Pick<EngineSpeeds, 'observe'>
   engineRoom: Pick<EngineRoom, 'recordEnd'>
+  crossing: Pick<Crossing, 'recordConnection'>
 }
 
 /** @param rank urgency of the request */
 export function createAttemptAccounting (
-  { engineLoads, engineSpeeds, engineRoom }: AccountingContext, backlog: Backlog, rank: number
+  { engineLoads, engineSpeeds, engineRoom, crossing }: AccountingContext, backlog: Backlog, rank: number
 ): AttemptAccounting {
   /** Removes the prompt from the tokens pending prefill, after its prefill or at the end of the attempt. */
   function releasePendingPrefill (attempt: Attempt): void {
@@ -127,6 +129,7 @@
       backlog.firstByteReceived(now)
       releasePendingPrefill(attempt)
       observeWait(upstream, rank, now - attempt.startedAt, now)
+      if (connectedAt !== undefined) crossing.recordConnection(upstream.entry, connectedAt - attempt.startedAt)
       if (speedProbe !== undefined && connectedAt !== undefined && head?.statusCode === 200) {
         engineSpeeds.observe(upstream, speedProbe, now - connectedAt)
       }
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -83,7 +83,9 @@
     pendingPeerQueries: () => relay.pendingRequests(),
     configurationVersion: () => tables.routes()?.configuration.version ?? 0,
     configurationAge: () => freshness.age(now()),
-    upstreams: () => countBy([...directory.all()].map(({ entry }) => entry.service))
+    upstreams: () => countBy([...directory.all()].map(({ entry }) => entry.service)),
+    engineSpeeds: () => engines.engineSpeeds.medians(),
+    crossingShares: () => engines.crossing.shares()
   })
   const { log: writeLogLine, flush, close: closeLog } = createBoundedLog({
     instance: instance.name,
@@ -206,21 +208,14 @@
   const requestLimits = createRequestLimits({
     broadcast: (content) => { limitBroadcast.send({ ...content, sender: instances.sender() }) }, log
   })
-  const crashHandling = createCrashHandling({
-    links, instance: name, dataCentre, peers, directory, log, now: () => performance.now(), random, onFault: reportFault
-  })
-  const membership = { links, instance: name, dataCentre, peers }
+  const shared = { links, instance: name, dataCentre, peers, directory, log, now: () => performance.now(), random }
+  const crashHandling = createCrashHandling({ ...shared, onFault: reportFault })
   const sendPermits = createSendPermits({
-    ...membership,
-    sender: instances.sender,
-    share: () => instances.share(),
-    limits: requestLimits,
-    now: () => performance.now(),
-    random
+    ...shared, sender: instances.sender, share: () => instances.share(), limits: requestLimits
   })
   const upstreamHints = createUpstreamHints({ broadcast: leavingBroadcast.send, directory, requestLimits, log })
   const engines = composeEngines({
-    ...membership, directory, loadingEngines: () => loadingEngines, now: () => performance.now()
+    ...shared, loadingEngines: () => loadingEngines, crossZone: settings.placement.crossZone
   })
   const rolloutBroadcast = createBroadcast(PeerRequestKind.serviceRollouts, (content) => {
     const notification = parseRolloutUpdate(content)
--- a/src/edge/engineRoom/__tests__/longPrompts.test.ts
+++ b/src/edge/engineRoom/__tests__/longPrompts.test.ts
@@ -33,6 +33,8 @@
         promptTokens: request.promptTokens,
         heldTokens: heldTokensOf(request.promptTokens, request.outputTokens),
         capacityOf: isRoomKnown ? () => ({ memoryTokens: MEMORY_TOKENS, slots: 64 }) : UNBOUNDED_ROOM.capacityOf,
+        crossingCost: undefined,
+        isRankedPerDataCentre: false,
         speeds: undefined,
         dataCentre: 'north',
         urgency: 0,
--- a/src/edge/engineSpeed/__tests__/unevenEngines.test.ts
+++ b/src/edge/engineSpeed/__tests__/unevenEngines.test.ts
@@ -48,6 +48,8 @@
         promptTokens: request.promptTokens,
         heldTokens: 0,
         capacityOf: UNBOUNDED_ROOM.capacityOf,
+        crossingCost: undefined,
+        isRankedPerDataCentre: false,
         speeds: isLearning ? learned.ofService('engines', now) : undefined,
         dataCentre: 'north',
         urgency: 0,
--- a/src/edge/engineSpeed/engineSpeeds.ts
+++ b/src/edge/engineSpeed/engineSpeeds.ts
@@ -64,6 +64,8 @@
 export interface EngineSpeeds {
   /** Returns undefined while the constants hold for the service. */
   ofService: (service: string, now: MonotonicMilliseconds) => ServiceSpeeds | undefined
+  /** Returns the medians of the services for which learned speeds are used. */
+  medians: () => ReadonlyMap<string, number>
   /** Returns the median of the service, or the constant. */
   medianOf: (service: string, now: MonotonicMilliseconds) => number
   /**
@@ -154,6 +156,9 @@
 
   return {
     ofService,
+    medians: () => new Map([...summaries].flatMap(([service, { speeds }]) => (
+      speeds === undefined ? [] : [[service, speeds.median] as const]
+    ))),
     medianOf: (service, now) => ofService(service, now)?.median ?? DEFAULT_MILLISECONDS_PER_1000_TOKENS,
     probe (upstream, prefillTokens, now) {
       if (prefillTokens === undefined || prefillTokens <= 0 || !isFleetLoadKnown(upstream, now)) return undefined
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -57,6 +57,8 @@
   crashCauseCleared: 'crash_cause.cleared',
   /** One request with the trait is sent, to find out whether upstreams still crash. */
   crashTrialStarted: 'crash_cause.tried',
+  /** Another data centre gets no requests for a while, because part of its upstreams cannot be reached. */
+  dataCentreClosed: 'data_centre.closed',
   instancesChanged: 'instances.changed',
   peerLost: 'peer.lost',
   peerRegained: 'peer.regained',
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -4,6 +4,7 @@
 import type { ResponseBuffers } from './responseBuffers'
 import type { Backlog } from './backlog'
 import type { CrashReports } from './crashReports'
+import type { Crossing } from './dataCentres/crossing'
 import type { EngineRoom } from './engineRoom/engineRoom'
 import type { EngineSpeeds } from './engineSpeed/engineSpeeds'
 import type { EdgeLog } from './events'
@@ -52,6 +53,7 @@
   serviceRollouts: Pick<ServiceRollouts, 'eligible' | 'hasTargetVersion'>
   rolloutSampler: Pick<RolloutSampler, 'startAttempt'>
   engineLoads: Pick<LoadExchange, 'refresh' | 'promptSent' | 'prefillEnded'>
+  crossing: Pick<Crossing, 'recordPrefix' | 'choose' | 'recordConnection'>
   engineRoom: Pick<EngineRoom, 'expectedStart' | 'drainRate' | 'capacityOf' | 'recordEnd'>
   engineSpeeds: Pick<EngineSpeeds, 'ofService' | 'medianOf' | 'probe' | 'observe'>
   /** Engines that are loading weights or will load them next. */
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -22,6 +22,10 @@
   configurationAge: () => number
   /** Number of listed upstreams per service. */
   upstreams: () => ReadonlyMap<string, number>
+  /** Median learned speed in milliseconds for 1,000 prompt tokens, per service in use. */
+  engineSpeeds: () => ReadonlyMap<string, number>
+  /** Share of requests that may leave the data centre, per service. */
+  crossingShares: () => ReadonlyMap<string, number>
 }
 
 export interface EdgeMetrics {
@@ -92,17 +96,26 @@
     'waxwingspoke_configuration_age_milliseconds', 'Time since the configuration was proved to be the newest one',
     sources.configurationAge
   )
-  const upstreams = new Gauge({
-    name: 'waxwingspoke_upstreams',
-    help: 'Listed upstreams',
-    labelNames: ['service'],
-    registers,
-    collect () {
-      this.reset()
-      for (const [service, count] of sources.upstreams()) this.set({ service }, count)
-    }
-  })
-  upstreams.reset()
+  const gaugeByService = (name: string, help: string, read: () => ReadonlyMap<string, number>): void => {
+    new Gauge({
+      name,
+      help,
+      labelNames: ['service'],
+      registers,
+      collect () {
+        this.reset()
+        for (const [service, value] of read()) this.set({ service }, value)
+      }
+    }).reset()
+  }
+  gaugeByService('waxwingspoke_upstreams', 'Listed upstreams', sources.upstreams)
+  gaugeByService(
+    'waxwingspoke_engine_speed_milliseconds', 'Learned median time for 1,000 prompt tokens, where it replaces the constant',
+    sources.engineSpeeds
+  )
+  gaugeByService(
+    'waxwingspoke_crossing_share', 'Share of requests that may leave the data centre', sources.crossingShares
+  )
 
   const observers: Readonly<Partial<Record<EdgeEvent, (fields: Fields) => void>>> = {
     [EdgeEvent.requestFinished] ({ status, service, duration: totalMs, firstByte: firstByteMs }) {
--- a/src/edge/placement.ts
+++ b/src/edge/placement.ts
@@ -77,6 +77,12 @@
   heldTokens: number
   /** Returns what an engine can hold. */
   capacityOf: (upstream: Upstream) => Pick<EngineCapacity, 'memoryTokens' | 'slots'>
+  /**
+   * Returns the cost in milliseconds of the way to an upstream; undefined if only plain calls prefer the own data centre.
+   */
+  crossingCost: ((upstream: Upstream) => number) | undefined
+  /** Whether each data centre has its own holders of a prefix. */
+  isRankedPerDataCentre: boolean
   /** Learned speeds of the engines; undefined while the constant holds. */
   speeds: ServiceSpeeds | undefined
   dataCentre: string
@@ -136,11 +142,28 @@
 function loadCost (request: PlacementRequest, now: MonotonicMilliseconds): Cost {
   return (upstream) => (
     expectedWait(request, upstream, now) +
-    upstream.inFlight * IN_FLIGHT_CALL_MS / upstream.entry.slots +
-    (upstream.entry.dataCentre === request.dataCentre ? 0 : REMOTE_DATA_CENTRE_PENALTY_MS)
+    (request.crossingCost === undefined
+      ? upstream.inFlight * IN_FLIGHT_CALL_MS / upstream.entry.slots +
+        (upstream.entry.dataCentre === request.dataCentre ? 0 : REMOTE_DATA_CENTRE_PENALTY_MS)
+      : callCost(upstream, now) + request.crossingCost(upstream))
   )
 }
 
+/** Returns the milliseconds that the calls in flight at a plain upstream take, of all instances if that is known. */
+function callCost (upstream: Upstream, now: MonotonicMilliseconds): number {
+  return expectedUse(upstream, now).requests * IN_FLIGHT_CALL_MS / upstream.entry.slots
+}
+
+/**
+ * Returns the milliseconds that the request would wait at an upstream, apart from the way there. For a plain call these
+ * follow from the calls in flight alone: the observed time to the first byte is mostly that of the call itself.
+ */
+export function waitCost (request: PlacementRequest, upstream: Upstream, now: MonotonicMilliseconds): number {
+  if (request.promptTokens === 0) return callCost(upstream, now)
+  return expectedWait(request, upstream, now) + roomCost(request, upstream, now) +
+    (request.loadingEngines.has(upstream) ? LOADING_PENALTY_MS : 0)
+}
+
 /**
  * Returns the milliseconds until the upstream would have processed the own part of the prompt, or until it would begin
  * while speeds are not known.
@@ -163,8 +186,9 @@
  * (weighted rendezvous hashing), and a changed speed moves only the prefixes that make up the difference.
  */
 function rankByKey (
-  { speeds }: PlacementRequest, prefixKey: string, candidates: readonly Upstream[]
+  { speeds, isRankedPerDataCentre }: PlacementRequest, prefixKey: string, candidates: readonly Upstream[]
 ): ReadonlyMap<Upstream, number> {
+  const nextRanks = new Map<string, number>()
   const score = (upstream: Upstream): number => {
     const weight = rendezvousWeight(prefixKey, upstream.entry.identifier)
     return speeds === undefined ? weight : Math.log((weight + 1) / MAX_RENDEZVOUS_WEIGHT) / speeds.relative(upstream)
@@ -172,7 +196,13 @@
   return new Map(candidates
     .map((upstream) => ({ upstream, score: score(upstream) }))
     .sort((one, other) => other.score - one.score)
-    .map(({ upstream }, rank) => [upstream, rank]))
+    .map(({ upstream }, rank) => {
+      if (!isRankedPerDataCentre) return [upstream, rank]
+      const { dataCentre } = upstream.entry
+      const rankThere = nextRanks.get(dataCentre) ?? 0
+      nextRanks.set(dataCentre, rankThere + 1)
+      return [upstream, rankThere]
+    }))
 }
 
 function prefixCost (
@@ -191,6 +221,7 @@
   return (upstream) => {
     const rank = ranks.get(upstream)!
     return expectedWait(request, upstream, now) +
+      (request.crossingCost?.(upstream) ?? 0) +
       rankPenalty(rank, preferredRank, request.replicas, missCost) +
       (outdated.has(upstream) ? outdatedPenalty : 0) +
       (request.loadingEngines.has(upstream) ? LOADING_PENALTY_MS : 0)
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -4,6 +4,15 @@
 import { parseEndpoint } from '../http/endpoint'
 import type { Endpoint } from '../types'
 
+/** How requests are placed at upstreams of other data centres. */
+export const CrossZone = {
+  /** The instance decides when leaving the data centre pays. */
+  auto: 'auto',
+  /** Prompts are placed with no regard to the data centre; plain calls prefer the own one slightly. */
+  free: 'free'
+} as const
+export type CrossZone = typeof CrossZone[keyof typeof CrossZone]
+
 export interface EdgeSettings {
   instance: { name: string, dataCentre: string }
   listen: {
@@ -16,6 +25,7 @@
   store: {
     endpoint: Endpoint
   }
+  placement: { crossZone: CrossZone }
   limits: {
     /** Time in milliseconds within which a removed key must stop working; Infinity without strict revocation. */
     revocation: number
@@ -47,6 +57,7 @@
   text: (value: string): string | undefined => value === '' ? undefined : value,
   endpoint: parseEndpoint,
   number: (value: string): number | undefined => value !== '' && Number(value) >= 0 ? Number(value) : undefined,
+  crossZone: (value: string): CrossZone | undefined => Object.values(CrossZone).find((known) => known === value),
   flag: (value: string): boolean | undefined => ({ true: true, false: false } as Record<string, boolean>)[value]
 }
 
@@ -81,6 +92,11 @@
       metrics: readValue('listen', 'metrics', parsers.endpoint)
     },
     store: { endpoint: readValue('store', 'address', parsers.endpoint) },
+    placement: {
+      crossZone: document.placement?.cross_zone === undefined
+        ? CrossZone.free
+        : readValue('placement', 'cross_zone', parsers.crossZone)
+    },
     limits: {
       revocation: isStrict ? number('revocation_ms') : Infinity,
       retryWindow: number('retry_window_s') * 1000,
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -2,7 +2,7 @@
 import type { RequestTokens } from './attempt'
 import { heldTokensOf } from './engineRoom/engineUse'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
-import { placeRequest } from './placement'
+import { placeRequest, waitCost, type PlacementRequest } from './placement'
 import { urgencyOf } from './promptPlan'
 import { runKey } from './requestLimits'
 import { rankByRendezvous } from '../rendezvous'
@@ -91,7 +91,7 @@
 export function createTargetSelection (
   context: ExchangeContext, admittedRequest: AdmittedRequest, timeLeft: () => number
 ): TargetSelection {
-  const { callerRequest, route, customer, service, plan } = admittedRequest
+  const { callerRequest, route, customer, service, plan, body } = admittedRequest
   const { model } = callerRequest
   const rank = urgencyRank(urgencyOf(route, customer))
   /** Runs that got the request, and until when they are excluded; the next run of an upstream may get it, too. */
@@ -151,6 +151,7 @@
   return {
     start (now) {
       if (plan.prefixKey === undefined) return
+      context.crossing.recordPrefix(service, plan.prefixKey)
       replicas = context.prefixDemand.replicasFor({
         subject: plan.prefixKey,
         ownTokens,
@@ -168,12 +169,14 @@
         isHolder = false
         return upstream === undefined ? undefined : { upstream, maximumPermitWait }
       }
-      const placement = placeRequest({
+      const request: PlacementRequest = {
         prefixKey: plan.prefixKey,
         sharedTokens: plan.sharedTokens,
         promptTokens: plan.promptTokens,
         heldTokens,
         capacityOf: context.engineRoom.capacityOf,
+        crossingCost: undefined,
+        isRankedPerDataCentre: false,
         speeds: plan.promptTokens > 0 ? context.engineSpeeds.ofService(service, now.steady) : undefined,
         dataCentre: context.dataCentre,
         urgency: rank,
@@ -181,7 +184,20 @@
         draw: context.random(),
         loadingEngines: context.loadingEngines(),
         hasOutdatedWeights: (candidate) => outdatedWeightsAge(candidate, now) > OUTDATED_WEIGHTS_GRACE_MS
+      }
+      const crossing = context.crossing.choose({
+        service,
+        prefixKey: plan.prefixKey,
+        sharedTokens: plan.sharedTokens,
+        missCost: plan.sharedTokens / 1000 * context.engineSpeeds.medianOf(service, now.steady),
+        bytes: body?.length ?? 0,
+        latencyTarget: route.latencyTarget,
+        draw: context.random(),
+        waitAt: (candidate) => waitCost(request, candidate, now.steady)
       }, candidates, now.steady)
+      const placement = placeRequest({
+        ...request, crossingCost: crossing.cost, isRankedPerDataCentre: crossing.isRankedPerDataCentre
+      }, crossing.candidates, now.steady)
       isHolder = placement?.isHolder
       return placement === undefined ? undefined : { upstream: placement.upstream, maximumPermitWait }
     },
