--- a/eslint.config.js
+++ b/eslint.config.js
@@ -9,8 +9,11 @@
   'promptPlan', 'quotaShare', 'requestLimits', 'requestPacer', 'retryAllowance', 'routeTable', 'serviceChoice',
   'serviceRollouts', 'storeLease', 'tableHistory', 'targetSelection', 'tokenRequests', 'upstreamDirectory',
   'weightsRollout',
-  'coldStart/coldLimits', 'coldStart/permitRules', 'coldStart/warmPreference', 'residency/destinations',
-  'residency/evacuations', 'residency/reachableDirectory', 'storeEra/keptRows', 'storeEra/storeEra'
+  'coldStart/coldLimits', 'coldStart/permitRules', 'coldStart/warmPreference', 'dataCentres/crossing',
+  'dataCentres/crossingCosts', 'dataCentres/overflow', 'dataCentres/prefixPopulation', 'dataCentres/reachability',
+  'engineRoom/engineRoom', 'engineRoom/engineUse', 'engineRoom/useCodec', 'engineSpeed/engineSpeeds',
+  'engineSpeed/speedCodec', 'engineSpeed/speedEstimate', 'residency/destinations', 'residency/evacuations',
+  'residency/reachableDirectory', 'storeEra/keptRows', 'storeEra/storeEra'
 ].map((name) => `src/edge/${name}.ts`)
 
 export default [
--- a/src/edge/__tests__/fixtures.ts
+++ b/src/edge/__tests__/fixtures.ts
@@ -2,6 +2,7 @@
 import { readFileSync } from 'node:fs'
 import { RepeatRule } from '../types'
 import type { EdgeConfiguration, EdgeCustomer, EdgeRoute, UpstreamEntry } from '../types'
+import type { ExchangeContext } from '../exchangeContext'
 import { createUpstreamDirectory, type Upstream } from '../upstreamDirectory'
 
 export function createRoute (values: Partial<EdgeRoute> = {}): EdgeRoute {
@@ -40,6 +41,7 @@
     version: 1,
     routes: [createRoute()],
     cacheStores: [],
+    engineCapacities: [],
     customers: [createCustomer()],
     limits: { headerBytes: 16_384, bodyBytes: 1_048_576, headerTimeout: 3000, idleTimeout: 15_000 },
     ...values
@@ -67,6 +69,19 @@
   return [...directory.all()]
 }
 
+/** Engines of which only the slots are known. */
+export const UNBOUNDED_ROOM: ExchangeContext['engineRoom'] = {
+  expectedStart: () => 0,
+  drainRate: () => 0,
+  capacityOf: ({ entry }) => ({ memoryTokens: Infinity, slots: entry.slots }),
+  recordEnd () {}
+}
+
+/** Speeds of engines that nothing has shown yet. */
+export const UNKNOWN_SPEEDS: ExchangeContext['engineSpeeds'] = {
+  ofService: () => undefined, medianOf: () => 8, probe: () => undefined, observe () {}
+}
+
 /** Values that the platform inserts into the settings template. */
 export const PLATFORM_VALUES: Readonly<Record<string, string>> = {
   nodeName: 'router-1',
@@ -91,10 +106,10 @@
 
 /**
  * Renders the settings template as the platform does.
- * @param zones the platform's data centres
+ * @param zones region of each of the platform's data centres
  */
 export function renderSettings (
-  changes: Readonly<Record<string, string>> = {}, zones: ReadonlyArray<{ name: string, region: string }> = []
+  changes: Readonly<Record<string, string>> = {}, zones: Readonly<Record<string, string>> = {}
 ): string {
   const values = { ...PLATFORM_VALUES, ...changes }
   const template = readFileSync('deploy/settings.ini.template', 'utf8')
@@ -102,7 +117,7 @@
     text.replace(/\{\{([\w.]+)\}\}/g, (_match, name: string) => from[name] ?? '')
   )
   const expanded = template.replace(/^\{\{#zones\}\}\n([^]*?)^\{\{\/zones\}\}\n/gm, (_match, line: string) => (
-    zones.map((zone) => fill(line, { ...zone })).join('')
+    Object.entries(zones).map(([name, region]) => line.replace('{{@}}', name).replace('{{.}}', region)).join('')
   ))
   return fill(expanded, values)
 }
--- a/src/edge/__tests__/lifeSimulation.ts
+++ b/src/edge/__tests__/lifeSimulation.ts
@@ -12,6 +12,7 @@
 import { createFreshness } from '../freshness'
 import { stopGracefully } from '../gracefulStop'
 import { createLivenessChecks, type LivenessChecks } from '../livenessChecks'
+import { FREE_CROSSING } from '../dataCentres/crossing'
 import { createPrefixDemand } from '../prefixDemand'
 import { createQuotaShares } from '../quotaShare'
 import { createResponseBuffers } from '../responseBuffers'
@@ -21,7 +22,7 @@
 import { createTrialPermits } from '../trialPermits'
 import { RequestLimitKind, type Instant, type UpstreamEntry } from '../types'
 import { createUpstreamDirectory, type UpstreamDirectory } from '../upstreamDirectory'
-import { createEntry } from './fixtures'
+import { createEntry, UNBOUNDED_ROOM, UNKNOWN_SPEEDS } from './fixtures'
 import { configurationAt, isStoreAway } from './lifeChanges'
 import type { Schedule } from './lifeSchedule'
 import { createCallerRequest, createCallerResponse, simulatedDialect, type CallerView } from './simulatedCallers'
@@ -129,6 +130,9 @@
     serviceRollouts: { eligible: (_service: string, usable: unknown) => usable, hasTargetVersion: () => false },
     rolloutSampler: createRolloutSampler(() => false),
     engineLoads: { refresh: async () => {}, promptSent () {}, prefillEnded () {} },
+    engineSpeeds: UNKNOWN_SPEEDS,
+    engineRoom: UNBOUNDED_ROOM,
+    crossing: FREE_CROSSING,
     loadingEngines: () => new Set(),
     responseBuffers: createResponseBuffers(),
     upstreamHints: { apply () {} },
--- a/src/edge/__tests__/metrics.test.ts
+++ b/src/edge/__tests__/metrics.test.ts
@@ -13,7 +13,9 @@
   storeEra: () => ({ current: () => 2, changes: () => 1 }),
   upstreams: () => new Map([['engines', 6]]),
   coldUpstreams: () => 2,
-  evacuatedDataCentres: () => 1
+  evacuatedDataCentres: () => 1,
+  engineSpeeds: () => new Map([['engines', 27.5]]),
+  crossingShares: () => new Map([['engines', 0.25]])
 })
 
 const store: Store = {
@@ -51,7 +53,9 @@
       'waxwingspoke_upstreams{service="engines"} 6',
       'waxwingspoke_cold_upstreams 2',
       'waxwingspoke_evacuated_data_centres 1',
-      'waxwingspoke_home_refusals_total 1'
+      'waxwingspoke_home_refusals_total 1',
+      'waxwingspoke_engine_speed_milliseconds{service="engines"} 27.5',
+      'waxwingspoke_crossing_share{service="engines"} 0.25'
     ]) expect(page.split('\n')).toContain(line)
   })
 
--- a/src/edge/__tests__/placement.test.ts
+++ b/src/edge/__tests__/placement.test.ts
@@ -1,13 +1,27 @@
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64'
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus'
 import { describe, expect, it } from 'vitest'
+import { recordFleetUse } from '../engineRoom/engineUse'
 import { createPrefixDemand } from '../prefixDemand'
-import { rankUpstreams, type PlacementRequest } from '../placement'
+import { placeRequest, type PlacementRequest } from '../placement'
 import { recordAttemptStart, recordAttemptEnd, recordFleetLoad, observeWait, type Upstream } from '../upstreamDirectory'
-import { createEntry, createUpstreams } from './fixtures'
+import { createEntry, createUpstreams, UNBOUNDED_ROOM } from './fixtures'
 
 const plainRequest: PlacementRequest = {
-  prefixKey: undefined, sharedTokens: 0, dataCentre: 'north', urgency: 0, replicas: 1, draw: 0, hasOutdatedWeights: () => false, loadingEngines: new Set()
+  prefixKey: undefined,
+  sharedTokens: 0,
+  promptTokens: 0,
+  heldTokens: 0,
+  capacityOf: UNBOUNDED_ROOM.capacityOf,
+  crossingCost: undefined,
+  isRankedPerDataCentre: false,
+  speeds: undefined,
+  dataCentre: 'north',
+  urgency: 0,
+  replicas: 1,
+  draw: 0,
+  hasOutdatedWeights: () => false,
+  loadingEngines: new Set()
 }
 const requestWithPrefix = (subject: string): PlacementRequest => (
   { ...plainRequest, prefixKey: subject, sharedTokens: 6300 }
@@ -18,7 +32,7 @@
 }
 
 function firstChoice (request: PlacementRequest, upstreams: readonly Upstream[], now = 0): string {
-  return rankUpstreams(request, upstreams, now)[0]!.entry.identifier
+  return placeRequest(request, upstreams, now)!.upstream.entry.identifier
 }
 
 describe('plain services', () => {
@@ -38,6 +52,23 @@
   })
 })
 
+describe('plain services while the own data centre is compared with others', () => {
+  // Guards against calls that are turned away at an upstream that looks idle, because other instances fill it.
+  it.each([
+    ['stays while the calls of all instances leave room', 3, 15, 'near'],
+    ['leaves when they wait longer than the way takes', 12, 15, 'far'],
+    ['stays when the way takes longer', 12, 50, 'near']
+  ])('%s', (_title, requests, way, expected) => {
+    const [far, near] = createUpstreams([
+      createEntry('far', { dataCentre: 'south', slots: 6 }), createEntry('near', { dataCentre: 'north', slots: 6 })
+    ])
+    for (const upstream of [far!, near!]) recordFleetLoad(upstream, 0, 0)
+    recordFleetUse(near!, { prefillTokens: 0, heldTokens: 0, requests })
+    const crossingCost = ({ entry }: Upstream): number => entry.dataCentre === 'north' ? 0 : way
+    expect(firstChoice({ ...plainRequest, crossingCost }, [far!, near!])).toBe(expected)
+  })
+})
+
 describe('engines', () => {
   it('sends the same prefix to the same engine, regardless of the order of the list', () => {
     const engines = createEngines(6)
@@ -134,8 +165,10 @@
     prefill.completeUntil(now)
     const engines = instances[Math.floor(random() * 9)]!
     const subject = random() < hotShare ? 'hot' : `sheet-${Math.floor(random() * 700)}`
-    const replicas = useReplicas ? demand.replicasFor(subject, 2890, 1, now) : 1
-    const engine = rankUpstreams({ ...requestWithPrefix(subject), replicas, draw: random() }, engines, now)[0]!
+    const demanded = { subject, ownTokens: 2890, instances: 1, millisecondsPer1000Tokens: 8 }
+    const replicas = useReplicas ? demand.replicasFor(demanded, now) : 1
+    const request = { ...requestWithPrefix(subject), replicas, draw: random() }
+    const { upstream: engine } = placeRequest(request, engines, now)!
     const name = engine.entry.identifier
     const isCached = cachedPrefixes.has(`${subject}/${name}`)
     cachedPrefixes.add(`${subject}/${name}`)
@@ -186,9 +219,9 @@
       }
     }
     const candidates = alwaysPreferNewWeights && updatedEngines.length > 0 ? updatedEngines : engines
-    const engine = rankUpstreams({
+    const { upstream: engine } = placeRequest({
       ...requestWithPrefix(subject), draw: random(), hasOutdatedWeights: isOutdated
-    }, candidates, now)[0]!
+    }, candidates, now)!
     const name = engine.entry.identifier
     const cacheKey = `${subject}/${name}/${isOutdated(engine)}`
     const isCached = isOutdated(engine) || cachedPrefixes.has(cacheKey)
@@ -255,7 +288,8 @@
       const known = snapshots.findLast(({ at }) => at <= now - lag)?.unread
       for (const engine of engines) recordFleetLoad(engine, known?.get(engine.entry.identifier) ?? 0, now)
     }
-    const engine = rankUpstreams({ ...requestWithPrefix(subject), sharedTokens, draw: random() }, engines, now)[0]!
+    const request = { ...requestWithPrefix(subject), sharedTokens, draw: random() }
+    const { upstream: engine } = placeRequest(request, engines, now)!
     const name = engine.entry.identifier
     const isCached = cachedPrefixes.has(`${subject}/${name}`)
     cachedPrefixes.add(`${subject}/${name}`)
--- a/src/edge/__tests__/targetSelection.test.ts
+++ b/src/edge/__tests__/targetSelection.test.ts
@@ -1,9 +1,10 @@
 import { describe, expect, it } from 'vitest'
+import { FREE_CROSSING } from '../dataCentres/crossing'
 import type { AdmittedRequest, ExchangeContext } from '../exchangeContext'
 import { createTargetSelection, type TargetSelection } from '../targetSelection'
 import { RepeatRule } from '../types'
 import { createUpstreamDirectory, recordAttemptStart, type UpstreamDirectory } from '../upstreamDirectory'
-import { createEntry, createRoute } from './fixtures'
+import { createEntry, createRoute, UNBOUNDED_ROOM, UNKNOWN_SPEEDS } from './fixtures'
 
 const NAMES = ['a', 'b', 'c', 'd', 'e']
 const NOW = { steady: 0, wall: 0 }
@@ -29,6 +30,9 @@
     outdatedWeightsLimit: 12_000,
     random: () => 0,
     loadingEngines: () => new Set(),
+    engineSpeeds: UNKNOWN_SPEEDS,
+    engineRoom: UNBOUNDED_ROOM,
+    crossing: FREE_CROSSING,
     weightsRollout: { target: () => undefined, supersededFor: () => 0 },
     serviceRollouts: { eligible: (_service: string, upstreams: unknown) => upstreams, hasTargetVersion: () => false },
     sendPermits: { isNeeded: ({ identifier }: { identifier: string }) => limited.includes(identifier) },
--- a/src/edge/coldStart/__tests__/warmPreference.test.ts
+++ b/src/edge/coldStart/__tests__/warmPreference.test.ts
@@ -5,6 +5,11 @@
 
 const LATENCY_TARGET = 400
 
+/** Places a request at the first of the upstreams. */
+function placeFirst ([upstream]: readonly Upstream[]): { upstream: Upstream } | undefined {
+  return upstream === undefined ? undefined : { upstream }
+}
+
 describe('a request with cold and warm upstreams', () => {
   // Guards against requests that use the few permits of a cold upstream, or wait at it, while a warm one has room.
   it.each<[string, string[], (upstreams: Upstream[]) => void, string | undefined]>([
@@ -17,13 +22,13 @@
   ])('%s', (_title, cold, prepare, expected) => {
     const upstreams = createUpstreams(['a', 'b', 'c'].map((name) => createEntry(name)))
     prepare(upstreams)
-    const chosen = preferWarm(upstreams, {
+    const chosen = preferWarm(upstreams, placeFirst, {
       isCold: ({ entry }) => cold.includes(entry.identifier), urgency: 0, latencyTarget: LATENCY_TARGET
     }, 300)
-    expect(chosen?.entry.identifier).toBe(expected)
+    expect(chosen?.upstream.entry.identifier).toBe(expected)
   })
 
   it('has no upstream without candidates', () => {
-    expect(preferWarm([], { isCold: () => true, urgency: 0, latencyTarget: 400 }, 0)).toBeUndefined()
+    expect(preferWarm([], placeFirst, { isCold: () => true, urgency: 0, latencyTarget: 400 }, 0)).toBeUndefined()
   })
 })
--- a/src/edge/coldStart/warmPreference.ts
+++ b/src/edge/coldStart/warmPreference.ts
@@ -19,16 +19,17 @@
 }
 
 /**
- * Returns the upstream for the request; undefined without candidates.
- * @param ranked candidates, the best one first
+ * Returns the placement of the request, at a warm upstream if one serves it soon enough; undefined without candidates.
+ * @param place returns the best placement among upstreams; undefined if there are none
  */
-export function preferWarm (
-  ranked: readonly Upstream[], { isCold, urgency, latencyTarget }: WarmPreferenceOptions, now: MonotonicMilliseconds
-): Upstream | undefined {
-  const [first] = ranked
-  if (first === undefined || !isCold(first)) return first
+export function preferWarm<Placement extends { upstream: Upstream }> (
+  candidates: readonly Upstream[], place: (among: readonly Upstream[]) => Placement | undefined,
+  { isCold, urgency, latencyTarget }: WarmPreferenceOptions, now: MonotonicMilliseconds
+): Placement | undefined {
+  const first = place(candidates)
+  if (first === undefined || !isCold(first.upstream)) return first
   const longestWait = latencyTarget > 0 ? latencyTarget * WORSE_WAIT_SHARE : Infinity
-  return ranked.find((upstream) => (
+  return place(candidates.filter((upstream) => (
     !isCold(upstream) && now >= upstream.suspectedUntil && currentWait(upstream, urgency, now) <= longestWait
-  )) ?? first
+  ))) ?? first
 }
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -8,6 +8,7 @@
 import { createSendLimits } from './coldStart/sendLimits'
 import { createCrashHandling } from './crashHandling'
 import { createEdgeServer } from './edgeServer'
+import { composeEngines } from './engineRoom/composeEngines'
 import { EdgeEvent, type EdgeLog } from './events'
 import { createExchange, type Exchange } from './exchange'
 import type { ExchangeContext } from './exchangeContext'
@@ -18,7 +19,6 @@
 import { createHolderUpdates } from './leaseHolder/holderUpdates'
 import { startLeaseTask } from './leaseTask'
 import { countBy, createEdgeMetrics } from './metrics'
-import { createLoadExchange } from './loadExchange'
 import { createRolloutSampler } from './rolloutSampler'
 import { createPeerBroadcast, type PeerBroadcast } from './peerBroadcast'
 import { createPeerLinks, PeerRequestKind, type HandlePeerRequest, type PeerValue } from './peerLinks'
@@ -84,7 +84,9 @@
     storeEra: () => storeEra,
     upstreams: () => countBy([...directory.all()].map(({ entry }) => entry.service)),
     coldUpstreams: () => coldLimits.count([...directory.all()].map(({ entry }) => entry), performance.now()),
-    evacuatedDataCentres: () => evacuations.count()
+    evacuatedDataCentres: () => evacuations.count(),
+    engineSpeeds: () => engines.engineSpeeds.medians(),
+    crossingShares: () => engines.crossing.shares()
   })
   const { log: writeLogLine, flush, close: closeLog } = createBoundedLog({
     instance: instance.name,
@@ -127,7 +129,7 @@
     missedCrashes: async (query) => await crashHandling.requestHandlers.missedCrashes(query),
     permits: async (query) => await sendLimits.requestHandlers.permits(query),
     trials: async (query) => await crashHandling.requestHandlers.trials(query),
-    engineLoads: async (query) => await engineLoads.handleRequest(query),
+    engineLoads: async (query) => await engines.engineLoads.handleRequest(query),
     moves: async (query) => await holderUpdates.handleRollout(query),
     moveCounts: async (query) => await serviceRolloutTask.handleRequest(query)
   }
@@ -194,23 +196,12 @@
     failureReports.receive(content, performance.now())
   })
   const { evacuations, destinations } = createResidency(settings.regions, records.evacuatedDataCentre)
-  const crashHandling = createCrashHandling({
-    links, instance: name, dataCentre, peers, directory, log, now: () => performance.now(), random, onFault: reportFault
-  })
-  const sendLimits = createSendLimits({
-    links,
-    instance: name,
-    dataCentre,
-    instances,
-    directory,
-    log,
-    random,
-    now: () => performance.now(),
-    onFault: reportFault
-  })
+  const shared = { links, instance: name, dataCentre, peers, directory, log, now: () => performance.now(), random }
+  const crashHandling = createCrashHandling({ ...shared, onFault: reportFault })
+  const sendLimits = createSendLimits({ ...shared, instances, onFault: reportFault })
   const { coldLimits, sendPermits, upstreamHints } = sendLimits
-  const engineLoads = createLoadExchange({
-    links, instance: name, dataCentre, peers, directory, now: () => performance.now()
+  const engines = composeEngines({
+    ...shared, loadingEngines: () => loadingEngines, crossZone: settings.placement.crossZone
   })
   const failureReports = createFailureReports({
     broadcast: failureBroadcast.sendWithinDataCentre, directory, coldLimits, log, random
@@ -264,7 +255,7 @@
     weightsRollout,
     serviceRollouts,
     rolloutSampler,
-    engineLoads,
+    ...engines,
     loadingEngines: () => loadingEngines,
     responseBuffers: createResponseBuffers(),
     ...sendLimits,
@@ -301,6 +292,7 @@
       server.setLimits(configuration.limits)
       cacheStores.configure(configuration.cacheStores)
       coldLimits.configure(configuration.services ?? [])
+      engines.engineRoom.configure(configuration.engineCapacities)
     },
     onUndatedRollout: (service) => { serviceRolloutTask.readStatus(service) },
     evacuations,
@@ -369,6 +361,7 @@
     crashHandling.check(instant.steady)
     for (const exchange of exchanges) exchange.check(instant)
     tables.handleDirectoryChanges(directory.expire(instant.steady))
+    tables.expireEvacuations(instant.steady)
     loadingEngines = weightsRollout.loadingEngines(directory.all(), instant.steady)
     connections.closeExpired()
   }
@@ -390,7 +383,7 @@
       },
       close () {
         for (const task of [
-          tables, lease, weightsRolloutTask, serviceRolloutTask, engineLoads, cacheStores, instances
+          tables, lease, weightsRolloutTask, serviceRolloutTask, engines.engineLoads, cacheStores, instances
         ]) task.stop()
         for (const timer of [sweepTimer, flushTimer]) clearInterval(timer)
         clearImmediate(pendingSweep)
--- a/src/edge/residency/__tests__/evacuations.test.ts
+++ b/src/edge/residency/__tests__/evacuations.test.ts
@@ -43,6 +43,22 @@
     expect(evacuations.count()).toBe(expected.length)
   })
 
+  // Guards against requests to an evacuated data centre after the store came back from a copy without the operator's row.
+  it.each<[string, (evacuations: Evacuations) => void, number, boolean]>([
+    ['holds while the operator writes its row again', () => {}, 9999, true],
+    ['ends when the row has not come again', () => {}, 10_000, false],
+    ['holds once the row is written again', (evacuations) => { evacuations.update([row('drain-north')]) }, 60_000, true],
+    ['holds in a later reading within that time', (evacuations) => { evacuations.replace([]) }, 9999, true],
+    ['ends when the operator removes the row', (evacuations) => { evacuations.update([removed('drain-north')]) }, 1, false]
+  ])('that a restored store lacks %s', (_title, act, at, expected) => {
+    const evacuations = create()
+    evacuations.replace([row('drain-north')])
+    evacuations.replace([], 0)
+    act(evacuations)
+    evacuations.expire(at)
+    expect(evacuations.isEvacuated('north')).toBe(expected)
+  })
+
   it('is reported once when it begins and once when it ends', () => {
     const evacuations = create()
     expect(evacuations.replace([row('drain-north')])).toEqual([{ dataCentre: 'north', isEvacuated: true }])
--- a/src/edge/storeTables.ts
+++ b/src/edge/storeTables.ts
@@ -6,6 +6,7 @@
 import type { ServiceRollouts } from './serviceRollouts'
 import { eraPosition, type StoreEra } from './storeEra/storeEra'
 import { followTable, type ObservationGap, type FollowerOptions } from './storeFollower'
+import type { MonotonicMilliseconds } from '../types'
 import type { EvacuationChange, Evacuations } from './residency/evacuations'
 import type { TableRelay } from './tableRelay'
 import type { EdgeConfiguration, StoreRecordCodec, StoreRow, UpstreamEntry } from './types'
@@ -52,7 +53,7 @@
   onUndatedRollout: (service: string) => void
   /** Called with each entry as it is now listed. */
   onEntry: (entry: UpstreamEntry) => void
-  evacuations: Pick<Evacuations, 'replace' | 'update'>
+  evacuations: Pick<Evacuations, 'replace' | 'update' | 'expire'>
   /** Called if the upstream's process no longer exists. */
   onUpstreamGone: (change: DirectoryChange) => void
 }
@@ -63,6 +64,8 @@
   /** Whether the list of upstreams has been read. */
   isListRead: () => boolean
   handleDirectoryChanges: (changes: readonly DirectoryChange[]) => void
+  /** Ends evacuations whose row a restored store has lacked for too long. */
+  expireEvacuations: (now: MonotonicMilliseconds) => void
   stop: () => void
 }
 
@@ -164,7 +167,7 @@
     relay: relay.table(records.tables.operator),
     wait: Number.isFinite(revocation) ? Math.round(revocation * FOLLOW_SHARE) : FOLLOW_MS,
     onRows (rows, gap) {
-      logEvacuations(options.evacuations.replace(rows))
+      logEvacuations(options.evacuations.replace(rows, gap.isNewEra === true ? now().steady : undefined))
       for (const row of rows) applyOperatorRow(row, gap)
     },
     onChanges (rows, gap) {
@@ -193,6 +196,7 @@
     routes: () => routes,
     isListRead: () => listRead,
     handleDirectoryChanges,
+    expireEvacuations (at) { logEvacuations(options.evacuations.expire(at)) },
     stop () {
       operatorFollower.stop()
       upstreamFollower.stop()
