A data centre is closed by own failures, and reopened by a fifth of the requests

Instances report failures but no successes to each other, so a quarter of the engines that is down looked like half of a data centre to an instance that had hardly sent anything there. The word of others now counts against all listed upstreams, and own failures against those tried lately. After a closure only a fifth of the requests that may leave try the data centre, and one failure closes it again.

--- a/src/edge/dataCentres/__tests__/cutDataCentre.test.ts
+++ b/src/edge/dataCentres/__tests__/cutDataCentre.test.ts
@@ -78,7 +78,7 @@
   ])('%s gets few requests from elsewhere until it is back', (_title, lostEngines) => {
     const sent = replayCut(lostEngines)
     expect(sum(sent.slice(0, 4))).toBeGreaterThan(100)
-    expect(sum(sent.slice(6, 18))).toBeLessThan(0.1 * 12 * 75)
+    expect(sum(sent.slice(6, 18))).toBeLessThan(0.06 * 12 * 75)
     expect(sum(sent.slice(-8))).toBeGreaterThan(0.6 * 8 * 75)
   })
 })
--- a/src/edge/dataCentres/__tests__/decisions.test.ts
+++ b/src/edge/dataCentres/__tests__/decisions.test.ts
@@ -1,6 +1,6 @@
 import { describe, expect, it } from 'vitest'
 import { createEntry, createUpstreams } from '../../__tests__/fixtures'
-import { recordActivity, suspectUpstream } from '../../upstreamDirectory'
+import { pauseAfterFailure, recordActivity, suspectUpstream } from '../../upstreamDirectory'
 import { createCrossing, type CrossingRequest } from '../crossing'
 import { createCrossingCosts } from '../crossingCosts'
 import { createOverflow } from '../overflow'
@@ -51,23 +51,53 @@
 })
 
 describe('a data centre is closed', () => {
-  it.each<[string, number, number, number, boolean]>([
-    ['when all of its upstreams are lost', 8, 8, 0, true],
-    ['when half of those seen lately are lost', 8, 2, 2, true],
-    ['not when one of many is lost', 8, 1, 0, false],
-    ['not when a quarter is lost', 8, 2, 6, false],
-    ['when its only upstream is lost', 1, 1, 0, true],
-    ['not when nothing is known of it', 8, 0, 0, false]
-  ])('%s', (_title, count, lost, reached, expected) => {
-    const upstreams = createUpstreams(Array.from({ length: count }, (_, index) => createEntry(`e${index}`, { dataCentre: 'south' })))
-    for (const upstream of upstreams.slice(0, lost)) suspectUpstream(upstream, 0, 0)
-    for (const upstream of upstreams.slice(lost, lost + reached)) recordActivity(upstream, 0)
+  it.each<[string, { count: number, failed?: number, suspected?: number, reached?: number }, boolean]>([
+    ['when none of its upstreams could be reached', { count: 8, failed: 8 }, true],
+    ['when half of those tried lately could not be reached', { count: 8, failed: 2, reached: 2 }, true],
+    ['when others could not reach half of all', { count: 8, suspected: 4 }, true],
+    ['when others could not reach some and this instance others', { count: 8, suspected: 3, failed: 1, reached: 4 }, true],
+    ['not when others could not reach a quarter', { count: 8, suspected: 2, reached: 1 }, false],
+    ['not when one of many could not be reached', { count: 8, failed: 1 }, false],
+    ['not when a quarter could not be reached', { count: 8, failed: 2, reached: 6 }, false],
+    ['when its only upstream could not be reached', { count: 1, failed: 1 }, true],
+    ['not when nothing is known of it', { count: 8 }, false]
+  ])('%s', (_title, { count, failed = 0, suspected = 0, reached = 0 }, expected) => {
+    const entries = Array.from({ length: count }, (_, index) => createEntry(`e${index}`, { dataCentre: 'south' }))
+    const upstreams = createUpstreams(entries)
+    for (const upstream of upstreams.slice(0, failed)) pauseAfterFailure(upstream, 0)
+    for (const upstream of upstreams.slice(failed, failed + suspected)) suspectUpstream(upstream, 0, 0)
+    const others = upstreams.slice(failed + suspected)
+    for (const upstream of others.slice(0, reached)) recordActivity(upstream, 0)
     const reachability = createReachability(() => 0)
     expect(reachability.update('south', upstreams, 0)).toBe(expected)
     expect(reachability.isClosed('south', 1499)).toBe(expected)
     expect(reachability.isClosed('south', 1500)).toBe(false)
   })
 
+  it.each<[string, number, number, boolean]>([
+    ['none while it is closed', 1499, 0, false],
+    ['a fifth of the requests after that', 1500, 0.19, true],
+    ['no more of them', 1500, 0.2, false],
+    ['all when no failure has shown', 3500, 0.9, true]
+  ])('and gets %s', (_title, now, draw, expected) => {
+    const upstreams = createUpstreams([createEntry('e', { dataCentre: 'south' })])
+    pauseAfterFailure(upstreams[0]!, 0)
+    const reachability = createReachability(() => 0)
+    reachability.update('south', upstreams, 0)
+    expect(reachability.accepts('south', draw, now)).toBe(expected)
+  })
+
+  it('again by one failure right after', () => {
+    const upstreams = createUpstreams(Array.from({ length: 8 }, (_, index) => createEntry(`e${index}`, { dataCentre: 'south' })))
+    for (const upstream of upstreams) pauseAfterFailure(upstream, 0)
+    const reachability = createReachability(() => 0)
+    reachability.update('south', upstreams, 0)
+    for (const upstream of upstreams) recordActivity(upstream, 1600)
+    pauseAfterFailure(upstreams[0]!, 1600)
+    expect(reachability.update('south', upstreams, 1700)).toBe(true)
+    expect(reachability.isClosed('south', 4699)).toBe(true)
+  })
+
   it('for longer each time, up to twice as long', () => {
     const [upstream] = createUpstreams([createEntry('e', { dataCentre: 'south' })])
     const reachability = createReachability(() => 0)
--- a/src/edge/dataCentres/crossing.ts
+++ b/src/edge/dataCentres/crossing.ts
@@ -139,8 +139,11 @@
       checkReachability(now)
       const cost = ({ entry }: Upstream): number => costs.costOf(entry.dataCentre, request.bytes)
       const home = candidates.filter(({ entry }) => entry.dataCentre === dataCentre)
-      const away = candidates.filter(({ entry }) => (
-        entry.dataCentre !== dataCentre && !reachability.isClosed(entry.dataCentre, now)
+      const trialDraw = random()
+      const away = candidates.filter(({ entry }) => entry.dataCentre !== dataCentre && (
+        home.length === 0
+          ? !reachability.isClosed(entry.dataCentre, now)
+          : reachability.accepts(entry.dataCentre, trialDraw, now)
       ))
       const places = new Set(candidates.map(({ entry }) => entry.dataCentre))
       const perDataCentre = { cost, isRankedPerDataCentre: true, holderShare: 1 / Math.max(1, places.size) }
