Load new weights at as many engines at a time as the others can replace

Where services have no rollouts (no exposure share in the settings), the limit now follows the occupancy of the engines, up to half of them, and engines with few requests come first. In an overload and without the loads of the fleet the former fractions hold.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,8 @@
 const edgeDecisions = [
   'admission', 'attemptDecision', 'backlog', 'cacheStoreIndex', 'crashGuard', 'requestTraits', 'engineLoad', 'eventBoundary', 'freshness', 'instanceShares', 'loadShedding', 'rolloutSampler', 'placement', 'prefixDemand', 'promptPlan', 'quotaShare',
   'requestLimits', 'requestPacer', 'retryAllowance', 'routeTable', 'serviceChoice', 'serviceRollouts', 'storeLease', 'tableHistory', 'targetSelection', 'tokenRequests', 'upstreamDirectory', 'weightsRollout',
-  'engineRoom/engineRoom', 'engineRoom/engineUse', 'engineRoom/useCodec', 'engineSpeed/engineSpeeds', 'engineSpeed/speedCodec', 'engineSpeed/speedEstimate'
+  'engineRoom/engineRoom', 'engineRoom/engineUse', 'engineRoom/useCodec', 'engineSpeed/engineSpeeds', 'engineSpeed/speedCodec', 'engineSpeed/speedEstimate',
+  'weightsLoading/loadSchedule'
 ].map((name) => `src/edge/${name}.ts`)
 
 export default [
--- a/src/edge/__tests__/fixtures.ts
+++ b/src/edge/__tests__/fixtures.ts
@@ -101,7 +101,8 @@
   'bounds.quotaSlack': '110000',
   'bounds.versionMs': '12000',
   'bounds.leaseMs': '3000',
-  'bounds.gracePeriodS': '8'
+  'bounds.gracePeriodS': '8',
+  'bounds.exposureShare': '0.1'
 }
 
 /** Renders the settings template as the platform does. */
--- a/src/edge/__tests__/settings.test.ts
+++ b/src/edge/__tests__/settings.test.ts
@@ -34,7 +34,8 @@
         quotaSlack: 110_000,
         oldWeights: 12_000,
         lease: 3000,
-        grace: 8000
+        grace: 8000,
+        exposure: 0.1
       }
     })
   })
@@ -44,6 +45,11 @@
     expect(settings.limits.revocation).toBe(Infinity)
   })
 
+  it('has no exposure limit where the platform states none, because services have no rollouts', () => {
+    const settings = parseEdgeSettings(renderSettings({ 'bounds.exposureShare': '' }), 'settings.ini')
+    expect(settings.limits.exposure).toBeUndefined()
+  })
+
   it('reports all errors at once, with line and key', () => {
     const content = renderSettings({ nodeName: '', 'platform.address': 'nowhere', 'bounds.leaseMs': '-1' })
     expect(findingsOf(content)).toEqual([
--- a/src/edge/__tests__/weightsRolloutTask.test.ts
+++ b/src/edge/__tests__/weightsRolloutTask.test.ts
@@ -42,6 +42,7 @@
     rollout,
     directory,
     isStopping: () => false,
+    refreshLoads: async () => {},
     onUpstreamHint: () => {},
     publish: () => {},
     log: () => {},
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -39,6 +39,7 @@
 import { createUpstreamConnections } from './upstreamConnections'
 import { createUpstreamDirectory, type Upstream } from './upstreamDirectory'
 import { createUpstreamHints } from './upstreamHints'
+import { createLoadSchedule } from './weightsLoading/loadSchedule'
 import { createWeightsRollout, parseProgress } from './weightsRollout'
 import { startWeightsTask } from './weightsRolloutTask'
 
@@ -102,7 +103,9 @@
   const freshness = createFreshness(limits.revocation)
   const directory = createUpstreamDirectory()
   const connections = createUpstreamConnections(() => performance.now())
-  const weightsRollout = createWeightsRollout()
+  const weightsRollout = createWeightsRollout(createLoadSchedule(limits.exposure, {
+    capacityOf: (upstream) => engines.engineRoom.capacityOf(upstream)
+  }))
   const serviceRollouts = createServiceRollouts()
   const rolloutSampler = createRolloutSampler(serviceRollouts.isRollingOut)
   let loadingEngines: ReadonlySet<Upstream> = new Set()
@@ -355,6 +358,7 @@
     rollout: weightsRollout,
     directory,
     isStopping: () => stopping,
+    refreshLoads: engines.engineLoads.refresh,
     onUpstreamHint: applyUpstreamHint,
     publish: (progress) => { weightsProgressBroadcast.send({ ...progress }) },
     log,
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -37,6 +37,11 @@
     lease: number
     /** Time in milliseconds between the stop signal and the forced termination of the process. */
     grace: number
+    /**
+     * Largest share of a service's requests that a new version of its software may get before it is judged; undefined
+     * where there are no rollouts of services.
+     */
+    exposure: number | undefined
   }
 }
 
@@ -91,7 +96,8 @@
       quotaSlack: number('quota_slack'),
       oldWeights: number('old_weights_ms'),
       lease: number('lease_ms'),
-      grace: number('grace_s') * 1000
+      grace: number('grace_s') * 1000,
+      exposure: (document.limits?.exposure_share ?? '').trim() === '' ? undefined : number('exposure_share')
     }
   }
   if (findings.length > 0) throw new ConfigurationError(findings)
--- a/src/edge/weightsRollout.ts
+++ b/src/edge/weightsRollout.ts
@@ -1,19 +1,11 @@
 /** Rollout of new weights: decides which engines load them next. */
 import type { MonotonicMilliseconds } from '../types'
-import { currentWait, isLeaving, isUsable, recordWeights, type Upstream } from './upstreamDirectory'
+import { isLeaving, isUsable, recordWeights, type Upstream } from './upstreamDirectory'
 import { CommandOutcome } from './types'
 import { elapsed } from './freshness'
+import { fixedSchedule, type LoadSchedule } from './weightsLoading/loadSchedule'
 import type { EngineReport, Instant, ModelWeights } from './types'
 
-/**
- * Fraction of the usable engines that load at the same time. On the known deployments loading slows down if more
- * engines do so.
- */
-const PARALLEL_FRACTION = 0.28
-/** Fraction that loads while requests queue at the engines, so that the other engines can carry the load. */
-const BUSY_PARALLEL_FRACTION = 0.2
-/** Mean wait for the first byte in milliseconds above which the engines count as busy. */
-const BUSY_WAIT_MS = 200
 /**
  * Time in milliseconds after which an accepted command counts as failed if the engine does not show the new weights.
  */
@@ -81,6 +73,8 @@
   progress: (upstreams: Iterable<Upstream>, now: MonotonicMilliseconds) => LoadProgress
   /** Applies the progress that the lease holder published. */
   applyProgress: (progress: LoadProgress, upstreams: Iterable<Upstream>, now: MonotonicMilliseconds) => void
+  /** Whether the steps depend on the loads of the fleet. */
+  usesLoads: boolean
 }
 
 /** Progress of the engines during a weights rollout. */
@@ -101,34 +95,17 @@
   return isSound ? { underOrder, weights: weights as LoadProgress['weights'] } : undefined
 }
 
-/** Returns the maximum number of engines that may load at the same time. */
-function maxParallelLoads (engines: readonly Upstream[], now: MonotonicMilliseconds): number {
-  const usable = engines.filter((upstream) => isUsable(upstream, now))
-  const waits = usable.flatMap((upstream) => [...upstream.waits.keys()].map((rank) => currentWait(upstream, rank, now)))
-  const mean = waits.reduce((sum, wait) => sum + wait, 0) / Math.max(1, waits.length)
-  if (mean > BUSY_WAIT_MS) return Math.max(1, Math.round(usable.length * BUSY_PARALLEL_FRACTION))
-  // Rounded up, so that a rollout to few engines finishes within the time for which old weights may be used.
-  return Math.max(1, Math.ceil(usable.length * PARALLEL_FRACTION))
+/** Compares versions; engines without a target have an infinite one. */
+function compare (one: number, other: number): number {
+  return one === other ? 0 : one - other
 }
 
 function listEngines (upstreams: Iterable<Upstream>): Upstream[] {
   return [...upstreams].filter((upstream) => upstream.weights.size > 0 && !isLeaving(upstream))
 }
 
-/**
- * Sorts engines by version, oldest first: an engine that was just updated to a version superseded since can wait. Ties
- * are broken by identifier, so that all instances derive the same order.
- */
-function sortByVersion (
-  engines: readonly Upstream[], targetFor: (upstream: Upstream) => ModelWeights | undefined
-): Upstream[] {
-  const versionOf = (upstream: Upstream): number => upstream.weights.get(targetFor(upstream)?.model ?? '') ?? Infinity
-  return [...engines].sort((one, other) => (
-    versionOf(one) - versionOf(other) || (one.entry.identifier < other.entry.identifier ? -1 : 1)
-  ))
-}
-
-export function createWeightsRollout (): WeightsRollout {
+/** @param schedule how many engines load at a time, and in which order. @default a fixed fraction */
+export function createWeightsRollout (schedule: LoadSchedule = fixedSchedule): WeightsRollout {
   const targets = new Map<string, number>()
   /** Requested versions by model, oldest first, each with an instant before it was requested. */
   const announcements = new Map<string, Array<{ version: number, requestedAfter: Instant | undefined }>>()
@@ -147,6 +124,22 @@
     return undefined
   }
 
+  /**
+   * Sorts engines by version, oldest first: an engine that was just updated to a version superseded since can wait. Ties
+   * are broken by the schedule, then by identifier, so that all instances derive the same order.
+   */
+  function sortByVersion (engines: readonly Upstream[], now: MonotonicMilliseconds): Upstream[] {
+    return engines
+      .map((engine) => ({
+        engine, version: engine.weights.get(targetFor(engine)?.model ?? '') ?? Infinity, rank: schedule.rank(engine, now)
+      }))
+      .sort((one, other) => (
+        compare(one.version, other.version) || one.rank - other.rank ||
+        (one.engine.entry.identifier < other.engine.entry.identifier ? -1 : 1)
+      ))
+      .map(({ engine }) => engine)
+  }
+
   function loadStateOf (upstream: Upstream, target: ModelWeights): LoadState {
     const { identifier, startedAt } = upstream.entry
     const present = loads.get(identifier)
@@ -177,7 +170,7 @@
   /** Returns the engines with older weights that load now or next. */
   function nextToLoad (engines: readonly Upstream[], now: MonotonicMilliseconds): Upstream[] {
     const waiting = engines.filter((upstream) => targetFor(upstream) !== undefined && isUsable(upstream, now))
-    return sortByVersion(waiting, targetFor).slice(0, maxParallelLoads(engines, now))
+    return sortByVersion(waiting, now).slice(0, schedule.limit(engines, now))
   }
 
   function isLoading (state: LoadState, now: MonotonicMilliseconds): boolean {
@@ -208,17 +201,18 @@
       return new Set(nextToLoad(engines, now))
     },
     target: (model) => targets.get(model),
+    usesLoads: schedule.usesLoads,
     isPending (upstreams) {
       for (const upstream of upstreams) if (targetFor(upstream) !== undefined) return true
       return false
     },
     nextSteps (upstreams, now) {
       const engines = listEngines(upstreams)
-      const waiting = sortByVersion(engines, targetFor).flatMap((upstream) => {
+      const waiting = sortByVersion(engines, now).flatMap((upstream) => {
         const target = targetFor(upstream)
         return target === undefined ? [] : [{ upstream, target, state: loadStateOf(upstream, target) }]
       })
-      const limit = maxParallelLoads(engines, now)
+      const limit = schedule.limit(engines, now)
       let loading = waiting.filter(({ state }) => isLoading(state, now)).length
       const steps: WeightsStep[] = []
       for (const { upstream, target, state } of waiting) {
--- a/src/edge/weightsRolloutTask.ts
+++ b/src/edge/weightsRolloutTask.ts
@@ -27,6 +27,8 @@
   rollout: WeightsRollout
   directory: UpstreamDirectory
   isStopping: () => boolean
+  /** Fetches the loads of all engines, by which the schedule decides; the holder may not get any requests itself. */
+  refreshLoads: () => Promise<void>
   /** Called with the hints in the response of an engine. */
   onUpstreamHint: (upstream: Upstream, hint: UpstreamHint) => void
   /** Publishes the progress of the rollout to the other instances. */
@@ -82,6 +84,11 @@
     options.publish(rollout.progress(directory.all(), present.steady))
   }
 
+  /** The loads are used at the next tick; without them the smallest limit holds. */
+  function refreshLoads (): void {
+    options.refreshLoads().catch((error: unknown) => { log(EdgeEvent.fault, { reason: errorMessage(error) }) })
+  }
+
   function tick (): void {
     const present = now()
     const pending = rollout.isPending(directory.all())
@@ -90,6 +97,7 @@
     if (wasHeld && !holds) rollout.reset()
     wasHeld = holds
     if (!pending || !holds || options.isStopping()) return
+    if (rollout.usesLoads) refreshLoads()
     for (const step of rollout.nextSteps(directory.all(), present.steady)) {
       const { identifier } = step.upstream.entry
       if (busy.has(identifier)) continue
