--- a/eslint.config.js
+++ b/eslint.config.js
@@ -13,7 +13,7 @@
   'dataCentres/crossingCosts', 'dataCentres/overflow', 'dataCentres/prefixPopulation', 'dataCentres/reachability',
   'engineRoom/engineRoom', 'engineRoom/engineUse', 'engineRoom/useCodec', 'engineSpeed/engineSpeeds',
   'engineSpeed/speedCodec', 'engineSpeed/speedEstimate', 'residency/destinations', 'residency/evacuations',
-  'residency/reachableDirectory', 'storeEra/keptRows', 'storeEra/storeEra'
+  'residency/reachableDirectory', 'storeEra/keptRows', 'storeEra/storeEra', 'weightsLoading/loadSchedule'
 ].map((name) => `src/edge/${name}.ts`)
 
 export default [
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -42,6 +42,7 @@
 import type { Dialect, EngineControl, Instant, Peer, Store, StoreRecordCodec, UpstreamHint } from './types'
 import { createUpstreamConnections } from './upstreamConnections'
 import { createUpstreamDirectory, type Upstream } from './upstreamDirectory'
+import { createLoadSchedule } from './weightsLoading/loadSchedule'
 import { createWeightsRollout } from './weightsRollout'
 import { startWeightsTask } from './weightsRolloutTask'
 
@@ -104,7 +105,9 @@
   const freshness = createFreshness(limits.revocation)
   const directory = createUpstreamDirectory()
   const connections = createUpstreamConnections(() => performance.now())
-  const weightsRollout = createWeightsRollout()
+  const weightsRollout = createWeightsRollout(createLoadSchedule(limits.exposure, {
+    capacityOf: (upstream) => engines.engineRoom.capacityOf(upstream)
+  }))
   const serviceRollouts = createServiceRollouts()
   const rolloutSampler = createRolloutSampler(serviceRollouts.isRollingOut)
   let loadingEngines: ReadonlySet<Upstream> = new Set()
@@ -337,6 +340,7 @@
     rollout: weightsRollout,
     directory: withoutEvacuated(directory, evacuations.isEvacuated),
     isStopping: () => stopping,
+    refreshLoads: engines.engineLoads.refresh,
     onUpstreamHint: applyUpstreamHint,
     publish: holderUpdates.publishProgress,
     log,
