Test: changes of the store's era that are half done

Cause: the hub may be an era behind, a data centre cut off over one or two eras, the holder of the lease lost or cut off, an instance of the previous release in between; a test over sockets reaches few of these states. An instance list that was stopped writes no row in a new era.

--- a/src/edge/__tests__/serviceRollouts.test.ts
+++ b/src/edge/__tests__/serviceRollouts.test.ts
@@ -1,6 +1,7 @@
 import { describe, expect, it } from 'vitest'
 import { createServiceRollouts, parseRolloutUpdate, type RolloutObservations, type ServiceRollouts } from '../serviceRollouts'
-import { ServiceRolloutState } from '../types'
+import { eraPosition } from '../storeEra/storeEra'
+import { ServiceRolloutState, type ServiceRolloutRequest } from '../types'
 import { createEntry, createUpstreams } from './fixtures'
 
 const DURATION_MS = 16_000
@@ -209,6 +210,57 @@
   })
 })
 
+describe('a rollout over a change of the store\'s era', () => {
+  const request = (toVersion: string): ServiceRolloutRequest => ({ service: 'engines', toVersion, duration: DURATION_MS })
+  const stored = { service: 'engines', toVersion: 'v2', state: ServiceRolloutState.completed }
+  /** A completed and reported rollout to v2, after one to v1, in era 1; then era 2 begins. */
+  function completedBefore (): ServiceRollouts {
+    const moves = createServiceRollouts()
+    moves.addRequest(request('v1'), eraPosition(1, 5), 0)
+    moves.addRequest(request('v2'), eraPosition(1, 10), 0)
+    moves.end('engines', ServiceRolloutState.completed)
+    moves.markReported('engines')
+    moves.startNewEra()
+    return moves
+  }
+
+  it.each<[string, ServiceRolloutRequest, number, boolean, boolean]>([
+    ['its own row in the copy starts nothing', request('v2'), 10, true, false],
+    ['its own row, written again, starts nothing', request('v2'), 7, false, false],
+    ['an earlier row in the copy starts nothing', request('v1'), 5, true, false],
+    ['an earlier request, written in the new era, starts a rollout', request('v1'), 7, false, true],
+    ['a request that is not known starts a rollout', request('v3'), 7, true, true]
+  ])('%s', (_title, next, rowVersion, isRestored, starts) => {
+    const moves = completedBefore()
+    expect(moves.addRequest(next, eraPosition(2, rowVersion), 0, isRestored)).toBe(starts)
+    expect(moves.finalState('engines')).toBe(starts ? undefined : ServiceRolloutState.completed)
+  })
+
+  it('is reported again unless the store still has the report', () => {
+    const moves = completedBefore()
+    expect(moves.pending()).toEqual(['engines'])
+    moves.addRequest(request('v2'), eraPosition(2, 12), 0)
+    moves.applyStoredStatus('engines', stored, eraPosition(2, 11))
+    expect(moves.pending()).toEqual(['engines'])
+    moves.applyStoredStatus('engines', stored, eraPosition(2, 13))
+    expect(moves.pending()).toEqual([])
+  })
+
+  it('starts again at a request that follows the one that was written again', () => {
+    const moves = completedBefore()
+    moves.addRequest(request('v2'), eraPosition(2, 7), 0)
+    expect(moves.addRequest(request('v2'), eraPosition(2, 8), 0)).toBe(true)
+  })
+
+  it.each([
+    { name: 'of the current era counts', era: 2, reported: true }, { name: 'of an earlier era does not count', era: 1, reported: false },
+    { name: 'of a release without eras counts', era: undefined, reported: true }
+  ])('a report $name', ({ era, reported }) => {
+    const content = { ...update(ServiceRolloutState.completed, 1), reported: true, era }
+    expect(parseRolloutUpdate(content, 2)).toMatchObject({ reported })
+  })
+})
+
 describe('an update that cannot be parsed', () => {
   it.each([
     [{}], [{ ...update(ServiceRolloutState.running, 0.3), state: 'paused' }], [{ ...update(ServiceRolloutState.running, 0.3), share: 2 }],
--- a/src/edge/instanceList.ts
+++ b/src/edge/instanceList.ts
@@ -167,7 +167,9 @@
   }
 
   tryRegister()
+  let isStopped = false
   storeEra.subscribe(() => {
+    if (isStopped) return
     clearTimeout(timer)
     timer = setTimeout(tryRegister, MAX_REWRITE_DELAY_MS * random())
   })
@@ -214,6 +216,7 @@
       else waiting.push(listener)
     },
     stop () {
+      isStopped = true
       clearTimeout(timer)
       clearTimeout(readyTimer)
       for (const pending of observed.values()) clearTimeout(pending)
