Take a configuration that is written anew under a version that was lost

Cause: an instance that had read a version which was lost with the store's era ignored every later row with that version, so that the operator's next configuration stayed without effect on part of the fleet. Change: after a change of era a row with the version in force and another content replaces it if it was written later.

--- a/src/edge/storeTables.ts
+++ b/src/edge/storeTables.ts
@@ -66,20 +66,32 @@
   const { shared, records, relay, revocation, freshness, directory, weightsRollout, serviceRollouts } = options
   const { log, now, storeEra } = shared
   let routes: RouteTable | undefined
+  /** Content and position, over all eras, of the row with the configuration in force. */
+  let inForce: { value: Buffer, position: number } | undefined
   let listRead = false
   let settle = SETTLE_MS
 
+  /**
+   * Whether a row with the version in force has been written anew: that version was lost with an era, and the operator
+   * may have given it to another configuration.
+   */
+  function isWrittenAnew (value: Buffer, position: number): boolean {
+    return storeEra.changes() > 0 && inForce !== undefined && position > inForce.position && !value.equals(inForce.value)
+  }
+
   function applyConfiguration (value: Buffer, rowVersion: number): void {
     try {
       const configuration = records.configuration(value)
+      const position = eraPosition(storeEra.current(), rowVersion)
+      const versionInForce = routes?.configuration.version ?? -Infinity
       // A replica that lags behind may return an older configuration, which never replaces a newer one.
-      if (routes !== undefined && configuration.version <= routes.configuration.version) {
-        if (configuration.version < routes.configuration.version) {
-          const inForce = routes.configuration.version
-          log(EdgeEvent.configurationIgnored, { configurationVersion: configuration.version, inForce })
-        }
+      if (configuration.version < versionInForce) {
+        const { version } = configuration
+        log(EdgeEvent.configurationIgnored, { configurationVersion: version, inForce: versionInForce })
         return
       }
+      if (configuration.version === versionInForce && !isWrittenAnew(value, position)) return
+      inForce = { value, position }
       routes = createRouteTable(configuration)
       options.onConfiguration(configuration)
       log(EdgeEvent.configurationAccepted, { configurationVersion: configuration.version, rowVersion })
