--- a/src/edge/storeTables.ts
+++ b/src/edge/storeTables.ts
@@ -76,7 +76,8 @@
    * may have given it to another configuration.
    */
   function isWrittenAnew (value: Buffer, position: number): boolean {
-    return storeEra.changes() > 0 && inForce !== undefined && position > inForce.position && !value.equals(inForce.value)
+    if (storeEra.changes() === 0 || inForce === undefined) return false
+    return position > inForce.position && !value.equals(inForce.value)
   }
 
   function applyConfiguration (value: Buffer, rowVersion: number): void {
