One account of the bytes held for callers, with a bound from the machine's memory

Cause: each body, each request sent ahead and each unread answer was held without regard to all others. Chunks of one byte were kept as an object each, and answers that wait for others on their connection did not count for Node.js, so that it went on reading the connection.

Change: src/http/memoryAccount/ counts the bytes by kind and decides what is given up at the bound: the newest incomplete request of 64 KB or more (503 with Retry-After, its connection is closed), then the connection that holds the most without progress. Bodies are copied into blocks. A gate before the HTTP parser passes on slices and stops at 64 requests in progress on a connection, or one while little memory is left. A body that announces too long a length is refused without being read. A body behind a refusal that waits is read up to 4 MB. Answers are read ahead up to 512 KB each. Settings [limits] memory_mb and file_descriptors; metrics waxwingspoke_held_bytes and its bound.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -23,7 +23,7 @@
   },
   {
     // Decision modules stay free of sockets, logs and adapters so that tests and experiments can drive them directly.
-    files: ['src/{quota,fairness,prefix,rollout,customer,membership}/*.ts', 'src/request/*.ts', 'src/upstream/{registry,crashAttribution}.ts', ...edgeDecisions],
+    files: ['src/{quota,fairness,prefix,rollout,customer,membership}/*.ts', 'src/request/*.ts', 'src/upstream/{registry,crashAttribution}.ts', 'src/http/memoryAccount/{account,bounds,relief}.ts', ...edgeDecisions],
     rules: {
       'no-restricted-imports': ['error', {
         paths: adapterImports,
--- a/src/edge/callerResponse.ts
+++ b/src/edge/callerResponse.ts
@@ -1,6 +1,8 @@
-/** The caller's side of one exchange: reads the request body and writes exactly one response. */
+/** The caller's side of one exchange: writes exactly one response. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { keepOpenForBody } from '../http/callerConnections'
+import { HeldKind, type HeldRequest } from '../http/memoryAccount/account'
+import type { MonotonicMilliseconds } from '../types'
 import type { Dialect } from './types'
 
 export interface Rejection {
@@ -28,19 +30,32 @@
   abort: () => void
   hasStarted: () => boolean
   hasEnded: () => boolean
+  /** Calls the listener when the caller has read enough for more to be written. */
   onDrain: (listener: () => void) => void
 }
 
 const INCOMPLETE: Rejection = {
   status: 502, code: 'upstream_failed', message: 'the request was sent on and its outcome is not known'
 }
-/** Bytes of a response that wait for the responses before it; beyond these, its upstream is read no further. */
-const MAX_DEFERRED_BYTES = 65_536
+/**
+ * Bytes of a response that its caller has not read; beyond these, its upstream is read no further. An upstream cuts off a
+ * response that stays unread for some seconds, so most responses are read ahead to their end.
+ */
+const READ_AHEAD_BYTES = 524_288
+/** Bytes that are read ahead while little memory is left. */
+const TIGHT_READ_AHEAD_BYTES = 65_536
+/** Least size in bytes for which a write counts; small writes take as much memory for their objects. */
+const MIN_WRITE_BYTES = 256
 
 export interface CallerResponseOptions {
   response: ServerResponse
   dialect: Dialect
   identifier: string | undefined
+  /** Account of the request. @default none is kept */
+  held?: HeldRequest | undefined
+  /** Whether little memory is left. */
+  isMemoryTight?: (() => boolean) | undefined
+  now: () => MonotonicMilliseconds
 }
 
 function withoutLength (raw: readonly string[]): string[] {
@@ -48,13 +63,30 @@
 }
 
 export function createCallerResponse (
-  { response, dialect, identifier }: CallerResponseOptions
+  { response, dialect, identifier, held, isMemoryTight = () => false, now }: CallerResponseOptions
 ): CallerResponse {
   let started = false
   let ended = false
   /** Writes that wait until the responses before this one on the connection are sent. */
   const deferred: Array<() => void> = []
-  let deferredBytes = 0
+  /** Bytes of writes that the operating system has not taken. */
+  let unreadBytes = 0
+  let isFull = false
+
+  function readAhead (): number {
+    return isMemoryTight() ? TIGHT_READ_AHEAD_BYTES : READ_AHEAD_BYTES
+  }
+
+  /** Writes bytes that count until the operating system has taken them. */
+  function writeCounted (bytes: Buffer, size: number): void {
+    response.write(bytes, () => {
+      unreadBytes -= size
+      held?.add(HeldKind.answer, -size, now())
+      if (!isFull || unreadBytes > readAhead() / 2) return
+      isFull = false
+      response.emit('drain')
+    })
+  }
 
   function writeInOrder (action: () => void): void {
     if (response.socket === null) deferred.push(action)
@@ -62,10 +94,7 @@
   }
 
   response.once('socket', () => {
-    const wasFull = deferredBytes > MAX_DEFERRED_BYTES
     for (const action of deferred.splice(0)) action()
-    deferredBytes = 0
-    if (wasFull && !response.writableNeedDrain) response.emit('drain')
   })
 
   function writeHead (
@@ -97,13 +126,16 @@
     },
     writeHead,
     write (bytes) {
-      if (response.socket !== null) return response.write(bytes)
-      deferredBytes += bytes.length
-      deferred.push(() => { response.write(bytes) })
-      return deferredBytes <= MAX_DEFERRED_BYTES
+      const size = Math.max(MIN_WRITE_BYTES, bytes.length)
+      unreadBytes += size
+      held?.add(HeldKind.answer, size, now())
+      writeInOrder(() => { writeCounted(bytes, size) })
+      isFull = unreadBytes > readAhead()
+      return !isFull
     },
     end (bytes) {
       ended = true
+      if (bytes !== undefined) held?.add(HeldKind.answer, bytes.length, now())
       writeInOrder(() => { response.end(bytes) })
     },
     abort () {
@@ -126,29 +158,3 @@
   const length = request.headers['content-length']
   return request.headers['transfer-encoding'] !== undefined || (length !== undefined && length !== '0')
 }
-
-/**
- * Reads the complete body. Calls `onTooLong` once if it exceeds the limit. Neither callback is called if the caller
- * disconnects.
- */
-export function readBody (
-  request: IncomingMessage, limit: number, onBody: (body: Buffer) => void, onTooLong: () => void
-): void {
-  const chunks: Buffer[] = []
-  let bytes = 0
-  let tooLong = false
-  request.on('data', (chunk: Buffer) => {
-    if (tooLong) return
-    bytes += chunk.length
-    if (bytes > limit) {
-      tooLong = true
-      chunks.length = 0
-      onTooLong()
-      return
-    }
-    chunks.push(chunk)
-  })
-  request.on('end', () => {
-    if (!tooLong) onBody(chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks))
-  })
-}
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -1,6 +1,5 @@
 /** Composes an edge daemon from its modules and manages its start and shutdown. */
 import { PeerProtocolError } from '../errors'
-import { createResponseBuffers } from './responseBuffers'
 import { createBacklogs } from './backlog'
 import { createBoundedLog } from './boundedLog'
 import { createCacheStores } from './cacheStores'
@@ -29,6 +28,7 @@
 import { createServiceRollouts, parseRolloutUpdate } from './serviceRollouts'
 import { startServiceRolloutsTask } from './serviceRolloutsTask'
 import type { EdgeSettings } from './settings'
+import { createCallerMemory } from './memoryAccount/callerMemory'
 import { createLivenessChecks } from './livenessChecks'
 import { followTable } from './storeFollower'
 import { createStoreLease } from './storeLease'
@@ -77,7 +77,9 @@
   const now = (): Instant => ({ steady: performance.now(), wall: Date.now() })
   const random = Math.random
   const incarnation = Date.now()
+  const { account, maxConnections, exchangeMemory } = createCallerMemory(limits, () => performance.now())
   const metrics = createEdgeMetrics({
+    account,
     exchanges: () => exchanges.size,
     instances: () => instances.count(),
     pendingPeerQueries: () => relay.pendingRequests(),
@@ -251,6 +253,8 @@
     metricsContentType: metrics.contentType,
     onFault: reportFault,
     log,
+    account,
+    maxConnections,
     isReady,
     identify: ({ headers }) => dialect.readRequest(headers).identifier,
     onRequest (request, response) {
@@ -283,7 +287,7 @@
     rolloutSampler,
     engineLoads,
     loadingEngines: () => loadingEngines,
-    responseBuffers: createResponseBuffers(),
+    ...exchangeMemory,
     upstreamHints,
     requestLimits,
     sendPermits,
@@ -395,10 +399,7 @@
       hasUnsentBytes: server.hasUnsentBytes,
       log,
       onStopping () { stopping = true; server.announceClose() },
-      rejectRequests () {
-        rejecting = true
-        server.closeIdle()
-      },
+      rejectRequests () { rejecting = true; server.closeIdle() },
       close () {
         for (const task of [
           tables, lease, weightsRolloutTask, serviceRolloutTask, engineLoads, cacheStores, instances
@@ -420,9 +421,6 @@
       await stopped
     },
     reloaded: (outcome) => { log(EdgeEvent.reloaded, { outcome }) },
-    fault (error) {
-      reportFault(error)
-      closeLog()
-    }
+    fault (error) { reportFault(error); closeLog() }
   }
 }
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -295,7 +295,7 @@
     const isStream = status === 200 && history.repeat === RepeatRule.stream
     const length = Number(head.headers['content-length'] ?? 0)
     if (!isStream && length > MAX_RESPONSE_BYTES) return abortAttempt(current, RESPONSE_TOO_LONG)
-    if (isStream) eventBoundary ??= createEventBoundary(mayRepeat(history))
+    if (isStream) eventBoundary ??= createEventBoundary(mayRepeat(history), context.recordPartialEvents)
     if (current === successor) return onSuccessorHead(current, status)
     if (!isFailure(status)) endTakeover()
   }
@@ -442,6 +442,7 @@
     },
     release () {
       crashGuard.releasePermits(history.runs > 0)
+      eventBoundary?.discardPartialEvent()
     },
     resume () {
       if (attempt === undefined) return
--- a/src/edge/edgeServer.ts
+++ b/src/edge/edgeServer.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net'
 import { MAX_TIMER_MS } from '../constants'
 import { trackCallerConnections } from '../http/callerConnections'
+import type { MemoryAccount } from '../http/memoryAccount/account'
 import type { Endpoint } from '../types'
 import { EdgeEvent, type EdgeLog } from './events'
 import { openListener, type Listener } from './listener'
@@ -34,6 +35,10 @@
   metricsContentType: string
   onFault: (error: unknown) => void
   log: EdgeLog
+  /** Account of the bytes held for callers. */
+  account: MemoryAccount
+  /** Maximum number of connections of callers; further ones are closed at once. */
+  maxConnections: number
 }
 
 export interface EdgeServer {
@@ -105,6 +110,8 @@
     // After the process was busy, timers come before the bytes that have arrived meanwhile; these are read first.
     setImmediate(() => { if (socket.bytesRead === bytesRead) socket.destroy() })
   })
+  callers.maxConnections = options.maxConnections
+  callers.on('drop', () => { options.log(EdgeEvent.callerConnectionsRefused, { limit: options.maxConnections }) })
   const listeners: Listener[] = []
   const connections = trackCallerConnections(callers, {
     onRequest (request, response) {
@@ -115,6 +122,8 @@
     onClosing: (reason, responsesInProgress) => {
       options.log(EdgeEvent.callerConnectionClosing, { reason, responsesInProgress })
     },
+    account: options.account,
+    onShed: (heldBytes) => { options.log(EdgeEvent.callerConnectionShed, { heldBytes }) },
     onDiscarded (request) {
       options.log(EdgeEvent.requestDiscarded, { requestIdentifier: options.identify(request) })
     }
--- a/src/edge/eventBoundary.ts
+++ b/src/edge/eventBoundary.ts
@@ -54,8 +54,11 @@
   return events.toString('latin1', position + ID_FIELD.length, end < 0 ? events.length : end).trim()
 }
 
-/** @param isResumable whether the identifiers of events are needed */
-export function createEventBoundary (isResumable = true): EventBoundary {
+/**
+ * @param isResumable whether the identifiers of events are needed
+ * @param recordPending called with the change in bytes of the partial event
+ */
+export function createEventBoundary (isResumable = true, recordPending?: (bytes: number) => void): EventBoundary {
   const pending = createByteAccumulator()
   let lastEvent: string | undefined
   let malformed = false
@@ -82,31 +85,50 @@
     return 0
   }
 
+  let recordedBytes = 0
+
+  function recordPartialEvent (): void {
+    const bytes = pending.cost()
+    if (bytes === recordedBytes) return
+    recordPending?.(bytes - recordedBytes)
+    recordedBytes = bytes
+  }
+
+  /** Returns complete events of the pending bytes and the chunk, and keeps the rest. */
+  function splitEvents (chunk: Buffer): Buffer | undefined {
+    const end = endOfEvents(chunk)
+    if (end === 0) {
+      pending.push(chunk)
+      return undefined
+    }
+    let bytes = chunk
+    if (pending.length() > 0) {
+      pending.push(chunk)
+      bytes = pending.view()
+      pending.clear()
+    }
+    if (end < bytes.length) pending.push(bytes.subarray(end))
+    const events = bytes.subarray(0, end)
+    const identifier = lastEventIdentifier(events)
+    malformed = isResumable && identifier !== undefined && !isHeaderValue(identifier)
+    if (malformed) return undefined
+    hasEvent = true
+    lastEvent = identifier ?? lastEvent
+    return events
+  }
+
   return {
     push (chunk) {
-      const end = endOfEvents(chunk)
-      if (end === 0) {
-        pending.push(chunk)
-        return undefined
-      }
-      let bytes = chunk
-      if (pending.length() > 0) {
-        pending.push(chunk)
-        bytes = pending.view()
-        pending.clear()
-      }
-      if (end < bytes.length) pending.push(bytes.subarray(end))
-      const events = bytes.subarray(0, end)
-      const identifier = lastEventIdentifier(events)
-      malformed = isResumable && identifier !== undefined && !isHeaderValue(identifier)
-      if (malformed) return undefined
-      hasEvent = true
-      lastEvent = identifier ?? lastEvent
+      const events = splitEvents(chunk)
+      recordPartialEvent()
       return events
     },
     partialEvent: pending.view,
     lastEvent: () => lastEvent,
-    discardPartialEvent: pending.clear,
+    discardPartialEvent () {
+      pending.clear()
+      recordPartialEvent()
+    },
     isOversized: () => pending.cost() > MAX_EVENT_BYTES,
     isMalformed: () => malformed
   }
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -11,6 +11,10 @@
   listenerFailed: 'listener.failed',
   /** A caller's connection will be closed after the responses in progress, because bytes came that are no request. */
   callerConnectionClosing: 'caller.connection_closing',
+  /** A caller's connection gave up what it holds, because it made no progress while much memory was held. */
+  callerConnectionShed: 'caller.connection_shed',
+  /** Connections of callers were closed when they were opened, because there were too many. */
+  callerConnectionsRefused: 'caller.connections_refused',
   /** A request was not handled, because it came behind the announced end of its connection. */
   requestDiscarded: 'request.discarded',
   requestRouted: 'request.routed',
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -2,7 +2,7 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { admit, AdmissionRejection } from './admission'
 import { Obstacle } from './attemptDecision'
-import { createCallerResponse, hasBody, readBody, type Rejection } from './callerResponse'
+import { createCallerResponse, hasBody, type Rejection } from './callerResponse'
 import { createDispatch } from './dispatch'
 import type { Dispatch } from './dispatchTypes'
 import { EdgeEvent } from './events'
@@ -14,6 +14,8 @@
 import { MAX_TIMER_MS } from '../constants'
 import { countHeaderBytes } from '../http/headSize'
 import { isKnownExpectation, isSendableRequest } from '../http/headText'
+import { readBoundedBody, skipBody } from '../http/memoryAccount/bodyReader'
+import { heldFor } from '../http/memoryAccount/connectionMemory'
 import { ExecutionStatus } from '../types'
 import type { EdgeCustomer, EdgeRoute, Instant } from './types'
 import { availableAt } from './upstreamDirectory'
@@ -23,6 +25,10 @@
 /** Bounds of the estimated retry-after in milliseconds. */
 const MIN_RETRY_MS = 50
 const MAX_RETRY_MS = 1000
+/** Retry-after in milliseconds of a request that is refused for memory, which is free once the largest holders have ended. */
+const MEMORY_RETRY_MS = 1000
+/** Bytes of the body of a refused request that are read before the refusal; a caller may not read it before it has sent them. */
+const MAX_SKIPPED_BODY_BYTES = 4 * 1024 * 1024
 
 function clampRetryAfter (milliseconds: number): number {
   return Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, milliseconds))
@@ -47,7 +53,15 @@
   const startedAt = context.now()
   const callerRequest = dialect.readRequest(request.headers)
   const identifier = callerRequest.identifier ?? ''
-  const callerResponse = createCallerResponse({ response, dialect, identifier: callerRequest.identifier })
+  const held = heldFor(request)
+  const callerResponse = createCallerResponse({
+    response,
+    dialect,
+    identifier: callerRequest.identifier,
+    held,
+    isMemoryTight: context.isMemoryTight,
+    now: () => context.now().steady
+  })
   let dispatch: Dispatch | undefined
   let admittedRequest: AdmittedRequest | undefined
   let timeoutTimer: NodeJS.Timeout | undefined
@@ -168,8 +182,7 @@
    */
   function rejectAfterBody (rejection: Rejection): void {
     if (!hasBody(request)) return reject(rejection, 'admission')
-    request.resume()
-    request.on('end', contain(() => { if (!isFinished) reject(rejection, 'admission') }))
+    skipBody(request, MAX_SKIPPED_BODY_BYTES, contain(() => { if (!isFinished) reject(rejection, 'admission') }))
   }
 
   /** Refuses the request after those that arrived with it are known, as the refusal may announce the end of the connection. */
@@ -276,11 +289,22 @@
     const { headerBytes, bodyBytes } = context.routeTable()!.configuration.limits
     if (countHeaderBytes(request) > headerBytes) return rejectAfterBody(AdmissionRejection.headerTooLarge)
     if (!hasBody(request)) return processRequest(route, customer, undefined)
-    readBody(request, bodyBytes, contain((body: Buffer) => {
-      if (!isFinished) processRequest(route, customer, body)
-    }), contain(() => {
-      reject({ status: 413, code: 'request_too_large', message: 'the body is too long' }, 'the body is too long')
-    }))
+    readBoundedBody(request, bodyBytes, held, {
+      onBody: contain((body: Buffer) => { if (!isFinished) processRequest(route, customer, body) }),
+      onTooLong: contain(() => {
+        reject({ status: 413, code: 'request_too_large', message: 'the body is too long' }, 'the body is too long')
+      }),
+      onNoMemory: contain(rejectForMemory)
+    })
+  }
+
+  /** Refuses the request, whose body is being read, and closes its connection. */
+  function rejectForMemory (): void {
+    if (isFinished) return
+    const message = 'the instance has no memory left for the body'
+    // The rest of the body would be read before the next request.
+    if (!response.headersSent) response.shouldKeepAlive = false
+    reject({ status: 503, code: 'overloaded', message, retryAfter: MEMORY_RETRY_MS }, 'memory')
   }
 
   return {
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -52,6 +52,10 @@
   engineLoads: Pick<LoadExchange, 'refresh' | 'promptSent' | 'prefillEnded'>
   /** Engines that are loading weights or will load them next. */
   loadingEngines: () => ReadonlySet<Upstream>
+  /** Whether little memory is left for bytes held for callers. @default never */
+  isMemoryTight?: () => boolean
+  /** Records bytes of incomplete events of streams; a negative number records that they are released. @default not recorded */
+  recordPartialEvents?: (bytes: number) => void
   /** Buffers of responses that are forwarded only when they are complete. */
   responseBuffers: ResponseBuffers
   upstreamHints: Pick<UpstreamHints, 'apply'>
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -20,6 +20,8 @@
   configurationVersion: () => number
   /** Time in milliseconds since the configuration was last confirmed to be the newest one; Infinity if it never was. */
   configurationAge: () => number
+  /** Account of the bytes held for callers and upstreams. @default no such metrics */
+  account?: { heldByKind: () => ReadonlyMap<string, number>, bound: number }
   /** Number of listed upstreams per service. */
   upstreams: () => ReadonlyMap<string, number>
 }
@@ -92,6 +94,7 @@
     'waxwingspoke_configuration_age_milliseconds', 'Time since the configuration was proved to be the newest one',
     sources.configurationAge
   )
+  if (sources.account !== undefined) registerHeldBytes(sources.account)
   const upstreams = new Gauge({
     name: 'waxwingspoke_upstreams',
     help: 'Listed upstreams',
@@ -104,6 +107,20 @@
   })
   upstreams.reset()
 
+  function registerHeldBytes ({ heldByKind, bound }: NonNullable<MetricSources['account']>): void {
+    gauge('waxwingspoke_held_bytes_bound', 'Maximum number of bytes held for callers and upstreams', () => bound)
+    const heldBytes = new Gauge({
+      name: 'waxwingspoke_held_bytes',
+      help: 'Bytes held for callers and upstreams',
+      labelNames: ['kind'],
+      registers,
+      collect () {
+        for (const [kind, bytes] of heldByKind()) this.set({ kind }, bytes)
+      }
+    })
+    heldBytes.reset()
+  }
+
   const observers: Readonly<Partial<Record<EdgeEvent, (fields: Fields) => void>>> = {
     [EdgeEvent.requestFinished] ({ status, service, duration: totalMs, firstByte: firstByteMs }) {
       responses.inc({ status: String(status) })
--- a/src/edge/responseBuffers.ts
+++ b/src/edge/responseBuffers.ts
@@ -26,14 +26,27 @@
   bufferedBytes: () => number
 }
 
-export function createResponseBuffers (): ResponseBuffers {
+/** Part of the size of a response by which its buffer may be larger; the rest would be held until the caller has read it. */
+const MAX_SPARE_PART = 0.25
+
+function withoutSpareCapacity (view: Buffer): Buffer {
+  return view.buffer.byteLength > view.length * (1 + MAX_SPARE_PART) ? Buffer.from(view) : view
+}
+
+/** @param record called with each change of the buffered bytes */
+export function createResponseBuffers (record?: (bytes: number) => void): ResponseBuffers {
   let total = 0
 
+  function change (bytes: number): void {
+    total += bytes
+    if (bytes !== 0) record?.(bytes)
+  }
+
   function open (): ResponseBuffer {
     const bytes = createByteAccumulator()
 
     function discard (): void {
-      total -= bytes.cost()
+      change(-bytes.cost())
       bytes.clear()
     }
 
@@ -45,13 +58,13 @@
           return false
         }
         bytes.push(chunk)
-        total += cost
+        change(cost)
         return true
       },
       take () {
-        const response = bytes.view()
+        const view = bytes.view()
         discard()
-        return response
+        return withoutSpareCapacity(view)
       },
       discard
     }
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -37,6 +37,10 @@
     lease: number
     /** Time in milliseconds between the stop signal and the forced termination of the process. */
     grace: number
+    /** Memory of the machine in MB. @default DEFAULT_MEMORY_MB */
+    memoryMb?: number
+    /** File descriptors of the machine. @default DEFAULT_FILE_DESCRIPTORS */
+    fileDescriptors?: number
   }
 }
 
@@ -47,6 +51,9 @@
   text: (value: string): string | undefined => value === '' ? undefined : value,
   endpoint: parseEndpoint,
   number: (value: string): number | undefined => value !== '' && Number(value) >= 0 ? Number(value) : undefined,
+  positive (value: string): number | undefined {
+    return Number(value) > 0 && Number.isFinite(Number(value)) ? Number(value) : undefined
+  },
   flag: (value: string): boolean | undefined => ({ true: true, false: false } as Record<string, boolean>)[value]
 }
 
@@ -70,6 +77,11 @@
     return value as Value
   }
   const number = (key: string): number => readValue('limits', key, parsers.number)
+  /** Reads a positive limit that may be missing or empty, which leaves its default in force. */
+  function optionalLimit<Key extends string> (name: Key, key: string): Partial<Record<Key, number>> {
+    if ((document.limits?.[key] ?? '').trim() === '') return {}
+    return { [name]: readValue('limits', key, parsers.positive) } as Partial<Record<Key, number>>
+  }
 
   const isStrict = readValue('limits', 'strict_revocation', parsers.flag)
   const settings: EdgeSettings = {
@@ -91,7 +103,9 @@
       quotaSlack: number('quota_slack'),
       oldWeights: number('old_weights_ms'),
       lease: number('lease_ms'),
-      grace: number('grace_s') * 1000
+      grace: number('grace_s') * 1000,
+      ...optionalLimit('memoryMb', 'memory_mb'),
+      ...optionalLimit('fileDescriptors', 'file_descriptors')
     }
   }
   if (findings.length > 0) throw new ConfigurationError(findings)
--- a/src/http/callerConnections.ts
+++ b/src/http/callerConnections.ts
@@ -9,6 +9,8 @@
  */
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import type { MemoryAccount } from './memoryAccount/account'
+import { trackConnectionMemory, type ConnectionMemory } from './memoryAccount/connectionMemory'
 
 /**
  * Time in milliseconds for which the bytes of the caller are read and discarded after the last response. A connection
@@ -18,6 +20,9 @@
 /** Bytes of a body that are read and discarded after its response. For more than these, the connection is closed. */
 const MAX_DISCARDED_BODY_BYTES = 4 * 1024 * 1024
 
+/** Interval in milliseconds between checks for callers that make no progress. */
+const PROGRESS_CHECK_MS = 250
+
 /** Why bytes on a connection cannot be read as a request. */
 export const UnreadableRequest = {
   malformed: 'malformed',
@@ -53,6 +58,10 @@
   onClosing?: (reason: UnreadableRequest, responsesInProgress: number) => void
   /** Called for each request that is not handled, because it came behind the announced end of its connection. */
   onDiscarded?: (request: IncomingMessage) => void
+  /** Account of the bytes held for the callers. @default none is kept, and only the requests in progress are bounded */
+  account?: MemoryAccount
+  /** Called for each connection that gives up what it holds, because it makes no progress while much is held. */
+  onShed?: (heldBytes: number) => void
 }
 
 export interface CallerConnections {
@@ -66,8 +75,11 @@
 
 interface Connection {
   socket: Socket
+  memory: ConnectionMemory
   /** In the order of their requests. */
   responses: Set<ServerResponse>
+  /** The response whose request has come last. */
+  latest: ServerResponse | undefined
   /** Number of requests whose heads have been read. */
   headsRead: number
   /** Response to the request whose body is being read. */
@@ -103,6 +115,11 @@
   return response.req.complete || response.headersSent
 }
 
+function hasOwed ({ responses }: Connection): boolean {
+  for (const response of responses) if (isOwed(response)) return true
+  return false
+}
+
 function isIncomplete (response: ServerResponse | undefined): response is ServerResponse {
   return response !== undefined && !response.req.complete
 }
@@ -168,14 +185,31 @@
 }
 
 export function trackCallerConnections (
-  server: Server, { onRequest, renderRefusal, onClosing, onDiscarded }: CallerConnectionsOptions
+  server: Server, { onRequest, renderRefusal, onClosing, onDiscarded, account, onShed }: CallerConnectionsOptions
 ): CallerConnections {
   const connections = new Map<Socket, Connection>()
   let isAnnouncingClose = false
+  const progressTimer = setInterval(checkProgress, PROGRESS_CHECK_MS).unref()
+  server.on('close', () => { clearInterval(progressTimer) })
   server.on('connection', (socket: Socket) => {
     const responses = new Set<ServerResponse>()
+    const memory = trackConnectionMemory(socket, {
+      account,
+      responses,
+      receiving: () => connection.receiving,
+      onShed: (heldBytes) => { onShed?.(heldBytes) },
+      now: performance.now()
+    })
     const connection: Connection = {
-      socket, responses, headsRead: 0, receiving: undefined, overdue: undefined, announcing: undefined, isClosing: false
+      socket,
+      memory,
+      responses,
+      latest: undefined,
+      headsRead: 0,
+      receiving: undefined,
+      overdue: undefined,
+      announcing: undefined,
+      isClosing: false
     }
     connections.set(socket, connection)
     // Node.js calls this after a response that announces the end of its connection.
@@ -185,6 +219,7 @@
     }
     socket.on('close', () => {
       connections.delete(socket)
+      memory.close()
       // Node.js reports the end of the connection only to the response that is being sent.
       for (const response of responses) if (response.socket !== socket) endWaiting(response)
     })
@@ -194,7 +229,7 @@
     const connection = connections.get(socket)
     if (connection === undefined) return
     const { responses } = connection
-    if (endsConnection([...responses].at(-1))) endReading(connection)
+    if (endsConnection(connection.latest)) endReading(connection)
     if (connection.isClosing) {
       onDiscarded?.(request)
       // Its body would keep the rest of the connection from being read.
@@ -207,7 +242,14 @@
     connection.receiving = response
     if (connection.overdue !== undefined) limitBody(connection, request)
     responses.add(response)
-    for (const event of ['finish', 'close']) response.on(event, () => { responses.delete(response) })
+    connection.latest = response
+    for (const event of ['finish', 'close']) {
+      response.on(event, () => {
+        responses.delete(response)
+        if (connection.latest === response) connection.latest = [...responses].at(-1)
+      })
+    }
+    connection.memory.open(request, response, performance.now())
     response.on('finish', () => {
       forgetReceived(connection)
       announceEnd(connection)
@@ -270,7 +312,7 @@
    */
   function judgeOverdue (connection: Connection): void {
     if (!isStillOverdue(connection)) connection.overdue = undefined
-    else if (![...connection.responses].some(isOwed)) rejectBytes(connection, UnreadableRequest.timedOut)
+    else if (!hasOwed(connection)) rejectBytes(connection, UnreadableRequest.timedOut)
   }
 
   /** Node.js does not limit the time of a request any more that it has reported once. */
@@ -306,9 +348,16 @@
   /** Reads no further requests. */
   function endReading (connection: Connection): void {
     connection.isClosing = true
+    connection.memory.gate.open()
     discardInput(connection.socket)
   }
 
+  function checkProgress (): void {
+    const now = performance.now()
+    for (const { memory } of connections.values()) memory.sample(now)
+    account?.sweep(now)
+  }
+
   /** Reads the rest of a body that nobody needs, so that the next request on the connection can be read. */
   function discardBody (connection: Connection, request: IncomingMessage): void {
     let bytes = 0
@@ -319,6 +368,8 @@
       closeGently(connection.socket)
     })
     request.once('end', () => { setTimeout(closeAfterBody, LINGER_MS, connection) })
+    // The body may have been paused while its refusal waited for the responses before it.
+    request.resume()
   }
 
   /**
@@ -350,8 +401,9 @@
   function announceEnd (connection: Connection): void {
     if (!isAnnouncingClose) return
     withdrawAnnouncement(connection)
-    const [current, ...waiting] = connection.responses
-    if (current === undefined || waiting.length > 0 || !current.req.complete) return
+    const [current] = connection.responses
+    const isFollowed = connection.responses.size > 1 || connection.memory.gate.hasWaiting()
+    if (current === undefined || isFollowed || !current.req.complete) return
     if (current.headersSent || !current.shouldKeepAlive) return
     current.shouldKeepAlive = false
     connection.announcing = current
--- /dev/null
+++ b/src/http/memoryAccount/account.ts
@@ -0,0 +1,214 @@
+/**
+ * One account of the bytes that a process holds for callers and upstreams, and what it gives up at their bound.
+ *
+ * Load pattern: see `relief.ts`. The account has no sockets and no clock; those who hold bytes record them, and are told when
+ * to give them up.
+ */
+import type { MonotonicMilliseconds } from '../../types'
+import { largestStalled, newestIncomplete, STALLED_MS, STALLED_UNDER_PRESSURE_MS } from './relief'
+
+/** What bytes are held for. */
+export const HeldKind = {
+  /** Heads of requests without an answer that was read, and the objects that belong to them. */
+  request: 'request',
+  /** Bodies that are being read, or that were read and whose requests are in progress. */
+  body: 'body',
+  /** Answers that their callers have not read. */
+  answer: 'answer',
+  /** Answers of upstreams that are forwarded only when they are complete. */
+  upstreamAnswer: 'upstream_answer',
+  /** Events of streams that are not complete yet. */
+  partialEvent: 'partial_event'
+} as const
+export type HeldKind = typeof HeldKind[keyof typeof HeldKind]
+
+/** Part of the bound from which on connections are read more slowly. */
+const TIGHT_PART = 0.5
+/** Part of the bound from which on connections without progress are closed early. */
+const PRESSURE_PART = 0.75
+/** Part of the bound that only small requests may use beyond it, so that they are served beside large ones. */
+const RESERVE_PART = 0.25
+
+/** What a connection gives up. */
+export interface ConnectionRelease {
+  /** Closes the connection, whose caller does not read or does not send the rest of a request. */
+  close: () => void
+}
+
+export interface HeldRequest {
+  /** Records more bytes, or fewer for a negative number. At the bound, requests may be refused and connections closed. */
+  add: (kind: HeldKind, bytes: number, now: MonotonicMilliseconds) => void
+  /**
+   * The body is being read from now on: the request has not run, and `refuse` may be called to refuse it.
+   * @param refuse called at most once
+   */
+  startBody: (refuse: () => void) => void
+  /** The body has been read, or is not needed. */
+  endBody: () => void
+  /** Refuses the request if its body is being read; returns whether it did. */
+  refuse: () => boolean
+  /** Nothing is held for the request any more. */
+  close: () => void
+}
+
+export interface HeldConnection {
+  openRequest: (now: MonotonicMilliseconds) => HeldRequest
+  /** Records that the caller has sent bytes that were waited for, or has taken bytes. */
+  recordProgress: (now: MonotonicMilliseconds) => void
+  bytes: () => number
+  close: () => void
+}
+
+export interface MemoryAccount {
+  openConnection: (release: ConnectionRelease, now: MonotonicMilliseconds) => HeldConnection
+  /** Records bytes that belong to no request of a caller; a negative number records that they are released. */
+  add: (kind: HeldKind, bytes: number, now: MonotonicMilliseconds) => void
+  /** Whether so much is held, or are so many requests in progress, that only connections without one are read. */
+  isTight: () => boolean
+  /** Closes connections without progress while much is held. To be called several times per second. */
+  sweep: (now: MonotonicMilliseconds) => void
+  heldBytes: () => number
+  heldByKind: () => ReadonlyMap<HeldKind, number>
+  /** Maximum number of bytes. */
+  bound: number
+}
+
+export interface MemoryAccountOptions {
+  /** Maximum number of bytes. */
+  bound: number
+  /**
+   * Number of requests beyond which each connection may have only one in progress: each may need a connection to an upstream.
+   * @default Infinity
+   */
+  maxRequests?: number
+}
+
+interface OpenConnection {
+  bytes: number
+  progressAt: MonotonicMilliseconds
+  release: ConnectionRelease
+  isReleased: boolean
+}
+
+interface OpenRequest {
+  openedAt: MonotonicMilliseconds
+  bytes: number
+  /** Refuses the request; undefined unless its body is being read. */
+  refuse: (() => void) | undefined
+}
+
+export function createMemoryAccount ({ bound, maxRequests = Infinity }: MemoryAccountOptions): MemoryAccount {
+  const connections = new Set<OpenConnection>()
+  /** Requests whose bodies are being read. */
+  const incomplete = new Set<OpenRequest>()
+  const byKind = new Map<HeldKind, number>(Object.values(HeldKind).map((kind) => [kind, 0]))
+  let total = 0
+  /** Bytes of connections that are being closed; they are released when the connections have ended. */
+  let releasing = 0
+  let requests = 0
+
+  /** Whether more than this part of the bound is held, without what closed connections will release. */
+  function exceeds (part: number): boolean {
+    return total - releasing > bound * part
+  }
+
+  function count (kind: HeldKind, bytes: number): void {
+    total += bytes
+    byKind.set(kind, byKind.get(kind)! + bytes)
+  }
+
+  function refuse (request: OpenRequest): void {
+    incomplete.delete(request)
+    const { refuse: refuseRequest } = request
+    request.refuse = undefined
+    refuseRequest?.()
+  }
+
+  function closeStalled (now: MonotonicMilliseconds, stalledMs: number): boolean {
+    const candidates = [...connections].filter(({ isReleased }) => !isReleased)
+    const stalled = largestStalled(candidates, now, stalledMs)
+    if (stalled === undefined) return false
+    stalled.isReleased = true
+    releasing += stalled.bytes
+    stalled.release.close()
+    return true
+  }
+
+  /** Gives up what can be given up until the bytes are within the bound. */
+  function relieve (adding: OpenRequest | undefined, now: MonotonicMilliseconds): void {
+    while (exceeds(1)) {
+      const newest = newestIncomplete(incomplete)
+      if (newest !== undefined) refuse(newest)
+      else if (!closeStalled(now, STALLED_MS)) break
+    }
+    if (exceeds(1 + RESERVE_PART) && adding?.refuse !== undefined) refuse(adding)
+  }
+
+  function openRequest (connection: OpenConnection, openedAt: MonotonicMilliseconds): HeldRequest {
+    const held = new Map<HeldKind, number>()
+    const request: OpenRequest = { openedAt, bytes: 0, refuse: undefined }
+    let isClosed = false
+    requests += 1
+
+    function change (kind: HeldKind, bytes: number): void {
+      held.set(kind, (held.get(kind) ?? 0) + bytes)
+      request.bytes += bytes
+      connection.bytes += bytes
+      if (connection.isReleased) releasing += bytes
+      count(kind, bytes)
+    }
+
+    return {
+      add (kind, bytes, now) {
+        if (isClosed) return
+        change(kind, bytes)
+        if (bytes > 0 && exceeds(1)) relieve(request, now)
+      },
+      startBody (refuseRequest) {
+        if (isClosed) return
+        request.refuse = refuseRequest
+        incomplete.add(request)
+      },
+      endBody () {
+        request.refuse = undefined
+        incomplete.delete(request)
+      },
+      refuse () {
+        const isIncomplete = request.refuse !== undefined
+        if (isIncomplete) refuse(request)
+        return isIncomplete
+      },
+      close () {
+        if (isClosed) return
+        isClosed = true
+        requests -= 1
+        incomplete.delete(request)
+        for (const [kind, bytes] of held) change(kind, -bytes)
+      }
+    }
+  }
+
+  return {
+    openConnection (release, now) {
+      const connection: OpenConnection = { bytes: 0, progressAt: now, release, isReleased: false }
+      connections.add(connection)
+      return {
+        openRequest: (openedAt) => openRequest(connection, openedAt),
+        recordProgress (progressAt) { connection.progressAt = progressAt },
+        bytes: () => connection.bytes,
+        close () { connections.delete(connection) }
+      }
+    },
+    add (kind, bytes, now) {
+      count(kind, bytes)
+      if (bytes > 0 && exceeds(1)) relieve(undefined, now)
+    },
+    isTight: () => exceeds(TIGHT_PART) || requests >= maxRequests,
+    sweep (now) {
+      while (exceeds(PRESSURE_PART) && closeStalled(now, STALLED_UNDER_PRESSURE_MS));
+    },
+    heldBytes: () => total,
+    heldByKind: () => byKind,
+    bound
+  }
+}
