serve: the account of held bytes, and callers that do not read are given up

Cause: src/gateway read bodies in chunks of any size and without regard to other requests; waitForDrain resolved before it could reject, so that a stream went on for a caller that never read; the body behind a refusal that waits was read without a bound, and all requests sent ahead were in progress at once.

Change: serve reads bodies as the edge does and keeps the same account, with the bound from the memory of the machine. waitForDrain rejects after the limit, which does not run while other responses are before the stream on its connection, and the connection is closed. The rest of a body behind other responses waits until its refusal is sent.

--- a/src/composeGateway.ts
+++ b/src/composeGateway.ts
@@ -19,6 +19,9 @@
 import { CompletionStyle } from './gateway/openaiApi'
 import { createServiceExecutor } from './gateway/serviceExecutor'
 import { createServiceHandler } from './gateway/serviceHandler'
+import { createMemoryAccount } from './http/memoryAccount/account'
+import { heldBytesBound } from './http/memoryAccount/bounds'
+import { machineMemoryMb } from './http/memoryAccount/machineMemory'
 import { LogEvent, type EventLog, type Metrics } from './observability/events'
 import type { CrashNotice } from './peer/messages'
 import { createExternalCachePolicy } from './prefix/externalCache'
@@ -161,6 +164,8 @@
     onConnectionClosing (reason, responsesInProgress) {
       log(LogEvent.callerConnectionClosing, { reason, responsesInProgress })
     },
+    account: createMemoryAccount({ bound: heldBytesBound(machineMemoryMb()) }),
+    onConnectionShed (heldBytes) { log(LogEvent.callerConnectionShed, { heldBytes }) },
     onRequestDiscarded ({ method }) { log(LogEvent.requestDiscarded, { method }) }
   })
   return { server, dispatcher, admission }
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -37,6 +37,10 @@
   /** See `CallerConnectionsOptions`. */
   onConnectionClosing?: CallerConnectionsOptions['onClosing']
   /** See `CallerConnectionsOptions`. */
+  account?: CallerConnectionsOptions['account']
+  /** See `CallerConnectionsOptions`. */
+  onConnectionShed?: CallerConnectionsOptions['onShed']
+  /** See `CallerConnectionsOptions`. */
   onRequestDiscarded?: CallerConnectionsOptions['onDiscarded']
 }
 
@@ -120,6 +124,8 @@
     onRequest: handle,
     renderRefusal,
     ...(options.onConnectionClosing === undefined ? {} : { onClosing: options.onConnectionClosing }),
+    ...(options.account === undefined ? {} : { account: options.account }),
+    ...(options.onConnectionShed === undefined ? {} : { onShed: options.onConnectionShed }),
     ...(options.onRequestDiscarded === undefined ? {} : { onDiscarded: options.onRequestDiscarded })
   })
   server.maxConnections = options.maximumConnections ?? 4096
--- a/src/gateway/completionHandler.ts
+++ b/src/gateway/completionHandler.ts
@@ -90,7 +90,9 @@
     throw new InternalError('the completion ended without its final piece')
   } catch (error) {
     if (!response.headersSent) throw error
-    abortStream(exchange, error)
+    // An error event would wait behind what the caller does not read.
+    if (error instanceof UnreadResponseError) exchange.request.socket.destroy()
+    else abortStream(exchange, error)
   }
 }
 
@@ -110,24 +112,38 @@
   return renderChunk(piece.text, piece.end.finishReason) + usage + STREAM_END
 }
 
+/** The caller does not read its response. */
+class UnreadResponseError extends UpstreamTimeoutError {}
+
 /**
  * Resolves when the response buffer has drained. The limit releases the resources of a caller that keeps its connection
  * open but never reads.
+ * @throws UnreadResponseError if the limit passes
  */
 async function waitForDrain (
   response: ServerResponse, { signal, limit }: { signal: AbortSignal, limit: number }
 ): Promise<void> {
   await new Promise<void>((resolve, reject) => {
-    const finish = (): void => {
+    let timer: NodeJS.Timeout | undefined
+    const release = (): void => {
       clearTimeout(timer)
+      response.off('socket', startTimer)
       response.off('drain', finish)
       signal.removeEventListener('abort', finish)
+    }
+    const finish = (): void => {
+      release()
       resolve()
     }
-    const timer = setTimeout(() => {
-      finish()
-      reject(new UpstreamTimeoutError('the caller did not read the response in time'))
-    }, limit)
+    const startTimer = (): void => {
+      timer = setTimeout(() => {
+        release()
+        reject(new UnreadResponseError('the caller did not read the response in time'))
+      }, limit)
+    }
+    // Before it has a socket, the response waits for those before it on its connection, not for the caller.
+    if (response.socket === null) response.once('socket', startTimer)
+    else startTimer()
     response.once('drain', finish)
     signal.addEventListener('abort', finish)
     if (signal.aborted) finish()
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,6 +1,9 @@
 /** An HTTP request of a caller and its response, as passed to the handlers. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { InvalidRequestError, RequestTooLargeError } from '../errors'
+import { InvalidRequestError, OverloadedError, RequestTooLargeError } from '../errors'
+import { HeldKind } from '../http/memoryAccount/account'
+import { readBoundedBody } from '../http/memoryAccount/bodyReader'
+import { heldFor } from '../http/memoryAccount/connectionMemory'
 import { ExecutionStatus } from '../types'
 
 export interface Exchange {
@@ -21,22 +24,28 @@
 
 export type ExchangeHandler = (exchange: Exchange) => Promise<void>
 
+/** Retry-after in seconds of a request that is refused for memory, which is free once the largest holders have ended. */
+const MEMORY_RETRY_SECONDS = 1
+
 /**
  * Reads the complete body.
- * @throws RequestTooLargeError if it exceeds `limit` bytes, InvalidRequestError if the caller disconnects.
+ * @throws RequestTooLargeError if it exceeds `limit` bytes, OverloadedError if there is no memory left for it,
+ * InvalidRequestError if the caller disconnects.
  */
 export async function readBody (exchange: Exchange, limit: number): Promise<Buffer> {
-  const { request } = exchange
-  if (Number(request.headers['content-length'] ?? 0) > limit) throw tooLarge(limit)
-  const parts: Buffer[] = []
-  let size = 0
+  const { request, response } = exchange
   return await new Promise((resolve, reject) => {
-    request.on('data', (part: Buffer) => {
-      size += part.length
-      if (size <= limit) parts.push(part)
-      else reject(tooLarge(limit))
+    readBoundedBody(request, limit, heldFor(request), {
+      onBody: resolve,
+      onTooLong () { reject(tooLarge(limit)) },
+      onNoMemory () {
+        // The rest of the body would be read before the next request.
+        if (!response.headersSent) response.shouldKeepAlive = false
+        reject(new OverloadedError('no memory is left for the body', {
+          execution: ExecutionStatus.notRun, retryAfterSeconds: MEMORY_RETRY_SECONDS
+        }))
+      }
     })
-    request.on('end', () => { resolve(Buffer.concat(parts)) })
     request.on('error', (cause) => { reject(incompleteBody(cause)) })
     request.on('close', () => { reject(incompleteBody(undefined)) })
   })
@@ -59,7 +68,11 @@
   }
   response.setHeader('content-length', content.byteLength)
   response.setHeader('x-request-id', exchange.identifier)
-  request.resume()
+  heldFor(request)?.add(HeldKind.answer, content.byteLength, performance.now())
+  if (response.socket !== null) request.resume()
+  // Behind other responses, the rest of a body is not read until this one is sent. Unless some of it has been read by then,
+  // Node.js discards all of it by itself, however long it is.
+  else request.read(0)
   response.end(exchange.method === 'HEAD' ? undefined : content)
 }
 
--- /dev/null
+++ b/src/http/memoryAccount/machineMemory.ts
@@ -0,0 +1,12 @@
+/** Memory that the operating system grants to the process. */
+import { totalmem } from 'node:os'
+
+/** Maximum in MB that is counted on: the heap of Node.js, which holds the objects of requests, does not grow further. */
+const MAX_COUNTED_MB = 2048
+
+/** Returns the memory in MB of the machine, or of the control group of the process if that is less. */
+export function machineMemoryMb (): number {
+  const constrained = process.constrainedMemory()
+  const bytes = constrained > 0 ? Math.min(constrained, totalmem()) : totalmem()
+  return Math.min(MAX_COUNTED_MB, bytes / 1024 / 1024)
+}
--- a/src/observability/events.ts
+++ b/src/observability/events.ts
@@ -5,6 +5,7 @@
   daemonStopping: 'daemon.stopping',
   daemonStopped: 'daemon.stopped',
   callerConnectionClosing: 'caller.connection_closing',
+  callerConnectionShed: 'caller.connection_shed',
   requestDiscarded: 'request.discarded',
   requestReceived: 'request.received',
   requestRefused: 'request.refused',
