--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -1,6 +1,5 @@
 /** Composes an edge daemon from its modules and manages its start and shutdown. */
 import { PeerProtocolError } from '../errors'
-import { createResponseBuffers } from './responseBuffers'
 import { createBacklogs } from './backlog'
 import { createBoundedLog } from './boundedLog'
 import { createCacheStores } from './cacheStores'
@@ -31,6 +30,7 @@
 import { createServiceRollouts } from './serviceRollouts'
 import { startServiceRolloutsTask } from './serviceRolloutsTask'
 import type { EdgeSettings } from './settings'
+import { createCallerMemory } from './memoryAccount/callerMemory'
 import { createLivenessChecks } from './livenessChecks'
 import { openEraStore } from './storeEra/eraStore'
 import { operatorRowRank } from './storeEra/keptRows'
@@ -76,7 +76,9 @@
   const now = (): Instant => ({ steady: performance.now(), wall: Date.now() })
   const random = Math.random
   const incarnation = Date.now()
+  const { account, maxConnections, exchangeMemory } = createCallerMemory(limits, () => performance.now())
   const metrics = createEdgeMetrics({
+    account,
     exchanges: () => exchanges.size,
     instances: () => instances.count(),
     pendingPeerQueries: () => relay.pendingRequests(),
@@ -228,6 +230,8 @@
     metricsContentType: metrics.contentType,
     onFault: reportFault,
     log,
+    account,
+    maxConnections,
     isReady,
     identify: ({ headers }) => dialect.readRequest(headers).identifier,
     onRequest (request, response) {
@@ -260,7 +264,7 @@
     rolloutSampler,
     ...engines,
     loadingEngines: () => loadingEngines,
-    responseBuffers: createResponseBuffers(),
+    ...exchangeMemory,
     ...sendLimits,
     destinations,
     trialPermits: crashHandling.trialPermits,
@@ -381,10 +385,7 @@
       hasUnsentBytes: server.hasUnsentBytes,
       log,
       onStopping () { stopping = true; server.announceClose() },
-      rejectRequests () {
-        rejecting = true
-        server.closeIdle()
-      },
+      rejectRequests () { rejecting = true; server.closeIdle() },
       close () {
         for (const task of [
           tables, lease, weightsRolloutTask, serviceRolloutTask, engines.engineLoads, cacheStores, instances
@@ -406,9 +407,6 @@
       await stopped
     },
     reloaded: (outcome) => { log(EdgeEvent.reloaded, { outcome }) },
-    fault (error) {
-      reportFault(error)
-      closeLog()
-    }
+    fault (error) { reportFault(error); closeLog() }
   }
 }
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -23,6 +23,8 @@
   /** Time in milliseconds since the configuration was last confirmed to be the newest one; Infinity if it never was. */
   configurationAge: () => number
   storeEra: () => Pick<StoreEra, 'current' | 'changes'>
+  /** Account of the bytes held for callers and upstreams. @default no such metrics */
+  account?: { heldByKind: () => ReadonlyMap<string, number>, bound: number }
   /** Number of listed upstreams per service. */
   upstreams: () => ReadonlyMap<string, number>
   /** Number of listed upstreams that are cold. */
@@ -106,6 +108,7 @@
     'waxwingspoke_configuration_age_milliseconds', 'Time since the configuration was proved to be the newest one',
     sources.configurationAge
   )
+  if (sources.account !== undefined) registerHeldBytes(sources.account)
   gauge('waxwingspoke_cold_upstreams', 'Listed upstreams that are cold', sources.coldUpstreams)
   gauge('waxwingspoke_evacuated_data_centres', 'Data centres to which nothing is sent', sources.evacuatedDataCentres)
   const homeRefusals = new Counter({
@@ -134,6 +137,20 @@
     'waxwingspoke_crossing_share', 'Share of requests that may leave the data centre', sources.crossingShares
   )
 
+  function registerHeldBytes ({ heldByKind, bound }: NonNullable<MetricSources['account']>): void {
+    gauge('waxwingspoke_held_bytes_bound', 'Maximum number of bytes held for callers and upstreams', () => bound)
+    const heldBytes = new Gauge({
+      name: 'waxwingspoke_held_bytes',
+      help: 'Bytes held for callers and upstreams',
+      labelNames: ['kind'],
+      registers,
+      collect () {
+        for (const [kind, bytes] of heldByKind()) this.set({ kind }, bytes)
+      }
+    })
+    heldBytes.reset()
+  }
+
   const observers: Readonly<Partial<Record<EdgeEvent, (fields: Fields) => void>>> = {
     [EdgeEvent.requestFinished] ({ status, service, duration: totalMs, firstByte: firstByteMs }) {
       responses.inc({ status: String(status) })
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -52,6 +52,10 @@
      * where there are no rollouts of services.
      */
     exposure: number | undefined
+    /** Memory of the machine in MB. @default DEFAULT_MEMORY_MB */
+    memoryMb?: number
+    /** File descriptors of the machine. @default DEFAULT_FILE_DESCRIPTORS */
+    fileDescriptors?: number
   }
   /** Region of each data centre, by its name; empty or absent if the settings name none. */
   regions?: ReadonlyMap<string, string>
@@ -65,6 +69,9 @@
   endpoint: parseEndpoint,
   number: (value: string): number | undefined => value !== '' && Number(value) >= 0 ? Number(value) : undefined,
   crossZone: (value: string): CrossZone | undefined => Object.values(CrossZone).find((known) => known === value),
+  positive (value: string): number | undefined {
+    return Number(value) > 0 && Number.isFinite(Number(value)) ? Number(value) : undefined
+  },
   flag: (value: string): boolean | undefined => ({ true: true, false: false } as Record<string, boolean>)[value]
 }
 
@@ -88,6 +95,11 @@
     return value as Value
   }
   const number = (key: string): number => readValue('limits', key, parsers.number)
+  /** Reads a positive limit that may be missing or empty, which leaves its default in force. */
+  function optionalLimit<Key extends string> (name: Key, key: string): Partial<Record<Key, number>> {
+    if ((document.limits?.[key] ?? '').trim() === '') return {}
+    return { [name]: readValue('limits', key, parsers.positive) } as Partial<Record<Key, number>>
+  }
 
   const isStrict = readValue('limits', 'strict_revocation', parsers.flag)
   const settings: EdgeSettings = {
@@ -115,7 +127,9 @@
       oldWeights: number('old_weights_ms'),
       lease: number('lease_ms'),
       grace: number('grace_s') * 1000,
-      exposure: (document.limits?.exposure_share ?? '').trim() === '' ? undefined : number('exposure_share')
+      exposure: (document.limits?.exposure_share ?? '').trim() === '' ? undefined : number('exposure_share'),
+      ...optionalLimit('memoryMb', 'memory_mb'),
+      ...optionalLimit('fileDescriptors', 'file_descriptors')
     }
   }
   // A data centre without a region is an unknown one, which only requests with allowed regions do not reach.
