Shed less urgent kinds first when the engines are overloaded

Load shedding compares each instance's own wait with the target of the request, so the kind with the shortest target, the urgent one, is refused first, and every decision is a random draw without regard to customer or size.

With [admission] order = on, the part of the demand that is admitted follows from the time until an engine could begin a request, by the loads of all instances. It is divided among groups of priority and customer: a floor for each, then the entitlement of each customer by configured rate, urgent groups first, then what is left. Size and age change the probability of one request. A request may be held for an eighth of its target. Retry-After is spread.

Demand is still counted per instance, and the engine speed is a constant.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,6 +8,12 @@
   'requestLimits', 'requestPacer', 'retryAllowance', 'routeTable', 'serviceChoice', 'serviceRollouts', 'storeLease', 'tableHistory', 'targetSelection', 'tokenRequests', 'upstreamDirectory', 'weightsRollout'
 ].map((name) => `src/edge/${name}.ts`)
 
+/** Decisions of the admission order; its other modules wire them into the requests. */
+const orderDecisions = [
+  'demand', 'groups', 'orderDecision', 'overload', 'pendingTokenRoom', 'refusalResponse', 'requestShare', 'retryTime',
+  'shares', 'timeBudgets'
+].map((name) => `src/edge/admissionOrder/${name}.ts`)
+
 export default [
   ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**', 'experiments/results/**'] }),
   {
@@ -23,7 +29,7 @@
   },
   {
     // Decision modules stay free of sockets, logs and adapters so that tests and experiments can drive them directly.
-    files: ['src/{quota,fairness,prefix,rollout,customer,membership}/*.ts', 'src/request/*.ts', 'src/upstream/{registry,crashAttribution}.ts', ...edgeDecisions],
+    files: ['src/{quota,fairness,prefix,rollout,customer,membership}/*.ts', 'src/request/*.ts', 'src/upstream/{registry,crashAttribution}.ts', ...edgeDecisions, ...orderDecisions],
     rules: {
       'no-restricted-imports': ['error', {
         paths: adapterImports,
--- a/src/edge/__tests__/lifeSimulation.ts
+++ b/src/edge/__tests__/lifeSimulation.ts
@@ -120,6 +120,7 @@
     cacheStoreFor: () => undefined,
     prefixDemand: createPrefixDemand(),
     backlog: createBacklogs(),
+    admissionOrder: undefined,
     dataCentre: 'north',
     instanceCount: () => 1,
     share: () => 1,
--- a/src/edge/__tests__/settings.test.ts
+++ b/src/edge/__tests__/settings.test.ts
@@ -35,7 +35,8 @@
         oldWeights: 12_000,
         lease: 3000,
         grace: 8000
-      }
+      },
+      admission: { order: false }
     })
   })
 
--- /dev/null
+++ b/src/edge/admissionOrder/admissionOrder.ts
@@ -0,0 +1,87 @@
+/**
+ * Decides the order in which the requests of an instance are admitted while the engines are overloaded: urgency, then
+ * customer, size and age. All instances use the same load and demand, and each draws for its own requests.
+ */
+import type { MonotonicMilliseconds } from '../../types'
+import type { Backlog } from '../backlog'
+import type { EdgeConfiguration } from '../types'
+import { isFleetLoadKnown, type UpstreamDirectory } from '../upstreamDirectory'
+import { createDemandCounter, type Demand, type DemandCounter } from './demand'
+import { groupsOf, type ServiceGroups } from './groups'
+import { decideOrder, type OrderCircumstances } from './orderDecision'
+import { admittedPart } from './overload'
+import { createTimeBudgets } from './timeBudgets'
+import type { OrderDecision, OrderedRequest, ServiceRoom } from './types'
+
+export interface AdmissionOrderOptions {
+  directory: Pick<UpstreamDirectory, 'listed'>
+  room: ServiceRoom
+  configuration: () => EdgeConfiguration | undefined
+  /** Returns this instance's backlog of one service and urgency. */
+  backlog: (key: string) => Pick<Backlog, 'expectedWait'>
+  /** Returns the demand of all instances; undefined if it is not known. */
+  fleetDemand: (now: MonotonicMilliseconds) => Demand | undefined
+}
+
+export interface AdmissionOrder {
+  /** Records a request; called once for each, also if it is then refused. */
+  record: (request: Pick<OrderedRequest, 'group' | 'cost'>, now: MonotonicMilliseconds) => void
+  /** @param heldSince when the request was first held; undefined if it was not */
+  decide: (
+    request: OrderedRequest, heldSince: MonotonicMilliseconds | undefined, now: MonotonicMilliseconds
+  ) => OrderDecision
+  /** Records the time budget of a request in milliseconds and returns the part of the usual one that is missing. */
+  observeBudget: (route: string, budget: number) => number
+  /** Demand that this instance has recorded. */
+  ownDemand: (now: MonotonicMilliseconds) => Demand
+}
+
+const NO_GROUPS: ServiceGroups = { groups: new Map(), target: 0, targetByUrgency: new Map() }
+
+export function createAdmissionOrder (options: AdmissionOrderOptions): AdmissionOrder {
+  const { directory, room, backlog } = options
+  const demand: DemandCounter = createDemandCounter()
+  let indexed: { configuration: EdgeConfiguration | undefined, services: ReadonlyMap<string, ServiceGroups> } = {
+    configuration: undefined, services: new Map()
+  }
+
+  function groupsFor (service: string): ServiceGroups {
+    const configuration = options.configuration()
+    if (configuration !== undefined && configuration !== indexed.configuration) {
+      indexed = { configuration, services: groupsOf(configuration) }
+    }
+    return indexed.services.get(service) ?? NO_GROUPS
+  }
+
+  /** Returns the wait of this instance's own requests at the kind that is furthest beyond its target. */
+  function ownWait (
+    service: string, { targetByUrgency }: ServiceGroups, now: MonotonicMilliseconds
+  ): Pick<OrderCircumstances, 'wait' | 'waitTarget'> {
+    const kinds = [...targetByUrgency].map(([urgency, waitTarget]) => (
+      { wait: { milliseconds: backlog(`${service}/${urgency}`).expectedWait(now), isFleetKnown: false }, waitTarget }
+    ))
+    const none = { wait: { milliseconds: 0, isFleetKnown: false }, waitTarget: 0 }
+    return kinds.reduce((worst, kind) => (
+      admittedPart(kind.wait, kind.waitTarget) < admittedPart(worst.wait, worst.waitTarget) ? kind : worst
+    ), none)
+  }
+
+  return {
+    record ({ group, cost }, now) { demand.record(group, cost, now) },
+    decide (request, heldSince, now) {
+      const { service, cost } = request
+      const groups = groupsFor(service)
+      const isFleetKnown = directory.listed(service).some((upstream) => isFleetLoadKnown(upstream, now))
+      const milliseconds = isFleetKnown ? room.expectedStart(service, cost, now) : Infinity
+      // Without a usable engine, the selection of the upstream decides.
+      const { wait, waitTarget } = Number.isFinite(milliseconds)
+        ? { wait: { milliseconds, isFleetKnown: true }, waitTarget: groups.target }
+        : ownWait(service, groups, now)
+      return decideOrder(request, {
+        groups, demand: options.fleetDemand(now) ?? demand.current(now), wait, waitTarget, heldSince
+      }, now)
+    },
+    observeBudget: createTimeBudgets().observe,
+    ownDemand: demand.current
+  }
+}
--- /dev/null
+++ b/src/edge/admissionOrder/orderDecision.ts
@@ -0,0 +1,63 @@
+/** Decides whether one request for the engines is admitted now, held for a moment, or refused with a time to return. */
+import type { MonotonicMilliseconds } from '../../types'
+import type { Demand } from './demand'
+import type { ServiceGroups } from './groups'
+import { admittedPart, timeToRecovery, type ExpectedWait } from './overload'
+import { admissionProbability } from './requestShare'
+import { retryTime } from './retryTime'
+import { allocateShares, type GroupWithDemand } from './shares'
+import { RefusalReason, type OrderDecision, type OrderedRequest } from './types'
+
+/** Part of its latency target for which a request is held at most before it is refused. */
+const HOLD_PART = 1 / 8
+
+export interface OrderCircumstances {
+  groups: ServiceGroups
+  /** Demand of all instances, or of this one if the others are not known. */
+  demand: Demand
+  /** Expected wait for the request. */
+  wait: ExpectedWait
+  /** Latency target in milliseconds that belongs to the wait. */
+  waitTarget: number
+  /** When the request was first held; undefined if it was not. */
+  heldSince: MonotonicMilliseconds | undefined
+}
+
+/** Returns the groups of the service that have demand. */
+function groupsWithDemand ({ groups }: ServiceGroups, demand: Demand): GroupWithDemand[] {
+  return [...demand].flatMap(([key, groupDemand]) => {
+    const group = groups.get(key)
+    return group === undefined ? [] : [{ ...group, ...groupDemand }]
+  })
+}
+
+export function decideOrder (
+  request: OrderedRequest, circumstances: OrderCircumstances, now: MonotonicMilliseconds
+): OrderDecision {
+  const { groups, demand, wait, waitTarget, heldSince } = circumstances
+  const { cost, age, draw, timeLeft, target } = request
+  const part = admittedPart(wait, waitTarget)
+  const explanation = {
+    priority: request.priority,
+    expectedStart: wait.milliseconds,
+    admittedPart: part,
+    share: part,
+    probability: 1,
+    isFleetKnown: wait.isFleetKnown
+  }
+  if (target <= 0 || part >= 1) return { admitted: true, explanation }
+  const claims = groupsWithDemand(groups, demand)
+  const share = allocateShares(claims, part).get(request.group) ?? part
+  const { cost: groupCost = 0, count = 0 } = demand.get(request.group) ?? {}
+  const probability = admissionProbability(share, { cost, meanCost: count > 0 ? groupCost / count : 0, age })
+  Object.assign(explanation, { share, probability })
+  const recovery = timeToRecovery(wait, waitTarget)
+  const retryAfter = retryTime({ recovery, share, timeLeft, draw: request.retryDraw })
+  if (wait.isFleetKnown && wait.milliseconds >= timeLeft) {
+    return { admitted: false, reason: RefusalReason.timeLeft, retryAfter, holdFor: 0, explanation }
+  }
+  if (draw < probability) return { admitted: true, explanation }
+  const holdEnd = (heldSince ?? now) + target * HOLD_PART
+  const holdFor = recovery <= holdEnd - now ? recovery : 0
+  return { admitted: false, reason: RefusalReason.share, retryAfter, holdFor, explanation }
+}
--- a/src/edge/attemptPreparation.ts
+++ b/src/edge/attemptPreparation.ts
@@ -13,6 +13,8 @@
 import { RepeatRule, type Instant } from './types'
 import { isUsable, type Upstream } from './upstreamDirectory'
 import type { RefusedVerdict } from '../upstream/crashAttribution'
+import { createRequestOrder } from './admissionOrder/requestOrder'
+import type { OrderRefusal } from './admissionOrder/types'
 
 /** Share of the time to the latency target for which a request waits while another one is tried; about one response. */
 const TRIAL_WAIT_SHARE = 0.5
@@ -37,6 +39,8 @@
   onSuspected: (trait: string) => void
   /** The engines are overloaded. */
   onShed: (expectedWait: number, retryAfter: number) => void
+  /** The admission order refuses the request. */
+  onRefusedInOrder: (refusal: OrderRefusal) => void
   onFault: (error: unknown) => void
 }
 
@@ -71,6 +75,7 @@
   const { route, service, callerRequest } = admittedRequest
   /** Drawn once, so that further selections do not make it more likely that the request is rejected. */
   const sheddingDraw = context.random()
+  const order = createRequestOrder(context, admittedRequest, timeLeft)
   const contain = createFaultContainment(callbacks.onFault)
   let isCancelled = false
   let isInProgress = false
@@ -120,7 +125,11 @@
       const isListed = context.directory.listed(service).length > 0
       return waitOrReport(targets.failureReason(), isListed ? Obstacle.noneUsable : Obstacle.noneListed, now.steady)
     }
-    if (route.repeat === RepeatRule.stream && !hasRun()) {
+    if (order.isOrdered && !hasRun()) {
+      const decision = order.decide(now.steady)
+      if (!decision.admitted && decision.holdFor > 0) return hold(decision.holdFor)
+      if (!decision.admitted) return conclude(() => { callbacks.onRefusedInOrder(decision) })
+    } else if (context.admissionOrder === undefined && route.repeat === RepeatRule.stream && !hasRun()) {
       const expectedWait = backlog.expectedWait(now.steady)
       const shedding = decideShedding(expectedWait, route.latencyTarget, sheddingDraw)
       if (shedding.shed) return conclude(() => { callbacks.onShed(expectedWait, shedding.retryAfter) })
@@ -132,6 +141,14 @@
       .catch(callbacks.onFault)
   }
 
+  /** Decides again by the newest load after `milliseconds`. */
+  function hold (milliseconds: number): void {
+    runLater(() => {
+      context.engineLoads.refresh().catch(context.reportFault)
+        .then(() => { if (!isCancelled) start() }).catch(callbacks.onFault)
+    }, milliseconds)
+  }
+
   /** Waits until no other request with a suspect trait is in flight. */
   function waitForTrial (trait: string): void {
     crashGuard.waitForPermit(trait, Math.min(timeLeft(), route.latencyTarget) * TRIAL_WAIT_SHARE)
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -1,5 +1,7 @@
 /** Composes an edge daemon from its modules and manages its start and shutdown. */
 import { PeerProtocolError } from '../errors'
+import { composeQuotas } from './composeQuotas'
+import { composeAdmissionOrder } from './admissionOrder/composeOrder'
 import { createResponseBuffers } from './responseBuffers'
 import { createBacklogs } from './backlog'
 import { createBoundedLog } from './boundedLog'
@@ -22,7 +24,6 @@
 import { createPeerLinks, PeerRequestKind, type HandlePeerRequest, type PeerValue } from './peerLinks'
 import { createPrefixDemand } from './prefixDemand'
 import { createExportTracker } from './promptPlan'
-import { createQuotaShares } from './quotaShare'
 import { createRequestLimits } from './requestLimits'
 import { createRetryAllowance } from './retryAllowance'
 import { createSendPermits } from './sendPermits'
@@ -34,7 +35,6 @@
 import { createStoreLease } from './storeLease'
 import { FOLLOW_MS, followStoreTables } from './storeTables'
 import { createTableRelay } from './tableRelay'
-import { createTokenTransfers } from './tokenTransfers'
 import type { Dialect, EngineControl, Instant, Peer, Store, StoreRecordCodec, UpstreamHint } from './types'
 import { createUpstreamConnections } from './upstreamConnections'
 import { createUpstreamDirectory, type Upstream } from './upstreamDirectory'
@@ -184,9 +184,6 @@
     dataCentre
   })
   listedPeers = instances.peers
-  const quotas = createQuotaShares({
-    window: limits.quotaWindow, overage: limits.quotaOverage, slack: limits.quotaSlack, startedAt: performance.now()
-  })
   const createBroadcast = (
     kind: PeerRequestKind, onNotification: (content: PeerValue) => void
   ): PeerBroadcast => createPeerBroadcast({ links, dataCentre, peers, kind, onNotification, onFault: reportFault })
@@ -232,16 +229,8 @@
   const failureReports = createFailureReports({
     broadcast: failureBroadcast.sendWithinDataCentre, directory, log, random
   })
-  const peerQuota = createTokenTransfers({
-    links,
-    quotas,
-    peers,
-    dataCentre,
-    share: () => instances.share(),
-    customer: (customer) => tables.routes()?.customer(customer),
-    now: () => performance.now(),
-    random,
-    onFault: reportFault
+  const { quotas, peerQuota } = composeQuotas(limits, {
+    links, peers, dataCentre, share: instances.share, routes: () => tables.routes(), random, onFault: reportFault
   })
   const server = createEdgeServer({
     caller: settings.listen.caller,
@@ -259,6 +248,10 @@
       exchange.start()
     }
   })
+  const backlog = createBacklogs()
+  const admissionOrder = composeAdmissionOrder(settings.admission, {
+    directory, backlog, configuration: () => tables.routes()?.configuration
+  })
   const context: ExchangeContext = {
     dialect,
     routeTable: () => tables.routes(),
@@ -273,7 +266,8 @@
     exportTracker: createExportTracker(cacheStores.holds),
     cacheStoreFor: cacheStores.storeFor,
     prefixDemand: createPrefixDemand(),
-    backlog: createBacklogs(),
+    backlog,
+    admissionOrder,
     dataCentre,
     outdatedWeightsLimit: limits.oldWeights,
     instanceCount: () => instances.count(),
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -87,6 +87,7 @@
       else fail(ExecutionStatus.unknown, CRASHES_UPSTREAMS, Obstacle.crashes)
     },
     onShed: callbacks.onShed,
+    onRefusedInOrder: callbacks.onRefusedInOrder,
     onFault: callbacks.onFault
   })
 
--- a/src/edge/dispatchTypes.ts
+++ b/src/edge/dispatchTypes.ts
@@ -1,5 +1,6 @@
 /** Interface between an exchange and the dispatch of its request. */
 import type { ExecutionStatus, MonotonicMilliseconds } from '../types'
+import type { OrderRefusal } from './admissionOrder/types'
 import type { Obstacle } from './attemptDecision'
 import type { Instant } from './types'
 import type { Upstream } from './upstreamDirectory'
@@ -9,6 +10,8 @@
   onSuccess: (upstream: Upstream, status: number) => void
   /** The request was rejected because the engines are overloaded; nothing was sent to an upstream. */
   onShed: (wait: number, retryAfter: number) => void
+  /** The admission order refuses the request; nothing was sent to an upstream. */
+  onRefusedInOrder: (refusal: OrderRefusal) => void
   /**
    * The request was rejected because upstreams crash when they answer such requests; nothing was sent to an upstream.
    * @param trait what the request has in common with those that crashed upstreams
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -1,6 +1,7 @@
 /** One request of a caller, from its header to its final response. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { admit, AdmissionRejection } from './admission'
+import { describeRefusal } from './admissionOrder/refusalResponse'
 import { Obstacle } from './attemptDecision'
 import { createCallerResponse, hasBody, readBody, type Rejection } from './callerResponse'
 import { createDispatch } from './dispatch'
@@ -77,7 +78,9 @@
     }
   }
 
-  function reject (rejection: Rejection, reason: string, obstacle?: Obstacle): void {
+  function reject (
+    rejection: Rejection, reason: string, obstacle?: Obstacle, explanation?: Readonly<Record<string, unknown>>
+  ): void {
     log(EdgeEvent.requestRejected, {
       requestIdentifier: identifier,
       status: rejection.status,
@@ -87,6 +90,7 @@
       retryAfter: rejection.retryAfter === undefined ? undefined : Math.round(rejection.retryAfter),
       customer: admittedRequest?.customer?.name,
       service: admittedRequest?.service,
+      ...explanation,
       ...dispatch?.counts(),
       ...describeConfiguration()
     })
@@ -242,6 +246,10 @@
         const reason = `expected wait of ${Math.round(wait)} ms`
         reject({ status: 503, code: 'overloaded', message, retryAfter: clampRetryAfter(retryAfter) }, reason)
       },
+      onRefusedInOrder (refusal) {
+        const { status, code, message, retryAfter, reason, explanation } = describeRefusal(refusal)
+        reject({ status, code, message, retryAfter }, reason, undefined, explanation)
+      },
       onConvicted (trait, retryAfter) {
         const message = 'upstreams crash when they answer such requests'
         reject({ status: 503, code: 'crashes_upstreams', message, retryAfter }, `crashes are attributed to ${trait}`)
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -1,6 +1,7 @@
 /** Dependencies that all exchanges of an instance share, and the request that one of them handles. */
 import type { IncomingMessage } from 'node:http'
 import type { RandomSource } from '../types'
+import type { AdmissionOrder } from './admissionOrder/admissionOrder'
 import type { ResponseBuffers } from './responseBuffers'
 import type { Backlog } from './backlog'
 import type { CrashReports } from './crashReports'
@@ -39,6 +40,8 @@
   prefixDemand: PrefixDemand
   /** Returns the backlog of one service and urgency. */
   backlog: (key: string) => Backlog
+  /** Order in which requests are admitted under overload; undefined if the settings do not ask for it. */
+  admissionOrder: AdmissionOrder | undefined
   dataCentre: string
   /** Number of instances of the fleet. */
   instanceCount: () => number
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -38,6 +38,10 @@
     /** Time in milliseconds between the stop signal and the forced termination of the process. */
     grace: number
   }
+  admission: {
+    /** Whether requests are admitted in the order of urgency, customer, size and age under overload. */
+    order: boolean
+  }
 }
 
 type Section = Record<string, string | undefined>
@@ -47,20 +51,27 @@
   text: (value: string): string | undefined => value === '' ? undefined : value,
   endpoint: parseEndpoint,
   number: (value: string): number | undefined => value !== '' && Number(value) >= 0 ? Number(value) : undefined,
+  switch: (value: string): boolean | undefined => ({ on: true, off: false } as Record<string, boolean>)[value],
   flag: (value: string): boolean | undefined => ({ true: true, false: false } as Record<string, boolean>)[value]
 }
 
+/** Values of settings that the file may leave out. */
+const DEFAULTS: Readonly<Record<string, string | undefined>> = { 'admission.order': 'off' }
+
 /**
  * Parses the content of a settings file.
+ * @param defaults values of settings that the file does not state, by section and key (`section.key`)
  * @throws ConfigurationError with all findings
  */
-export function parseEdgeSettings (content: string, file: string): EdgeSettings {
+export function parseEdgeSettings (
+  content: string, file: string, defaults: Readonly<Record<string, string>> = {}
+): EdgeSettings {
   const document = parse(content) as Record<string, Section>
   const lines = content.split('\n')
   const findings: FileFinding[] = []
 
   function readValue<Value> (section: string, key: string, parseValue: (value: string) => Value | undefined): Value {
-    const raw = document[section]?.[key]
+    const raw = document[section]?.[key] ?? defaults[`${section}.${key}`] ?? DEFAULTS[`${section}.${key}`]
     const value = raw === undefined ? undefined : parseValue(String(raw).trim())
     if (value === undefined) {
       const line = lines.findIndex((text) => text.split('=')[0]?.trim() === key) + 1
@@ -92,7 +103,8 @@
       oldWeights: number('old_weights_ms'),
       lease: number('lease_ms'),
       grace: number('grace_s') * 1000
-    }
+    },
+    admission: { order: readValue('admission', 'order', parsers.switch) }
   }
   if (findings.length > 0) throw new ConfigurationError(findings)
   return settings
