Count demand and plain calls over all instances, and refuse calls when all places are taken

An instance gets a few requests a second, so its own count of the demand per priority and customer is noisy, and plain upstreams turn calls away while another one has room, because each instance sees only its own calls.

With the admission order on, the messages of the load exchange carry decaying counts of the demand and the calls in flight at plain upstreams, in optional fields. Calls without a prompt fetch and report them too, placement goes by them, and a call is held and then refused with a spread Retry-After while all upstreams of its service are full. An aggregator of an earlier release sends no such fields; the instance then counts its own.

--- a/src/edge/admissionOrder/admissionOrder.ts
+++ b/src/edge/admissionOrder/admissionOrder.ts
@@ -4,23 +4,24 @@
  */
 import type { MonotonicMilliseconds } from '../../types'
 import type { Backlog } from '../backlog'
+import type { LoadSupplement } from '../loadExchange'
 import type { EdgeConfiguration } from '../types'
 import { isFleetLoadKnown, type UpstreamDirectory } from '../upstreamDirectory'
-import { createDemandCounter, type Demand, type DemandCounter } from './demand'
+import { createDemandCounter, type DemandCounter } from './demand'
 import { groupsOf, type ServiceGroups } from './groups'
+import { createLoadSupplement } from './loadSupplement'
 import { decideOrder, type OrderCircumstances } from './orderDecision'
+import { createPlaceCounts, type PlaceCounts } from './placeCounts'
 import { admittedPart } from './overload'
 import { createTimeBudgets } from './timeBudgets'
 import type { OrderDecision, OrderedRequest, ServiceRoom } from './types'
 
 export interface AdmissionOrderOptions {
-  directory: Pick<UpstreamDirectory, 'listed'>
+  directory: Pick<UpstreamDirectory, 'all' | 'listed'>
   room: ServiceRoom
   configuration: () => EdgeConfiguration | undefined
   /** Returns this instance's backlog of one service and urgency. */
   backlog: (key: string) => Pick<Backlog, 'expectedWait'>
-  /** Returns the demand of all instances; undefined if it is not known. */
-  fleetDemand: (now: MonotonicMilliseconds) => Demand | undefined
 }
 
 export interface AdmissionOrder {
@@ -32,8 +33,9 @@
   ) => OrderDecision
   /** Records the time budget of a request in milliseconds and returns the part of the usual one that is missing. */
   observeBudget: (route: string, budget: number) => number
-  /** Demand that this instance has recorded. */
-  ownDemand: (now: MonotonicMilliseconds) => Demand
+  places: PlaceCounts
+  /** Figures that are exchanged with the loads of the engines. */
+  supplement: LoadSupplement
 }
 
 const NO_GROUPS: ServiceGroups = { groups: new Map(), target: 0, targetByUrgency: new Map() }
@@ -41,6 +43,8 @@
 export function createAdmissionOrder (options: AdmissionOrderOptions): AdmissionOrder {
   const { directory, room, backlog } = options
   const demand: DemandCounter = createDemandCounter()
+  const places = createPlaceCounts(directory)
+  const supplement = createLoadSupplement({ ownDemand: demand.current, places })
   let indexed: { configuration: EdgeConfiguration | undefined, services: ReadonlyMap<string, ServiceGroups> } = {
     configuration: undefined, services: new Map()
   }
@@ -78,10 +82,11 @@
         ? { wait: { milliseconds, isFleetKnown: true }, waitTarget: groups.target }
         : ownWait(service, groups, now)
       return decideOrder(request, {
-        groups, demand: options.fleetDemand(now) ?? demand.current(now), wait, waitTarget, heldSince
+        groups, demand: supplement.fleetDemand(now) ?? demand.current(now), wait, waitTarget, heldSince
       }, now)
     },
     observeBudget: createTimeBudgets().observe,
-    ownDemand: demand.current
+    places,
+    supplement
   }
 }
--- a/src/edge/admissionOrder/composeOrder.ts
+++ b/src/edge/admissionOrder/composeOrder.ts
@@ -7,7 +7,7 @@
 import { createPendingTokenRoom } from './pendingTokenRoom'
 
 export interface OrderParts {
-  directory: Pick<UpstreamDirectory, 'listed' | 'usable'>
+  directory: Pick<UpstreamDirectory, 'all' | 'listed' | 'usable'>
   configuration: () => EdgeConfiguration | undefined
   /** Returns this instance's backlog of one service and urgency. */
   backlog: (key: string) => Backlog
@@ -19,6 +19,6 @@
 ): AdmissionOrder | undefined {
   if (!order) return undefined
   return createAdmissionOrder({
-    directory, room: createPendingTokenRoom(directory), configuration, backlog, fleetDemand: () => undefined
+    directory, room: createPendingTokenRoom(directory), configuration, backlog
   })
 }
--- a/src/edge/admissionOrder/orderDecision.ts
+++ b/src/edge/admissionOrder/orderDecision.ts
@@ -2,15 +2,13 @@
 import type { MonotonicMilliseconds } from '../../types'
 import type { Demand } from './demand'
 import type { ServiceGroups } from './groups'
+import { longestHold } from './hold'
 import { admittedPart, timeToRecovery, type ExpectedWait } from './overload'
 import { admissionProbability } from './requestShare'
 import { retryTime } from './retryTime'
 import { allocateShares, type GroupWithDemand } from './shares'
 import { RefusalReason, type OrderDecision, type OrderedRequest } from './types'
 
-/** Part of its latency target for which a request is held at most before it is refused. */
-const HOLD_PART = 1 / 8
-
 export interface OrderCircumstances {
   groups: ServiceGroups
   /** Demand of all instances, or of this one if the others are not known. */
@@ -57,7 +55,6 @@
     return { admitted: false, reason: RefusalReason.timeLeft, retryAfter, holdFor: 0, explanation }
   }
   if (draw < probability) return { admitted: true, explanation }
-  const holdEnd = (heldSince ?? now) + target * HOLD_PART
-  const holdFor = recovery <= holdEnd - now ? recovery : 0
+  const holdFor = longestHold(recovery, target, heldSince, now)
   return { admitted: false, reason: RefusalReason.share, retryAfter, holdFor, explanation }
 }
--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -65,9 +65,12 @@
   end: (attempt: Attempt, now: MonotonicMilliseconds) => void
 }
 
-/** @param rank urgency of the request */
+/**
+ * @param rank urgency of the request
+ * @param reportsCalls whether the end of an attempt is reported to the other instances
+ */
 export function createAttemptAccounting (
-  engineLoads: Pick<LoadExchange, 'prefillEnded'>, backlog: Backlog, rank: number
+  engineLoads: Pick<LoadExchange, 'prefillEnded'>, backlog: Backlog, rank: number, reportsCalls: boolean
 ): AttemptAccounting {
   function releasePendingPrefill (attempt: Attempt): void {
     if (attempt.firstByteAt === undefined) backlog.requestEnded()
@@ -106,6 +109,7 @@
       attempt.buffer.discard()
       resume(attempt, now)
       recordAttemptEnd(attempt.upstream)
+      if (reportsCalls) engineLoads.prefillEnded()
     }
   }
 }
--- a/src/edge/attemptPreparation.ts
+++ b/src/edge/attemptPreparation.ts
@@ -129,7 +129,7 @@
       const decision = order.decide(now.steady)
       if (!decision.admitted && decision.holdFor > 0) return hold(decision.holdFor)
       if (!decision.admitted) return conclude(() => { callbacks.onRefusedInOrder(decision) })
-    } else if (context.admissionOrder === undefined && route.repeat === RepeatRule.stream && !hasRun()) {
+    } else if (!order.isInForce && route.repeat === RepeatRule.stream && !hasRun()) {
       const expectedWait = backlog.expectedWait(now.steady)
       const shedding = decideShedding(expectedWait, route.latencyTarget, sheddingDraw)
       if (shedding.shed) return conclude(() => { callbacks.onShed(expectedWait, shedding.retryAfter) })
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -218,8 +218,12 @@
     random
   })
   const upstreamHints = createUpstreamHints({ broadcast: leavingBroadcast.send, directory, requestLimits, log })
+  const backlog = createBacklogs()
+  const admissionOrder = composeAdmissionOrder(settings.admission, {
+    directory, backlog, configuration: () => tables.routes()?.configuration
+  })
   const engineLoads = createLoadExchange({
-    links, instance: name, dataCentre, peers, directory, now: () => performance.now()
+    links, instance: name, dataCentre, peers, directory, supplement: admissionOrder?.supplement, now: () => now().steady
   })
   const rolloutBroadcast = createBroadcast(PeerRequestKind.serviceRollouts, (content) => {
     const notification = parseRolloutUpdate(content)
@@ -248,10 +252,6 @@
       exchange.start()
     }
   })
-  const backlog = createBacklogs()
-  const admissionOrder = composeAdmissionOrder(settings.admission, {
-    directory, backlog, configuration: () => tables.routes()?.configuration
-  })
   const context: ExchangeContext = {
     dialect,
     routeTable: () => tables.routes(),
--- a/src/edge/dispatch.ts
+++ b/src/edge/dispatch.ts
@@ -44,6 +44,8 @@
   const { dialect, directory, log } = context
   const { request, callerRequest, route, customer, service, plan, body } = admittedRequest
   const identifier = callerRequest.identifier ?? ''
+  /** Whether the other instances are told of calls without a prompt, which take places of plain upstreams. */
+  const reportsCalls = context.admissionOrder !== undefined && plan.promptTokens === 0
   const history = createAttemptHistory(route)
   const targets = createTargetSelection(context, admittedRequest, timeLeft)
   let attempt: Attempt | undefined
@@ -55,7 +57,7 @@
   const urgency = urgencyOf(route, customer)
   const backlog = context.backlog(`${service}/${urgency ?? ''}`)
   const rank = urgencyRank(urgency)
-  const accounting = createAttemptAccounting(context.engineLoads, backlog, rank)
+  const accounting = createAttemptAccounting(context.engineLoads, backlog, rank, reportsCalls)
   const crashGuard = createCrashGuard(context, {
     callerRequest, customer: customer?.name, method: request.method!, path: request.url!, body
   })
@@ -164,7 +166,7 @@
     accounting.start(upstream, plan.promptTokens, now.steady)
     if (attempt === undefined) attempt = current
     else successor = current
-    if (plan.promptTokens > 0) context.engineLoads.promptSent()
+    if (plan.promptTokens > 0 || reportsCalls) context.engineLoads.promptSent()
   }
 
   /** Reports that the request failed, unless an attempt is still in progress. */
@@ -325,6 +327,7 @@
     log(EdgeEvent.attemptRejected, {
       requestIdentifier: identifier, upstream: upstream.entry.identifier, status, answeredBy, isBehind
     })
+    if (!misdirected) context.admissionOrder?.places.recordTurnedAway(upstream, context.now().steady)
     takeBackRun(upstream)
     history.rejections += 1
     if (history.runs > 0) targets.markTurnedAway(upstream, history.rejections, context.now().steady)
@@ -419,7 +422,7 @@
       if (conviction !== undefined) return rejectConvicted(conviction)
       targets.start(now)
       context.retryAllowance.recordRequest(service, now)
-      if (plan.promptTokens === 0) return preparation.start()
+      if (plan.promptTokens === 0 && !reportsCalls) return preparation.start()
       context.engineLoads.refresh().catch(context.reportFault)
         .then(() => { if (!cancelled) preparation.start() }).catch(callbacks.onFault)
     },
--- a/src/edge/loadExchange.ts
+++ b/src/edge/loadExchange.ts
@@ -21,6 +21,27 @@
 /** Milliseconds without a query after which an instance no longer counts as an aggregator and stops sending its sum. */
 const AGGREGATOR_VALIDITY_MS = 1000
 
+/** Milliseconds between reports while something is in flight, so that others do not drop the last one as outdated. */
+const REPORT_REPEAT_MS = 200
+
+/** Further figures that travel with the loads, in fields of their own that instances of earlier releases ignore. */
+export interface LoadSupplement {
+  /** Fields of this instance's own report. */
+  ownFields: (now: number) => PeerValue
+  /** Fields of the sum over the instances that query this one, for the other aggregators. */
+  sumFields: (now: number) => PeerValue
+  /** Fields of the sum over all instances. */
+  totalFields: (now: number) => PeerValue
+  recordMember: (name: string, message: PeerValue, now: number) => void
+  recordAggregator: (name: string, message: PeerValue, now: number) => void
+  /** Applies the fields of a sum over all instances. */
+  applyTotal: (message: PeerValue, now: number) => void
+  /** Whether this instance has something in flight that its report counts. */
+  hasLoad: () => boolean
+}
+
+const NO_FIELDS: PeerValue = {}
+
 export interface LoadExchangeOptions {
   links: Pick<PeerLinks, 'request' | 'notify' | 'isUsable'>
   instance: string
@@ -30,6 +51,7 @@
   directory: Pick<UpstreamDirectory, 'all'>
   /** Monotonic clock in milliseconds. */
   now: () => number
+  supplement?: LoadSupplement | undefined
 }
 
 export interface LoadExchange {
@@ -45,7 +67,7 @@
 }
 
 export function createLoadExchange (options: LoadExchangeOptions): LoadExchange {
-  const { links, instance, dataCentre, directory, now } = options
+  const { links, instance, dataCentre, directory, now, supplement } = options
   /** Loads of the instances that query this one, and sums of other aggregators. */
   const memberReports = createReportedLoads()
   const aggregatorReports = createReportedLoads()
@@ -65,6 +87,7 @@
   let pendingRefresh: Promise<void> | undefined
   let notifyTimer: NodeJS.Timeout | undefined
   let exchangeTimer: NodeJS.Timeout | undefined
+  let repeatTimer: NodeJS.Timeout | undefined
 
   function aggregatorsIn (location: string, peers: readonly Peer[]): { names: string[], standby: string[] } {
     const names = peers.filter((peer) => peer.dataCentre === location).map(({ name }) => name)
@@ -109,7 +132,9 @@
   }
 
   function ownReport (): PeerValue {
-    return { kind: PeerRequestKind.engineLoads, from: instance, load: encodeLoad(ownLoad()) }
+    return {
+      kind: PeerRequestKind.engineLoads, from: instance, load: encodeLoad(ownLoad()), ...supplement?.ownFields(now())
+    }
   }
 
   async function fetchTotals (): Promise<void> {
@@ -117,11 +142,14 @@
     if (peer === undefined) {
       startExchanging()
       applyTotals(aggregatorReports.sum(memberLoads(), now()))
+      supplement?.applyTotal(supplement.totalFields(now()), now())
       return
     }
     const response = await requestIfReachable(links, peer.endpoint, ownReport(), RESPONSE_TIMEOUT_MS)
     const total = decodeLoad(response?.load)
-    if (total !== undefined) applyTotals(total)
+    if (total === undefined) return
+    applyTotals(total)
+    supplement?.applyTotal(response!, now())
   }
 
   function reportLoad (): void {
@@ -129,6 +157,13 @@
     notifyTimer = undefined
     const peer = currentAggregator()
     if (peer !== undefined) links.notify(peer.endpoint, ownReport())
+    const isLoaded = supplement !== undefined && (supplement.hasLoad() || ownLoad().size > 0)
+    if (isLoaded) repeatTimer ??= setTimeout(repeatReport, REPORT_REPEAT_MS)
+  }
+
+  function repeatReport (): void {
+    repeatTimer = undefined
+    reportLoad()
   }
 
   /** Reports the sum to the other aggregators while this instance is queried as one. */
@@ -140,12 +175,14 @@
     }
     updateRanking()
     const load = encodeLoad(memberLoads())
-    const isIdle = load.length === 0 && wasIdle
-    wasIdle = load.length === 0
+    const fields = supplement?.sumFields(now()) ?? NO_FIELDS
+    const isEmpty = load.length === 0 && Object.keys(fields).length === 0
+    const isIdle = isEmpty && wasIdle
+    wasIdle = isEmpty
     // The other aggregators must know of a standby that has taken over before there is a load.
     if (isIdle && now() - lastSentAt < AGGREGATOR_VALIDITY_MS / 2) return
     lastSentAt = now()
-    const report = { kind: PeerRequestKind.engineLoads, collector: instance, load }
+    const report = { kind: PeerRequestKind.engineLoads, collector: instance, load, ...fields }
     for (const { name, endpoint } of options.peers()) {
       // A standby that took over from a lost aggregator reports its sum without being on the list.
       const isAggregator = aggregatorNames.has(name) ||
@@ -166,21 +203,25 @@
     },
     promptSent: reportLoad,
     prefillEnded () { notifyTimer ??= setTimeout(reportLoad, PREFILL_NOTIFY_DELAY_MS) },
-    async handleRequest ({ from, collector: name, load }) {
+    async handleRequest (request) {
+      const { from, collector: name, load } = request
       const reportedLoad = decodeLoad(load)
       if (reportedLoad === undefined) throw new PlatformUnavailableError('engine load is malformed')
       if (typeof name === 'string') {
         aggregatorReports.record(name, reportedLoad, now())
+        supplement?.recordAggregator(name, request, now())
         lastReportAt.set(name, now())
         return {}
       }
       startExchanging()
       memberReports.record(String(from), reportedLoad, now())
-      return { load: encodeLoad(aggregatorReports.sum(memberLoads(), now())) }
+      supplement?.recordMember(String(from), request, now())
+      return { load: encodeLoad(aggregatorReports.sum(memberLoads(), now())), ...supplement?.totalFields(now()) }
     },
     stop () {
       clearInterval(exchangeTimer)
       clearTimeout(notifyTimer)
+      clearTimeout(repeatTimer)
     }
   }
 }
--- a/src/edge/placement.ts
+++ b/src/edge/placement.ts
@@ -70,6 +70,8 @@
   loadingEngines: ReadonlySet<Upstream>
   /** Whether weights newer than the upstream's have been in force for a while. */
   hasOutdatedWeights: (upstream: Upstream) => boolean
+  /** Returns the calls of all instances in flight at a plain upstream; undefined if only this instance's are counted. */
+  inFlight?: ((upstream: Upstream) => number) | undefined
 }
 
 /** Returns the candidates in the order in which they should be tried. */
@@ -95,9 +97,12 @@
 function rankByLoad (
   request: PlacementRequest, candidates: readonly Upstream[], now: MonotonicMilliseconds
 ): Upstream[] {
-  return sortByCost(candidates, (upstream) => (
+  const { inFlight = (upstream: Upstream) => upstream.inFlight } = request
+  // Instances with the same counts spread their calls over upstreams of equal cost.
+  const first = request.inFlight === undefined ? 0 : Math.floor(request.draw * candidates.length)
+  return sortByCost([...candidates.slice(first), ...candidates.slice(0, first)], (upstream) => (
     currentWait(upstream, request.urgency, now) +
-    upstream.inFlight * IN_FLIGHT_CALL_MS / upstream.entry.slots +
+    inFlight(upstream) * IN_FLIGHT_CALL_MS / upstream.entry.slots +
     (upstream.entry.dataCentre === request.dataCentre ? 0 : REMOTE_DATA_CENTRE_PENALTY_MS)
   ), now)
 }
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -158,7 +158,10 @@
         replicas,
         draw: context.random(),
         loadingEngines: context.loadingEngines(),
-        hasOutdatedWeights: (candidate) => outdatedWeightsAge(candidate, now) > OUTDATED_WEIGHTS_GRACE_MS
+        hasOutdatedWeights: (candidate) => outdatedWeightsAge(candidate, now) > OUTDATED_WEIGHTS_GRACE_MS,
+        inFlight: context.admissionOrder === undefined
+          ? undefined
+          : (candidate) => context.admissionOrder!.places.inFlight(candidate, now.steady)
       }, candidates, now.steady)
       return upstream === undefined ? undefined : { upstream, maximumPermitWait }
     },
