--- a/eslint.config.js
+++ b/eslint.config.js
@@ -10,7 +10,7 @@
 
 /** Decisions of the admission order; its other modules wire them into the requests. */
 const orderDecisions = [
-  'demand', 'groups', 'hold', 'orderDecision', 'overload', 'pendingTokenRoom', 'placeCounts', 'placeDecision', 'refusalResponse', 'requestShare', 'retryTime',
+  'demand', 'groups', 'hold', 'holdQueue', 'orderDecision', 'overload', 'pendingTokenRoom', 'placeCounts', 'placeDecision', 'refusalResponse', 'requestShare', 'retryTime',
   'shares', 'timeBudgets'
 ].map((name) => `src/edge/admissionOrder/${name}.ts`)
 
--- a/src/edge/__tests__/metrics.test.ts
+++ b/src/edge/__tests__/metrics.test.ts
@@ -10,6 +10,7 @@
   pendingPeerQueries: () => 4,
   configurationVersion: () => 17,
   configurationAge: () => Infinity,
+  admittedParts: () => new Map([['engines', 0.4]]),
   upstreams: () => new Map([['engines', 6]])
 })
 
@@ -27,6 +28,7 @@
     metrics.observe(EdgeEvent.requestFinished, finished)
     metrics.observe(EdgeEvent.requestFinished, { ...finished, firstByte: undefined })
     metrics.observe(EdgeEvent.requestRejected, { status: 429 })
+    metrics.observe(EdgeEvent.requestRejected, { status: 503, refusedFor: 'share', priority: 2 })
     metrics.countDroppedLine()
     metrics.observePeerResponse('tokens', 4)
     const page = await metrics.render()
@@ -44,7 +46,9 @@
       'waxwingspoke_waiting_questions 4',
       'waxwingspoke_configuration_version 17',
       'waxwingspoke_configuration_age_milliseconds +Inf',
-      'waxwingspoke_upstreams{service="engines"} 6'
+      'waxwingspoke_upstreams{service="engines"} 6',
+      'waxwingspoke_admitted_part{service="engines"} 0.4',
+      'waxwingspoke_order_refusals_total{reason="share",priority="2"} 1'
     ]) expect(page.split('\n')).toContain(line)
   })
 
--- a/src/edge/admissionOrder/admissionOrder.ts
+++ b/src/edge/admissionOrder/admissionOrder.ts
@@ -9,6 +9,7 @@
 import { isFleetLoadKnown, type UpstreamDirectory } from '../upstreamDirectory'
 import { createDemandCounter, type DemandCounter } from './demand'
 import { groupsOf, type ServiceGroups } from './groups'
+import { createHoldQueue, type HoldQueue } from './holdQueue'
 import { createLoadSupplement } from './loadSupplement'
 import { decideOrder, type OrderCircumstances } from './orderDecision'
 import { createPlaceCounts, type PlaceCounts } from './placeCounts'
@@ -34,6 +35,10 @@
   /** Records the time budget of a request in milliseconds and returns the part of the usual one that is missing. */
   observeBudget: (route: string, budget: number) => number
   places: PlaceCounts
+  /** Requests that this instance holds. */
+  holds: HoldQueue
+  /** Part of the demand that is admitted, by service, as last decided. */
+  admittedParts: () => ReadonlyMap<string, number>
   /** Figures that are exchanged with the loads of the engines. */
   supplement: LoadSupplement
 }
@@ -44,6 +49,7 @@
   const { directory, room, backlog } = options
   const demand: DemandCounter = createDemandCounter()
   const places = createPlaceCounts(directory)
+  const admittedParts = new Map<string, number>()
   const supplement = createLoadSupplement({ ownDemand: demand.current, places })
   let indexed: { configuration: EdgeConfiguration | undefined, services: ReadonlyMap<string, ServiceGroups> } = {
     configuration: undefined, services: new Map()
@@ -81,12 +87,16 @@
       const { wait, waitTarget } = Number.isFinite(milliseconds)
         ? { wait: { milliseconds, isFleetKnown: true }, waitTarget: groups.target }
         : ownWait(service, groups, now)
-      return decideOrder(request, {
+      const decision = decideOrder(request, {
         groups, demand: supplement.fleetDemand(now) ?? demand.current(now), wait, waitTarget, heldSince
       }, now)
+      admittedParts.set(service, decision.explanation.admittedPart)
+      return decision
     },
     observeBudget: createTimeBudgets().observe,
     places,
+    holds: createHoldQueue(),
+    admittedParts: () => admittedParts,
     supplement
   }
 }
--- a/src/edge/attemptPreparation.ts
+++ b/src/edge/attemptPreparation.ts
@@ -75,10 +75,12 @@
   const { route, service, callerRequest } = admittedRequest
   /** Drawn once, so that further selections do not make it more likely that the request is rejected. */
   const sheddingDraw = context.random()
-  const order = createRequestOrder(context, admittedRequest, timeLeft)
+  const order = createRequestOrder(context, admittedRequest, timeLeft, () => { endHold(holds) })
   const contain = createFaultContainment(callbacks.onFault)
   let isCancelled = false
   let isInProgress = false
+  /** Number of the newest hold; an earlier one has ended. */
+  let holds = 0
   let timer: NodeJS.Timeout | undefined
 
   /** Whether the first attempt would start after the instance has ceased to accept requests. */
@@ -141,14 +143,23 @@
       .catch(callbacks.onFault)
   }
 
-  /** Decides again by the newest load after `milliseconds`. */
+  /** Decides again by the newest load after `milliseconds`, or earlier if the request gets a place. */
   function hold (milliseconds: number): void {
+    holds += 1
+    const number = holds
     runLater(() => {
       context.engineLoads.refresh().catch(context.reportFault)
-        .then(() => { if (!isCancelled) start() }).catch(callbacks.onFault)
+        .then(() => { endHold(number) }).catch(callbacks.onFault)
     }, milliseconds)
   }
 
+  function endHold (number: number): void {
+    if (number !== holds || isCancelled) return
+    holds += 1
+    clearTimeout(timer)
+    runLater(start, 0)
+  }
+
   /** Waits until no other request with a suspect trait is in flight. */
   function waitForTrial (trait: string): void {
     crashGuard.waitForPermit(trait, Math.min(timeLeft(), route.latencyTarget) * TRIAL_WAIT_SHARE)
@@ -189,6 +200,7 @@
       isCancelled = true
       isInProgress = false
       clearTimeout(timer)
+      order.leave()
     }
   }
 }
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -83,6 +83,7 @@
     pendingPeerQueries: () => relay.pendingRequests(),
     configurationVersion: () => tables.routes()?.configuration.version ?? 0,
     configurationAge: () => freshness.age(now()),
+    admittedParts: () => admissionOrder?.admittedParts() ?? new Map(),
     upstreams: () => countBy([...directory.all()].map(({ entry }) => entry.service))
   })
   const { log: writeLogLine, flush, close: closeLog } = createBoundedLog({
--- a/src/edge/events.ts
+++ b/src/edge/events.ts
@@ -15,6 +15,8 @@
   requestDiscarded: 'request.discarded',
   requestRouted: 'request.routed',
   requestRejected: 'request.refused',
+  /** A request waits for a moment before it is admitted or refused, because the upstreams have no room. */
+  requestHeld: 'request.held',
   requestFinished: 'request.finished',
   requestCancelled: 'request.cancelled',
   responseAborted: 'request.broken_off',
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -20,6 +20,8 @@
   configurationVersion: () => number
   /** Time in milliseconds since the configuration was last confirmed to be the newest one; Infinity if it never was. */
   configurationAge: () => number
+  /** Part of the demand that the admission order admits, per service, as last decided. */
+  admittedParts: () => ReadonlyMap<string, number>
   /** Number of listed upstreams per service. */
   upstreams: () => ReadonlyMap<string, number>
 }
@@ -103,6 +105,23 @@
     }
   })
   upstreams.reset()
+  const admittedParts = new Gauge({
+    name: 'waxwingspoke_admitted_part',
+    help: 'Part of the demand that the admission order admits, as last decided',
+    labelNames: ['service'],
+    registers,
+    collect () {
+      this.reset()
+      for (const [service, part] of sources.admittedParts()) this.set({ service }, part)
+    }
+  })
+  admittedParts.reset()
+  const orderRefusals = new Counter({
+    name: 'waxwingspoke_order_refusals_total',
+    help: 'Requests that the admission order refused',
+    labelNames: ['reason', 'priority'],
+    registers
+  })
 
   const observers: Readonly<Partial<Record<EdgeEvent, (fields: Fields) => void>>> = {
     [EdgeEvent.requestFinished] ({ status, service, duration: totalMs, firstByte: firstByteMs }) {
@@ -111,7 +130,10 @@
       if (typeof totalMs === 'number') duration.observe(labels, totalMs)
       if (typeof firstByteMs === 'number') firstByte.observe(labels, firstByteMs)
     },
-    [EdgeEvent.requestRejected] ({ status }) { responses.inc({ status: String(status) }) }
+    [EdgeEvent.requestRejected] ({ status, refusedFor, priority }) {
+      responses.inc({ status: String(status) })
+      if (refusedFor !== undefined) orderRefusals.inc({ reason: String(refusedFor), priority: String(priority) })
+    }
   }
 
   return {
