--- a/src/edge/__tests__/lifeSimulation.ts
+++ b/src/edge/__tests__/lifeSimulation.ts
@@ -20,7 +20,7 @@
 import { createTrialPermits } from '../trialPermits'
 import { RequestLimitKind, type Instant, type UpstreamEntry } from '../types'
 import { createUpstreamDirectory, type UpstreamDirectory } from '../upstreamDirectory'
-import { createEntry } from './fixtures'
+import { createEntry, UNBOUNDED_ROOM, UNKNOWN_SPEEDS } from './fixtures'
 import { configurationAt, isStoreAway } from './lifeChanges'
 import type { Schedule } from './lifeSchedule'
 import { createCallerRequest, createCallerResponse, simulatedDialect, type CallerView } from './simulatedCallers'
@@ -129,6 +129,8 @@
     serviceRollouts: { eligible: (_service: string, usable: unknown) => usable, hasTargetVersion: () => false },
     rolloutSampler: createRolloutSampler(() => false),
     engineLoads: { refresh: async () => {}, promptSent () {}, prefillEnded () {} },
+    engineSpeeds: UNKNOWN_SPEEDS,
+    engineRoom: UNBOUNDED_ROOM,
     loadingEngines: () => new Set(),
     responseBuffers: createResponseBuffers(),
     upstreamHints: { apply () {} },
--- a/src/edge/admissionOrder/__tests__/fleetSimulation.ts
+++ b/src/edge/admissionOrder/__tests__/fleetSimulation.ts
@@ -7,9 +7,11 @@
 import { createConfiguration, createCustomer, createRoute } from '../../__tests__/fixtures'
 import { createBacklogs, type Backlog } from '../../backlog'
 import type { ExchangeContext, AdmittedRequest } from '../../exchangeContext'
+import type { LoadSupplement } from '../../loadExchange'
 import type { EdgeCustomer, EdgeRoute } from '../../types'
 import type { Upstream } from '../../upstreamDirectory'
-import { createAdmissionOrder, type AdmissionOrder } from '../admissionOrder'
+import { createAdmissionOrder } from '../admissionOrder'
+import { createDemandExchange } from '../demandExchange'
 import { createRequestOrder, type RequestOrder } from '../requestOrder'
 
 /** Milliseconds between the moments at which the instances learn the loads and the demand of all. */
@@ -73,7 +75,11 @@
   isDark: boolean
 }
 
-interface SimulatedInstance { order: AdmissionOrder, context: ExchangeContext, backlog: (key: string) => Backlog }
+interface SimulatedInstance {
+  supplement: LoadSupplement
+  context: ExchangeContext
+  backlog: (key: string) => Backlog
+}
 
 interface Scheduler {
   at: (time: number, action: () => void) => void
@@ -137,16 +143,18 @@
 
   const instances: SimulatedInstance[] = Array.from({ length: load.instances }, () => {
     const backlog = createBacklogs()
+    const demand = createDemandExchange()
     const order = createAdmissionOrder({
       directory: {
-        all: () => [],
         listed: () => isFleetKnown ? [{ fleetLoadUpdatedAt: scheduler.now() } as unknown as Upstream] : []
       },
+      demand,
       room: { expectedStart: (_service, tokens, present) => expectedStart(tokens, present) },
       configuration: () => configuration,
       backlog
     })
-    return { order, backlog, context: { admissionOrder: order, random, log: () => {} } as unknown as ExchangeContext }
+    const context = { admissionOrder: order, random, log: () => {} } as unknown as ExchangeContext
+    return { supplement: demand.supplement, backlog, context }
   })
 
   function exchange (): void {
@@ -160,12 +168,12 @@
       isDark
     }))
     snapshotAt = present
-    const aggregator = instances[0]!.order.supplement
-    for (const [index, { order }] of instances.entries()) {
-      if (index > 0) aggregator.recordMember(String(index), order.supplement.ownFields(present), present)
+    const aggregator = instances[0]!.supplement
+    for (const [index, { supplement }] of instances.entries()) {
+      if (index > 0) aggregator.recordMember(String(index), supplement.ownFields(present), present)
     }
     const total = aggregator.totalFields(present)
-    if (isFleetKnown) for (const { order } of instances) order.supplement.applyTotal(total, present)
+    if (isFleetKnown) for (const { supplement } of instances) supplement.applyTotal(total, present)
     if (present < load.length) scheduler.at(present + EXCHANGE_MS, exchange)
   }
 
--- a/src/edge/admissionOrder/__tests__/requestOrder.test.ts
+++ b/src/edge/admissionOrder/__tests__/requestOrder.test.ts
@@ -4,6 +4,7 @@
 import { RepeatRule, type EdgeRoute } from '../../types'
 import { createUpstreamDirectory, recordFleetLoad } from '../../upstreamDirectory'
 import { createAdmissionOrder } from '../admissionOrder'
+import { createDemandExchange } from '../demandExchange'
 import { createRequestOrder, type RequestOrder } from '../requestOrder'
 import { RefusalReason } from '../types'
 
@@ -30,6 +31,7 @@
   const configuration = createConfiguration({ routes: [URGENT, PATIENT, CALL] })
   const admissionOrder = createAdmissionOrder({
     directory,
+    demand: createDemandExchange(),
     room: { expectedStart: () => instance.wait },
     configuration: () => configuration,
     backlog: () => ({ expectedWait: () => 0 })
--- a/src/edge/admissionOrder/admissionOrder.ts
+++ b/src/edge/admissionOrder/admissionOrder.ts
@@ -4,13 +4,11 @@
  */
 import type { MonotonicMilliseconds } from '../../types'
 import type { Backlog } from '../backlog'
-import type { LoadSupplement } from '../loadExchange'
 import type { EdgeConfiguration } from '../types'
 import { isFleetLoadKnown, type UpstreamDirectory } from '../upstreamDirectory'
-import { createDemandCounter, type DemandCounter } from './demand'
+import type { DemandExchange } from './demandExchange'
 import { groupsOf, type ServiceGroups } from './groups'
 import { createHoldQueue, type HoldQueue } from './holdQueue'
-import { createLoadSupplement } from './loadSupplement'
 import { decideOrder, type OrderCircumstances } from './orderDecision'
 import { createPlaceCounts, type PlaceCounts } from './placeCounts'
 import { admittedPart } from './overload'
@@ -18,8 +16,9 @@
 import type { OrderDecision, OrderedRequest, ServiceRoom } from './types'
 
 export interface AdmissionOrderOptions {
-  directory: Pick<UpstreamDirectory, 'all' | 'listed'>
+  directory: Pick<UpstreamDirectory, 'listed'>
   room: ServiceRoom
+  demand: DemandExchange
   configuration: () => EdgeConfiguration | undefined
   /** Returns this instance's backlog of one service and urgency. */
   backlog: (key: string) => Pick<Backlog, 'expectedWait'>
@@ -39,18 +38,14 @@
   holds: HoldQueue
   /** Part of the demand that is admitted, by service, as last decided. */
   admittedParts: () => ReadonlyMap<string, number>
-  /** Figures that are exchanged with the loads of the engines. */
-  supplement: LoadSupplement
 }
 
 const NO_GROUPS: ServiceGroups = { groups: new Map(), target: 0, targetByUrgency: new Map() }
 
 export function createAdmissionOrder (options: AdmissionOrderOptions): AdmissionOrder {
-  const { directory, room, backlog } = options
-  const demand: DemandCounter = createDemandCounter()
+  const { directory, room, backlog, demand } = options
   const places = createPlaceCounts(directory)
   const admittedParts = new Map<string, number>()
-  const supplement = createLoadSupplement({ ownDemand: demand.current, places })
   let indexed: { configuration: EdgeConfiguration | undefined, services: ReadonlyMap<string, ServiceGroups> } = {
     configuration: undefined, services: new Map()
   }
@@ -88,7 +83,7 @@
         ? { wait: { milliseconds, isFleetKnown: true }, waitTarget: groups.target }
         : ownWait(service, groups, now)
       const decision = decideOrder(request, {
-        groups, demand: supplement.fleetDemand(now) ?? demand.current(now), wait, waitTarget, heldSince
+        groups, demand: demand.current(now), wait, waitTarget, heldSince
       }, now)
       admittedParts.set(service, decision.explanation.admittedPart)
       return decision
@@ -96,7 +91,6 @@
     observeBudget: createTimeBudgets().observe,
     places,
     holds: createHoldQueue(),
-    admittedParts: () => admittedParts,
-    supplement
+    admittedParts: () => admittedParts
   }
 }
--- a/src/edge/admissionOrder/composeOrder.ts
+++ b/src/edge/admissionOrder/composeOrder.ts
@@ -1,24 +1,16 @@
 /** Wires the admission order of an instance. */
-import type { Backlog } from '../backlog'
 import type { EdgeSettings } from '../settings'
-import type { EdgeConfiguration } from '../types'
-import type { UpstreamDirectory } from '../upstreamDirectory'
-import { createAdmissionOrder, type AdmissionOrder } from './admissionOrder'
-import { createPendingTokenRoom } from './pendingTokenRoom'
+import { createAdmissionOrder, type AdmissionOrder, type AdmissionOrderOptions } from './admissionOrder'
+import { createDemandExchange, type DemandExchange } from './demandExchange'
 
-export interface OrderParts {
-  directory: Pick<UpstreamDirectory, 'all' | 'listed' | 'usable'>
-  configuration: () => EdgeConfiguration | undefined
-  /** Returns this instance's backlog of one service and urgency. */
-  backlog: (key: string) => Backlog
+/** Returns undefined if the settings do not ask for the order. */
+export function composeDemandExchange ({ order }: EdgeSettings['admission']): DemandExchange | undefined {
+  return order ? createDemandExchange() : undefined
 }
 
 /** Returns undefined if the settings do not ask for the order. */
 export function composeAdmissionOrder (
-  { order }: EdgeSettings['admission'], { directory, configuration, backlog }: OrderParts
+  demand: DemandExchange | undefined, parts: Omit<AdmissionOrderOptions, 'demand'>
 ): AdmissionOrder | undefined {
-  if (!order) return undefined
-  return createAdmissionOrder({
-    directory, room: createPendingTokenRoom(directory), configuration, backlog
-  })
+  return demand === undefined ? undefined : createAdmissionOrder({ ...parts, demand })
 }
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -1,7 +1,7 @@
 /** Composes an edge daemon from its modules and manages its start and shutdown. */
 import { PeerProtocolError } from '../errors'
 import { composeQuotas } from './composeQuotas'
-import { composeAdmissionOrder } from './admissionOrder/composeOrder'
+import { composeAdmissionOrder, composeDemandExchange } from './admissionOrder/composeOrder'
 import { createResponseBuffers } from './responseBuffers'
 import { createBacklogs } from './backlog'
 import { createBoundedLog } from './boundedLog'
@@ -9,6 +9,7 @@
 import { cacheTableName, isCacheTable, withCacheTables } from './cacheStoreTable'
 import { createCrashHandling } from './crashHandling'
 import { createEdgeServer } from './edgeServer'
+import { composeEngines } from './engineRoom/composeEngines'
 import { EdgeEvent, type EdgeLog } from './events'
 import { createExchange, type Exchange } from './exchange'
 import type { ExchangeContext } from './exchangeContext'
@@ -18,7 +19,6 @@
 import { createInstanceList } from './instanceList'
 import { startLeaseTask } from './leaseTask'
 import { countBy, createEdgeMetrics } from './metrics'
-import { createLoadExchange } from './loadExchange'
 import { createRolloutSampler } from './rolloutSampler'
 import { createPeerBroadcast, type PeerBroadcast } from './peerBroadcast'
 import { createPeerLinks, PeerRequestKind, type HandlePeerRequest, type PeerValue } from './peerLinks'
@@ -74,7 +74,8 @@
 export async function startEdge (options: EdgeOptions): Promise<Edge> {
   const { settings, dialect, records, control } = options
   const { instance, limits } = settings
-  const now = (): Instant => ({ steady: performance.now(), wall: Date.now() })
+  const steadyTime = (): number => performance.now()
+  const now = (): Instant => ({ steady: steadyTime(), wall: Date.now() })
   const random = Math.random
   const incarnation = Date.now()
   const metrics = createEdgeMetrics({
@@ -133,7 +134,7 @@
       return await sendPermits.handleRequest(query)
     },
     trials: async (query) => await crashHandling.requestHandlers.trials(query),
-    engineLoads: async (query) => await engineLoads.handleRequest(query),
+    engineLoads: async (query) => await engines.engineLoads.handleRequest(query),
     moves: async (query) => await rolloutBroadcast.handleRequest(query),
     moveCounts: async (query) => await serviceRolloutTask.handleRequest(query)
   }
@@ -207,11 +208,9 @@
   const crashHandling = createCrashHandling({
     links, instance: name, dataCentre, peers, directory, log, now: () => performance.now(), random, onFault: reportFault
   })
+  const membership = { links, instance: name, dataCentre, peers }
   const sendPermits = createSendPermits({
-    links,
-    instance: name,
-    dataCentre,
-    peers,
+    ...membership,
     sender: instances.sender,
     share: () => instances.share(),
     limits: requestLimits,
@@ -220,11 +219,12 @@
   })
   const upstreamHints = createUpstreamHints({ broadcast: leavingBroadcast.send, directory, requestLimits, log })
   const backlog = createBacklogs()
-  const admissionOrder = composeAdmissionOrder(settings.admission, {
-    directory, backlog, configuration: () => tables.routes()?.configuration
+  const demand = composeDemandExchange(settings.admission)
+  const engines = composeEngines({
+    ...membership, supplement: demand?.supplement, directory, loadingEngines: () => loadingEngines, now: steadyTime
   })
-  const engineLoads = createLoadExchange({
-    links, instance: name, dataCentre, peers, directory, supplement: admissionOrder?.supplement, now: () => now().steady
+  const admissionOrder = composeAdmissionOrder(demand, {
+    directory, backlog, room: engines.engineRoom, configuration: () => tables.routes()?.configuration
   })
   const rolloutBroadcast = createBroadcast(PeerRequestKind.serviceRollouts, (content) => {
     const notification = parseRolloutUpdate(content)
@@ -276,7 +276,7 @@
     weightsRollout,
     serviceRollouts,
     rolloutSampler,
-    engineLoads,
+    ...engines,
     loadingEngines: () => loadingEngines,
     responseBuffers: createResponseBuffers(),
     upstreamHints,
@@ -313,6 +313,7 @@
     onConfiguration (configuration) {
       server.setLimits(configuration.limits)
       cacheStores.configure(configuration.cacheStores)
+      engines.engineRoom.configure(configuration.engineCapacities)
     },
     onUndatedRollout: (service) => { serviceRolloutTask.readStatus(service) },
     onUpstreamGone: ({ upstream }) => { connections.remove(upstream) }
@@ -396,7 +397,7 @@
       },
       close () {
         for (const task of [
-          tables, lease, weightsRolloutTask, serviceRolloutTask, engineLoads, cacheStores, instances
+          tables, lease, weightsRolloutTask, serviceRolloutTask, engines.engineLoads, cacheStores, instances
         ]) task.stop()
         for (const timer of [sweepTimer, flushTimer]) clearInterval(timer)
         clearImmediate(pendingSweep)
--- a/src/edge/exchangeContext.ts
+++ b/src/edge/exchangeContext.ts
@@ -5,6 +5,8 @@
 import type { ResponseBuffers } from './responseBuffers'
 import type { Backlog } from './backlog'
 import type { CrashReports } from './crashReports'
+import type { EngineRoom } from './engineRoom/engineRoom'
+import type { EngineSpeeds } from './engineSpeed/engineSpeeds'
 import type { EdgeLog } from './events'
 import type { Freshness } from './freshness'
 import type { LoadExchange } from './loadExchange'
@@ -53,6 +55,8 @@
   serviceRollouts: Pick<ServiceRollouts, 'eligible' | 'hasTargetVersion'>
   rolloutSampler: Pick<RolloutSampler, 'startAttempt'>
   engineLoads: Pick<LoadExchange, 'refresh' | 'promptSent' | 'prefillEnded'>
+  engineRoom: Pick<EngineRoom, 'expectedStart' | 'drainRate' | 'capacityOf' | 'recordEnd'>
+  engineSpeeds: Pick<EngineSpeeds, 'ofService' | 'medianOf' | 'probe' | 'observe'>
   /** Engines that are loading weights or will load them next. */
   loadingEngines: () => ReadonlySet<Upstream>
   /** Buffers of responses that are forwarded only when they are complete. */
--- a/src/edge/loadExchange.ts
+++ b/src/edge/loadExchange.ts
@@ -1,10 +1,13 @@
 /**
- * Makes the prompt tokens that all instances have sent to each engine known to each instance. Aggregators of each data
+ * Makes what all instances have sent to each engine known to each instance, and the speeds that they have seen. Aggregators of each data
  * centre collect the loads of its instances and exchange their sums; an instance queries one of them right before it
  * places a prompt.
  */
 import { rankByRendezvous } from '../rendezvous'
-import { createReportedLoads, decodeLoad, encodeLoad, type EngineLoad } from './engineLoad'
+import { createEngineReports, createReportedLoads, decodeLoad, encodeLoad, type EngineLoad } from './engineLoad'
+import { NO_USE, ownUse, recordFleetUse, sumUses } from './engineRoom/engineUse'
+import { decodeUses, encodeUses, type EngineUses } from './engineRoom/useCodec'
+import type { EngineSpeeds } from './engineSpeed/engineSpeeds'
 import { requestIfReachable, PeerRequestKind, type PeerLinks, type PeerValue } from './peerLinks'
 import { PlatformUnavailableError } from '../errors'
 import type { Peer } from './types'
@@ -20,9 +23,10 @@
 const PREFILL_NOTIFY_DELAY_MS = 30
 /** Milliseconds without a query after which an instance no longer counts as an aggregator and stops sending its sum. */
 const AGGREGATOR_VALIDITY_MS = 1000
-
-/** Milliseconds between reports while something is in flight, so that others do not drop the last one as outdated. */
-const REPORT_REPEAT_MS = 200
+/** Interval in milliseconds between reports while prompts are in progress; reports are valid for 500 ms. */
+const REPORT_INTERVAL_MS = 200
+/** Milliseconds between queries for the speeds of engines, which change only when an engine restarts. */
+const SPEED_INTERVAL_MS = 1000
 
 /** Further figures that travel with the loads, in fields of their own that instances of earlier releases ignore. */
 export interface LoadSupplement {
@@ -36,8 +40,6 @@
   recordAggregator: (name: string, message: PeerValue, now: number) => void
   /** Applies the fields of a sum over all instances. */
   applyTotal: (message: PeerValue, now: number) => void
-  /** Whether this instance has something in flight that its report counts. */
-  hasLoad: () => boolean
 }
 
 const NO_FIELDS: PeerValue = {}
@@ -49,6 +51,9 @@
   /** The other instances. */
   peers: () => readonly Peer[]
   directory: Pick<UpstreamDirectory, 'all'>
+  speeds: Pick<
+    EngineSpeeds, 'takeSamples' | 'receiveSamples' | 'forwardSamples' | 'encodeEstimates' | 'receiveEstimates'
+  >
   /** Monotonic clock in milliseconds. */
   now: () => number
   supplement?: LoadSupplement | undefined
@@ -67,10 +72,13 @@
 }
 
 export function createLoadExchange (options: LoadExchangeOptions): LoadExchange {
-  const { links, instance, dataCentre, directory, now, supplement } = options
+  const { links, instance, dataCentre, directory, speeds, now, supplement } = options
   /** Loads of the instances that query this one, and sums of other aggregators. */
   const memberReports = createReportedLoads()
   const aggregatorReports = createReportedLoads()
+  /** The same for what requests use. */
+  const memberUses = createEngineReports(sumUses)
+  const aggregatorUses = createEngineReports(sumUses)
   let rankedPeers: readonly Peer[] | undefined
   /**
    * Aggregators in this instance's order of preference: those of the local data centre, then their standby; undefined
@@ -86,8 +94,10 @@
   let lastSentAt = -Infinity
   let pendingRefresh: Promise<void> | undefined
   let notifyTimer: NodeJS.Timeout | undefined
+  /** Timer of the next report while prompts are in progress. */
+  let reportTimer: NodeJS.Timeout | undefined
+  let speedsRequestedAt = -Infinity
   let exchangeTimer: NodeJS.Timeout | undefined
-  let repeatTimer: NodeJS.Timeout | undefined
 
   function aggregatorsIn (location: string, peers: readonly Peer[]): { names: string[], standby: string[] } {
     const names = peers.filter((peer) => peer.dataCentre === location).map(({ name }) => name)
@@ -122,34 +132,66 @@
     )))
   }
 
+  function ownUses (): EngineUses {
+    return new Map([...directory.all()].flatMap((upstream) => (
+      upstream.inFlight > 0 ? [[upstream.loadKey, ownUse(upstream)] as const] : []
+    )))
+  }
+
   function memberLoads (): EngineLoad {
     return memberReports.sum(ownLoad(), now())
   }
 
-  function applyTotals (total: EngineLoad): void {
+  function sumOfMemberUses (): EngineUses {
+    return memberUses.sum(ownUses(), now())
+  }
+
+  function applyTotals (total: EngineLoad, totalUses: EngineUses): void {
     const present = now()
-    for (const upstream of directory.all()) recordFleetLoad(upstream, total.get(upstream.loadKey) ?? 0, present)
+    for (const upstream of directory.all()) {
+      recordFleetLoad(upstream, total.get(upstream.loadKey) ?? 0, present)
+      recordFleetUse(upstream, totalUses.get(upstream.loadKey) ?? NO_USE)
+    }
   }
 
   function ownReport (): PeerValue {
+    scheduleReport()
+    const samples = speeds.takeSamples()
     return {
-      kind: PeerRequestKind.engineLoads, from: instance, load: encodeLoad(ownLoad()), ...supplement?.ownFields(now())
+      kind: PeerRequestKind.engineLoads,
+      from: instance,
+      load: encodeLoad(ownLoad()),
+      uses: encodeUses(ownUses()),
+      ...(samples.length > 0 ? { samples } : {}),
+      ...supplement?.ownFields(now())
     }
   }
 
+  /** Repeats the report while prompts are in progress, which aggregators would otherwise forget. */
+  function scheduleReport (): void {
+    clearTimeout(reportTimer)
+    const isHolding = [...directory.all()].some(({ heldTokens, inFlight }) => (
+      heldTokens > 0 || (supplement !== undefined && inFlight > 0)
+    ))
+    reportTimer = isHolding ? setTimeout(reportLoad, REPORT_INTERVAL_MS) : undefined
+  }
+
   async function fetchTotals (): Promise<void> {
     const peer = currentAggregator()
     if (peer === undefined) {
       startExchanging()
-      applyTotals(aggregatorReports.sum(memberLoads(), now()))
+      applyTotals(aggregatorReports.sum(memberLoads(), now()), aggregatorUses.sum(sumOfMemberUses(), now()))
       supplement?.applyTotal(supplement.totalFields(now()), now())
       return
     }
-    const response = await requestIfReachable(links, peer.endpoint, ownReport(), RESPONSE_TIMEOUT_MS)
+    const wantsSpeeds = now() - speedsRequestedAt >= SPEED_INTERVAL_MS
+    if (wantsSpeeds) speedsRequestedAt = now()
+    const query = { ...ownReport(), ...(wantsSpeeds ? { wantsSpeeds } : {}) }
+    const response = await requestIfReachable(links, peer.endpoint, query, RESPONSE_TIMEOUT_MS)
     const total = decodeLoad(response?.load)
-    if (total === undefined) return
-    applyTotals(total)
-    supplement?.applyTotal(response!, now())
+    if (total !== undefined) applyTotals(total, decodeUses(response?.uses, total))
+    if (response !== undefined) supplement?.applyTotal(response, now())
+    if (wantsSpeeds) speeds.receiveEstimates(response?.speeds, now())
   }
 
   function reportLoad (): void {
@@ -157,13 +199,6 @@
     notifyTimer = undefined
     const peer = currentAggregator()
     if (peer !== undefined) links.notify(peer.endpoint, ownReport())
-    const isLoaded = supplement !== undefined && (supplement.hasLoad() || ownLoad().size > 0)
-    if (isLoaded) repeatTimer ??= setTimeout(repeatReport, REPORT_REPEAT_MS)
-  }
-
-  function repeatReport (): void {
-    repeatTimer = undefined
-    reportLoad()
   }
 
   /** Reports the sum to the other aggregators while this instance is queried as one. */
@@ -175,14 +210,23 @@
     }
     updateRanking()
     const load = encodeLoad(memberLoads())
+    const uses = encodeUses(sumOfMemberUses())
     const fields = supplement?.sumFields(now()) ?? NO_FIELDS
-    const isEmpty = load.length === 0 && Object.keys(fields).length === 0
-    const isIdle = isEmpty && wasIdle
-    wasIdle = isEmpty
+    const hasUse = load.length + uses.length + Object.keys(fields).length > 0
+    const isIdle = !hasUse && wasIdle
+    wasIdle = !hasUse
     // The other aggregators must know of a standby that has taken over before there is a load.
     if (isIdle && now() - lastSentAt < AGGREGATOR_VALIDITY_MS / 2) return
     lastSentAt = now()
-    const report = { kind: PeerRequestKind.engineLoads, collector: instance, load, ...fields }
+    const samples = speeds.takeSamples()
+    const report = {
+      kind: PeerRequestKind.engineLoads,
+      collector: instance,
+      load,
+      uses,
+      ...(samples.length > 0 ? { samples } : {}),
+      ...fields
+    }
     for (const { name, endpoint } of options.peers()) {
       // A standby that took over from a lost aggregator reports its sum without being on the list.
       const isAggregator = aggregatorNames.has(name) ||
@@ -204,10 +248,13 @@
     promptSent: reportLoad,
     prefillEnded () { notifyTimer ??= setTimeout(reportLoad, PREFILL_NOTIFY_DELAY_MS) },
     async handleRequest (request) {
-      const { from, collector: name, load } = request
+      const { from, collector: name, load, uses, samples, wantsSpeeds } = request
       const reportedLoad = decodeLoad(load)
       if (reportedLoad === undefined) throw new PlatformUnavailableError('engine load is malformed')
+      const reportedUses = decodeUses(uses, reportedLoad)
+      speeds.receiveSamples(samples, now())
       if (typeof name === 'string') {
+        aggregatorUses.record(name, reportedUses, now())
         aggregatorReports.record(name, reportedLoad, now())
         supplement?.recordAggregator(name, request, now())
         lastReportAt.set(name, now())
@@ -216,12 +263,19 @@
       startExchanging()
       memberReports.record(String(from), reportedLoad, now())
       supplement?.recordMember(String(from), request, now())
-      return { load: encodeLoad(aggregatorReports.sum(memberLoads(), now())), ...supplement?.totalFields(now()) }
+      memberUses.record(String(from), reportedUses, now())
+      speeds.forwardSamples(samples)
+      return {
+        load: encodeLoad(aggregatorReports.sum(memberLoads(), now())),
+        uses: encodeUses(aggregatorUses.sum(sumOfMemberUses(), now())),
+        ...(wantsSpeeds === true ? { speeds: speeds.encodeEstimates() } : {}),
+        ...supplement?.totalFields(now())
+      }
     },
     stop () {
       clearInterval(exchangeTimer)
       clearTimeout(notifyTimer)
-      clearTimeout(repeatTimer)
+      clearTimeout(reportTimer)
     }
   }
 }
