--- a/src/edge/admissionOrder/shares.ts
+++ b/src/edge/admissionOrder/shares.ts
@@ -21,79 +21,98 @@
 
 export type GroupWithDemand = AdmissionGroup & GroupDemand
 
-interface Claim {
-  key: number
-  customer: string
-  /** Amount that the group could still use. */
-  open: number
+/** The groups of one service, prepared for the division. */
+interface Claims {
+  groups: readonly GroupWithDemand[]
+  /** Indexes of the groups by priority, the most urgent first. */
+  byPriority: ReadonlyArray<readonly number[]>
+  /** Index of the customer of each group. */
+  customers: readonly number[]
+  /** Weight of each customer: its rate in tokens per second; without a rate, the mean of the others. */
+  weights: readonly number[]
 }
 
-/** Divides an amount by weights; what one cannot use goes to the others (max-min fairness). */
-function divideByWeight (
-  claims: ReadonlyArray<{ open: number, weight: number }>, amount: number
-): number[] {
-  const parts = claims.map(() => 0)
-  const order = claims.map((_claim, index) => index)
-    .sort((one, other) => claims[one]!.open / claims[one]!.weight - claims[other]!.open / claims[other]!.weight)
-  let remaining = amount
-  let weights = claims.reduce((sum, { weight }) => sum + weight, 0)
-  for (const index of order) {
-    const { open, weight } = claims[index]!
-    const part = Math.min(open, remaining * weight / weights)
-    parts[index] = part
-    remaining = Math.max(0, remaining - part)
-    weights = Math.max(Number.MIN_VALUE, weights - weight)
-  }
-  return parts
-}
-
-function sumOf (values: Iterable<number>): number {
+function sumOf (values: readonly number[]): number {
   let sum = 0
   for (const value of values) sum += value
   return sum
 }
 
-/** Returns the weight of each customer, its rate in tokens per second; without a rate, the mean of the others. */
-function customerWeights (groups: readonly GroupWithDemand[]): Map<string, number> {
+function prepareClaims (groups: readonly GroupWithDemand[]): Claims {
+  const indexes = new Map<string, number>()
+  const rates: number[] = []
+  const priorities = new Map<number, number[]>()
   const requests = sumOf(groups.map(({ count }) => count))
   const meanCost = sumOf(groups.map(({ cost }) => cost)) / Math.max(Number.MIN_VALUE, requests)
-  const rates = new Map(groups.map(({ customer, rate, unit }) => [customer, unit === 'token' ? rate : rate * meanCost]))
-  const known = [...rates.values()].filter((rate) => rate > 0)
+  const customers = groups.map(({ customer, priority, rate, unit }, group) => {
+    const members = priorities.get(priority)
+    if (members === undefined) priorities.set(priority, [group])
+    else members.push(group)
+    const index = indexes.get(customer) ?? rates.length
+    indexes.set(customer, index)
+    rates[index] = unit === 'token' ? rate : rate * meanCost
+    return index
+  })
+  const known = rates.filter((rate) => rate > 0)
   const usual = known.length === 0 ? 1 : sumOf(known) / known.length
-  return new Map([...rates].map(([customer, rate]) => [customer, rate > 0 ? rate : usual]))
+  return {
+    groups,
+    byPriority: [...priorities].sort(([one], [other]) => one - other).map(([, members]) => members),
+    customers,
+    weights: rates.map((rate) => rate > 0 ? rate : usual)
+  }
 }
 
-function allocateAbove (groups: readonly GroupWithDemand[], capacity: number, floor: number): Map<number, number> {
-  const weights = customerWeights(groups)
-  const totalWeight = sumOf(weights.values())
-  const given = new Map(groups.map(({ key, cost }) => [key, cost * floor]))
-  const entitlements = new Map([...weights].map(([customer, weight]) => (
-    [customer, ENTITLEMENT_MARGIN * capacity * weight / totalWeight]
-  )))
-  for (const { key, customer } of groups) entitlements.set(customer, entitlements.get(customer)! - given.get(key)!)
-  let remaining = capacity - sumOf(given.values())
-  const priorities = [...new Set(groups.map(({ priority }) => priority))].sort((one, other) => one - other)
-
-  function give (limit: (customer: string) => number): void {
-    for (const priority of priorities) {
-      if (remaining <= 0) return
-      const claims: Claim[] = groups.filter((group) => group.priority === priority).map(({ key, customer, cost }) => (
-        { key, customer, open: Math.max(0, Math.min(cost - given.get(key)!, limit(customer))) }
-      ))
-      const parts = divideByWeight(
-        claims.map(({ open, customer }) => ({ open, weight: weights.get(customer)! })), remaining
-      )
-      for (const [index, { key, customer }] of claims.entries()) {
-        given.set(key, given.get(key)! + parts[index]!)
-        entitlements.set(customer, entitlements.get(customer)! - parts[index]!)
-        remaining -= parts[index]!
-      }
+/**
+ * Divides an amount among groups by the weights of their customers; what one cannot use goes to the others (max-min
+ * fairness). Adds the parts to `given`, takes them from `entitlements`, and returns what is left.
+ * @param limited whether a group gets at most what its customer is still entitled to
+ */
+function divide (
+  { groups, customers, weights }: Claims, members: readonly number[], amount: number, given: number[],
+  entitlements: number[], limited: boolean
+): number {
+  const open = members.map((group) => {
+    const missing = groups[group]!.cost - given[group]!
+    return Math.max(0, limited ? Math.min(missing, entitlements[customers[group]!]!) : missing)
+  })
+  if (sumOf(open) <= amount) {
+    for (const [index, group] of members.entries()) {
+      given[group]! += open[index]!
+      entitlements[customers[group]!]! -= open[index]!
     }
+    return amount - sumOf(open)
+  }
+  const weightOf = (index: number): number => weights[customers[members[index]!]!]!
+  const order = members.map((_group, index) => index)
+    .sort((one, other) => open[one]! / weightOf(one) - open[other]! / weightOf(other))
+  let remaining = amount
+  let remainingWeight = sumOf(members.map((_group, index) => weightOf(index)))
+  for (const index of order) {
+    const group = members[index]!
+    const part = Math.min(open[index]!, remaining * weightOf(index) / remainingWeight)
+    given[group]! += part
+    entitlements[customers[group]!]! -= part
+    remaining = Math.max(0, remaining - part)
+    remainingWeight = Math.max(Number.MIN_VALUE, remainingWeight - weightOf(index))
   }
+  return remaining
+}
 
-  give((customer) => entitlements.get(customer)!)
-  give(() => Infinity)
-  return new Map(groups.map(({ key, cost }) => [key, cost <= 0 ? 1 : Math.min(1, given.get(key)! / cost)]))
+/** Returns the share of each group. */
+function allocateAbove (claims: Claims, capacity: number, floor: number): number[] {
+  const { groups, byPriority, customers, weights } = claims
+  const totalWeight = sumOf(weights)
+  const given = groups.map(({ cost }) => cost * floor)
+  const entitlements = weights.map((weight) => ENTITLEMENT_MARGIN * capacity * weight / totalWeight)
+  for (const [group, amount] of given.entries()) entitlements[customers[group]!]! -= amount
+  let remaining = capacity - sumOf(given)
+  for (const limited of [true, false]) {
+    for (const members of byPriority) {
+      if (remaining > 0) remaining = divide(claims, members, remaining, given, entitlements, limited)
+    }
+  }
+  return groups.map(({ cost }, group) => cost <= 0 ? 1 : Math.min(1, given[group]! / cost))
 }
 
 /**
@@ -105,12 +124,13 @@
   const capacity = admitted * sumOf(groups.map(({ cost }) => cost))
   const total = sumOf(groups.map(({ count }) => count))
   if (admitted >= 1 || total <= 0) return new Map(groups.map(({ key }) => [key, 1]))
+  const claims = prepareClaims(groups)
   let floor = admitted * FLOOR_PART
-  let shares = new Map<number, number>()
+  let shares: number[] = []
   for (let round = 0; round < FLOOR_ROUNDS; round += 1) {
-    shares = allocateAbove(groups, capacity, floor)
-    const overall = sumOf(groups.map(({ key, count }) => shares.get(key)! * count)) / total
+    shares = allocateAbove(claims, capacity, floor)
+    const overall = sumOf(groups.map(({ count }, group) => shares[group]! * count)) / total
     floor = Math.min(admitted, FLOOR_PART * overall)
   }
-  return shares
+  return new Map(groups.map(({ key }, group) => [key, shares[group]!]))
 }
