Calls go where others have left places; refusals are spread when no upstream is usable

With real daemons, an instance that knew the counts still answered some calls with the same Retry-After of 150 ms: an upstream that turns a call away is paused for 60 ms, so that none was usable before its count was looked at. The order now decides before an upstream is chosen, a paused upstream counts as full, and Retry-After is spread when no upstream is usable.

--- a/src/edge/admissionOrder/__tests__/fleetSimulation.ts
+++ b/src/edge/admissionOrder/__tests__/fleetSimulation.ts
@@ -149,6 +149,7 @@
         listed: () => isFleetKnown ? [{ fleetLoadUpdatedAt: scheduler.now() } as unknown as Upstream] : []
       },
       demand,
+      random,
       room: { expectedStart: (_service, tokens, present) => expectedStart(tokens, present) },
       configuration: () => configuration,
       backlog
--- a/src/edge/admissionOrder/__tests__/placeCounts.test.ts
+++ b/src/edge/admissionOrder/__tests__/placeCounts.test.ts
@@ -81,6 +81,17 @@
     expect(instance.places.fullFor('orders', 1000)).toBeUndefined()
   })
 
+  it('yes: all upstreams are paused after they turned calls away, although the counts are a little lower', () => {
+    const instance = createInstance()
+    recordCalls(instance, [SLOTS - 1], 0)
+    for (const upstream of instance.upstreams) {
+      upstream.pausedUntil = 60
+      instance.places.recordTurnedAway(upstream, 0)
+    }
+    expect(instance.places.fullFor('orders', 0)).toBeDefined()
+    expect(instance.places.fullFor('orders', 60)).toBeUndefined()
+  })
+
   it('no: upstreams that turn calls away have free places', () => {
     const instance = createInstance()
     recordCalls(instance, [2], 0)
--- a/src/edge/admissionOrder/__tests__/requestOrder.test.ts
+++ b/src/edge/admissionOrder/__tests__/requestOrder.test.ts
@@ -32,6 +32,7 @@
   const admissionOrder = createAdmissionOrder({
     directory,
     demand: createDemandExchange(),
+    random: () => 0.5,
     room: { expectedStart: () => instance.wait },
     configuration: () => configuration,
     backlog: () => ({ expectedWait: () => 0 })
--- a/src/edge/admissionOrder/admissionOrder.ts
+++ b/src/edge/admissionOrder/admissionOrder.ts
@@ -2,7 +2,7 @@
  * Decides the order in which the requests of an instance are admitted while the engines are overloaded: urgency, then
  * customer, size and age. All instances use the same load and demand, and each draws for its own requests.
  */
-import type { MonotonicMilliseconds } from '../../types'
+import type { MonotonicMilliseconds, RandomSource } from '../../types'
 import type { Backlog } from '../backlog'
 import type { EdgeConfiguration } from '../types'
 import { isFleetLoadKnown, type UpstreamDirectory } from '../upstreamDirectory'
@@ -12,6 +12,7 @@
 import { decideOrder, type OrderCircumstances } from './orderDecision'
 import { createPlaceCounts, type PlaceCounts } from './placeCounts'
 import { admittedPart } from './overload'
+import { retryTime } from './retryTime'
 import { createTimeBudgets } from './timeBudgets'
 import type { OrderDecision, OrderedRequest, ServiceRoom } from './types'
 
@@ -19,6 +20,7 @@
   directory: Pick<UpstreamDirectory, 'listed'>
   room: ServiceRoom
   demand: DemandExchange
+  random: RandomSource
   configuration: () => EdgeConfiguration | undefined
   /** Returns this instance's backlog of one service and urgency. */
   backlog: (key: string) => Pick<Backlog, 'expectedWait'>
@@ -31,6 +33,12 @@
   decide: (
     request: OrderedRequest, heldSince: MonotonicMilliseconds | undefined, now: MonotonicMilliseconds
   ) => OrderDecision
+  /**
+   * Returns when a caller should come back that no upstream can take now, spread over the callers.
+   * @param recovery milliseconds until an upstream is expected to take requests again
+   * @param timeLeft remaining time of the request in milliseconds
+   */
+  spread: (recovery: number, timeLeft: number) => number
   /** Records the time budget of a request in milliseconds and returns the part of the usual one that is missing. */
   observeBudget: (route: string, budget: number) => number
   places: PlaceCounts
@@ -40,10 +48,13 @@
   admittedParts: () => ReadonlyMap<string, number>
 }
 
+/** Share of the callers that are expected to find room when they come back, while it is not known. */
+const EVEN_SHARE = 0.5
+
 const NO_GROUPS: ServiceGroups = { groups: new Map(), target: 0, targetByUrgency: new Map() }
 
 export function createAdmissionOrder (options: AdmissionOrderOptions): AdmissionOrder {
-  const { directory, room, backlog, demand } = options
+  const { directory, room, backlog, demand, random } = options
   const places = createPlaceCounts(directory)
   const admittedParts = new Map<string, number>()
   let indexed: { configuration: EdgeConfiguration | undefined, services: ReadonlyMap<string, ServiceGroups> } = {
@@ -88,6 +99,7 @@
       admittedParts.set(service, decision.explanation.admittedPart)
       return decision
     },
+    spread: (recovery, timeLeft) => retryTime({ recovery, share: EVEN_SHARE, timeLeft, draw: random() }),
     observeBudget: createTimeBudgets().observe,
     places,
     holds: createHoldQueue(),
--- a/src/edge/admissionOrder/placeCounts.ts
+++ b/src/edge/admissionOrder/placeCounts.ts
@@ -36,11 +36,14 @@
     return expectedUse(upstream, now).requests
   }
 
-  function limitOf (upstream: Upstream, now: MonotonicMilliseconds): number {
+  function isFull (upstream: Upstream, now: MonotonicMilliseconds): boolean {
     const { slots } = upstream.entry
     const learned = limits.get(upstream)
-    const isValid = learned !== undefined && now - learned.at < LIMIT_VALIDITY_MS
-    return Math.max(slots, isValid ? learned.calls : slots * CALLS_PER_PLACE)
+    const calls = inFlight(upstream, now)
+    if (learned === undefined || now - learned.at >= LIMIT_VALIDITY_MS) return calls >= slots * CALLS_PER_PLACE
+    // An upstream that turned a call away a moment ago is paused, and its count may be a little too low.
+    const isPaused = now < upstream.pausedUntil && calls >= slots / 2
+    return isPaused || calls >= Math.max(slots, learned.calls)
   }
 
   return {
@@ -50,10 +53,10 @@
     },
     fullFor (service, now) {
       const upstreams = directory.listed(service)
-      const isFull = upstreams.length > 0 && upstreams.every((upstream) => (
-        isPlain(upstream) && isFleetLoadKnown(upstream, now) && inFlight(upstream, now) >= limitOf(upstream, now)
+      const areFull = upstreams.length > 0 && upstreams.every((upstream) => (
+        isPlain(upstream) && isFleetLoadKnown(upstream, now) && isFull(upstream, now)
       ))
-      if (!isFull) return undefined
+      if (!areFull) return undefined
       // A call waits for those ahead of it, so half of the places have turned over after half of the wait.
       return Math.min(...upstreams.map((upstream) => currentWait(upstream, CALL_URGENCY, now))) / 2
     }
--- a/src/edge/attemptPreparation.ts
+++ b/src/edge/attemptPreparation.ts
@@ -122,16 +122,18 @@
     const suspect = crashGuard.missingPermit(now.steady)
     if (suspect !== undefined) return waitForTrial(suspect)
     if (!options.canSend(now.steady)) return waitOrReport(NO_RETRY_LEFT, Obstacle.retryAllowance, now.steady)
+    // Before an upstream is chosen: those that are full turn calls away for a moment and can then not be chosen.
+    if (order.isOrdered && !hasRun()) {
+      const decision = order.decide(now.steady)
+      if (!decision.admitted && decision.holdFor > 0) return hold(decision.holdFor)
+      if (!decision.admitted) return conclude(() => { callbacks.onRefusedInOrder(decision) })
+    }
     const target = targets.select(now, crashGuard.suspectTrait(now.steady))
     if (target === undefined) {
       const isListed = context.directory.listed(service).length > 0
       return waitOrReport(targets.failureReason(), isListed ? Obstacle.noneUsable : Obstacle.noneListed, now.steady)
     }
-    if (order.isOrdered && !hasRun()) {
-      const decision = order.decide(now.steady)
-      if (!decision.admitted && decision.holdFor > 0) return hold(decision.holdFor)
-      if (!decision.admitted) return conclude(() => { callbacks.onRefusedInOrder(decision) })
-    } else if (!order.isInForce && route.repeat === RepeatRule.stream && !hasRun()) {
+    if (!order.isInForce && route.repeat === RepeatRule.stream && !hasRun()) {
       const expectedWait = backlog.expectedWait(now.steady)
       const shedding = decideShedding(expectedWait, route.latencyTarget, sheddingDraw)
       if (shedding.shed) return conclude(() => { callbacks.onShed(expectedWait, shedding.retryAfter) })
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -224,7 +224,7 @@
     ...membership, supplement: demand?.supplement, directory, loadingEngines: () => loadingEngines, now: steadyTime
   })
   const admissionOrder = composeAdmissionOrder(demand, {
-    directory, backlog, room: engines.engineRoom, configuration: () => tables.routes()?.configuration
+    directory, backlog, random, room: engines.engineRoom, configuration: () => tables.routes()?.configuration
   })
   const rolloutBroadcast = createBroadcast(PeerRequestKind.serviceRollouts, (content) => {
     const notification = parseRolloutUpdate(content)
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -136,7 +136,8 @@
     const wait = Number.isFinite(until) && until > now ? until - now : DEFAULT_RETRY_MS
     // Back-off times requested by the upstreams themselves are exact and therefore not clamped.
     const backOff = Math.min(...listed.map(({ backOffUntil }) => backOffUntil - now))
-    return Math.max(clampRetryAfter(wait), Number.isFinite(backOff) ? backOff : 0)
+    const recovery = Math.max(clampRetryAfter(wait), Number.isFinite(backOff) ? backOff : 0)
+    return context.admissionOrder?.spread(recovery, timeLeft?.() ?? 0) ?? recovery
   }
 
   /** Rejects a request that no upstream has completed. */
