Admission order: floors that agree with the overall share, and sizes by what they need

A replay of prompts that fill the memory of the engines showed three faults. The rounds that bring the floor and the overall share into agreement oscillated, so that the urgent kind got 0.3 where 0.55 was possible; the floor is now found by bisection. The pressure was measured by the size of each request; it is now measured by the usual size of the service, and a request that needs more room than there is is refused for its own part.

--- a/src/edge/admissionOrder/__tests__/fleetSimulation.ts
+++ b/src/edge/admissionOrder/__tests__/fleetSimulation.ts
@@ -19,6 +19,11 @@
 /** Milliseconds of an engine for each output token; all its requests produce them side by side. */
 const OUTPUT_TOKEN_MS = 12
 
+/** Cost in milliseconds of an engine without room for a request, as in the placement. */
+const FULL_PENALTY_MS = 10_000
+/** Weight of the newest request in the mean duration, as in the engine room. */
+const DURATION_SMOOTHING = 0.05
+
 export interface Kind {
   name: string
   prompt: (draw: number) => number
@@ -65,7 +70,7 @@
   timeLeftAtRefusal: number | undefined
 }
 
-interface Running { tokens: number, urgency: number, onFirstByte: (at: number) => void, output: number }
+interface Running { tokens: number, urgency: number, onFirstByte: (at: number) => void, output: number, sentAt: number }
 
 interface Engine {
   waiting: Running[]
@@ -130,13 +135,15 @@
   /** Tokens ahead of a new request at each engine, as last exchanged. */
   let snapshot: Array<{ queue: number, held: number, running: number, isDark: boolean }> = []
   let snapshotAt = 0
+  let meanDuration = 300
 
   function expectedStart (tokens: number, present: number): number {
     const starts = snapshot.filter(({ isDark }) => !isDark).map(({ queue, held, running }) => {
-      const hasRoom = held + tokens <= load.memory && running < load.slots
       const wait = Math.max(0, queue / load.speed - (present - snapshotAt))
-      // An engine without room has some again once a request has produced its output.
-      return hasRoom ? wait : Math.max(wait, OUTPUT_TOKEN_MS * 10)
+      // As in the engine room: room becomes free at the rate at which the requests of an engine end.
+      const excessMemory = (held + tokens - load.memory) / Math.max(1, held)
+      const excess = Math.max(0, excessMemory, (running + 1 - load.slots) / Math.max(1, running))
+      return Math.max(wait, excess * meanDuration)
     })
     return Math.min(...starts)
   }
@@ -191,6 +198,7 @@
     scheduler.at(engine.busyUntil, () => {
       next.onFirstByte(scheduler.now())
       scheduler.at(scheduler.now() + next.output * OUTPUT_TOKEN_MS, () => {
+        meanDuration += (scheduler.now() - next.sentAt - meanDuration) * DURATION_SMOOTHING
         engine.held -= next.tokens
         engine.running -= 1
         work(engine)
@@ -203,11 +211,14 @@
     const usable = snapshot.flatMap(({ queue, isDark }, index) => isDark ? [] : [{ queue, index }])
     // The choice goes by the loads right before it; those that are sent at the same time differ by the draw.
     const ranked = usable.map(({ index }) => {
-      const { waiting, busyUntil } = engines[index]!
-      return { index, cost: waiting.length * 1000 + Math.max(0, busyUntil - scheduler.now()) + random() }
+      const { waiting, held, running, busyUntil } = engines[index]!
+      const waitingTokens = waiting.reduce((sum, request) => sum + request.tokens, 0)
+      const isFull = held + waitingTokens + tokens > load.memory || running + waiting.length >= load.slots
+      const queue = waitingTokens / load.speed + Math.max(0, busyUntil - scheduler.now())
+      return { index, cost: (isFull ? FULL_PENALTY_MS : 0) + queue + random() }
     })
     const { index } = ranked.reduce((best, candidate) => candidate.cost < best.cost ? candidate : best)
-    engines[index]!.waiting.push({ tokens, output, urgency, onFirstByte })
+    engines[index]!.waiting.push({ tokens, output, urgency, onFirstByte, sentAt: scheduler.now() })
     work(engines[index]!)
   }
 
--- a/src/edge/admissionOrder/__tests__/replay.test.ts
+++ b/src/edge/admissionOrder/__tests__/replay.test.ts
@@ -20,8 +20,6 @@
   budget: 15_195,
   priority: 0
 }
-/** Size from which a label check belongs to the largest tenth. */
-const LARGE_LABEL = LABEL.prompt(0.9)
 const LARGE_CUSTOMER = 'c0'
 const SMALL_CUSTOMERS = Array.from({ length: 13 }, (_value, index) => `c${index + 3}`)
 
@@ -50,6 +48,11 @@
   'a customer at six times its usual': {
     ...USUAL, factor: (_kind, customer, at) => customer === LARGE_CUSTOMER && isDuring(at) ? 6 : 1
   },
+  'prompts that fill the memory of the engines': {
+    ...USUAL,
+    kinds: [{ ...LABEL, prompt: (draw) => 600 + 39_000 * draw ** 6, output: 200 }, REPLY],
+    factor: (kind, _customer, at) => kind === LABEL.name && isDuring(at) ? 2.5 : 1
+  },
   'a quarter of the engines dark': {
     ...USUAL, engines: 12, length: 23_000, dark: (at) => at >= 2000 && at < 22_000 ? 3 : 0
   }
@@ -103,8 +106,9 @@
   })
 
   it('the largest tenth of a kind is served at least half as often as the kind', () => {
-    const labels = play(name).filter(isLabel)
-    expect(served(labels.filter(({ tokens }) => tokens >= LARGE_LABEL))).toBeGreaterThanOrEqual(served(labels) / 2)
+    const labels = play(name).filter(isLabel).sort((one, other) => one.tokens - other.tokens)
+    const largest = labels.slice(Math.floor(labels.length * 0.9))
+    expect(served(largest)).toBeGreaterThanOrEqual(served(labels) / 2)
   })
 
   it('most of the requests that are served get their first byte in time', () => {
--- a/src/edge/admissionOrder/__tests__/requestDecisions.test.ts
+++ b/src/edge/admissionOrder/__tests__/requestDecisions.test.ts
@@ -31,7 +31,7 @@
 })
 
 describe('admissionProbability', () => {
-  const weight = { cost: 1000, meanCost: 1000, age: 0 }
+  const weight = { cost: 1000, meanCost: 1000, age: 0, fit: 1 }
 
   it('is the share for a request of the mean size', () => {
     expect(admissionProbability(0.4, weight)).toBeCloseTo(0.4)
@@ -42,6 +42,12 @@
     expect(admissionProbability(share, { ...weight, cost: 39_600 })).toBeLessThan(admissionProbability(share, weight))
   })
 
+  it('refuses a part of those for which the engines have no room, and half of them at most', () => {
+    const probability = admissionProbability(1, { ...weight, cost: 39_600, fit: 0.15 })
+    expect(probability).toBeLessThan(1)
+    expect(probability).toBeGreaterThanOrEqual(0.5)
+  })
+
   it('prefers a request that has come back', () => {
     expect(admissionProbability(0.4, { ...weight, age: 0.33 })).toBeGreaterThan(0.6)
   })
--- a/src/edge/admissionOrder/__tests__/shares.test.ts
+++ b/src/edge/admissionOrder/__tests__/shares.test.ts
@@ -34,6 +34,12 @@
     groups: [{ priority: 0, cost: 900, count: 900 }, { priority: 2, cost: 100, count: 10 }],
     expected: [[0.25, 0.33], [0.07, 0.3]]
   },
+  {
+    title: 'the urgent kind most of what there is when the floor of the large kind uses up much of it',
+    admitted: 0.15,
+    groups: [{ priority: 0, cost: 120, count: 48 }, { priority: 2, cost: 880, count: 52 }],
+    expected: [[0.45, 0.65], [0.07, 0.11]]
+  },
   {
     title: 'other customers whole while one sends six times its rate',
     admitted: 0.5,
--- a/src/edge/admissionOrder/admissionOrder.ts
+++ b/src/edge/admissionOrder/admissionOrder.ts
@@ -6,10 +6,11 @@
 import type { Backlog } from '../backlog'
 import type { EdgeConfiguration } from '../types'
 import { isFleetLoadKnown, type UpstreamDirectory } from '../upstreamDirectory'
+import type { Demand } from './demand'
 import type { DemandExchange } from './demandExchange'
 import { groupsOf, type ServiceGroups } from './groups'
 import { createHoldQueue, type HoldQueue } from './holdQueue'
-import { decideOrder, type OrderCircumstances } from './orderDecision'
+import { decideOrder, groupsWithDemand, type OrderCircumstances } from './orderDecision'
 import { createPlaceCounts, type PlaceCounts } from './placeCounts'
 import { admittedPart } from './overload'
 import { retryTime } from './retryTime'
@@ -53,6 +54,16 @@
 
 const NO_GROUPS: ServiceGroups = { groups: new Map(), target: 0, targetByUrgency: new Map() }
 
+/** Returns the mean cost of the requests of a service; `fallback` while it has no demand. */
+function usualCost (groups: ServiceGroups, demand: Demand, fallback: number): number {
+  let [cost, count] = [0, 0]
+  for (const group of groupsWithDemand(groups, demand)) {
+    cost += group.cost
+    count += group.count
+  }
+  return count > 0 ? cost / count : fallback
+}
+
 export function createAdmissionOrder (options: AdmissionOrderOptions): AdmissionOrder {
   const { directory, room, backlog, demand, random } = options
   const places = createPlaceCounts(directory)
@@ -88,13 +99,22 @@
       const { service, cost } = request
       const groups = groupsFor(service)
       const isFleetKnown = directory.listed(service).some((upstream) => isFleetLoadKnown(upstream, now))
-      const milliseconds = isFleetKnown ? room.expectedStart(service, cost, now) : Infinity
+      const currentDemand = demand.current(now)
+      const ownStart = isFleetKnown ? room.expectedStart(service, cost, now) : 0
+      const milliseconds = isFleetKnown
+        ? room.expectedStart(service, usualCost(groups, currentDemand, cost), now)
+        : Infinity
       // Without a usable engine, the selection of the upstream decides.
       const { wait, waitTarget } = Number.isFinite(milliseconds)
         ? { wait: { milliseconds, isFleetKnown: true }, waitTarget: groups.target }
         : ownWait(service, groups, now)
       const decision = decideOrder(request, {
-        groups, demand: demand.current(now), wait, waitTarget, heldSince
+        groups,
+        demand: currentDemand,
+        wait,
+        ownStart: wait.isFleetKnown && Number.isFinite(ownStart) ? ownStart : 0,
+        waitTarget,
+        heldSince
       }, now)
       admittedParts.set(service, decision.explanation.admittedPart)
       return decision
--- a/src/edge/admissionOrder/shares.ts
+++ b/src/edge/admissionOrder/shares.ts
@@ -17,7 +17,7 @@
 /** Entitlement of a customer relative to its part of the rates, so that small excesses do not reverse the urgency. */
 const ENTITLEMENT_MARGIN = 1.25
 /** Rounds in which the floor and the overall share that it refers to are brought into agreement. */
-const FLOOR_ROUNDS = 4
+const FLOOR_ROUNDS = 6
 
 export type GroupWithDemand = AdmissionGroup & GroupDemand
 
@@ -125,12 +125,15 @@
   const total = sumOf(groups.map(({ count }) => count))
   if (admitted >= 1 || total <= 0) return new Map(groups.map(({ key }) => [key, 1]))
   const claims = prepareClaims(groups)
-  let floor = admitted * FLOOR_PART
   let shares: number[] = []
+  // The overall share falls as the floor rises, since large requests use up what many small ones could get.
+  let [low, high] = [0, admitted]
   for (let round = 0; round < FLOOR_ROUNDS; round += 1) {
+    const floor = (low + high) / 2
     shares = allocateAbove(claims, capacity, floor)
     const overall = sumOf(groups.map(({ count }, group) => shares[group]! * count)) / total
-    floor = Math.min(admitted, FLOOR_PART * overall)
+    if (floor < FLOOR_PART * overall) low = floor
+    else high = floor
   }
   return new Map(groups.map(({ key }, group) => [key, shares[group]!]))
 }
