Nothing is refused while the engines have plenty of room

The engine room gives the time until the prompt in front is processed, also when each engine of a small service processes just one: the order then refused at a tenth of the target. Below half of the places and of the memory, with an engine that has at most one usual prompt in front, everything is admitted.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -11,7 +11,7 @@
 
 /** Decisions of the admission order; its other modules wire them into the requests. */
 const orderDecisions = [
-  'demand', 'demandExchange', 'groups', 'hold', 'holdQueue', 'orderDecision', 'overload', 'placeCounts', 'placeDecision', 'refusalResponse', 'requestShare', 'retryTime',
+  'crowding', 'demand', 'demandExchange', 'groups', 'hold', 'holdQueue', 'orderDecision', 'overload', 'placeCounts', 'placeDecision', 'refusalResponse', 'requestShare', 'retryTime',
   'shares', 'timeBudgets'
 ].map((name) => `src/edge/admissionOrder/${name}.ts`)
 
--- a/src/edge/admissionOrder/__tests__/fleetSimulation.ts
+++ b/src/edge/admissionOrder/__tests__/fleetSimulation.ts
@@ -157,6 +157,7 @@
       },
       demand,
       random,
+      isUncrowded: () => false,
       room: { expectedStart: (_service, tokens, present) => expectedStart(tokens, present) },
       configuration: () => configuration,
       backlog
--- a/src/edge/admissionOrder/__tests__/requestOrder.test.ts
+++ b/src/edge/admissionOrder/__tests__/requestOrder.test.ts
@@ -18,6 +18,7 @@
   wait: number
   draw: number
   timeLeft: number
+  isUncrowded: boolean
   /** Names of the routes whose held requests got a place. */
   places: string[]
   events: string[]
@@ -33,6 +34,7 @@
     directory,
     demand: createDemandExchange(),
     random: () => 0.5,
+    isUncrowded: () => instance.isUncrowded,
     room: { expectedStart: () => instance.wait },
     configuration: () => configuration,
     backlog: () => ({ expectedWait: () => 0 })
@@ -41,6 +43,7 @@
     wait: 0,
     draw: 0.99,
     timeLeft: 4000,
+    isUncrowded: false,
     places: [],
     events: [],
     create (route, resumeAfter) {
@@ -97,6 +100,12 @@
     })
   })
 
+  it('is admitted while the engines have plenty of room', () => {
+    const instance = createInstance()
+    Object.assign(instance, { wait: TARGET_MS, isUncrowded: true })
+    expect(instance.create(URGENT).decide(0).admitted).toBe(true)
+  })
+
   it('is not decided on when it resumes a stream', () => {
     const instance = createInstance()
     expect(instance.create(URGENT, '7').isOrdered).toBe(false)
--- a/src/edge/admissionOrder/admissionOrder.ts
+++ b/src/edge/admissionOrder/admissionOrder.ts
@@ -20,6 +20,8 @@
 export interface AdmissionOrderOptions {
   directory: Pick<UpstreamDirectory, 'listed'>
   room: ServiceRoom
+  /** Whether the engines have plenty of room for requests of the usual size. */
+  isUncrowded: (service: string, usualTokens: number, now: MonotonicMilliseconds) => boolean
   demand: DemandExchange
   random: RandomSource
   configuration: () => EdgeConfiguration | undefined
@@ -100,10 +102,11 @@
       const groups = groupsFor(service)
       const isFleetKnown = directory.listed(service).some((upstream) => isFleetLoadKnown(upstream, now))
       const currentDemand = demand.current(now)
-      const ownStart = isFleetKnown ? room.expectedStart(service, cost, now) : 0
-      const milliseconds = isFleetKnown
-        ? room.expectedStart(service, usualCost(groups, currentDemand, cost), now)
-        : Infinity
+      const usual = usualCost(groups, currentDemand, cost)
+      const isUncrowded = isFleetKnown && options.isUncrowded(service, usual, now)
+      const startOf = (tokens: number): number => isUncrowded ? 0 : room.expectedStart(service, tokens, now)
+      const ownStart = isFleetKnown ? startOf(cost) : 0
+      const milliseconds = isFleetKnown ? startOf(usual) : Infinity
       // Without a usable engine, the selection of the upstream decides.
       const { wait, waitTarget } = Number.isFinite(milliseconds)
         ? { wait: { milliseconds, isFleetKnown: true }, waitTarget: groups.target }
