--- a/src/edge/__tests__/metrics.test.ts
+++ b/src/edge/__tests__/metrics.test.ts
@@ -10,8 +10,10 @@
   pendingPeerQueries: () => 4,
   configurationVersion: () => 17,
   configurationAge: () => Infinity,
+  upstreams: () => new Map([['engines', 6]]),
   admittedParts: () => new Map([['engines', 0.4]]),
-  upstreams: () => new Map([['engines', 6]])
+  engineSpeeds: () => new Map([['engines', 27.5]]),
+  crossingShares: () => new Map([['engines', 0.25]])
 })
 
 const store: Store = {
@@ -47,6 +49,8 @@
       'waxwingspoke_configuration_version 17',
       'waxwingspoke_configuration_age_milliseconds +Inf',
       'waxwingspoke_upstreams{service="engines"} 6',
+      'waxwingspoke_engine_speed_milliseconds{service="engines"} 27.5',
+      'waxwingspoke_crossing_share{service="engines"} 0.25',
       'waxwingspoke_admitted_part{service="engines"} 0.4',
       'waxwingspoke_order_refusals_total{reason="share",priority="2"} 1'
     ]) expect(page.split('\n')).toContain(line)
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -74,8 +74,7 @@
 export async function startEdge (options: EdgeOptions): Promise<Edge> {
   const { settings, dialect, records, control } = options
   const { instance, limits } = settings
-  const steadyTime = (): number => performance.now()
-  const now = (): Instant => ({ steady: steadyTime(), wall: Date.now() })
+  const now = (): Instant => ({ steady: performance.now(), wall: Date.now() })
   const random = Math.random
   const incarnation = Date.now()
   const metrics = createEdgeMetrics({
@@ -85,7 +84,9 @@
     configurationVersion: () => tables.routes()?.configuration.version ?? 0,
     configurationAge: () => freshness.age(now()),
     admittedParts: () => admissionOrder?.admittedParts() ?? new Map(),
-    upstreams: () => countBy([...directory.all()].map(({ entry }) => entry.service))
+    upstreams: () => countBy([...directory.all()].map(({ entry }) => entry.service)),
+    engineSpeeds: () => engines.engineSpeeds.medians(),
+    crossingShares: () => engines.crossing.shares()
   })
   const { log: writeLogLine, flush, close: closeLog } = createBoundedLog({
     instance: instance.name,
@@ -205,23 +206,16 @@
   const requestLimits = createRequestLimits({
     broadcast: (content) => { limitBroadcast.send({ ...content, sender: instances.sender() }) }, log
   })
-  const crashHandling = createCrashHandling({
-    links, instance: name, dataCentre, peers, directory, log, now: () => performance.now(), random, onFault: reportFault
-  })
-  const membership = { links, instance: name, dataCentre, peers }
+  const shared = { links, instance: name, dataCentre, peers, directory, log, now: () => performance.now(), random }
+  const crashHandling = createCrashHandling({ ...shared, onFault: reportFault })
   const sendPermits = createSendPermits({
-    ...membership,
-    sender: instances.sender,
-    share: () => instances.share(),
-    limits: requestLimits,
-    now: () => performance.now(),
-    random
+    ...shared, sender: instances.sender, share: () => instances.share(), limits: requestLimits
   })
   const upstreamHints = createUpstreamHints({ broadcast: leavingBroadcast.send, directory, requestLimits, log })
   const backlog = createBacklogs()
   const demand = composeDemandExchange(settings.admission)
   const engines = composeEngines({
-    ...membership, supplement: demand?.supplement, directory, loadingEngines: () => loadingEngines, now: steadyTime
+    ...shared, ...settings.placement, supplement: demand?.supplement, loadingEngines: () => loadingEngines
   })
   const admissionOrder = composeAdmissionOrder(demand, {
     directory, backlog, random, room: engines.engineRoom, configuration: () => tables.routes()?.configuration
