--- a/eslint.config.js
+++ b/eslint.config.js
@@ -16,6 +16,12 @@
   'residency/reachableDirectory', 'storeEra/keptRows', 'storeEra/storeEra', 'weightsLoading/loadSchedule'
 ].map((name) => `src/edge/${name}.ts`)
 
+/** Decisions of the admission order; its other modules wire them into the requests. */
+const orderDecisions = [
+  'crowding', 'demand', 'demandExchange', 'groups', 'hold', 'holdQueue', 'orderDecision', 'overload', 'placeCounts', 'placeDecision', 'refusalResponse', 'requestShare', 'retryTime',
+  'shares', 'timeBudgets'
+].map((name) => `src/edge/admissionOrder/${name}.ts`)
+
 export default [
   ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**', 'experiments/results/**'] }),
   {
@@ -31,7 +37,7 @@
   },
   {
     // Decision modules stay free of sockets, logs and adapters so that tests and experiments can drive them directly.
-    files: ['src/{quota,fairness,prefix,rollout,customer,membership}/*.ts', 'src/request/*.ts', 'src/upstream/{registry,crashAttribution}.ts', 'src/http/memoryAccount/{account,bounds,relief}.ts', ...edgeDecisions],
+    files: ['src/{quota,fairness,prefix,rollout,customer,membership}/*.ts', 'src/request/*.ts', 'src/upstream/{registry,crashAttribution}.ts', 'src/http/memoryAccount/{account,bounds,relief}.ts', ...edgeDecisions, ...orderDecisions],
     rules: {
       'no-restricted-imports': ['error', {
         paths: adapterImports,
--- a/src/edge/__tests__/lifeSimulation.ts
+++ b/src/edge/__tests__/lifeSimulation.ts
@@ -122,6 +122,7 @@
     cacheStoreFor: () => undefined,
     prefixDemand: createPrefixDemand(),
     backlog: createBacklogs(),
+    admissionOrder: undefined,
     dataCentre: 'north',
     instanceCount: () => 1,
     share: () => 1,
--- a/src/edge/__tests__/metrics.test.ts
+++ b/src/edge/__tests__/metrics.test.ts
@@ -14,6 +14,7 @@
   upstreams: () => new Map([['engines', 6]]),
   coldUpstreams: () => 2,
   evacuatedDataCentres: () => 1,
+  admittedParts: () => new Map([['engines', 0.4]]),
   engineSpeeds: () => new Map([['engines', 27.5]]),
   crossingShares: () => new Map([['engines', 0.25]])
 })
@@ -33,6 +34,7 @@
     metrics.observe(EdgeEvent.requestFinished, { ...finished, firstByte: undefined })
     metrics.observe(EdgeEvent.requestRejected, { status: 429 })
     metrics.observe(EdgeEvent.requestRejected, { status: 503, obstacle: 'homes' })
+    metrics.observe(EdgeEvent.requestRejected, { status: 503, refusedFor: 'share', priority: 2 })
     metrics.countDroppedLine()
     metrics.observePeerResponse('tokens', 4)
     const page = await metrics.render()
@@ -55,7 +57,9 @@
       'waxwingspoke_evacuated_data_centres 1',
       'waxwingspoke_home_refusals_total 1',
       'waxwingspoke_engine_speed_milliseconds{service="engines"} 27.5',
-      'waxwingspoke_crossing_share{service="engines"} 0.25'
+      'waxwingspoke_crossing_share{service="engines"} 0.25',
+      'waxwingspoke_admitted_part{service="engines"} 0.4',
+      'waxwingspoke_order_refusals_total{reason="share",priority="2"} 1'
     ]) expect(page.split('\n')).toContain(line)
   })
 
--- a/src/edge/__tests__/settings.test.ts
+++ b/src/edge/__tests__/settings.test.ts
@@ -37,7 +37,8 @@
         lease: 3000,
         grace: 8000,
         exposure: 0.1
-      }
+      },
+      admission: { order: false }
     })
   })
 
--- a/src/edge/attempt.ts
+++ b/src/edge/attempt.ts
@@ -95,9 +95,13 @@
   crossing: Pick<Crossing, 'recordConnection'>
 }
 
-/** @param rank urgency of the request */
+/**
+ * @param rank urgency of the request
+ * @param reportsCalls whether the end of an attempt is reported to the other instances
+ */
 export function createAttemptAccounting (
-  { engineLoads, engineSpeeds, engineRoom, crossing }: AccountingContext, backlog: Backlog, rank: number
+  { engineLoads, engineSpeeds, engineRoom, crossing }: AccountingContext, backlog: Backlog, rank: number,
+  reportsCalls: boolean
 ): AttemptAccounting {
   /** Removes the prompt from the tokens pending prefill, after its prefill or at the end of the attempt. */
   function releasePendingPrefill (attempt: Attempt): void {
@@ -152,6 +156,7 @@
       recordAttemptEnd(attempt.upstream)
       attempt.upstream.heldTokens -= attempt.heldTokens
       attempt.heldTokens = 0
+      if (reportsCalls) engineLoads.prefillEnded()
     }
   }
 }
--- a/src/edge/attemptPreparation.ts
+++ b/src/edge/attemptPreparation.ts
@@ -13,6 +13,8 @@
 import { RepeatRule, type Instant } from './types'
 import { isUsable, type Upstream } from './upstreamDirectory'
 import type { RefusedVerdict } from '../upstream/crashAttribution'
+import { createRequestOrder } from './admissionOrder/requestOrder'
+import type { OrderRefusal } from './admissionOrder/types'
 
 /** Share of the time to the latency target for which a request waits while another one is tried; about one response. */
 const TRIAL_WAIT_SHARE = 0.5
@@ -42,6 +44,8 @@
   onSuspected: (trait: string) => void
   /** The engines are overloaded. */
   onShed: (expectedWait: number, retryAfter: number) => void
+  /** The admission order refuses the request. */
+  onRefusedInOrder: (refusal: OrderRefusal) => void
   onFault: (error: unknown) => void
 }
 
@@ -76,9 +80,12 @@
   const { route, service, callerRequest } = admittedRequest
   /** Drawn once, so that further selections do not make it more likely that the request is rejected. */
   const sheddingDraw = context.random()
+  const order = createRequestOrder(context, admittedRequest, timeLeft, () => { endHold(holds) })
   const contain = createFaultContainment(callbacks.onFault)
   let isCancelled = false
   let isInProgress = false
+  /** Number of the newest hold; an earlier one has ended. */
+  let holds = 0
   let timer: NodeJS.Timeout | undefined
 
   /** Whether the first attempt would start after the instance has ceased to accept requests. */
@@ -120,6 +127,12 @@
     const suspect = crashGuard.missingPermit(now.steady)
     if (suspect !== undefined) return waitForTrial(suspect)
     if (!options.canSend(now.steady)) return waitOrReport(NO_RETRY_LEFT, Obstacle.retryAllowance, now.steady)
+    // Before an upstream is chosen: those that are full turn calls away for a moment and can then not be chosen.
+    if (order.isOrdered && !hasRun()) {
+      const decision = order.decide(now.steady)
+      if (!decision.admitted && decision.holdFor > 0) return hold(decision.holdFor)
+      if (!decision.admitted) return conclude(() => { callbacks.onRefusedInOrder(decision) })
+    }
     const target = targets.select(now, crashGuard.suspectTrait(now.steady))
     if (target === undefined) {
       const listed = context.directory.listed(service).map(({ entry }) => entry.dataCentre)
@@ -127,7 +140,7 @@
         (listed.length > 0 ? Obstacle.noneUsable : Obstacle.noneListed)
       return waitOrReport(UNPERMITTED_REASONS[obstacle] ?? targets.failureReason(), obstacle, now.steady)
     }
-    if (route.repeat === RepeatRule.stream && !hasRun()) {
+    if (!order.isInForce && route.repeat === RepeatRule.stream && !hasRun()) {
       const expectedWait = backlog.expectedWait(now.steady)
       const shedding = decideShedding(expectedWait, route.latencyTarget, sheddingDraw)
       if (shedding.shed) return conclude(() => { callbacks.onShed(expectedWait, shedding.retryAfter) })
@@ -139,6 +152,23 @@
       .catch(callbacks.onFault)
   }
 
+  /** Decides again by the newest load after `milliseconds`, or earlier if the request gets a place. */
+  function hold (milliseconds: number): void {
+    holds += 1
+    const number = holds
+    runLater(() => {
+      context.engineLoads.refresh().catch(context.reportFault)
+        .then(() => { endHold(number) }).catch(callbacks.onFault)
+    }, milliseconds)
+  }
+
+  function endHold (number: number): void {
+    if (number !== holds || isCancelled) return
+    holds += 1
+    clearTimeout(timer)
+    runLater(start, 0)
+  }
+
   /** Waits until no other request with a suspect trait is in flight. */
   function waitForTrial (trait: string): void {
     crashGuard.waitForPermit(trait, Math.min(timeLeft(), route.latencyTarget) * TRIAL_WAIT_SHARE)
@@ -185,6 +215,7 @@
       isCancelled = true
       isInProgress = false
       clearTimeout(timer)
+      order.leave()
     }
   }
 }
--- a/src/edge/composeEdge.ts
+++ b/src/edge/composeEdge.ts
@@ -1,5 +1,7 @@
 /** Composes an edge daemon from its modules and manages its start and shutdown. */
 import { PeerProtocolError } from '../errors'
+import { composeQuotas } from './composeQuotas'
+import { composeAdmissionOrder, composeDemandExchange } from './admissionOrder/composeOrder'
 import { createBacklogs } from './backlog'
 import { createBoundedLog } from './boundedLog'
 import { createCacheStores } from './cacheStores'
@@ -23,7 +25,6 @@
 import { createPeerLinks, PeerRequestKind, type HandlePeerRequest, type PeerValue } from './peerLinks'
 import { createPrefixDemand } from './prefixDemand'
 import { createExportTracker } from './promptPlan'
-import { createQuotaShares } from './quotaShare'
 import { createResidency } from './residency/composeResidency'
 import { withoutEvacuated } from './residency/reachableDirectory'
 import { createRetryAllowance } from './retryAllowance'
@@ -38,7 +39,6 @@
 import { createStoreLease } from './storeLease'
 import { FOLLOW_MS, followStoreTables } from './storeTables'
 import { createTableRelay } from './tableRelay'
-import { createTokenTransfers } from './tokenTransfers'
 import type { Dialect, EngineControl, Instant, Peer, Store, StoreRecordCodec, UpstreamHint } from './types'
 import { createUpstreamConnections } from './upstreamConnections'
 import { createUpstreamDirectory, type Upstream } from './upstreamDirectory'
@@ -85,6 +85,7 @@
     configurationVersion: () => tables.routes()?.configuration.version ?? 0,
     configurationAge: () => freshness.age(now()),
     storeEra: () => storeEra,
+    admittedParts: () => admissionOrder?.admittedParts() ?? new Map(),
     upstreams: () => countBy([...directory.all()].map(({ entry }) => entry.service)),
     coldUpstreams: () => coldLimits.count([...directory.all()].map(({ entry }) => entry), performance.now()),
     evacuatedDataCentres: () => evacuations.count(),
@@ -188,9 +189,6 @@
     dataCentre
   })
   listedPeers = instances.peers
-  const quotas = createQuotaShares({
-    window: limits.quotaWindow, overage: limits.quotaOverage, slack: limits.quotaSlack, startedAt: performance.now()
-  })
   const createBroadcast = (
     kind: PeerRequestKind, onNotification: (content: PeerValue) => void
   ): PeerBroadcast => createPeerBroadcast({ links, dataCentre, peers, kind, onNotification, onFault: reportFault })
@@ -205,22 +203,19 @@
   const crashHandling = createCrashHandling({ ...shared, onFault: reportFault })
   const sendLimits = createSendLimits({ ...shared, instances, onFault: reportFault })
   const { coldLimits, sendPermits, upstreamHints } = sendLimits
+  const backlog = createBacklogs()
+  const demand = composeDemandExchange(settings.admission)
   const engines = composeEngines({
-    ...shared, loadingEngines: () => loadingEngines, crossZone: settings.placement.crossZone
+    ...shared, ...settings.placement, supplement: demand?.supplement, loadingEngines: () => loadingEngines
+  })
+  const admissionOrder = composeAdmissionOrder(demand, {
+    directory, backlog, random, room: engines.engineRoom, configuration: () => tables.routes()?.configuration
   })
   const failureReports = createFailureReports({
     broadcast: failureBroadcast.sendWithinDataCentre, directory, coldLimits, log, random
   })
-  const peerQuota = createTokenTransfers({
-    links,
-    quotas,
-    peers,
-    dataCentre,
-    share: () => instances.share(),
-    customer: (customer) => tables.routes()?.customer(customer),
-    now: () => performance.now(),
-    random,
-    onFault: reportFault
+  const { quotas, peerQuota } = composeQuotas(limits, {
+    links, peers, dataCentre, share: instances.share, routes: () => tables.routes(), random, onFault: reportFault
   })
   const server = createEdgeServer({
     caller: settings.listen.caller,
@@ -254,7 +249,8 @@
     exportTracker: createExportTracker(cacheStores.holds),
     cacheStoreFor: cacheStores.storeFor,
     prefixDemand: createPrefixDemand(),
-    backlog: createBacklogs(),
+    backlog,
+    admissionOrder,
     dataCentre,
     outdatedWeightsLimit: limits.oldWeights,
     instanceCount: () => instances.count(),
--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -1,6 +1,7 @@
 /** One request of a caller, from its header to its final response. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import { admit, AdmissionRejection } from './admission'
+import { describeRefusal } from './admissionOrder/refusalResponse'
 import { Obstacle } from './attemptDecision'
 import { createCallerResponse, hasBody, type Rejection } from './callerResponse'
 import { createDispatch } from './dispatch'
@@ -91,7 +92,9 @@
     }
   }
 
-  function reject (rejection: Rejection, reason: string, obstacle?: Obstacle): void {
+  function reject (
+    rejection: Rejection, reason: string, obstacle?: Obstacle, explanation?: Readonly<Record<string, unknown>>
+  ): void {
     log(EdgeEvent.requestRejected, {
       requestIdentifier: identifier,
       status: rejection.status,
@@ -101,6 +104,7 @@
       retryAfter: rejection.retryAfter === undefined ? undefined : Math.round(rejection.retryAfter),
       customer: admittedRequest?.customer?.name,
       service: admittedRequest?.service,
+      ...explanation,
       ...dispatch?.counts(),
       ...describeConfiguration()
     })
@@ -146,7 +150,8 @@
     const wait = Number.isFinite(until) && until > now ? until - now : DEFAULT_RETRY_MS
     // Back-off times requested by the upstreams themselves are exact and therefore not clamped.
     const backOff = Math.min(...listed.map(({ backOffUntil }) => backOffUntil - now))
-    return Math.max(clampRetryAfter(wait), Number.isFinite(backOff) ? backOff : 0)
+    const recovery = Math.max(clampRetryAfter(wait), Number.isFinite(backOff) ? backOff : 0)
+    return context.admissionOrder?.spread(recovery, timeLeft?.() ?? 0) ?? recovery
   }
 
   /** Rejects a request that no upstream has completed. */
@@ -255,6 +260,10 @@
         const reason = `expected wait of ${Math.round(wait)} ms`
         reject({ status: 503, code: 'overloaded', message, retryAfter: clampRetryAfter(retryAfter) }, reason)
       },
+      onRefusedInOrder (refusal) {
+        const { status, code, message, retryAfter, reason, explanation } = describeRefusal(refusal)
+        reject({ status, code, message, retryAfter }, reason, undefined, explanation)
+      },
       onConvicted (trait, retryAfter) {
         const message = 'upstreams crash when they answer such requests'
         reject({ status: 503, code: 'crashes_upstreams', message, retryAfter }, `crashes are attributed to ${trait}`)
--- a/src/edge/loadExchange.ts
+++ b/src/edge/loadExchange.ts
@@ -28,6 +28,22 @@
 /** Milliseconds between queries for the speeds of engines, which change only when an engine restarts. */
 const SPEED_INTERVAL_MS = 1000
 
+/** Further figures that travel with the loads, in fields of their own that instances of earlier releases ignore. */
+export interface LoadSupplement {
+  /** Fields of this instance's own report. */
+  ownFields: (now: number) => PeerValue
+  /** Fields of the sum over the instances that query this one, for the other aggregators. */
+  sumFields: (now: number) => PeerValue
+  /** Fields of the sum over all instances. */
+  totalFields: (now: number) => PeerValue
+  recordMember: (name: string, message: PeerValue, now: number) => void
+  recordAggregator: (name: string, message: PeerValue, now: number) => void
+  /** Applies the fields of a sum over all instances. */
+  applyTotal: (message: PeerValue, now: number) => void
+}
+
+const NO_FIELDS: PeerValue = {}
+
 export interface LoadExchangeOptions {
   links: Pick<PeerLinks, 'request' | 'notify' | 'isUsable'>
   instance: string
@@ -40,6 +56,7 @@
   >
   /** Monotonic clock in milliseconds. */
   now: () => number
+  supplement?: LoadSupplement | undefined
 }
 
 export interface LoadExchange {
@@ -55,7 +72,7 @@
 }
 
 export function createLoadExchange (options: LoadExchangeOptions): LoadExchange {
-  const { links, instance, dataCentre, directory, speeds, now } = options
+  const { links, instance, dataCentre, directory, speeds, now, supplement } = options
   /** Loads of the instances that query this one, and sums of other aggregators. */
   const memberReports = createReportedLoads()
   const aggregatorReports = createReportedLoads()
@@ -145,14 +162,17 @@
       from: instance,
       load: encodeLoad(ownLoad()),
       uses: encodeUses(ownUses()),
-      ...(samples.length > 0 ? { samples } : {})
+      ...(samples.length > 0 ? { samples } : {}),
+      ...supplement?.ownFields(now())
     }
   }
 
   /** Repeats the report while prompts are in progress, which aggregators would otherwise forget. */
   function scheduleReport (): void {
     clearTimeout(reportTimer)
-    const isHolding = [...directory.all()].some(({ heldTokens }) => heldTokens > 0)
+    const isHolding = [...directory.all()].some(({ heldTokens, inFlight }) => (
+      heldTokens > 0 || (supplement !== undefined && inFlight > 0)
+    ))
     reportTimer = isHolding ? setTimeout(reportLoad, REPORT_INTERVAL_MS) : undefined
   }
 
@@ -161,6 +181,7 @@
     if (peer === undefined) {
       startExchanging()
       applyTotals(aggregatorReports.sum(memberLoads(), now()), aggregatorUses.sum(sumOfMemberUses(), now()))
+      supplement?.applyTotal(supplement.totalFields(now()), now())
       return
     }
     const wantsSpeeds = now() - speedsRequestedAt >= SPEED_INTERVAL_MS
@@ -169,6 +190,7 @@
     const response = await requestIfReachable(links, peer.endpoint, query, RESPONSE_TIMEOUT_MS)
     const total = decodeLoad(response?.load)
     if (total !== undefined) applyTotals(total, decodeUses(response?.uses, total))
+    if (response !== undefined) supplement?.applyTotal(response, now())
     if (wantsSpeeds) speeds.receiveEstimates(response?.speeds, now())
   }
 
@@ -189,7 +211,8 @@
     updateRanking()
     const load = encodeLoad(memberLoads())
     const uses = encodeUses(sumOfMemberUses())
-    const hasUse = load.length + uses.length > 0
+    const fields = supplement?.sumFields(now()) ?? NO_FIELDS
+    const hasUse = load.length + uses.length + Object.keys(fields).length > 0
     const isIdle = !hasUse && wasIdle
     wasIdle = !hasUse
     // The other aggregators must know of a standby that has taken over before there is a load.
@@ -197,7 +220,12 @@
     lastSentAt = now()
     const samples = speeds.takeSamples()
     const report = {
-      kind: PeerRequestKind.engineLoads, collector: instance, load, uses, ...(samples.length > 0 ? { samples } : {})
+      kind: PeerRequestKind.engineLoads,
+      collector: instance,
+      load,
+      uses,
+      ...(samples.length > 0 ? { samples } : {}),
+      ...fields
     }
     for (const { name, endpoint } of options.peers()) {
       // A standby that took over from a lost aggregator reports its sum without being on the list.
@@ -219,7 +247,8 @@
     },
     promptSent: reportLoad,
     prefillEnded () { notifyTimer ??= setTimeout(reportLoad, PREFILL_NOTIFY_DELAY_MS) },
-    async handleRequest ({ from, collector: name, load, uses, samples, wantsSpeeds }) {
+    async handleRequest (request) {
+      const { from, collector: name, load, uses, samples, wantsSpeeds } = request
       const reportedLoad = decodeLoad(load)
       if (reportedLoad === undefined) throw new PlatformUnavailableError('engine load is malformed')
       const reportedUses = decodeUses(uses, reportedLoad)
@@ -227,17 +256,20 @@
       if (typeof name === 'string') {
         aggregatorUses.record(name, reportedUses, now())
         aggregatorReports.record(name, reportedLoad, now())
+        supplement?.recordAggregator(name, request, now())
         lastReportAt.set(name, now())
         return {}
       }
       startExchanging()
       memberReports.record(String(from), reportedLoad, now())
+      supplement?.recordMember(String(from), request, now())
       memberUses.record(String(from), reportedUses, now())
       speeds.forwardSamples(samples)
       return {
         load: encodeLoad(aggregatorReports.sum(memberLoads(), now())),
         uses: encodeUses(aggregatorUses.sum(sumOfMemberUses(), now())),
-        ...(wantsSpeeds === true ? { speeds: speeds.encodeEstimates() } : {})
+        ...(wantsSpeeds === true ? { speeds: speeds.encodeEstimates() } : {}),
+        ...supplement?.totalFields(now())
       }
     },
     stop () {
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -25,6 +25,8 @@
   storeEra: () => Pick<StoreEra, 'current' | 'changes'>
   /** Account of the bytes held for callers and upstreams. @default no such metrics */
   account?: { heldByKind: () => ReadonlyMap<string, number>, bound: number }
+  /** Part of the demand that the admission order admits, per service, as last decided. */
+  admittedParts: () => ReadonlyMap<string, number>
   /** Number of listed upstreams per service. */
   upstreams: () => ReadonlyMap<string, number>
   /** Number of listed upstreams that are cold. */
@@ -136,6 +138,15 @@
   gaugeByService(
     'waxwingspoke_crossing_share', 'Share of requests that may leave the data centre', sources.crossingShares
   )
+  gaugeByService(
+    'waxwingspoke_admitted_part', 'Part of the demand that the admission order admits, as last decided', sources.admittedParts
+  )
+  const orderRefusals = new Counter({
+    name: 'waxwingspoke_order_refusals_total',
+    help: 'Requests that the admission order refused',
+    labelNames: ['reason', 'priority'],
+    registers
+  })
 
   function registerHeldBytes ({ heldByKind, bound }: NonNullable<MetricSources['account']>): void {
     gauge('waxwingspoke_held_bytes_bound', 'Maximum number of bytes held for callers and upstreams', () => bound)
@@ -158,9 +169,10 @@
       if (typeof totalMs === 'number') duration.observe(labels, totalMs)
       if (typeof firstByteMs === 'number') firstByte.observe(labels, firstByteMs)
     },
-    [EdgeEvent.requestRejected] ({ status, obstacle }) {
+    [EdgeEvent.requestRejected] ({ status, obstacle, refusedFor, priority }) {
       responses.inc({ status: String(status) })
       if (obstacle === Obstacle.homes) homeRefusals.inc()
+      if (refusedFor !== undefined) orderRefusals.inc({ reason: String(refusedFor), priority: String(priority) })
     }
   }
 
--- a/src/edge/placement.ts
+++ b/src/edge/placement.ts
@@ -96,6 +96,8 @@
   loadingEngines: ReadonlySet<Upstream>
   /** Whether weights newer than the upstream's have been in force for a while. */
   hasOutdatedWeights: (upstream: Upstream) => boolean
+  /** Returns the calls of all instances in flight at a plain upstream; undefined if only this instance's are counted. */
+  inFlight?: ((upstream: Upstream) => number) | undefined
 }
 
 export interface Placement {
@@ -104,6 +106,12 @@
   isHolder: boolean | undefined
 }
 
+/** Returns the candidates from a random one on, so that instances with the same counts do not choose the same one. */
+function inTurn ({ inFlight, draw }: PlacementRequest, candidates: readonly Upstream[]): readonly Upstream[] {
+  const first = inFlight === undefined ? 0 : Math.floor(draw * candidates.length)
+  return first === 0 ? candidates : [...candidates.slice(first), ...candidates.slice(0, first)]
+}
+
 type Cost = (upstream: Upstream) => number
 
 /** Returns the upstream that should get the request; undefined without candidates. */
@@ -114,7 +122,7 @@
   const cost = ranks === undefined ? loadCost(request, now) : prefixCost(request, ranks, candidates, now)
   let best: Upstream | undefined
   let lowestCost = Infinity
-  for (const upstream of candidates) {
+  for (const upstream of inTurn(request, candidates)) {
     const total = cost(upstream) + roomCost(request, upstream, now) +
       (now < upstream.suspectedUntil ? SUSPECTED_PENALTY_MS : 0)
     if (best !== undefined && total >= lowestCost) continue
@@ -140,10 +148,11 @@
 }
 
 function loadCost (request: PlacementRequest, now: MonotonicMilliseconds): Cost {
+  const { inFlight = (upstream: Upstream) => upstream.inFlight } = request
   return (upstream) => (
     expectedWait(request, upstream, now) +
     (request.crossingCost === undefined
-      ? upstream.inFlight * IN_FLIGHT_CALL_MS / upstream.entry.slots +
+      ? inFlight(upstream) * IN_FLIGHT_CALL_MS / upstream.entry.slots +
         (upstream.entry.dataCentre === request.dataCentre ? 0 : REMOTE_DATA_CENTRE_PENALTY_MS)
       : callCost(upstream, now) + request.crossingCost(upstream))
   )
--- a/src/edge/settings.ts
+++ b/src/edge/settings.ts
@@ -59,6 +59,10 @@
   }
   /** Region of each data centre, by its name; empty or absent if the settings name none. */
   regions?: ReadonlyMap<string, string>
+  admission: {
+    /** Whether requests are admitted in the order of urgency, customer, size and age under overload. */
+    order: boolean
+  }
 }
 
 type Section = Record<string, string | undefined>
@@ -68,6 +72,7 @@
   text: (value: string): string | undefined => value === '' ? undefined : value,
   endpoint: parseEndpoint,
   number: (value: string): number | undefined => value !== '' && Number(value) >= 0 ? Number(value) : undefined,
+  switch: (value: string): boolean | undefined => ({ on: true, off: false } as Record<string, boolean>)[value],
   crossZone: (value: string): CrossZone | undefined => Object.values(CrossZone).find((known) => known === value),
   positive (value: string): number | undefined {
     return Number(value) > 0 && Number.isFinite(Number(value)) ? Number(value) : undefined
@@ -75,17 +80,23 @@
   flag: (value: string): boolean | undefined => ({ true: true, false: false } as Record<string, boolean>)[value]
 }
 
+/** Values of settings that the file may leave out. */
+const DEFAULTS: Readonly<Record<string, string | undefined>> = { 'admission.order': 'off' }
+
 /**
  * Parses the content of a settings file.
+ * @param defaults values of settings that the file does not state, by section and key (`section.key`)
  * @throws ConfigurationError with all findings
  */
-export function parseEdgeSettings (content: string, file: string): EdgeSettings {
+export function parseEdgeSettings (
+  content: string, file: string, defaults: Readonly<Record<string, string>> = {}
+): EdgeSettings {
   const document = parse(content) as Record<string, Section>
   const lines = content.split('\n')
   const findings: FileFinding[] = []
 
   function readValue<Value> (section: string, key: string, parseValue: (value: string) => Value | undefined): Value {
-    const raw = document[section]?.[key]
+    const raw = document[section]?.[key] ?? defaults[`${section}.${key}`] ?? DEFAULTS[`${section}.${key}`]
     const value = raw === undefined ? undefined : parseValue(String(raw).trim())
     if (value === undefined) {
       const line = lines.findIndex((text) => text.split('=')[0]?.trim() === key) + 1
@@ -130,7 +141,8 @@
       exposure: (document.limits?.exposure_share ?? '').trim() === '' ? undefined : number('exposure_share'),
       ...optionalLimit('memoryMb', 'memory_mb'),
       ...optionalLimit('fileDescriptors', 'file_descriptors')
-    }
+    },
+    admission: { order: readValue('admission', 'order', parsers.switch) }
   }
   // A data centre without a region is an unknown one, which only requests with allowed regions do not reach.
   const regions = Object.entries(document.zones ?? {}).filter((zone): zone is [string, string] => (
--- a/src/edge/targetSelection.ts
+++ b/src/edge/targetSelection.ts
@@ -185,7 +185,10 @@
         replicas,
         draw: context.random(),
         loadingEngines: context.loadingEngines(),
-        hasOutdatedWeights: (candidate) => outdatedWeightsAge(candidate, now) > OUTDATED_WEIGHTS_GRACE_MS
+        hasOutdatedWeights: (candidate) => outdatedWeightsAge(candidate, now) > OUTDATED_WEIGHTS_GRACE_MS,
+        inFlight: context.admissionOrder === undefined || plan.promptTokens > 0
+          ? undefined
+          : (candidate) => context.admissionOrder!.places.inFlight(candidate, now.steady)
       }
       const crossing = context.crossing.choose({
         service,
