--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -20,7 +20,7 @@
   configurationVersion: () => number
   /** Time in milliseconds since the configuration was last confirmed to be the newest one; Infinity if it never was. */
   configurationAge: () => number
-  /** Account of the bytes held for callers and upstreams. @default no such metrics */
+  /** Account of the bytes held for callers and upstreams. @default an empty one */
   account?: { heldByKind: () => ReadonlyMap<string, number>, bound: number }
   /** Number of listed upstreams per service. */
   upstreams: () => ReadonlyMap<string, number>
@@ -94,7 +94,7 @@
     'waxwingspoke_configuration_age_milliseconds', 'Time since the configuration was proved to be the newest one',
     sources.configurationAge
   )
-  if (sources.account !== undefined) registerHeldBytes(sources.account)
+  registerHeldBytes(sources.account ?? { heldByKind: () => new Map(), bound: 0 })
   const upstreams = new Gauge({
     name: 'waxwingspoke_upstreams',
     help: 'Listed upstreams',
