--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -23,7 +23,7 @@
   /** Time in milliseconds since the configuration was last confirmed to be the newest one; Infinity if it never was. */
   configurationAge: () => number
   storeEra: () => Pick<StoreEra, 'current' | 'changes'>
-  /** Account of the bytes held for callers and upstreams. @default no such metrics */
+  /** Account of the bytes held for callers and upstreams. @default an empty one */
   account?: { heldByKind: () => ReadonlyMap<string, number>, bound: number }
   /** Part of the demand that the admission order admits, per service, as last decided. */
   admittedParts: () => ReadonlyMap<string, number>
@@ -110,7 +110,7 @@
     'waxwingspoke_configuration_age_milliseconds', 'Time since the configuration was proved to be the newest one',
     sources.configurationAge
   )
-  if (sources.account !== undefined) registerHeldBytes(sources.account)
+  registerHeldBytes(sources.account ?? { heldByKind: () => new Map(), bound: 0 })
   gauge('waxwingspoke_cold_upstreams', 'Listed upstreams that are cold', sources.coldUpstreams)
   gauge('waxwingspoke_evacuated_data_centres', 'Data centres to which nothing is sent', sources.evacuatedDataCentres)
   const homeRefusals = new Counter({
