Retry-After of upstreams is passed on whole with the admission order

With the order on, the time for which an upstream wants no requests was cut to a third of the remaining time of the request (0.186 s and 0.696 s where more than 1 s was named): the spread was applied after it. Only the estimate is spread now.

Found by playing edge, upstreamTroubles, requestLimit, fleet and serviceMove with the order on by default: 2 of 103 failed. With the fix the tests of upstreamTroubles pass with the order on; 39 passed (with admissionOrder).

--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -136,8 +136,8 @@
     const wait = Number.isFinite(until) && until > now ? until - now : DEFAULT_RETRY_MS
     // Back-off times requested by the upstreams themselves are exact and therefore not clamped.
     const backOff = Math.min(...listed.map(({ backOffUntil }) => backOffUntil - now))
-    const recovery = Math.max(clampRetryAfter(wait), Number.isFinite(backOff) ? backOff : 0)
-    return context.admissionOrder?.spread(recovery, timeLeft?.() ?? 0) ?? recovery
+    const retryAfter = context.admissionOrder?.spread(clampRetryAfter(wait), timeLeft?.() ?? 0) ?? clampRetryAfter(wait)
+    return Math.max(retryAfter, Number.isFinite(backOff) ? backOff : 0)
   }
 
   /** Rejects a request that no upstream has completed. */
