--- a/src/edge/admissionOrder/__tests__/fleetSimulation.ts
+++ b/src/edge/admissionOrder/__tests__/fleetSimulation.ts
@@ -12,7 +12,7 @@
 import type { Upstream } from '../../upstreamDirectory'
 import { createAdmissionOrder } from '../admissionOrder'
 import { createDemandExchange } from '../demandExchange'
-import { createRequestOrder, type RequestOrder } from '../requestOrder'
+import { createRequestOrder } from '../requestOrder'
 
 /** Milliseconds between the moments at which the instances learn the loads and the demand of all. */
 const EXCHANGE_MS = 50
@@ -209,9 +209,9 @@
   }
 
   function send (tokens: number, output: number, urgency: number, onFirstByte: (at: number) => void): void {
-    const usable = snapshot.flatMap(({ queue, isDark }, index) => isDark ? [] : [{ queue, index }])
+    const usable = snapshot.flatMap(({ isDark }, index) => isDark ? [] : [index])
     // The choice goes by the loads right before it; those that are sent at the same time differ by the draw.
-    const ranked = usable.map(({ index }) => {
+    const ranked = usable.map((index) => {
       const { waiting, held, running, busyUntil } = engines[index]!
       const waitingTokens = waiting.reduce((sum, request) => sum + request.tokens, 0)
       const isFull = held + waitingTokens + tokens > load.memory || running + waiting.length >= load.slots
@@ -224,7 +224,6 @@
   }
 
   const outcomes: Outcome[] = []
-
   function visit (outcome: Outcome, kind: Kind): void {
     const timeLeft = (): number => outcome.at + kind.budget - scheduler.now()
     const { context, backlog } = instances[Math.floor(random() * instances.length)]!
@@ -236,7 +235,7 @@
       route: routes.get(kind.name),
       service: 'engines'
     } as unknown as AdmittedRequest
-    const order: RequestOrder = createRequestOrder(context, admitted, timeLeft, () => { endHold(holds) })
+    const order = createRequestOrder(context, admitted, timeLeft, () => { endHold(holds) })
     const arrivedAt = scheduler.now()
     let holds = 0
 
@@ -270,7 +269,6 @@
     }
     decide()
   }
-
   function startCaller (kind: Kind, customer: { name: string, rate: number }): void {
     const usual = kind.perSecond * customer.rate / totalRate / 1000
     const factor = load.factor?.(kind.name, customer.name, scheduler.now()) ?? 1
