serve: a status above 599 is no answer

Cause: the status of an upstream was passed on unchecked; 600 and 999 reached the caller. Change: the exchange fails.

--- a/src/http/__tests__/connections.test.ts
+++ b/src/http/__tests__/connections.test.ts
@@ -110,3 +110,10 @@
     expect(await exchange('/x', upload === 0 ? undefined : Buffer.alloc(upload, 'x'))).toBe(result)
   })
 })
+
+describe('a status that is none', () => {
+  it.each(['000', '099', '600', '999', '1000', '20', '2000'])('%s is no answer', async (status) => {
+    answer = (socket) => { socket.write(`HTTP/1.1 ${status} OK\r\nContent-Length: 2\r\n\r\nok`) }
+    expect(await exchange('/x')).toBe('failed')
+  })
+})
--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -11,6 +11,8 @@
  * Idle timeout of a connection in milliseconds. Shorter than the 5 s after which Node servers close idle connections.
  */
 const KEEP_ALIVE_MS = 4000
+/** Largest status code of HTTP; a response with a larger one is no answer. */
+const MAX_STATUS = 599
 
 /**
  * Written to a connection at its end: a reset that arrives together with the last bytes is reported as a regular end by
@@ -137,6 +139,7 @@
       },
       onResponseStart (dispatchController, statusCode, headers) {
         if (statusCode < 200) return
+        if (statusCode > MAX_STATUS) return dispatchController.abort(new Error(`invalid status ${statusCode}`))
         sink = createResponseBody({
           pause: () => dispatchController.pause(),
           resume: () => dispatchController.resume(),
