--- a/src/http/connections.ts
+++ b/src/http/connections.ts
@@ -1,5 +1,5 @@
 /** HTTP/1.1 connection pools by endpoint, used by the platform and upstream clients. */
-import type { Socket } from 'node:net'
+import { Socket } from 'node:net'
 import { buildConnector, Pool } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { Endpoint } from '../types'
@@ -64,7 +64,8 @@
     connect (options, callback) {
       connect(options, (...result) => {
         const [, socket] = result
-        if (socket !== null) watch(socket)
+        // A failed attempt passes an error alone.
+        if (socket instanceof Socket) watch(socket)
         callback(...result)
       })
     }
