An answer without a length that ends while the request is being written is not complete

Cause: the edge finds a reset at the end of an answer without a length by a write that fails. While the request is still being written, that write waits behind it, and the reset went unseen: a part was passed on as the whole answer. Change: an answer without a length whose connection ends while the request is being written counts as broken off.

--- a/src/edge/upstreamCall.ts
+++ b/src/edge/upstreamCall.ts
@@ -65,6 +65,8 @@
   let isEnded = false
   /** Whether a byte of the request may have been sent. */
   let isSent = false
+  /** Whether the connection has ended while the request was being written. */
+  let hasEndedWhileWriting = false
   let response: IncomingMessage | undefined
   let connectTimer: NodeJS.Timeout | undefined
   let upstreamRequest = send(options.agent)
@@ -87,10 +89,16 @@
     events.onFailure(reason, isSent)
   }
 
-  /** Writes an empty line, which servers ignore, when the connection ends; after a reset the write fails. */
+  /**
+   * Writes an empty line, which servers ignore, when the connection ends; after a reset the write fails. While the
+   * request is being written the line would wait behind it, so that nothing shows whether the response is complete.
+   */
   function detectResetAtEnd (socket: Socket): void {
     socket.allowHalfOpen = true
-    socket.prependOnceListener('end', () => { socket.write(PROBE_BYTES) })
+    socket.prependOnceListener('end', () => {
+      hasEndedWhileWriting = socket.writableLength > 0
+      socket.write(PROBE_BYTES)
+    })
   }
 
   function send (agent: Agent): ClientRequest {
@@ -163,7 +171,7 @@
         if (!incoming.complete) return
         if (hasFraming) return end()
         setImmediate(() => {
-          if (connection?.errored == null) end()
+          if (connection?.errored == null && !hasEndedWhileWriting) end()
           else fail('the connection was reset within a response without a length')
         })
       })
