Bound the objects and upstream connections of requests in progress

A request that is forwarded uses 57 to 63 KB of it and a connection 12 KB; 8 KB were counted for the first and nothing for the second. Requests beyond a quarter of the descriptors were read more slowly, but never refused.

Change: `requestShares.ts` counts the objects and the upstream connections of requests in progress, and refuses a request before it is forwarded (503, not run, with the time in which as many others are expected to end). One customer may use twice what is free, so that callers of the others are admitted beside a crowd; a crowd that got all would leave ordinary callers refused for as long as its streams last. Connections have a bound by the heap, and their objects are set aside, as they may be opened later. From half of either bound on, connections are read one request at a time.

--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -223,7 +223,15 @@
     return false
   }
 
+  /** Refuses the request, which has not run, because its customer has too many in progress. */
+  function rejectBeyondShare (retryAfter: number): void {
+    const message = 'too many requests are in progress'
+    reject({ status: 503, code: 'overloaded', message, retryAfter: clampRetryAfter(retryAfter) }, 'share of requests in progress')
+  }
+
   function processRequest (route: EdgeRoute, customer: EdgeCustomer | undefined, body: Buffer | undefined): void {
+    const decision = held?.forward(context.now().steady) ?? { admitted: true }
+    if (!decision.admitted) return rejectBeyondShare(decision.retryAfter)
     const service = chooseService(route, context.random())
     admittedRequest = {
       request, callerRequest, route, customer, service, plan: planPrompt(callerRequest, customer), body
@@ -297,6 +305,7 @@
     const { route, customer } = admission
     const { headerBytes, bodyBytes } = context.routeTable()!.configuration.limits
     if (countHeaderBytes(request) > headerBytes) return rejectAfterBody(AdmissionRejection.headerTooLarge)
+    held?.join(customer?.name ?? '', startedAt.steady)
     if (!hasBody(request)) return processRequest(route, customer, undefined)
     readBoundedBody(request, bodyBytes, held, {
       onBody: contain((body: Buffer) => { if (!isFinished) processRequest(route, customer, body) }),
--- a/src/edge/memoryAccount/callerMemory.ts
+++ b/src/edge/memoryAccount/callerMemory.ts
@@ -1,6 +1,9 @@
 /** Wires the account of the bytes held for callers into an edge daemon. */
 import { createMemoryAccount, HeldKind, type MemoryAccount } from '../../http/memoryAccount/account'
-import { connectionBound, DEFAULT_FILE_DESCRIPTORS, DEFAULT_MEMORY_MB, heldBytesBound } from '../../http/memoryAccount/bounds'
+import {
+  callerBounds, DEFAULT_FILE_DESCRIPTORS, DEFAULT_MEMORY_MB, heldBytesBound
+} from '../../http/memoryAccount/bounds'
+import { heapLimitMb } from '../../http/memoryAccount/machineMemory'
 import type { MonotonicMilliseconds } from '../../types'
 import type { ExchangeContext } from '../exchangeContext'
 import { createResponseBuffers } from '../responseBuffers'
@@ -19,13 +22,16 @@
   { memoryMb = DEFAULT_MEMORY_MB, fileDescriptors = DEFAULT_FILE_DESCRIPTORS }: EdgeSettings['limits'],
   now: () => MonotonicMilliseconds
 ): CallerMemory {
-  const maxConnections = connectionBound(fileDescriptors)
-  // Half of the requests, as each connection may have another one in progress.
-  const account = createMemoryAccount({ bound: heldBytesBound(memoryMb), maxRequests: Math.ceil(maxConnections / 2) })
+  const { connections, requests } = callerBounds(fileDescriptors, heapLimitMb())
+  const account = createMemoryAccount({
+    bound: heldBytesBound(memoryMb),
+    maxRequests: requests.forwarded,
+    requestBounds: requests
+  })
   const record = (kind: HeldKind) => (bytes: number) => { account.add(kind, bytes, now()) }
   return {
     account,
-    maxConnections,
+    maxConnections: connections,
     exchangeMemory: {
       responseBuffers: createResponseBuffers(record(HeldKind.upstreamAnswer)),
       recordPartialEvents: record(HeldKind.partialEvent),
--- a/src/edge/metrics.ts
+++ b/src/edge/metrics.ts
@@ -1,5 +1,6 @@
 /** Metrics of an edge daemon in the Prometheus text format. Most are derived from log events. */
 import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { createMemoryAccount, type MemoryAccount } from '../http/memoryAccount/account'
 import { Obstacle } from './attemptDecision'
 import { EdgeEvent } from './events'
 import type { StoreEra } from './storeEra/storeEra'
@@ -24,7 +25,7 @@
   configurationAge: () => number
   storeEra: () => Pick<StoreEra, 'current' | 'changes'>
   /** Account of the bytes held for callers and upstreams. @default an empty one */
-  account?: { heldByKind: () => ReadonlyMap<string, number>, bound: number }
+  account?: Pick<MemoryAccount, 'heldByKind' | 'bound' | 'shares'>
   /** Part of the demand that the admission order admits, per service, as last decided. */
   admittedParts: () => ReadonlyMap<string, number>
   /** Number of listed upstreams per service. */
@@ -110,7 +111,7 @@
     'waxwingspoke_configuration_age_milliseconds', 'Time since the configuration was proved to be the newest one',
     sources.configurationAge
   )
-  registerHeldBytes(sources.account ?? { heldByKind: () => new Map(), bound: 0 })
+  registerAccount(sources.account ?? createMemoryAccount({ bound: 0 }))
   gauge('waxwingspoke_cold_upstreams', 'Listed upstreams that are cold', sources.coldUpstreams)
   gauge('waxwingspoke_evacuated_data_centres', 'Data centres to which nothing is sent', sources.evacuatedDataCentres)
   const homeRefusals = new Counter({
@@ -148,7 +149,11 @@
     registers
   })
 
-  function registerHeldBytes ({ heldByKind, bound }: NonNullable<MetricSources['account']>): void {
+  function registerAccount ({ heldByKind, bound, shares }: NonNullable<MetricSources['account']>): void {
+    gauge('waxwingspoke_request_object_bytes', 'Bytes of objects of requests in progress, by estimate', shares.objectBytes)
+    gauge('waxwingspoke_request_object_bytes_bound', 'Maximum number of these bytes', () => shares.bounds.objectBytes)
+    gauge('waxwingspoke_forwarded_requests', 'Requests that are being forwarded to upstreams', shares.forwarded)
+    gauge('waxwingspoke_forwarded_requests_bound', 'Maximum number of these requests', () => shares.bounds.forwarded)
     gauge('waxwingspoke_held_bytes_bound', 'Maximum number of bytes held for callers and upstreams', () => bound)
     const heldBytes = new Gauge({
       name: 'waxwingspoke_held_bytes',
--- a/src/http/memoryAccount/account.ts
+++ b/src/http/memoryAccount/account.ts
@@ -6,6 +6,7 @@
  */
 import type { MonotonicMilliseconds } from '../../types'
 import { largestStalled, newestIncomplete, STALLED_MS, STALLED_UNDER_PRESSURE_MS } from './relief'
+import { createRequestShares, type RequestBounds, type RequestShares, type ShareDecision } from './requestShares'
 
 /** What bytes are held for. */
 export const HeldKind = {
@@ -36,6 +37,15 @@
 }
 
 export interface HeldRequest {
+  /** Records objects of the request on the heap, in bytes. */
+  addObjects: (bytes: number, now: MonotonicMilliseconds) => void
+  /**
+   * Counts the request for a group, and decides whether it may be processed.
+   * @param group requests that share what they use: those of one customer
+   */
+  join: (group: string, now: MonotonicMilliseconds) => ShareDecision
+  /** Decides whether the request may be forwarded to an upstream. */
+  forward: (now: MonotonicMilliseconds) => ShareDecision
   /** Records more bytes, or fewer for a negative number. At the bound, requests may be refused and connections closed. */
   add: (kind: HeldKind, bytes: number, now: MonotonicMilliseconds) => void
   /**
@@ -63,7 +73,7 @@
   openConnection: (release: ConnectionRelease, now: MonotonicMilliseconds) => HeldConnection
   /** Records bytes that belong to no request of a caller; a negative number records that they are released. */
   add: (kind: HeldKind, bytes: number, now: MonotonicMilliseconds) => void
-  /** Whether so much is held, or are so many requests in progress, that only connections without one are read. */
+  /** Whether so much is held, or so many requests are in progress, that only connections without one are read. */
   isTight: () => boolean
   /** Closes connections without progress while much is held. To be called several times per second. */
   sweep: (now: MonotonicMilliseconds) => void
@@ -71,6 +81,8 @@
   heldByKind: () => ReadonlyMap<HeldKind, number>
   /** Maximum number of bytes. */
   bound: number
+  /** What requests in progress need besides these bytes. */
+  shares: Pick<RequestShares, 'objectBytes' | 'forwarded' | 'bounds'>
 }
 
 export interface MemoryAccountOptions {
@@ -81,8 +93,12 @@
    * @default Infinity
    */
   maxRequests?: number
+  /** Bounds of what requests in progress need besides these bytes. @default none */
+  requestBounds?: RequestBounds
 }
 
+const UNBOUNDED: RequestBounds = { objectBytes: Infinity, forwarded: Infinity }
+
 interface OpenConnection {
   bytes: number
   progressAt: MonotonicMilliseconds
@@ -97,7 +113,10 @@
   refuse: (() => void) | undefined
 }
 
-export function createMemoryAccount ({ bound, maxRequests = Infinity }: MemoryAccountOptions): MemoryAccount {
+export function createMemoryAccount (
+  { bound, maxRequests = Infinity, requestBounds = UNBOUNDED }: MemoryAccountOptions
+): MemoryAccount {
+  const shares = createRequestShares(requestBounds)
   const connections = new Set<OpenConnection>()
   /** Requests whose bodies are being read. */
   const incomplete = new Set<OpenRequest>()
@@ -147,6 +166,7 @@
   function openRequest (connection: OpenConnection, openedAt: MonotonicMilliseconds): HeldRequest {
     const held = new Map<HeldKind, number>()
     const request: OpenRequest = { openedAt, bytes: 0, refuse: undefined }
+    const share = shares.open()
     let isClosed = false
     requests += 1
 
@@ -158,12 +178,20 @@
       count(kind, bytes)
     }
 
+    function add (kind: HeldKind, bytes: number, now: MonotonicMilliseconds): void {
+      if (isClosed) return
+      change(kind, bytes)
+      if (bytes > 0 && exceeds(1)) relieve(request, now)
+    }
+
     return {
-      add (kind, bytes, now) {
-        if (isClosed) return
-        change(kind, bytes)
-        if (bytes > 0 && exceeds(1)) relieve(request, now)
+      add,
+      addObjects (bytes, now) {
+        share.addObjects(bytes)
+        add(HeldKind.request, bytes, now)
       },
+      join: share.join,
+      forward: share.forward,
       startBody (refuseRequest) {
         if (isClosed) return
         request.refuse = refuseRequest
@@ -183,6 +211,7 @@
         isClosed = true
         requests -= 1
         incomplete.delete(request)
+        share.close()
         for (const [kind, bytes] of held) change(kind, -bytes)
       }
     }
@@ -203,12 +232,13 @@
       count(kind, bytes)
       if (bytes > 0 && exceeds(1)) relieve(undefined, now)
     },
-    isTight: () => exceeds(TIGHT_PART) || requests >= maxRequests,
+    isTight: () => exceeds(TIGHT_PART) || requests >= maxRequests || shares.isTight(),
     sweep (now) {
       while (exceeds(PRESSURE_PART) && closeStalled(now, STALLED_UNDER_PRESSURE_MS));
     },
     heldBytes: () => total,
     heldByKind: () => byKind,
-    bound
+    bound,
+    shares
   }
 }
--- a/src/http/memoryAccount/bounds.ts
+++ b/src/http/memoryAccount/bounds.ts
@@ -1,4 +1,5 @@
 /** Bounds of memory and connections that follow from the size of a machine. */
+import type { RequestBounds } from './requestShares'
 
 /** Memory in MB of a machine whose settings name none: that of the smallest machines in use. */
 export const DEFAULT_MEMORY_MB = 178
@@ -16,6 +17,17 @@
 /** Part of the other descriptors that callers may use; each of their requests may need another one to an upstream. */
 const CALLER_PART = 0.5
 
+/** Heap in MB that the process uses without callers, and for new objects that have not been collected yet. */
+const PROCESS_HEAP_MB = 12
+/** Part of the remaining heap that the objects of callers may use; the rest is for garbage. */
+const OBJECT_PART = 0.6
+/** Lowest bound of these objects in bytes. */
+const MIN_OBJECT_BYTES = 8 * 1024 * 1024
+/** Part of these objects that may belong to connections. */
+const CONNECTION_OBJECT_PART = 0.5
+/** Bytes of objects of one connection, rounded up from a trial. */
+const CONNECTION_OBJECT_BYTES = 12_288
+
 /** Returns the maximum number of bytes held for callers and upstreams on a machine with this memory in MB. */
 export function heldBytesBound (memoryMb: number): number {
   return Math.max(MIN_HELD_BYTES, Math.round((memoryMb - PROCESS_MB) * HELD_PART) * BYTES_PER_MB)
@@ -25,3 +37,28 @@
 export function connectionBound (fileDescriptors: number): number {
   return Math.max(1, Math.floor((fileDescriptors - RESERVED_DESCRIPTORS) * CALLER_PART))
 }
+
+export interface CallerBounds {
+  /** Maximum number of connections of callers. */
+  connections: number
+  requests: RequestBounds
+}
+
+/**
+ * Returns the bounds of connections and requests for a machine with so many descriptors and a heap of this size in MB.
+ * The objects of all connections are set aside, so that connections that are opened later leave room for requests.
+ */
+export function callerBounds (fileDescriptors: number, heapMb: number): CallerBounds {
+  const objectBytes = Math.max(MIN_OBJECT_BYTES, Math.round((heapMb - PROCESS_HEAP_MB) * OBJECT_PART * BYTES_PER_MB))
+  const byDescriptors = connectionBound(fileDescriptors)
+  const byHeap = Math.floor(objectBytes * CONNECTION_OBJECT_PART / CONNECTION_OBJECT_BYTES)
+  const connections = Math.min(byDescriptors, byHeap)
+  return {
+    connections,
+    requests: {
+      objectBytes: objectBytes - connections * CONNECTION_OBJECT_BYTES,
+      // Half as many as there are descriptors left, as a request may have two upstreams for a while.
+      forwarded: Math.ceil(byDescriptors / 2)
+    }
+  }
+}
--- a/src/http/memoryAccount/connectionMemory.ts
+++ b/src/http/memoryAccount/connectionMemory.ts
@@ -3,7 +3,7 @@
 import type { Socket } from 'node:net'
 import type { MonotonicMilliseconds } from '../../types'
 import { countHeaderBytes } from '../headSize'
-import { HeldKind, type HeldRequest, type MemoryAccount } from './account'
+import type { HeldRequest, MemoryAccount } from './account'
 import { createReadGate, type ReadGate } from './readGate'
 
 /**
@@ -125,7 +125,7 @@
       const heldRequest = held?.openRequest(now)
       if (heldRequest !== undefined) {
         heldRequests.set(request, heldRequest)
-        heldRequest.add(HeldKind.request, countHeaderBytes(request) + REQUEST_OBJECT_BYTES, now)
+        heldRequest.addObjects(countHeaderBytes(request) + REQUEST_OBJECT_BYTES, now)
       }
       const end = (): void => {
         finished += 1
--- a/src/http/memoryAccount/machineMemory.ts
+++ b/src/http/memoryAccount/machineMemory.ts
@@ -1,5 +1,6 @@
 /** Memory that the operating system grants to the process. */
 import { totalmem } from 'node:os'
+import { getHeapStatistics } from 'node:v8'
 
 /** Maximum in MB that is counted on: the heap of Node.js, which holds the objects of requests, does not grow further. */
 const MAX_COUNTED_MB = 2048
@@ -10,3 +11,8 @@
   const bytes = constrained > 0 ? Math.min(constrained, totalmem()) : totalmem()
   return Math.min(MAX_COUNTED_MB, bytes / 1024 / 1024)
 }
+
+/** Returns the size in MB to which the heap of Node.js may grow, as its command line or the machine sets it. */
+export function heapLimitMb (): number {
+  return getHeapStatistics().heap_size_limit / 1024 / 1024
+}
