--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -9,6 +9,7 @@
 import { EdgeEvent } from './events'
 import { createFaultContainment } from './faultContainment'
 import type { AdmittedRequest, ExchangeContext } from './exchangeContext'
+import { createExchangeShare, describeShareRefusal, SHARE_EXCEEDED, type RefusedShare } from './memoryAccount/exchangeShare'
 import { planPrompt } from './promptPlan'
 import { costOf } from './quotaShare'
 import { chooseService } from './serviceChoice'
@@ -55,6 +56,7 @@
   const callerRequest = dialect.readRequest(request.headers)
   const identifier = callerRequest.identifier ?? ''
   const held = heldFor(request)
+  const share = createExchangeShare(held, callerRequest, () => context.now().steady)
   const callerResponse = createCallerResponse({
     response,
     dialect,
@@ -187,6 +189,8 @@
    */
   function rejectAfterBody (rejection: Rejection): void {
     if (!hasBody(request)) return reject(rejection, 'admission')
+    const refusedShare = share.joinRejected()
+    if (refusedShare !== undefined) return rejectBeyondShare(refusedShare)
     skipBody(request, MAX_SKIPPED_BODY_BYTES, contain(() => { if (!isFinished) reject(rejection, 'admission') }))
   }
 
@@ -223,15 +227,19 @@
     return false
   }
 
-  /** Refuses the request, which has not run, because its customer has too many in progress. */
-  function rejectBeyondShare (retryAfter: number): void {
-    const message = 'too many requests are in progress'
-    reject({ status: 503, code: 'overloaded', message, retryAfter: clampRetryAfter(retryAfter) }, 'share of requests in progress')
+  /** Refuses the request, which has not run, without waiting for its body. */
+  function rejectBeyondShare (share: RefusedShare): void {
+    if (hasBody(request) && !request.complete) {
+      // Its objects would stay until the caller has read the refusal and closed the connection.
+      if (share.isExhausted && response.socket !== null) return abort(SHARE_EXCEEDED)
+      if (!response.headersSent) response.shouldKeepAlive = false
+    }
+    reject(describeShareRefusal(share), SHARE_EXCEEDED)
   }
 
   function processRequest (route: EdgeRoute, customer: EdgeCustomer | undefined, body: Buffer | undefined): void {
-    const decision = held?.forward(context.now().steady) ?? { admitted: true }
-    if (!decision.admitted) return rejectBeyondShare(decision.retryAfter)
+    const refusedShare = share.forward()
+    if (refusedShare !== undefined) return rejectBeyondShare(refusedShare)
     const service = chooseService(route, context.random())
     admittedRequest = {
       request, callerRequest, route, customer, service, plan: planPrompt(callerRequest, customer), body
@@ -305,7 +313,8 @@
     const { route, customer } = admission
     const { headerBytes, bodyBytes } = context.routeTable()!.configuration.limits
     if (countHeaderBytes(request) > headerBytes) return rejectAfterBody(AdmissionRejection.headerTooLarge)
-    held?.join(customer?.name ?? '', startedAt.steady)
+    const refusedShare = share.join(customer)
+    if (refusedShare !== undefined) return rejectBeyondShare(refusedShare)
     if (!hasBody(request)) return processRequest(route, customer, undefined)
     readBoundedBody(request, bodyBytes, held, {
       onBody: contain((body: Buffer) => { if (!isFinished) processRequest(route, customer, body) }),
--- a/src/http/memoryAccount/__tests__/requestShares.test.ts
+++ b/src/http/memoryAccount/__tests__/requestShares.test.ts
@@ -70,7 +70,7 @@
     refused.join('crowd', 600)
     const decision = refused.forward(600)
     // A third of one of 60 requests, which have lasted for 590 ms on average, this one included.
-    expect(decision).toEqual({ admitted: false, retryAfter: expect.closeTo(590 / 3 / 60, 1) })
+    expect(decision).toEqual({ admitted: false, retryAfter: expect.closeTo(590 / 3 / 60, 1), isExhausted: false })
   })
 
   it('make connections read one request at a time from half of a bound on', () => {
--- a/src/http/memoryAccount/account.ts
+++ b/src/http/memoryAccount/account.ts
@@ -40,7 +40,7 @@
   /** Records objects of the request on the heap, in bytes. */
   addObjects: (bytes: number, now: MonotonicMilliseconds) => void
   /**
-   * Counts the request for a group, and decides whether it may be processed.
+   * Decides whether the request may be in progress, and counts it for a group at the first call.
    * @param group requests that share what they use: those of one customer
    */
   join: (group: string, now: MonotonicMilliseconds) => ShareDecision
--- a/src/http/memoryAccount/connectionMemory.ts
+++ b/src/http/memoryAccount/connectionMemory.ts
@@ -24,6 +24,9 @@
 /** Bytes that the objects of one request in progress use besides its head, rounded up from the 6 to 7 KB of a trial. */
 const REQUEST_OBJECT_BYTES = 8192
 
+/** Bytes that the objects of one header field use, in the request and in the one to the upstream. */
+const FIELD_OBJECT_BYTES = 160
+
 /** What is held for each request of a caller. */
 const heldRequests = new WeakMap<IncomingMessage, HeldRequest>()
 
@@ -59,6 +62,11 @@
   return handle?.writeQueueSize ?? socket.writableLength
 }
 
+function objectBytesOf (request: IncomingMessage): number {
+  const fields = request.rawHeaders.length / 2
+  return countHeaderBytes(request) + REQUEST_OBJECT_BYTES + fields * FIELD_OBJECT_BYTES
+}
+
 /** To be called in the `connection` event of the server. */
 export function trackConnectionMemory (socket: Socket, options: ConnectionMemoryOptions): ConnectionMemory {
   const { account, responses, receiving, onShed } = options
@@ -70,6 +78,8 @@
   let openedThisTurn = 0
   let finished = 0
   let finishedBefore = 0
+  /** Request whose body is still being read after its response. */
+  let answeredEarly: HeldRequest | undefined
 
   function isReceiving (): boolean {
     return receiving()?.req.complete === false
@@ -118,6 +128,12 @@
     return hasSent || hasRead || !isReceiving() || gate.hasWaiting()
   }
 
+  /** The parser refers to a request that was answered early until its body has been read, or the connection has ended. */
+  function closeAfterBody (request: IncomingMessage, heldRequest: HeldRequest): void {
+    answeredEarly = heldRequest
+    request.once('end', () => { heldRequest.close() })
+  }
+
   return {
     gate,
     open (request, response, now) {
@@ -125,11 +141,12 @@
       const heldRequest = held?.openRequest(now)
       if (heldRequest !== undefined) {
         heldRequests.set(request, heldRequest)
-        heldRequest.addObjects(countHeaderBytes(request) + REQUEST_OBJECT_BYTES, now)
+        heldRequest.addObjects(objectBytesOf(request), now)
       }
       const end = (): void => {
         finished += 1
-        heldRequest?.close()
+        if (request.complete || socket.destroyed || heldRequest === undefined) heldRequest?.close()
+        else closeAfterBody(request, heldRequest)
         gate.update()
       }
       response.once('finish', end)
@@ -139,6 +156,9 @@
       if (hasProgress()) held?.recordProgress(now)
       gate.update()
     },
-    close () { held?.close() }
+    close () {
+      answeredEarly?.close()
+      held?.close()
+    }
   }
 }
--- a/src/http/memoryAccount/requestShares.ts
+++ b/src/http/memoryAccount/requestShares.ts
@@ -32,15 +32,18 @@
 
 export type ShareDecision =
   | { admitted: true }
-  /** The request is expected to be admitted in `retryAfter` milliseconds. */
-  | { admitted: false, retryAfter: number }
+  /**
+   * The request is expected to be admitted in `retryAfter` milliseconds. `isExhausted`: the objects of all requests exceed their
+   * bound, so that this one may not even wait for its caller.
+   */
+  | { admitted: false, retryAfter: number, isExhausted: boolean }
 
 /** What one request uses. */
 export interface RequestShare {
   /** Records objects on the heap in bytes, or that they are released for a negative number. */
   addObjects: (bytes: number) => void
   /**
-   * Counts the request for a group, and decides whether the group may have the objects that the request already uses.
+   * Decides whether a group may have the objects that the request already uses, and counts the request for it at the first call.
    * @param group requests that share what they use: those of one customer
    */
   join: (group: string, now: MonotonicMilliseconds) => ShareDecision
@@ -103,7 +106,11 @@
     if (objectBytes === 0 && forwarded === 0) return { admitted: true }
     const holder = group.requests > 1 ? group : all
     const part = Math.max(objectBytes / holder.objectBytes, forwarded / Math.max(1, holder.forwarded))
-    return { admitted: false, retryAfter: expectedRelease(holder, part, now) }
+    return {
+      admitted: false,
+      retryAfter: expectedRelease(holder, part, now),
+      isExhausted: all.objectBytes > bounds.objectBytes
+    }
   }
 
   function open (): RequestShare {
@@ -124,12 +131,14 @@
         if (!isClosed) change({ objectBytes: bytes })
       },
       join (groupName, now) {
-        if (isClosed || group !== undefined) return { admitted: true }
-        name = groupName
-        group = groups.get(name) ?? createGroup()
-        groups.set(name, group)
-        group.objectBytes += own.objectBytes
-        change({ requests: 1, joinSum: now })
+        if (isClosed) return { admitted: true }
+        if (group === undefined) {
+          name = groupName
+          group = groups.get(name) ?? createGroup()
+          groups.set(name, group)
+          group.objectBytes += own.objectBytes
+          change({ requests: 1, joinSum: now })
+        }
         return decide(group, NOTHING, now)
       },
       forward (now) {
