Bound the bytes of callers that belong to no request, and all that requests use together

What callers saw: 1,900 connections whose heads of 60 KB stop short take a daemon to 198 to 207 MB of 178, and as many whose trailers stop short to 237 MB (the machine ends such a process); bodies, heads and streams at the same time end it (SIGABRT).

Cause: bytes that the HTTP parser keeps until a head or the trailers of a body are whole, and those that wait at the read gate of a connection, were counted nowhere. The bounds of bytes and of objects did not know of each other, although both use the same memory.

Change: the account counts these bytes as `input`. Beyond a quarter of the bound, and at the bound, the connection with most of them that belong to no request is given up: closed, or after the responses to its whole requests answered with 503, not run. There is no time for the caller to read a refusal otherwise, as the bytes would stay meanwhile. What heads and trailers hold is taken from the bytes that the parser got since the last request or part of a body. Objects of forwarded requests count for the bytes as well, and the bound of objects is no more than that of the bytes. A connection whose body is refused for memory counts as released.

--- a/src/edge/memoryAccount/__tests__/exchangeShare.test.ts
+++ b/src/edge/memoryAccount/__tests__/exchangeShare.test.ts
@@ -16,7 +16,7 @@
 function play (): { open: (segments?: number) => ExchangeShare, objectBytes: () => number } {
   const requestBounds = { objectBytes: 10 * REQUEST_BYTES, forwarded: 10 }
   const account = createMemoryAccount({ bound: Infinity, requestBounds })
-  const connection = account.openConnection({ close () {} }, 0)
+  const connection = account.openConnection({ close () {}, refuseInput () {} }, 0)
   return {
     open (segments = SEGMENTS) {
       const promptSegments = Array.from({ length: segments }, () => ({ identifier: 'a', tokens: 1 }))
--- a/src/edge/memoryAccount/callerMemory.ts
+++ b/src/edge/memoryAccount/callerMemory.ts
@@ -22,7 +22,7 @@
   { memoryMb = DEFAULT_MEMORY_MB, fileDescriptors = DEFAULT_FILE_DESCRIPTORS }: EdgeSettings['limits'],
   now: () => MonotonicMilliseconds
 ): CallerMemory {
-  const { connections, requests } = callerBounds(fileDescriptors, heapLimitMb())
+  const { connections, requests } = callerBounds({ memoryMb, fileDescriptors, heapMb: heapLimitMb() })
   const account = createMemoryAccount({
     bound: heldBytesBound(memoryMb),
     maxRequests: requests.forwarded,
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -3,9 +3,9 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { Server as TcpServer, type Socket } from 'node:net'
 import {
-  ExpectationFailedError, HeaderTooLargeError, InternalError, InvalidRequestError, RouterError
+  ExpectationFailedError, HeaderTooLargeError, InternalError, InvalidRequestError, OverloadedError, RouterError
 } from '../errors'
-import { trackCallerConnections, type CallerConnectionsOptions, type UnreadableRequest } from '../http/callerConnections'
+import { trackCallerConnections, UnreadableRequest, type CallerConnectionsOptions } from '../http/callerConnections'
 import { countHeaderBytes } from '../http/headSize'
 import { isKnownExpectation } from '../http/headText'
 import { ExecutionStatus } from '../types'
@@ -185,10 +185,12 @@
   malformed: 'malformed HTTP request',
   header_too_large: 'request header too large',
   extensions_too_large: 'chunk extensions too large',
-  timed_out: 'request not received in time'
+  timed_out: 'request not received in time',
+  overloaded: 'no memory is left to read the request'
 }
 
 function renderRefusal (reason: UnreadableRequest): { contentType: string, body: string } {
-  const error = new InvalidRequestError(UNREADABLE_MESSAGES[reason], { execution: ExecutionStatus.notRun })
+  const RefusalError = reason === UnreadableRequest.overloaded ? OverloadedError : InvalidRequestError
+  const error = new RefusalError(UNREADABLE_MESSAGES[reason], { execution: ExecutionStatus.notRun })
   return { contentType: 'application/json', body: JSON.stringify(errorBodyOf(error)) }
 }
--- a/src/http/callerConnections.ts
+++ b/src/http/callerConnections.ts
@@ -10,7 +10,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
 import type { MemoryAccount } from './memoryAccount/account'
-import { trackConnectionMemory, type ConnectionMemory } from './memoryAccount/connectionMemory'
+import { heldFor, trackConnectionMemory, type ConnectionMemory } from './memoryAccount/connectionMemory'
 
 /**
  * Time in milliseconds for which the bytes of the caller are read and discarded after the last response. A connection
@@ -28,7 +28,9 @@
   malformed: 'malformed',
   headerTooLarge: 'header_too_large',
   extensionsTooLarge: 'extensions_too_large',
-  timedOut: 'timed_out'
+  timedOut: 'timed_out',
+  /** The process has no memory to read them. */
+  overloaded: 'overloaded'
 } as const
 export type UnreadableRequest = typeof UnreadableRequest[keyof typeof UnreadableRequest]
 
@@ -36,7 +38,13 @@
   malformed: 'HTTP/1.1 400 Bad Request',
   header_too_large: 'HTTP/1.1 431 Request Header Fields Too Large',
   extensions_too_large: 'HTTP/1.1 413 Payload Too Large',
-  timed_out: 'HTTP/1.1 408 Request Timeout'
+  timed_out: 'HTTP/1.1 408 Request Timeout',
+  overloaded: 'HTTP/1.1 503 Service Unavailable'
+}
+
+/** Header fields of the refusals besides those of their bodies. */
+const REFUSAL_FIELDS: Readonly<Partial<Record<UnreadableRequest, readonly string[]>>> = {
+  overloaded: ['retry-after: 1']
 }
 
 /** Codes of the errors that Node.js reports; all others mean that the bytes are malformed. */
@@ -198,6 +206,7 @@
       responses,
       receiving: () => connection.receiving,
       onShed: (heldBytes) => { onShed?.(heldBytes) },
+      refuseInput: () => { refuseInput(connection) },
       now: performance.now()
     })
     const connection: Connection = {
@@ -345,6 +354,17 @@
     last.on('finish', conclude)
   }
 
+  /** Gives up bytes that are held for a connection, without the time in which its caller might read a refusal. */
+  function refuseInput (connection: Connection): void {
+    const { socket, receiving } = connection
+    if (!hasOwed(connection)) {
+      socket.destroy()
+      return
+    }
+    if (isIncomplete(receiving)) heldFor(receiving.req)?.refuse()
+    rejectBytes(connection, UnreadableRequest.overloaded)
+  }
+
   /** Reads no further requests. */
   function endReading (connection: Connection): void {
     connection.isClosing = true
@@ -390,7 +410,8 @@
     const headers = refusal === undefined
       ? ['content-length: 0']
       : [`content-type: ${refusal.contentType}`, `content-length: ${Buffer.byteLength(refusal.body)}`]
-    socket.write([STATUS_LINES[reason], ...headers, 'connection: close', '', refusal?.body ?? ''].join('\r\n'))
+    const fields = [...REFUSAL_FIELDS[reason] ?? [], ...headers]
+    socket.write([STATUS_LINES[reason], ...fields, 'connection: close', '', refusal?.body ?? ''].join('\r\n'))
     closeGently(socket)
   }
 
--- a/src/http/memoryAccount/__tests__/account.test.ts
+++ b/src/http/memoryAccount/__tests__/account.test.ts
@@ -2,7 +2,7 @@
 import { describe, expect, it } from 'vitest'
 import { createMemoryAccount, HeldKind, type HeldConnection, type HeldRequest, type MemoryAccount } from '../account'
 import { connectionBound, heldBytesBound } from '../bounds'
-import { MIN_RELIEF_BYTES, STALLED_MS, STALLED_UNDER_PRESSURE_MS } from '../relief'
+import { MIN_INPUT_RELIEF_BYTES, MIN_RELIEF_BYTES, STALLED_MS, STALLED_UNDER_PRESSURE_MS } from '../relief'
 
 const KB = 1024
 const BOUND = 1000 * KB
@@ -22,7 +22,10 @@
   const account = createMemoryAccount({ bound: BOUND, maxRequests: 20 })
   const given: string[] = []
   const connect = (name: string, at = 0): HeldConnection => (
-    account.openConnection({ close: () => { given.push(`close ${name}`) } }, at)
+    account.openConnection({
+      close: () => { given.push(`close ${name}`) },
+      refuseInput: () => { given.push(`refuse input of ${name}`) }
+    }, at)
   )
   return {
     account,
@@ -88,6 +91,40 @@
       read.recordProgress(STALLED_MS)
       answer('b', 300 * KB, STALLED_MS)
     }, []],
+    ['refuses the longest input beyond a quarter of it', ({ connect }) => {
+      connect('a').setInput(100 * KB, 100 * KB, 0)
+      connect('b').setInput(120 * KB, 120 * KB, 0)
+      connect('c').setInput(40 * KB, 40 * KB, 0)
+    }, ['refuse input of b']],
+    ['refuses no input within a quarter of it', ({ connect }) => {
+      connect('a').setInput(100 * KB, 100 * KB, 0)
+      connect('b').setInput(150 * KB, 150 * KB, 0)
+    }, []],
+    ['refuses no input that is as short as ordinary heads', ({ answer, connect }) => {
+      answer('a', 1000 * KB, 0)
+      connect('b').setInput(MIN_INPUT_RELIEF_BYTES - 1, MIN_INPUT_RELIEF_BYTES - 1, 0)
+    }, []],
+    ['refuses no input that belongs to a body', ({ answer, connect }) => {
+      answer('a', 1000 * KB, 0)
+      connect('b').setInput(60 * KB, MIN_INPUT_RELIEF_BYTES - 1, 0)
+    }, []],
+    ['refuses no input of a connection that is closed after a refusal', ({ receive, connect }) => {
+      receive('a', 1100 * KB, 0)
+      connect('b').setInput(900 * KB, 0, 0)
+    }, ['refuse a']],
+    ['refuses the input of each connection once', ({ connect }) => {
+      const connection = connect('b')
+      connection.setInput(300 * KB, 300 * KB, 0)
+      connection.setInput(400 * KB, 400 * KB, 0)
+    }, ['refuse input of b']],
+    ['refuses an incomplete request before an input', ({ connect, receive }) => {
+      connect('a').setInput(200 * KB, 200 * KB, 0)
+      receive('b', 900 * KB, 0)
+    }, ['refuse b']],
+    ['refuses an input before it closes a connection', ({ answer, connect }) => {
+      answer('a', 900 * KB, 0)
+      connect('b').setInput(200 * KB, 200 * KB, STALLED_MS)
+    }, ['refuse input of b']],
     ['refuses an incomplete request before it closes a connection', ({ answer, receive }) => {
       answer('a', 500 * KB, 0)
       receive('b', 300 * KB, 0)
@@ -131,7 +168,19 @@
     request.add(HeldKind.answer, -30, 0)
     request.close()
     expect([account.heldBytes(), connection.bytes()]).toEqual([0, 0])
-    expect([...account.heldByKind().values()]).toEqual([0, 0, 0, 0, 0])
+    expect([...account.heldByKind().values()]).toEqual([0, 0, 0, 0, 0, 0, 0])
+  })
+
+  it('releases the input of a connection when it ends, also if it was refused', () => {
+    const { account, answer, connect } = play()
+    const connection = connect('a')
+    connection.setInput(100, 100, 0)
+    expect([account.heldBytes(), connection.bytes()]).toEqual([100, 100])
+    answer('b', 1000 * KB, 0)
+    connection.setInput(50 * KB, 50 * KB, 0)
+    connection.close()
+    connection.setInput(100, 100, 0)
+    expect(account.heldByKind().get(HeldKind.input)).toBe(0)
   })
 
   it('is tight at half its bound, or at its number of requests', () => {
--- a/src/http/memoryAccount/__tests__/requestShares.test.ts
+++ b/src/http/memoryAccount/__tests__/requestShares.test.ts
@@ -1,7 +1,7 @@
 /** Guards against requests of one customer that take all that a process has for requests, and against more than it has. */
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
-import { callerBounds } from '../bounds'
+import { callerBounds, type ProcessLimits } from '../bounds'
 import { createRequestShares, excessOf, FORWARDED_REQUEST, type RequestShare, type RequestShares } from '../requestShares'
 
 const KB = 1024
@@ -120,16 +120,20 @@
 })
 
 describe('the bounds of connections and requests', () => {
-  it.each([
-    ['the usual machine', 4100, 108, { connections: 1950, forwarded: 975 }],
-    ['a machine with few descriptors', 600, 108, { connections: 200, forwarded: 100 }],
-    ['a machine whose heap is too small for its descriptors', 8192, 108, { connections: 2457, forwarded: 1998 }],
-    ['a machine with a small heap', 4100, 20, { connections: 341, forwarded: 975 }]
-  ])('of %s leave half of the objects to requests', (_name, descriptors, heapMb, expected) => {
-    const { connections, requests } = callerBounds(descriptors, heapMb)
-    expect({ connections, forwarded: requests.forwarded }).toEqual(expected)
-    const objects = Math.max(8, (heapMb - 12) * 0.6) * MB
-    expect(requests.objectBytes).toBeGreaterThanOrEqual(Math.floor(objects / 2))
-    expect(requests.objectBytes + connections * 12 * KB).toBe(Math.round(objects))
+  const cases: ReadonlyArray<[
+    name: string, limits: ProcessLimits, objectMb: number, connections: number, forwarded: number
+  ]> = [
+    ['a machine', { memoryMb: 350, fileDescriptors: 4100, heapMb: 108 }, 48, 1950, 975],
+    ['a machine with few descriptors', { memoryMb: 350, fileDescriptors: 600, heapMb: 108 }, 48, 200, 100],
+    ['a machine with many descriptors', { memoryMb: 350, fileDescriptors: 8192, heapMb: 108 }, 48, 2048, 1998],
+    ['a machine with little memory', { memoryMb: 178, fileDescriptors: 4100, heapMb: 108 }, 32, 1365, 975],
+    ['a process with a small heap', { memoryMb: 350, fileDescriptors: 4100, heapMb: 20 }, 8, 341, 975]
+  ]
+
+  it.each(cases)('of %s leave half of the objects to requests', (_name, limits, objectMb, connections, forwarded) => {
+    const bounds = callerBounds(limits)
+    expect([bounds.connections, bounds.requests.forwarded]).toEqual([connections, forwarded])
+    expect(bounds.requests.objectBytes + connections * 12 * KB).toBe(objectMb * MB)
+    expect(bounds.requests.objectBytes).toBeGreaterThanOrEqual(objectMb / 2 * MB)
   })
 })
--- a/src/http/memoryAccount/account.ts
+++ b/src/http/memoryAccount/account.ts
@@ -5,13 +5,17 @@
  * to give them up.
  */
 import type { MonotonicMilliseconds } from '../../types'
-import { largestStalled, newestIncomplete, STALLED_MS, STALLED_UNDER_PRESSURE_MS } from './relief'
-import { createRequestShares, type RequestBounds, type RequestShares, type ShareDecision } from './requestShares'
+import { largestStalled, longestInput, newestIncomplete, STALLED_MS, STALLED_UNDER_PRESSURE_MS } from './relief'
+import { createRequestShares, FORWARDED_REQUEST, type RequestBounds, type RequestShares, type ShareDecision } from './requestShares'
 
 /** What bytes are held for. */
 export const HeldKind = {
+  /** Bytes of callers that are not a whole head yet, or that wait until their connection is read further. */
+  input: 'input',
   /** Heads of requests without an answer that was read, and the objects that belong to them. */
   request: 'request',
+  /** Objects of requests that are being forwarded, their connections to upstreams included. */
+  forwarded: 'forwarded',
   /** Bodies that are being read, or that were read and whose requests are in progress. */
   body: 'body',
   /** Answers that their callers have not read. */
@@ -27,6 +31,8 @@
 const TIGHT_PART = 0.5
 /** Part of the bound from which on connections without progress are closed early. */
 const PRESSURE_PART = 0.75
+/** Part of the bound for bytes that belong to no request: the parser copies heads as they grow, which fragments memory. */
+const UNWANTED_PART = 0.25
 /** Part of the bound that only small requests may use beyond it, so that they are served beside large ones. */
 const RESERVE_PART = 0.25
 
@@ -34,6 +40,8 @@
 export interface ConnectionRelease {
   /** Closes the connection, whose caller does not read or does not send the rest of a request. */
   close: () => void
+  /** Discards what the caller has sent beyond the requests in progress, and closes the connection after their responses. */
+  refuseInput: () => void
 }
 
 export interface HeldRequest {
@@ -63,6 +71,11 @@
 
 export interface HeldConnection {
   openRequest: (now: MonotonicMilliseconds) => HeldRequest
+  /**
+   * Sets the number of bytes that have been received and not read as requests.
+   * @param unwanted those that belong to no request in progress, and may be given up
+   */
+  setInput: (bytes: number, unwanted: number, now: MonotonicMilliseconds) => void
   /** Records that the caller has sent bytes that were waited for, or has taken bytes. */
   recordProgress: (now: MonotonicMilliseconds) => void
   bytes: () => number
@@ -101,12 +114,17 @@
 
 interface OpenConnection {
   bytes: number
+  /** Those of the bytes that have not been read as requests. */
+  inputBytes: number
+  /** Those that belong to no request in progress. */
+  unwantedBytes: number
   progressAt: MonotonicMilliseconds
   release: ConnectionRelease
   isReleased: boolean
 }
 
 interface OpenRequest {
+  connection: OpenConnection
   openedAt: MonotonicMilliseconds
   bytes: number
   /** Refuses the request; undefined unless its body is being read. */
@@ -124,6 +142,8 @@
   let total = 0
   /** Bytes of connections that are being closed; they are released when the connections have ended. */
   let releasing = 0
+  /** Bytes that belong to no request, on connections that are not being closed. */
+  let unwantedBytes = 0
   let requests = 0
 
   /** Whether more than this part of the bound is held, without what closed connections will release. */
@@ -136,36 +156,68 @@
     byKind.set(kind, byKind.get(kind)! + bytes)
   }
 
+  function changeBytes (connection: OpenConnection, kind: HeldKind, bytes: number): void {
+    connection.bytes += bytes
+    if (connection.isReleased) releasing += bytes
+    count(kind, bytes)
+  }
+
   function refuse (request: OpenRequest): void {
     incomplete.delete(request)
     const { refuse: refuseRequest } = request
     request.refuse = undefined
+    // Its connection is closed after the refusal, which the caller may read until then.
+    markReleased(request.connection)
     refuseRequest?.()
   }
 
+  function unreleased (): OpenConnection[] {
+    return [...connections].filter(({ isReleased }) => !isReleased)
+  }
+
+  /** Counts the connection's bytes as released, which they are once it has been closed. */
+  function markReleased (connection: OpenConnection): void {
+    if (connection.isReleased) return
+    connection.isReleased = true
+    releasing += connection.bytes
+    unwantedBytes -= connection.unwantedBytes
+  }
+
   function closeStalled (now: MonotonicMilliseconds, stalledMs: number): boolean {
-    const candidates = [...connections].filter(({ isReleased }) => !isReleased)
-    const stalled = largestStalled(candidates, now, stalledMs)
+    const stalled = largestStalled(unreleased(), now, stalledMs)
     if (stalled === undefined) return false
-    stalled.isReleased = true
-    releasing += stalled.bytes
+    markReleased(stalled)
     stalled.release.close()
     return true
   }
 
+  /** Gives up the longest input; returns whether there was one. */
+  function refuseLongest (): boolean {
+    const longest = longestInput(unreleased())
+    if (longest === undefined) return false
+    markReleased(longest)
+    longest.release.refuseInput()
+    return true
+  }
+
+  /** Gives up the newest incomplete request; returns whether there was one. */
+  function refuseNewest (): boolean {
+    const newest = newestIncomplete(incomplete)
+    if (newest !== undefined) refuse(newest)
+    return newest !== undefined
+  }
+
   /** Gives up what can be given up until the bytes are within the bound. */
   function relieve (adding: OpenRequest | undefined, now: MonotonicMilliseconds): void {
     while (exceeds(1)) {
-      const newest = newestIncomplete(incomplete)
-      if (newest !== undefined) refuse(newest)
-      else if (!closeStalled(now, STALLED_MS)) break
+      if (!refuseNewest() && !refuseLongest() && !closeStalled(now, STALLED_MS)) break
     }
     if (exceeds(1 + RESERVE_PART) && adding?.refuse !== undefined) refuse(adding)
   }
 
   function openRequest (connection: OpenConnection, openedAt: MonotonicMilliseconds): HeldRequest {
     const held = new Map<HeldKind, number>()
-    const request: OpenRequest = { openedAt, bytes: 0, refuse: undefined }
+    const request: OpenRequest = { connection, openedAt, bytes: 0, refuse: undefined }
     const share = shares.open()
     let isClosed = false
     requests += 1
@@ -173,9 +225,7 @@
     function change (kind: HeldKind, bytes: number): void {
       held.set(kind, (held.get(kind) ?? 0) + bytes)
       request.bytes += bytes
-      connection.bytes += bytes
-      if (connection.isReleased) releasing += bytes
-      count(kind, bytes)
+      changeBytes(connection, kind, bytes)
     }
 
     function add (kind: HeldKind, bytes: number, now: MonotonicMilliseconds): void {
@@ -191,7 +241,11 @@
         add(HeldKind.request, bytes, now)
       },
       join: share.join,
-      forward: share.forward,
+      forward (now) {
+        const decision = share.forward(now)
+        if (decision.admitted) add(HeldKind.forwarded, FORWARDED_REQUEST.objectBytes, now)
+        return decision
+      },
       startBody (refuseRequest) {
         if (isClosed) return
         request.refuse = refuseRequest
@@ -219,13 +273,33 @@
 
   return {
     openConnection (release, now) {
-      const connection: OpenConnection = { bytes: 0, progressAt: now, release, isReleased: false }
+      const connection: OpenConnection = {
+        bytes: 0, inputBytes: 0, unwantedBytes: 0, progressAt: now, release, isReleased: false
+      }
       connections.add(connection)
+
+      function setInput (bytes: number, unwanted: number): number {
+        const added = bytes - connection.inputBytes
+        if (!connection.isReleased) unwantedBytes += unwanted - connection.unwantedBytes
+        connection.inputBytes = bytes
+        connection.unwantedBytes = unwanted
+        changeBytes(connection, HeldKind.input, added)
+        return added
+      }
+
       return {
         openRequest: (openedAt) => openRequest(connection, openedAt),
+        setInput (bytes, unwanted, at) {
+          if (!connections.has(connection) || setInput(bytes, unwanted) <= 0) return
+          if (unwantedBytes > bound * UNWANTED_PART) refuseLongest()
+          if (exceeds(1)) relieve(undefined, at)
+        },
         recordProgress (progressAt) { connection.progressAt = progressAt },
         bytes: () => connection.bytes,
-        close () { connections.delete(connection) }
+        close () {
+          setInput(0, 0)
+          connections.delete(connection)
+        }
       }
     },
     add (kind, bytes, now) {
--- a/src/http/memoryAccount/bounds.ts
+++ b/src/http/memoryAccount/bounds.ts
@@ -20,7 +20,7 @@
 /** Heap in MB that the process uses without callers, and for new objects that have not been collected yet. */
 const PROCESS_HEAP_MB = 12
 /** Part of the remaining heap that the objects of callers may use; the rest is for garbage. */
-const OBJECT_PART = 0.6
+const OBJECT_PART = 0.5
 /** Lowest bound of these objects in bytes. */
 const MIN_OBJECT_BYTES = 8 * 1024 * 1024
 /** Part of these objects that may belong to connections. */
@@ -44,15 +44,23 @@
   requests: RequestBounds
 }
 
+export interface ProcessLimits {
+  memoryMb: number
+  fileDescriptors: number
+  /** Size in MB to which the heap may grow. */
+  heapMb: number
+}
+
 /**
- * Returns the bounds of connections and requests for a machine with so many descriptors and a heap of this size in MB.
- * The objects of all connections are set aside, so that connections that are opened later leave room for requests.
+ * Returns the bounds of connections and requests. The objects of all connections are set aside, so that connections that are
+ * opened later leave room for requests.
  */
-export function callerBounds (fileDescriptors: number, heapMb: number): CallerBounds {
-  const objectBytes = Math.max(MIN_OBJECT_BYTES, Math.round((heapMb - PROCESS_HEAP_MB) * OBJECT_PART * BYTES_PER_MB))
+export function callerBounds ({ memoryMb, fileDescriptors, heapMb }: ProcessLimits): CallerBounds {
+  const byHeapSize = Math.max(MIN_OBJECT_BYTES, Math.round((heapMb - PROCESS_HEAP_MB) * OBJECT_PART * BYTES_PER_MB))
+  const objectBytes = Math.min(byHeapSize, heldBytesBound(memoryMb))
   const byDescriptors = connectionBound(fileDescriptors)
-  const byHeap = Math.floor(objectBytes * CONNECTION_OBJECT_PART / CONNECTION_OBJECT_BYTES)
-  const connections = Math.min(byDescriptors, byHeap)
+  const byObjects = Math.floor(objectBytes * CONNECTION_OBJECT_PART / CONNECTION_OBJECT_BYTES)
+  const connections = Math.min(byDescriptors, byObjects)
   return {
     connections,
     requests: {
--- a/src/http/memoryAccount/connectionMemory.ts
+++ b/src/http/memoryAccount/connectionMemory.ts
@@ -52,6 +52,8 @@
   receiving: () => ServerResponse | undefined
   /** Called before the connection is closed, or its incomplete request refused, because it holds much without progress. */
   onShed: (bytes: number) => void
+  /** Gives up what the caller has sent beyond the requests in progress, and closes the connection after their responses. */
+  refuseInput: () => void
   now: MonotonicMilliseconds
 }
 
@@ -62,6 +64,15 @@
   return handle?.writeQueueSize ?? socket.writableLength
 }
 
+/** Reports the bytes of the body as the parser reads them, which the stream itself does only to whoever consumes them. */
+function countBody (request: IncomingMessage, onBytes: (bytes: number) => void): void {
+  const push = request.push.bind(request)
+  request.push = (chunk: Buffer | null, encoding) => {
+    if (chunk !== null) onBytes(chunk.length)
+    return push(chunk, encoding)
+  }
+}
+
 function objectBytesOf (request: IncomingMessage): number {
   const fields = request.rawHeaders.length / 2
   return countHeaderBytes(request) + REQUEST_OBJECT_BYTES + fields * FIELD_OBJECT_BYTES
@@ -70,12 +81,19 @@
 /** To be called in the `connection` event of the server. */
 export function trackConnectionMemory (socket: Socket, options: ConnectionMemoryOptions): ConnectionMemory {
   const { account, responses, receiving, onShed } = options
-  const held = account?.openConnection({ close: shed }, options.now)
+  const held = account?.openConnection({ close: shed, refuseInput }, options.now)
   const isTight = (): boolean => account?.isTight() ?? false
-  const gate = createReadGate(socket, { mayRead, sliceBytes })
+  const gate = createReadGate(socket, { mayRead, sliceBytes, onPassed, onWaiting: recordInput })
+  /** Bytes that the parser has got since the last request or part of a body. */
+  let headBytes = 0
+  let openedBefore = 0
+  /** Bytes of bodies that the parser has read, and how many there were before the last slice. */
+  let bodyBytes = 0
+  let bodyBytesBefore = 0
   let queueBefore = 0
   let bytesReadBefore = 0
   let openedThisTurn = 0
+  let opened = 0
   let finished = 0
   let finishedBefore = 0
   /** Request whose body is still being read after its response. */
@@ -107,6 +125,25 @@
     return isReceiving() ? TIGHT_BODY_SLICE_BYTES : TIGHT_SLICE_BYTES
   }
 
+  /** Heads and trailers are kept by the parser until they are whole. */
+  function onPassed (bytes: number): void {
+    const hasProgressed = opened !== openedBefore || bodyBytes !== bodyBytesBefore
+    // Where the last request or chunk ends within these bytes is not known; they are few.
+    headBytes = hasProgressed ? 0 : headBytes + bytes
+    openedBefore = opened
+    bodyBytesBefore = bodyBytes
+  }
+
+  function recordInput (): void {
+    const waiting = gate.waitingBytes()
+    held?.setInput(headBytes + waiting, isReceiving() ? headBytes : headBytes + waiting, performance.now())
+  }
+
+  function refuseInput (): void {
+    onShed(held?.bytes() ?? 0)
+    options.refuseInput()
+  }
+
   function shed (): void {
     onShed(held?.bytes() ?? 0)
     const response = receiving()
@@ -138,6 +175,8 @@
     gate,
     open (request, response, now) {
       countTurn()
+      opened += 1
+      countBody(request, (bytes) => { bodyBytes += bytes })
       const heldRequest = held?.openRequest(now)
       if (heldRequest !== undefined) {
         heldRequests.set(request, heldRequest)
--- a/src/http/memoryAccount/readGate.ts
+++ b/src/http/memoryAccount/readGate.ts
@@ -7,6 +7,8 @@
 export interface ReadGate {
   /** Whether bytes wait that the parser has not got. */
   hasWaiting: () => boolean
+  /** Bytes of memory that these bytes use. */
+  waitingBytes: () => number
   /** Passes on what waits, if the connection may be read. To be called when requests have ended. */
   update: () => void
   /** The connection is not read as requests any more. */
@@ -18,6 +20,10 @@
   mayRead: () => boolean
   /** Returns the number of bytes that the parser gets before it is asked again whether it may get more. */
   sliceBytes: () => number
+  /** Called after the parser has got so many bytes. */
+  onPassed: (bytes: number) => void
+  /** Called when bytes wait, or no longer do. */
+  onWaiting: () => void
 }
 
 /** Whether Node.js has paused the socket because of answers that wait; its parser must not get bytes then. */
@@ -26,7 +32,8 @@
 }
 
 /** Puts a gate between the socket and its HTTP parser. To be called in the `connection` event of the server. */
-export function createReadGate (socket: Socket, { mayRead, sliceBytes }: ReadGateOptions): ReadGate {
+export function createReadGate (socket: Socket, options: ReadGateOptions): ReadGate {
+  const { mayRead, sliceBytes, onPassed, onWaiting } = options
   const readers = socket.listeners('data') as Array<(bytes: Buffer) => void>
   let waiting: Buffer | undefined
   let isOpen = false
@@ -51,6 +58,7 @@
       const slice = waiting.subarray(0, size)
       waiting = waiting.length > size ? waiting.subarray(size) : undefined
       for (const reader of readers) reader(slice)
+      onPassed(slice.length)
       if (waiting !== undefined && socket.isPaused()) return
     }
   }
@@ -59,8 +67,8 @@
     const isPassing = waiting !== undefined
     waiting = waiting === undefined ? bytes : Buffer.concat([waiting, bytes])
     // Bytes that were read before the pause took effect; they follow those that wait.
-    if (isPassing) return
-    pass()
+    if (!isPassing) pass()
+    onWaiting()
   }
 
   /** The socket is resumed by others as well, whether or not its bytes may be read. */
@@ -70,6 +78,7 @@
     else stopReading()
     // The parser must get the waiting bytes before new ones.
     if (waiting !== undefined && !socket.isPaused()) stopReading()
+    onWaiting()
   }
 
   // A listener takes the connection from the HTTP parser, which otherwise reads it without such events.
@@ -79,6 +88,8 @@
 
   return {
     hasWaiting: () => waiting !== undefined,
+    // What has been passed on is a part of the same memory.
+    waitingBytes: () => waiting?.buffer.byteLength ?? 0,
     update () {
       if (isOpen || !hasPaused || pendingUpdate !== undefined) return
       // Answers that are sent at once end in the same turn of the event loop, which would serve one connection only.
@@ -92,6 +103,7 @@
     open () {
       isOpen = true
       waiting = undefined
+      onWaiting()
       socket.off('data', onData)
       socket.off('resume', onResume)
     }
