Keep identifiers of prompt parts without the header fields that they come from

What callers saw: prompts in long heads (15 KB, within the limit), each with another first part, end a daemon after some 5,000 of them (SIGABRT, heap), whether the part itself is long or short.

Cause: the tables of demand for prefixes (5,000 entries), of segments sent to the store (20,000), of recent prefixes and of crash traits are bounded by the number of entries, but their keys were identifiers of any length; and a part of a header field is a view of it in V8, so that even a short identifier kept its whole field.

Change: `storedIdentifier` hashes identifiers beyond 64 characters, as crash traits did before, and copies shorter ones. The keys of usual prefixes are the same as before, so that instances of both versions place them alike. A trait with a long model is hashed too.

--- a/src/edge/promptPlan.ts
+++ b/src/edge/promptPlan.ts
@@ -1,4 +1,5 @@
 /** Determines which prompt segments a request shares, and where their cache is fetched from or stored. */
+import { storedIdentifier } from './storedIdentifier'
 import { RepeatRule } from './types'
 import type { AttemptParameters, CacheStore, CallerRequest, EdgeCustomer, EdgeRoute } from './types'
 import type { Upstream } from './upstreamDirectory'
@@ -27,7 +28,7 @@
   const lastSegment = sharedSegments.at(-1)
   const isolationPrefix = customer?.isolated === true ? customer.name : ''
   return {
-    prefixKey: lastSegment === undefined ? undefined : `${isolationPrefix}:${lastSegment.identifier}`,
+    prefixKey: lastSegment === undefined ? undefined : `${isolationPrefix}:${storedIdentifier(lastSegment.identifier)}`,
     lastSharedSegment: lastSegment?.identifier,
     sharedTokens: sharedSegments.reduce((sum, segment) => sum + segment.tokens, 0),
     promptTokens: request.tokens?.prompt ?? 0
@@ -55,7 +56,7 @@
   return {
     shouldExport (scope, segment, now) {
       if (isStored(scope, segment)) return false
-      const exportKey = `${scope}/${segment}`
+      const exportKey = `${scope}/${storedIdentifier(segment)}`
       const previous = sentAt.get(exportKey)
       if (previous !== undefined && now - previous < EXPORT_VISIBILITY_MS) return false
       sentAt.delete(exportKey)
--- a/src/edge/requestTraits.ts
+++ b/src/edge/requestTraits.ts
@@ -1,10 +1,8 @@
 /** Determines the traits of a request to which crashes of upstreams may be attributed. */
 import { fingerprintOf } from '../request/fingerprint'
+import { MAX_IDENTIFIER_LENGTH, storedIdentifier } from './storedIdentifier'
 import type { CallerRequest } from './types'
 
-/** Longest identifier of a prompt segment that is used as it is; a longer one is hashed, to bound what is stored. */
-const MAX_IDENTIFIER_LENGTH = 64
-
 export interface RequestTraits {
   /** The shared segments of the prompt. The last segment is private, and never the cause for other requests. */
   parts: readonly string[]
@@ -23,9 +21,9 @@
 export function traitsOf ({ callerRequest, customer = '', method, path, body }: TraitSource): RequestTraits {
   const { model = '', promptSegments } = callerRequest
   const parts = promptSegments.slice(0, -1).map(({ identifier }) => (
-    identifier.length > MAX_IDENTIFIER_LENGTH
+    Math.max(identifier.length, model.length) > MAX_IDENTIFIER_LENGTH
       ? `part/${fingerprintOf('', model, identifier)}`
-      : `part/${model}/${identifier}`
+      : `part/${model}/${storedIdentifier(identifier)}`
   ))
   let all: readonly string[] | undefined
   return {
