Close a refused connection without an answer only for requests with long heads

What callers saw: while the objects of all requests exceed their bound, an ordinary request with a body and a short head could get no answer, as the connection of every refused request with an unread body was closed at once.

Cause: the decision did not look at what the request itself uses. A request with a head of usual size uses 9 KB, which may stay for the second in which its caller may read the refusal.

Change: only requests whose objects use more than 16 KB must be released at once.

Evidence: three cases in `requestShares.test.ts`; read in the review of the change, not seen in a run.

--- a/src/edge/exchange.ts
+++ b/src/edge/exchange.ts
@@ -228,13 +228,13 @@
   }
 
   /** Refuses the request, which has not run, without waiting for its body. */
-  function rejectBeyondShare (share: RefusedShare): void {
+  function rejectBeyondShare (refusal: RefusedShare): void {
     if (hasBody(request) && !request.complete) {
       // Its objects would stay until the caller has read the refusal and closed the connection.
-      if (share.isExhausted && response.socket !== null) return abort(SHARE_EXCEEDED)
+      if (refusal.mustRelease && response.socket !== null) return abort(SHARE_EXCEEDED)
       if (!response.headersSent) response.shouldKeepAlive = false
     }
-    reject(describeShareRefusal(share), SHARE_EXCEEDED)
+    reject(describeShareRefusal(refusal), SHARE_EXCEEDED)
   }
 
   function processRequest (route: EdgeRoute, customer: EdgeCustomer | undefined, body: Buffer | undefined): void {
--- a/src/edge/memoryAccount/__tests__/exchangeShare.test.ts
+++ b/src/edge/memoryAccount/__tests__/exchangeShare.test.ts
@@ -55,7 +55,7 @@
 
 describe('the refusal of a request beyond its share', () => {
   it.each([[0, 50], [300, 300], [60_000, 1000]])('after an estimate of %d ms lets it come back in %d ms', (estimate, retryAfter) => {
-    const refusal = describeShareRefusal({ admitted: false, retryAfter: estimate, isExhausted: false })
+    const refusal = describeShareRefusal({ admitted: false, retryAfter: estimate, mustRelease: false })
     expect(refusal).toMatchObject({ status: 503, retryAfter })
   })
 })
--- a/src/http/memoryAccount/__tests__/requestShares.test.ts
+++ b/src/http/memoryAccount/__tests__/requestShares.test.ts
@@ -70,7 +70,19 @@
     refused.join('crowd', 600)
     const decision = refused.forward(600)
     // A third of one of 60 requests, which have lasted for 590 ms on average, this one included.
-    expect(decision).toEqual({ admitted: false, retryAfter: expect.closeTo(590 / 3 / 60, 1), isExhausted: false })
+    expect(decision).toEqual({ admitted: false, retryAfter: expect.closeTo(590 / 3 / 60, 1), mustRelease: false })
+  })
+
+  it.each([
+    ['much', 20, 90, true], ['much, while the others do not exceed their bound', 20, 75, false], ['little', 9, 100, false]
+  ])('that are refused must be released at once if they use %s', (_name, ownKb, otherKb, mustRelease) => {
+    const shares = createRequestShares({ objectBytes: 100 * KB, forwarded: 10 })
+    const other = shares.open()
+    other.addObjects(otherKb * KB)
+    other.join('crowd', 0)
+    const share = shares.open()
+    share.addObjects(ownKb * KB)
+    expect(share.join('crowd', 0)).toMatchObject({ admitted: false, mustRelease })
   })
 
   it('make connections read one request at a time from half of a bound on', () => {
--- a/src/http/memoryAccount/relief.ts
+++ b/src/http/memoryAccount/relief.ts
@@ -2,8 +2,8 @@
  * Decides what a process gives up when the bytes that it holds for callers exceed their bound.
  *
  * Load pattern: callers that nobody controls send heads or bodies that stop just short of their end, send requests ahead, or do
- * not read their answers, on many connections at once. Ordinary callers use little memory for a short time, so that giving up what holds the most
- * and makes no progress leaves them room.
+ * not read their answers, on many connections at once. Ordinary callers use little memory for a short time, so that giving up
+ * what holds the most and makes no progress leaves them room.
  */
 import type { MonotonicMilliseconds } from '../../types'
 
--- a/src/http/memoryAccount/requestShares.ts
+++ b/src/http/memoryAccount/requestShares.ts
@@ -33,10 +33,10 @@
 export type ShareDecision =
   | { admitted: true }
   /**
-   * The request is expected to be admitted in `retryAfter` milliseconds. `isExhausted`: the objects of all requests exceed their
-   * bound, so that this one may not even wait for its caller.
+   * The request is expected to be admitted in `retryAfter` milliseconds. It `mustRelease` what it uses at once if the objects of
+   * all requests exceed their bound and its own are many.
    */
-  | { admitted: false, retryAfter: number, isExhausted: boolean }
+  | { admitted: false, retryAfter: number, mustRelease: boolean }
 
 /** What one request uses. */
 export interface RequestShare {
@@ -73,6 +73,8 @@
 
 /** What a request needs while it is being forwarded; its objects are rounded up from the 57 to 63 KB of a trial. */
 export const FORWARDED_REQUEST: Readonly<RequestBounds> = { objectBytes: 65_536, forwarded: 1 }
+/** Bytes of objects that a refused request may use until its caller has read the refusal; ordinary requests use fewer. */
+const MAX_REFUSED_OBJECT_BYTES = 16_384
 const NOTHING: Readonly<RequestBounds> = { objectBytes: 0, forwarded: 0 }
 
 interface Group {
@@ -97,7 +99,9 @@
   const groups = new Map<string, Group>()
   const all = createGroup()
 
-  function decide (group: Group, needed: Readonly<RequestBounds>, now: MonotonicMilliseconds): ShareDecision {
+  function decide (
+    group: Group, own: Group, needed: Readonly<RequestBounds>, now: MonotonicMilliseconds
+  ): ShareDecision {
     const excess = (key: keyof RequestBounds): number => (
       excessOf({ bound: bounds[key], used: all[key], usedByGroup: group[key] }, needed[key])
     )
@@ -109,7 +113,7 @@
     return {
       admitted: false,
       retryAfter: expectedRelease(holder, part, now),
-      isExhausted: all.objectBytes > bounds.objectBytes
+      mustRelease: all.objectBytes > bounds.objectBytes && own.objectBytes > MAX_REFUSED_OBJECT_BYTES
     }
   }
 
@@ -139,11 +143,11 @@
           group.objectBytes += own.objectBytes
           change({ requests: 1, joinSum: now })
         }
-        return decide(group, NOTHING, now)
+        return decide(group, own, NOTHING, now)
       },
       forward (now) {
         if (isClosed || group === undefined) return { admitted: true }
-        const decision = decide(group, FORWARDED_REQUEST, now)
+        const decision = decide(group, own, FORWARDED_REQUEST, now)
         if (decision.admitted) change(FORWARDED_REQUEST)
         return decision
       },
