Keep a first version that engines serve when the next one is asked for

What callers saw: 503 "no engine serves chat@v2" for all requests of a model, right after an operator applied a second version.

Cause: the rollout of a first version was still loading. The next revision ended it as superseded, which names the version before as the one that serves; a first version has none, so requests took the configured version, which no engine had loaded. The second version then became a first version, which is not judged.

Change: a first version that at least one engine has loaded is finished when another one is asked for, so that the rollout of the next one starts from it. A first version that no engine has loaded is given up as before.

--- a/src/rollout/__tests__/leader.test.ts
+++ b/src/rollout/__tests__/leader.test.ts
@@ -128,6 +128,33 @@
     await fixture.run(1)
     expect(fixture.record()).toMatchObject({ phase: 'pending', fromVersion: 'v1', toVersion: 'v3' })
   })
+
+  // Guards against a fleet that leaves the version it serves for one that no engine has loaded.
+  it.each(['pending', 'loading'])(
+    'keeps a first version that an engine serves when a second one is asked for while it is %s', async (phase) => {
+      const fixture = createFixture()
+      fixture.engines[0]!.loaded = ['chat@v1']
+      fixture.requestVersion('v1')
+      await fixture.run(phase === 'pending' ? 1 : 2, false)
+      expect(fixture.record()).toMatchObject({ phase, toVersion: 'v1' })
+      fixture.requestVersion('v2')
+      await fixture.run(1, false)
+      expect(fixture.record()).toMatchObject({ phase: 'finished', toVersion: 'v1' })
+      await fixture.run(2, false)
+      expect(fixture.record()).toMatchObject({ phase: 'loading', fromVersion: 'v1', toVersion: 'v2', share: 0 })
+    })
+
+  it('gives up a first version that no engine serves when a second one is asked for', async () => {
+    const fixture = createFixture()
+    fixture.requestVersion('v1')
+    await fixture.run(2, false)
+    fixture.requestVersion('v2')
+    await fixture.run(1, false)
+    expect(fixture.record()).toMatchObject({ phase: 'rolled_back', reason: 'superseded' })
+    await fixture.run(2, false)
+    expect(fixture.record()).toMatchObject({ phase: 'loading', toVersion: 'v2' })
+    expect(fixture.record().fromVersion).toBeUndefined()
+  })
 })
 
 describe('target engines', () => {
--- a/src/rollout/transitions.ts
+++ b/src/rollout/transitions.ts
@@ -78,9 +78,13 @@
 function phaseChange (
   record: RolloutRecord, desired: ModelConfiguration | undefined, observation: Observation
 ): RolloutChange | undefined {
-  if (
-    desired === undefined || desired.version !== record.toVersion
-  ) return rollback(observation, RollbackReason.superseded)
+  if (desired === undefined || desired.version !== record.toVersion) {
+    // Engines that have loaded a first version serve all requests with it, so the next version is compared with it.
+    const isServing = record.fromVersion === undefined && observation.loaded > 0
+    return desired !== undefined && isServing
+      ? enterPhase(observation, RolloutPhase.finished, 1)
+      : rollback(observation, RollbackReason.superseded)
+  }
   if (observation.verdict !== undefined && record.fromVersion !== undefined) {
     return rollback(observation, observation.verdict.reason, observation.verdict.route)
   }
