Settings of `serve` for the memory of the machine and its file descriptors

What callers saw: a router on a small machine, or with a small heap, ended out of memory under callers whose bodies stop short of their end.

Cause: `serve` counted on the memory of the machine up to 2 GB, whatever is meant for it, and let in 4,096 connections regardless of its heap.

Change: `[limits] memory` and `[limits] descriptors` name them. By default they are what the system grants. Connections are bounded by the heap and the descriptors as at the edge.

Evidence: playground/__tests__/callerCrowds.test.ts starts a fleet of processes and lets crowds of callers act on a router with 384 MB, a heap of 128 MB and 8,192 descriptors.

--- a/playground/fleet.ts
+++ b/playground/fleet.ts
@@ -49,6 +49,8 @@
   replaces?: Router
   /** @default the platform's own address */
   platformUrl?: string
+  /** Variables of the environment in addition to those of this process. */
+  environment?: Readonly<Record<string, string>>
 }
 
 export interface Fleet {
@@ -114,7 +116,7 @@
   }
 
   async function startRouter (
-    { name, dataCentre, settings = '', replaces, platformUrl = platform.url }: RouterOptions
+    { name, dataCentre, settings = '', replaces, platformUrl = platform.url, environment = {} }: RouterOptions
   ): Promise<Router> {
     const file = join(directory, `${name}.ini`)
     const address = (url: string | undefined): string => url?.replace('http://', '') ?? '127.0.0.1:0'
@@ -135,6 +137,7 @@
       command: binary,
       parameters: ['serve', '--config', file],
       outputFile: logFile,
+      environment,
       isReady: (line) => line.event === 'daemon.started'
     })
     programs.push(program)
--- a/playground/processes.ts
+++ b/playground/processes.ts
@@ -28,13 +28,16 @@
   parameters: readonly string[]
   /** File to which standard output is appended. */
   outputFile?: string
+  /** Variables in addition to those of this process. */
+  environment?: Readonly<Record<string, string>>
   /** Tells the line that shows that the program can be used. */
   isReady: (line: Readonly<Record<string, unknown>>) => boolean
 }
 
 /** Rejects with `InternalError` when the program ends or prints no ready line in time. */
 export async function startProgram (options: StartProgramOptions): Promise<Program> {
-  const child = spawn(options.command, [...options.parameters], { stdio: ['ignore', 'pipe', 'pipe'] })
+  const env = { ...process.env, ...options.environment }
+  const child = spawn(options.command, [...options.parameters], { env, stdio: ['ignore', 'pipe', 'pipe'] })
   children.add(child)
   let errorOutput = ''
   child.stderr.on('data', (part: Buffer) => { errorOutput = (errorOutput + part.toString()).slice(-4000) })
--- a/src/composeGateway.ts
+++ b/src/composeGateway.ts
@@ -6,6 +6,7 @@
 import type { AdmissionOptions } from './gateway/admission'
 import { createAttemptOutcomes } from './gateway/attemptOutcome'
 import { createAuthentication } from './gateway/authentication'
+import { createCallerMemory } from './gateway/callerMemory'
 import { createCallerServer } from './gateway/callerServer'
 import type { CallerServer } from './gateway/callerServer'
 import { createCompletionExecutor } from './gateway/completionExecutor'
@@ -19,9 +20,6 @@
 import { CompletionStyle } from './gateway/openaiApi'
 import { createServiceExecutor } from './gateway/serviceExecutor'
 import { createServiceHandler } from './gateway/serviceHandler'
-import { createMemoryAccount } from './http/memoryAccount/account'
-import { heldBytesBound } from './http/memoryAccount/bounds'
-import { machineMemoryMb } from './http/memoryAccount/machineMemory'
 import { LogEvent, type EventLog, type Metrics } from './observability/events'
 import type { CrashNotice } from './peer/messages'
 import { createExternalCachePolicy } from './prefix/externalCache'
@@ -124,6 +122,7 @@
     wallClock
   })
   const { authenticate, watch } = createAuthentication({ keys: state.keys, registerKey: options.registerKey, now })
+  const { account, maximumConnections } = createCallerMemory(settings.limits)
   const limits = { maximumBodyBytes: settings.limits.body, unreadLimit: settings.limits.idleTime }
   const createStyledHandler = (style: CompletionStyle): ExchangeHandler => {
     return createCompletionHandler({ style, execute: executeCompletion, authenticate, watch, wallClock, ...limits })
@@ -160,11 +159,11 @@
     reportFault: options.reportFault,
     maximumHeaderBytes: settings.limits.header,
     idleTimeout: settings.limits.idleTime,
-    maximumConnections: settings.limits.connections,
+    maximumConnections,
     onConnectionClosing (reason, responsesInProgress) {
       log(LogEvent.callerConnectionClosing, { reason, responsesInProgress })
     },
-    account: createMemoryAccount({ bound: heldBytesBound(machineMemoryMb()) }),
+    account,
     onConnectionShed (heldBytes) { log(LogEvent.callerConnectionShed, { heldBytes }) },
     onRequestDiscarded ({ method }) { log(LogEvent.requestDiscarded, { method }) }
   })
--- a/src/configuration/settings.ts
+++ b/src/configuration/settings.ts
@@ -42,7 +42,12 @@
     header: entry(size(KIBIBYTE, MEBIBYTE), '16KiB', 'Largest header of a request.'),
     body: entry(size(KIBIBYTE, GIBIBYTE), '8MiB', 'Largest body of a request.'),
     idle_time: entry(duration(SECOND, HOUR), '60s', 'Time after which an idle caller connection is closed.'),
-    connections: entry(count('connections', 1, 100_000), '4096', 'Caller connections open at the same time.')
+    connections: entry(count('connections', 1, 100_000), '4096',
+      'Caller connections open at the same time; fewer if the memory, the heap or the file descriptors do not suffice.'),
+    memory: entry(optional(size(256 * MEBIBYTE, 1024 * GIBIBYTE)), '',
+      'Memory of the machine, which bounds what is held for callers; empty takes that of the machine or of the control group, at most 2 GiB.'),
+    descriptors: entry(optional(count('descriptors', 300, 1_000_000)), '',
+      'File descriptors that the process may open; empty takes the limit of the process.')
   },
   attempt: {
     connect: entry(duration(10, MINUTE), '1s', 'Time limit for connecting to an upstream.'),
--- a/src/edge/memoryAccount/callerMemory.ts
+++ b/src/edge/memoryAccount/callerMemory.ts
@@ -3,7 +3,7 @@
 import {
   callerBounds, DEFAULT_FILE_DESCRIPTORS, DEFAULT_MEMORY_MB, heldBytesBound
 } from '../../http/memoryAccount/bounds'
-import { heapLimitMb } from '../../http/memoryAccount/machineMemory'
+import { heapLimitMb } from '../../http/memoryAccount/processLimits'
 import type { MonotonicMilliseconds } from '../../types'
 import type { ExchangeContext } from '../exchangeContext'
 import { createResponseBuffers } from '../responseBuffers'
--- a/src/http/memoryAccount/machineMemory.ts
+++ b/src/http/memoryAccount/processLimits.ts
@@ -1,6 +1,7 @@
-/** Memory that the operating system grants to the process. */
+/** What the operating system grants to the process. */
 import { totalmem } from 'node:os'
 import { getHeapStatistics } from 'node:v8'
+import { DEFAULT_FILE_DESCRIPTORS } from './bounds'
 
 /** Maximum in MB that is counted on: the heap of Node.js, which holds the objects of requests, does not grow further. */
 const MAX_COUNTED_MB = 2048
@@ -16,3 +17,10 @@
 export function heapLimitMb (): number {
   return getHeapStatistics().heap_size_limit / 1024 / 1024
 }
+
+/** Returns the number of file descriptors that the process may open. */
+export function descriptorLimit (): number {
+  const report = process.report.getReport() as { userLimits?: { open_files?: { soft: number | string } } }
+  const limit = Number(report.userLimits?.open_files?.soft)
+  return Number.isFinite(limit) ? limit : DEFAULT_FILE_DESCRIPTORS
+}
--- a/standins/service/server.ts
+++ b/standins/service/server.ts
@@ -28,6 +28,8 @@
   port?: number
   /** Milliseconds that a call takes. @default 2 */
   callMilliseconds?: number
+  /** Bytes that are added to each answer. @default 0 */
+  answerBytes?: number
   journalFile?: string
   incarnation?: number
   onCrash?: () => void
@@ -47,6 +49,7 @@
   const silence = createSilence()
   const incarnation = options.incarnation ?? Date.now()
   const state = { leaving: false, running: 0 }
+  const padding = 'x'.repeat(options.answerBytes ?? 0)
   let executed = 0
   const crash = options.onCrash ?? (() => { server.close().catch(() => undefined) })
 
@@ -78,7 +81,8 @@
     }
     const failed = faults.failures > 0
     if (failed) faults.failures--
-    sendJson(failed ? 500 : 200, { number, method, path: request.url, body: body.toString('utf8') }, {
+    const content = { number, method, path: request.url, body: body.toString('utf8') }
+    sendJson(failed ? 500 : 200, padding === '' ? content : { ...content, padding }, {
       [REQUEST_IDENTIFIER_HEADER]: requestIdentifier,
       [ATTEMPT_HEADER]: String(attempt),
       [INCARNATION_HEADER]: String(incarnation)
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,7 +7,11 @@
   : [...readFileSync('KNOWN-RED.txt', 'utf8').matchAll(/^test: (\S+)$/gm)].map(([, file]) => file ?? '')
 
 /** Tests that measure the memory of a process under a crowd of callers; they run alone, after all others. */
-const MEMORY_TESTS = ['platform/__tests__/memoryAccount.test.ts', 'platform/__tests__/requestCrowds.test.ts']
+const MEMORY_TESTS = [
+  'platform/__tests__/memoryAccount.test.ts',
+  'platform/__tests__/requestCrowds.test.ts',
+  'playground/__tests__/callerCrowds.test.ts'
+]
 
 const exclude = [...configDefaults.exclude, ...knownRed]
 const testTimeout = 20_000
