Do not keep the body of the last request of a connection in `serve`

What callers saw: a router needed more memory with each connection that was kept after a long body, up to 8 MB for each of 4,096 connections, and ended.

Cause: the table of the last response of each connection kept it while the connection was idle. Its request has listeners that settle the promise of the body, and a promise keeps its value. While a request was in progress, the body was kept for the same reason, and the text for the engine beside its bytes.

Change: the table forgets a response that has been sent, the listeners forget the promise once it is settled, and the request for the engine is made of bytes at once, of which a prompt needs its length once on the heap and once outside.

--- a/playground/__tests__/callerCrowds.test.ts
+++ b/playground/__tests__/callerCrowds.test.ts
@@ -158,6 +158,13 @@
     name: 'bodies that stop short on many connections, with many header fields',
     members: () => members(1900, () => ({ parts: [Buffer.from(head('POST', CHAT, ['Content-Length: 1000', ...MANY_FIELDS]))] }))
   },
+  {
+    name: 'connections that are kept idle after a body of the largest size',
+    members: () => {
+      const parts = [Buffer.from(post('/orders', 'x'.repeat(BODY_LIMIT)))]
+      return Array.from({ length: 80 }, (_, index) => ({ parts, delay: index * 100 }))
+    }
+  },
   {
     name: 'connections that are kept idle after a request',
     members: () => members(3900, () => ({ parts: [Buffer.from(head('GET', '/unknown'))] }))
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -69,6 +69,8 @@
     openRequests += 1
     response.once('close', () => {
       openRequests -= 1
+      // An idle connection would keep the request and its body.
+      if (!hasFollowers()) lastResponses.delete(socket)
       // A response that started before closing announced keep-alive. Its connection becomes idle only after this event.
       if (closing) setImmediate(connections.closeIdle)
     })
--- a/src/gateway/completionHandler.ts
+++ b/src/gateway/completionHandler.ts
@@ -28,10 +28,18 @@
 }
 
 export function createCompletionHandler (options: CompletionHandlerOptions): ExchangeHandler {
-  return async (exchange) => {
-    const caller = options.authenticate(exchange)
+  /** Reads a request. Its body is not needed afterwards, and would otherwise be kept until the response has been sent. */
+  async function receive (
+    exchange: Exchange, { customer }: CallerIdentity
+  ): Promise<{ request: CompletionRequest, fingerprint: string }> {
     const body = await readBody(exchange, options.maximumBodyBytes)
     const request = parseCompletionRequest(options.style, body)
+    return { request, fingerprint: fingerprintOf(customer, exchange.path, body) }
+  }
+
+  return async (exchange) => {
+    const caller = options.authenticate(exchange)
+    const { request, fingerprint } = await receive(exchange, caller)
     const { signal, release } = options.watch(caller, exchange.signal)
     const metadata: CompletionMetadata = {
       identifier: exchange.identifier,
@@ -42,7 +50,7 @@
     const pieces = options.execute({
       identifier: exchange.identifier,
       caller,
-      fingerprint: fingerprintOf(caller.customer, exchange.path, body),
+      fingerprint,
       request,
       signal
     })
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,6 +1,6 @@
 /** An HTTP request of a caller and its response, as passed to the handlers. */
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { InvalidRequestError, OverloadedError, RequestTooLargeError } from '../errors'
+import { InvalidRequestError, OverloadedError, RequestTooLargeError, type RouterError } from '../errors'
 import { HeldKind } from '../http/memoryAccount/account'
 import { readBoundedBody } from '../http/memoryAccount/bodyReader'
 import { heldFor } from '../http/memoryAccount/connectionMemory'
@@ -34,21 +34,32 @@
  */
 export async function readBody (exchange: Exchange, limit: number): Promise<Buffer> {
   const { request, response } = exchange
-  return await new Promise((resolve, reject) => {
-    readBoundedBody(request, limit, heldFor(request), {
-      onBody: resolve,
-      onTooLong () { reject(tooLarge(limit)) },
-      onNoMemory () {
-        // The rest of the body would be read before the next request.
-        if (!response.headersSent) response.shouldKeepAlive = false
-        reject(new OverloadedError('no memory is left for the body', {
-          execution: ExecutionStatus.notRun, retryAfterSeconds: MEMORY_RETRY_SECONDS
-        }))
-      }
-    })
-    request.on('error', (cause) => { reject(incompleteBody(cause)) })
-    request.on('close', () => { reject(incompleteBody(undefined)) })
+  // The listeners stay with the request. Those of a settled promise would keep its value, the body.
+  let pending: { resolve: (body: Buffer) => void, reject: (error: RouterError) => void } | undefined
+  const result = new Promise<Buffer>((resolve, reject) => { pending = { resolve, reject } })
+
+  function fail (error: RouterError): void {
+    pending?.reject(error)
+    pending = undefined
+  }
+
+  readBoundedBody(request, limit, heldFor(request), {
+    onBody (body) {
+      pending?.resolve(body)
+      pending = undefined
+    },
+    onTooLong () { fail(tooLarge(limit)) },
+    onNoMemory () {
+      // The rest of the body would be read before the next request.
+      if (!response.headersSent) response.shouldKeepAlive = false
+      fail(new OverloadedError('no memory is left for the body', {
+        execution: ExecutionStatus.notRun, retryAfterSeconds: MEMORY_RETRY_SECONDS
+      }))
+    }
   })
+  request.on('error', (cause) => { fail(incompleteBody(cause)) })
+  request.on('close', () => { fail(incompleteBody(undefined)) })
+  return await result
 }
 
 /**
--- a/src/upstream/completionStream.ts
+++ b/src/upstream/completionStream.ts
@@ -56,7 +56,8 @@
       [REQUEST_IDENTIFIER_HEADER]: request.requestIdentifier,
       [ATTEMPT_HEADER]: String(request.attempt)
     },
-    body: JSON.stringify(request),
+    // As a text it would be held twice until it has been sent.
+    body: Buffer.from(JSON.stringify(request)),
     highWaterMark: READ_AHEAD_BYTES
   }, timeouts, signal, onSilence)
   const reader = createChunkReader(request)
