Bound the number of values in a JSON body of `serve`

What callers saw: one body within the limit stopped a router for 5 s and took 2 GB of it; with a heap of 128 MB, the process ended.

Cause: a value may use many times its bytes on the heap: 4 MB of "0," where texts are expected became two million issues of the schema. The limit of the body counts bytes only.

Change: the values are counted in the bytes before the body is parsed, and more than 100,000 are refused with 413, not run. The most messages that were allowed before, 10,000, have 60,000 values with one part each. A message has at most 10,000 parts.

New cases of openaiApi.test.ts.

--- a/playground/__tests__/callerCrowds.test.ts
+++ b/playground/__tests__/callerCrowds.test.ts
@@ -139,6 +139,12 @@
   return Array.from({ length: count }, member)
 }
 
+/** Returns a body of the limit's length that repeats an item. */
+function filled (start: string, item: string, end: string): string {
+  return `${start}${item.repeat(Math.floor((BODY_LIMIT - start.length - end.length) / item.length)).slice(0, -1)}${end}`
+}
+
+const MESSAGE = '{"model":"chat","messages":[{"role":"user","content":'
 const MANY_FIELDS = Array.from({ length: 700 }, (_, index) => `a${index}: b`)
 
 const BEHAVIOURS: ReadonlyArray<{ name: string, members: () => CrowdMember[] }> = [
@@ -146,6 +152,27 @@
     name: 'calls sent ahead, each with its own idempotency key, whose answers stay unread',
     members: () => members(60, () => ({ parts: ahead(2000, () => post('/slow', 'order', [`Idempotency-Key: crowd-${requests}`])), readRate: 0 }))
   },
+  {
+    name: 'bodies of many small values where a text is expected',
+    members: () => {
+      const body = filled(`${MESSAGE}[`, '0,', ']}]}')
+      return members(20, () => ({ parts: [Buffer.from(post(CHAT, body))] }))
+    }
+  },
+  {
+    name: 'bodies of many empty objects in an unknown field',
+    members: () => {
+      const body = filled(`${MESSAGE}"a"}],"more":[`, '{},', ']}')
+      return members(20, () => ({ parts: [Buffer.from(post(CHAT, body))] }))
+    }
+  },
+  {
+    name: 'bodies of values that are nested deeply',
+    members: () => {
+      const body = `${MESSAGE}"a"}],"more":${'['.repeat(2_000_000)}${']'.repeat(2_000_000)}}`
+      return members(20, () => ({ parts: [Buffer.from(post(CHAT, body))] }))
+    }
+  },
   {
     name: 'bodies in large chunks that stop just short of their end',
     members: () => {
--- a/src/gateway/__tests__/openaiApi.test.ts
+++ b/src/gateway/__tests__/openaiApi.test.ts
@@ -38,6 +38,32 @@
     })
   })
 
+  // Guards against bodies within the limit whose values exhaust the heap, or keep the process busy.
+  it.each([
+    ['elements of an unknown field', { model: 'm', messages: [{ role: 'user', content: 'a' }], more: Array(100_001).fill(0) }],
+    ['empty objects', { model: 'm', messages: Array(100_001).fill({}) }],
+    ['members', { model: 'm', prompt: 'a', more: Object.fromEntries(Array.from({ length: 100_001 }, (_, index) => [index, 0])) }],
+    ['nested lists', `${'['.repeat(100_001)}${']'.repeat(100_001)}`]
+  ])('rejects a body with too many %s', (_, value) => {
+    const body = typeof value === 'string' ? Buffer.from(value) : encode(value)
+    expect(() => parseCompletionRequest('chat', body)).toThrow(expect.objectContaining({
+      code: 'request_too_large', execution: 'not_run'
+    }))
+  })
+
+  it('rejects a message of more than 10,000 parts', () => {
+    const content = Array.from({ length: 10_001 }, () => ({ type: 'text', text: 'a' }))
+    const body = encode({ model: 'm', messages: [{ role: 'user', content }] })
+    expect(() => parseCompletionRequest('chat', body)).toThrow(InvalidRequestError)
+  })
+
+  it('accepts a long text, and the largest number of messages', () => {
+    const text = '"\\,[{'.repeat(100_000)
+    expect(parseCompletionRequest('plain', encode({ model: 'm', prompt: text })).prompt).toBe(text)
+    const messages = Array.from({ length: 10_000 }, () => ({ role: 'user', content: [{ type: 'text', text: 'a' }] }))
+    expect(parseCompletionRequest('chat', encode({ model: 'm', messages })).prompt).toHaveLength(10_000 * 7)
+  })
+
   it('parses a plain request', () => {
     expect(parseCompletionRequest('plain', encode({ model: 'm', prompt: ['a'] }))).toMatchObject({
       prompt: 'a', stream: false, maximumOutputTokens: undefined
--- a/src/gateway/openaiApi.ts
+++ b/src/gateway/openaiApi.ts
@@ -1,7 +1,8 @@
 /** OpenAI-compatible API: parses completion requests and renders completions. */
 import { z } from 'zod'
-import { InvalidRequestError } from '../errors'
+import { InvalidRequestError, RequestTooLargeError } from '../errors'
 import { ExecutionStatus } from '../types'
+import { hasMoreJsonValues } from './jsonValues'
 
 /**
  * Separators of messages in the canonical prompt. They are control characters that are stripped from the content, so that
@@ -14,6 +15,13 @@
 /** Maximum accepted value of `max_tokens`. Larger values are rejected as invalid. */
 const MAXIMUM_OUTPUT_TOKENS = 1_000_000
 
+/** Maximum number of messages, and of parts of one message. */
+const MAXIMUM_MESSAGES = 10_000
+const MAXIMUM_PARTS = 10_000
+
+/** Maximum number of array elements and object members of a body; 10,000 messages with one part each have 60,000. */
+const MAXIMUM_VALUES = 100_000
+
 const textPart = z.object({ type: z.literal('text'), text: z.string() })
 
 const commonFields = {
@@ -30,8 +38,8 @@
   ...commonFields,
   messages: z.array(z.object({
     role: z.enum(['system', 'developer', 'user', 'assistant', 'tool']),
-    content: z.union([z.string(), z.array(textPart)]).nullish()
-  })).min(1).max(10_000)
+    content: z.union([z.string(), z.array(textPart).max(MAXIMUM_PARTS)]).nullish()
+  })).min(1).max(MAXIMUM_MESSAGES)
 })
 
 const plainBody = z.object({
@@ -64,7 +72,7 @@
 
 /**
  * Parses the body of a chat or plain completion.
- * @throws InvalidRequestError with the first invalid fields.
+ * @throws InvalidRequestError with the first invalid fields, RequestTooLargeError if the body has too many values.
  */
 export function parseCompletionRequest (style: CompletionStyle, body: Uint8Array): CompletionRequest {
   const value = parseJson(body)
@@ -100,6 +108,9 @@
 }
 
 function parseJson (body: Uint8Array): unknown {
+  if (hasMoreJsonValues(body, MAXIMUM_VALUES)) {
+    throw new RequestTooLargeError(`the body has more than ${MAXIMUM_VALUES} values`, { execution: ExecutionStatus.notRun })
+  }
   try {
     return JSON.parse(new TextDecoder('utf-8', { fatal: true }).decode(body))
   } catch (cause) {
