Refuse requests with more than 8 keys in `serve`

What callers saw: no answers for as long as callers sent requests with hundreds of cookies named api_key; they need no valid key on an open route.

Cause: each key that a request contains is searched for in every header field, decoded in several ways. 400 keys and 800 fields within 16 KB took 0.66 s.

Change: a request with more than 8 different keys is refused with 400, not run. There are four places for a key; usual requests have one.

New cases of keyRemoval.test.ts.

--- a/playground/__tests__/callerCrowds.test.ts
+++ b/playground/__tests__/callerCrowds.test.ts
@@ -146,6 +146,7 @@
 
 const MESSAGE = '{"model":"chat","messages":[{"role":"user","content":'
 const MANY_FIELDS = Array.from({ length: 700 }, (_, index) => `a${index}: b`)
+const MANY_KEYS = `Cookie: ${Array.from({ length: 400 }, (_, index) => `api_key=k${10_000_000 + index}`).join(';')}`
 
 const BEHAVIOURS: ReadonlyArray<{ name: string, members: () => CrowdMember[] }> = [
   {
@@ -173,6 +174,10 @@
       return members(20, () => ({ parts: [Buffer.from(post(CHAT, body))] }))
     }
   },
+  {
+    name: 'calls with many keys and many header fields',
+    members: () => members(60, () => ({ parts: ahead(20, () => head('GET', '/orders', [MANY_KEYS, ...MANY_FIELDS])) }))
+  },
   {
     name: 'bodies in large chunks that stop just short of their end',
     members: () => {
--- a/src/customer/__tests__/keyRemoval.test.ts
+++ b/src/customer/__tests__/keyRemoval.test.ts
@@ -57,6 +57,16 @@
     expect(() => removeKey({ headers: { 'x-api-key': key }, path: `/v1/${percent(key)}` })).toThrow(InvalidRequestError)
   })
 
+  // Guards against a caller that keeps the process busy, as each key is searched for in all header fields.
+  it.each([
+    ['cookies', (keys: string[]) => ({ headers: { cookie: keys.map((name) => `api_key=${name}`).join(';') }, path: '/v1' })],
+    ['query parameters', (keys: string[]) => ({ headers: {}, path: `/v1?${keys.map((name) => `api_key=${name}`).join('&')}` })]
+  ])('rejects more than 8 different keys in %s', (_, partsOf) => {
+    const keys = Array.from({ length: 9 }, (_value, index) => `key-number-${index}`)
+    expect(() => removeKey(partsOf(keys))).toThrow(expect.objectContaining({ code: 'invalid_request', execution: 'not_run' }))
+    expect(removeKey(partsOf([...keys.slice(1), ...keys.slice(1)]))).toEqual({ headers: {}, path: '/v1' })
+  })
+
   it('leaves everything else as received', () => {
     fc.assert(fc.property(
       fc.dictionary(fc.stringMatching(/^x-[a-z]{1,8}$/), fc.string()), fc.webPath(), fc.webQueryParameters(),
--- a/src/customer/keyRemoval.ts
+++ b/src/customer/keyRemoval.ts
@@ -26,6 +26,9 @@
 /** Minimum length of a key that is searched for in other headers. Shorter texts would occur there by chance. */
 const MIN_SEARCHED_KEY_LENGTH = 8
 
+/** Maximum number of keys in one request. Each is searched for in all header fields. */
+const MAX_KEYS = 8
+
 /** Returns the caller's key, if any. Order of precedence: Bearer token, `x-api-key`, query parameter, cookie. */
 export function extractKey (parts: RequestParts): string | undefined {
   return candidateKeys(parts)[0]
@@ -47,11 +50,14 @@
  * Returns the headers and the path that may be forwarded to an upstream. Credential headers, the key parameter and the
  * key cookie are always removed. Other headers, parameters and cookies are removed if they contain one of the caller's
  * keys in any encoding.
- * @throws InvalidRequestError if the path itself contains a key.
+ * @throws InvalidRequestError if the path itself contains a key, or there are more than `MAX_KEYS` keys.
  */
 export function removeKey (parts: RequestParts): SafeParts {
-  const keys = candidateKeys(parts).filter(key => key.length >= MIN_SEARCHED_KEY_LENGTH)
-  return [...new Set(keys)].reduce<SafeParts>(removeOneKey, removeOneKey(parts, undefined))
+  const keys = new Set(candidateKeys(parts).filter(key => key.length >= MIN_SEARCHED_KEY_LENGTH))
+  if (keys.size > MAX_KEYS) {
+    throw new InvalidRequestError(`the request contains more than ${MAX_KEYS} keys`, { execution: ExecutionStatus.notRun })
+  }
+  return [...keys].reduce<SafeParts>(removeOneKey, removeOneKey(parts, undefined))
 }
 
 /** The parts of a request that may be forwarded, without undefined headers. */
