Share the heap and the connections to upstreams among the customers of `serve`

What callers saw: a router ended out of heap under callers that send valid requests: long prompts, and calls sent ahead on many connections.

Cause: `serve` bounded bytes, but not what its requests use on the heap, nor the connections to upstreams; one customer could take all of both.

Change: the account of `serve` has the bounds of the edge, from its heap, memory and descriptors, with what `serve` uses by itself. A request is counted for its customer before its body is read, and must fit before its body is parsed; a prompt counts with the bytes of its text. Beyond its share it is refused with 503, not run, Retry-After 1 s. Requests that are refused while their bodies arrive share as well. The groups are one module for both programs.

--- a/playground/__tests__/callerCrowds.test.ts
+++ b/playground/__tests__/callerCrowds.test.ts
@@ -122,6 +122,13 @@
 
 const CHAT = '/v1/chat/completions'
 
+/** Returns a stream whose prompt is another one than that of any other request. */
+function stream (): string {
+  return post(CHAT, JSON.stringify({
+    model: 'chat', stream: true, max_tokens: 5000, messages: [{ role: 'user', content: `question ${requests}` }]
+  }))
+}
+
 /** Returns the requests in writes of about 64 KB. */
 function ahead (count: number, request: () => string): Buffer[] {
   const parts: Buffer[] = []
@@ -149,10 +156,33 @@
 const MANY_KEYS = `Cookie: ${Array.from({ length: 400 }, (_, index) => `api_key=k${10_000_000 + index}`).join(';')}`
 
 const BEHAVIOURS: ReadonlyArray<{ name: string, members: () => CrowdMember[] }> = [
+  {
+    name: 'streams, one on each connection',
+    members: () => members(1900, () => ({ parts: [Buffer.from(stream())] }))
+  },
+  {
+    name: 'streams sent ahead on few connections',
+    members: () => members(60, () => ({ parts: ahead(64, stream) }))
+  },
+  {
+    name: 'streams sent ahead whose answers stay unread',
+    members: () => members(60, () => ({ parts: ahead(64, stream), readRate: 0 }))
+  },
   {
     name: 'calls sent ahead, each with its own idempotency key, whose answers stay unread',
     members: () => members(60, () => ({ parts: ahead(2000, () => post('/slow', 'order', [`Idempotency-Key: crowd-${requests}`])), readRate: 0 }))
   },
+  {
+    name: 'calls without a key sent ahead to an open route on many connections',
+    members: () => members(1900, () => ({ parts: ahead(100, () => `${head('POST', '/open', ['Content-Length: 5'], '')}order`) }))
+  },
+  {
+    name: 'prompts of the largest size',
+    members: () => {
+      const body = filled(`${MESSAGE}"`, 'xy', '"}],"max_tokens":5000}')
+      return members(120, () => ({ parts: [Buffer.from(post(CHAT, body))] }))
+    }
+  },
   {
     name: 'bodies of many small values where a text is expected',
     members: () => {
@@ -194,6 +224,13 @@
     name: 'bodies that stop short on many connections, with many header fields',
     members: () => members(1900, () => ({ parts: [Buffer.from(head('POST', CHAT, ['Content-Length: 1000', ...MANY_FIELDS]))] }))
   },
+  {
+    name: 'bodies of the largest size that wait for a slow service',
+    members: () => {
+      const body = 'x'.repeat(BODY_LIMIT)
+      return members(120, () => ({ parts: [Buffer.from(post('/slow', body))] }))
+    }
+  },
   {
     name: 'connections that are kept idle after a body of the largest size',
     members: () => {
--- a/src/edge/memoryAccount/exchangeShare.ts
+++ b/src/edge/memoryAccount/exchangeShare.ts
@@ -1,5 +1,6 @@
 /** Counts a request for those with which it shares the heap and the connections to upstreams. */
 import type { HeldRequest } from '../../http/memoryAccount/account'
+import { REJECTED_GROUP, requestGroup, shareRetryAfter, type RefusedShare } from '../../http/memoryAccount/requestGroups'
 import type { ShareDecision } from '../../http/memoryAccount/requestShares'
 import type { MonotonicMilliseconds } from '../../types'
 import type { Rejection } from '../callerResponse'
@@ -7,22 +8,10 @@
 
 /** Bytes that the objects of one prompt segment use. */
 const SEGMENT_OBJECT_BYTES = 128
-/** Bounds in milliseconds of the retry-after of a request beyond its share. */
-const MIN_RETRY_MS = 50
-const MAX_RETRY_MS = 1000
-
-/** Prefix of the groups of customers, so that none has the name of another group. */
-const CUSTOMER_GROUP = 'customer/'
-/** Requests of routes that ask for no key. */
-const ANONYMOUS_GROUP = 'anonymous'
-/** Requests that are refused once their bodies have been read. */
-const REJECTED_GROUP = 'rejected'
 
 /** Reason in the log for a request that was refused because others of its group use too much. */
 export const SHARE_EXCEEDED = 'share of requests in progress'
 
-export type RefusedShare = Extract<ShareDecision, { admitted: false }>
-
 export interface ExchangeShare {
   /** Counts the request for its customer. Returns why it may not be in progress; undefined if it may. */
   join: (customer: EdgeCustomer | undefined) => RefusedShare | undefined
@@ -43,21 +32,15 @@
   }
 
   return {
-    join (customer) {
-      const group = customer === undefined ? ANONYMOUS_GROUP : `${CUSTOMER_GROUP}${customer.name}`
-      return refusalOf(held?.join(group, now()))
-    },
+    join: (customer) => refusalOf(held?.join(requestGroup(customer?.name), now())),
     joinRejected: () => refusalOf(held?.join(REJECTED_GROUP, now())),
     forward: () => refusalOf(held?.forward(now()))
   }
 }
 
 /** Returns the refusal of a request that has not run. */
-export function describeShareRefusal ({ retryAfter }: RefusedShare): Rejection {
+export function describeShareRefusal (refusal: RefusedShare): Rejection {
   return {
-    status: 503,
-    code: 'overloaded',
-    message: 'too many requests are in progress',
-    retryAfter: Math.min(MAX_RETRY_MS, Math.max(MIN_RETRY_MS, retryAfter))
+    status: 503, code: 'overloaded', message: 'too many requests are in progress', retryAfter: shareRetryAfter(refusal)
   }
 }
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -12,6 +12,7 @@
 import type { Endpoint } from '../types'
 import { errorBodyOf, sendError } from './errorResponse'
 import type { Exchange, ExchangeHandler } from './exchange'
+import { joinRejected } from './requestShare'
 
 /** Minimum header limit of the HTTP parser in bytes. A head beyond it cannot be read, and closes its connection. */
 const MINIMUM_PARSED_HEADER_BYTES = 65_536
@@ -105,6 +106,7 @@
       rejectUnservable(exchange)
       await options.route(exchange.method, exchange.path)(exchange)
     } catch (error) {
+      joinRejected(exchange)
       if (exchange.signal.aborted) return
       sendError(exchange, error)
       if (!(error instanceof RouterError) || error instanceof InternalError) throw error
--- a/src/gateway/completionHandler.ts
+++ b/src/gateway/completionHandler.ts
@@ -10,6 +10,7 @@
   createChunkRenderer, parseCompletionRequest, renderUsageChunk, renderCompletion, STREAM_END
 } from './openaiApi'
 import type { ChunkRenderer, CompletionMetadata, CompletionRequest, CompletionStyle } from './openaiApi'
+import { forwardShare, joinShare, recordText } from './requestShare'
 
 export interface CompletionHandlerOptions {
   style: CompletionStyle
@@ -33,12 +34,15 @@
     exchange: Exchange, { customer }: CallerIdentity
   ): Promise<{ request: CompletionRequest, fingerprint: string }> {
     const body = await readBody(exchange, options.maximumBodyBytes)
+    forwardShare(exchange, body.length)
     const request = parseCompletionRequest(options.style, body)
+    recordText(exchange, body.length, request.prompt)
     return { request, fingerprint: fingerprintOf(customer, exchange.path, body) }
   }
 
   return async (exchange) => {
     const caller = options.authenticate(exchange)
+    joinShare(exchange, caller.customer)
     const { request, fingerprint } = await receive(exchange, caller)
     const { signal, release } = options.watch(caller, exchange.signal)
     const metadata: CompletionMetadata = {
--- a/src/gateway/serviceHandler.ts
+++ b/src/gateway/serviceHandler.ts
@@ -7,6 +7,7 @@
 import type { CallerIdentity } from './completionTypes'
 import { readBody, sendResponse } from './exchange'
 import type { Exchange, ExchangeHandler } from './exchange'
+import { forwardShare, joinShare } from './requestShare'
 import { findRoute } from './routeTable'
 import type { ServiceExecutor } from './serviceExecutor'
 
@@ -37,9 +38,11 @@
     const { method, path, identifier, request } = exchange
     const route = findRoute(options.routes(), method, path)
     const caller = route.open ? undefined : options.authenticate(exchange)
+    joinShare(exchange, caller?.customer)
     const sanitized = removeKey({ headers: request.headers, path: path + exchange.query })
     const idempotencyKey = readIdempotencyKey(exchange)
     const body = await readBody(exchange, options.maximumBodyBytes)
+    forwardShare(exchange)
     const { signal, release } = caller === undefined
       ? { signal: exchange.signal, release: () => {} }
       : options.watch(caller, exchange.signal)
--- a/src/http/memoryAccount/bounds.ts
+++ b/src/http/memoryAccount/bounds.ts
@@ -5,8 +5,15 @@
 export const DEFAULT_MEMORY_MB = 178
 /** File descriptors of a machine whose settings name none. */
 export const DEFAULT_FILE_DESCRIPTORS = 4096
-/** Memory in MB that the process uses without callers: 65 MB measured, and garbage that is collected late. */
-const PROCESS_MB = 98
+/** What a process uses without callers, in MB, and garbage that is collected late. */
+export interface ProcessUse {
+  memoryMb: number
+  heapMb: number
+}
+/** An edge daemon, measured with 65 MB. */
+export const EDGE_USE: Readonly<ProcessUse> = { memoryMb: 98, heapMb: 12 }
+/** `serve`, measured with 113 MB and 19 MB of heap; parsing prompts leaves more garbage. */
+export const SERVE_USE: Readonly<ProcessUse> = { memoryMb: 192, heapMb: 28 }
 /** Part of the remaining memory that may hold bytes; the rest is for copies, garbage and fragmentation. */
 const HELD_PART = 0.4
 /** Lowest bound in bytes: two bodies at the usual limit of 4 MB, each held twice while it is put together. */
@@ -17,8 +24,6 @@
 /** Part of the other descriptors that callers may use; each of their requests may need another one to an upstream. */
 const CALLER_PART = 0.5
 
-/** Heap in MB that the process uses without callers, and for new objects that have not been collected yet. */
-const PROCESS_HEAP_MB = 12
 /** Part of the remaining heap that the objects of callers may use; the rest is for garbage. */
 const OBJECT_PART = 0.5
 /** Lowest bound of these objects in bytes. */
@@ -29,8 +34,8 @@
 const CONNECTION_OBJECT_BYTES = 12_288
 
 /** Returns the maximum number of bytes held for callers and upstreams on a machine with this memory in MB. */
-export function heldBytesBound (memoryMb: number): number {
-  return Math.max(MIN_HELD_BYTES, Math.round((memoryMb - PROCESS_MB) * HELD_PART) * BYTES_PER_MB)
+export function heldBytesBound (memoryMb: number, use = EDGE_USE): number {
+  return Math.max(MIN_HELD_BYTES, Math.round((memoryMb - use.memoryMb) * HELD_PART) * BYTES_PER_MB)
 }
 
 /** Returns the maximum number of connections of callers for this number of file descriptors. */
@@ -55,9 +60,9 @@
  * Returns the bounds of connections and requests. The objects of all connections are set aside, so that connections that are
  * opened later leave room for requests.
  */
-export function callerBounds ({ memoryMb, fileDescriptors, heapMb }: ProcessLimits): CallerBounds {
-  const byHeapSize = Math.max(MIN_OBJECT_BYTES, Math.round((heapMb - PROCESS_HEAP_MB) * OBJECT_PART * BYTES_PER_MB))
-  const objectBytes = Math.min(byHeapSize, heldBytesBound(memoryMb))
+export function callerBounds ({ memoryMb, fileDescriptors, heapMb }: ProcessLimits, use = EDGE_USE): CallerBounds {
+  const byHeapSize = Math.max(MIN_OBJECT_BYTES, Math.round((heapMb - use.heapMb) * OBJECT_PART * BYTES_PER_MB))
+  const objectBytes = Math.min(byHeapSize, heldBytesBound(memoryMb, use))
   const byDescriptors = connectionBound(fileDescriptors)
   const byObjects = Math.floor(objectBytes * CONNECTION_OBJECT_PART / CONNECTION_OBJECT_BYTES)
   const connections = Math.min(byDescriptors, byObjects)
