Bound the memory of long answers of services in `serve`

What callers saw: a router needed hundreds of megabytes beyond its memory when callers asked for long answers and did not read them, or slowly.

Cause: answers of plain services are forwarded when they are complete, and nothing bounded how many were being read. Only whole answers were counted.

Change: an answer beyond 64 KB counts while it is read, and waits at its upstream while three quarters of the bound are held, or until it is the first one on its connection. The oldest one goes on until its caller has read it, so that answers that have begun cannot block each other; connections without progress for 3 s are closed meanwhile. The decision is a function of its own. Ending the attempts, as the edge does, would lose answers of calls that ran.

--- a/playground/__tests__/callerCrowds.test.ts
+++ b/playground/__tests__/callerCrowds.test.ts
@@ -231,6 +231,14 @@
       return members(120, () => ({ parts: [Buffer.from(post('/slow', body))] }))
     }
   },
+  {
+    name: 'long answers of a service that are never read',
+    members: () => members(120, () => ({ parts: ahead(4, () => head('GET', '/long')), readRate: 0 }))
+  },
+  {
+    name: 'long answers of a service that are read slowly',
+    members: () => members(120, () => ({ parts: ahead(4, () => head('GET', '/long')), readRate: 1000 }))
+  },
   {
     name: 'connections that are kept idle after a body of the largest size',
     members: () => {
--- a/src/composeGateway.ts
+++ b/src/composeGateway.ts
@@ -4,6 +4,7 @@
 import { NotFoundError } from './errors'
 import { createAdmission } from './gateway/admission'
 import type { AdmissionOptions } from './gateway/admission'
+import { createAnswerMemory } from './gateway/answerMemory'
 import { createAttemptOutcomes } from './gateway/attemptOutcome'
 import { createAuthentication } from './gateway/authentication'
 import { createCallerMemory } from './gateway/callerMemory'
@@ -123,6 +124,7 @@
   })
   const { authenticate, watch } = createAuthentication({ keys: state.keys, registerKey: options.registerKey, now })
   const { account, maximumConnections } = createCallerMemory(settings.limits)
+  const answerMemory = createAnswerMemory(account, now)
   const limits = { maximumBodyBytes: settings.limits.body, unreadLimit: settings.limits.idleTime }
   const createStyledHandler = (style: CompletionStyle): ExchangeHandler => {
     return createCompletionHandler({ style, execute: executeCompletion, authenticate, watch, wallClock, ...limits })
@@ -137,7 +139,7 @@
     '/readyz': createReadinessHandler(options.reasonNotReady)
   }
   const serviceHandler = createServiceHandler({
-    execute: executeService, routes: () => configuration().routes, authenticate, watch, ...limits
+    execute: executeService, routes: () => configuration().routes, authenticate, watch, answerMemory, ...limits
   })
 
   function route (method: string, path: string): ExchangeHandler {
--- a/src/gateway/serviceExecutor.ts
+++ b/src/gateway/serviceExecutor.ts
@@ -8,7 +8,7 @@
 import { EndReason } from '../request/endReason'
 import { reservationOwner } from '../request/idempotency'
 import type { IdempotencyGuard, Reservation } from '../request/idempotency'
-import type { ServiceResponse } from '../upstream/types'
+import type { ServiceCall, ServiceResponse } from '../upstream/types'
 import { ExecutionStatus } from '../types'
 import type { RouteConfiguration, WallClockMilliseconds } from '../types'
 import type { Admission } from './admission'
@@ -33,6 +33,8 @@
   /** Headers without the caller's key and without hop-by-hop headers. */
   headers: Readonly<Record<string, string | readonly string[]>>
   body: Uint8Array
+  /** See `ServiceCall`. */
+  reserve?: ServiceCall['reserve']
   idempotencyKey: string | undefined
   signal: AbortSignal
 }
--- a/src/gateway/serviceHandler.ts
+++ b/src/gateway/serviceHandler.ts
@@ -4,6 +4,7 @@
 import { fingerprintOf } from '../request/fingerprint'
 import { ExecutionStatus } from '../types'
 import type { RouteConfiguration } from '../types'
+import type { AnswerMemory } from './answerMemory'
 import type { CallerIdentity } from './completionTypes'
 import { readBody, sendResponse } from './exchange'
 import type { Exchange, ExchangeHandler } from './exchange'
@@ -31,6 +32,8 @@
   /** See `CompletionHandlerOptions`. */
   watch: (caller: CallerIdentity, signal: AbortSignal) => { signal: AbortSignal, release: () => void }
   maximumBodyBytes: number
+  /** Memory of long answers. @default not bounded */
+  answerMemory?: AnswerMemory
 }
 
 export function createServiceHandler (options: ServiceHandlerOptions): ExchangeHandler {
@@ -43,6 +46,7 @@
     const idempotencyKey = readIdempotencyKey(exchange)
     const body = await readBody(exchange, options.maximumBodyBytes)
     forwardShare(exchange)
+    const answer = options.answerMemory?.open(exchange)
     const { signal, release } = caller === undefined
       ? { signal: exchange.signal, release: () => {} }
       : options.watch(caller, exchange.signal)
@@ -56,11 +60,13 @@
         target: sanitized.path,
         headers: withoutConnectionHeaders(sanitized.headers),
         body,
+        ...(answer === undefined ? {} : { reserve: answer.reserve }),
         idempotencyKey,
         signal
       })
       sendResponse(exchange, response.status, withoutConnectionHeaders(response.headers), response.body)
     } finally {
+      answer?.release()
       release()
     }
   }
--- a/src/gateway/serviceRun.ts
+++ b/src/gateway/serviceRun.ts
@@ -261,8 +261,16 @@
   }
 
   function sourceOf (state: RunState, attempt: Attempt): AttemptSource<Attempt, ServiceResponse> {
-    const { identifier, method, target: path, headers, body } = state.job
-    const call = { requestIdentifier: identifier, attempt: attempt.number, method, path, headers, body }
+    const { identifier, method, target: path, headers, body, reserve } = state.job
+    const call = {
+      requestIdentifier: identifier,
+      attempt: attempt.number,
+      method,
+      path,
+      headers,
+      body,
+      ...(reserve === undefined ? {} : { reserve })
+    }
     return {
       details: attempt,
       async * open (onSilence, signal) {
--- a/src/http/memoryAccount/account.ts
+++ b/src/http/memoryAccount/account.ts
@@ -90,6 +90,8 @@
   isTight: () => boolean
   /** Closes connections without progress while much is held. To be called several times per second. */
   sweep: (now: MonotonicMilliseconds) => void
+  /** Closes the connection without progress that holds the most, if there is one. */
+  shedStalled: (now: MonotonicMilliseconds) => void
   heldBytes: () => number
   heldByKind: () => ReadonlyMap<HeldKind, number>
   /** Maximum number of bytes. */
@@ -310,6 +312,7 @@
     sweep (now) {
       while (exceeds(PRESSURE_PART) && closeStalled(now, STALLED_UNDER_PRESSURE_MS));
     },
+    shedStalled (now) { closeStalled(now, STALLED_UNDER_PRESSURE_MS) },
     heldBytes: () => total,
     heldByKind: () => byKind,
     bound,
--- a/src/upstream/engineClient.ts
+++ b/src/upstream/engineClient.ts
@@ -93,8 +93,9 @@
       checkEcho(exchange, call.requestIdentifier, call.attempt, false)
       await throwIfRejected(exchange)
       exchange.markStarted()
-      const body = await readBody(exchange, maximumAnswerBytes)
-      return { status: exchange.response.statusCode, headers: exchange.response.headers as ServiceResponse['headers'], body }
+      const body = await readBody(exchange, maximumAnswerBytes, call.reserve)
+      const { statusCode: status, headers } = exchange.response
+      return { status, headers: headers as ServiceResponse['headers'], body }
     } catch (error) {
       if (error instanceof StreamIntegrityError) exchange.abandonConnections()
       throw error
--- a/src/upstream/exchange.ts
+++ b/src/upstream/exchange.ts
@@ -7,6 +7,8 @@
 
 export interface UpstreamExchange {
   response: ExchangeResponse
+  /** Aborted when a time limit is exceeded, or together with the request; `read` then rejects with the reason. */
+  signal: AbortSignal
   /**
    * Reads the next bytes of the body; undefined at its end. The `firstByte` limit applies until `markStarted` is
    * called, then `betweenChunks`.
@@ -107,6 +109,7 @@
 
   return {
     response,
+    signal: abortController.signal,
     markStarted () {
       if (started) return
       started = true
--- a/src/upstream/response.ts
+++ b/src/upstream/response.ts
@@ -4,26 +4,49 @@
 import { UpstreamFailedError } from '../errors'
 import { connectionError, integrityError, markAttempt } from './attempt'
 import type { UpstreamExchange } from './exchange'
+import type { ServiceCall } from './types'
 
 /** Maximum number of bytes read from the body of an error response. */
 export const ERROR_RESPONSE_LIMIT = 65_536
 
+/** Maximum number of bytes of a response body that are buffered without a reservation. */
+export const UNRESERVED_BYTES = 65_536
+
+/** Number of times that a body is held while its chunks are joined. */
+const COPIES = 2
+
 /**
  * Reads the complete response body.
  *
+ * @param reserve called before a long body is buffered further, which needs twice its length
  * @throws `UpstreamFailedError` when the body is longer than `limit` bytes.
  */
-export async function readBody (exchange: UpstreamExchange, limit: number): Promise<Uint8Array> {
+export async function readBody (
+  exchange: UpstreamExchange, limit: number, reserve?: ServiceCall['reserve']
+): Promise<Uint8Array> {
   const chunks: Uint8Array[] = []
   let length = 0
+  let reserved = UNRESERVED_BYTES
   for (let chunk = await exchange.read(); chunk !== undefined; chunk = await exchange.read()) {
     chunks.push(chunk)
     length += chunk.length
     if (length > limit) throw connectionError(`response body exceeds ${limit} bytes`, 'started')
+    if (length <= reserved || reserve === undefined) continue
+    const expected = Math.max(length, Math.min(limit, announcedLength(exchange) ?? reserved * 2))
+    await reserve((expected - reserved) * COPIES, exchange.signal).catch((error: unknown) => {
+      // The next read rejects with the reason.
+      if (!exchange.signal.aborted) throw error
+    })
+    reserved = expected
   }
   return Buffer.concat(chunks)
 }
 
+function announcedLength ({ response: { headers } }: UpstreamExchange): number | undefined {
+  const length = Number(headers['content-length'] ?? NaN)
+  return Number.isFinite(length) ? length : undefined
+}
+
 /** Throws `UpstreamFailedError` when the response headers state that the upstream did not run the request. */
 export async function throwIfRejected (exchange: UpstreamExchange): Promise<void> {
   const { statusCode, headers } = exchange.response
--- a/src/upstream/types.ts
+++ b/src/upstream/types.ts
@@ -93,6 +93,8 @@
   /** Headers of the caller, without API keys and hop-by-hop headers. */
   headers: Readonly<Record<string, string | readonly string[]>>
   body: Uint8Array
+  /** Called before more bytes of a long response are buffered; they are read once it resolves. @default not called */
+  reserve?: (bytes: number, signal: AbortSignal) => Promise<void>
 }
 
 export interface ServiceResponse {
