Log requests of `serve` that are refused for what they use of the process

What operators saw: nothing in the log while callers got 503 for their share or for memory, as such requests are refused before they are handled.

Change: `request.refused` with the reason `share` or `memory`; the message names the customer.

Evidence: requestShare.test.ts.

--- a/src/composeGateway.ts
+++ b/src/composeGateway.ts
@@ -167,7 +167,10 @@
     },
     account,
     onConnectionShed (heldBytes) { log(LogEvent.callerConnectionShed, { heldBytes }) },
-    onRequestDiscarded ({ method }) { log(LogEvent.requestDiscarded, { method }) }
+    onRequestDiscarded ({ method }) { log(LogEvent.requestDiscarded, { method }) },
+    onOverloaded ({ code: errorCode, execution, reason, message }, requestIdentifier) {
+      log(LogEvent.requestRefused, { requestIdentifier, errorCode, execution, reason, message })
+    }
   })
   return { server, dispatcher, admission }
 }
--- a/src/gateway/__tests__/requestShare.test.ts
+++ b/src/gateway/__tests__/requestShare.test.ts
@@ -13,6 +13,7 @@
 
 let server: CallerServer | undefined
 let sockets: Socket[] = []
+let refusals: string[]
 /** Continues the requests in progress. */
 let release: () => void
 
@@ -24,6 +25,7 @@
 
 /** The header `x-customer` names the customer; a request without it has no valid key. */
 async function serve (requestBounds: RequestBounds): Promise<Endpoint> {
+  refusals = []
   const released = new Promise<void>((resolve) => { release = resolve })
   const handler = createCompletionHandler({
     style: 'plain',
@@ -45,6 +47,7 @@
     createIdentifier: () => 'r',
     route: () => handler,
     reportFault: () => {},
+    onOverloaded ({ reason, message }) { refusals.push(`${reason}: ${message}`) },
     account: createMemoryAccount({ bound: 16 * MB, requestBounds })
   })
   return await server.listen({ host: '127.0.0.1', port: 0 })
@@ -90,6 +93,7 @@
     const again = send(endpoint, request('crowd'))
     await expect.poll(again.text, { timeout: 5000 }).toMatch(/^HTTP\/1.1 200/)
     expect(refused.isClosed()).toBe(false)
+    expect(refusals).toEqual(['share: too many requests of crowd are in progress'])
   })
 
   it.each([
--- a/src/gateway/callerServer.ts
+++ b/src/gateway/callerServer.ts
@@ -8,6 +8,7 @@
 import { trackCallerConnections, UnreadableRequest, type CallerConnectionsOptions } from '../http/callerConnections'
 import { countHeaderBytes } from '../http/headSize'
 import { isKnownExpectation } from '../http/headText'
+import { EndReason } from '../request/endReason'
 import { ExecutionStatus } from '../types'
 import type { Endpoint } from '../types'
 import { errorBodyOf, sendError } from './errorResponse'
@@ -43,6 +44,8 @@
   onConnectionShed?: CallerConnectionsOptions['onShed']
   /** See `CallerConnectionsOptions`. */
   onRequestDiscarded?: CallerConnectionsOptions['onDiscarded']
+  /** Called for a request that is refused, before it is handled, for what it would use of the process. */
+  onOverloaded?: (error: OverloadedError, identifier: string) => void
 }
 
 export interface CallerServer {
@@ -107,6 +110,7 @@
       await options.route(exchange.method, exchange.path)(exchange)
     } catch (error) {
       joinRejected(exchange)
+      if (error instanceof OverloadedError && isUseOfProcess(error)) options.onOverloaded?.(error, exchange.identifier)
       if (exchange.signal.aborted) return
       sendError(exchange, error)
       if (!(error instanceof RouterError) || error instanceof InternalError) throw error
@@ -164,6 +168,10 @@
   }
 }
 
+function isUseOfProcess ({ reason }: OverloadedError): boolean {
+  return reason === EndReason.share || reason === EndReason.memory
+}
+
 function openExchange (
   request: IncomingMessage, response: ServerResponse, identifier: string, hasFollowers: () => boolean
 ): Exchange {
--- a/src/gateway/completionHandler.ts
+++ b/src/gateway/completionHandler.ts
@@ -34,7 +34,7 @@
     exchange: Exchange, { customer }: CallerIdentity
   ): Promise<{ request: CompletionRequest, fingerprint: string }> {
     const body = await readBody(exchange, options.maximumBodyBytes)
-    forwardShare(exchange, body.length)
+    forwardShare(exchange, customer, body.length)
     const request = parseCompletionRequest(options.style, body)
     recordText(exchange, body.length, request.prompt)
     return { request, fingerprint: fingerprintOf(customer, exchange.path, body) }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,6 +4,7 @@
 import { HeldKind } from '../http/memoryAccount/account'
 import { readBoundedBody } from '../http/memoryAccount/bodyReader'
 import { heldFor } from '../http/memoryAccount/connectionMemory'
+import { EndReason } from '../request/endReason'
 import { ExecutionStatus } from '../types'
 
 export interface Exchange {
@@ -53,7 +54,7 @@
       // The rest of the body would be read before the next request.
       if (!response.headersSent) response.shouldKeepAlive = false
       fail(new OverloadedError('no memory is left for the body', {
-        execution: ExecutionStatus.notRun, retryAfterSeconds: MEMORY_RETRY_SECONDS
+        execution: ExecutionStatus.notRun, retryAfterSeconds: MEMORY_RETRY_SECONDS, reason: EndReason.memory
       }))
     }
   })
--- a/src/gateway/requestShare.ts
+++ b/src/gateway/requestShare.ts
@@ -3,6 +3,7 @@
 import { heldFor } from '../http/memoryAccount/connectionMemory'
 import { REJECTED_GROUP, requestGroup, shareRetryAfter } from '../http/memoryAccount/requestGroups'
 import type { ShareDecision } from '../http/memoryAccount/requestShares'
+import { EndReason } from '../request/endReason'
 import { ExecutionStatus } from '../types'
 import type { Exchange } from './exchange'
 
@@ -14,7 +15,7 @@
  * @throws OverloadedError if its customer uses too much
  */
 export function joinShare (exchange: Exchange, customer: string | undefined): void {
-  throwIfRefused(exchange, heldFor(exchange.request)?.join(requestGroup(customer), performance.now()))
+  throwIfRefused(exchange, customer, heldFor(exchange.request)?.join(requestGroup(customer), performance.now()))
 }
 
 /**
@@ -23,10 +24,10 @@
  * @param parsedBytes bytes of the body if it is parsed
  * @throws OverloadedError if its customer uses too much
  */
-export function forwardShare (exchange: Exchange, parsedBytes = 0): void {
+export function forwardShare (exchange: Exchange, customer: string | undefined, parsedBytes = 0): void {
   const held = heldFor(exchange.request)
   held?.addObjects(parsedBytes, performance.now())
-  throwIfRefused(exchange, held?.forward(performance.now()))
+  throwIfRefused(exchange, customer, held?.forward(performance.now()))
 }
 
 /** Corrects what was counted for a parsed body to the text that stays until the request has ended. */
@@ -42,11 +43,14 @@
   if (decision?.admitted === false) stopReading(exchange, decision.mustRelease)
 }
 
-function throwIfRefused (exchange: Exchange, decision: ShareDecision | undefined): void {
+function throwIfRefused (
+  exchange: Exchange, customer: string | undefined, decision: ShareDecision | undefined
+): void {
   if (decision?.admitted !== false) return
   stopReading(exchange, decision.mustRelease)
-  throw new OverloadedError('too many requests are in progress', {
-    execution: ExecutionStatus.notRun, retryAfterSeconds: shareRetryAfter(decision) / 1000
+  const owner = customer === undefined ? 'without a key' : `of ${customer}`
+  throw new OverloadedError(`too many requests ${owner} are in progress`, {
+    execution: ExecutionStatus.notRun, retryAfterSeconds: shareRetryAfter(decision) / 1000, reason: EndReason.share
   })
 }
 
--- a/src/gateway/serviceHandler.ts
+++ b/src/gateway/serviceHandler.ts
@@ -45,7 +45,7 @@
     const sanitized = removeKey({ headers: request.headers, path: path + exchange.query })
     const idempotencyKey = readIdempotencyKey(exchange)
     const body = await readBody(exchange, options.maximumBodyBytes)
-    forwardShare(exchange)
+    forwardShare(exchange, caller?.customer)
     const answer = options.answerMemory?.open(exchange)
     const { signal, release } = caller === undefined
       ? { signal: exchange.signal, release: () => {} }
--- a/src/request/endReason.ts
+++ b/src/request/endReason.ts
@@ -14,6 +14,10 @@
   callerNotReading: 'caller_not_reading',
   /** The time limit of new work in the queue. */
   queueWait: 'queue_wait',
-  noUpstream: 'no_upstream'
+  noUpstream: 'no_upstream',
+  /** The customer's requests in progress use their share of the heap, or of the connections to upstreams. */
+  share: 'share',
+  /** No memory was left for the body. */
+  memory: 'memory'
 } as const
 export type EndReason = typeof EndReason[keyof typeof EndReason]
