Reserve memory before a stored response of an idempotency key is read

What callers saw: a router took 1.3 to 1.8 GB when callers repeated one `Idempotency-Key` whose response is long, as often as they are let in.

Cause: each repetition reads the stored response, up to 16 MB, from the platform at once. Nothing bounded how many are read.

Change: the row tells the length of the stored object, and the guard asks for memory for it, twice while it is read, as for a long answer of a service. Rows of earlier releases, without a length, count as the longest response.

--- a/playground/__tests__/callerCrowds.test.ts
+++ b/playground/__tests__/callerCrowds.test.ts
@@ -239,6 +239,16 @@
     name: 'long answers of a service that are read slowly',
     members: () => members(120, () => ({ parts: ahead(4, () => head('GET', '/long')), readRate: 1000 }))
   },
+  {
+    name: 'calls that repeat one idempotency key, whose long answer is stored, and never read it',
+    members: () => {
+      const repeated = (): string => head('GET', '/long', ['Idempotency-Key: crowd'])
+      return [
+        { parts: ahead(1, repeated) },
+        ...members(120, () => ({ parts: ahead(4, repeated), readRate: 0, delay: 1200 }))
+      ]
+    }
+  },
   {
     name: 'connections that are kept idle after a body of the largest size',
     members: () => {
--- a/src/gateway/serviceExecutor.ts
+++ b/src/gateway/serviceExecutor.ts
@@ -71,7 +71,10 @@
   async function runGuarded (job: ServiceJob): Promise<ServiceResponse> {
     if (job.idempotencyKey === undefined) return await run(job)
     const owner = reservationOwner(job.customer, job.route.name)
-    const outcome = await guard.reserve(owner, job.idempotencyKey, job.fingerprint, options.wallClock())
+    const reserveMemory = async (bytes: number): Promise<void> => { await job.reserve?.(bytes, job.signal) }
+    const outcome = await guard.reserve(
+      owner, job.idempotencyKey, job.fingerprint, options.wallClock(), reserveMemory
+    )
     switch (outcome.kind) {
       case 'run': return await runReserved(job, outcome.reservation)
       case 'stored': {
--- a/src/request/__tests__/idempotency.test.ts
+++ b/src/request/__tests__/idempotency.test.ts
@@ -1,10 +1,10 @@
 import fc from 'fast-check'
 import { describe, expect, it } from 'vitest'
 import { OutcomeUnknownError } from '../../errors'
-import { createMemoryPlatform } from '../../platform/memoryPlatform'
+import { createMemoryPlatform, type MemoryPlatform } from '../../platform/memoryPlatform'
 import type { PlatformClient } from '../../platform/types'
 import { createIdempotencyGuard, RETENTION_MS } from '../idempotency'
-import type { IdempotencyGuard, ReservationOutcome } from '../idempotency'
+import type { IdempotencyGuard, ReservationOutcome, ReservationRecord } from '../idempotency'
 
 const WALL_CLOCK = 1_700_000_000_000
 const response = { status: 201, contentType: 'application/json', body: Buffer.from('{"order":1}') }
@@ -39,6 +39,17 @@
   }
 }
 
+/** Wraps a client that writes rows without the lengths of objects. */
+function withoutLengths (platform: PlatformClient): PlatformClient {
+  return {
+    ...platform,
+    async commit (transaction) {
+      for (const { value } of transaction.writes) delete (value as ReservationRecord | undefined)?.answer?.objectBytes
+      return await platform.commit(transaction)
+    }
+  }
+}
+
 describe('idempotency guard', () => {
   it.each([
     ['small', Buffer.from('{"order":1}')],
@@ -117,6 +128,29 @@
     }), { seed: 4, numRuns: 300 })
   })
 
+  // Guards against a caller that repeats one key until the stored responses exhaust the memory.
+  it.each([
+    ['its length', (platform: MemoryPlatform) => platform.client, 80_000],
+    ['the longest one, in rows of earlier releases', (platform: MemoryPlatform) => withoutLengths(platform.client), 2 * 16_777_216]
+  ])('reads a long stored response only once there is memory for %s twice', async (_, clientOf, expected) => {
+    const platform = createMemoryPlatform()
+    const guard = createGuard(clientOf(platform), 'a')
+    const outcome = await guard.reserve('c', 'k', 'f', WALL_CLOCK)
+    const { reservation } = outcome as Extract<ReservationOutcome, { kind: 'run' }>
+    await guard.complete(reservation, { ...response, body: Buffer.alloc(40_000, 'x') })
+    const reserved: number[] = []
+    let isFree = (): void => {}
+    const repeated = guard.reserve('c', 'k', 'f', WALL_CLOCK, async (bytes) => {
+      reserved.push(bytes)
+      platform.faults.outage = true
+      await new Promise<void>((resolve) => { isFree = resolve })
+      platform.faults.outage = false
+    })
+    await expect.poll(() => reserved).toEqual([expected])
+    isFree()
+    expect((await repeated).kind).toBe('stored')
+  })
+
   it('completes writes that were delayed by an outage', async () => {
     const platform = createMemoryPlatform()
     const guard = createGuard(platform.client, 'a')
--- a/src/request/idempotency.ts
+++ b/src/request/idempotency.ts
@@ -11,6 +11,12 @@
 /** Maximum size of a response stored in the row; larger ones are stored in the object store. */
 const INLINE_RESPONSE_BYTES = 16_384
 
+/** Length in bytes that is assumed for an object whose row does not tell it; answers of services are at most as long. */
+const UNKNOWN_OBJECT_BYTES = 16_777_216
+
+/** Number of times that an object is held while it is read. */
+const OBJECT_COPIES = 2
+
 /** Maximum number of inserts for one reservation when platform responses are lost or released rows are replaced. */
 const RESERVATION_ATTEMPTS = 3
 
@@ -41,7 +47,14 @@
   incarnation: Incarnation
   fingerprint: string
   reservedAt: WallClockMilliseconds
-  answer?: { status: number, contentType: string, body?: string, object?: string }
+  answer?: {
+    status: number
+    contentType: string
+    body?: string
+    object?: string
+    /** Length of the object in bytes. */
+    objectBytes?: number
+  }
 }
 
 /** Permission to execute a request; must be passed to `complete` or `release`. */
@@ -72,8 +85,10 @@
 }
 
 export interface IdempotencyGuard {
+  /** @param reserveMemory called before a long response is read; it is read once it resolves */
   reserve: (
-    customer: string, idempotencyKey: string, fingerprint: string, wallClock: WallClockMilliseconds
+    customer: string, idempotencyKey: string, fingerprint: string, wallClock: WallClockMilliseconds,
+    reserveMemory?: (bytes: number) => Promise<void>
   ) => Promise<ReservationOutcome>
   /** Stores the response. When the platform is unavailable, `tick` retries the write. */
   complete: (reservation: Reservation, answer: StoredResponse) => Promise<void>
@@ -115,7 +130,9 @@
     return version
   }
 
-  async function reserveRow (key: string, record: ReservationRecord): Promise<ReservationOutcome> {
+  async function reserveRow (
+    key: string, record: ReservationRecord, reserveMemory: (bytes: number) => Promise<void>
+  ): Promise<ReservationOutcome> {
     let mayHaveWritten = false
     let expectedVersion = 0
     for (let attempt = 0; attempt < RESERVATION_ATTEMPTS; attempt += 1) {
@@ -134,7 +151,7 @@
         if (row.value.operation === record.operation) {
           return { kind: 'run', reservation: { key, record, version: row.version } }
         }
-        if (row.value.state !== 'released') return await existingOutcome(row, record.fingerprint)
+        if (row.value.state !== 'released') return await existingOutcome(row, record.fingerprint, reserveMemory)
         expectedVersion = row.version
       }
     }
@@ -153,13 +170,17 @@
     }
   }
 
-  async function existingOutcome (row: TableRow<ReservationRecord>, fingerprint: string): Promise<ReservationOutcome> {
+  async function existingOutcome (
+    row: TableRow<ReservationRecord>, fingerprint: string, reserveMemory: (bytes: number) => Promise<void>
+  ): Promise<ReservationOutcome> {
     const { value } = row
     if (value.fingerprint !== fingerprint) return { kind: 'mismatch' }
     if (value.state !== 'done' || value.answer === undefined) return { kind: 'inDoubt' }
-    const { status, contentType, body, object } = value.answer
+    const { status, contentType, body, object, objectBytes = UNKNOWN_OBJECT_BYTES } = value.answer
     if (body !== undefined) return { kind: 'stored', response: { status, contentType, body: Buffer.from(body, 'base64') } }
-    const content = object === undefined ? undefined : await platform.readObject(object).catch(() => undefined)
+    if (object === undefined) return { kind: 'inDoubt' }
+    await reserveMemory(objectBytes * OBJECT_COPIES)
+    const content = await platform.readObject(object).catch(() => undefined)
     return content === undefined ? { kind: 'inDoubt' } : { kind: 'stored', response: { status, contentType, body: content } }
   }
 
@@ -211,7 +232,7 @@
   }
 
   return {
-    async reserve (customer, idempotencyKey, fingerprint, wallClock) {
+    async reserve (customer, idempotencyKey, fingerprint, wallClock, reserveMemory = async () => {}) {
       return await reserveRow(reservationKey(customer, idempotencyKey), {
         state: 'reserved',
         operation: options.createIdentifier(),
@@ -219,7 +240,7 @@
         incarnation: options.incarnation,
         fingerprint,
         reservedAt: wallClock
-      })
+      }, reserveMemory)
     },
     async complete ({ key, record }, { status, contentType, body }) {
       const content = Buffer.from(body)
@@ -227,6 +248,7 @@
       if (content.length <= INLINE_RESPONSE_BYTES) answer.body = content.toString('base64')
       else {
         answer.object = `${PlatformTable.idempotency}/${record.operation}`
+        answer.objectBytes = content.length
         // Without the object, a repeated request gets the outcome `inDoubt` and is not executed again.
         await platform.writeObject(answer.object, content).catch(() => undefined)
       }
