Do not let the answer of a caller that has left hold others up in `serve`

What callers could have seen: long answers that wait for good once the process holds three quarters of its bound.

Cause: an answer that asks for memory right after its caller has left was added to those that are being sent, after its response had been closed, and stayed the oldest one.

Change: an attempt that has ended asks for nothing.

Evidence: a new case of answerMemory.test.ts fails before.

--- a/src/gateway/__tests__/answerMemory.test.ts
+++ b/src/gateway/__tests__/answerMemory.test.ts
@@ -95,6 +95,14 @@
     expect(await settles(waiting)).toBe(true)
   })
 
+  it('does not count an answer whose caller has left as the oldest', async () => {
+    const { memory } = createFixture(BOUND)
+    const left = createCaller()
+    left.end()
+    await expect(memory.open(left.exchange).reserve(MB, AbortSignal.abort())).rejects.toThrow('abort')
+    expect(await settles(memory.open(createCaller().exchange).reserve(MB, NEVER))).toBe(true)
+  })
+
   it('stops waiting when the attempt ends', async () => {
     const { memory } = createFixture(BOUND)
     await memory.open(createCaller().exchange).reserve(MB, NEVER)
--- a/src/gateway/answerMemory.ts
+++ b/src/gateway/answerMemory.ts
@@ -65,6 +65,8 @@
 
     return {
       async reserve (bytes, signal) {
+        // The response of a caller that has left is not closed again.
+        signal.throwIfAborted()
         while (!mayGrowNow(bytes)) {
           // Answers that nobody reads would hold the memory for as long as their connections are open.
           account.shedStalled(now())
